Set up the workspace and the interfaces between its parts

Tooling: npm workspaces, TypeScript project references, Airbnb lint rules, formatter, a checker of allowed imports per folder, ava, one verify command. Interfaces: platform (key-value store, VM list, workers), ownership, shards, decisions, configuration objects, failures with step and peer.

--- /dev/null
+++ b/ava.config.js
@@ -0,0 +1,6 @@
+export default {
+  files: ['.build/tests/**/*.spec.js'],
+  timeout: '2m',
+  workerThreads: false,
+  concurrency: 4,
+};
--- /dev/null
+++ b/benchmarks/main.ts
@@ -0,0 +1,7 @@
+/**
+ * Benchmarks of samphirenotch; `--ci` runs the seeded ones only.
+ *
+ * @packageDocumentation
+ */
+
+export {};
--- /dev/null
+++ b/packages/samphirenotch-cli/src/main.ts
@@ -0,0 +1,8 @@
+#!/usr/bin/env node
+/**
+ * Starts the command line.
+ *
+ * @packageDocumentation
+ */
+
+export {};
--- /dev/null
+++ b/packages/samphirenotch-stand-ins/src/workerMain.ts
@@ -0,0 +1,8 @@
+#!/usr/bin/env node
+/**
+ * Starts the stand-in for a worker.
+ *
+ * @packageDocumentation
+ */
+
+export {};
--- /dev/null
+++ b/packages/samphirenotch/src/decisions/impossibleJobs.ts
@@ -0,0 +1,27 @@
+/**
+ * Tells jobs that can never run from jobs that have to wait.
+ */
+import type { Size } from '../platform/worker.js';
+
+/** Capacity of the largest workers that a job may use. */
+export interface CapacityOffer {
+  readonly dataCentre: string;
+  readonly capacity: Size;
+}
+
+/** A verdict: why a job can never run. */
+export interface Impossibility {
+  readonly reason: string;
+  /** Name of the limit that stops it. */
+  readonly limit: string;
+}
+
+/** A policy that names jobs which can never run. */
+export interface ImpossibleJobs {
+  judge(
+    declared: Size,
+    offers: readonly CapacityOffer[],
+    failedAttempts: number,
+    maximumAttempts: number,
+  ): Impossibility | undefined;
+}
--- /dev/null
+++ b/packages/samphirenotch/src/index.ts
@@ -0,0 +1,7 @@
+/**
+ * The library of samphirenotch.
+ *
+ * @packageDocumentation
+ */
+
+export * from './results.js';
--- /dev/null
+++ b/packages/samphirenotch/src/observability/log.ts
@@ -0,0 +1,79 @@
+/**
+ * Logs of the scheduler: short sentences, each with the fixed prefix of the part that speaks.
+ */
+import { Logger } from 'tslog';
+
+/** Named values that belong to a log line, such as request and task ids. */
+export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
+
+/** Writes log lines of one part. */
+export interface Log {
+  debug(sentence: string, fields?: LogFields): void;
+  info(sentence: string, fields?: LogFields): void;
+  warn(sentence: string, fields?: LogFields): void;
+  error(sentence: string, fields?: LogFields): void;
+}
+
+/** How lines are written, and from which level on. */
+export interface LogSettings {
+  readonly format: 'json' | 'pretty' | 'hidden';
+  readonly level: 'debug' | 'info' | 'warn' | 'error';
+}
+
+const LEVELS = { debug: 2, info: 3, warn: 4, error: 5 } as const;
+
+let settings: LogSettings = { format: 'hidden', level: 'info' };
+
+/**
+ * Sets how all parts of this process log from now on.
+ *
+ * @param changed - the settings
+ */
+export const configureLogs = (changed: LogSettings): void => {
+  settings = changed;
+};
+
+/** A log that reads the process's settings on first use. */
+class PartLog implements Log {
+  private logger: Logger<LogFields> | undefined;
+
+  private loggerSettings: LogSettings | undefined;
+
+  constructor(private readonly prefix: string) {}
+
+  debug(sentence: string, fields?: LogFields): void {
+    this.current().debug(sentence, ...(fields ? [fields] : []));
+  }
+
+  info(sentence: string, fields?: LogFields): void {
+    this.current().info(sentence, ...(fields ? [fields] : []));
+  }
+
+  warn(sentence: string, fields?: LogFields): void {
+    this.current().warn(sentence, ...(fields ? [fields] : []));
+  }
+
+  error(sentence: string, fields?: LogFields): void {
+    this.current().error(sentence, ...(fields ? [fields] : []));
+  }
+
+  private current(): Logger<LogFields> {
+    if (this.logger && this.loggerSettings === settings) return this.logger;
+    this.loggerSettings = settings;
+    this.logger = new Logger<LogFields>({
+      type: settings.format,
+      name: this.prefix,
+      minLevel: LEVELS[settings.level],
+      hideLogPositionForProduction: true,
+    });
+    return this.logger;
+  }
+}
+
+/**
+ * Makes the log of a part.
+ *
+ * @param prefix - the part's fixed prefix, for instance `ownership`
+ * @returns the log
+ */
+export const partLog = (prefix: string): Log => new PartLog(prefix);
--- /dev/null
+++ b/packages/samphirenotch/src/time/clock.ts
@@ -0,0 +1,54 @@
+/**
+ * Time as the scheduler sees it, behind an interface so that tests can move it by hand.
+ */
+
+/** A source of time. */
+export interface Clock {
+  /**
+   * Reads a clock that never goes back and keeps running while the process is paused.
+   *
+   * @returns milliseconds since an arbitrary origin
+   */
+  monotonicMs(): number;
+
+  /**
+   * Reads the wall clock.
+   *
+   * @returns milliseconds since the Unix epoch
+   */
+  wallMs(): number;
+
+  /**
+   * Waits.
+   *
+   * @param durationMs - how long, in milliseconds
+   * @param signal - ends the wait early
+   * @returns a promise that resolves after the wait, also when the signal ended it
+   */
+  sleep(durationMs: number, signal?: AbortSignal): Promise<void>;
+}
+
+/** The clock of the machine. */
+export class SystemClock implements Clock {
+  monotonicMs(): number {
+    return performance.now();
+  }
+
+  wallMs(): number {
+    return Date.now();
+  }
+
+  sleep(durationMs: number, signal?: AbortSignal): Promise<void> {
+    if (signal?.aborted) return Promise.resolve();
+    return new Promise((resolve) => {
+      let timer: NodeJS.Timeout | undefined;
+      const finish = (): void => {
+        clearTimeout(timer);
+        signal?.removeEventListener('abort', finish);
+        resolve();
+      };
+      timer = setTimeout(finish, durationMs);
+      signal?.addEventListener('abort', finish);
+    });
+  }
+}
--- /dev/null
+++ b/packages/samphirenotch/src/time/manualClock.ts
@@ -0,0 +1,83 @@
+/**
+ * A clock that moves only when told to, for tests and seeded benchmarks.
+ */
+import type { Clock } from './clock.js';
+
+interface Sleeper {
+  readonly wakeAtMs: number;
+  readonly wake: () => void;
+}
+
+/** Lets pending promise callbacks run before time moves again. */
+const settle = (): Promise<void> =>
+  new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+
+/** A clock moved by hand. */
+export class ManualClock implements Clock {
+  private nowMs: number;
+
+  private sleepers: Sleeper[] = [];
+
+  /**
+   * @param startMs - the first reading, in milliseconds
+   */
+  constructor(startMs = 1_000_000) {
+    this.nowMs = startMs;
+  }
+
+  monotonicMs(): number {
+    return this.nowMs;
+  }
+
+  wallMs(): number {
+    return this.nowMs;
+  }
+
+  sleep(durationMs: number, signal?: AbortSignal): Promise<void> {
+    if (signal?.aborted) return Promise.resolve();
+    return new Promise((resolve) => {
+      const sleeper: Sleeper = { wakeAtMs: this.nowMs + durationMs, wake: resolve };
+      this.sleepers.push(sleeper);
+      signal?.addEventListener('abort', () => {
+        this.sleepers = this.sleepers.filter((each) => each !== sleeper);
+        resolve();
+      });
+    });
+  }
+
+  /**
+   * Moves time forward, waking sleepers in order of their wake-up times.
+   *
+   * @param durationMs - how far, in milliseconds
+   */
+  async advance(durationMs: number): Promise<void> {
+    const endMs = this.nowMs + durationMs;
+    await settle();
+    for (;;) {
+      const next = this.nextSleeper(endMs);
+      if (!next) break;
+      this.nowMs = Math.max(this.nowMs, next.wakeAtMs);
+      this.sleepers = this.sleepers.filter((each) => each !== next);
+      next.wake();
+      await settle();
+    }
+    this.nowMs = endMs;
+    await settle();
+  }
+
+  /**
+   * Moves time forward without waking anybody, as a paused process sees it.
+   *
+   * @param durationMs - how far, in milliseconds
+   */
+  jump(durationMs: number): void {
+    this.nowMs += durationMs;
+  }
+
+  private nextSleeper(endMs: number): Sleeper | undefined {
+    const due = this.sleepers.filter((each) => each.wakeAtMs <= endMs);
+    return due.sort((left, right) => left.wakeAtMs - right.wakeAtMs)[0];
+  }
+}
