--- a/packages/samphirenotch/src/failure.ts
+++ b/packages/samphirenotch/src/failure.ts
@@ -44,6 +44,9 @@
 
   readonly retryAfterMs: number | undefined;
 
+  /** The message without step and peer. */
+  readonly reason: string;
+
   /**
    * @param detail - what went wrong and where
    */
@@ -54,6 +57,7 @@
     this.step = detail.step;
     this.peer = detail.peer;
     this.effect = detail.effect;
+    this.reason = detail.message;
     this.retryAfterMs = detail.retryAfterMs;
   }
 }
--- a/packages/samphirenotch/src/grpc/grpcFailure.ts
+++ b/packages/samphirenotch/src/grpc/grpcFailure.ts
@@ -48,10 +48,10 @@
  */
 export const toStatus = (failure: Failure): Partial<ServiceError> => {
   const metadata = new Metadata();
-  const { code, step, peer, effect, message, retryAfterMs } = failure;
-  const detail = { code, step, peer, effect, message, retryAfterMs };
+  const { code, step, peer, effect, reason, retryAfterMs } = failure;
+  const detail = { code, step, peer, effect, message: reason, retryAfterMs };
   metadata.set(DETAIL_KEY, encodeURIComponent(JSON.stringify(detail)));
-  return { code: STATUS_OF[code], details: message, metadata };
+  return { code: STATUS_OF[code], details: reason, metadata };
 };
 
 const codeOf = (error: ServiceError): FailureCode => {
--- a/packages/samphirenotch/src/http/problem.ts
+++ b/packages/samphirenotch/src/http/problem.ts
@@ -53,7 +53,7 @@
       type: `urn:samphirenotch:problem:${failure.code}`,
       title: failure.code,
       status: statusOf(failure),
-      detail: failure.message,
+      detail: failure.reason,
       outcome: failure.effect,
       step: failure.step,
       peer: failure.peer,
--- /dev/null
+++ b/packages/samphirenotch/src/platform/httpCommand.ts
@@ -0,0 +1,146 @@
+/**
+ * One command over HTTP with a JSON body each way, for the adapters in this folder.
+ */
+import { request, type Dispatcher } from 'undici';
+import { z } from 'zod';
+
+import { Failure } from '../failure.js';
+import { Err, Ok, type Result } from '../results.js';
+import { remainingMs, type Call } from '../time/call.js';
+import type { Clock } from '../time/clock.js';
+
+const FAILURE_DETAIL = z.object({
+  code: z.enum([
+    'invalid',
+    'not-found',
+    'conflict',
+    'overloaded',
+    'deadline',
+    'cancelled',
+    'unavailable',
+    'stale-epoch',
+    'not-owner',
+    'internal',
+  ]),
+  effect: z.enum(['not-run', 'unknown']),
+  message: z.string(),
+  retryAfterMs: z.number().optional(),
+});
+
+/** Errors of undici and Node that arise before anything was sent. */
+const UNSENT_CODES: ReadonlySet<string> = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
+
+const HTTP_ERROR = 400;
+
+/** Where a command goes. */
+export interface CommandTarget {
+  readonly dispatcher: Dispatcher;
+  readonly origin: string;
+  /** Name of the peer in failures. */
+  readonly peer: string;
+}
+
+/** What is asked. */
+export interface Command<T> {
+  readonly path: string;
+  readonly step: string;
+  readonly body: unknown;
+  /** Shape of a good answer. */
+  readonly answer: z.ZodType<T>;
+}
+
+/**
+ * Makes the signal that ends an HTTP exchange: cancellation or the deadline.
+ *
+ * @param clock - the clock that the deadline was set on
+ * @param call - the call
+ * @returns the signal
+ */
+export const exchangeSignal = (clock: Clock, call: Call): AbortSignal =>
+  AbortSignal.any([call.signal, AbortSignal.timeout(Math.ceil(remainingMs(clock, call)))]);
+
+/**
+ * Tells what an error thrown by an HTTP exchange means.
+ *
+ * @param error - what was thrown
+ * @param step - the step that failed
+ * @param peer - the peer spoken to
+ * @returns the failure; `not-run` only if nothing was sent
+ */
+export const exchangeFailure = (error: unknown, step: string, peer: string): Failure => {
+  const { code, name, message } = error as { code?: string; name?: string; message?: string };
+  const unsent = code !== undefined && UNSENT_CODES.has(code);
+  const timedOut = name === 'TimeoutError' || name === 'AbortError';
+  return new Failure({
+    code: timedOut ? 'deadline' : 'unavailable',
+    step,
+    peer,
+    effect: unsent ? 'not-run' : 'unknown',
+    message: message || code || 'the connection failed',
+  });
+};
+
+/**
+ * Reads the failure that a peer answered with.
+ *
+ * @param body - the parsed body
+ * @param step - the step that failed
+ * @param peer - the peer spoken to
+ * @returns the failure
+ */
+export const answeredFailure = (body: unknown, step: string, peer: string): Failure => {
+  const parsed = FAILURE_DETAIL.safeParse(body);
+  if (parsed.success) return new Failure({ ...parsed.data, step, peer });
+  return new Failure({
+    code: 'internal',
+    step,
+    peer,
+    effect: 'unknown',
+    message: 'the answer could not be read',
+  });
+};
+
+/**
+ * Sends a command and reads its answer.
+ *
+ * @param target - where it goes
+ * @param command - what is asked
+ * @param clock - the clock that the call's deadline was set on
+ * @param call - deadline and cancellation
+ * @returns the answer, or a failure that tells whether the command may have taken effect
+ */
+export const sendCommand = async <T>(
+  target: CommandTarget,
+  command: Command<T>,
+  clock: Clock,
+  call: Call,
+): Promise<Result<T, Failure>> => {
+  const { step } = command;
+  if (call.signal.aborted || remainingMs(clock, call) <= 0) {
+    const message = 'the call ended before it was sent';
+    return Err(
+      new Failure({ code: 'deadline', step, peer: target.peer, effect: 'not-run', message }),
+    );
+  }
+  try {
+    const response = await request(`${target.origin}${command.path}`, {
+      method: 'POST',
+      dispatcher: target.dispatcher,
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify(command.body),
+      signal: exchangeSignal(clock, call),
+    });
+    const body: unknown = await response.body.json();
+    if (response.statusCode >= HTTP_ERROR) return Err(answeredFailure(body, step, target.peer));
+    const parsed = command.answer.safeParse(body);
+    if (!parsed.success) return Err(answeredFailure(undefined, step, target.peer));
+    return Ok(parsed.data);
+  } catch (error) {
+    return Err(exchangeFailure(error, step, target.peer));
+  }
+};
--- a/packages/samphirenotch/src/platform/keyValueStore.ts
+++ b/packages/samphirenotch/src/platform/keyValueStore.ts
@@ -73,4 +73,6 @@
     holdMs: number,
     call: Call,
   ): Promise<Result<ChangeBatch, Failure>>;
+  /** Frees connections. */
+  close(): Promise<void>;
 }
--- a/packages/samphirenotch/src/platform/vmList.ts
+++ b/packages/samphirenotch/src/platform/vmList.ts
@@ -22,4 +22,6 @@
 /** The list of worker VMs. */
 export interface VmList {
   workers(call: Call): Promise<Result<readonly WorkerListing[], Failure>>;
+  /** Frees connections. */
+  close(): Promise<void>;
 }
