Add plain baselines for every decision

Cause: each decision needs a class that can be composed now, and a policy to measure against. Change: one baseline per interface, seeded random numbers, no learning and no state beyond the queue. Ruled out: defaults inside the interfaces, since a ratio needs both as classes beside each other.

--- /dev/null
+++ b/packages/samphirenotch/src/decisions/declaredSize.ts
@@ -0,0 +1,22 @@
+/**
+ * Baseline: tasks use what was declared.
+ */
+import type { Size } from '../platform/worker.js';
+import type { SizeEstimate } from './sizeEstimate.js';
+
+/** Believes the declared sizes. */
+export class DeclaredSize implements SizeEstimate {
+  /**
+   * Returns the declared size.
+   *
+   * @param taskClass - the class, of no influence
+   * @param declared - size that was declared
+   * @returns the same size
+   */
+  estimate(taskClass: string, declared: Size): Size {
+    return declared;
+  }
+
+  /** Learns nothing. */
+  observe(): void {}
+}
--- /dev/null
+++ b/packages/samphirenotch/src/decisions/leastOutstandingChoice.ts
@@ -0,0 +1,38 @@
+/**
+ * Baseline: the worker with the fewest requests in progress.
+ */
+import { SeededRandom } from './seededRandom.js';
+
+import type { WorkerCandidate, WorkerChoice } from './workerChoice.js';
+
+/** Chooses the worker with the fewest requests in progress; ties are broken at random. */
+export class LeastOutstandingChoice implements WorkerChoice {
+  private readonly random: SeededRandom;
+
+  /**
+   * @param seed - seed of the random numbers that break ties
+   */
+  constructor(seed: number) {
+    this.random = new SeededRandom(seed);
+  }
+
+  /**
+   * Chooses the least busy candidate.
+   *
+   * @param taskClass - class of the request, of no influence
+   * @param candidates - workers with a free slot
+   * @returns the least busy of them, or nothing if there is none
+   */
+  choose(taskClass: string, candidates: readonly WorkerCandidate[]): WorkerCandidate | undefined {
+    if (candidates.length === 0) return undefined;
+    const fewest = Math.min(...candidates.map((each) => each.busySlots));
+    const tied = candidates.filter((each) => each.busySlots === fewest);
+    return tied[this.random.below(tied.length)];
+  }
+
+  /** Learns nothing. */
+  observe(): void {}
+
+  /** Holds nothing to forget. */
+  forget(): void {}
+}
--- /dev/null
+++ b/packages/samphirenotch/src/decisions/noInterference.ts
@@ -0,0 +1,19 @@
+/**
+ * Baseline: no class slows another one.
+ */
+import type { InterferenceModel } from './interferenceModel.js';
+
+/** Predicts no interference. */
+export class NoInterference implements InterferenceModel {
+  /**
+   * Predicts the speed of a class that runs alone.
+   *
+   * @returns 1
+   */
+  predict(): number {
+    return 1;
+  }
+
+  /** Learns nothing. */
+  observe(): void {}
+}
--- /dev/null
+++ b/packages/samphirenotch/src/decisions/randomWorkerChoice.ts
@@ -0,0 +1,36 @@
+/**
+ * Baseline: any worker with a free slot, all equally likely.
+ */
+import { SeededRandom } from './seededRandom.js';
+
+import type { WorkerCandidate, WorkerChoice } from './workerChoice.js';
+
+/** Chooses a worker at random. */
+export class RandomWorkerChoice implements WorkerChoice {
+  private readonly random: SeededRandom;
+
+  /**
+   * @param seed - seed of the random numbers
+   */
+  constructor(seed: number) {
+    this.random = new SeededRandom(seed);
+  }
+
+  /**
+   * Chooses any candidate.
+   *
+   * @param taskClass - class of the request, of no influence
+   * @param candidates - workers with a free slot
+   * @returns one of them, or nothing if there is none
+   */
+  choose(taskClass: string, candidates: readonly WorkerCandidate[]): WorkerCandidate | undefined {
+    if (candidates.length === 0) return undefined;
+    return candidates[this.random.below(candidates.length)];
+  }
+
+  /** Learns nothing. */
+  observe(): void {}
+
+  /** Holds nothing to forget. */
+  forget(): void {}
+}
