--- /dev/null
+++ b/packages/samphirenotch/src/decisions/hysteresisPressure.ts
@@ -0,0 +1,135 @@
+/**
+ * Relieves a worker step by step: throttle what disturbs most, then evict the cheapest work that
+ * helps; gives back slowly, and more slowly each time it proved too early.
+ */
+import { cheapestEviction } from './evictionCost.js';
+import { PressureRecord } from './pressureRecord.js';
+
+import type { PressureRecordSettings } from './pressureRecord.js';
+import type {
+  PressureAction,
+  PressureAttempt,
+  PressurePolicy,
+  PressureReading,
+} from './pressurePolicy.js';
+
+/** Settings of relief. */
+export interface HysteresisPressureSettings extends PressureRecordSettings {
+  /** Memory ratio above which work is evicted at once. */
+  readonly highMemoryRatio: number;
+  /** Shares that a throttled attempt is limited to, one step after the other. */
+  readonly throttleShares: readonly number[];
+}
+
+/** Settings that the entry uses unless told otherwise. */
+export const HYSTERESIS_PRESSURE_DEFAULTS: HysteresisPressureSettings = {
+  highLatencyRatio: 1.2,
+  lowLatencyRatio: 0.8,
+  highMemoryRatio: 0.95,
+  smoothingHalfLifeMs: 1_500,
+  enterAfterMs: 2_000,
+  settleMs: 3_000,
+  easeAfterMs: 10_000,
+  longestEaseAfterMs: 160_000,
+  throttleShares: [0.5, 0.25],
+};
+
+const RECORD_LIFETIME_MS = 600_000;
+
+/** Relief with hysteresis. */
+export class HysteresisPressure implements PressurePolicy {
+  private readonly settings: HysteresisPressureSettings;
+
+  private readonly records = new Map<string, PressureRecord>();
+
+  private prunedAtMs = 0;
+
+  /**
+   * @param settings - thresholds and times
+   */
+  constructor(settings: HysteresisPressureSettings = HYSTERESIS_PRESSURE_DEFAULTS) {
+    this.settings = settings;
+  }
+
+  /**
+   * Decides about one worker.
+   *
+   * @param reading - its state
+   * @returns at most one action
+   */
+  decide(reading: PressureReading): readonly PressureAction[] {
+    const { nowMs, latencyRatio, memoryRatio } = reading;
+    this.prune(nowMs);
+    const record = this.recordOf(reading);
+    record.read(latencyRatio, nowMs);
+    if (!record.isSettled(nowMs)) return [];
+    const action = this.relief(reading, record, memoryRatio > this.settings.highMemoryRatio);
+    if (action) {
+      record.relieved(nowMs);
+      return [action];
+    }
+    return this.ease(reading, record);
+  }
+
+  private relief(
+    reading: PressureReading,
+    record: PressureRecord,
+    isMemoryShort: boolean,
+  ): PressureAction | undefined {
+    const { attempts, nowMs } = reading;
+    if (isMemoryShort) return this.evict(cheapestEviction(attempts, nowMs, 'memory'));
+    if (!record.isPressed(nowMs)) return undefined;
+    return (
+      this.throttleWorst(attempts) ?? this.evict(cheapestEviction(attempts, nowMs, 'slowdown'))
+    );
+  }
+
+  private throttleWorst(attempts: readonly PressureAttempt[]): PressureAction | undefined {
+    const [worst] = attempts
+      .filter((each) => each.predictedSlowdown > 1 && this.nextShare(each) !== undefined)
+      .sort((left, right) => right.predictedSlowdown - left.predictedSlowdown);
+    const share = worst && this.nextShare(worst);
+    if (!worst || share === undefined) return undefined;
+    return { kind: 'throttle', attemptId: worst.attemptId, share };
+  }
+
+  private evict(attempt: PressureAttempt | undefined): PressureAction | undefined {
+    return attempt && { kind: 'evict', attemptId: attempt.attemptId };
+  }
+
+  private ease({ attempts, nowMs }: PressureReading, record: PressureRecord): PressureAction[] {
+    if (!record.isAtEase(nowMs)) return [];
+    const [mildest] = attempts
+      .filter((each) => each.throttledTo < 1)
+      .sort((left, right) => left.predictedSlowdown - right.predictedSlowdown);
+    if (!mildest) return [];
+    record.eased(nowMs);
+    const share = this.previousShare(mildest);
+    return [{ kind: 'throttle', attemptId: mildest.attemptId, share }];
+  }
+
+  private nextShare(attempt: PressureAttempt): number | undefined {
+    return this.settings.throttleShares.find((share) => share < attempt.throttledTo);
+  }
+
+  private previousShare(attempt: PressureAttempt): number {
+    const larger = this.settings.throttleShares.filter((share) => share > attempt.throttledTo);
+    return larger.at(-1) ?? 1;
+  }
+
+  private recordOf({ workerId, nowMs }: PressureReading): PressureRecord {
+    const known = this.records.get(workerId);
+    if (known) return known;
+    const record = new PressureRecord(this.settings, nowMs);
+    this.records.set(workerId, record);
+    return record;
+  }
+
+  private prune(nowMs: number): void {
+    if (nowMs - this.prunedAtMs < RECORD_LIFETIME_MS) return;
+    this.prunedAtMs = nowMs;
+    for (const [workerId, record] of this.records) {
+      if (nowMs - record.readAtMs() >= RECORD_LIFETIME_MS) this.records.delete(workerId);
+    }
+  }
+}
--- /dev/null
+++ b/packages/samphirenotch/src/decisions/learnedWorkerChoice.ts
@@ -0,0 +1,205 @@
+/**
+ * Chooses a worker by outstanding work, recent latency and interference, and keeps workers out that
+ * fail whatever they start.
+ */
+import { DecayingMean } from './decayingMean.js';
+import { SeededRandom } from './seededRandom.js';
+import { WorkerHealth } from './workerHealth.js';
+
+import type { InterferenceModel } from './interferenceModel.js';
+import type { WorkerCandidate, WorkerChoice, WorkerObservation } from './workerChoice.js';
+import type { WorkerHealthSettings } from './workerHealth.js';
+
+/** Settings of the choice. */
+export interface LearnedWorkerChoiceSettings extends WorkerHealthSettings {
+  /** Candidates that are compared for one request. */
+  readonly sampledCandidates: number;
+  /** Weight of a full worker relative to an idle one; 0 ignores outstanding work. */
+  readonly outstandingWeight: number;
+  /** Time after which an observed latency counts half, in milliseconds. */
+  readonly latencyHalfLifeMs: number;
+  /** Observations that the assumption of ordinary latency is worth. */
+  readonly latencyPriorWeight: number;
+  /** Share of requests that try a worker on probation, if there is one. */
+  readonly trialShare: number;
+}
+
+/** Settings that the entry uses unless told otherwise. */
+export const LEARNED_WORKER_CHOICE_DEFAULTS: LearnedWorkerChoiceSettings = {
+  failuresToEject: 5,
+  silencesToEject: 2,
+  ejectionMs: 2_000,
+  longestEjectionMs: 60_000,
+  largestEjectedShare: 0.3,
+  answersToReturn: 5,
+  sampledCandidates: 64,
+  outstandingWeight: 1,
+  latencyHalfLifeMs: 3_000,
+  latencyPriorWeight: 2,
+  trialShare: 0.05,
+};
+
+interface LatencyRecord {
+  /** Latency relative to that of the class, less what its neighbours explain. */
+  readonly relative: DecayingMean;
+  predictedSlowdown: number;
+}
+
+/** Chooses the worker that is likely to answer first. */
+export class LearnedWorkerChoice implements WorkerChoice {
+  private readonly settings: LearnedWorkerChoiceSettings;
+
+  private readonly interference: InterferenceModel;
+
+  private readonly random: SeededRandom;
+
+  private readonly health: WorkerHealth;
+
+  private readonly latencies = new Map<string, LatencyRecord>();
+
+  private readonly classLatencies = new Map<string, DecayingMean>();
+
+  /**
+   * @param seed - seed of the random numbers
+   * @param interference - model of what runs beside the request
+   * @param settings - weights, decay and ejection
+   */
+  constructor(
+    seed: number,
+    interference: InterferenceModel,
+    settings: LearnedWorkerChoiceSettings = LEARNED_WORKER_CHOICE_DEFAULTS,
+  ) {
+    this.settings = settings;
+    this.interference = interference;
+    this.random = new SeededRandom(seed);
+    this.health = new WorkerHealth(settings);
+  }
+
+  /**
+   * Chooses among candidates.
+   *
+   * @param taskClass - class of the request
+   * @param candidates - workers with a free slot
+   * @param nowMs - time, in milliseconds
+   * @returns the best of those that may be used, or nothing
+   */
+  choose(
+    taskClass: string,
+    candidates: readonly WorkerCandidate[],
+    nowMs: number,
+  ): WorkerCandidate | undefined {
+    const sampled = this.sample(candidates);
+    const trusted: WorkerCandidate[] = [];
+    const idleOnProbation: WorkerCandidate[] = [];
+    for (const candidate of sampled) {
+      this.health.enrol(taskClass, candidate.workerId);
+      const standing = this.health.standing(candidate.workerId, nowMs);
+      if (standing === 'trusted') trusted.push(candidate);
+      if (standing === 'probation' && candidate.busySlots === 0) idleOnProbation.push(candidate);
+    }
+    const trial = this.chooseTrial(idleOnProbation, trusted.length === 0);
+    return trial ?? this.chooseBest(taskClass, trusted, nowMs);
+  }
+
+  /**
+   * Learns how a request went.
+   *
+   * @param observation - worker, class, outcome and latency
+   */
+  observe(observation: WorkerObservation): void {
+    const { workerId, taskClass, kind, nowMs } = observation;
+    if (kind !== 'answered') {
+      this.health.recordFailure(taskClass, workerId, kind === 'silent', nowMs);
+      return;
+    }
+    this.health.recordAnswer(workerId);
+    this.observeLatency(observation);
+  }
+
+  /**
+   * Forgets a worker that left.
+   *
+   * @param workerId - the worker
+   */
+  forget(workerId: string): void {
+    this.health.forget(workerId);
+    this.latencies.delete(workerId);
+  }
+
+  private sample(candidates: readonly WorkerCandidate[]): readonly WorkerCandidate[] {
+    const { sampledCandidates } = this.settings;
+    if (candidates.length <= sampledCandidates) return candidates;
+    const first = this.random.below(candidates.length);
+    const stride = Math.floor(candidates.length / sampledCandidates);
+    const sampled: WorkerCandidate[] = [];
+    for (let index = 0; index < sampledCandidates; index += 1) {
+      const candidate = candidates[(first + index * stride) % candidates.length];
+      if (candidate) sampled.push(candidate);
+    }
+    return sampled;
+  }
+
+  private chooseTrial(
+    idleOnProbation: readonly WorkerCandidate[],
+    nothingElse: boolean,
+  ): WorkerCandidate | undefined {
+    if (idleOnProbation.length === 0) return undefined;
+    if (!nothingElse && this.random.fraction() >= this.settings.trialShare) return undefined;
+    return idleOnProbation[this.random.below(idleOnProbation.length)];
+  }
+
+  private chooseBest(
+    taskClass: string,
+    trusted: readonly WorkerCandidate[],
+    nowMs: number,
+  ): WorkerCandidate | undefined {
+    let best: WorkerCandidate | undefined;
+    let least = Infinity;
+    const start = trusted.length === 0 ? 0 : this.random.below(trusted.length);
+    for (let index = 0; index < trusted.length; index += 1) {
+      const candidate = trusted[(start + index) % trusted.length];
+      const cost = candidate ? this.cost(taskClass, candidate, nowMs) : Infinity;
+      if (cost >= least) continue;
+      least = cost;
+      best = candidate;
+    }
+    return best;
+  }
+
+  private cost(taskClass: string, candidate: WorkerCandidate, nowMs: number): number {
+    const { outstandingWeight, latencyPriorWeight } = this.settings;
+    const record = this.latencyOf(candidate.workerId);
+    record.predictedSlowdown = this.interference.predict(taskClass, candidate.neighbours, nowMs);
+    const load = 1 + outstandingWeight * (candidate.busySlots / candidate.slots);
+    const relative = record.relative.shrunkTo(1, latencyPriorWeight, nowMs);
+    return load * relative * record.predictedSlowdown;
+  }
+
+  private observeLatency({ workerId, taskClass, latencyMs, nowMs }: WorkerObservation): void {
+    const record = this.latencyOf(workerId);
+    const classLatency = this.classLatencyOf(taskClass);
+    const unhinderedMs = latencyMs / record.predictedSlowdown;
+    const usualMs = classLatency.shrunkTo(unhinderedMs, Number.EPSILON, nowMs);
+    classLatency.observe(unhinderedMs, nowMs);
+    if (usualMs > 0) record.relative.observe(unhinderedMs / usualMs, nowMs);
+  }
+
+  private latencyOf(workerId: string): LatencyRecord {
+    const known = this.latencies.get(workerId);
+    if (known) return known;
+    const record: LatencyRecord = {
+      relative: new DecayingMean(this.settings.latencyHalfLifeMs),
+      predictedSlowdown: 1,
+    };
+    this.latencies.set(workerId, record);
+    return record;
+  }
+
+  private classLatencyOf(taskClass: string): DecayingMean {
+    const known = this.classLatencies.get(taskClass);
+    if (known) return known;
+    const mean = new DecayingMean(this.settings.latencyHalfLifeMs);
+    this.classLatencies.set(taskClass, mean);
+    return mean;
+  }
+}
--- /dev/null
+++ b/packages/samphirenotch/src/decisions/pacedStarts.ts
@@ -0,0 +1,83 @@
+/**
+ * Lets starts through at a rate that doubles until the returned capacity is filled.
+ */
+import type { StartPacing } from './startPacing.js';
+
+/** Settings of pacing. */
+export interface PacedStartsSettings {
+  /** Starts per second right after capacity returned. */
+  readonly firstStartsPerSecond: number;
+  /** Time in which the rate doubles, in milliseconds. */
+  readonly doublingMs: number;
+  /** Time after which starts are not paced any more, in milliseconds. */
+  readonly pacedForMs: number;
+  /** Starts that may be made at once. */
+  readonly burst: number;
+}
+
+/** Settings that the entry uses unless told otherwise. */
+export const PACED_STARTS_DEFAULTS: PacedStartsSettings = {
+  firstStartsPerSecond: 10,
+  doublingMs: 2_000,
+  pacedForMs: 20_000,
+  burst: 5,
+};
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** Paces starts after capacity returned. */
+export class PacedStarts implements StartPacing {
+  private readonly settings: PacedStartsSettings;
+
+  private returnedAtMs = -Infinity;
+
+  private refilledAtMs = 0;
+
+  private permits = 0;
+
+  /**
+   * @param settings - rate and its growth
+   */
+  constructor(settings: PacedStartsSettings = PACED_STARTS_DEFAULTS) {
+    this.settings = settings;
+  }
+
+  /**
+   * Begins to pace; a return during a paced time begins anew.
+   *
+   * @param nowMs - time, in milliseconds
+   */
+  capacityReturned(nowMs: number): void {
+    this.returnedAtMs = nowMs;
+    this.refilledAtMs = nowMs;
+    this.permits = this.settings.burst;
+  }
+
+  /**
+   * Takes permission for one start.
+   *
+   * @param nowMs - time, in milliseconds
+   * @returns false if the start has to wait
+   */
+  tryStart(nowMs: number): boolean {
+    if (nowMs - this.returnedAtMs >= this.settings.pacedForMs) return true;
+    this.refill(nowMs);
+    if (this.permits < 1) return false;
+    this.permits -= 1;
+    return true;
+  }
+
+  private refill(nowMs: number): void {
+    const { burst } = this.settings;
+    const elapsedMs = Math.max(0, nowMs - this.refilledAtMs);
+    const rate = this.startsPerSecond(nowMs);
+    const earned = (rate * elapsedMs) / MILLISECONDS_PER_SECOND;
+    this.permits = Math.min(Math.max(burst, rate), this.permits + earned);
+    this.refilledAtMs = nowMs;
+  }
+
+  private startsPerSecond(nowMs: number): number {
+    const { firstStartsPerSecond, doublingMs } = this.settings;
+    return firstStartsPerSecond * 2 ** ((nowMs - this.returnedAtMs) / doublingMs);
+  }
+}
--- /dev/null
+++ b/packages/samphirenotch/src/decisions/pairEffect.ts
@@ -0,0 +1,94 @@
+/**
+ * The effect of one neighbour on one class, with how sure it is.
+ */
+
+/** How effects change while they are not measured. */
+export interface EffectDecay {
+  /** Standard deviation before anything is known. */
+  readonly priorDeviation: number;
+  /** Growth of the variance per second, for effects that shift. */
+  readonly shiftVariancePerSecond: number;
+  /** Time after which an effect that is not seen any more counts half, in milliseconds. */
+  readonly forgetHalfLifeMs: number;
+}
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** Logarithm of the slowdown that one neighbour causes. */
+export class PairEffect {
+  private readonly decay: EffectDecay;
+
+  private currentMean = 0;
+
+  private currentVariance: number;
+
+  private seenAtMs: number;
+
+  /**
+   * @param decay - prior and decay
+   * @param nowMs - time, in milliseconds
+   */
+  constructor(decay: EffectDecay, nowMs: number) {
+    this.decay = decay;
+    this.currentVariance = decay.priorDeviation ** 2;
+    this.seenAtMs = nowMs;
+  }
+
+  /**
+   * Reads the effect.
+   *
+   * @returns its mean
+   */
+  mean(): number {
+    return this.currentMean;
+  }
+
+  /**
+   * Reads how unsure the effect is.
+   *
+   * @returns its variance
+   */
+  variance(): number {
+    return this.currentVariance;
+  }
+
+  /**
+   * Lets time pass before a measurement.
+   *
+   * @param nowMs - time, in milliseconds
+   */
+  age(nowMs: number): void {
+    const { priorDeviation, shiftVariancePerSecond, forgetHalfLifeMs } = this.decay;
+    const elapsedMs = Math.max(0, nowMs - this.seenAtMs);
+    const grown = (shiftVariancePerSecond * elapsedMs) / MILLISECONDS_PER_SECOND;
+    this.currentMean *= 0.5 ** (elapsedMs / forgetHalfLifeMs);
+    this.currentVariance = Math.min(priorDeviation ** 2, this.currentVariance + grown);
+    this.seenAtMs = Math.max(this.seenAtMs, nowMs);
+  }
+
+  /**
+   * Takes its part of an error of the prediction.
+   *
+   * @param error - how far the measurement was above the prediction
+   * @param count - neighbours of this class that ran there
+   * @param totalVariance - variance of the prediction and of the measurement together
+   */
+  correct(error: number, count: number, totalVariance: number): void {
+    const gain = (count * this.currentVariance) / totalVariance;
+    this.currentMean += gain * error;
+    this.currentVariance *= 1 - gain * count;
+  }
+
+  /**
+   * Reads the effect as far as it is known.
+   *
+   * @param nowMs - time, in milliseconds
+   * @returns the mean, nearer to 0 the less sure and the older it is
+   */
+  trusted(nowMs: number): number {
+    const { priorDeviation, forgetHalfLifeMs } = this.decay;
+    const kept = 0.5 ** (Math.max(0, nowMs - this.seenAtMs) / forgetHalfLifeMs);
+    const sureness = Math.max(0, 1 - this.currentVariance / priorDeviation ** 2);
+    return this.currentMean * kept * sureness;
+  }
+}
