--- a/packages/samphirenotch/src/config/objects.ts
+++ b/packages/samphirenotch/src/config/objects.ts
@@ -59,6 +59,12 @@
   readonly requestsPerSecond: number;
   readonly queuedRequests: number;
   readonly bodyBytes: number;
+  /** Limit that this one must stay within, if any. */
+  readonly within?: string;
+  /** Most that quotas under this limit may allow, where set. */
+  readonly runningTasks?: number;
+  readonly queuedTasks?: number;
+  readonly total?: Size;
 }
 
 /** Bounds of tasks. */
