--- a/packages/samphirenotch/src/http/problem.ts
+++ b/packages/samphirenotch/src/http/problem.ts
@@ -27,23 +27,34 @@
  */
 export const statusOf = (failure: Failure): number => STATUS_OF[failure.code];
 
+/** What a handler adds to the usual problem. */
+export interface ProblemExtras {
+  /** Status in place of the usual one of the failure's code. */
+  readonly status?: number;
+  /** Further members of the document. */
+  readonly members?: Readonly<Record<string, string | number>>;
+}
+
 /**
  * Answers a request with a failure. Does nothing but end the connection once an answer has begun.
  *
  * @param response - the response to write
  * @param failure - what went wrong
  * @param requestId - id under which the logs speak of the request
+ * @param extras - what differs from the usual problem
  */
 export const writeProblem = (
   response: ServerResponse,
   failure: Failure,
   requestId: string,
+  extras: ProblemExtras = {},
 ): void => {
   if (response.headersSent) {
     response.destroy(failure);
     return;
   }
-  response.statusCode = statusOf(failure);
+  const status = extras.status ?? statusOf(failure);
+  response.statusCode = status;
   response.setHeader('Content-Type', 'application/problem+json');
   if (failure.retryAfterMs !== undefined) {
     response.setHeader('Retry-After', Math.max(1, Math.ceil(failure.retryAfterMs / MS_PER_SECOND)));
@@ -52,13 +63,14 @@
     JSON.stringify({
       type: `urn:samphirenotch:problem:${failure.code}`,
       title: failure.code,
-      status: statusOf(failure),
+      status,
       detail: failure.message,
       outcome: failure.effect,
       step: failure.step,
       peer: failure.peer,
       requestId,
       ...(failure.retryAfterMs === undefined ? {} : { retryAfterMs: failure.retryAfterMs }),
+      ...extras.members,
     }),
   );
 };
