--- a/packages/samphirenotch/src/settings/entrySettings.ts
+++ b/packages/samphirenotch/src/settings/entrySettings.ts
@@ -26,6 +26,8 @@
   readonly dataCentre: string;
   /** Where peers reach it: IP address and port. */
   readonly grpcAddress: string;
+  /** Where it listens for peers, if that is another address than the one they use. */
+  readonly grpcListen: string;
   /** Where callers and operators reach it: IP address and port. */
   readonly httpAddress: string;
   /** gRPC addresses of entries to ask first. */
@@ -72,13 +74,17 @@
     return first === index ? [] : [repeatedSection(section)];
   });
 
-const readEntry = (reader: SectionReader): Omit<EntrySettings, 'platform' | 'log'> => ({
-  id: reader.optional('id', OBJECT_NAME) ?? randomUUID(),
-  dataCentre: reader.required('dataCentre', OBJECT_NAME, ''),
-  grpcAddress: reader.required('grpcAddress', ADDRESS, ''),
-  httpAddress: reader.required('httpAddress', ADDRESS, ''),
-  seedPeers: reader.optional('seedPeers', listOf(ADDRESS)) ?? [],
-});
+const readEntry = (reader: SectionReader): Omit<EntrySettings, 'platform' | 'log'> => {
+  const grpcAddress = reader.required('grpcAddress', ADDRESS, '');
+  return {
+    id: reader.optional('id', OBJECT_NAME) ?? randomUUID(),
+    dataCentre: reader.required('dataCentre', OBJECT_NAME, ''),
+    grpcAddress,
+    grpcListen: reader.optional('grpcListen', ADDRESS) ?? grpcAddress,
+    httpAddress: reader.required('httpAddress', ADDRESS, ''),
+    seedPeers: reader.optional('seedPeers', listOf(ADDRESS)) ?? [],
+  };
+};
 
 const readPlatform = (reader: SectionReader): PlatformSettings => ({
   kind: reader.optional('kind', oneOf(PLATFORM_KINDS)) ?? 'http',
