--- /dev/null
+++ b/packages/samphirenotch/src/membership/entryDirectory.ts
@@ -0,0 +1,143 @@
+/**
+ * Live entries by the store: registers this one under its lease and follows the others.
+ */
+import { partLog } from '../observability/log.js';
+import type { KeyValueStore } from '../platform/keyValueStore.js';
+import { callWithin } from '../time/call.js';
+import type { Clock } from '../time/clock.js';
+import { PrefixFollower } from './prefixFollower.js';
+import type { Session } from './session.js';
+import { ENTRIES_PREFIX, parseEntryRecord, type EntryRecord } from './storeKeys.js';
+
+const REGISTER_TIMEOUT_MS = 1000;
+const REGISTER_RETRY_MS = 500;
+
+const log = partLog('entries');
+
+/** A live entry and since when it is known here. */
+export interface KnownEntry extends EntryRecord {
+  /** Monotonic time at which it was first seen, in milliseconds. */
+  readonly firstSeenMs: number;
+}
+
+/** The entries registered in the store. */
+export class EntryDirectory {
+  private readonly follower: PrefixFollower;
+
+  private known: readonly KnownEntry[] = [];
+
+  private leaving = false;
+
+  private registeredLease: string | undefined;
+
+  private readonly listeners: (() => void)[] = [];
+
+  /**
+   * @param store - the platform's store
+   * @param clock - for waits and deadlines
+   * @param session - the lease of this entry
+   * @param self - this entry
+   * @param seed - seed of the jitter
+   */
+  constructor(
+    private readonly store: KeyValueStore,
+    private readonly clock: Clock,
+    private readonly session: Session,
+    private readonly self: Omit<EntryRecord, 'leaving'>,
+    seed: number,
+  ) {
+    this.follower = new PrefixFollower(store, clock, ENTRIES_PREFIX, seed);
+    this.follower.onChange(() => this.refresh());
+  }
+
+  /**
+   * Live entries, this one among them once it is registered.
+   *
+   * @returns entries by the last news
+   */
+  entries(): readonly KnownEntry[] {
+    return this.known;
+  }
+
+  /**
+   * Tells whether the store has this entry under the lease in use.
+   *
+   * @returns true if others can see it
+   */
+  isRegistered(): boolean {
+    const lease = this.session.current();
+    return lease !== undefined && lease.id === this.registeredLease;
+  }
+
+  /**
+   * Calls back after changes.
+   *
+   * @param listener - called without arguments
+   */
+  onChange(listener: () => void): void {
+    this.listeners.push(listener);
+  }
+
+  /** Tells the others that this entry is shutting down. */
+  async leave(): Promise<void> {
+    this.leaving = true;
+    this.registeredLease = undefined;
+    await this.register();
+  }
+
+  /**
+   * Follows and registers until the signal aborts.
+   *
+   * @param signal - ends the loops
+   */
+  async run(signal: AbortSignal): Promise<void> {
+    await Promise.all([this.follower.run(signal), this.keepRegistered(signal)]);
+  }
+
+  private async keepRegistered(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      if (!this.isRegistered() || !this.isListed()) await this.register();
+      await this.clock.sleep(REGISTER_RETRY_MS, signal);
+    }
+  }
+
+  private isListed(): boolean {
+    return this.known.some(({ id, leaving }) => id === this.self.id && leaving === this.leaving);
+  }
+
+  private async register(): Promise<void> {
+    const lease = this.session.current();
+    if (!lease) return;
+    const key = `${ENTRIES_PREFIX}${this.self.id}`;
+    const value = JSON.stringify({ ...this.self, leaving: this.leaving });
+    const expectedRevision = this.follower.entries().get(key)?.revision ?? 0;
+    const swap = { key, expectedRevision, value, leaseId: lease.id };
+    const call = callWithin(this.clock, REGISTER_TIMEOUT_MS, lease.signal);
+    const swapped = await this.store.swap(swap, call);
+    if (!swapped.ok) {
+      log.debug('This entry was not registered.', { reason: swapped.val.message });
+      return;
+    }
+    if (swapped.val.kind === 'conflict') {
+      if (swapped.val.current) this.learn(swapped.val.current);
+      return;
+    }
+    this.registeredLease = lease.id;
+    this.learn({ key, value, revision: swapped.val.revision });
+  }
+
+  private learn(change: { key: string; value: string; revision: number }): void {
+    this.follower.learn(change);
+    this.refresh();
+  }
+
+  private refresh(): void {
+    const nowMs = this.clock.monotonicMs();
+    const before = new Map(this.known.map((entry) => [entry.id, entry.firstSeenMs]));
+    this.known = [...this.follower.entries().values()]
+      .map(({ value }) => parseEntryRecord(value))
+      .filter((record) => record !== undefined)
+      .map((record) => ({ ...record, firstSeenMs: before.get(record.id) ?? nowMs }));
+    this.listeners.forEach((listener) => listener());
+  }
+}
--- /dev/null
+++ b/packages/samphirenotch/src/membership/gossip.ts
@@ -0,0 +1,80 @@
+/**
+ * Composes heartbeats and takes in those of others.
+ */
+import type { Clock } from '../time/clock.js';
+import type { ConfigurationStamp, HeartbeatMessage } from './heartbeatMessage.js';
+import type { PeerTable } from './peerTable.js';
+
+/** Other entries named in one heartbeat, at most. */
+const MOST_OTHERS = 6;
+
+/** Tells which configuration is in force here; nothing if none is. */
+export type StampSource = () => ConfigurationStamp | undefined;
+
+/** Takes which configuration is in force at a peer. */
+export type StampSink = (peerId: string, stamp: ConfigurationStamp) => void;
+
+/** News as they go into and come out of heartbeats. */
+export class Gossip {
+  private firstOther = 0;
+
+  /**
+   * @param clock - for the age of answers
+   * @param table - the entries known
+   * @param stampSource - tells which configuration is in force here
+   * @param stampSink - takes which configuration is in force at peers
+   */
+  constructor(
+    private readonly clock: Clock,
+    private readonly table: PeerTable,
+    private readonly stampSource: StampSource,
+    private readonly stampSink: StampSink,
+  ) {}
+
+  /**
+   * Composes a heartbeat. Where there are more peers than it may name, they take turns.
+   *
+   * @returns the heartbeat
+   */
+  compose(): HeartbeatMessage {
+    const news = this.table.peerNews();
+    const count = Math.min(MOST_OTHERS, news.length);
+    const others = Array.from({ length: count }, (_, index) => {
+      const position = (this.firstOther + index) % news.length;
+      return news[position];
+    }).filter((each) => each !== undefined);
+    this.firstOther += count;
+    const configuration = this.stampSource();
+    const message = { sender: this.table.ownNews(), others };
+    return configuration ? { ...message, configuration } : message;
+  }
+
+  /**
+   * Takes a heartbeat in that a peer sent by itself. How long it was under way is not known, so it
+   * confirms no configuration.
+   *
+   * @param message - the heartbeat
+   */
+  takeRequest(message: HeartbeatMessage): void {
+    this.take(message, Number.POSITIVE_INFINITY);
+  }
+
+  /**
+   * Takes the answer to a heartbeat in. It was made after the heartbeat was sent.
+   *
+   * @param message - the answer
+   * @param sentAtMs - monotonic time at which the heartbeat was sent
+   */
+  takeAnswer(message: HeartbeatMessage, sentAtMs: number): void {
+    this.take(message, this.clock.monotonicMs() - sentAtMs);
+  }
+
+  private take(message: HeartbeatMessage, longestWayMs: number): void {
+    this.table.hear(message.sender);
+    message.others.forEach((news) => this.table.hear(news));
+    const { configuration, sender } = message;
+    if (!configuration) return;
+    const confirmedAgeMs = configuration.confirmedAgeMs + longestWayMs;
+    this.stampSink(sender.id, { ...configuration, confirmedAgeMs });
+  }
+}
--- /dev/null
+++ b/packages/samphirenotch/src/membership/heartbeatMessage.ts
@@ -0,0 +1,32 @@
+/**
+ * What entries tell one another in a heartbeat.
+ */
+import type { LoadSummary } from './peers.js';
+
+/** News of one entry. */
+export interface EntryNews {
+  readonly id: string;
+  readonly dataCentre: string;
+  readonly address: string;
+  readonly leaving: boolean;
+  readonly load: LoadSummary;
+  /** Time since the entry itself was heard, in milliseconds. */
+  readonly ageMs: number;
+}
+
+/** Which configuration an entry has in force. */
+export interface ConfigurationStamp {
+  readonly version: number;
+  readonly digest: string;
+  /** Age of the last proof that no newer set was accepted, in milliseconds. */
+  readonly confirmedAgeMs: number;
+}
+
+/** A heartbeat or its answer. */
+export interface HeartbeatMessage {
+  readonly sender: EntryNews;
+  /** Some of the other entries that the sender has heard of. */
+  readonly others: readonly EntryNews[];
+  /** Missing while the sender knows no configuration. */
+  readonly configuration?: ConfigurationStamp;
+}
--- /dev/null
+++ b/packages/samphirenotch/src/membership/heartbeats.ts
@@ -0,0 +1,117 @@
+/**
+ * Sends heartbeats: one loop for each chosen peer, to a bounded number of peers.
+ */
+import { partLog } from '../observability/log.js';
+import { callWithin } from '../time/call.js';
+import type { Clock } from '../time/clock.js';
+import type { Gossip } from './gossip.js';
+import type { HeartbeatTransport } from './heartbeatTransport.js';
+import type { PeerTable } from './peerTable.js';
+
+/** Pause between heartbeats to one peer, in milliseconds. */
+export const HEARTBEAT_INTERVAL_MS = 1000;
+
+/** How long one heartbeat may take, in milliseconds. */
+const HEARTBEAT_TIMEOUT_MS = 1000;
+
+/** Peers that one entry sends heartbeats to, at most. */
+export const MOST_HEARTBEAT_PEERS = 10;
+
+const log = partLog('heartbeats');
+
+/**
+ * Chooses the peers to send to: all of a few, else the neighbours on both sides in order of ids.
+ *
+ * @param selfId - id of the sending entry
+ * @param peerIds - ids of the other entries
+ * @returns chosen ids
+ */
+export const chooseNeighbours = (selfId: string, peerIds: readonly string[]): readonly string[] => {
+  if (peerIds.length <= MOST_HEARTBEAT_PEERS) return peerIds;
+  const sorted = [...peerIds].sort();
+  const position = sorted.filter((id) => id < selfId).length;
+  const perSide = MOST_HEARTBEAT_PEERS / 2;
+  const ring = [...sorted.slice(position), ...sorted.slice(0, position)];
+  return [...ring.slice(0, perSide), ...ring.slice(-perSide)];
+};
+
+/** Sends heartbeats to peers and to addresses from the settings that no peer is known for yet. */
+export class Heartbeats {
+  private readonly loops = new Map<string, AbortController>();
+
+  /**
+   * @param clock - for pauses and deadlines
+   * @param table - the entries known
+   * @param gossip - composes and takes heartbeats
+   * @param transport - carries heartbeats
+   * @param seedAddresses - addresses of entries from the settings
+   */
+  constructor(
+    private readonly clock: Clock,
+    private readonly table: PeerTable,
+    private readonly gossip: Gossip,
+    private readonly transport: HeartbeatTransport,
+    private readonly seedAddresses: readonly string[],
+  ) {}
+
+  /**
+   * Sends until the signal aborts.
+   *
+   * @param signal - ends all loops
+   */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      this.adjustLoops(signal);
+      await this.clock.sleep(HEARTBEAT_INTERVAL_MS, signal);
+    }
+    this.loops.forEach((controller) => controller.abort());
+  }
+
+  private adjustLoops(signal: AbortSignal): void {
+    const addresses = this.chooseAddresses();
+    [...this.loops].forEach(([address, controller]) => {
+      if (addresses.has(address)) return;
+      controller.abort();
+      this.loops.delete(address);
+    });
+    addresses.forEach((address) => {
+      if (this.loops.has(address) || signal.aborted) return;
+      const controller = new AbortController();
+      this.loops.set(address, controller);
+      this.beatAlways(address, controller.signal);
+    });
+  }
+
+  private chooseAddresses(): ReadonlySet<string> {
+    const peers = this.table.known();
+    const chosen = new Set(
+      chooseNeighbours(
+        this.table.selfId,
+        peers.map(({ id }) => id),
+      ),
+    );
+    const own = this.table.ownNews().address;
+    const peerAddresses = new Set(peers.map(({ address }) => address));
+    const seeds = this.seedAddresses.filter((each) => each !== own && !peerAddresses.has(each));
+    const neighbours = peers.filter(({ id }) => chosen.has(id)).map(({ address }) => address);
+    return new Set([...neighbours, ...seeds]);
+  }
+
+  private async beatAlways(address: string, signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await this.beat(address, signal);
+      await this.clock.sleep(HEARTBEAT_INTERVAL_MS, signal);
+    }
+  }
+
+  private async beat(address: string, signal: AbortSignal): Promise<void> {
+    const sentAtMs = this.clock.monotonicMs();
+    const call = callWithin(this.clock, HEARTBEAT_TIMEOUT_MS, signal);
+    const answer = await this.transport.exchange(address, this.gossip.compose(), call);
+    if (answer.ok) {
+      this.gossip.takeAnswer(answer.val, sentAtMs);
+      return;
+    }
+    log.debug('A heartbeat was not answered.', { peer: address, reason: answer.val.message });
+  }
+}
--- /dev/null
+++ b/packages/samphirenotch/src/membership/ownerKey.ts
@@ -0,0 +1,89 @@
+/**
+ * Takes and frees the key in the store that says who owns a resource.
+ */
+import type { KeyValueStore } from '../platform/keyValueStore.js';
+import { callWithin } from '../time/call.js';
+import type { Clock } from '../time/clock.js';
+import type { Lease } from './lease.js';
+import { OWNERS_PREFIX, parseOwnerRecord } from './storeKeys.js';
+
+const SWAP_TIMEOUT_MS = 1000;
+const READ_BACK_TIMEOUT_MS = 1000;
+const REMOVE_TIMEOUT_MS = 1000;
+
+/** What a swap for a resource came to. */
+export type Acquisition =
+  | { readonly kind: 'acquired'; readonly revision: number; readonly value: string }
+  | { readonly kind: 'lost'; readonly revision?: number; readonly value?: string }
+  | { readonly kind: 'unknown' };
+
+/** Owner keys as this entry writes them. */
+export class OwnerKeys {
+  private writes = 0;
+
+  /**
+   * @param store - the platform's store
+   * @param clock - for deadlines
+   * @param selfId - id of this entry
+   */
+  constructor(
+    private readonly store: KeyValueStore,
+    private readonly clock: Clock,
+    private readonly selfId: string,
+  ) {}
+
+  /**
+   * Swaps the key to this entry. A lost answer is resolved by reading the key back and looking for
+   * the id of this very write.
+   *
+   * @param resource - what to own
+   * @param expectedRevision - revision seen before, 0 if nobody owned it
+   * @param lease - the lease that the key hangs on
+   * @returns what became of it
+   */
+  async acquire(resource: string, expectedRevision: number, lease: Lease): Promise<Acquisition> {
+    this.writes += 1;
+    const writeId = `${this.selfId}/${lease.id}/${this.writes}`;
+    const value = JSON.stringify({ owner: this.selfId, lease: lease.id, writeId });
+    const key = `${OWNERS_PREFIX}${resource}`;
+    const call = callWithin(this.clock, SWAP_TIMEOUT_MS, lease.signal);
+    const swap = { key, expectedRevision, value, leaseId: lease.id };
+    const swapped = await this.store.swap(swap, call);
+    if (!swapped.ok) {
+      return swapped.val.effect === 'not-run' ? { kind: 'unknown' } : this.readBack(key, writeId);
+    }
+    const outcome = swapped.val;
+    if (outcome.kind === 'swapped') return { kind: 'acquired', revision: outcome.revision, value };
+    return this.judge(outcome.current, writeId);
+  }
+
+  /**
+   * Removes the key so that another entry can take it at once.
+   *
+   * @param resource - what was owned
+   * @param epoch - revision of the swap that acquired it
+   * @returns whether the key is surely gone or changed
+   */
+  async free(resource: string, epoch: number): Promise<boolean> {
+    const call = callWithin(this.clock, REMOVE_TIMEOUT_MS);
+    const removed = await this.store.remove(`${OWNERS_PREFIX}${resource}`, epoch, call);
+    return removed.ok;
+  }
+
+  private async readBack(key: string, writeId: string): Promise<Acquisition> {
+    const call = callWithin(this.clock, READ_BACK_TIMEOUT_MS);
+    const read = await this.store.get(key, call);
+    if (!read.ok) return { kind: 'unknown' };
+    return this.judge(read.val, writeId);
+  }
+
+  private judge(
+    current: { value: string; revision: number } | undefined,
+    writeId: string,
+  ): Acquisition {
+    if (!current) return { kind: 'lost' };
+    const { value, revision } = current;
+    const isOwn = parseOwnerRecord(value)?.writeId === writeId;
+    return { kind: isOwn ? 'acquired' : 'lost', revision, value };
+  }
+}
--- /dev/null
+++ b/packages/samphirenotch/src/membership/ownershipManager.ts
@@ -0,0 +1,273 @@
+/**
+ * Decides with the other entries, through the store, who owns which resource.
+ *
+ * Each resource is a key that is taken by compare-and-swap under the entry's one lease; its epoch is
+ * the revision of that swap. In an outage of the store grants stay, because nobody can acquire, but
+ * they are no longer certain.
+ */
+import { partLog } from '../observability/log.js';
+import type { KeyValueStore } from '../platform/keyValueStore.js';
+import type { Clock } from '../time/clock.js';
+import type { EntryDirectory } from './entryDirectory.js';
+import type { Lease } from './lease.js';
+import { LeasedGrant } from './leasedGrant.js';
+import type { Grant, Ownership, ResourceHandler } from './ownership.js';
+import { OwnerKeys } from './ownerKey.js';
+import { Preference } from './preference.js';
+import { PrefixFollower } from './prefixFollower.js';
+import type { Session } from './session.js';
+import { OWNERS_PREFIX, parseOwnerRecord } from './storeKeys.js';
+import { Wakeup } from './wakeup.js';
+
+const RECONCILE_INTERVAL_MS = 500;
+const REMOVE_RETRY_MS = 200;
+const REBALANCE_PAUSE_MS = 500;
+const REBALANCE_BATCH = 4;
+
+const log = partLog('ownership');
+
+/** What an ownership manager works with. */
+export interface OwnershipParts {
+  readonly store: KeyValueStore;
+  readonly clock: Clock;
+  readonly session: Session;
+  readonly directory: EntryDirectory;
+  readonly selfId: string;
+  readonly handlers: readonly ResourceHandler[];
+  readonly seed: number;
+}
+
+interface OwnedKey {
+  readonly owner: string;
+  readonly revision: number;
+}
+
+/** Acquires, keeps, hands over and gives up resources of this entry. */
+export class OwnershipManager implements Ownership {
+  private readonly grants = new Map<string, LeasedGrant>();
+
+  private readonly busy = new Set<string>();
+
+  private readonly wakeup: Wakeup;
+
+  private readonly owners: PrefixFollower;
+
+  private readonly keys: OwnerKeys;
+
+  private readonly preference: Preference;
+
+  private draining = false;
+
+  private rebalancedAtMs = -Infinity;
+
+  private rebalanced = 0;
+
+  /**
+   * @param parts - what it works with
+   */
+  constructor(private readonly parts: OwnershipParts) {
+    const { store, clock, selfId, session, directory, seed } = parts;
+    this.wakeup = new Wakeup(clock);
+    this.owners = new PrefixFollower(store, clock, OWNERS_PREFIX, seed);
+    this.keys = new OwnerKeys(store, clock, selfId);
+    this.preference = new Preference(clock, directory, selfId);
+    this.owners.onChange(() => this.wakeup.wake());
+    session.onChange(() => this.wakeup.wake());
+    directory.onChange(() => this.wakeup.wake());
+  }
+
+  grantOf(resource: string): Grant | undefined {
+    return this.grants.get(resource);
+  }
+
+  ownerOf(resource: string): string | undefined {
+    return this.keyOf(resource)?.owner;
+  }
+
+  /** Looks at all resources soon, for instance because a handler has new ones. */
+  wake(): void {
+    this.wakeup.wake();
+  }
+
+  /**
+   * Acquires and gives up resources until the signal aborts.
+   *
+   * @param signal - ends the loops
+   */
+  async run(signal: AbortSignal): Promise<void> {
+    await Promise.all([this.owners.run(signal), this.reconcileAlways(signal)]);
+  }
+
+  /**
+   * Hands every resource over for a planned stop; acquires no more.
+   *
+   * @param signal - ends the wait for hand-overs
+   */
+  async drain(signal: AbortSignal): Promise<void> {
+    this.draining = true;
+    await this.parts.directory.leave();
+    while (!signal.aborted && (this.grants.size > 0 || this.busy.size > 0)) {
+      this.reconcile();
+      await this.wakeup.wait(RECONCILE_INTERVAL_MS, signal);
+    }
+  }
+
+  private async reconcileAlways(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      this.reconcile();
+      await this.wakeup.wait(RECONCILE_INTERVAL_MS, signal);
+    }
+  }
+
+  private reconcile(): void {
+    const wanted = this.wantedResources();
+    this.rebalanced = 0;
+    new Set([...wanted, ...this.grants.keys()]).forEach((resource) => {
+      this.endIfLost(resource);
+      if (this.busy.has(resource)) return;
+      const step = this.nextStep(resource, wanted.has(resource));
+      if (step) this.perform(resource, step);
+    });
+  }
+
+  private wantedResources(): ReadonlySet<string> {
+    return new Set(this.parts.handlers.flatMap((handler) => handler.resources()));
+  }
+
+  private nextStep(resource: string, isWanted: boolean): (() => Promise<void>) | undefined {
+    const grant = this.grants.get(resource);
+    if (grant) return this.stepWithGrant(grant, isWanted);
+    return isWanted ? this.stepWithoutGrant(resource) : undefined;
+  }
+
+  private stepWithGrant(grant: LeasedGrant, isWanted: boolean): (() => Promise<void>) | undefined {
+    if (this.isLost(grant)) return () => this.revoke(grant);
+    if (this.draining || !isWanted) return () => this.handOver(grant);
+    if (!this.mayRebalance(grant.resource)) return undefined;
+    this.countRebalance();
+    return () => this.handOver(grant);
+  }
+
+  private stepWithoutGrant(resource: string): (() => Promise<void>) | undefined {
+    const lease = this.parts.session.current();
+    const isReady = this.owners.isReady() && this.parts.directory.isRegistered();
+    if (!lease?.isCertain() || !isReady) return undefined;
+    const key = this.keyOf(resource);
+    if (key && key.owner !== this.parts.selfId) {
+      this.preference.sawOwner(resource);
+      return undefined;
+    }
+    if (key) return this.stepWithOwnKey(resource, key, lease);
+    if (this.draining || !this.preference.mayAcquire(resource)) return undefined;
+    return () => this.acquire(resource, 0, lease);
+  }
+
+  /** An own key without a grant comes from a lost answer or an unfinished removal. */
+  private stepWithOwnKey(
+    resource: string,
+    key: OwnedKey,
+    lease: Lease,
+  ): (() => Promise<void>) | undefined {
+    if (this.leaseOf(resource) !== lease.id) return undefined;
+    if (this.draining || !this.preference.isPreferred(resource)) {
+      return () => this.freeKey(resource, key.revision);
+    }
+    return () => this.acquire(resource, key.revision, lease);
+  }
+
+  /** The signal of a lost grant aborts at once, also while its handler is still taking it. */
+  private endIfLost(resource: string): void {
+    const grant = this.grants.get(resource);
+    if (grant && this.isLost(grant)) grant.end();
+  }
+
+  private isLost(grant: LeasedGrant): boolean {
+    if (!grant.isUnder(this.parts.session.current())) return true;
+    const key = this.keyOf(grant.resource);
+    return key === undefined || key.revision !== grant.epoch;
+  }
+
+  private mayRebalance(resource: string): boolean {
+    const nowMs = this.parts.clock.monotonicMs();
+    const isPaused = nowMs < this.rebalancedAtMs + REBALANCE_PAUSE_MS && this.rebalanced === 0;
+    if (isPaused || this.rebalanced >= REBALANCE_BATCH) return false;
+    return this.preference.shouldHandOver(resource);
+  }
+
+  private countRebalance(): void {
+    this.rebalanced += 1;
+    this.rebalancedAtMs = this.parts.clock.monotonicMs();
+  }
+
+  private perform(resource: string, step: () => Promise<void>): void {
+    this.busy.add(resource);
+    step()
+      .catch((error: unknown) => log.error('A step failed.', { resource, reason: String(error) }))
+      .finally(() => {
+        this.busy.delete(resource);
+        this.wakeup.wake();
+      });
+  }
+
+  private async acquire(resource: string, expectedRevision: number, lease: Lease): Promise<void> {
+    const outcome = await this.keys.acquire(resource, expectedRevision, lease);
+    if (outcome.kind === 'unknown') {
+      await this.parts.clock.sleep(REMOVE_RETRY_MS, lease.signal);
+      return;
+    }
+    const key = `${OWNERS_PREFIX}${resource}`;
+    if (outcome.revision !== undefined) {
+      this.owners.learn({ key, value: outcome.value, revision: outcome.revision });
+    }
+    if (outcome.kind === 'lost') return;
+    const grant = new LeasedGrant(resource, outcome.revision, lease);
+    this.grants.set(resource, grant);
+    this.preference.acquired(resource);
+    log.info('A resource was acquired.', { resource, epoch: grant.epoch });
+    await this.handlerOf(resource)?.take(grant);
+  }
+
+  private async handOver(grant: LeasedGrant): Promise<void> {
+    const { resource, epoch } = grant;
+    await this.handlerOf(resource)?.release(resource);
+    this.forget(grant);
+    log.info('A resource is handed over.', { resource, epoch });
+    await this.freeKey(resource, epoch);
+  }
+
+  private async freeKey(resource: string, revision: number): Promise<void> {
+    const isGone = await this.keys.free(resource, revision);
+    const key = `${OWNERS_PREFIX}${resource}`;
+    if (isGone) this.owners.learn({ key, revision });
+    else await this.parts.clock.sleep(REMOVE_RETRY_MS);
+  }
+
+  private async revoke(grant: LeasedGrant): Promise<void> {
+    const { resource, epoch } = grant;
+    log.warn('A resource was lost.', { resource, epoch });
+    grant.end();
+    await this.handlerOf(resource)?.release(resource);
+    this.forget(grant);
+  }
+
+  private forget(grant: LeasedGrant): void {
+    grant.end();
+    this.grants.delete(grant.resource);
+  }
+
+  private keyOf(resource: string): OwnedKey | undefined {
+    const item = this.owners.entries().get(`${OWNERS_PREFIX}${resource}`);
+    const record = item && parseOwnerRecord(item.value);
+    return item && record && { owner: record.owner, revision: item.revision };
+  }
+
+  private leaseOf(resource: string): string | undefined {
+    const item = this.owners.entries().get(`${OWNERS_PREFIX}${resource}`);
+    return item && parseOwnerRecord(item.value)?.lease;
+  }
+
+  private handlerOf(resource: string): ResourceHandler | undefined {
+    const kind = resource.split('/')[0];
+    return this.parts.handlers.find((handler) => handler.kind === kind);
+  }
+}
--- /dev/null
+++ b/packages/samphirenotch/src/membership/peerChannels.ts
@@ -0,0 +1,72 @@
+/**
+ * One gRPC channel with keepalive for each peer, shared by the clients of all services.
+ */
+import { Channel, credentials, type ChannelOptions, type Client } from '@grpc/grpc-js';
+import type { ClientClass, PeerClients } from '../grpc/grpcService.js';
+import type { Peers } from './peers.js';
+
+const KEEPALIVE_TIME_MS = 2000;
+const KEEPALIVE_TIMEOUT_MS = 2000;
+const LONGEST_RECONNECT_MS = 1000;
+
+const CHANNEL_OPTIONS: ChannelOptions = {
+  'grpc.keepalive_time_ms': KEEPALIVE_TIME_MS,
+  'grpc.keepalive_timeout_ms': KEEPALIVE_TIMEOUT_MS,
+  'grpc.keepalive_permit_without_calls': 1,
+  'grpc.max_reconnect_backoff_ms': LONGEST_RECONNECT_MS,
+  'grpc.initial_reconnect_backoff_ms': 100,
+  'grpc.use_local_subchannel_pool': 1,
+  'grpc.max_receive_message_length': 8 * 1024 * 1024,
+};
+
+interface PeerChannel {
+  readonly channel: Channel;
+  readonly clients: Map<unknown, Client>;
+}
+
+/** Channels to peers, by address. */
+export class PeerChannels implements PeerClients {
+  private readonly channels = new Map<string, PeerChannel>();
+
+  /**
+   * @param peers - tells the addresses of peers
+   */
+  constructor(private readonly peers: Peers) {}
+
+  client<C extends Client>(peerId: string, clientClass: ClientClass<C>): C | undefined {
+    const peer = this.peers.find(peerId);
+    return peer && this.clientAt(peer.address, clientClass);
+  }
+
+  /**
+   * Makes or finds a client of an address, also of one that no peer is known for.
+   *
+   * @param address - IP address and port
+   * @param ClientOf - generated client class
+   * @returns the client
+   */
+  clientAt<C extends Client>(address: string, ClientOf: ClientClass<C>): C {
+    const { channel, clients } = this.channelTo(address);
+    const known = clients.get(ClientOf);
+    if (known) return known as C;
+    const options = { ...CHANNEL_OPTIONS, channelOverride: channel };
+    const client = new ClientOf(address, credentials.createInsecure(), options);
+    clients.set(ClientOf, client);
+    return client;
+  }
+
+  /** Closes all channels. */
+  close(): void {
+    this.channels.forEach(({ channel }) => channel.close());
+    this.channels.clear();
+  }
+
+  private channelTo(address: string): PeerChannel {
+    const known = this.channels.get(address);
+    if (known) return known;
+    const channel = new Channel(address, credentials.createInsecure(), CHANNEL_OPTIONS);
+    const made = { channel, clients: new Map<unknown, Client>() };
+    this.channels.set(address, made);
+    return made;
+  }
+}
--- /dev/null
+++ b/packages/samphirenotch/src/membership/session.ts
@@ -0,0 +1,146 @@
+/**
+ * The one lease in the platform's store that everything an entry owns hangs on.
+ *
+ * Renewals follow entries, not resources. How long the lease is certain is counted from the time at
+ * which the last successful renewal was sent, so a pause between sending and reading counts against
+ * this entry.
+ */
+import type { Failure } from '../failure.js';
+import { partLog } from '../observability/log.js';
+import type { KeyValueStore } from '../platform/keyValueStore.js';
+import { Err, Ok, type Result } from '../results.js';
+import { callWithin } from '../time/call.js';
+import type { Clock } from '../time/clock.js';
+import { Lease } from './lease.js';
+
+/** Times of a session. */
+export interface SessionTimes {
+  /** How long the store keeps the lease without a renewal, in milliseconds. */
+  readonly timeToLiveMs: number;
+  /** Pause between renewals, in milliseconds. */
+  readonly renewIntervalMs: number;
+  /** Subtracted from the time to live for clocks that drift apart, in milliseconds. */
+  readonly driftMarginMs: number;
+  /** How long one renewal may take, in milliseconds. */
+  readonly callTimeoutMs: number;
+}
+
+/** Times used unless settings say otherwise. */
+export const SESSION_TIMES: SessionTimes = {
+  timeToLiveMs: 5000,
+  renewIntervalMs: 1000,
+  driftMarginMs: 500,
+  callTimeoutMs: 1000,
+};
+
+const log = partLog('session');
+
+/** Keeps one lease alive, and replaces it by a new one when it is lost. */
+export class Session {
+  private lease: Lease | undefined;
+
+  private readonly listeners: (() => void)[] = [];
+
+  /**
+   * @param store - the platform's store
+   * @param clock - measures validity
+   * @param times - times of the session
+   */
+  constructor(
+    private readonly store: KeyValueStore,
+    private readonly clock: Clock,
+    private readonly times: SessionTimes = SESSION_TIMES,
+  ) {}
+
+  /**
+   * The lease in use; it may have become uncertain.
+   *
+   * @returns the lease, if one was granted and is not known to be lost
+   */
+  current(): Lease | undefined {
+    return this.lease;
+  }
+
+  /**
+   * Calls back after a lease was granted or lost.
+   *
+   * @param listener - called without arguments
+   */
+  onChange(listener: () => void): void {
+    this.listeners.push(listener);
+  }
+
+  /**
+   * Grants and renews until the signal aborts.
+   *
+   * @param signal - ends the loop
+   */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await this.keep(signal);
+      await this.clock.sleep(this.times.renewIntervalMs, signal);
+    }
+  }
+
+  /**
+   * Ends the lease in the store, and with it every key under it.
+   *
+   * @returns whether the store confirmed it
+   */
+  async end(): Promise<Result<void, Failure>> {
+    const { lease } = this;
+    if (!lease) return Ok(undefined);
+    this.lose();
+    const call = callWithin(this.clock, this.times.callTimeoutMs);
+    const revoked = await this.store.revokeLease(lease.id, call);
+    return revoked.ok ? Ok(undefined) : Err(revoked.val);
+  }
+
+  private keep(signal: AbortSignal): Promise<void> {
+    return this.lease ? this.renew(this.lease, signal) : this.grant(signal);
+  }
+
+  private async grant(signal: AbortSignal): Promise<void> {
+    const sentAtMs = this.clock.monotonicMs();
+    const call = callWithin(this.clock, this.times.callTimeoutMs, signal);
+    const granted = await this.store.grantLease(this.times.timeToLiveMs, call);
+    if (!granted.ok) {
+      log.warn('No lease was granted.', { reason: granted.val.message });
+      return;
+    }
+    this.lease = new Lease(granted.val, this.clock, sentAtMs + this.validMs());
+    this.notify();
+  }
+
+  private async renew(lease: Lease, signal: AbortSignal): Promise<void> {
+    const sentAtMs = this.clock.monotonicMs();
+    const call = callWithin(this.clock, this.times.callTimeoutMs, signal);
+    const renewed = await this.store.renewLease(lease.id, call);
+    if (this.lease !== lease) return;
+    if (!renewed.ok) {
+      log.debug('The lease was not renewed.', { reason: renewed.val.message });
+      return;
+    }
+    if (renewed.val) {
+      lease.extend(sentAtMs + this.validMs());
+      return;
+    }
+    log.warn('The store no longer knows the lease.', { lease: lease.id });
+    this.lose();
+    await this.grant(signal);
+  }
+
+  private validMs(): number {
+    return this.times.timeToLiveMs - this.times.driftMarginMs;
+  }
+
+  private lose(): void {
+    this.lease?.lose();
+    this.lease = undefined;
+    this.notify();
+  }
+
+  private notify(): void {
+    this.listeners.forEach((listener) => listener());
+  }
+}
--- /dev/null
+++ b/packages/samphirenotch/src/membership/wakeup.ts
@@ -0,0 +1,42 @@
+/**
+ * Lets loops wait for a while or until something happens.
+ */
+import type { Clock } from '../time/clock.js';
+
+/** A wait that can be ended from elsewhere; a wake-up before the wait counts. */
+export class Wakeup {
+  private pending = false;
+
+  private readonly waiting = new Set<AbortController>();
+
+  /**
+   * @param clock - for the longest wait
+   */
+  constructor(private readonly clock: Clock) {}
+
+  /** Ends all waits, or the next one if nobody waits. */
+  wake(): void {
+    this.pending = this.waiting.size === 0;
+    this.waiting.forEach((controller) => controller.abort());
+  }
+
+  /**
+   * Waits for a wake-up.
+   *
+   * @param longestMs - the longest wait, in milliseconds
+   * @param signal - ends the wait early
+   */
+  async wait(longestMs: number, signal: AbortSignal): Promise<void> {
+    if (this.pending || signal.aborted) {
+      this.pending = false;
+      return;
+    }
+    const controller = new AbortController();
+    const stop = (): void => controller.abort();
+    this.waiting.add(controller);
+    signal.addEventListener('abort', stop);
+    await this.clock.sleep(longestMs, controller.signal);
+    signal.removeEventListener('abort', stop);
+    this.waiting.delete(controller);
+  }
+}
--- /dev/null
+++ b/packages/samphirenotch/src/shards/attemptStops.ts
@@ -0,0 +1,183 @@
+/**
+ * Ends attempts at one worker, and says when it is proved that they run no more.
+ */
+import type { Failure } from '../failure.js';
+import type { AttemptReport } from '../platform/worker.js';
+import { Err, Ok, type Result } from '../results.js';
+import { callWithin, type Call } from '../time/call.js';
+import type { Clock } from '../time/clock.js';
+import type { OwnedWorker } from './ownedWorker.js';
+import { unknownEffect } from './shardFailure.js';
+import { absentReport, endedReport, type TrackedAttempt } from './trackedAttempt.js';
+
+const STOP_TIMEOUT_MS = 1000;
+const STOP_STEP = 'shard.stop';
+const FIND_STEP = 'shard.find';
+
+/** Attempts that are remembered as given up, at most. */
+const MOST_VOIDED = 10_000;
+
+/** Stops and inquiries at one worker. */
+export class AttemptStops {
+  /** Attempts that must not start here any more. */
+  private readonly voided = new Set<string>();
+
+  /**
+   * @param owned - the worker
+   * @param clock - for deadlines and leases
+   */
+  constructor(
+    private readonly owned: OwnedWorker,
+    private readonly clock: Clock,
+  ) {}
+
+  /**
+   * Tells whether an attempt was given up here for good.
+   *
+   * @param attemptId - the attempt
+   * @returns true if it must not be reserved or started any more
+   */
+  isVoided(attemptId: string): boolean {
+    return this.voided.has(attemptId);
+  }
+
+  /**
+   * Stops an attempt.
+   *
+   * @param attemptId - the attempt
+   * @param withCheckpoint - whether to take a checkpoint first
+   * @param call - deadline and cancellation
+   * @returns the report, with proof that the attempt runs no more and never will
+   */
+  async stop(
+    attemptId: string,
+    withCheckpoint: boolean,
+    call: Call,
+  ): Promise<Result<AttemptReport, Failure>> {
+    this.voidAttempt(attemptId);
+    await this.owned.attempts.get(attemptId)?.outcome;
+    const checkpoint = withCheckpoint ? await this.checkpoint(attemptId, call) : undefined;
+    const stopped = await this.stopNow(attemptId, call);
+    if (!stopped.ok || checkpoint === undefined) return stopped;
+    return Ok({ ...stopped.val, checkpoint });
+  }
+
+  /**
+   * Asks the worker for an attempt. One that was only reserved is given up.
+   *
+   * @param attemptId - the attempt
+   * @param call - deadline and cancellation
+   * @returns the report; nothing as proof that it does not run here and never will
+   */
+  async find(attemptId: string, call: Call): Promise<Result<AttemptReport | undefined, Failure>> {
+    if (this.owned.attempts.get(attemptId)?.state === 'reserved') this.voidAttempt(attemptId);
+    await this.owned.attempts.get(attemptId)?.outcome;
+    const attempt = this.owned.attempts.get(attemptId);
+    if (attempt?.state === 'uncertain') return this.stopNow(attemptId, call);
+    const lapsed = this.concludeLapse(attemptId);
+    if (lapsed) return Ok(lapsed);
+    if (!this.owned.isExact() || !this.owned.mayCommand()) {
+      return this.unknown(FIND_STEP, 'no inventory of the worker is known');
+    }
+    const { worker, grant } = this.owned;
+    const found = await worker.heartbeat(grant.epoch, [], [], call);
+    if (!found.ok) {
+      this.owned.learnFailure(found.val);
+      return Err(found.val);
+    }
+    const report = found.val.attempts.find((each) => each.attemptId === attemptId);
+    if (!report) this.voidAttempt(attemptId);
+    return Ok(report);
+  }
+
+  /**
+   * Stops what was given up and may yet arrive, and frees its room once that is proved.
+   *
+   * @param attempt - an uncertain attempt
+   * @returns how it ended, nothing as proof that it never ran, or why that is not known
+   */
+  async chase(attempt: TrackedAttempt): Promise<Result<AttemptReport | undefined, Failure>> {
+    const { offer } = this.owned.worker;
+    const isFinal = offer.idempotentStarts || this.clock.monotonicMs() >= attempt.settlesAtMs;
+    const call = callWithin(this.clock, STOP_TIMEOUT_MS);
+    const stopped = await this.stopAtWorker(attempt.attemptId, call);
+    if (!stopped.ok) return stopped;
+    if (!isFinal) return this.unknown(STOP_STEP, 'the start may yet arrive');
+    this.forget(attempt.attemptId);
+    if (stopped.val || offer.keepsEndedAttempts) return stopped;
+    return Ok(endedReport(attempt, 'lapsed', 'the worker does not hold it'));
+  }
+
+  /**
+   * Concludes from time alone that an attempt runs no more, where that is proof.
+   *
+   * @param attemptId - the attempt
+   * @returns its last report, nothing if time proves nothing yet
+   */
+  concludeLapse(attemptId: string): AttemptReport | undefined {
+    const attempt = this.owned.attempts.get(attemptId);
+    if (!attempt || attempt.state === 'reserved' || attempt.state === 'starting') return undefined;
+    if (!this.owned.mayConcludeLapse()) return undefined;
+    if (this.clock.monotonicMs() <= attempt.lapsesAtMs) return undefined;
+    this.voidAttempt(attemptId);
+    this.forget(attemptId);
+    return endedReport(attempt, 'lapsed', 'the lease lapsed');
+  }
+
+  private async stopNow(attemptId: string, call: Call): Promise<Result<AttemptReport, Failure>> {
+    if (!this.owned.isClaimed() || !this.owned.mayCommand()) {
+      const lapsed = this.concludeLapse(attemptId);
+      return lapsed ? Ok(lapsed) : this.unknown(STOP_STEP, 'the worker is not claimed');
+    }
+    const attempt = this.owned.attempts.get(attemptId);
+    const stopped =
+      attempt?.state === 'uncertain'
+        ? await this.chase(attempt)
+        : await this.stopAtWorker(attemptId, call);
+    if (!stopped.ok) {
+      const lapsed = this.concludeLapse(attemptId);
+      return lapsed ? Ok(lapsed) : stopped;
+    }
+    if (!stopped.val && !this.owned.isExact()) {
+      return this.unknown(STOP_STEP, 'a start of an earlier owner may yet arrive');
+    }
+    this.forget(attemptId);
+    return Ok(stopped.val ?? absentReport(attemptId, attempt));
+  }
+
+  /** Resolves to nothing if the worker says that it does not hold the attempt and never will. */
+  private async stopAtWorker(
+    attemptId: string,
+    call: Call,
+  ): Promise<Result<AttemptReport | undefined, Failure>> {
+    const { worker, grant } = this.owned;
+    const stopped = await worker.stop(grant.epoch, attemptId, call);
+    if (stopped.ok) return stopped;
+    const { code, effect } = stopped.val;
+    if (code === 'not-found' && effect === 'not-run') return Ok(undefined);
+    this.owned.learnFailure(stopped.val);
+    return Err(stopped.val);
+  }
+
+  private async checkpoint(attemptId: string, call: Call): Promise<string | undefined> {
+    if (!this.owned.isClaimed() || !this.owned.mayCommand()) return undefined;
+    const { worker, grant } = this.owned;
+    const taken = await worker.checkpoint(grant.epoch, attemptId, call);
+    return taken.ok ? taken.val : undefined;
+  }
+
+  private voidAttempt(attemptId: string): void {
+    this.voided.add(attemptId);
+    const [oldest] = this.voided;
+    if (this.voided.size > MOST_VOIDED && oldest !== undefined) this.voided.delete(oldest);
+    if (this.owned.attempts.get(attemptId)?.state === 'reserved') this.forget(attemptId);
+  }
+
+  private forget(attemptId: string): void {
+    this.owned.forget(attemptId);
+  }
+
+  private unknown(step: string, message: string): Result<never, Failure> {
+    return Err(unknownEffect(step, this.owned.id, 'unavailable', message));
+  }
+}
--- /dev/null
+++ b/packages/samphirenotch/src/shards/heldSlot.ts
@@ -0,0 +1,62 @@
+/**
+ * A request slot at a worker.
+ */
+import type { WorkerChoice } from '../decisions/workerChoice.js';
+import type { Worker } from '../platform/worker.js';
+import type { Clock } from '../time/clock.js';
+import type { OwnedWorker } from './ownedWorker.js';
+import type { Slot, SlotOutcome } from './shardService.js';
+import type { StartGuard } from './startGuard.js';
+
+/** What a held slot works with. */
+export interface SlotParts {
+  readonly owned: OwnedWorker;
+  readonly taskClass: string;
+  readonly guard: StartGuard;
+  readonly choice: WorkerChoice;
+  readonly clock: Clock;
+  readonly onFreed: () => void;
+}
+
+/** A slot that the ledger counts until it is released. */
+export class HeldSlot implements Slot {
+  private released = false;
+
+  /**
+   * @param parts - what it works with
+   */
+  constructor(private readonly parts: SlotParts) {}
+
+  get worker(): Worker {
+    return this.parts.owned.worker;
+  }
+
+  get workerId(): string {
+    return this.parts.owned.id;
+  }
+
+  get epoch(): number {
+    return this.parts.owned.grant.epoch;
+  }
+
+  maySend(): boolean {
+    return !this.released && this.parts.guard.refuseRequest(this.parts.owned) === undefined;
+  }
+
+  release(outcome: SlotOutcome): void {
+    if (this.released) return;
+    this.released = true;
+    const { owned, onFreed } = this.parts;
+    owned.ledger.releaseSlot(outcome.kind !== 'silent');
+    owned.slotReleased();
+    this.observe(outcome);
+    onFreed();
+  }
+
+  private observe({ kind, latencyMs }: SlotOutcome): void {
+    if (kind === 'unused') return;
+    const { choice, clock, taskClass } = this.parts;
+    const nowMs = clock.monotonicMs();
+    choice.observe({ workerId: this.workerId, taskClass, kind, latencyMs, nowMs });
+  }
+}
--- /dev/null
+++ b/packages/samphirenotch/src/shards/routedShardService.ts
@@ -0,0 +1,94 @@
+/**
+ * The shard service of every shard: the own ones directly, others at the entry that owns them.
+ */
+import type { Failure } from '../failure.js';
+import type { Ownership } from '../membership/ownership.js';
+import type { AttemptOrder, AttemptReport } from '../platform/worker.js';
+import { Err, type Result } from '../results.js';
+import type { Call } from '../time/call.js';
+import type { RemoteShardService } from './remoteShardService.js';
+import { notRun, unknownEffect } from './shardFailure.js';
+import type { PlacementOutcome, PlacementWish, Reservation, ShardService } from './shardService.js';
+
+/** Sends each call to the owner of its shard. */
+export class RoutedShardService implements ShardService {
+  /**
+   * @param local - the shards owned here
+   * @param remote - the shards of peers
+   * @param ownership - who owns what
+   * @param selfId - id of this entry
+   */
+  constructor(
+    private readonly local: ShardService,
+    private readonly remote: RemoteShardService,
+    private readonly ownership: Ownership,
+    private readonly selfId: string,
+  ) {}
+
+  shards(): readonly string[] {
+    return this.local.shards();
+  }
+
+  reserve(
+    shard: string,
+    wish: PlacementWish,
+    call: Call,
+  ): Promise<Result<PlacementOutcome, Failure>> {
+    const owner = this.ownership.ownerOf(shard);
+    if (owner === this.selfId) return this.local.reserve(shard, wish, call);
+    if (owner !== undefined) return this.remote.reserve(owner, shard, wish, call);
+    return Promise.resolve(Err(notRun('shard.reserve', shard, 'unavailable', 'no owner is known')));
+  }
+
+  cancelReservation(reservation: Reservation, call: Call): Promise<Result<void, Failure>> {
+    const { shard } = reservation;
+    const owner = this.ownership.ownerOf(shard);
+    if (owner === this.selfId) return this.local.cancelReservation(reservation, call);
+    if (owner !== undefined) return this.remote.cancelReservation(owner, reservation, call);
+    return Promise.resolve(Err(notRun('shard.cancel', shard, 'unavailable', 'no owner is known')));
+  }
+
+  start(
+    reservation: Reservation,
+    order: AttemptOrder,
+    call: Call,
+  ): Promise<Result<AttemptReport, Failure>> {
+    const { shard } = reservation;
+    const owner = this.ownership.ownerOf(shard);
+    if (owner === this.selfId) return this.local.start(reservation, order, call);
+    if (owner !== undefined) return this.remote.start(owner, reservation, order, call);
+    return Promise.resolve(Err(notRun('shard.start', shard, 'unavailable', 'no owner is known')));
+  }
+
+  stop(
+    shard: string,
+    workerId: string,
+    attemptId: string,
+    withCheckpoint: boolean,
+    call: Call,
+  ): Promise<Result<AttemptReport, Failure>> {
+    const owner = this.ownership.ownerOf(shard);
+    if (owner === this.selfId) {
+      return this.local.stop(shard, workerId, attemptId, withCheckpoint, call);
+    }
+    const target = { shard, workerId, attemptId, withCheckpoint };
+    if (owner !== undefined) return this.remote.stop(owner, target, call);
+    const message = 'no owner is known';
+    return Promise.resolve(Err(unknownEffect('shard.stop', shard, 'unavailable', message)));
+  }
+
+  find(
+    shard: string,
+    workerId: string,
+    attemptId: string,
+    call: Call,
+  ): Promise<Result<AttemptReport | undefined, Failure>> {
+    const owner = this.ownership.ownerOf(shard);
+    if (owner === this.selfId) return this.local.find(shard, workerId, attemptId, call);
+    if (owner !== undefined) {
+      return this.remote.find(owner, { shard, workerId, attemptId }, call);
+    }
+    const message = 'no owner is known';
+    return Promise.resolve(Err(unknownEffect('shard.find', shard, 'unavailable', message)));
+  }
+}
--- /dev/null
+++ b/packages/samphirenotch/src/shards/shardParts.ts
@@ -0,0 +1,19 @@
+/**
+ * What the owner of shards works with.
+ */
+import type { ConfigurationView } from '../config/configurationView.js';
+import type { PlacementPolicy } from '../decisions/placementPolicy.js';
+import type { SizeEstimate } from '../decisions/sizeEstimate.js';
+import type { WorkerDirectory } from '../platform/worker.js';
+import type { Clock } from '../time/clock.js';
+import type { AttemptSink } from './shardService.js';
+
+/** Parts that all shards of an entry share. */
+export interface ShardParts {
+  readonly clock: Clock;
+  readonly configuration: ConfigurationView;
+  readonly directory: WorkerDirectory;
+  readonly placement: PlacementPolicy;
+  readonly sizes: SizeEstimate;
+  readonly sink: AttemptSink;
+}
--- /dev/null
+++ b/packages/samphirenotch/src/shards/shardWorker.ts
@@ -0,0 +1,56 @@
+/**
+ * A worker of an owned shard with its commands and its loop.
+ */
+import type { Grant } from '../membership/ownership.js';
+import type { WorkerListing } from '../platform/vmList.js';
+import { AttemptReporter } from './attemptReporter.js';
+import { AttemptStarts } from './attemptStarts.js';
+import { AttemptStops } from './attemptStops.js';
+import { OwnedWorker } from './ownedWorker.js';
+import type { ShardParts } from './shardParts.js';
+import { StartGuard } from './startGuard.js';
+import { WorkerLoop } from './workerLoop.js';
+
+/** A worker as its shard's owner holds it. */
+export interface ShardWorker {
+  readonly owned: OwnedWorker;
+  readonly starts: AttemptStarts;
+  readonly stops: AttemptStops;
+  readonly reporter: AttemptReporter;
+  readonly loop: WorkerLoop;
+  /** Ends the loop. */
+  readonly controller: AbortController;
+}
+
+/**
+ * Puts the parts of a worker together.
+ *
+ * @param parts - what all shards share
+ * @param listing - the worker as listed
+ * @param grant - the right to command it
+ * @param onRoom - called when slots or room may have become free
+ * @returns the worker, its loop not yet running
+ */
+export const makeShardWorker = (
+  parts: ShardParts,
+  listing: WorkerListing,
+  grant: Grant,
+  onRoom: () => void,
+): ShardWorker => {
+  const { clock, configuration, sizes, sink, directory } = parts;
+  const worker = directory.connect(listing.id, listing.address);
+  const owned = new OwnedWorker(listing, worker, grant, clock);
+  const stops = new AttemptStops(owned, clock);
+  const starts = new AttemptStarts(owned, stops, new StartGuard(configuration), clock);
+  const reporter = new AttemptReporter(sink, clock, listing.id, grant.resource);
+  const loop = new WorkerLoop({
+    owned,
+    stops,
+    reporter,
+    configuration,
+    sizes,
+    clock,
+    onRoom,
+  });
+  return { owned, starts, stops, reporter, loop, controller: new AbortController() };
+};
--- /dev/null
+++ b/packages/samphirenotch/src/shards/sizes.ts
@@ -0,0 +1,62 @@
+/**
+ * Arithmetic on sizes.
+ */
+import type { Size } from '../platform/worker.js';
+
+/** Nothing at all. */
+export const NO_SIZE: Size = { milliCores: 0, memoryMb: 0, accelerators: 0 };
+
+const combine = (left: Size, right: Size, each: (a: number, b: number) => number): Size => ({
+  milliCores: each(left.milliCores, right.milliCores),
+  memoryMb: each(left.memoryMb, right.memoryMb),
+  accelerators: each(left.accelerators, right.accelerators),
+});
+
+/**
+ * Adds sizes up.
+ *
+ * @param sizes - the sizes
+ * @returns their sum
+ */
+export const sumSizes = (sizes: Iterable<Size>): Size =>
+  [...sizes].reduce((sum, size) => combine(sum, size, (a, b) => a + b), NO_SIZE);
+
+/**
+ * Takes one size from another.
+ *
+ * @param whole - what there is
+ * @param part - what is taken
+ * @returns what is left, nowhere below zero
+ */
+export const leftOf = (whole: Size, part: Size): Size =>
+  combine(whole, part, (a, b) => Math.max(0, a - b));
+
+/**
+ * Takes the larger amount of each kind.
+ *
+ * @param left - a size
+ * @param right - another
+ * @returns the larger amounts
+ */
+export const largerOf = (left: Size, right: Size): Size => combine(left, right, Math.max);
+
+/**
+ * Takes the smaller amount of each kind.
+ *
+ * @param left - a size
+ * @param right - another
+ * @returns the smaller amounts
+ */
+export const smallerOf = (left: Size, right: Size): Size => combine(left, right, Math.min);
+
+/**
+ * Tells whether something fits.
+ *
+ * @param size - what is to fit
+ * @param room - where
+ * @returns true if there is enough of each kind
+ */
+export const fitsIn = (size: Size, room: Size): boolean =>
+  size.milliCores <= room.milliCores &&
+  size.memoryMb <= room.memoryMb &&
+  size.accelerators <= room.accelerators;
--- /dev/null
+++ b/packages/samphirenotch/src/shards/taskLease.ts
@@ -0,0 +1,39 @@
+/**
+ * Times of the leases under which attempts run at workers, and what may be concluded from them.
+ */
+
+/** Lease that renewals ask for, and the longest that a start may ask for, in milliseconds. */
+export const TASK_LEASE_MS = 12_000;
+
+/** Allowance for clocks that drift apart and for messages under way, in milliseconds. */
+export const TASK_LEASE_DRIFT_MS = 2000;
+
+/** Pause between heartbeats to one worker, in milliseconds. */
+export const WORKER_HEARTBEAT_INTERVAL_MS = 1000;
+
+/** How long one heartbeat to a worker may take, in milliseconds. */
+export const WORKER_HEARTBEAT_TIMEOUT_MS = 1000;
+
+/** How long a start may take, in milliseconds. */
+export const START_TIMEOUT_MS = 1000;
+
+/** Oldest confirmation of the configuration with which a start is sent, in milliseconds. */
+export const START_FRESHNESS_MS = 3000;
+
+/**
+ * Attempts of classes that restart after a cut are renewed for this long after their partition's
+ * owner last took a report, counted from the sending of the report, in milliseconds.
+ */
+export const REPORT_WINDOW_MS = 4000;
+
+/**
+ * Longest time that an attempt can run on without a renewal that was decided by now: one lease, and
+ * another one if its owner was paused with a renewal in hand, in milliseconds.
+ */
+export const LAPSE_MS = WORKER_HEARTBEAT_TIMEOUT_MS + 2 * TASK_LEASE_MS + TASK_LEASE_DRIFT_MS;
+
+/**
+ * An attempt of a class that restarts runs no more when its partition's owner has taken no report of
+ * it for this long, in milliseconds.
+ */
+export const RESTART_PROOF_MS = REPORT_WINDOW_MS + LAPSE_MS;
--- /dev/null
+++ b/packages/samphirenotch/src/shards/workerList.ts
@@ -0,0 +1,93 @@
+/**
+ * Follows the platform's list of workers, and groups them into shards: one for each rack.
+ */
+import { partLog } from '../observability/log.js';
+import type { VmList, WorkerListing } from '../platform/vmList.js';
+import { callWithin } from '../time/call.js';
+import type { Clock } from '../time/clock.js';
+
+const POLL_INTERVAL_MS = 1000;
+const POLL_TIMEOUT_MS = 2000;
+
+const log = partLog('workers');
+
+/**
+ * Names the shard that a worker belongs to.
+ *
+ * @param listing - the worker
+ * @returns resource name of the shard
+ */
+export const shardOf = ({ dataCentre, rack }: WorkerListing): string =>
+  `shard/${dataCentre}/${rack}`;
+
+/** The workers by the last list that was read. */
+export class WorkerList {
+  private shards: ReadonlyMap<string, readonly WorkerListing[]> = new Map();
+
+  private readonly listeners: (() => void)[] = [];
+
+  /**
+   * @param vmList - the platform's list
+   * @param clock - for pauses and deadlines
+   */
+  constructor(
+    private readonly vmList: VmList,
+    private readonly clock: Clock,
+  ) {}
+
+  /**
+   * Shards that have workers.
+   *
+   * @returns resource names
+   */
+  shardNames(): readonly string[] {
+    return [...this.shards.keys()];
+  }
+
+  /**
+   * Workers of a shard.
+   *
+   * @param shard - resource name
+   * @returns its workers as listed
+   */
+  workersOf(shard: string): readonly WorkerListing[] {
+    return this.shards.get(shard) ?? [];
+  }
+
+  /**
+   * Calls back after the list was read.
+   *
+   * @param listener - called without arguments
+   */
+  onChange(listener: () => void): void {
+    this.listeners.push(listener);
+  }
+
+  /**
+   * Reads the list until the signal aborts.
+   *
+   * @param signal - ends the loop
+   */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await this.poll(signal);
+      await this.clock.sleep(POLL_INTERVAL_MS, signal);
+    }
+  }
+
+  private async poll(signal: AbortSignal): Promise<void> {
+    const call = callWithin(this.clock, POLL_TIMEOUT_MS, signal);
+    const listed = await this.vmList.workers(call);
+    if (!listed.ok) {
+      log.debug('The list of VMs was not read.', { reason: listed.val.message });
+      return;
+    }
+    const shards = new Map<string, WorkerListing[]>();
+    listed.val.forEach((listing) => {
+      const shard = shardOf(listing);
+      shards.set(shard, [...(shards.get(shard) ?? []), listing]);
+    });
+    this.shards = shards;
+    this.listeners.forEach((listener) => listener());
+  }
+}
