--- a/packages/samphirenotch/src/time/call.ts
+++ b/packages/samphirenotch/src/time/call.ts
@@ -1,6 +1,7 @@
 /**
  * What is passed down every call: until when an answer is of use, and whether it is still wanted.
  */
+import { setMaxListeners } from 'node:events';
 import type { Clock } from './clock.js';
 
 /** Deadline and cancellation of a call. */
@@ -13,6 +14,9 @@
 
 const NEVER = new AbortController().signal;
 
+// Shared by all calls without a cancellation of their own.
+setMaxListeners(0, NEVER);
+
 /**
  * Makes a call that ends after a while.
  *
