--- a/packages/samphirenotch/src/platform/worker.ts
+++ b/packages/samphirenotch/src/platform/worker.ts
@@ -144,3 +144,6 @@
 export interface WorkerDirectory {
   connect(workerId: string, address: string): Worker;
 }
+
+/** Detail of the report on a stopped attempt which proves that the worker never ran it. */
+export const NEVER_STARTED = 'never-started';
--- /dev/null
+++ b/packages/samphirenotch/src/tasks/attemptResolver.ts
@@ -0,0 +1,64 @@
+/**
+ * Finds out what became of an attempt when the answer to its start is lost or its owner changed.
+ */
+import { callWithin } from '../time/call.js';
+import { Err, Ok, type Result } from '../results.js';
+import { Failure } from '../failure.js';
+import { fateOfStop, type AttemptFate } from './attemptFate.js';
+import { RESOLVE_BACKOFF_MS, SHARD_TIMEOUT_MS } from './taskSettings.js';
+import type { Attempt } from './job.js';
+import type { PartitionContext } from './taskContext.js';
+
+/** Asks the owners of shards about attempts. */
+export class AttemptResolver {
+  /**
+   * @param context - the partition
+   */
+  constructor(private readonly context: PartitionContext) {}
+
+  /**
+   * Asks until there is proof.
+   *
+   * @param attempt - the attempt
+   * @returns its fate; nothing if the partition was given up first
+   */
+  async resolve(attempt: Attempt): Promise<AttemptFate | undefined> {
+    const { clock, signal } = this.context;
+    while (!signal.aborted) {
+      const fate = await this.ask(attempt);
+      if (fate.ok) return fate.val;
+      await clock.sleep(RESOLVE_BACKOFF_MS, signal);
+    }
+    return undefined;
+  }
+
+  /**
+   * Asks once. An attempt that is not found is stopped all the same, which keeps a start that is
+   * still on its way from taking effect.
+   *
+   * @param attempt - the attempt
+   * @returns its fate, or why it is not known
+   */
+  async ask(attempt: Attempt): Promise<Result<AttemptFate, Failure>> {
+    const { shards, clock, signal } = this.context;
+    const { shard, workerId, id } = attempt;
+    const call = callWithin(clock, SHARD_TIMEOUT_MS, signal);
+    const found = await shards.find(shard, workerId, id, call);
+    if (found.err) return found;
+    if (found.val) return Ok({ kind: 'reported', report: found.val });
+    const stopped = await shards.stop(shard, workerId, id, false, call);
+    const fate = fateOfStop(stopped);
+    if (fate) return Ok(fate);
+    return stopped.err ? stopped : Err(this.unproved(attempt));
+  }
+
+  private unproved(attempt: Attempt): Failure {
+    return new Failure({
+      code: 'unavailable',
+      step: 'tasks.resolve',
+      peer: attempt.workerId,
+      effect: 'unknown',
+      message: `nothing is proved about ${attempt.id}`,
+    });
+  }
+}
--- /dev/null
+++ b/packages/samphirenotch/src/tasks/attemptSink.ts
@@ -0,0 +1,79 @@
+/**
+ * Takes reports of attempts to the owner of their partition, here or at a peer.
+ */
+import type { AttemptReport as Report } from '../platform/worker.js';
+import { callUnary } from '../grpc/unaryCall.js';
+import { RECORDED_IDS } from '../protocol/tasksMessages.js';
+import { Err, Ok, type Result } from '../results.js';
+import type { Failure } from '../failure.js';
+import type { AttemptSink } from '../shards/shardService.js';
+import type { Call } from '../time/call.js';
+import type { Clock } from '../time/clock.js';
+import type { PartitionHandler } from './partitionHandler.js';
+import type { PartitionOwner } from './partitionOwner.js';
+import { notOwned } from './taskFailure.js';
+import { checkAnswer } from './taskMessage.js';
+import type { TaskPeers } from './taskPeers.js';
+
+const STEP = 'tasks.report';
+
+/** Sends reports to whoever owns the partition. */
+export class RoutedAttemptSink implements AttemptSink {
+  /**
+   * @param handler - partitions owned here
+   * @param peers - partitions owned elsewhere
+   * @param clock - for deadlines
+   */
+  constructor(
+    private readonly handler: PartitionHandler,
+    private readonly peers: TaskPeers,
+    private readonly clock: Clock,
+  ) {}
+
+  async report(
+    partition: string,
+    workerId: string,
+    shard: string,
+    reports: readonly Report[],
+    call: Call,
+  ): Promise<Result<readonly string[], Failure>> {
+    const owner = this.handler.find(partition);
+    if (owner) return this.reportHere(owner, workerId, shard, reports);
+    const peer = this.peers.find(partition);
+    if (!peer) return Err(notOwned(STEP, partition));
+    const request = { partition, workerId, shard, reports: [...reports] };
+    const method = peer.client.reportAttempts.bind(peer.client);
+    const answer = await callUnary(
+      method,
+      request,
+      { step: STEP, peer: peer.id },
+      call,
+      this.clock,
+    );
+    if (answer.err) return answer;
+    return checkAnswer(RECORDED_IDS, answer.val.recordedIds, STEP, peer.id);
+  }
+
+  /**
+   * Applies reports to a partition that is owned here.
+   *
+   * @param owner - the owner
+   * @param workerId - the worker that reports
+   * @param shard - its shard
+   * @param reports - what it says
+   * @returns ids of ended attempts that are durably recorded
+   */
+  async reportHere(
+    owner: PartitionOwner,
+    workerId: string,
+    shard: string,
+    reports: readonly Report[],
+  ): Promise<Result<readonly string[], Failure>> {
+    const recorded = await Promise.all(
+      reports.map((report) => owner.report(shard, workerId, report)),
+    );
+    if (recorded.includes(undefined)) return Err(notOwned(STEP, owner.grant.resource));
+    const ids = reports.filter((_, index) => recorded[index]).map(({ attemptId }) => attemptId);
+    return Ok(ids);
+  }
+}
--- /dev/null
+++ b/packages/samphirenotch/src/tasks/chunkWriter.ts
@@ -0,0 +1,93 @@
+/**
+ * Writes and removes the chunks of a partition.
+ */
+import pLimit from 'p-limit';
+import { Ok, type Result } from '../results.js';
+import { callWithin } from '../time/call.js';
+import type { Failure } from '../failure.js';
+import type { Recorder } from '../observability/recorder.js';
+import type { KeyValueStore } from '../platform/keyValueStore.js';
+import type { Clock } from '../time/clock.js';
+import { chunkKey } from './partitionRecord.js';
+import { STORE_TIMEOUT_MS } from './taskSettings.js';
+import type { NewChunk } from './partitionLayout.js';
+
+const CONCURRENT_WRITES = 4;
+const REMOVALS_PER_COMMIT = 4;
+
+/** Keeps the chunks of one partition. */
+export class ChunkWriter {
+  private readonly limit = pLimit(CONCURRENT_WRITES);
+
+  private readonly garbage: string[] = [];
+
+  /**
+   * @param store - where the chunks are kept
+   * @param clock - for the time limit of calls
+   * @param recorder - counts the writes
+   * @param partition - resource name
+   * @param revisions - revisions of the chunks that exist, by name
+   */
+  constructor(
+    private readonly store: KeyValueStore,
+    private readonly clock: Clock,
+    private readonly recorder: Recorder,
+    private readonly partition: string,
+    private readonly revisions: Map<string, number>,
+  ) {}
+
+  /**
+   * Writes chunks that no head names yet.
+   *
+   * @param chunks - the chunks
+   * @param signal - ends the calls
+   * @returns once all are stored, or why one is not
+   */
+  async write(chunks: readonly NewChunk[], signal: AbortSignal): Promise<Result<void, Failure>> {
+    const writes = chunks.map((chunk) => this.limit(() => this.writeOne(chunk, signal)));
+    const results = await Promise.all(writes);
+    const failed = results.find((result) => result.err);
+    if (!failed) return Ok(undefined);
+    this.discard(chunks.map(({ name }) => name));
+    return failed;
+  }
+
+  /**
+   * Marks chunks that no head names or will name.
+   *
+   * @param names - names of the chunks
+   */
+  discard(names: readonly string[]): void {
+    this.garbage.push(...names);
+  }
+
+  /**
+   * Removes a few of the discarded chunks.
+   *
+   * @param signal - ends the calls
+   */
+  async removeSome(signal: AbortSignal): Promise<void> {
+    for (const name of this.garbage.splice(0, REMOVALS_PER_COMMIT)) {
+      const revision = this.revisions.get(name);
+      if (revision === undefined) continue;
+      const call = callWithin(this.clock, STORE_TIMEOUT_MS, signal);
+      this.recorder.count('task_chunk_removals');
+      const removed = await this.store.remove(chunkKey(this.partition, name), revision, call);
+      if (removed.err) this.garbage.push(name);
+      else this.revisions.delete(name);
+    }
+  }
+
+  private async writeOne(
+    { name, text }: NewChunk,
+    signal: AbortSignal,
+  ): Promise<Result<void, Failure>> {
+    const call = callWithin(this.clock, STORE_TIMEOUT_MS, signal);
+    const swap = { key: chunkKey(this.partition, name), expectedRevision: 0, value: text };
+    this.recorder.count('task_chunk_writes');
+    const answer = await this.store.swap(swap, call);
+    if (answer.err) return answer;
+    if (answer.val.kind === 'swapped') this.revisions.set(name, answer.val.revision);
+    return Ok(undefined);
+  }
+}
--- /dev/null
+++ b/packages/samphirenotch/src/tasks/groupCommit.ts
@@ -0,0 +1,287 @@
+/**
+ * Makes changes of jobs durable, many at a time: at most one swap of the partition's head is under
+ * way, and the next one carries every change made since.
+ */
+import { Failure } from '../failure.js';
+import { partLog } from '../observability/log.js';
+import { Err, Ok, type Result } from '../results.js';
+import type { Recorder } from '../observability/recorder.js';
+import type { KeyValueStore } from '../platform/keyValueStore.js';
+import type { Clock } from '../time/clock.js';
+import { ChunkWriter } from './chunkWriter.js';
+import { HeadWriter, type HeadOutcome, type HeadWrite } from './headWriter.js';
+import { encodeHead, encodeJob } from './partitionRecord.js';
+import {
+  BATCH_BYTES,
+  CHUNK_LENGTH,
+  COMMIT_INTERVAL_MS,
+  JOURNAL_LENGTH,
+  STORE_BACKOFF_MAXIMUM_MS,
+  STORE_BACKOFF_MS,
+  STORE_RETRY_AFTER_MS,
+} from './taskSettings.js';
+import { WakeUp } from './wakeUp.js';
+import type { Job } from './job.js';
+import type { JobChange, PendingChange } from './jobChange.js';
+import type { NewChunk, PartitionLayout } from './partitionLayout.js';
+import type { TaskRandom } from './taskRandom.js';
+
+const log = partLog('task-store');
+
+const IDLE_WAIT_MS = 60_000;
+/** No value comes near the largest one that the store holds. */
+const VALUE_SHARE = 4;
+
+/** What a commit works with. */
+export interface CommitContext {
+  readonly store: KeyValueStore;
+  readonly clock: Clock;
+  readonly random: TaskRandom;
+  readonly recorder: Recorder;
+  readonly partition: string;
+  readonly owner: string;
+  readonly epoch: number;
+  /** Aborted when the partition is given up. */
+  readonly signal: AbortSignal;
+  /** Called with changes once they are durable, in order. */
+  readonly onDurable: (changes: readonly JobChange[]) => void;
+  /** Called once another owner is proved. */
+  readonly onLost: () => void;
+  /** Called when the store answers again. */
+  readonly onReturn: () => void;
+}
+
+/** A head on its way, with what it makes durable. */
+interface Commit extends HeadWrite {
+  readonly layout: PartitionLayout;
+  readonly changes: readonly PendingChange[];
+  readonly chunks: readonly string[];
+}
+
+/** The writer of one partition's records. */
+export class GroupCommit {
+  private pending: PendingChange[] = [];
+
+  private answering = true;
+
+  private failures = 0;
+
+  private lost = false;
+
+  private readonly wakeUp: WakeUp;
+
+  private readonly head: HeadWriter<Commit>;
+
+  private readonly chunks: ChunkWriter;
+
+  private readonly valueLength: number;
+
+  /**
+   * @param context - what the commit works with
+   * @param layout - where the durable jobs are
+   * @param durable - the durable jobs by id, kept by the owner of this object
+   * @param revision - revision of the partition's head
+   * @param chunkRevisions - revisions of the chunks that exist, by name
+   */
+  constructor(
+    private readonly context: CommitContext,
+    private layout: PartitionLayout,
+    private readonly durable: ReadonlyMap<string, Job>,
+    revision: number,
+    chunkRevisions: Map<string, number>,
+  ) {
+    const { store, clock, recorder, partition, signal } = context;
+    this.head = new HeadWriter(store, clock, partition, revision);
+    this.chunks = new ChunkWriter(store, clock, recorder, partition, chunkRevisions);
+    this.wakeUp = new WakeUp(clock, signal);
+    const named = new Set(layout.chunks.keys());
+    this.chunks.discard([...chunkRevisions.keys()].filter((name) => !named.has(name)));
+    this.valueLength = Math.floor(store.maximumValueBytes / VALUE_SHARE);
+  }
+
+  /**
+   * Tells whether the store answered last time.
+   *
+   * @returns false during an outage
+   */
+  isAnswering(): boolean {
+    return this.answering;
+  }
+
+  /**
+   * Asks for a change to be made durable.
+   *
+   * @param change - the change
+   * @returns once it is durable, or why it is not
+   */
+  add(change: JobChange): Promise<Result<void, Failure>> {
+    if (this.lost || this.context.signal.aborted) {
+      return Promise.resolve(Err(this.notOwner('not-run')));
+    }
+    if (change.refusable && !this.answering) return Promise.resolve(Err(this.outage()));
+    const text = change.job ? encodeJob(change.job) : '';
+    return new Promise((resolve) => {
+      const bytes = Buffer.byteLength(text);
+      this.pending.push({ ...change, text, bytes, settle: resolve });
+      this.wakeUp.notify();
+    });
+  }
+
+  /** Waits until nothing is left to be written, or the partition is given up. */
+  async drain(): Promise<void> {
+    const { clock, signal } = this.context;
+    while (this.pending.length > 0 && !signal.aborted && !this.lost) {
+      await clock.sleep(COMMIT_INTERVAL_MS, signal);
+    }
+  }
+
+  /** Writes until the partition is given up. */
+  async run(): Promise<void> {
+    const { clock, signal } = this.context;
+    while (!signal.aborted && !this.lost) {
+      if (this.pending.length === 0 && this.answering) await this.wakeUp.wait(IDLE_WAIT_MS);
+      if (signal.aborted) break;
+      const startedMs = clock.monotonicMs();
+      await this.step();
+      if (this.answering) {
+        await clock.sleep(startedMs + COMMIT_INTERVAL_MS - clock.monotonicMs(), signal);
+      } else {
+        await clock.sleep(this.backoffMs(), signal);
+      }
+    }
+    this.abandon();
+  }
+
+  private async step(): Promise<void> {
+    if (this.pending.length === 0) {
+      if (!this.answering) this.noteAnswer((await this.head.probe(this.context.signal)).ok);
+      return;
+    }
+    const commit = await this.prepare();
+    if (commit.err) {
+      this.fail(commit.val);
+      return;
+    }
+    this.context.recorder.count('task_commits');
+    this.apply(await this.head.write(commit.val, this.context.signal));
+    if (this.answering) await this.chunks.removeSome(this.context.signal);
+  }
+
+  private apply(outcome: HeadOutcome<Commit>): void {
+    if (outcome.kind === 'failed') {
+      this.fail(outcome.failure);
+      return;
+    }
+    if (outcome.kind === 'lost') {
+      log.warn('Partition has another owner.', {
+        partition: this.context.partition,
+        owner: outcome.owner,
+      });
+      this.lost = true;
+      this.context.onLost();
+      return;
+    }
+    this.accept(outcome.write, outcome.superseded);
+    this.noteAnswer(true);
+  }
+
+  private accept(commit: Commit, superseded: readonly Commit[]): void {
+    const kept = new Set(commit.layout.chunks.keys());
+    const unused = [...this.layout.chunks.keys(), ...superseded.flatMap((each) => each.chunks)];
+    this.chunks.discard(unused.filter((name) => !kept.has(name)));
+    this.layout = commit.layout;
+    const stored = new Set(commit.changes);
+    this.pending = this.pending.filter((change) => !stored.has(change));
+    this.context.onDurable(commit.changes);
+    for (const change of commit.changes) change.settle(Ok(undefined));
+  }
+
+  private fail(failure: Failure): void {
+    log.warn('Store did not take a commit.', {
+      partition: this.context.partition,
+      failure: failure.message,
+    });
+    this.noteAnswer(false);
+    const doubtful = new Set(this.head.doubts().flatMap((doubt) => doubt.changes));
+    const refused = this.pending.filter((change) => change.refusable && !doubtful.has(change));
+    this.pending = this.pending.filter((change) => !refused.includes(change));
+    for (const change of refused) change.settle(Err(this.outage()));
+  }
+
+  private noteAnswer(answers: boolean): void {
+    const returned = answers && !this.answering;
+    this.answering = answers;
+    this.failures = answers ? 0 : this.failures + 1;
+    if (returned) this.context.onReturn();
+  }
+
+  private async prepare(): Promise<Result<Commit, Failure>> {
+    const { random, owner, epoch } = this.context;
+    const changes = this.nextBatch();
+    let base = this.layout;
+    let written: readonly NewChunk[] = [];
+    if (base.journalLength() > Math.min(JOURNAL_LENGTH, this.valueLength)) {
+      const maximum = Math.min(CHUNK_LENGTH, this.valueLength);
+      const fold = base.fold(this.durable, maximum, () => `${epoch}-${random.unique()}`);
+      const stored = await this.chunks.write(fold.written, this.context.signal);
+      if (stored.err) return stored;
+      base = fold.layout;
+      written = fold.written;
+    }
+    const layout = base.with(changes);
+    const writeId = `${owner}-${epoch}-${random.unique()}`;
+    const text = encodeHead({
+      writeId,
+      owner,
+      epoch,
+      chunks: [...layout.chunks.keys()],
+      removed: [...layout.removed],
+      jobs: [...layout.journal.values()],
+    });
+    return Ok({ writeId, text, layout, changes, chunks: written.map(({ name }) => name) });
+  }
+
+  private nextBatch(): readonly PendingChange[] {
+    const limit = Math.min(BATCH_BYTES, this.valueLength);
+    let bytes = 0;
+    const end = this.pending.findIndex((change, index) => {
+      bytes += change.bytes;
+      return index > 0 && bytes > limit;
+    });
+    return end < 0 ? [...this.pending] : this.pending.slice(0, end);
+  }
+
+  private backoffMs(): number {
+    const longest = Math.min(STORE_BACKOFF_MAXIMUM_MS, STORE_BACKOFF_MS * 2 ** this.failures);
+    return longest / 2 + (this.context.random.fraction() * longest) / 2;
+  }
+
+  private abandon(): void {
+    const doubtful = new Set(this.head.doubts().flatMap((doubt) => doubt.changes));
+    for (const change of this.pending.splice(0)) {
+      change.settle(Err(this.notOwner(doubtful.has(change) ? 'unknown' : 'not-run')));
+    }
+  }
+
+  private outage(): Failure {
+    return new Failure({
+      code: 'unavailable',
+      step: 'tasks.commit',
+      peer: this.context.partition,
+      effect: 'not-run',
+      message: 'the store does not answer, and nothing is accepted that it has not stored',
+      retryAfterMs: STORE_RETRY_AFTER_MS,
+    });
+  }
+
+  private notOwner(effect: 'not-run' | 'unknown'): Failure {
+    return new Failure({
+      code: 'not-owner',
+      step: 'tasks.commit',
+      peer: this.context.partition,
+      effect,
+      message: 'this entry does not own the partition any more',
+      retryAfterMs: STORE_RETRY_AFTER_MS,
+    });
+  }
+}
--- /dev/null
+++ b/packages/samphirenotch/src/tasks/headWriter.ts
@@ -0,0 +1,104 @@
+/**
+ * Writes the head of a partition by compare-and-swap, and finds out which write counted when
+ * answers are lost.
+ */
+import { Failure } from '../failure.js';
+import { Ok, type Result } from '../results.js';
+import { callWithin } from '../time/call.js';
+import type { Clock } from '../time/clock.js';
+import type { KeyValueStore } from '../platform/keyValueStore.js';
+import { decodeHead, headKey } from './partitionRecord.js';
+import { STORE_TIMEOUT_MS } from './taskSettings.js';
+
+/** A head to be written. */
+export interface HeadWrite {
+  readonly writeId: string;
+  readonly text: string;
+}
+
+/** What became of a write. `lost` is proof that another owner wrote. */
+export type HeadOutcome<W extends HeadWrite> =
+  | { readonly kind: 'stored'; readonly write: W; readonly superseded: readonly W[] }
+  | { readonly kind: 'lost'; readonly owner: string }
+  | { readonly kind: 'failed'; readonly failure: Failure };
+
+/** The single writer of one head. */
+export class HeadWriter<W extends HeadWrite> {
+  /** Writes since the known revision whose answers were lost; one of them may count. */
+  private doubtful: W[] = [];
+
+  /**
+   * @param store - where the head is kept
+   * @param clock - for the time limit of calls
+   * @param partition - resource name
+   * @param revision - revision of the head that this writer wrote last
+   */
+  constructor(
+    private readonly store: KeyValueStore,
+    private readonly clock: Clock,
+    private readonly partition: string,
+    private revision: number,
+  ) {}
+
+  /**
+   * Lists the writes of which it is not known whether they count.
+   *
+   * @returns the writes, oldest first
+   */
+  doubts(): readonly W[] {
+    return this.doubtful;
+  }
+
+  /**
+   * Tries to replace the head. A stored outcome may name an earlier write whose answer was lost.
+   *
+   * @param write - what to store
+   * @param signal - ends the call
+   * @returns which write counts now, or that none does
+   */
+  async write(write: W, signal: AbortSignal): Promise<HeadOutcome<W>> {
+    const key = headKey(this.partition);
+    const call = callWithin(this.clock, STORE_TIMEOUT_MS, signal);
+    const swap = { key, expectedRevision: this.revision, value: write.text };
+    const answer = await this.store.swap(swap, call);
+    if (answer.err) {
+      if (answer.val.effect === 'unknown') this.doubtful.push(write);
+      return { kind: 'failed', failure: answer.val };
+    }
+    if (answer.val.kind === 'swapped') return this.accept(write, answer.val.revision);
+    return this.settle(write, signal);
+  }
+
+  /**
+   * Asks the store whether it answers.
+   *
+   * @param signal - ends the call
+   * @returns nothing, or why it does not
+   */
+  async probe(signal: AbortSignal): Promise<Result<void, Failure>> {
+    const call = callWithin(this.clock, STORE_TIMEOUT_MS, signal);
+    const found = await this.store.get(headKey(this.partition), call);
+    return found.err ? found : Ok(undefined);
+  }
+
+  /** A conflict: either a write of ours counts whose answer was lost, or there is another owner. */
+  private async settle(latest: W, signal: AbortSignal): Promise<HeadOutcome<W>> {
+    const key = headKey(this.partition);
+    const found = await this.store.get(key, callWithin(this.clock, STORE_TIMEOUT_MS, signal));
+    if (found.err) return { kind: 'failed', failure: found.val };
+    if (!found.val) return { kind: 'lost', owner: 'nobody' };
+    const head = decodeHead(found.val.value, key);
+    if (head.err) return { kind: 'failed', failure: head.val };
+    const { writeId } = head.val;
+    const write = [...this.doubtful, latest].find((each) => each.writeId === writeId);
+    if (!write) return { kind: 'lost', owner: head.val.owner };
+    return this.accept(write, found.val.revision);
+  }
+
+  private accept(write: W, revision: number): HeadOutcome<W> {
+    const superseded = this.doubtful.filter((each) => each !== write);
+    this.revision = revision;
+    this.doubtful = [];
+    return { kind: 'stored', write, superseded };
+  }
+}
--- /dev/null
+++ b/packages/samphirenotch/src/tasks/jobId.ts
@@ -0,0 +1,120 @@
+/**
+ * Names of partitions and jobs. The id of a job tells its partition, so that any entry finds the
+ * owner without asking anybody.
+ */
+import { createHash } from 'node:crypto';
+import type { ConfigurationSet } from '../config/objects.js';
+
+const SEPARATOR = '~';
+const DIGEST_CHARACTERS = 32;
+const JOB_ID = /^([A-Za-z0-9_-]+)~(\d{1,5})~[A-Za-z0-9]{1,64}$/;
+
+/** Kind of the resource that owns jobs. */
+export const PARTITION_KIND = 'partition';
+
+/**
+ * Computes a short digest.
+ *
+ * @param parts - texts to digest, kept apart
+ * @returns hexadecimal digits
+ */
+export const digestOf = (...parts: readonly string[]): string =>
+  createHash('sha256').update(JSON.stringify(parts)).digest('hex').slice(0, DIGEST_CHARACTERS);
+
+/**
+ * Names a partition.
+ *
+ * @param dataCentre - home data centre
+ * @param index - number within the data centre, from 0
+ * @returns the resource name
+ */
+export const partitionName = (dataCentre: string, index: number): string =>
+  `${PARTITION_KIND}/${dataCentre}/${index}`;
+
+/**
+ * Lists the partitions of a configuration.
+ *
+ * @param set - the configuration
+ * @param dataCentres - home data centres wanted, all if left out
+ * @returns resource names, in order
+ */
+export const partitionsOf = (
+  set: ConfigurationSet,
+  dataCentres: readonly string[] = [...set.dataCentres.keys()],
+): readonly string[] =>
+  dataCentres.flatMap((name) => {
+    const count = set.dataCentres.get(name)?.partitions ?? 0;
+    return Array.from({ length: count }, (_, index) => partitionName(name, index));
+  });
+
+/**
+ * Finds the data centre in the name of a shard or partition.
+ *
+ * @param resource - the resource name
+ * @returns name of the data centre
+ */
+export const dataCentreOf = (resource: string): string => resource.split('/')[1] ?? '';
+
+/**
+ * Makes the id of a job.
+ *
+ * @param partition - partition that owns it
+ * @param unique - part that is unique within the partition, letters and digits
+ * @returns the id
+ */
+export const makeJobId = (partition: string, unique: string): string => {
+  const [, dataCentre, index] = partition.split('/');
+  return [dataCentre, index, unique].join(SEPARATOR);
+};
+
+/**
+ * Finds the partition of a job.
+ *
+ * @param jobId - id of the job
+ * @returns the resource name, or nothing if the id is none
+ */
+export const partitionOfJob = (jobId: string): string | undefined => {
+  const match = JOB_ID.exec(jobId);
+  if (!match) return undefined;
+  return partitionName(match[1] ?? '', Number(match[2]));
+};
+
+/**
+ * Chooses a partition by rendezvous hashing, so that a change of partitions moves few keys.
+ *
+ * @param partitions - partitions to choose from
+ * @param key - what is to be placed
+ * @returns the partition, or nothing if there is none
+ */
+export const choosePartition = (partitions: readonly string[], key: string): string | undefined => {
+  const ranked = partitions.map((partition) => ({ partition, rank: digestOf(partition, key) }));
+  ranked.sort((left, right) => (left.rank < right.rank ? -1 : 1));
+  return ranked[0]?.partition;
+};
+
+/**
+ * Makes the id of an attempt.
+ *
+ * @param jobId - the job
+ * @param epoch - epoch of the partition's owner
+ * @param number - number of the attempt, from 1
+ * @returns the id
+ */
+export const makeAttemptId = (jobId: string, epoch: number, number: number): string =>
+  `${jobId}.${epoch}.${number}`;
+
+/**
+ * Finds the epoch of the partition's owner that made an attempt.
+ *
+ * @param attemptId - the attempt
+ * @returns the epoch, 0 if the id has none
+ */
+export const epochOfAttempt = (attemptId: string): number => Number(attemptId.split('.')[1] ?? 0);
+
+/**
+ * Finds the job that an attempt belongs to.
+ *
+ * @param attemptId - the attempt
+ * @returns id of the job
+ */
+export const jobOfAttempt = (attemptId: string): string => attemptId.split('.')[0] ?? '';
--- /dev/null
+++ b/packages/samphirenotch/src/tasks/jobIndex.ts
@@ -0,0 +1,90 @@
+/**
+ * The jobs of a partition in memory, found by id and by state.
+ */
+import { isActive, isEnded, type Job } from './job.js';
+
+/** Jobs by id, with those apart that need work. */
+export class JobIndex {
+  private readonly jobs = new Map<string, Job>();
+
+  private readonly queued = new Set<string>();
+
+  private readonly active = new Set<string>();
+
+  private readonly ended = new Set<string>();
+
+  /**
+   * Finds a job.
+   *
+   * @param jobId - its id
+   * @returns the job, or nothing
+   */
+  get(jobId: string): Job | undefined {
+    return this.jobs.get(jobId);
+  }
+
+  /**
+   * Adds or replaces a job.
+   *
+   * @param job - the job
+   */
+  set(job: Job): void {
+    this.delete(job.id);
+    this.jobs.set(job.id, job);
+    if (job.state === 'queued') this.queued.add(job.id);
+    if (isActive(job)) this.active.add(job.id);
+    if (isEnded(job)) this.ended.add(job.id);
+  }
+
+  /**
+   * Forgets a job.
+   *
+   * @param jobId - its id
+   */
+  delete(jobId: string): void {
+    this.jobs.delete(jobId);
+    this.queued.delete(jobId);
+    this.active.delete(jobId);
+    this.ended.delete(jobId);
+  }
+
+  /**
+   * Lists the jobs that wait for a start.
+   *
+   * @returns the jobs
+   */
+  queuedJobs(): readonly Job[] {
+    return this.pick(this.queued);
+  }
+
+  /**
+   * Lists the jobs of which an attempt may be running.
+   *
+   * @returns the jobs
+   */
+  activeJobs(): readonly Job[] {
+    return this.pick(this.active);
+  }
+
+  /**
+   * Lists the jobs that have ended.
+   *
+   * @returns the jobs, the one that ended first coming first
+   */
+  endedJobs(): readonly Job[] {
+    return this.pick(this.ended);
+  }
+
+  /**
+   * Lists all jobs.
+   *
+   * @returns the jobs by id
+   */
+  all(): ReadonlyMap<string, Job> {
+    return this.jobs;
+  }
+
+  private pick(ids: ReadonlySet<string>): readonly Job[] {
+    return [...ids].flatMap((id) => this.jobs.get(id) ?? []);
+  }
+}
--- /dev/null
+++ b/packages/samphirenotch/src/tasks/jobStore.ts
@@ -0,0 +1,161 @@
+/**
+ * The jobs of one partition: the latest in memory, and those that are durable.
+ */
+import { Failure } from '../failure.js';
+import { Err, type Result } from '../results.js';
+import { detach } from './detach.js';
+import { GroupCommit, type CommitContext } from './groupCommit.js';
+import { JobIndex } from './jobIndex.js';
+import { JOBS_MAXIMUM, STORE_RETRY_AFTER_MS } from './taskSettings.js';
+import type { Job } from './job.js';
+import type { JobChange } from './jobChange.js';
+import type { LoadedPartition } from './partitionLoad.js';
+
+/** What a job store tells of. */
+export interface JobStoreContext extends Omit<CommitContext, 'onDurable'> {
+  /** Called with each job whose change is durable. */
+  readonly onJob: (job: Job) => void;
+}
+
+/** Jobs of a partition. Whoever acts on a change outside waits until the change is durable. */
+export class JobStore {
+  /** Every change, also those not yet durable. */
+  readonly latest = new JobIndex();
+
+  private readonly durable = new Map<string, Job>();
+
+  private readonly arriving = new Map<string, Promise<Result<void, Failure>>>();
+
+  private readonly commit: GroupCommit;
+
+  /**
+   * @param context - where records are kept and whom to tell
+   * @param loaded - the partition as it was taken over
+   */
+  constructor(
+    private readonly context: JobStoreContext,
+    loaded: LoadedPartition,
+  ) {
+    for (const job of loaded.jobs.values()) {
+      this.latest.set(job);
+      this.durable.set(job.id, job);
+    }
+    this.commit = new GroupCommit(
+      { ...context, onDurable: (changes) => this.note(changes) },
+      loaded.layout,
+      this.durable,
+      loaded.revision,
+      loaded.chunkRevisions,
+    );
+  }
+
+  /**
+   * Finds a job as it is durable.
+   *
+   * @param jobId - its id
+   * @returns the job, or nothing
+   */
+  find(jobId: string): Job | undefined {
+    return this.durable.get(jobId);
+  }
+
+  /**
+   * Lists the durable jobs.
+   *
+   * @returns the jobs by id
+   */
+  all(): ReadonlyMap<string, Job> {
+    return this.durable;
+  }
+
+  /**
+   * Tells whether the store answered last time.
+   *
+   * @returns false during an outage
+   */
+  isAnswering(): boolean {
+    return this.commit.isAnswering();
+  }
+
+  /**
+   * Changes a job in memory at once.
+   *
+   * @param job - the new record
+   * @returns once the change is durable, or why it never will be by this owner
+   */
+  put(job: Job): Promise<Result<void, Failure>> {
+    this.latest.set(job);
+    return this.commit.add({ jobId: job.id, job, refusable: false });
+  }
+
+  /**
+   * Adds a job once it is durable. The same id twice adds one job.
+   *
+   * @param job - the new job
+   * @returns once the job is durable, or why it was not accepted
+   */
+  submit(job: Job): Promise<Result<void, Failure>> {
+    const arriving = this.arriving.get(job.id);
+    if (arriving) return arriving;
+    if (this.durable.size + this.arriving.size >= JOBS_MAXIMUM) {
+      return Promise.resolve(Err(this.full()));
+    }
+    const added = this.commit
+      .add({ jobId: job.id, job, refusable: true })
+      .finally(() => this.arriving.delete(job.id));
+    this.arriving.set(job.id, added);
+    return added;
+  }
+
+  /**
+   * Drops an ended job.
+   *
+   * @param jobId - its id
+   */
+  drop(jobId: string): void {
+    this.latest.delete(jobId);
+    detach(this.commit.add({ jobId, refusable: false }));
+  }
+
+  /**
+   * Waits until every change is durable, or the partition is given up.
+   *
+   * @returns a promise that resolves then
+   */
+  drain(): Promise<void> {
+    return this.commit.drain();
+  }
+
+  /**
+   * Writes changes until the partition is given up.
+   *
+   * @returns a promise that resolves then
+   */
+  run(): Promise<void> {
+    return this.commit.run();
+  }
+
+  private note(changes: readonly JobChange[]): void {
+    for (const { jobId, job } of changes) {
+      if (!job) {
+        this.durable.delete(jobId);
+        this.latest.delete(jobId);
+        continue;
+      }
+      this.durable.set(jobId, job);
+      if (!this.latest.get(jobId)) this.latest.set(job);
+      this.context.onJob(job);
+    }
+  }
+
+  private full(): Failure {
+    return new Failure({
+      code: 'overloaded',
+      step: 'tasks.submit',
+      peer: this.context.partition,
+      effect: 'not-run',
+      message: `the partition holds ${JOBS_MAXIMUM} jobs, which is the most`,
+      retryAfterMs: STORE_RETRY_AFTER_MS,
+    });
+  }
+}
--- /dev/null
+++ b/packages/samphirenotch/src/tasks/localTaskQueries.ts
@@ -0,0 +1,111 @@
+/**
+ * Queries about jobs of a partition that this entry owns. They tell what is durable.
+ */
+import { once } from 'node:events';
+import { Err, Ok, type Result } from '../results.js';
+import type { Failure } from '../failure.js';
+import type { Call } from '../time/call.js';
+import { isActive, isEnded, type Job } from './job.js';
+import { dataCentreOf } from './jobId.js';
+import type { PartitionOwner } from './partitionOwner.js';
+import { notFound, notOwned } from './taskFailure.js';
+import type { TaskQueries, TaskSelection } from './taskOperations.js';
+import { viewOf, type TaskExplanation, type TaskView } from './taskView.js';
+
+/** Reads jobs of one owned partition. */
+export class LocalTaskQueries implements TaskQueries {
+  /**
+   * @param owner - the owned partition
+   */
+  constructor(private readonly owner: PartitionOwner) {}
+
+  show(jobId: string): Promise<Result<TaskView, Failure>> {
+    return Promise.resolve(this.find('tasks.show', jobId).map(viewOf));
+  }
+
+  list(selection: TaskSelection): Promise<Result<readonly TaskView[], Failure>> {
+    const jobs = this.owner.jobs();
+    if (!jobs) return Promise.resolve(Err(notOwned('tasks.list', selection.partition)));
+    const views = [...jobs.all().values()]
+      .filter((job) => this.isSelected(job, selection))
+      .sort((left, right) => (left.id < right.id ? -1 : 1))
+      .slice(0, selection.limit)
+      .map(viewOf);
+    return Promise.resolve(Ok(views));
+  }
+
+  explain(jobId: string): Promise<Result<TaskExplanation, Failure>> {
+    return Promise.resolve(this.find('tasks.explain', jobId).map((job) => this.reasonFor(job)));
+  }
+
+  async follow(
+    jobId: string,
+    onView: (view: TaskView) => void,
+    call: Call,
+  ): Promise<Result<void, Failure>> {
+    const found = this.find('tasks.follow', jobId);
+    if (found.err) return found;
+    onView(viewOf(found.val));
+    if (isEnded(found.val)) return Ok(undefined);
+    const lost = await this.listen(jobId, onView, call);
+    return lost ? Err(notOwned('tasks.follow', this.owner.grant.resource)) : Ok(undefined);
+  }
+
+  /** Passes changes on until the end; resolves to whether the partition was given up first. */
+  private async listen(
+    jobId: string,
+    onView: (view: TaskView) => void,
+    call: Call,
+  ): Promise<boolean> {
+    const lost = this.owner.signal();
+    const ended = new AbortController();
+    const finish = (): void => ended.abort();
+    const stopListening = this.owner.listen((job) => {
+      if (job.id !== jobId) return;
+      onView(viewOf(job));
+      if (isEnded(job)) finish();
+    });
+    let wasLost = lost.aborted;
+    const lose = (): void => {
+      wasLost = true;
+      finish();
+    };
+    lost.addEventListener('abort', lose);
+    call.signal.addEventListener('abort', finish);
+    const isOver = wasLost || call.signal.aborted || ended.signal.aborted;
+    if (!isOver) await once(ended.signal, 'abort');
+    lost.removeEventListener('abort', lose);
+    call.signal.removeEventListener('abort', finish);
+    stopListening();
+    return wasLost;
+  }
+
+  private find(step: string, jobId: string): Result<Job, Failure> {
+    const jobs = this.owner.jobs();
+    if (!jobs) return Err(notOwned(step, this.owner.grant.resource));
+    const job = jobs.find(jobId);
+    return job ? Ok(job) : Err(notFound(step, jobId));
+  }
+
+  private isSelected(job: Job, selection: TaskSelection): boolean {
+    if (job.id <= selection.afterId) return false;
+    if (selection.tenant !== undefined && job.tenant !== selection.tenant) return false;
+    if (selection.state !== undefined && job.state !== selection.state) return false;
+    return selection.taskClass === undefined || job.taskClass === selection.taskClass;
+  }
+
+  private reasonFor(job: Job): TaskExplanation {
+    const base = { jobId: job.id, state: job.state };
+    if (isActive(job) && job.attempt) {
+      const { shard, workerId, resumed } = job.attempt;
+      const how = resumed ? 'goes on from its checkpoint' : 'was started';
+      const text = `It ${how} on ${workerId} in ${dataCentreOf(shard)}, which had room.`;
+      return { ...base, reason: job.cancelRequested ? 'cancelling' : 'placed', text };
+    }
+    if (job.state === 'queued') {
+      const wait = this.owner.schedule()?.reasonOf(job.id);
+      return { ...base, reason: wait?.kind ?? '', text: wait?.text ?? '', limit: wait?.limit };
+    }
+    return { ...base, reason: job.state, text: job.detail ?? '', limit: job.limit };
+  }
+}
--- /dev/null
+++ b/packages/samphirenotch/src/tasks/partitionHandler.ts
@@ -0,0 +1,57 @@
+/**
+ * Takes and releases job partitions as their ownership comes and goes.
+ */
+import { partLog } from '../observability/log.js';
+import type { Grant, ResourceHandler } from '../membership/ownership.js';
+import { PARTITION_KIND, partitionsOf } from './jobId.js';
+import { PartitionOwner } from './partitionOwner.js';
+import type { TaskContext } from './taskContext.js';
+
+const log = partLog('task-owner');
+
+/** Owns partitions. */
+export class PartitionHandler implements ResourceHandler {
+  readonly kind = PARTITION_KIND;
+
+  private readonly owners = new Map<string, PartitionOwner>();
+
+  /**
+   * @param context - parts of the entry
+   */
+  constructor(private readonly context: TaskContext) {}
+
+  resources(): readonly string[] {
+    const set = this.context.configuration.current();
+    return set ? partitionsOf(set) : [];
+  }
+
+  async take(grant: Grant): Promise<void> {
+    const owner = new PartitionOwner(this.context, grant);
+    this.owners.set(grant.resource, owner);
+    owner
+      .run()
+      .catch((error: unknown) => {
+        log.error('Partition failed.', { partition: grant.resource, error: String(error) });
+      })
+      .finally(() => {
+        if (this.owners.get(grant.resource) === owner) this.owners.delete(grant.resource);
+      });
+  }
+
+  async release(resource: string): Promise<void> {
+    const owner = this.owners.get(resource);
+    await owner?.close();
+    if (this.owners.get(resource) === owner) this.owners.delete(resource);
+  }
+
+  /**
+   * Finds the owner of a partition if it is this entry.
+   *
+   * @param partition - resource name
+   * @returns the owner, or nothing
+   */
+  find(partition: string): PartitionOwner | undefined {
+    const owner = this.owners.get(partition);
+    return owner && !owner.signal().aborted ? owner : undefined;
+  }
+}
--- /dev/null
+++ b/packages/samphirenotch/src/tasks/partitionLayout.ts
@@ -0,0 +1,118 @@
+/**
+ * Which job of a partition is stored where: in the head, or in one of the chunks.
+ */
+import { encodeChunk, encodeJob } from './partitionRecord.js';
+import type { Job } from './job.js';
+import type { PendingChange } from './jobChange.js';
+
+/** A chunk that has to be written before a head may name it. */
+export interface NewChunk {
+  readonly name: string;
+  readonly text: string;
+}
+
+/** The chunks that folding the head's jobs into chunks leaves behind. */
+export interface Fold {
+  readonly layout: PartitionLayout;
+  readonly written: readonly NewChunk[];
+}
+
+/** A value that says where each job is; changes make a new value. */
+export class PartitionLayout {
+  /**
+   * @param chunks - jobs of each chunk, by the chunk's name
+   * @param journal - encoded jobs in the head, by id
+   * @param removed - ids of jobs that a chunk holds but that exist no more
+   */
+  constructor(
+    readonly chunks: ReadonlyMap<string, ReadonlySet<string>>,
+    readonly journal: ReadonlyMap<string, string>,
+    readonly removed: ReadonlySet<string>,
+  ) {}
+
+  /**
+   * Adds up the jobs in the head.
+   *
+   * @returns characters of their records
+   */
+  journalLength(): number {
+    let total = 0;
+    for (const text of this.journal.values()) total += text.length;
+    return total;
+  }
+
+  /**
+   * Puts changes into the head.
+   *
+   * @param changes - the changes, in order
+   * @returns the layout after them
+   */
+  with(changes: readonly PendingChange[]): PartitionLayout {
+    const journal = new Map(this.journal);
+    const removed = new Set(this.removed);
+    for (const { jobId, job, text } of changes) {
+      if (job) {
+        journal.set(jobId, text);
+        removed.delete(jobId);
+        continue;
+      }
+      journal.delete(jobId);
+      removed.add(jobId);
+    }
+    return new PartitionLayout(this.chunks, journal, removed);
+  }
+
+  /**
+   * Moves all jobs from the head into chunks; chunks without a change stay as they are.
+   *
+   * @param jobs - the durable jobs, by id
+   * @param maximumLength - characters that a chunk may have
+   * @param nextName - makes names of chunks
+   * @returns the layout after it and what has to be written first
+   */
+  fold(jobs: ReadonlyMap<string, Job>, maximumLength: number, nextName: () => string): Fold {
+    const chunks = new Map<string, ReadonlySet<string>>();
+    const loose = new Map(this.journal);
+    for (const [name, ids] of this.chunks) {
+      if (!this.isTouched(ids)) {
+        chunks.set(name, ids);
+        continue;
+      }
+      for (const id of ids) {
+        const job = jobs.get(id);
+        if (job && !this.removed.has(id) && !loose.has(id)) loose.set(id, encodeJob(job));
+      }
+    }
+    const written: NewChunk[] = [];
+    for (const group of this.groups(loose, maximumLength)) {
+      const name = nextName();
+      chunks.set(name, new Set(group.map(([id]) => id)));
+      written.push({ name, text: encodeChunk(group.map(([, text]) => text)) });
+    }
+    return { layout: new PartitionLayout(chunks, new Map(), new Set()), written };
+  }
+
+  private isTouched(ids: ReadonlySet<string>): boolean {
+    for (const id of ids) {
+      if (this.journal.has(id) || this.removed.has(id)) return true;
+    }
+    return false;
+  }
+
+  private groups(
+    texts: ReadonlyMap<string, string>,
+    maximumLength: number,
+  ): readonly (readonly [string, string][])[] {
+    const groups: [string, string][][] = [];
+    let length = Infinity;
+    for (const entry of texts) {
+      if (length + entry[1].length > maximumLength) {
+        groups.push([]);
+        length = 0;
+      }
+      groups.at(-1)?.push(entry);
+      length += entry[1].length;
+    }
+    return groups;
+  }
+}
--- /dev/null
+++ b/packages/samphirenotch/src/tasks/partitionLoad.ts
@@ -0,0 +1,137 @@
+/**
+ * Takes a partition over: reads its records and marks its head, so that a swap of the owner before
+ * conflicts from then on.
+ */
+import { Failure } from '../failure.js';
+import { Err, Ok, type Result } from '../results.js';
+import { callWithin } from '../time/call.js';
+import type { KeyValue } from '../platform/keyValueStore.js';
+import type { CommitContext } from './groupCommit.js';
+import { PartitionLayout } from './partitionLayout.js';
+import {
+  chunkKey,
+  decodeChunk,
+  decodeHead,
+  encodeHead,
+  encodeJob,
+  headKey,
+  prefixOf,
+  type Head,
+} from './partitionRecord.js';
+import { STORE_TIMEOUT_MS } from './taskSettings.js';
+import type { Job } from './job.js';
+
+/** A partition as it was taken over. */
+export interface LoadedPartition {
+  readonly layout: PartitionLayout;
+  readonly jobs: ReadonlyMap<string, Job>;
+  /** Revision of the mark in the head. */
+  readonly revision: number;
+  /** Revisions of all chunks, also of those that no head names. */
+  readonly chunkRevisions: Map<string, number>;
+}
+
+/** What loading works with. */
+export type LoadContext = Omit<CommitContext, 'onDurable'>;
+
+interface StoredPartition {
+  readonly head: Head;
+  readonly revision: number;
+  readonly layout: PartitionLayout;
+  readonly jobs: ReadonlyMap<string, Job>;
+  readonly chunkRevisions: Map<string, number>;
+}
+
+const EMPTY: Head = { writeId: '', owner: '', epoch: 0, chunks: [], removed: [], jobs: [] };
+
+const broken = (partition: string, message: string): Failure =>
+  new Failure({
+    code: 'internal',
+    step: 'tasks.load',
+    peer: partition,
+    effect: 'not-run',
+    message,
+  });
+
+const superseded = (partition: string, owner: string): Failure =>
+  new Failure({
+    code: 'not-owner',
+    step: 'tasks.load',
+    peer: partition,
+    effect: 'not-run',
+    message: `${owner} took the partition over later`,
+  });
+
+const assemble = (
+  partition: string,
+  head: Head,
+  items: ReadonlyMap<string, KeyValue>,
+): Result<Omit<StoredPartition, 'revision' | 'chunkRevisions'>, Failure> => {
+  const jobs = new Map<string, Job>();
+  const chunks = new Map<string, ReadonlySet<string>>();
+  for (const name of head.chunks) {
+    const key = chunkKey(partition, name);
+    const item = items.get(key);
+    if (!item) return Err(broken(partition, `chunk ${name} is missing`));
+    const chunk = decodeChunk(item.value, key);
+    if (chunk.err) return chunk;
+    chunks.set(name, new Set(chunk.val.map(({ id }) => id)));
+    for (const job of chunk.val) jobs.set(job.id, job);
+  }
+  for (const id of head.removed) jobs.delete(id);
+  for (const job of head.jobs) jobs.set(job.id, job);
+  const journal = new Map(head.jobs.map((job) => [job.id, encodeJob(job)]));
+  const layout = new PartitionLayout(chunks, journal, new Set(head.removed));
+  return Ok({ head, layout, jobs });
+};
+
+const read = async (context: LoadContext): Promise<Result<StoredPartition, Failure>> => {
+  const { store, clock, partition, signal } = context;
+  const call = callWithin(clock, STORE_TIMEOUT_MS, signal);
+  const listing = await store.list(prefixOf(partition), call);
+  if (listing.err) return listing;
+  const items = new Map(listing.val.items.map((item) => [item.key, item]));
+  const key = headKey(partition);
+  const stored = items.get(key);
+  const head = stored ? decodeHead(stored.value, key) : Ok(EMPTY);
+  if (head.err) return head;
+  const parts = assemble(partition, head.val, items);
+  if (parts.err) return parts;
+  const chunkPrefix = chunkKey(partition, '');
+  const chunkRevisions = new Map(
+    listing.val.items
+      .filter((item) => item.key.startsWith(chunkPrefix))
+      .map((item) => [item.key.slice(chunkPrefix.length), item.revision]),
+  );
+  return Ok({ ...parts.val, revision: stored?.revision ?? 0, chunkRevisions });
+};
+
+/**
+ * Takes a partition over. A failure with the code `not-owner` is final; others may be tried again.
+ *
+ * @param context - the new owner
+ * @returns the records and the revision of the mark
+ */
+export const loadPartition = async (
+  context: LoadContext,
+): Promise<Result<LoadedPartition, Failure>> => {
+  const { store, clock, partition, owner, epoch, random, signal } = context;
+  const stored = await read(context);
+  if (stored.err) return stored;
+  const { head, layout, jobs, revision, chunkRevisions } = stored.val;
+  if (head.epoch > epoch) return Err(superseded(partition, head.owner));
+  const text = encodeHead({
+    writeId: `${owner}-${epoch}-${random.unique()}`,
+    owner,
+    epoch,
+    chunks: head.chunks,
+    removed: head.removed,
+    jobs: [...layout.journal.values()],
+  });
+  const call = callWithin(clock, STORE_TIMEOUT_MS, signal);
+  const key = headKey(partition);
+  const marked = await store.swap({ key, expectedRevision: revision, value: text }, call);
+  if (marked.err) return marked;
+  if (marked.val.kind === 'conflict') return Err(broken(partition, 'the head changed meanwhile'));
+  return Ok({ layout, jobs, revision: marked.val.revision, chunkRevisions });
+};
--- /dev/null
+++ b/packages/samphirenotch/src/tasks/partitionOwner.ts
@@ -0,0 +1,219 @@
+/**
+ * The owner of one job partition: the single writer of its jobs, which decides when their attempts
+ * start and records how they end.
+ */
+import { partLog } from '../observability/log.js';
+import type { Grant } from '../membership/ownership.js';
+import type { AttemptReport } from '../platform/worker.js';
+import { AttemptKeeper } from './attemptKeeper.js';
+import { AttemptReports } from './attemptReports.js';
+import { AttemptResolver } from './attemptResolver.js';
+import { AttemptStopper } from './attemptStopper.js';
+import { JobStarter } from './jobStarter.js';
+import { JobStore } from './jobStore.js';
+import { Scheduler } from './scheduler.js';
+import { ShardSearch } from './shardSearch.js';
+import type { CommitContext } from './groupCommit.js';
+import type { Job } from './job.js';
+import { loadPartition, type LoadedPartition } from './partitionLoad.js';
+import type { PartitionContext, TaskContext } from './taskContext.js';
+import {
+  RELEASE_TIMEOUT_MS,
+  SCHEDULE_INTERVAL_MS,
+  STORE_BACKOFF_MAXIMUM_MS,
+} from './taskSettings.js';
+
+const log = partLog('task-owner');
+
+/** An owned partition. */
+export class PartitionOwner {
+  private readonly stop = new AbortController();
+
+  private readonly listeners = new Set<(job: Job) => void>();
+
+  private store: JobStore | undefined;
+
+  private reports: AttemptReports | undefined;
+
+  private scheduler: Scheduler | undefined;
+
+  private keeper: AttemptKeeper | undefined;
+
+  private stopper: AttemptStopper | undefined;
+
+  private starter: JobStarter | undefined;
+
+  private loops: Promise<unknown> = Promise.resolve();
+
+  /**
+   * @param context - parts of the entry
+   * @param grant - the right to own the partition
+   */
+  constructor(
+    private readonly context: TaskContext,
+    readonly grant: Grant,
+  ) {
+    grant.signal.addEventListener('abort', () => this.stop.abort());
+    if (grant.signal.aborted) this.stop.abort();
+  }
+
+  /**
+   * Finds the signal that ends the ownership.
+   *
+   * @returns aborted when the partition is given up
+   */
+  signal(): AbortSignal {
+    return this.stop.signal;
+  }
+
+  /**
+   * Finds the jobs once they are loaded.
+   *
+   * @returns the jobs, nothing before that and after the partition was given up
+   */
+  jobs(): JobStore | undefined {
+    return this.stop.signal.aborted ? undefined : this.store;
+  }
+
+  /**
+   * Finds the scheduler once the jobs are loaded.
+   *
+   * @returns the scheduler
+   */
+  schedule(): Scheduler | undefined {
+    return this.scheduler;
+  }
+
+  /** Loads the jobs and works on them until the partition is given up. */
+  async run(): Promise<void> {
+    const loaded = await this.load();
+    if (!loaded) return;
+    log.info('Partition taken over.', { partition: this.grant.resource, jobs: loaded.jobs.size });
+    this.compose(loaded);
+    this.loops = Promise.all([this.store?.run(), this.scheduler?.run(), this.keeper?.run()]);
+    await this.loops;
+  }
+
+  /**
+   * Takes in a report.
+   *
+   * @param shard - shard of the worker
+   * @param workerId - the worker
+   * @param report - what it says of an attempt
+   * @returns true once the end of the attempt is durable; nothing while the jobs are not loaded
+   */
+  async report(
+    shard: string,
+    workerId: string,
+    report: AttemptReport,
+  ): Promise<boolean | undefined> {
+    if (!this.jobs()) return undefined;
+    return this.reports?.apply(shard, workerId, report);
+  }
+
+  /**
+   * Stops the attempt of a cancelled job, unless its start is under way, which sees to that itself.
+   *
+   * @param job - the job
+   */
+  stopCancelled(job: Job): void {
+    if (!this.starter?.isInHand(job.id)) this.stopper?.stopJob(job);
+  }
+
+  /**
+   * Listens to durable changes.
+   *
+   * @param listener - called with each changed job
+   * @returns a function that ends it
+   */
+  listen(listener: (job: Job) => void): () => void {
+    this.listeners.add(listener);
+    return () => {
+      this.listeners.delete(listener);
+    };
+  }
+
+  /** Looks at queue and attempts soon. */
+  notify(): void {
+    this.scheduler?.notify();
+    this.keeper?.notify();
+  }
+
+  /** Ends work in good order: starts under way are finished and changes stored first. */
+  async close(): Promise<void> {
+    const { clock } = this.context;
+    this.scheduler?.close();
+    const endMs = clock.monotonicMs() + RELEASE_TIMEOUT_MS;
+    while ((this.starter?.count() ?? 0) > 0 && clock.monotonicMs() < endMs) {
+      if (this.stop.signal.aborted) break;
+      await clock.sleep(SCHEDULE_INTERVAL_MS / 10, this.stop.signal);
+    }
+    const remaining = clock.sleep(Math.max(0, endMs - clock.monotonicMs()), this.stop.signal);
+    await Promise.race([this.store?.drain(), remaining]);
+    this.stop.abort();
+    await this.loops;
+  }
+
+  private async load(): Promise<LoadedPartition | undefined> {
+    const { clock, random } = this.context;
+    const { signal } = this.stop;
+    while (!signal.aborted) {
+      const loaded = await loadPartition(this.commitContext());
+      if (loaded.ok) return loaded.val;
+      log.warn('Partition could not be loaded yet.', { failure: loaded.val.message });
+      if (loaded.val.code === 'not-owner') return undefined;
+      await clock.sleep((STORE_BACKOFF_MAXIMUM_MS / 4) * (1 + random.fraction()), signal);
+    }
+    return undefined;
+  }
+
+  private compose(loaded: LoadedPartition): void {
+    const pacing = this.context.makePacing();
+    const onReturn = (): void => {
+      pacing.capacityReturned(this.context.clock.monotonicMs());
+      this.notify();
+    };
+    const onJob = (job: Job): void => this.tell(job);
+    const jobs = new JobStore({ ...this.commitContext(), onReturn, onJob }, loaded);
+    const context: PartitionContext = {
+      ...this.context,
+      partition: this.grant.resource,
+      grant: this.grant,
+      signal: this.stop.signal,
+      jobs,
+    };
+    const reports = new AttemptReports(context, (shard, workerId, id) =>
+      this.stopper?.stop({ shard, workerId, id }, false),
+    );
+    const resolver = new AttemptResolver(context);
+    this.stopper = new AttemptStopper(context, (target, fate) => reports.settle(target, fate));
+    this.starter = new JobStarter(context, reports, resolver, this.stopper);
+    this.keeper = new AttemptKeeper(context, reports, resolver, this.stopper, this.starter);
+    this.scheduler = new Scheduler(context, new ShardSearch(context), this.starter, pacing);
+    this.reports = reports;
+    this.store = jobs;
+    this.context.configuration.onChange(() => {
+      if (!this.stop.signal.aborted) onReturn();
+    });
+  }
+
+  private commitContext(): Omit<CommitContext, 'onDurable'> {
+    return {
+      store: this.context.store,
+      clock: this.context.clock,
+      random: this.context.random,
+      recorder: this.context.recorder,
+      partition: this.grant.resource,
+      owner: this.context.selfId,
+      epoch: this.grant.epoch,
+      signal: this.stop.signal,
+      onLost: () => this.stop.abort(),
+      onReturn: () => undefined,
+    };
+  }
+
+  private tell(job: Job): void {
+    if (job.state === 'queued') this.scheduler?.notify();
+    for (const listener of this.listeners) listener(job);
+  }
+}
--- /dev/null
+++ b/packages/samphirenotch/src/tasks/quotaUse.ts
@@ -0,0 +1,80 @@
+/**
+ * How much of its quota a tenant uses in one partition. Each partition keeps to an equal share, so
+ * that no starts have to be agreed between partitions; a share is never below one task.
+ */
+import type { ConfigurationSet, Quota } from '../config/objects.js';
+import type { Size } from '../platform/worker.js';
+import { partitionsOf } from './jobId.js';
+import type { Job } from './job.js';
+
+interface Use {
+  tasks: number;
+  milliCores: number;
+  memoryMb: number;
+  accelerators: number;
+}
+
+/**
+ * Finds the quota of a tenant.
+ *
+ * @param set - the configuration
+ * @param tenant - name of the tenant
+ * @returns the quota, if it has one
+ */
+export const quotaOf = (set: ConfigurationSet, tenant: string): Quota | undefined =>
+  set.quotas.get(set.tenants.get(tenant)?.quota ?? '');
+
+/** Use of quotas by the active jobs of a partition. */
+export class QuotaUse {
+  private readonly uses = new Map<string, Use>();
+
+  private readonly shares: number;
+
+  /**
+   * @param set - the configuration
+   * @param active - jobs with an attempt
+   */
+  constructor(
+    private readonly set: ConfigurationSet,
+    active: readonly Job[],
+  ) {
+    this.shares = Math.max(1, partitionsOf(set).length);
+    for (const job of active) if (job.attempt) this.add(job.tenant, job.attempt.size);
+  }
+
+  /**
+   * Counts a task.
+   *
+   * @param tenant - whose it is
+   * @param size - its size
+   */
+  add(tenant: string, size: Size): void {
+    const use = this.uses.get(tenant) ?? { tasks: 0, milliCores: 0, memoryMb: 0, accelerators: 0 };
+    use.tasks += 1;
+    use.milliCores += size.milliCores;
+    use.memoryMb += size.memoryMb;
+    use.accelerators += size.accelerators;
+    this.uses.set(tenant, use);
+  }
+
+  /**
+   * Tells whether one more task stays within the quota.
+   *
+   * @param tenant - whose it is
+   * @param size - its size
+   * @returns name of the quota that stops it, or nothing
+   */
+  stoppedBy(tenant: string, size: Size): string | undefined {
+    const quota = quotaOf(this.set, tenant);
+    const use = this.uses.get(tenant);
+    if (!quota || !use) return undefined;
+    const { shares } = this;
+    const { total } = quota;
+    const within =
+      use.tasks + 1 <= Math.max(1, Math.ceil(quota.runningTasks / shares)) &&
+      use.milliCores + size.milliCores <= total.milliCores / shares &&
+      use.memoryMb + size.memoryMb <= total.memoryMb / shares &&
+      use.accelerators + size.accelerators <= total.accelerators / shares;
+    return within ? undefined : quota.name;
+  }
+}
--- /dev/null
+++ b/packages/samphirenotch/src/tasks/scheduler.ts
@@ -0,0 +1,198 @@
+/**
+ * Looks at the queue of a partition again and again, and starts what may start.
+ */
+import { Ok, Err, type Result } from '../results.js';
+import type { ConfigurationSet, TaskClass } from '../config/objects.js';
+import type { QueuedTask } from '../decisions/placementPolicy.js';
+import type { StartPacing } from '../decisions/startPacing.js';
+import { detach } from './detach.js';
+import { makeAttemptId } from './jobId.js';
+import { failed } from './jobTransitions.js';
+import { QuotaUse } from './quotaUse.js';
+import { CONCURRENT_STARTS, SCHEDULE_INTERVAL_MS } from './taskSettings.js';
+import { WakeUp } from './wakeUp.js';
+import type { Job } from './job.js';
+import type { JobStarter } from './jobStarter.js';
+import type { ShardSearch } from './shardSearch.js';
+import type { PartitionContext } from './taskContext.js';
+import type { WaitReason } from './waitReason.js';
+
+/** State of one look at the queue. */
+interface Round {
+  readonly set: ConfigurationSet;
+  readonly quotas: QuotaUse;
+  /** Classes for which no room was found in this round. */
+  readonly full: Map<string, WaitReason>;
+}
+
+/** Starts the queued jobs of one partition. */
+export class Scheduler {
+  private readonly wakeUp: WakeUp;
+
+  private closed = false;
+
+  private readonly waiting = new Map<string, WaitReason>();
+
+  /**
+   * @param context - the partition
+   * @param search - finds room
+   * @param starter - starts in it
+   * @param pacing - spreads starts
+   */
+  constructor(
+    private readonly context: PartitionContext,
+    private readonly search: ShardSearch,
+    private readonly starter: JobStarter,
+    private readonly pacing: StartPacing,
+  ) {
+    this.wakeUp = new WakeUp(context.clock, context.signal);
+  }
+
+  /** Asks for a look at the queue soon. */
+  notify(): void {
+    this.wakeUp.notify();
+  }
+
+  /** Starts nothing more. */
+  close(): void {
+    this.closed = true;
+  }
+
+  /**
+   * Tells why a queued job waits.
+   *
+   * @param jobId - the job
+   * @returns the reason, as of the last look at the queue
+   */
+  reasonOf(jobId: string): WaitReason {
+    if (!this.context.jobs.isAnswering()) {
+      return { kind: 'store', text: 'The store does not answer; a start has to be stored first.' };
+    }
+    return (
+      this.waiting.get(jobId) ?? { kind: 'next-round', text: 'The next look at the queue is due.' }
+    );
+  }
+
+  /** Starts jobs until the partition is given up. */
+  async run(): Promise<void> {
+    const { signal, jobs } = this.context;
+    while (!signal.aborted) {
+      if (jobs.isAnswering() && !this.closed) await this.round();
+      await this.wakeUp.wait(SCHEDULE_INTERVAL_MS);
+    }
+  }
+
+  private async round(): Promise<void> {
+    const { configuration, jobs } = this.context;
+    const set = configuration.current();
+    if (!set) return;
+    this.waiting.clear();
+    const round = { set, quotas: new QuotaUse(set, jobs.latest.activeJobs()), full: new Map() };
+    for (const jobId of this.ordered(set)) {
+      if (!this.mayGoOn()) return;
+      const job = jobs.latest.get(jobId);
+      if (job?.state !== 'queued') continue;
+      const outcome = await this.consider(job, round);
+      if (outcome.err) this.waiting.set(jobId, outcome.val);
+    }
+  }
+
+  private mayGoOn(): boolean {
+    const { jobs, signal } = this.context;
+    if (this.closed || signal.aborted || !jobs.isAnswering()) return false;
+    return this.starter.count() < CONCURRENT_STARTS;
+  }
+
+  private ordered(set: ConfigurationSet): readonly string[] {
+    const { clock, jobs, queueOrder } = this.context;
+    const tasks = jobs.latest.queuedJobs().flatMap((job) => this.describe(job, set));
+    return queueOrder.order(tasks, clock.wallMs()).map(({ jobId }) => jobId);
+  }
+
+  private describe(job: Job, set: ConfigurationSet): readonly QueuedTask[] {
+    const taskClass = set.taskClasses.get(job.taskClass);
+    if (!taskClass) {
+      const text = `The task class ${job.taskClass} is configured no more.`;
+      this.waiting.set(job.id, { kind: 'never-fits', text, limit: job.taskClass });
+      return [];
+    }
+    return [
+      {
+        jobId: job.id,
+        taskClass: job.taskClass,
+        tenant: job.tenant,
+        tenantWeight: set.tenants.get(job.tenant)?.weight ?? 1,
+        priority: taskClass.priority,
+        enqueuedAtMs: job.submittedAtMs,
+        size: taskClass.size,
+      },
+    ];
+  }
+
+  private async consider(job: Job, round: Round): Promise<Result<void, WaitReason>> {
+    const taskClass = round.set.taskClasses.get(job.taskClass);
+    if (!taskClass) return Ok(undefined);
+    if (this.nameImpossible(job, taskClass)) return Ok(undefined);
+    const obstacle = this.obstacle(job, taskClass, round);
+    if (obstacle) return Err(obstacle);
+    return this.place(job, taskClass, round);
+  }
+
+  private obstacle(job: Job, taskClass: TaskClass, round: Round): WaitReason | undefined {
+    const { clock } = this.context;
+    if (job.notBeforeMs > clock.wallMs()) {
+      return { kind: 'retry', text: `It is tried again after a failure: ${job.detail ?? ''}` };
+    }
+    const quota = round.quotas.stoppedBy(job.tenant, taskClass.size);
+    if (quota !== undefined) {
+      return { kind: 'quota', text: 'The tenant uses all that its quota allows.', limit: quota };
+    }
+    const full = round.full.get(job.taskClass);
+    if (full) return full;
+    if (this.pacing.tryStart(clock.monotonicMs())) return undefined;
+    return { kind: 'pacing', text: 'Starts are spread out after capacity came back.' };
+  }
+
+  private async place(
+    job: Job,
+    taskClass: TaskClass,
+    round: Round,
+  ): Promise<Result<void, WaitReason>> {
+    const { grant, jobs } = this.context;
+    const attemptId = makeAttemptId(job.id, grant.epoch, job.attempts + 1);
+    const found = await this.search.reserve(job, taskClass, attemptId);
+    if (found.kind === 'waiting') {
+      const text = `No worker of ${taskClass.dataCentres.join(', ')} takes it now.`;
+      const reason: WaitReason = { kind: found.reason, text, limit: job.taskClass };
+      if (job.excludedWorkers.length === 0) round.full.set(job.taskClass, reason);
+      return Err(reason);
+    }
+    const present = jobs.latest.get(job.id);
+    if (present?.state !== 'queued') {
+      await this.starter.free(found.reservation);
+      return Ok(undefined);
+    }
+    round.quotas.add(job.tenant, found.reservation.size);
+    detach(this.starter.start(present, attemptId, found.reservation).then(() => this.notify()));
+    return Ok(undefined);
+  }
+
+  /** Ends a job that can never run. Data centres without a known worker give no proof. */
+  private nameImpossible(job: Job, taskClass: TaskClass): boolean {
+    const { impossibleJobs, capacities, jobs, clock } = this.context;
+    const offers = capacities().filter(({ dataCentre }) =>
+      taskClass.dataCentres.includes(dataCentre),
+    );
+    const known = new Set(offers.map(({ dataCentre }) => dataCentre));
+    if (!taskClass.dataCentres.every((name) => known.has(name))) return false;
+    const verdict = impossibleJobs.judge(
+      taskClass.size,
+      offers,
+      job.failedAttempts,
+      taskClass.maximumAttempts,
+    );
+    if (!verdict) return false;
+    detach(jobs.put(failed(job, verdict.reason, verdict.limit, clock.wallMs())));
+    return true;
+  }
+}
--- /dev/null
+++ b/packages/samphirenotch/src/tasks/taskContext.ts
@@ -0,0 +1,42 @@
+/**
+ * What task handling works with.
+ */
+import type { ConfigurationView } from '../config/configurationView.js';
+import type { CapacityOffer, ImpossibleJobs } from '../decisions/impossibleJobs.js';
+import type { QueueOrder } from '../decisions/placementPolicy.js';
+import type { StartPacing } from '../decisions/startPacing.js';
+import type { Grant } from '../membership/ownership.js';
+import type { Recorder } from '../observability/recorder.js';
+import type { KeyValueStore } from '../platform/keyValueStore.js';
+import type { ShardService } from '../shards/shardService.js';
+import type { Clock } from '../time/clock.js';
+import type { JobStore } from './jobStore.js';
+import type { TaskRandom } from './taskRandom.js';
+
+/** Parts of the entry that task handling uses. */
+export interface TaskContext {
+  readonly clock: Clock;
+  readonly random: TaskRandom;
+  readonly recorder: Recorder;
+  readonly store: KeyValueStore;
+  readonly configuration: ConfigurationView;
+  readonly shards: ShardService;
+  readonly queueOrder: QueueOrder;
+  readonly impossibleJobs: ImpossibleJobs;
+  /** Makes the pacing of one partition's starts. */
+  readonly makePacing: () => StartPacing;
+  /** Capacities of the largest workers known in each data centre. */
+  readonly capacities: () => readonly CapacityOffer[];
+  /** Id of this entry. */
+  readonly selfId: string;
+  readonly selfDataCentre: string;
+}
+
+/** One partition in the hands of its owner. */
+export interface PartitionContext extends TaskContext {
+  readonly partition: string;
+  readonly grant: Grant;
+  /** Aborted when the partition is given up. */
+  readonly signal: AbortSignal;
+  readonly jobs: JobStore;
+}
--- /dev/null
+++ b/packages/samphirenotch/src/tasks/taskHandler.ts
@@ -0,0 +1,201 @@
+/**
+ * Tasks as callers reach them over HTTP.
+ */
+import type { ServerResponse } from 'node:http';
+import { Failure } from '../failure.js';
+import type { HttpExchange, HttpHandler } from '../http/httpHandler.js';
+import { writeProblem } from '../http/problem.js';
+import type { Result } from '../results.js';
+import { callWithin, type Call } from '../time/call.js';
+import { isEnded } from './job.js';
+import type { TaskContext } from './taskContext.js';
+import { sendEvents } from './taskEvents.js';
+import { readListing, readSubmission } from './taskInput.js';
+import type { TaskLister } from './taskLister.js';
+import type { TaskRoute, TaskRouter } from './taskRouter.js';
+import type { TaskSubmitter } from './taskSubmitter.js';
+import type { TaskView } from './taskView.js';
+
+const PREFIX = '/tasks';
+const CALL_TIMEOUT_MS = 10_000;
+const MAXIMUM_ID = 512;
+
+const OK = 200;
+const CREATED = 201;
+const ACCEPTED = 202;
+
+/** An address below the prefix. */
+interface Place {
+  readonly jobId?: string | undefined;
+  readonly part?: string | undefined;
+}
+
+/** Serves `/tasks`. */
+export class TaskHandler implements HttpHandler {
+  readonly prefix = PREFIX;
+
+  /**
+   * @param context - parts of the entry
+   * @param router - finds the owner of a job
+   * @param submitter - takes in tasks
+   * @param lister - lists tasks
+   */
+  constructor(
+    private readonly context: TaskContext,
+    private readonly router: TaskRouter,
+    private readonly submitter: TaskSubmitter,
+    private readonly lister: TaskLister,
+  ) {}
+
+  async handle(exchange: HttpExchange): Promise<void> {
+    const requestId = this.context.random.unique();
+    exchange.response.setHeader('X-Request-Id', requestId);
+    const place = this.placeOf(exchange.url.pathname);
+    const call = this.within(exchange.call);
+    const failure = place
+      ? await this.dispatch(exchange, place, call, requestId)
+      : this.unknownAddress(exchange.url.pathname);
+    if (failure) writeProblem(exchange.response, failure, requestId);
+  }
+
+  private dispatch(
+    exchange: HttpExchange,
+    { jobId, part }: Place,
+    call: Call,
+    requestId: string,
+  ): Promise<Failure | undefined> {
+    const method = exchange.request.method ?? '';
+    if (jobId === undefined) {
+      if (method === 'POST') return this.submit(exchange, call);
+      if (method === 'GET') return this.list(exchange, call);
+      return this.unknownMethod(exchange.response, 'GET, POST');
+    }
+    if (part === undefined) {
+      if (method === 'GET') return this.show(exchange, jobId, call);
+      if (method === 'DELETE') return this.cancel(exchange, jobId, call);
+      return this.unknownMethod(exchange.response, 'DELETE, GET');
+    }
+    if (method !== 'GET') return this.unknownMethod(exchange.response, 'GET');
+    if (part === 'explain') return this.explain(exchange, jobId, call);
+    return this.follow(exchange, jobId, requestId);
+  }
+
+  private async submit(exchange: HttpExchange, call: Call): Promise<Failure | undefined> {
+    const input = await readSubmission(exchange.request);
+    if (input.err) return input.val;
+    const task = await this.submitter.submit(input.val, call);
+    if (task.ok) {
+      exchange.response.setHeader('Location', `${PREFIX}/${encodeURIComponent(task.val.id)}`);
+    }
+    return this.reply(exchange.response, CREATED, task);
+  }
+
+  private async list(exchange: HttpExchange, call: Call): Promise<Failure | undefined> {
+    const input = readListing(exchange.url.searchParams);
+    if (input.err) return input.val;
+    return this.reply(exchange.response, OK, await this.lister.list(input.val, call));
+  }
+
+  private async show(
+    exchange: HttpExchange,
+    jobId: string,
+    call: Call,
+  ): Promise<Failure | undefined> {
+    const task = await this.at(jobId, ({ queries }) => queries.show(jobId, call));
+    return this.reply(exchange.response, OK, task);
+  }
+
+  private async cancel(
+    exchange: HttpExchange,
+    jobId: string,
+    call: Call,
+  ): Promise<Failure | undefined> {
+    const task = await this.at(jobId, ({ commands }) => commands.cancel(jobId, call));
+    const status = task.ok && !this.hasEnded(task.val) ? ACCEPTED : OK;
+    return this.reply(exchange.response, status, task);
+  }
+
+  private async explain(
+    exchange: HttpExchange,
+    jobId: string,
+    call: Call,
+  ): Promise<Failure | undefined> {
+    const explanation = await this.at(jobId, ({ queries }) => queries.explain(jobId, call));
+    return this.reply(exchange.response, OK, explanation);
+  }
+
+  private async follow(
+    exchange: HttpExchange,
+    jobId: string,
+    requestId: string,
+  ): Promise<Failure | undefined> {
+    const route = this.route(jobId);
+    if (route.err) return route.val;
+    const { response, call } = exchange;
+    await sendEvents(response, route.val.queries, jobId, call, this.context.clock, requestId);
+    return undefined;
+  }
+
+  private async at<T>(
+    jobId: string,
+    act: (route: TaskRoute) => Promise<Result<T, Failure>>,
+  ): Promise<Result<T, Failure>> {
+    const route = this.route(jobId);
+    return route.err ? route : act(route.val);
+  }
+
+  private route(jobId: string): Result<TaskRoute, Failure> {
+    const partition = this.router.partitionOf(jobId);
+    return partition.err ? partition : this.router.anywhere(partition.val);
+  }
+
+  private reply(
+    response: ServerResponse,
+    status: number,
+    result: Result<unknown, Failure>,
+  ): Failure | undefined {
+    if (result.err) return result.val;
+    response.writeHead(status, { 'Content-Type': 'application/json' });
+    response.end(JSON.stringify(result.val));
+    return undefined;
+  }
+
+  private hasEnded(task: TaskView): boolean {
+    return isEnded(task);
+  }
+
+  private placeOf(path: string): Place | undefined {
+    const [jobId, part, ...rest] = path.slice(PREFIX.length).split('/').filter(Boolean);
+    if (rest.length > 0 || path.length > MAXIMUM_ID) return undefined;
+    if (part !== undefined && part !== 'events' && part !== 'explain') return undefined;
+    try {
+      return { jobId: jobId === undefined ? undefined : decodeURIComponent(jobId), part };
+    } catch {
+      return undefined;
+    }
+  }
+
+  private within(call: Call): Call {
+    const limited = callWithin(this.context.clock, CALL_TIMEOUT_MS, call.signal);
+    return { ...limited, deadlineMs: Math.min(call.deadlineMs, limited.deadlineMs) };
+  }
+
+  private unknownAddress(path: string): Failure {
+    return this.invalid('not-found', `there is nothing at ${path.slice(0, MAXIMUM_ID)}`);
+  }
+
+  private unknownMethod(response: ServerResponse, allowed: string): Promise<Failure> {
+    response.setHeader('Allow', allowed);
+    return Promise.resolve(this.invalid('invalid', `the methods here are ${allowed}`));
+  }
+
+  private invalid(code: 'invalid' | 'not-found', message: string): Failure {
+    return new Failure({
+      code,
+      step: 'tasks.http',
+      peer: 'caller',
+      effect: 'not-run',
+      message,
+    });
+  }
+}
--- /dev/null
+++ b/packages/samphirenotch/src/tasks/taskInput.ts
@@ -0,0 +1,154 @@
+/**
+ * Checks what callers send about tasks.
+ */
+import type { IncomingMessage } from 'node:http';
+import { z } from 'zod';
+import { Failure } from '../failure.js';
+import { STATE } from '../protocol/tasksMessages.js';
+import { Err, Ok, type Result } from '../results.js';
+import { PAYLOAD_BYTES } from './taskSettings.js';
+
+const STEP = 'tasks.input';
+const MAXIMUM_NAME = 256;
+const ENVELOPE_BYTES = 4 * 1024;
+/** An escaped character takes up to six bytes of JSON. */
+const ESCAPE_FACTOR = 6;
+const BODY_BYTES = PAYLOAD_BYTES * ESCAPE_FACTOR + ENVELOPE_BYTES;
+const DEFAULT_PAGE = 100;
+const MAXIMUM_PAGE = 500;
+
+const NAME = z.string().min(1).max(MAXIMUM_NAME);
+
+const payloadText = (value: unknown): string =>
+  typeof value === 'string' ? value : JSON.stringify(value ?? null);
+
+const SUBMISSION = z.strictObject({
+  taskClass: NAME,
+  payload: z
+    .unknown()
+    .transform(payloadText)
+    .refine((text) => Buffer.byteLength(text) <= PAYLOAD_BYTES, {
+      message: `payload is longer than ${PAYLOAD_BYTES} bytes`,
+    }),
+});
+
+const HEADERS = z.object({
+  tenant: NAME.regex(/^[\x21-\x7e]+$/),
+  'idempotency-key': NAME.optional(),
+});
+
+const CURSOR = z.object({ partition: NAME, afterId: z.string().max(MAXIMUM_NAME) });
+
+const LISTING = z.strictObject({
+  limit: z.coerce.number().int().min(1).max(MAXIMUM_PAGE).default(DEFAULT_PAGE),
+  cursor: z
+    .string()
+    .max(MAXIMUM_NAME * 4)
+    .optional(),
+  tenant: NAME.optional(),
+  taskClass: NAME.optional(),
+  state: STATE.optional(),
+});
+
+/** A task as a caller submits it. */
+export interface SubmissionInput {
+  readonly taskClass: string;
+  readonly payload: string;
+  readonly tenant: string;
+  readonly idempotencyKey?: string | undefined;
+}
+
+/** Where a page begins. */
+export type Cursor = z.infer<typeof CURSOR>;
+
+/** A page that a caller asks for. */
+export interface ListingInput {
+  readonly limit: number;
+  readonly cursor?: Cursor | undefined;
+  readonly tenant?: string | undefined;
+  readonly taskClass?: string | undefined;
+  readonly state?: z.infer<typeof STATE> | undefined;
+}
+
+const invalid = (message: string): Failure =>
+  new Failure({ code: 'invalid', step: STEP, peer: 'caller', effect: 'not-run', message });
+
+const check = <S extends z.ZodType>(schema: S, value: unknown): Result<z.infer<S>, Failure> => {
+  const parsed = schema.safeParse(value);
+  if (parsed.success) return Ok(parsed.data);
+  const issues = parsed.error.issues.map(({ path, message }) => `${path.join('.')}: ${message}`);
+  return Err(invalid(issues.join('; ')));
+};
+
+const readBody = async (request: IncomingMessage): Promise<Result<string, Failure>> => {
+  const parts: Buffer[] = [];
+  let bytes = 0;
+  try {
+    for await (const part of request) {
+      bytes += (part as Buffer).length;
+      if (bytes > BODY_BYTES) return Err(invalid(`the body is longer than ${BODY_BYTES} bytes`));
+      parts.push(part as Buffer);
+    }
+  } catch {
+    return Err(invalid('the body broke off'));
+  }
+  return Ok(Buffer.concat(parts).toString('utf8'));
+};
+
+const parseJson = (text: string): Result<unknown, Failure> => {
+  try {
+    return Ok(JSON.parse(text) as unknown);
+  } catch {
+    return Err(invalid('the body is no JSON'));
+  }
+};
+
+/**
+ * Reads a submission.
+ *
+ * @param request - the request of the caller
+ * @returns the checked submission
+ */
+export const readSubmission = async (
+  request: IncomingMessage,
+): Promise<Result<SubmissionInput, Failure>> => {
+  const headers = check(HEADERS, request.headers);
+  if (headers.err) return headers;
+  const text = await readBody(request);
+  if (text.err) return text;
+  const json = parseJson(text.val);
+  if (json.err) return json;
+  const body = check(SUBMISSION, json.val);
+  if (body.err) return body;
+  const { tenant, 'idempotency-key': idempotencyKey } = headers.val;
+  return Ok({ ...body.val, tenant, idempotencyKey });
+};
+
+/**
+ * Encodes where the next page begins.
+ *
+ * @param cursor - the place
+ * @returns opaque text
+ */
+export const encodeCursor = (cursor: Cursor): string =>
+  Buffer.from(JSON.stringify(cursor)).toString('base64url');
+
+const decodeCursor = (text: string): Result<Cursor, Failure> => {
+  const json = parseJson(Buffer.from(text, 'base64url').toString('utf8'));
+  if (json.err) return Err(invalid('cursor: not one that this service gave out'));
+  return check(CURSOR, json.val);
+};
+
+/**
+ * Reads which page of tasks is asked for.
+ *
+ * @param parameters - query of the address
+ * @returns the checked page
+ */
+export const readListing = (parameters: URLSearchParams): Result<ListingInput, Failure> => {
+  const listing = check(LISTING, Object.fromEntries(parameters));
+  if (listing.err) return listing;
+  const { cursor: text, ...rest } = listing.val;
+  if (text === undefined) return Ok(rest);
+  return decodeCursor(text).map((cursor) => ({ ...rest, cursor }));
+};
--- /dev/null
+++ b/packages/samphirenotch/src/tasks/taskRouter.ts
@@ -0,0 +1,85 @@
+/**
+ * Finds where a job is decided on: in this entry, or at the one peer that owns its partition.
+ */
+import { Failure } from '../failure.js';
+import { Err, Ok, type Result } from '../results.js';
+import type { Clock } from '../time/clock.js';
+import { partitionOfJob } from './jobId.js';
+import { LocalTaskCommands } from './localTaskCommands.js';
+import { LocalTaskQueries } from './localTaskQueries.js';
+import type { PartitionHandler } from './partitionHandler.js';
+import { RemoteTaskCommands } from './remoteTaskCommands.js';
+import { RemoteTaskQueries } from './remoteTaskQueries.js';
+import type { TaskContext } from './taskContext.js';
+import { notOwned } from './taskFailure.js';
+import type { TaskCommands, TaskQueries } from './taskOperations.js';
+import type { TaskPeers } from './taskPeers.js';
+
+const STEP = 'tasks.route';
+
+/** Commands and queries of one partition. */
+export interface TaskRoute {
+  readonly commands: TaskCommands;
+  readonly queries: TaskQueries;
+}
+
+/** Routes by partition. */
+export class TaskRouter {
+  private readonly clock: Clock;
+
+  /**
+   * @param context - parts of the entry
+   * @param handler - partitions owned here
+   * @param peers - partitions owned elsewhere
+   */
+  constructor(
+    private readonly context: TaskContext,
+    private readonly handler: PartitionHandler,
+    private readonly peers: TaskPeers,
+  ) {
+    this.clock = context.clock;
+  }
+
+  /**
+   * Routes to a partition owned here.
+   *
+   * @param partition - resource name
+   * @returns the route, or a failure if another entry owns the partition
+   */
+  here(partition: string): Result<TaskRoute, Failure> {
+    const owner = this.handler.find(partition);
+    if (!owner) return Err(notOwned(STEP, partition));
+    const commands = new LocalTaskCommands(this.context, owner);
+    return Ok({ commands, queries: new LocalTaskQueries(owner) });
+  }
+
+  /**
+   * Routes to a partition, wherever it is owned.
+   *
+   * @param partition - resource name
+   * @returns the route, or a failure if no owner is known
+   */
+  anywhere(partition: string): Result<TaskRoute, Failure> {
+    const here = this.here(partition);
+    if (here.ok) return here;
+    const peer = this.peers.find(partition);
+    if (!peer) return here;
+    const commands = new RemoteTaskCommands(peer, this.clock);
+    return Ok({ commands, queries: new RemoteTaskQueries(peer, this.clock) });
+  }
+
+  /**
+   * Finds the partition of a job.
+   *
+   * @param jobId - id of the job
+   * @returns the partition, or a failure if the id is none
+   */
+  partitionOf(jobId: string): Result<string, Failure> {
+    const partition = partitionOfJob(jobId);
+    if (partition !== undefined) return Ok(partition);
+    const message = 'this is no id of a task';
+    return Err(
+      new Failure({ code: 'not-found', step: STEP, peer: jobId, effect: 'not-run', message }),
+    );
+  }
+}
--- /dev/null
+++ b/packages/samphirenotch/src/tasks/tasksServer.ts
@@ -0,0 +1,143 @@
+/**
+ * Answers peers about tasks of partitions that this entry owns. Nothing is forwarded from here.
+ */
+import type { Server, ServerUnaryCall, ServerWritableStream, sendUnaryData } from '@grpc/grpc-js';
+import type { Failure } from '../failure.js';
+import { toStatus } from '../grpc/grpcFailure.js';
+import type { GrpcService } from '../grpc/grpcService.js';
+import {
+  TasksServiceService,
+  type FollowTaskRequest,
+  type FollowTaskResponse,
+  type ReportAttemptsRequest,
+  type ReportAttemptsResponse,
+  type TasksServiceServer,
+} from '../protocol/generated/samphirenotch/v1/tasks.js';
+import { LIST_TASKS, ONE_TASK, REPORT_ATTEMPTS, SUBMIT_TASK } from '../protocol/tasksMessages.js';
+import { Err, type Result } from '../results.js';
+import type { Call } from '../time/call.js';
+import type { Clock } from '../time/clock.js';
+import { detach } from './detach.js';
+import type { RoutedAttemptSink } from './attemptSink.js';
+import type { PartitionHandler } from './partitionHandler.js';
+import { notOwned } from './taskFailure.js';
+import { checkRequest } from './taskMessage.js';
+import type { TaskRoute, TaskRouter } from './taskRouter.js';
+
+const LONGEST_CALL_MS = 60_000;
+
+/** The service towards peers. */
+export class TasksServer implements GrpcService {
+  /**
+   * @param router - finds owned partitions
+   * @param handler - owned partitions, for reports
+   * @param sink - applies reports
+   * @param clock - for deadlines
+   */
+  constructor(
+    private readonly router: TaskRouter,
+    private readonly handler: PartitionHandler,
+    private readonly sink: RoutedAttemptSink,
+    private readonly clock: Clock,
+  ) {}
+
+  register(server: Server): void {
+    const implementation: TasksServiceServer = {
+      submitTask: (call, callback) =>
+        this.answer(call, callback, async (within) => {
+          const request = checkRequest(SUBMIT_TASK, call.request, 'tasks.submit');
+          if (request.err) return request;
+          const route = this.router.here(request.val.partition);
+          if (route.err) return route;
+          return (await route.val.commands.submit(request.val, within)).map((task) => ({ task }));
+        }),
+      cancelTask: (call, callback) =>
+        this.answer(call, callback, (within) =>
+          this.withJob(call.request, async ({ commands }, jobId) =>
+            (await commands.cancel(jobId, within)).map((task) => ({ task })),
+          ),
+        ),
+      showTask: (call, callback) =>
+        this.answer(call, callback, (within) =>
+          this.withJob(call.request, async ({ queries }, jobId) =>
+            (await queries.show(jobId, within)).map((task) => ({ task })),
+          ),
+        ),
+      listTasks: (call, callback) =>
+        this.answer(call, callback, async (within) => {
+          const request = checkRequest(LIST_TASKS, call.request, 'tasks.list');
+          if (request.err) return request;
+          const route = this.router.here(request.val.partition);
+          if (route.err) return route;
+          const page = await route.val.queries.list(request.val, within);
+          return page.map((tasks) => ({ tasks: [...tasks] }));
+        }),
+      explainTask: (call, callback) =>
+        this.answer(call, callback, (within) =>
+          this.withJob(call.request, ({ queries }, jobId) => queries.explain(jobId, within)),
+        ),
+      followTask: (call) => {
+        detach(this.follow(call));
+      },
+      reportAttempts: (call, callback) => this.answer(call, callback, () => this.report(call)),
+    };
+    server.addService(TasksServiceService, implementation);
+  }
+
+  private answer<Request, Response>(
+    call: ServerUnaryCall<Request, Response>,
+    callback: sendUnaryData<Response>,
+    act: (within: Call) => Promise<Result<Response, Failure>>,
+  ): void {
+    const gone = new AbortController();
+    call.on('cancelled', () => gone.abort());
+    const reply = (result: Result<Response, Failure>): void => {
+      if (result.ok) callback(null, result.val);
+      else callback(toStatus(result.val));
+    };
+    detach(act(this.within(call.getDeadline(), gone.signal)).then(reply));
+  }
+
+  private within(deadline: Date | number, signal: AbortSignal): Call {
+    const endMs = deadline instanceof Date ? deadline.getTime() : deadline;
+    const leftMs = Math.min(LONGEST_CALL_MS, endMs - this.clock.wallMs());
+    return { deadlineMs: this.clock.monotonicMs() + leftMs, signal };
+  }
+
+  private async withJob<T>(
+    message: unknown,
+    act: (route: TaskRoute, jobId: string) => Promise<Result<T, Failure>>,
+  ): Promise<Result<T, Failure>> {
+    const request = checkRequest(ONE_TASK, message, 'tasks.route');
+    if (request.err) return request;
+    const partition = this.router.partitionOf(request.val.jobId);
+    if (partition.err) return partition;
+    const route = this.router.here(partition.val);
+    return route.err ? route : act(route.val, request.val.jobId);
+  }
+
+  private async report(
+    call: ServerUnaryCall<ReportAttemptsRequest, ReportAttemptsResponse>,
+  ): Promise<Result<ReportAttemptsResponse, Failure>> {
+    const request = checkRequest(REPORT_ATTEMPTS, call.request, 'tasks.report');
+    if (request.err) return request;
+    const { partition, workerId, shard, reports } = request.val;
+    const owner = this.handler.find(partition);
+    if (!owner) return Err(notOwned('tasks.report', partition));
+    const recorded = await this.sink.reportHere(owner, workerId, shard, reports);
+    return recorded.map((ids) => ({ recordedIds: [...ids] }));
+  }
+
+  private async follow(
+    call: ServerWritableStream<FollowTaskRequest, FollowTaskResponse>,
+  ): Promise<void> {
+    const gone = new AbortController();
+    call.on('cancelled', () => gone.abort());
+    const within = { deadlineMs: Infinity, signal: gone.signal };
+    const ended = await this.withJob(call.request, ({ queries }, jobId) =>
+      queries.follow(jobId, (task) => call.write({ task }), within),
+    );
+    if (ended.ok) call.end();
+    else call.emit('error', toStatus(ended.val));
+  }
+}
