--- a/packages/samphirenotch/src/config/iniText.ts
+++ b/packages/samphirenotch/src/config/iniText.ts
@@ -42,6 +42,9 @@
 const ASSIGNMENT = /^([^=;#]+?)\s*=(.*)$/u;
 const COMMENT = /^[;#]/u;
 const BYTE_ORDER_MARK = '\uFEFF';
+/** A comment sign that the `ini` package would cut a value at. */
+const TRAILING_COMMENT = /(?:^|[^\\])[;#]/u;
+const QUOTED = /^(?:".*"|'.*')$/su;
 const REPLACEMENT = '\uFFFD';
 
 /** Control characters, among them NUL, but for tab, carriage return and line feed. */
@@ -107,6 +110,9 @@
       this.report(line, key, 'key written twice', 'each key once in a section');
       return;
     }
+    if (TRAILING_COMMENT.test(raw) && !QUOTED.test(raw.trim())) {
+      this.report(line, key, '; or # within a value', 'quotes around the value, or a \\ before it');
+    }
     this.open.values.set(key, { text: readValue(raw).normalize('NFC'), line });
   }
 
--- a/packages/samphirenotch/src/config/rootSwap.ts
+++ b/packages/samphirenotch/src/config/rootSwap.ts
@@ -46,6 +46,7 @@
     for (let tries = 0; ; tries += 1) {
       const swapped = await this.store.swap(swap, call);
       if (swapped.ok && swapped.val.kind === 'swapped') return Ok('accepted');
+      if (!swapped.ok && swapped.val.code === 'invalid') return swapped;
       mayHaveTakenEffect ||= !swapped.ok && swapped.val.effect === 'unknown';
       const standing = await this.standingOf(record, expectedRevision, call);
       if (standing.ok && standing.val !== 'open') return Ok(standing.val);
--- a/packages/samphirenotch/src/config/untilDeadline.ts
+++ b/packages/samphirenotch/src/config/untilDeadline.ts
@@ -33,8 +33,9 @@
 ): Promise<Result<T, Failure>> => {
   for (let tries = 0; ; tries += 1) {
     const result = await attempt();
+    if (result.ok || result.val.code === 'invalid') return result;
     const pause = pauseMs(tries);
-    if (result.ok || call.signal.aborted || remainingMs(clock, call) <= pause) return result;
+    if (call.signal.aborted || remainingMs(clock, call) <= pause) return result;
     await clock.sleep(pause, call.signal);
   }
 };
