--- a/packages/samphirenotch/src/grpc/unaryCall.ts
+++ b/packages/samphirenotch/src/grpc/unaryCall.ts
@@ -47,14 +47,9 @@
   }
   return new Promise((resolve) => {
     const options = { deadline: clock.wallMs() + leftMs };
-<<<<<<< HEAD
     let sent: ClientUnaryCall | undefined;
     const cancel = (): void => sent?.cancel();
     sent = method(request, new Metadata(), options, (error, response) => {
-=======
-    const cancel = (): void => sent.cancel();
-    const sent = method(request, new Metadata(), options, (error, response) => {
->>>>>>> tasks
       call.signal.removeEventListener('abort', cancel);
       resolve(error ? Err(fromServiceError(error, target.step, target.peer)) : Ok(response));
     });
