--- a/packages/samphirenotch-stand-ins/src/site/sitePlan.ts
+++ b/packages/samphirenotch-stand-ins/src/site/sitePlan.ts
@@ -27,10 +27,10 @@
   name: 'council',
   capacity: { milliCores: 16_000, memoryMb: 60_000, accelerators: 0 },
   dataCentres: [
-    { name: 'ashburton', racks: [6, 6], entries: 2 },
-    { name: 'timaru', racks: [6], entries: 2 },
-    { name: 'rakaia', racks: [6], entries: 2 },
-    { name: 'temuka', racks: [6], entries: 1 },
+    { name: 'Ashburton', racks: [6, 6], entries: 2 },
+    { name: 'Timaru', racks: [6], entries: 2 },
+    { name: 'Rakaia', racks: [6], entries: 2 },
+    { name: 'Temuka', racks: [6], entries: 1 },
   ],
 };
 
@@ -39,9 +39,9 @@
   name: 'kovacik',
   capacity: { milliCores: 32_000, memoryMb: 125_000, accelerators: 0 },
   dataCentres: [
-    { name: 'bratislava', racks: [9, 9], entries: 3 },
-    { name: 'trnava', racks: [9, 9], entries: 2 },
-    { name: 'nitra', racks: [9], entries: 2 },
+    { name: 'Bratislava', racks: [9, 9], entries: 3 },
+    { name: 'Trnava', racks: [9, 9], entries: 2 },
+    { name: 'Nitra', racks: [9], entries: 2 },
   ],
 };
 
--- /dev/null
+++ b/packages/samphirenotch/src/entry/platformParts.ts
@@ -0,0 +1,34 @@
+/**
+ * The platform as an entry uses it.
+ */
+import { PacedKeyValueStore } from '../membership/pacedKeyValueStore.js';
+import { HttpKeyValueStore } from '../platform/httpKeyValueStore.js';
+import { HttpVmList } from '../platform/httpVmList.js';
+import { HttpWorkerDirectory } from '../platform/httpWorkerDirectory.js';
+import type { VmList } from '../platform/vmList.js';
+import type { WorkerDirectory } from '../platform/worker.js';
+import type { EntrySettings } from '../settings/entrySettings.js';
+import type { Clock } from '../time/clock.js';
+
+/** Adapters to the platform and to workers. */
+export interface PlatformParts {
+  readonly store: PacedKeyValueStore;
+  readonly vmList: VmList;
+  readonly workers: WorkerDirectory;
+}
+
+/**
+ * Connects to the platform that the settings name.
+ *
+ * @param settings - settings of the entry
+ * @param clock - the clock of the entry
+ * @returns the adapters
+ */
+export const connectPlatform = (settings: EntrySettings, clock: Clock): PlatformParts => {
+  const { address } = settings.platform;
+  return {
+    store: new PacedKeyValueStore(new HttpKeyValueStore(address, clock), clock),
+    vmList: new HttpVmList(address, clock),
+    workers: new HttpWorkerDirectory(clock),
+  };
+};
