--- a/packages/samphirenotch/src/membership/gossip.ts
+++ b/packages/samphirenotch/src/membership/gossip.ts
@@ -1,8 +1,9 @@
 /**
  * Composes heartbeats and takes in those of others.
  */
+import type { ConfigurationStamp } from '../config/configurationStamp.js';
 import type { Clock } from '../time/clock.js';
-import type { ConfigurationStamp, HeartbeatMessage } from './heartbeatMessage.js';
+import type { HeartbeatMessage } from './heartbeatMessage.js';
 import type { PeerTable } from './peerTable.js';
 
 /** Other entries named in one heartbeat, at most. */
--- a/packages/samphirenotch/src/membership/heartbeatMessage.ts
+++ b/packages/samphirenotch/src/membership/heartbeatMessage.ts
@@ -1,6 +1,7 @@
 /**
  * What entries tell one another in a heartbeat.
  */
+import type { ConfigurationStamp } from '../config/configurationStamp.js';
 import type { LoadSummary } from './peers.js';
 
 /** News of one entry. */
@@ -14,14 +15,6 @@
   readonly ageMs: number;
 }
 
-/** Which configuration an entry has in force. */
-export interface ConfigurationStamp {
-  readonly version: number;
-  readonly digest: string;
-  /** Age of the last proof that no newer set was accepted, in milliseconds. */
-  readonly confirmedAgeMs: number;
-}
-
 /** A heartbeat or its answer. */
 export interface HeartbeatMessage {
   readonly sender: EntryNews;
