Add the command line

Cause: operators drive the scheduler by editing and publishing objects, callers by requests and tasks, and both need answers that scripts can read.

--- a/packages/samphirenotch-cli/src/main.ts
+++ b/packages/samphirenotch-cli/src/main.ts
@@ -4,5 +4,7 @@
  *
  * @packageDocumentation
  */
+import { Cli } from 'clipanion';
+import { runCommandLine } from './commandLine.js';
 
-export {};
+process.exitCode = await runCommandLine(process.argv.slice(2), Cli.defaultContext);
--- a/packages/samphirenotch/src/config/configurationFollower.ts
+++ b/packages/samphirenotch/src/config/configurationFollower.ts
@@ -9,7 +9,7 @@
 import { callWithin } from '../time/call.js';
 import type { Clock } from '../time/clock.js';
 import type { AcceptedContent } from './acceptedContent.js';
-import type { HeldParts } from './configurationService.js';
+import type { HeldParts } from './configurationPartService.js';
 import type { ConfigurationStamp } from './configurationStamp.js';
 import type { ConfigurationView } from './configurationView.js';
 import { ContentFetcher } from './contentFetcher.js';
--- a/packages/samphirenotch/src/config/configurationHandler.ts
+++ b/packages/samphirenotch/src/config/configurationHandler.ts
@@ -1,11 +1,11 @@
 /**
  * Configuration over HTTP, so that operators need no access to the platform.
  */
-import { randomUUID } from 'node:crypto';
 import type { ServerResponse } from 'node:http';
 import { Failure } from '../failure.js';
 import type { HttpExchange, HttpHandler } from '../http/httpHandler.js';
 import { writeProblem } from '../http/problem.js';
+import { requestIdOf } from '../http/requestId.js';
 import type { ConfigurationCommands } from './configurationCommands.js';
 import type { ConfigurationQueries } from './configurationQueries.js';
 import { readJsonBody, writeJson } from './jsonBody.js';
@@ -30,7 +30,7 @@
 
 const writeRefusal = (response: ServerResponse, refusal: PublishRefusal): void => {
   if (refusal.kind === 'failed') {
-    writeProblem(response, refusal.failure, randomUUID());
+    writeProblem(response, refusal.failure, requestIdOf(response));
     return;
   }
   const isConflict = refusal.kind === 'conflict';
--- a/packages/samphirenotch/src/config/configurationService.ts
+++ b/packages/samphirenotch/src/config/configurationPartService.ts
@@ -27,7 +27,7 @@
   });
 
 /** The configuration service of an entry. */
-export class ConfigurationParts implements GrpcService {
+export class ConfigurationPartService implements GrpcService {
   /**
    * @param held - where parts are found
    */
--- a/packages/samphirenotch/src/observability/textAnswer.ts
+++ b/packages/samphirenotch/src/observability/textAnswer.ts
@@ -1,10 +1,10 @@
 /**
  * Answers of the resources that only show something.
  */
-import { randomUUID } from 'node:crypto';
 import { Failure } from '../failure.js';
 import type { HttpExchange } from '../http/httpHandler.js';
 import { writeProblem } from '../http/problem.js';
+import { requestIdOf } from '../http/requestId.js';
 
 const READS = ['GET', 'HEAD'];
 
@@ -28,7 +28,7 @@
       effect: 'not-run',
       message: `${url.pathname} can only be read`,
     });
-    writeProblem(response, failure, randomUUID());
+    writeProblem(response, failure, requestIdOf(response));
     return;
   }
   response.statusCode = 200;
