--- a/packages/samphirenotch/src/entry/entry.ts
+++ b/packages/samphirenotch/src/entry/entry.ts
@@ -1,7 +1,6 @@
 /**
  * An entry process: everything between callers and workers, and its orderly start and stop.
  */
-import { ConfigurationParts } from '../config/configurationService.js';
 import { CallerServer } from '../http/callerServer.js';
 import { DEFAULT_HTTP_LIMITS } from '../http/httpLimits.js';
 import type { ResourceHandler } from '../membership/ownership.js';
@@ -72,7 +71,7 @@
       handlers: httpHandlers({ settings, clock, recorder, platform, membership, work }),
       clock,
       limits: DEFAULT_HTTP_LIMITS,
-      isReady: () => membership.follower.current() !== undefined,
+      isReady: () => membership.configuration.follower.current() !== undefined,
       name: settings.id,
     });
   }
@@ -80,7 +79,7 @@
   /** Begins to serve. */
   async start(): Promise<void> {
     const { signal } = this.running;
-    const { session, directory, heartbeats, follower, ownership } = this.membership;
+    const { session, directory, heartbeats, configuration, ownership } = this.membership;
     await this.peersServer.listen(this.settings.grpcListen);
     const { host, port } = splitAddress(this.settings.httpAddress);
     await this.callers.listen(host, port);
@@ -88,7 +87,7 @@
       session.run(signal),
       directory.run(signal),
       heartbeats.run(signal),
-      follower.run(signal),
+      configuration.follower.run(signal),
       this.work.workerList.run(signal),
       ownership.run(signal),
     ]);
@@ -116,7 +115,7 @@
     const { clock, settings, membership, work } = this;
     return new GrpcListener([
       membership.heartbeatService,
-      new ConfigurationParts(membership.follower),
+      membership.configuration.service,
       new GrpcShardService(work.localShards, clock),
       new RequestsGrpcService({
         target: work.requestRouter,
@@ -130,7 +129,7 @@
 
   private load() {
     const { slots, requestRouter } = this.work;
-    const services = [...(this.membership.follower.current()?.services.keys() ?? [])];
+    const services = [...(this.membership.configuration.follower.current()?.services.keys() ?? [])];
     return {
       freeSlots: slots.freeSlots(),
       queuedRequests: requestRouter.queuedRequests,
--- a/packages/samphirenotch/src/entry/httpHandlers.ts
+++ b/packages/samphirenotch/src/entry/httpHandlers.ts
@@ -1,12 +1,6 @@
 /**
  * What an entry serves over HTTP.
  */
-import { ConfigurationCommands } from '../config/configurationCommands.js';
-import { ConfigurationHandler } from '../config/configurationHandler.js';
-import { ConfigurationQueries } from '../config/configurationQueries.js';
-import { History } from '../config/history.js';
-import { Outages } from '../config/outages.js';
-import { Publisher } from '../config/publisher.js';
 import type { HttpHandler } from '../http/httpHandler.js';
 import type { HistogramRecorder } from '../observability/histogramRecorder.js';
 import { HistogramsHandler } from '../observability/histogramsHandler.js';
@@ -32,23 +26,6 @@
   readonly work: WorkParts;
 }
 
-const configurationHandler = (needs: HandlerNeeds): HttpHandler => {
-  const { clock, platform, membership } = needs;
-  const { store, vmList } = platform;
-  const { follower } = membership;
-  const history = new History(store, clock);
-  const versionInForce = (): number => follower.current()?.version ?? 0;
-  const publisher = new Publisher({ store, clock, versionInForce });
-  const commands = new ConfigurationCommands({
-    publisher,
-    outages: new Outages(publisher, history),
-    vmList,
-    clock,
-    maximumValueBytes: store.maximumValueBytes,
-  });
-  return new ConfigurationHandler(new ConfigurationQueries(history, follower, clock), commands);
-};
-
 const statusSources = ({ membership, work, platform }: HandlerNeeds): readonly StatusSource[] => [
   {
     name: 'peers',
@@ -95,7 +72,7 @@
   return [
     new ServiceHandler({
       target: requestRouter,
-      configuration: membership.follower,
+      configuration: membership.configuration.follower,
       clock,
       recorder,
     }),
@@ -105,8 +82,8 @@
       new TaskSubmitter(taskContext, taskRouter),
       new TaskLister(taskContext, taskRouter),
     ),
-    configurationHandler(needs),
-    new StatusHandler(identity, membership.follower, statusSources(needs)),
+    membership.configuration.handler,
+    new StatusHandler(identity, membership.configuration.follower, statusSources(needs)),
     new MetricsHandler(recorder),
     new HistogramsHandler(recorder),
   ];
--- a/packages/samphirenotch/src/entry/membershipParts.ts
+++ b/packages/samphirenotch/src/entry/membershipParts.ts
@@ -1,7 +1,7 @@
 /**
  * Membership, ownership and the configuration in force, wired together.
  */
-import { ConfigurationFollower } from '../config/configurationFollower.js';
+import { composeConfiguration, type ConfigurationParts } from '../config/configurationParts.js';
 import { EntryDirectory } from '../membership/entryDirectory.js';
 import { Gossip } from '../membership/gossip.js';
 import { GrpcHeartbeats } from '../membership/grpcHeartbeats.js';
@@ -22,7 +22,7 @@
   readonly directory: EntryDirectory;
   readonly peers: PeerTable;
   readonly channels: PeerChannels;
-  readonly follower: ConfigurationFollower;
+  readonly configuration: ConfigurationParts;
   readonly heartbeats: Heartbeats;
   readonly heartbeatService: GrpcHeartbeats;
   readonly ownership: OwnershipManager;
@@ -47,7 +47,7 @@
  */
 export const buildMembership = (needs: MembershipNeeds): MembershipParts => {
   const { settings, clock, platform, handlers, load, seed } = needs;
-  const { store } = platform;
+  const { store, vmList } = platform;
   const self = {
     id: settings.id,
     dataCentre: settings.dataCentre,
@@ -58,7 +58,8 @@
   const peers = new PeerTable(clock, self, load);
   directory.onChange(() => peers.hearFromStore(directory.entries()));
   const channels = new PeerChannels(peers);
-  const follower = new ConfigurationFollower({ store, peers, clients: channels, clock });
+  const configuration = composeConfiguration({ store, vmList, peers, clients: channels, clock });
+  const { follower } = configuration;
   const gossip = new Gossip(
     clock,
     peers,
@@ -82,7 +83,7 @@
     directory,
     peers,
     channels,
-    follower,
+    configuration,
     heartbeats,
     heartbeatService,
     ownership,
--- a/packages/samphirenotch/src/entry/workParts.ts
+++ b/packages/samphirenotch/src/entry/workParts.ts
@@ -68,7 +68,8 @@
 
 const buildShards = (needs: WorkNeeds, sink: AttemptSink) => {
   const { clock, platform, membership, settings, seed } = needs;
-  const { follower, channels, ownership } = membership;
+  const { channels, ownership } = membership;
+  const { follower } = membership.configuration;
   const workerList = new WorkerList(platform.vmList, clock);
   const interference = new LearnedInterference();
   const placement = new LearnedPlacement(interference, {
@@ -102,7 +103,7 @@
     random: new TaskRandom(settings.id, seed),
     recorder,
     store: platform.store,
-    configuration: membership.follower,
+    configuration: membership.configuration.follower,
     shards: built.shards,
     queueOrder: new UrgencyOrder(),
     impossibleJobs: new CapacityAwareImpossibleJobs(),
@@ -120,7 +121,8 @@
 
 const buildRequests = (needs: WorkNeeds, slots: SlotPool) => {
   const { clock, platform, membership, settings, recorder, seed } = needs;
-  const { follower, channels, ownership, peers } = membership;
+  const { channels, ownership, peers } = membership;
+  const { follower } = membership.configuration;
   const { store } = platform;
   const random = new TaskRandom(settings.id, seed + 1);
   const newId = (): string => random.unique();
