--- a/packages/samphirenotch-stand-ins/src/site/siteCaller.ts
+++ b/packages/samphirenotch-stand-ins/src/site/siteCaller.ts
@@ -48,6 +48,9 @@
   /** Submissions that were refused or whose outcome is not known. */
   readonly failedSubmissions: string[] = [];
 
+  /** Cancellations that got no answer. */
+  readonly failedCancellations: string[] = [];
+
   private turn = 0;
 
   /**
@@ -112,6 +115,21 @@
     }
   }
 
+  /**
+   * Cancels a task.
+   *
+   * @param id - the task
+   */
+  async cancel(id: string): Promise<void> {
+    try {
+      const { origin } = this.nextEntry();
+      const response = await request(`${origin}/tasks/${id}`, { method: 'DELETE' });
+      await response.body.dump();
+    } catch {
+      this.failedCancellations.push(id);
+    }
+  }
+
   /** @returns the entry whose turn it is */
   nextEntry(): SiteEntry {
     const running = this.site.entries.filter(({ program }) => program.running);
--- a/packages/samphirenotch-stand-ins/src/site/tcpRelay.ts
+++ b/packages/samphirenotch-stand-ins/src/site/tcpRelay.ts
@@ -52,6 +52,8 @@
       return;
     }
     const outbound = connect(this.target, '127.0.0.1');
+    inbound.setNoDelay();
+    outbound.setNoDelay();
     this.join(inbound, outbound);
     this.join(outbound, inbound);
   }
--- a/tests/invariants/invariants.spec.ts
+++ b/tests/invariants/invariants.spec.ts
@@ -1,7 +1,8 @@
 import test from 'ava';
 import type { HistoryEvent } from 'samphirenotch-stand-ins/history.js';
 
-import { violations, type Evidence } from '../fixtures/invariants.js';
+import { violations, type Evidence } from 'samphirenotch-stand-ins/invariants.js';
+import type { CallerRecord } from 'samphirenotch-stand-ins/site/callerRecord.js';
 
 const event = (changes: Partial<HistoryEvent>): HistoryEvent => ({
   atMs: 0,
@@ -23,6 +24,14 @@
   ...changes,
 });
 
+const callerRecord = (changes: Partial<CallerRecord>): CallerRecord => ({
+  requestId: 'r1',
+  taskClass: 'price-check',
+  outcome: 'answered',
+  latencyMs: 1,
+  ...changes,
+});
+
 const rulesOf = (changes: Partial<Evidence>): readonly string[] =>
   violations(evidence(changes)).map(({ rule }) => rule);
 
@@ -61,13 +70,13 @@
 });
 
 test('should name an answer that is not the caller’s own', (t) => {
-  const callers = [{ requestId: 'r1', outcome: 'answered' as const, bodyMatches: false }];
+  const callers = [callerRecord({ bodyMatches: false })];
   t.deepEqual(rulesOf({ callers }), ['foreign-answer']);
 });
 
 test('should name a request that ran though its caller was told otherwise', (t) => {
   const events = [event({ kind: 'request-started', requestId: 'r1', taskClass: 'price-check' })];
-  const callers = [{ requestId: 'r1', outcome: 'not-run' as const }];
+  const callers = [callerRecord({ outcome: 'not-run' })];
   t.deepEqual(rulesOf({ events, callers }), ['not-run-ran']);
 });
 
