--- a/packages/samphirenotch/src/http/callerServer.ts
+++ b/packages/samphirenotch/src/http/callerServer.ts
@@ -95,6 +95,13 @@
     });
   }
 
+  /** Closes every connection at once, whatever is in progress on it. */
+  abort(): void {
+    this.draining.abort();
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
   private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const exchange = this.open(request, response);
     const { pathname } = exchange.url;
--- a/packages/samphirenotch/src/requests/forwardClient.ts
+++ b/packages/samphirenotch/src/requests/forwardClient.ts
@@ -38,9 +38,11 @@
 const isServiceError = (error: unknown): error is ServiceError =>
   error instanceof Error && 'code' in error && typeof error.code === 'number';
 
-const describe = (error: unknown, peer: string): Failure => {
+/** A stream that the peer cancelled broke; only this side knows whether the caller left. */
+const describe = (error: unknown, peer: string, callerLeft: boolean): Failure => {
   if (error instanceof Failure) return error;
-  if (isServiceError(error)) return fromServiceError(error, STEP, peer);
+  const known = isServiceError(error) ? fromServiceError(error, STEP, peer) : undefined;
+  if (known && (known.code !== 'cancelled' || callerLeft)) return known;
   const message = error instanceof Error ? error.message : String(error);
   return new Failure({ code: 'unavailable', step: STEP, peer, effect: 'unknown', message });
 };
@@ -78,7 +80,7 @@
     } catch (error) {
       done();
       stream.cancel();
-      return Err(describe(error, peerId));
+      return Err(describe(error, peerId, call.signal.aborted));
     }
   }
 
--- a/packages/samphirenotch/src/requests/refusal.ts
+++ b/packages/samphirenotch/src/requests/refusal.ts
@@ -32,7 +32,7 @@
  */
 export const withEffect = (failure: Failure, effect: Failure['effect']): Failure => {
   if (failure.effect === effect) return failure;
-  const { code, step, peer, message, retryAfterMs } = failure;
+  const { code, step, peer, reason, retryAfterMs } = failure;
   const timed = retryAfterMs === undefined ? {} : { retryAfterMs };
-  return new Failure({ code, step, peer, message, effect, ...timed });
+  return new Failure({ code, step, peer, message: reason, effect, ...timed });
 };
--- a/packages/samphirenotch/src/requests/requestRouter.ts
+++ b/packages/samphirenotch/src/requests/requestRouter.ts
@@ -21,6 +21,7 @@
 import { ServiceQueue } from './serviceQueue.js';
 import type { RequestTarget, ServiceOutcome, ServiceRequest } from './serviceRequest.js';
 import { TenantLimits } from './tenantLimits.js';
+import { TenantOverLimit } from './tenantOverLimit.js';
 import type { WorkerExchange } from './workerExchange.js';
 
 /** Peers that one request is handed to at most, one after the other. */
@@ -82,7 +83,8 @@
     const waitMs = request.forwarded ? 0 : this.limits.take(request.tenant, limit, this.share());
     if (waitMs > 0) {
       this.parts.recorder.count('requests_refused', { why: 'tenant-rate' });
-      return Err(this.refuse('overloaded', 'The tenant is over its rate of requests.', waitMs));
+      const message = 'The tenant is over its rate of requests.';
+      return Err(new TenantOverLimit(this.parts.entry, message, waitMs));
     }
     const { idempotencyKey } = request;
     if (idempotencyKey === undefined) return this.place(request, limit, call);
@@ -94,10 +96,12 @@
     const triedPeers: string[] = [];
     let mayHaveRun = false;
     for (;;) {
+      const forwards = triedPeers.length;
       const outcome = await this.placeOnce(request, limit, triedPeers, call);
       if (outcome.ok) return outcome;
       mayHaveRun ||= outcome.val.effect === 'unknown';
-      const again = triedPeers.length > 0 && this.mayPlaceAgain(request, outcome.val, triedPeers);
+      const wasForwarded = triedPeers.length > forwards;
+      const again = wasForwarded && this.mayPlaceAgain(request, outcome.val, triedPeers);
       if (!again) return mayHaveRun ? Err(withEffect(outcome.val, 'unknown')) : outcome;
     }
   }
@@ -148,7 +152,8 @@
     const startedMs = clock.monotonicMs();
     if (!this.limits.enterQueue(request.tenant, limit, this.share())) {
       recorder.count('requests_refused', { why: 'tenant-queue' });
-      return Err(this.refuse('overloaded', 'The tenant has too many waiting.', RETRY_AFTER_MS));
+      const message = 'The tenant has too many waiting.';
+      return Err(new TenantOverLimit(this.parts.entry, message, RETRY_AFTER_MS));
     }
     const slot = await this.serviceOf(request.service).queue.wait(this.wishOf(request), call);
     this.limits.leaveQueue(request.tenant);
--- a/packages/samphirenotch/src/requests/serviceHandler.ts
+++ b/packages/samphirenotch/src/requests/serviceHandler.ts
@@ -19,6 +19,7 @@
 import { readHead, type RequestHead } from './requestHead.js';
 import { refusal } from './refusal.js';
 import type { RequestTarget, ServiceAnswer, ServiceRequest } from './serviceRequest.js';
+import { TenantOverLimit } from './tenantOverLimit.js';
 
 const CONTENT_TOO_LARGE = 413;
 const TOO_MANY_REQUESTS = 429;
@@ -140,8 +141,8 @@
       });
       return;
     }
-    const isRate = code === 'overloaded' && failure.message.startsWith('The tenant');
-    writeProblem(response, failure, requestId, isRate ? { status: TOO_MANY_REQUESTS } : {});
+    const isLimit = failure instanceof TenantOverLimit;
+    writeProblem(response, failure, requestId, isLimit ? { status: TOO_MANY_REQUESTS } : {});
   }
 
   private brokenBody(response: ServerResponse, error: Error, requestId: string): void {
--- a/packages/samphirenotch/src/time/manualClock.ts
+++ b/packages/samphirenotch/src/time/manualClock.ts
@@ -38,12 +38,14 @@
   sleep(durationMs: number, signal?: AbortSignal): Promise<void> {
     if (signal?.aborted) return Promise.resolve();
     return new Promise((resolve) => {
-      const sleeper: Sleeper = { wakeAtMs: this.nowMs + durationMs, wake: resolve };
-      this.sleepers.push(sleeper);
-      signal?.addEventListener('abort', () => {
-        this.sleepers = this.sleepers.filter((each) => each !== sleeper);
+      const wakeAtMs = this.nowMs + durationMs;
+      const wake = (): void => {
+        this.sleepers = this.sleepers.filter((each) => each.wake !== wake);
+        signal?.removeEventListener('abort', wake);
         resolve();
-      });
+      };
+      this.sleepers.push({ wakeAtMs, wake });
+      signal?.addEventListener('abort', wake);
     });
   }
 
