Stop entries without cutting answers, and ask workers after broken sends

Cause: a caller whose answer began before the drain kept its connection open, so the drain waited for its keep-alive time. Idle connections are now closed again every grace time until none is left. A broken send of a request that may not be repeated asks the worker by request id and says what it remembers; the outcome stays unknown, because the bytes may still be under way.

--- a/packages/samphirenotch/src/http/callerServer.ts
+++ b/packages/samphirenotch/src/http/callerServer.ts
@@ -89,10 +89,15 @@
   async drain(): Promise<void> {
     if (this.draining.signal.aborted) return;
     this.draining.abort();
-    await this.options.clock.sleep(this.options.limits.drainGraceMs);
-    await new Promise<void>((resolve) => {
-      this.server.close(() => resolve());
-    });
+    const { clock, limits } = this.options;
+    await clock.sleep(limits.drainGraceMs);
+    const closed = new AbortController();
+    this.server.close(() => closed.abort());
+    while (!closed.signal.aborted) {
+      await clock.sleep(limits.drainGraceMs, closed.signal);
+      // Connections whose answer began before the drain were not asked to close.
+      this.server.closeIdleConnections();
+    }
   }
 
   /** Closes every connection at once, whatever is in progress on it. */
--- a/packages/samphirenotch/src/requests/workerExchange.ts
+++ b/packages/samphirenotch/src/requests/workerExchange.ts
@@ -12,6 +12,7 @@
 import { endToEndHeaders } from './headers.js';
 import type { HeldSlot } from './heldSlot.js';
 import { openBody } from './requestBody.js';
+import { recallAfter } from './requestRecall.js';
 import type { ServiceOutcome, ServiceRequest } from './serviceRequest.js';
 
 const STEP = 'worker.execute';
@@ -74,7 +75,8 @@
       done();
       this.dropWhenLate(sending);
       held.release(this.kindOf(head.val, call), latencyMs);
-      return head;
+      if (request.idempotent) return head;
+      return Err(await recallAfter(head.val, held.slot.worker, sendId, this.parts.clock, call));
     }
     return this.accept(request, head.val, sendId, held, latencyMs, done);
   }
--- a/tests/requests/entries.spec.ts
+++ b/tests/requests/entries.spec.ts
@@ -325,3 +325,56 @@
   }
   t.is(front.workers[0]?.sent.length, 0);
 });
+
+test('should run a key once when the answer to its claim is lost', async (t) => {
+  const { enter } = site(t);
+  const front = await enter('front', [echo], { lostClaims: 1 });
+  const back = await enter('back');
+  introduce(front, back);
+  await back.own();
+  t.is(await text((await callerOf(front, keyed('k1'))).body), 'done ask');
+  t.is((await callerOf(front, keyed('k1'))).headers['idempotency-replayed'], 'true');
+  t.is(front.workers[0]?.sent.length, 1);
+});
+
+test('should give the key back when no answer to its claim comes through', async (t) => {
+  const { enter } = site(t);
+  const front = await enter('front', [echo], { lostClaims: 2 });
+  const back = await enter('back');
+  introduce(front, back);
+  await back.own();
+  const refused = await callerOf(front, keyed('k1'));
+  t.deepEqual(await problemOf(refused), { status: 503, outcome: 'not-run' });
+  t.is(front.workers[0]?.sent.length, 0);
+  t.is(await text((await callerOf(front, keyed('k1'))).body), 'done ask');
+});
+
+const isListening = async (entry: TestEntry): Promise<boolean> => {
+  const answer = await request(`${entry.url}/readyz`).catch(() => undefined);
+  await answer?.body.dump();
+  return answer !== undefined;
+};
+
+test('should finish streams and forwards when two entries stop at once', async (t) => {
+  const { enter } = site(t);
+  const bodies: PassThrough[] = [];
+  const stream: Script = async ({ requestId }) => {
+    const body = new PassThrough();
+    body.write('first, ');
+    bodies.push(body);
+    return Ok({ requestId, status: 200, headers: {}, body });
+  };
+  const front = await enter('front');
+  const back = await enter('back', [stream, stream]);
+  introduce(front, back);
+  const answers = await Promise.all([callerOf(front, SWAP), callerOf(back, SWAP)]);
+  const stops = [front.stop(), back.stop()];
+  for (const entry of [front, back]) {
+    while (await isListening(entry)) await oneTurn();
+  }
+  bodies.forEach((body) => body.end('last'));
+  const texts = await Promise.all(answers.map(({ body }) => text(body)));
+  t.deepEqual(texts, ['first, last', 'first, last']);
+  await Promise.all(stops);
+  t.deepEqual([front.http.requestsInFlight, back.http.requestsInFlight], [0, 0]);
+});
--- a/tests/requests/workerExchange.spec.ts
+++ b/tests/requests/workerExchange.spec.ts
@@ -5,7 +5,7 @@
 import { buffer, text } from 'node:stream/consumers';
 import test from 'ava';
 import { Failure } from 'samphirenotch/failure.js';
-import type { WorkerAnswer } from 'samphirenotch/platform/worker.js';
+import type { RequestMemory, WorkerAnswer } from 'samphirenotch/platform/worker.js';
 import { HeldSlot } from 'samphirenotch/requests/heldSlot.js';
 import type { ServiceOutcome } from 'samphirenotch/requests/serviceRequest.js';
 import { WorkerExchange } from 'samphirenotch/requests/workerExchange.js';
@@ -22,17 +22,18 @@
   type Script,
 } from '../fixtures/requests.js';
 
-const bench = (script: Script) => {
+const bench = (script: Script, memory?: RequestMemory) => {
   const clock = new ManualClock();
   const recorder = countingRecorder();
   const exchange = new WorkerExchange({ clock, recorder, newId: idsInOrder('send') });
-  const target = scriptedWorker('w1', script);
+  const target = scriptedWorker('w1', script, memory);
   const slots = scriptedSlots([target]);
   const send = (timeoutMs = 1_000, signal?: AbortSignal): Promise<ServiceOutcome> => {
     const slot = slots.takeSlot({ service: '', taskClass: '', excludedWorkers: [] });
     if (!slot) throw new Error('No slot is free.');
     const call = callWithin(clock, timeoutMs, signal);
-    return exchange.send(serviceRequest(), new HeldSlot(slot, clock), call);
+    const request = serviceRequest({ idempotent: memory === undefined });
+    return exchange.send(request, new HeldSlot(slot, clock), call);
   };
   return { clock, recorder, slots, target, send };
 };
@@ -168,3 +169,12 @@
   t.true(refused.err && refused.val.effect === 'not-run');
   t.true(broken.err && broken.val.effect === 'unknown');
 });
+
+for (const memory of ['never-seen', 'running', 'finished'] as const) {
+  test(`should ask the worker after a broken send and stay at unknown, ${memory}`, async (t) => {
+    const { send } = bench(() => Promise.reject(new Error('ECONNRESET')), memory);
+    const outcome = await send();
+    t.true(outcome.err && outcome.val.effect === 'unknown');
+    t.true(outcome.err && outcome.val.reason.includes('The worker'));
+  });
+}
