--- a/packages/samphirenotch/src/config/configurationFollower.ts
+++ b/packages/samphirenotch/src/config/configurationFollower.ts
@@ -37,9 +37,12 @@
 /** A first configuration confirmed within this time is taken at once. */
 const FIRST_CONFIRMED_AGE_MS = 3_000;
 
-/** How long a first configuration without such a confirmation waits for peers with a newer one. */
+/** How long a first configuration without such a confirmation waits for peers to be found. */
 const FIRST_WAIT_MS = 2_000;
 
+/** How long it waits for every live peer to tell what it has. */
+const LONGEST_FIRST_WAIT_MS = 10_000;
+
 /** At most so many peers are asked for a part before the store is. */
 const PEERS_ASKED = 3;
 
@@ -69,6 +72,9 @@
 
   private news = new AbortController();
 
+  /** Peers that told what they have in force. */
+  private readonly heard = new Set<string>();
+
   /**
    * @param parts - what it works with
    */
@@ -115,6 +121,7 @@
   peerStamp(peerId: string, stamp: ConfigurationStamp, askedAtMs?: number): void {
     const confirmedAtMs = (askedAtMs ?? Number.NEGATIVE_INFINITY) - stamp.confirmedAgeMs;
     const { version, digest } = stamp;
+    if (!this.inForce) this.heard.add(peerId);
     this.observe({ version, digest, confirmedAtMs }, peerId, true);
   }
 
@@ -187,8 +194,10 @@
     if (!this.isBehind()) return false;
     if (this.inForce) return true;
     const nowMs = this.parts.clock.monotonicMs();
-    const isFresh = nowMs - newest.confirmedAtMs < FIRST_CONFIRMED_AGE_MS;
-    return isFresh || nowMs - this.startedAtMs >= FIRST_WAIT_MS;
+    if (nowMs - newest.confirmedAtMs < FIRST_CONFIRMED_AGE_MS) return true;
+    const waitedMs = nowMs - this.startedAtMs;
+    const isAllHeard = this.parts.peers.live().every(({ id }) => this.heard.has(id));
+    return waitedMs >= (isAllHeard ? FIRST_WAIT_MS : LONGEST_FIRST_WAIT_MS);
   }
 
   private async fetch(wanted: Sighting, signal: AbortSignal): Promise<void> {
--- a/packages/samphirenotch/src/config/contentFetcher.ts
+++ b/packages/samphirenotch/src/config/contentFetcher.ts
@@ -1,6 +1,7 @@
 /**
  * Fetches the content of an accepted configuration, part by part, from whoever has it.
  */
+import pLimit from 'p-limit';
 import { Failure } from '../failure.js';
 import { partLog } from '../observability/log.js';
 import { Err, Ok, type Result } from '../results.js';
@@ -14,6 +15,9 @@
 /** A source that does not answer in this time is passed over. */
 const PART_TIMEOUT_MS = 1_500;
 
+/** So many parts are fetched at once. */
+const PARTS_AT_ONCE = 4;
+
 const log = partLog('configuration');
 
 const failure = (message: string): Failure =>
@@ -52,9 +56,8 @@
     const manifest = await this.part(digest, sources, earlier, signal);
     if (!manifest.ok) return manifest;
     const digests = (readManifest(manifest.val) ?? []).map((file) => file.digest);
-    const found = await Promise.all(
-      digests.map((each) => this.part(each, sources, earlier, signal)),
-    );
+    const limit = pLimit(PARTS_AT_ONCE);
+    const found = await limit.map(digests, (each) => this.part(each, sources, earlier, signal));
     const parts = new Map([[digest, manifest.val]]);
     for (const [index, part] of found.entries()) {
       if (!part.ok) return part;
--- a/packages/samphirenotch/src/config/history.ts
+++ b/packages/samphirenotch/src/config/history.ts
@@ -1,6 +1,7 @@
 /**
  * Queries of the accepted configurations that the store keeps.
  */
+import pLimit from 'p-limit';
 import { Failure } from '../failure.js';
 import type { KeyValue, KeyValueStore } from '../platform/keyValueStore.js';
 import { Err, Ok, type Result } from '../results.js';
@@ -23,6 +24,9 @@
   readonly revision: number;
 }
 
+/** So many parts are read at once. */
+const PARTS_AT_ONCE = 4;
+
 const PEER = 'store';
 
 const problem = (code: 'not-found' | 'internal', step: string, message: string): Failure =>
@@ -90,7 +94,8 @@
     const manifest = await this.part(digest, call);
     if (!manifest.ok) return manifest;
     const listed = readManifest(manifest.val) ?? [];
-    const texts = await Promise.all(listed.map((file) => this.part(file.digest, call)));
+    const limit = pLimit(PARTS_AT_ONCE);
+    const texts = await limit.map(listed, (file) => this.part(file.digest, call));
     const files = new Map<string, string>();
     for (const [index, text] of texts.entries()) {
       if (!text.ok) return text;
--- a/packages/samphirenotch/src/time/manualClock.ts
+++ b/packages/samphirenotch/src/time/manualClock.ts
@@ -38,12 +38,13 @@
   sleep(durationMs: number, signal?: AbortSignal): Promise<void> {
     if (signal?.aborted) return Promise.resolve();
     return new Promise((resolve) => {
-      const sleeper: Sleeper = { wakeAtMs: this.nowMs + durationMs, wake: resolve };
-      this.sleepers.push(sleeper);
-      signal?.addEventListener('abort', () => {
-        this.sleepers = this.sleepers.filter((each) => each !== sleeper);
+      const wake = (): void => {
+        signal?.removeEventListener('abort', wake);
+        this.sleepers = this.sleepers.filter((each) => each.wake !== wake);
         resolve();
-      });
+      };
+      this.sleepers.push({ wakeAtMs: this.nowMs + durationMs, wake });
+      signal?.addEventListener('abort', wake);
     });
   }
 
