Prove tasks under crashes, lost answers, cuts and cancellations

Cause: nothing showed yet that a task has one place and one end when owners, workers or the store fail. Change: tests over the in-memory store and workers, with entries that die or freeze at any call.

--- a/packages/samphirenotch/src/tasks/chunkWriter.ts
+++ b/packages/samphirenotch/src/tasks/chunkWriter.ts
@@ -61,6 +61,15 @@
     this.garbage.push(...names);
   }
 
+  /**
+   * Tells whether discarded chunks are left.
+   *
+   * @returns true if some have to be removed
+   */
+  hasDiscarded(): boolean {
+    return this.garbage.length > 0;
+  }
+
   /**
    * Removes a few of the discarded chunks.
    *
--- a/packages/samphirenotch/src/tasks/groupCommit.ts
+++ b/packages/samphirenotch/src/tasks/groupCommit.ts
@@ -139,7 +139,7 @@
   async run(): Promise<void> {
     const { clock, signal } = this.context;
     while (!signal.aborted && !this.lost) {
-      if (this.pending.length === 0 && this.answering) await this.wakeUp.wait(IDLE_WAIT_MS);
+      if (this.isIdle()) await this.wakeUp.wait(IDLE_WAIT_MS);
       if (signal.aborted) break;
       const startedMs = clock.monotonicMs();
       await this.step();
@@ -154,7 +154,7 @@
 
   private async step(): Promise<void> {
     if (this.pending.length === 0) {
-      if (!this.answering) this.noteAnswer((await this.head.probe(this.context.signal)).ok);
+      await this.stepWithoutChanges();
       return;
     }
     const commit = await this.prepare();
@@ -167,6 +167,16 @@
     if (this.answering) await this.chunks.removeSome(this.context.signal);
   }
 
+  private async stepWithoutChanges(): Promise<void> {
+    const { signal } = this.context;
+    if (this.answering) await this.chunks.removeSome(signal);
+    else this.noteAnswer((await this.head.probe(signal)).ok);
+  }
+
+  private isIdle(): boolean {
+    return this.pending.length === 0 && this.answering && !this.chunks.hasDiscarded();
+  }
+
   private apply(outcome: HeadOutcome<Commit>): void {
     if (outcome.kind === 'failed') {
       this.fail(outcome.failure);
--- a/packages/samphirenotch/src/tasks/partitionOwner.ts
+++ b/packages/samphirenotch/src/tasks/partitionOwner.ts
@@ -2,6 +2,7 @@
  * The owner of one job partition: the single writer of its jobs, which decides when their attempts
  * start and records how they end.
  */
+import { setMaxListeners } from 'node:events';
 import { partLog } from '../observability/log.js';
 import type { Grant } from '../membership/ownership.js';
 import type { AttemptReport } from '../platform/worker.js';
@@ -53,6 +54,7 @@
     private readonly context: TaskContext,
     readonly grant: Grant,
   ) {
+    setMaxListeners(0, this.stop.signal);
     grant.signal.addEventListener('abort', () => this.stop.abort());
     if (grant.signal.aborted) this.stop.abort();
   }
--- a/packages/samphirenotch/src/time/call.ts
+++ b/packages/samphirenotch/src/time/call.ts
@@ -13,6 +13,7 @@
 }
 
 const NEVER = new AbortController().signal;
+setMaxListeners(0, NEVER);
 
 // Shared by all calls without a cancellation of their own.
 setMaxListeners(0, NEVER);
--- /dev/null
+++ b/tests/tasks/lostAnswers.spec.ts
@@ -0,0 +1,158 @@
+/**
+ * Answers of the store and of shards are lost, the store is out, an owner is frozen and replaced.
+ */
+import test from 'ava';
+import { taskWorld } from '../fixtures/taskWorld.js';
+
+const JOB = 'timaru~0~a1';
+
+const ready = async () => {
+  const world = taskWorld();
+  const entry = world.entry('e1');
+  await entry.own(1);
+  await world.pass(200);
+  return { world, entry };
+};
+
+for (const lost of ['request', 'answer'] as const) {
+  test(`should complete an idempotent task in one place when the ${lost} of its start is lost`, async (t) => {
+    const { world, entry } = await ready();
+    let losses = 1;
+    world.shards.faults.lose = (step) => {
+      if (step !== 'start' || losses === 0) return undefined;
+      losses -= 1;
+      return lost;
+    };
+    const submitting = entry.submit(JOB);
+    await world.until(() => entry.show(JOB)?.state === 'completed');
+    t.true((await submitting).ok);
+    t.is(losses, 0);
+    t.is(world.startsOf(JOB), 1);
+    t.deepEqual(world.violations(), []);
+  });
+
+  test(`should not start a non-idempotent task again when the ${lost} of its start is lost`, async (t) => {
+    const { world, entry } = await ready();
+    world.shards.faults.lose = (step) => (step === 'start' ? lost : undefined);
+    const submitting = entry.submit(JOB, { taskClass: 'settlement' });
+    const state = lost === 'answer' ? 'completed' : 'held';
+    await world.until(() => entry.show(JOB)?.state === state);
+    await submitting;
+    await world.pass(10_000);
+    t.is(world.startsOf(JOB), lost === 'answer' ? 1 : 0);
+    t.deepEqual(world.violations(), []);
+  });
+}
+
+test('should start nothing until a start of unknown effect is resolved', async (t) => {
+  const { world, entry } = await ready();
+  world.shards.faults.lose = (step) => (step === 'reserve' ? undefined : 'answer');
+  const submitting = entry.submit(JOB, { payload: JSON.stringify({ runMs: 60_000 }) });
+  await world.pass(10_000);
+  await submitting;
+  t.is(world.startsOf(JOB), 1);
+  world.shards.faults.lose = () => undefined;
+  await world.until(() => entry.show(JOB)?.state === 'completed');
+  t.is(world.startsOf(JOB), 1);
+  t.deepEqual(world.violations(), []);
+});
+
+for (const count of [1, 2, 3, 4]) {
+  test(`should keep one job in one place when ${count} answers of the store are lost`, async (t) => {
+    const { world, entry } = await ready();
+    world.store.faults.loseAnswers = count;
+    const submitting = entry.submit(JOB);
+    await world.until(() => entry.show(JOB)?.state === 'completed');
+    t.true((await submitting).ok);
+    t.is(world.startsOf(JOB), 1);
+    t.deepEqual(world.violations(), []);
+  });
+}
+
+test('should refuse submissions at once in an outage while running work goes on', async (t) => {
+  const { world, entry } = await ready();
+  const first = entry.submit(JOB, { payload: JSON.stringify({ runMs: 20_000 }) });
+  await world.until(() => entry.show(JOB)?.state === 'running');
+  await first;
+  const queued = entry.submit('timaru~0~a2');
+  await world.until(() => entry.show('timaru~0~a2') !== undefined);
+  await queued;
+  world.store.faults.down = true;
+  const tried = entry.submit('timaru~0~a3');
+  await world.pass(6_000);
+  const doubtful = await tried;
+  t.is(doubtful.err ? doubtful.val.effect : 'ok', 'unknown');
+  const before = world.clock.monotonicMs();
+  const refused = await entry.submit('timaru~0~a4');
+  t.is(world.clock.monotonicMs(), before);
+  t.is(refused.err ? refused.val.effect : 'ok', 'not-run');
+  t.true(refused.err && (refused.val.retryAfterMs ?? 0) > 0);
+  await world.pass(20_000);
+  world.workers.forEach((worker) => worker.advance());
+  const ended = world.history.events.filter(({ kind }) => kind === 'attempt-ended');
+  t.true(ended.some(({ jobId, phase }) => jobId === JOB && phase === 'completed'));
+  world.store.faults.down = false;
+  await world.until(() => entry.show(JOB)?.state === 'completed');
+  await world.until(() => entry.show('timaru~0~a2')?.state === 'completed');
+  t.is(entry.show('timaru~0~a4'), undefined);
+  t.deepEqual(world.violations(), []);
+});
+
+test('should start nothing without a stored intent and say that it waits for the store', async (t) => {
+  const { world, entry } = await ready();
+  world.shards.faults.lose = (step) => (step === 'reserve' ? 'request' : undefined);
+  const submitting = entry.submit(JOB);
+  await world.until(() => entry.show(JOB) !== undefined);
+  await submitting;
+  world.store.faults.down = true;
+  const probe = entry.submit('timaru~0~a2');
+  await world.pass(5_500);
+  await probe;
+  world.shards.faults.lose = () => undefined;
+  await world.pass(10_000);
+  t.is(world.startsOf(JOB), 0);
+  t.is(await entry.explain(JOB), 'store');
+  world.store.faults.down = false;
+  await world.until(() => entry.show(JOB)?.state === 'completed');
+  t.is(world.startsOf(JOB), 1);
+});
+
+test('should give the partition up when another owner has marked it', async (t) => {
+  const { world, entry } = await ready();
+  const second = world.entry('e2');
+  entry.freeze();
+  await second.own(2, false);
+  await world.until(() => second.handler.find('partition/timaru/0')?.jobs() !== undefined);
+  const accepted = second.submit(JOB);
+  await world.until(() => second.show(JOB)?.state === 'completed');
+  t.true((await accepted).ok);
+  entry.thaw();
+  const late = entry.submit('timaru~0~late');
+  await world.pass(1_000);
+  t.true((await late).err);
+  t.true(entry.handler.find('partition/timaru/0') === undefined);
+  t.is(second.show('timaru~0~late'), undefined);
+  t.is(second.show(JOB)?.state, 'completed');
+});
+
+test('should not run a start that a frozen owner sends after its replacement', async (t) => {
+  for (const taskClass of ['plan', 'settlement']) {
+    const { world, entry } = await ready();
+    const second = world.entry('e2');
+    const submitting = entry.submit(JOB, { taskClass });
+    entry.dieAt((method, moment) => {
+      if (method === 'start' && moment === 'before') entry.freeze();
+      return false;
+    });
+    await world.until(() => second.isDead() || entry.latest(JOB)?.state === 'starting');
+    await world.pass(200);
+    submitting.catch(() => undefined);
+    t.is(world.startsOf(JOB), 0);
+    await second.own(2);
+    await world.until(() => ['completed', 'held'].includes(second.show(JOB)?.state ?? ''));
+    entry.thaw();
+    await world.pass(10_000);
+    t.is(world.startsOf(JOB), taskClass === 'plan' ? 1 : 0);
+    t.deepEqual(world.violations(), []);
+  }
+});
--- /dev/null
+++ b/tests/tasks/lostWorkers.spec.ts
@@ -0,0 +1,116 @@
+/**
+ * Workers and data centres are lost or cut off while attempts run.
+ */
+import test from 'ava';
+import { taskWorld, withOutage } from '../fixtures/taskWorld.js';
+
+const JOB = 'timaru~0~a1';
+
+const running = async (taskClass: string, runMs = 60_000) => {
+  const world = taskWorld();
+  const entry = world.entry('e1');
+  await entry.own(1);
+  await world.pass(100);
+  const submitting = entry.submit(JOB, { taskClass, payload: JSON.stringify({ runMs }) });
+  await world.until(() => entry.show(JOB)?.state === 'running');
+  await submitting;
+  return { world, entry };
+};
+
+test('should start an idempotent task again only after the lease of its lost worker lapsed', async (t) => {
+  const { world, entry } = await running('plan', 20_000);
+  const lost = [...world.workers.values()].find((worker) => worker.id === 'timaru-1');
+  if (lost) lost.faults.silent = true;
+  await world.until(() => entry.show(JOB)?.state === 'completed');
+  t.is(world.startsOf(JOB), 2);
+  t.deepEqual(world.violations(), []);
+});
+
+test('should hold a non-idempotent task whose worker was lost', async (t) => {
+  const { world, entry } = await running('settlement');
+  const lost = [...world.workers.values()].find((worker) => worker.id === 'timaru-1');
+  if (lost) lost.faults.silent = true;
+  await world.until(() => entry.show(JOB)?.state === 'held');
+  await world.pass(30_000);
+  t.is(entry.show(JOB)?.state, 'held');
+  t.is(world.startsOf(JOB), 1);
+  const cancelled = entry.cancel(JOB);
+  await world.pass(500);
+  t.true((await cancelled).ok);
+});
+
+for (const taskClass of ['plan', 'settlement']) {
+  test(`should start no second attempt of a ${taskClass} while its data centre is cut off`, async (t) => {
+    const { world, entry } = await running(taskClass, 40_000);
+    world.shards.faults.cut.add('timaru');
+    await world.pass(30_000);
+    t.is(entry.show(JOB)?.state, 'running');
+    t.is(world.startsOf(JOB), 1);
+    const second = world.entry('e2');
+    entry.kill();
+    await second.own(2);
+    await world.pass(30_000);
+    t.is(world.startsOf(JOB), 1);
+    world.shards.faults.cut.clear();
+    await world.until(() => second.show(JOB)?.state === 'completed');
+    t.is(world.startsOf(JOB), 1);
+    t.deepEqual(world.violations(), []);
+  });
+}
+
+test('should resume from the last checkpoint when a second eviction meets the resume', async (t) => {
+  const { world, entry } = await running('plan', 6_000);
+  await world.pass(1_000);
+  world.configure(withOutage(world.current(), 'timaru'));
+  await world.until(
+    () => entry.latest(JOB)?.state === 'starting' && entry.latest(JOB)?.attempts === 2,
+  );
+  world.configure(withOutage(world.current(), 'temuka'));
+  await world.until(() => entry.show(JOB)?.state === 'completed');
+  const starts = world.history.events.filter(({ kind }) => kind === 'attempt-started');
+  const progress = starts.map(({ checkpoint }) =>
+    checkpoint === undefined ? 0 : (JSON.parse(checkpoint) as { doneMs: number }).doneMs,
+  );
+  t.true(starts.length >= 2);
+  t.deepEqual(
+    progress,
+    [...progress].sort((left, right) => left - right),
+  );
+  t.true((progress[1] ?? 0) > 0);
+  t.deepEqual(world.violations(), []);
+});
+
+test('should begin anew when the checkpoint of an idempotent task was lost with its worker', async (t) => {
+  const { world, entry } = await running('plan', 3_000);
+  const lost = [...world.workers.values()].find((worker) => worker.id === 'timaru-1');
+  await lost?.close();
+  await world.until(() => entry.show(JOB)?.state === 'completed');
+  const starts = world.history.events.filter(({ kind }) => kind === 'attempt-started');
+  t.is(starts.length, 2);
+  t.is(starts[1]?.checkpoint, undefined);
+});
+
+test('should stop an attempt that no record refers to', async (t) => {
+  const { world, entry } = await running('plan');
+  const report = {
+    attemptId: 'timaru~0~gone.1.1',
+    jobId: 'timaru~0~gone',
+    partition: 'partition/timaru/0',
+    taskClass: 'plan',
+    tenant: 'desk',
+    size: { milliCores: 1, memoryMb: 1, accelerators: 0 },
+    phase: 'running' as const,
+  };
+  const stopped: string[] = [];
+  world.shards.faults.lose = (step, attemptId) => {
+    if (step === 'stop') stopped.push(attemptId);
+    return undefined;
+  };
+  const owner = entry.handler.find('partition/timaru/0');
+  t.is(await owner?.report('shard/timaru/r1', 'timaru-2', report), false);
+  const newer = { ...report, attemptId: 'timaru~0~gone.9.1' };
+  t.is(await owner?.report('shard/timaru/r1', 'timaru-2', newer), false);
+  await world.pass(500);
+  t.deepEqual(stopped, ['timaru~0~gone.1.1']);
+  t.is(await owner?.report('shard/timaru/r1', 'timaru-2', { ...report, phase: 'stopped' }), true);
+});
--- /dev/null
+++ b/tests/tasks/ownerCrashes.spec.ts
@@ -0,0 +1,104 @@
+/**
+ * The owner of a partition dies at each step around the durable intent and around an eviction.
+ */
+import test from 'ava';
+import { taskWorld, withOutage, type CrashPoint, type TaskWorld } from '../fixtures/taskWorld.js';
+
+const JOB = 'timaru~0~a1';
+const PAYLOAD = JSON.stringify({ runMs: 3_000 });
+
+const swapOf =
+  (moment: 'before' | 'after', word: string): CrashPoint =>
+  (method, when, text) =>
+    method === 'swap' && when === moment && text.includes(word);
+
+const callOf =
+  (name: string, moment: 'before' | 'after'): CrashPoint =>
+  (method, when) =>
+    method === name && when === moment;
+
+const STATE = (state: string): string => `state\\":\\"${state}`;
+
+const START_POINTS: readonly (readonly [string, CrashPoint])[] = [
+  ['before the intent is written', swapOf('before', STATE('starting'))],
+  ['after the intent is written and before the start is sent', swapOf('after', STATE('starting'))],
+  ['at the moment of sending the start', callOf('start', 'before')],
+  ['after the start took effect and before its answer', callOf('start', 'after')],
+  ['after the answer and before it is recorded', swapOf('before', STATE('running'))],
+  ['before the completion is recorded', swapOf('before', STATE('completed'))],
+  [
+    'after the completion is recorded and before it is acknowledged',
+    swapOf('after', STATE('completed')),
+  ],
+];
+
+const takeOver = async (world: TaskWorld, point: CrashPoint, taskClass: string) => {
+  const [first, second] = [world.entry('e1'), world.entry('e2')];
+  await first.own(1);
+  await world.pass(100);
+  first.dieAt(point);
+  first.submit(JOB, { taskClass, payload: PAYLOAD }).catch(() => undefined);
+  await world.until(() => first.isDead());
+  await second.own(2);
+  return second;
+};
+
+for (const [name, point] of START_POINTS) {
+  test(`should complete an idempotent task once when its owner dies ${name}`, async (t) => {
+    const world = taskWorld();
+    const second = await takeOver(world, point, 'plan');
+    await world.until(() => second.show(JOB)?.state === 'completed');
+    await world.pass(3_000);
+    t.is(world.startsOf(JOB), 1);
+    t.deepEqual(world.violations(), []);
+  });
+
+  test(`should never start a non-idempotent task twice when its owner dies ${name}`, async (t) => {
+    const world = taskWorld();
+    const second = await takeOver(world, point, 'settlement');
+    const settled = (): boolean => ['completed', 'held'].includes(second.show(JOB)?.state ?? '');
+    await world.until(settled);
+    await world.pass(20_000);
+    t.true(world.startsOf(JOB) <= 1);
+    t.is(second.show(JOB)?.state, world.startsOf(JOB) === 1 ? 'completed' : 'held');
+    t.deepEqual(world.violations(), []);
+  });
+}
+
+const EVICTED = 'evictions\\":1';
+
+const EVICT_POINTS: readonly (readonly [string, CrashPoint])[] = [
+  ['before the eviction is noted', swapOf('before', STATE('evicting'))],
+  ['before the stop is sent', callOf('stop', 'before')],
+  ['after the stop took effect and before its answer', callOf('stop', 'after')],
+  ['after the confirmed stop and before the record', swapOf('before', EVICTED)],
+  ['after the record and before the resume', swapOf('after', EVICTED)],
+  ['at the moment of sending the resume', callOf('start', 'before')],
+  ['after the resume took effect', callOf('start', 'after')],
+];
+
+for (const [name, point] of EVICT_POINTS) {
+  for (const taskClass of ['plan', 'settlement']) {
+    test(`should resume an evicted ${taskClass} once when its owner dies ${name}`, async (t) => {
+      const world = taskWorld();
+      const [first, second] = [world.entry('e1'), world.entry('e2')];
+      await first.own(1);
+      await world.pass(100);
+      const submitting = first.submit(JOB, { taskClass, payload: PAYLOAD });
+      await world.until(() => first.show(JOB)?.state === 'running');
+      await submitting;
+      first.dieAt(point);
+      world.configure(withOutage(world.current(), 'timaru'));
+      await world.until(() => first.isDead());
+      await second.own(2);
+      const settled = (): boolean => ['completed', 'held'].includes(second.show(JOB)?.state ?? '');
+      await world.until(settled);
+      await world.pass(20_000);
+      const starts = world.history.events.filter(({ kind }) => kind === 'attempt-started');
+      t.true(starts.length <= 2);
+      if (taskClass === 'plan') t.is(second.show(JOB)?.state, 'completed');
+      if (second.show(JOB)?.state === 'completed') t.truthy(starts[1]?.checkpoint);
+      t.deepEqual(world.violations(), []);
+    });
+  }
+}
