--- a/tests/tasks/lostAnswers.spec.ts
+++ b/tests/tasks/lostAnswers.spec.ts
@@ -156,3 +156,43 @@
     t.deepEqual(world.violations(), []);
   }
 });
+
+test('should fence an owner that was replaced while nothing changed', async (t) => {
+  const { world, entry } = await ready();
+  const second = world.entry('e2');
+  entry.freeze();
+  await second.own(2, false);
+  await world.until(() => second.handler.find('partition/timaru/0')?.jobs() !== undefined);
+  entry.thaw();
+  const late = entry.submit('timaru~0~late');
+  await world.pass(1_000);
+  t.true((await late).err);
+  const accepted = second.submit(JOB);
+  await world.until(() => second.show(JOB)?.state === 'completed');
+  t.true((await accepted).ok);
+});
+
+test('should send no start when the owner was replaced before its intent was confirmed', async (t) => {
+  const { world, entry } = await ready();
+  const second = world.entry('e2');
+  const sent: string[] = [];
+  world.shards.faults.lose = (step, attemptId) => {
+    if (step === 'start') sent.push(attemptId);
+    return undefined;
+  };
+  entry.dieAt((method, moment, text) => {
+    if (method === 'swap' && moment === 'after' && text.includes('starting')) entry.freeze();
+    return false;
+  });
+  entry.submit(JOB).catch(() => undefined);
+  await world.pass(1_000);
+  await second.own(2);
+  await world.until(() => second.show(JOB)?.state === 'completed');
+  entry.thaw();
+  await world.pass(5_000);
+  t.deepEqual(
+    sent.filter((attemptId) => attemptId.includes('.1.')),
+    [],
+  );
+  t.is(world.startsOf(JOB), 1);
+});
