Benchmark the choice of a worker against random and least outstanding

Cause: the choice among workers had no measured gain. Ruled out: all workers of the firm behind one chooser, since an owner sees those of one data centre.

--- a/benchmarks/main.ts
+++ b/benchmarks/main.ts
@@ -1,7 +1,22 @@
 /**
- * Benchmarks of samphirenotch; `--ci` runs the seeded ones only.
+ * Benchmarks of samphirenotch; `--ci` runs the seeded ones only and checks their bounds.
  *
  * @packageDocumentation
  */
 
-export {};
+import { compareWorkerChoice } from './decisions/workerChoice.js';
+import type { Comparison } from './support/comparison.js';
+import { formatTable } from './support/table.js';
+
+const SUITES: readonly { readonly name: string; readonly run: () => Comparison[] }[] = [
+  { name: 'workerChoice', run: compareWorkerChoice },
+];
+
+const only = process.argv.find((each) => each.startsWith('--only='))?.slice('--only='.length);
+const suites = SUITES.filter(({ name }) => only === undefined || name === only);
+const comparisons = suites.flatMap(({ run }) => run());
+const missed = comparisons.filter(({ isMet }) => !isMet);
+
+console.log(formatTable(comparisons).join('\n'));
+console.log(`${comparisons.length} comparisons, ${missed.length} bounds not met`);
+process.exitCode = missed.length === 0 ? 0 : 1;
