Benchmark retries and hedging

Cause: neither the budget nor hedging had a measured effect. Change: seeded benchmark with a pool of slots in simulated time; failing and stalling sends.

--- a/benchmarks/main.ts
+++ b/benchmarks/main.ts
@@ -5,6 +5,7 @@
  */
 
 import { compareAdmission } from './decisions/admission.js';
+import { compareRetries } from './decisions/retries.js';
 import { compareWorkerChoice } from './decisions/workerChoice.js';
 import type { Comparison } from './support/comparison.js';
 import { formatTable } from './support/table.js';
@@ -12,6 +13,7 @@
 const SUITES: readonly { readonly name: string; readonly run: () => Comparison[] }[] = [
   { name: 'workerChoice', run: compareWorkerChoice },
   { name: 'admission', run: compareAdmission },
+  { name: 'retries', run: compareRetries },
 ];
 
 const only = process.argv.find((each) => each.startsWith('--only='))?.slice('--only='.length);
