Tighten the tests of frozen followers and of the history

Cause: with mechanisms taken out one at a time, two tests still passed: the freeze test when ages were counted from the arrival of a stamp or of an answer of the store, and the history test when version records were written before the swap.

Change: answers are now in flight when the entry freezes, and the history is read after two more versions.

--- a/tests/config/configurationFollower.spec.ts
+++ b/tests/config/configurationFollower.spec.ts
@@ -204,33 +204,26 @@
   }
 });
 
-test('should be as old as it is after a freeze, also with a stamp that came in meanwhile', async (t) => {
+test('should be as old as it is after a freeze, also by answers that came in meanwhile', async (t) => {
   for (const seed of SEEDS) {
     const site = await openPublished(t, seed, ['Timaru', 'Timaru', 'Timaru']);
     const [frozen] = site.entries;
     if (!frozen) throw new Error('no entry');
-    frozen.switches.store = 'silent';
-    await site.clock.advance(1_000 + seed * 100);
+    frozen.switches.slowMs = 400;
+    site.store.faults.delayMs = 200;
+    await site.clock.advance(3_000 + seed * 137);
     frozen.freeze();
+    await site.clock.advance(300);
     const version = await publishWeight(site, 7);
     await site.clock.advance(10_000);
-    const agesMs: number[] = [];
-    frozen.follower.onChange(() => agesMs.push(-1));
-    frozen.switches.isCut = true;
-    t.is(frozen.follower.current()?.version, version - 1);
-    t.true(frozen.follower.confirmedAgeMs() >= 10_000);
-    frozen.switches.isCut = false;
     frozen.thaw();
     for (let step = 0; step < 20; step += 1) {
-      await site.clock.advance(1);
+      await site.clock.advance(0);
       const isOld = frozen.follower.current()?.version === version - 1;
-      if (isOld) agesMs.push(frozen.follower.confirmedAgeMs());
+      t.true(!isOld || frozen.follower.confirmedAgeMs() >= 10_000, `seed ${seed}`);
+      await site.clock.advance(1);
     }
 
-    t.true(
-      agesMs.every((ageMs) => ageMs === -1 || ageMs >= 10_000),
-      `seed ${seed}`,
-    );
     t.true((await msUntilInForce(site, version, IN_FORCE_BOUND_MS)) < IN_FORCE_BOUND_MS);
     closeSite(site);
   }
--- a/tests/config/publisher.spec.ts
+++ b/tests/config/publisher.spec.ts
@@ -145,13 +145,16 @@
   const { publisher } = openDesk(dying, clock);
   const request = { files: withWeight(FILES, 'desk', 9), publishedBy: 'dying', why: 'lost' };
   await passUntil(clock, publisher.publish(request, CONTEXT, callWithin(clock, 2_000)));
+  const { history } = openDesk(store, clock);
+  t.false((await history.record(2, longCall(clock))).ok);
   await publish(clock, store, withWeight(FILES, 'growers', 3));
+  await publish(clock, store, withWeight(FILES, 'growers', 4));
 
-  const { history } = openDesk(store, clock);
   const records = (await history.log(undefined, 10, longCall(clock))).unwrap();
   t.deepEqual(
     records.map(({ version, publishedBy }) => [version, publishedBy]),
     [
+      [3, 'test'],
       [2, 'test'],
       [1, 'test'],
     ],
