--- a/packages/samphirenotch-cli/src/cliProblem.ts
+++ b/packages/samphirenotch-cli/src/cliProblem.ts
@@ -44,9 +44,14 @@
 const CONFLICT = 409;
 const FIRST_SERVER_ERROR = 500;
 
-const exitCodeOf = (status: number, body: Body): ExitCode => {
+/** A server error that does not say what became of a change, as of a balancer, leaves it open. */
+const isUnknown = (method: string, status: number, { outcome }: Body): boolean =>
+  outcome === 'unknown' ||
+  (outcome === undefined && method !== 'GET' && status >= FIRST_SERVER_ERROR);
+
+const exitCodeOf = (method: string, status: number, body: Body): ExitCode => {
   if (status === CONFLICT) return EXIT_CODES.conflict;
-  if (body.outcome === 'unknown') return EXIT_CODES.unknown;
+  if (isUnknown(method, status, body)) return EXIT_CODES.unknown;
   return status >= FIRST_SERVER_ERROR ? EXIT_CODES.unavailable : EXIT_CODES.refused;
 };
 
@@ -55,9 +60,9 @@
     ? []
     : [`Ask again in ${Math.max(1, Math.ceil(retryAfterMs / MS_PER_SECOND))} s.`];
 
-const outcomeLine = ({ outcome }: Body): readonly string[] => {
-  if (outcome === 'not-run') return ['It was not done.'];
-  return outcome === 'unknown' ? ['Whether it was done is not known.'] : [];
+const outcomeLine = (method: string, status: number, body: Body): readonly string[] => {
+  if (body.outcome === 'not-run') return ['It was not done.'];
+  return isUnknown(method, status, body) ? ['Whether it was done is not known.'] : [];
 };
 
 /**
@@ -72,11 +77,12 @@
 /**
  * Reads the problem that an entry answered with.
  *
+ * @param method - HTTP method of the request
  * @param status - HTTP status
  * @param text - body of the answer
  * @returns the problem
  */
-export const problemOfAnswer = (status: number, text: string): CliProblem => {
+export const problemOfAnswer = (method: string, status: number, text: string): CliProblem => {
   let parsed: unknown;
   try {
     parsed = JSON.parse(text);
@@ -89,10 +95,10 @@
     body.detail ?? `The entry answered with status ${status}.`,
     ...(body.problems ?? []).map(describeProblem),
     ...(body.changed ?? []).map((each) => `  ${describeChange(each)}`),
-    ...outcomeLine(body),
+    ...outcomeLine(method, status, body),
     ...retryLine(body),
   ];
-  return { exitCode: exitCodeOf(status, body), lines };
+  return { exitCode: exitCodeOf(method, status, body), lines };
 };
 
 /**
--- a/packages/samphirenotch-cli/src/entryClient.ts
+++ b/packages/samphirenotch-cli/src/entryClient.ts
@@ -104,7 +104,7 @@
       if (answer.statusCode < FIRST_ERROR) {
         return Ok({ status: answer.statusCode, body: answer.body });
       }
-      return Err(problemOfAnswer(answer.statusCode, await answer.body.text()));
+      return Err(problemOfAnswer(method, answer.statusCode, await answer.body.text()));
     } catch (error) {
       return Err(this.problemOfError(address, method, error));
     }
