--- a/utils/demo/mixedLoad.ts
+++ b/packages/samphirenotch-stand-ins/src/site/mixedLoad.ts
@@ -3,18 +3,13 @@
  */
 import { randomUUID } from 'node:crypto';
 
-import type { SiteCaller } from 'samphirenotch-stand-ins/site/siteCaller.js';
-
-import type { DemoSite, RequestLoad } from './demoSite.js';
+import type { LoadPlan, RequestLoad } from './loadPlan.js';
+import { pause } from './site.js';
+import type { SiteCaller } from './siteCaller.js';
 
 const MS_PER_SECOND = 1000;
 const WATCHER_WORK_MS = 600_000;
 
-const pause = (durationMs: number): Promise<void> =>
-  new Promise((resolve) => {
-    setTimeout(resolve, durationMs);
-  });
-
 /** Sends the load of a site for some time. */
 export class MixedLoad {
   private readonly inFlight = new Set<Promise<unknown>>();
@@ -23,30 +18,30 @@
 
   /**
    * @param caller - who sends
-   * @param site - what is sent
+   * @param plan - what is sent
    */
   constructor(
     private readonly caller: SiteCaller,
-    private readonly site: DemoSite,
+    private readonly plan: LoadPlan,
   ) {}
 
   /**
-   * Sends for some time and waits for the last answers.
+   * Sends until the signal aborts, then waits for the last answers.
    *
-   * @param durationMs - how long
+   * @param signal - ends the load
    */
-  async run(durationMs: number): Promise<void> {
+  async run(signal: AbortSignal): Promise<void> {
     await this.startWatchers();
-    const requests = this.site.requests.map((load) =>
-      this.repeat(load.perSecond, durationMs, () => this.sendRequest(load)),
+    const requests = this.plan.requests.map((load) =>
+      this.repeat(load.perSecond, signal, () => this.sendRequest(load)),
     );
-    const tasks = this.repeat(this.site.tasks.perSecond, durationMs, () => this.submitTask());
+    const tasks = this.repeat(this.plan.tasks.perSecond, signal, () => this.submitTask());
     await Promise.all([...requests, tasks]);
     await Promise.all(this.inFlight);
   }
 
   private async startWatchers(): Promise<void> {
-    const { taskClass, tenant, count } = this.site.watchers;
+    const { taskClass, tenant, count } = this.plan.watchers;
     const payload = JSON.stringify({ runMs: WATCHER_WORK_MS });
     const submissions = Array.from({ length: count }, () =>
       this.caller.submit({ taskClass, tenant, payload }),
@@ -57,12 +52,11 @@
   /** Keeps to the rate over the whole time, also after a late turn. */
   private async repeat(
     perSecond: number,
-    durationMs: number,
+    signal: AbortSignal,
     send: () => Promise<unknown>,
   ): Promise<void> {
     const startMs = performance.now();
-    const total = Math.floor((perSecond * durationMs) / MS_PER_SECOND);
-    for (let sent = 0; sent < total; sent += 1) {
+    for (let sent = 0; !signal.aborted; sent += 1) {
       const dueMs = startMs + (sent * MS_PER_SECOND) / perSecond;
       if (dueMs > performance.now()) await pause(dueMs - performance.now());
       this.track(send());
@@ -77,7 +71,7 @@
   private sendRequest(load: RequestLoad): Promise<unknown> {
     const { taskClass, tenant, serviceMs, waitSeconds, keyed } = load;
     return this.caller.send({
-      service: this.site.service,
+      service: this.plan.service,
       taskClass,
       tenant,
       serviceMs,
@@ -88,7 +82,7 @@
   }
 
   private submitTask(): Promise<unknown> {
-    const { taskClass, tenant, shortestMs, longestMs } = this.site.tasks;
+    const { taskClass, tenant, shortestMs, longestMs } = this.plan.tasks;
     // Spread evenly over the range, and the same in every run.
     const share = (this.tasksSent * 0.618) % 1;
     this.tasksSent += 1;
--- a/packages/samphirenotch-stand-ins/src/site/site.ts
+++ b/packages/samphirenotch-stand-ins/src/site/site.ts
@@ -41,7 +41,13 @@
 const READY_TIMEOUT_MS = 20_000;
 const POLL_INTERVAL_MS = 50;
 
-const pause = (durationMs: number): Promise<void> =>
+/**
+ * Waits.
+ *
+ * @param durationMs - how long, in milliseconds
+ * @returns a promise that resolves after the wait
+ */
+export const pause = (durationMs: number): Promise<void> =>
   new Promise((resolve) => {
     setTimeout(resolve, durationMs);
   });
--- /dev/null
+++ b/tests/site/faults.spec.ts
@@ -0,0 +1,15 @@
+/**
+ * The real programs as separate processes under one fault at a time.
+ */
+import test from 'ava';
+import { FAULTS, type FaultName } from 'samphirenotch-stand-ins/site/siteFault.js';
+import { holds, tryFaults } from '../fixtures/siteTrials.js';
+
+const SEED = 1;
+
+for (const name of Object.keys(FAULTS) as FaultName[]) {
+  test.serial(`should keep every promise with ${FAULTS[name].name}`, async (t) => {
+    t.timeout(170_000);
+    holds(t, await tryFaults([name], SEED));
+  });
+}
--- a/utils/demo/demoRun.ts
+++ b/utils/demo/demoRun.ts
@@ -6,13 +6,13 @@
 import { join } from 'node:path';
 
 import type { OutWindow } from 'samphirenotch-stand-ins/invariants.js';
-import { Site, until } from 'samphirenotch-stand-ins/site/site.js';
+import { MixedLoad } from 'samphirenotch-stand-ins/site/mixedLoad.js';
+import { pause, Site, until } from 'samphirenotch-stand-ins/site/site.js';
 import { SiteCaller } from 'samphirenotch-stand-ins/site/siteCaller.js';
 import { SiteOperator } from 'samphirenotch-stand-ins/site/siteOperator.js';
 
 import { requestTable, ruleVerdicts, taskLines, type Verdict } from './demoReport.js';
 import type { DemoSite } from './demoSite.js';
-import { MixedLoad } from './mixedLoad.js';
 import { sitePrograms } from './sitePrograms.js';
 
 const LOAD_MS = 20_000;
@@ -31,11 +31,6 @@
   readonly state: string;
 }
 
-const pause = (durationMs: number): Promise<void> =>
-  new Promise((resolve) => {
-    setTimeout(resolve, durationMs);
-  });
-
 /** Runs a site with load and faults. */
 export class DemoRun {
   private readonly directory = mkdtempSync(join(tmpdir(), 'samphirenotch-demo-'));
@@ -101,7 +96,7 @@
 
   private async load(): Promise<void> {
     this.progress(`Load begins, for ${LOAD_MS / 1000} s.`);
-    await new MixedLoad(this.caller, this.demo).run(LOAD_MS);
+    await new MixedLoad(this.caller, this.demo).run(AbortSignal.timeout(LOAD_MS));
     this.progress('Load ends.');
   }
 
@@ -119,10 +114,11 @@
     const replacement = await this.site.startEntry(killIn);
     this.progress(`Entry ${replacement.id} takes its place.`);
     await pause(OUTAGE_ENDS_MS - ENTRY_DIES_MS);
-    const endingAtMs = Date.now();
     const ended = await this.operator.outage('end', outage);
     this.progress(`${outage} is back (version ${ended.version}).`);
-    return { dataCentre: outage, acceptedAtMs: started.acceptedAtMs, endedAtMs: endingAtMs };
+    const [window] = this.operator.outWindows;
+    if (!window) throw new Error('The outage was not noted.');
+    return window;
   }
 
   /** Clears watchers and waits until every task has ended. */
--- a/utils/demo/demoSite.ts
+++ b/utils/demo/demoSite.ts
@@ -1,45 +1,14 @@
 /**
  * What the demonstration does at each site.
  */
+import type { LoadPlan } from 'samphirenotch-stand-ins/site/loadPlan.js';
 import { COUNCIL, KOVACIK, type SitePlan } from 'samphirenotch-stand-ins/site/sitePlan.js';
 
-/** Requests of one class, sent at a steady rate. */
-export interface RequestLoad {
-  readonly taskClass: string;
-  readonly tenant: string;
-  readonly perSecond: number;
-  readonly serviceMs: number;
-  /** Each request carries an idempotency key of its own. */
-  readonly keyed: boolean;
-  readonly waitSeconds: number;
-}
-
-/** Batch tasks of one class, submitted at a steady rate. */
-export interface TaskLoad {
-  readonly taskClass: string;
-  readonly tenant: string;
-  readonly perSecond: number;
-  /** Work of a task, from and up to, in milliseconds. */
-  readonly shortestMs: number;
-  readonly longestMs: number;
-}
-
-/** Standing watchers, started at the beginning and cleared at the end. */
-export interface WatcherLoad {
-  readonly taskClass: string;
-  readonly tenant: string;
-  readonly count: number;
-}
-
 /** A site with its load and its events. */
-export interface DemoSite {
+export interface DemoSite extends LoadPlan {
   readonly plan: SitePlan;
   /** Directory of its configuration, below `examples/`. */
   readonly example: string;
-  readonly service: string;
-  readonly requests: readonly RequestLoad[];
-  readonly tasks: TaskLoad;
-  readonly watchers: WatcherLoad;
   /** Data centre that is taken out and brought back. */
   readonly outage: string;
   /** Data centre whose last entry is killed and replaced. */
