--- a/tests/requests/entries.spec.ts
+++ b/tests/requests/entries.spec.ts
@@ -211,6 +211,39 @@
   t.is(front.workers[0]?.sent.length, 1);
 });
 
+test('should not run a key again when the answer of the worker was lost', async (t) => {
+  const { enter } = site(t);
+  const front = await enter('front', [() => Promise.reject(new Error('ECONNRESET'))]);
+  await front.own();
+  const first = await callerOf(front, keyed('k1'));
+  t.deepEqual(await problemOf(first), { status: 503, outcome: 'unknown' });
+  const second = await callerOf(front, keyed('k1'));
+  t.deepEqual(await problemOf(second), { status: 409, outcome: 'unknown', earlier: 'unknown' });
+  t.is(front.workers[0]?.sent.length, 1);
+});
+
+test('should send nothing from the queue to a worker that may no longer be used', async (t) => {
+  const { enter } = site(t);
+  let finish: () => void = () => {};
+  const held = new Promise<void>((resolve) => {
+    finish = resolve;
+  });
+  const slow: Script = async (sent) => {
+    await held;
+    return answerTo(sent, 'done');
+  };
+  const front = await enter('front', [slow]);
+  const first = callerOf(front, SWAP);
+  while (front.slots.freeSlots() > 0) await oneTurn();
+  const waiting = callerOf(front, SWAP);
+  while (front.router.queuedRequests === 0) await oneTurn();
+  front.slots.allowSends(false);
+  finish();
+  t.is((await first).statusCode, 200);
+  t.deepEqual(await problemOf(await waiting), { status: 503, outcome: 'not-run' });
+  t.is(front.workers[0]?.sent.length, 1);
+});
+
 test('should run a key again whose first request was proved not to have run', async (t) => {
   const { enter } = site(t);
   let refusals = 1;
