Spread starts out only when capacity returned, and judge impossible classes once a round

Cause: every change of configuration and every short hiccup of the store began a paced time, in which few starts pass; a large site changes its configuration every two seconds. Each queued job was also judged against every worker in every look at the queue, and each taken partition left a listener behind. Change: pacing begins when a data centre comes back or the store was out for five seconds; one verdict per class and look; one listener per entry. A start that was cancelled before its intent was stored is tested not to be sent.

--- a/packages/samphirenotch/src/tasks/groupCommit.ts
+++ b/packages/samphirenotch/src/tasks/groupCommit.ts
@@ -47,8 +47,8 @@
   readonly onDurable: (changes: readonly JobChange[]) => void;
   /** Called once another owner is proved. */
   readonly onLost: () => void;
-  /** Called when the store answers again. */
-  readonly onReturn: () => void;
+  /** Called when the store answers again, with how long it did not, in milliseconds. */
+  readonly onReturn: (outageMs: number) => void;
 }
 
 /** A head on its way, with what it makes durable. */
@@ -66,6 +66,8 @@
 
   private failures = 0;
 
+  private silentSinceMs = 0;
+
   private lost = false;
 
   private readonly wakeUp: WakeUp;
@@ -219,10 +221,12 @@
   }
 
   private noteAnswer(answers: boolean): void {
+    const nowMs = this.context.clock.monotonicMs();
     const returned = answers && !this.answering;
+    if (!answers && this.answering) this.silentSinceMs = nowMs;
     this.answering = answers;
     this.failures = answers ? 0 : this.failures + 1;
-    if (returned) this.context.onReturn();
+    if (returned) this.context.onReturn(nowMs - this.silentSinceMs);
   }
 
   private async prepare(): Promise<Result<Commit, Failure>> {
--- a/packages/samphirenotch/src/tasks/partitionHandler.ts
+++ b/packages/samphirenotch/src/tasks/partitionHandler.ts
@@ -1,6 +1,7 @@
 /**
  * Takes and releases job partitions as their ownership comes and goes.
  */
+import { isOut, type ConfigurationSet } from '../config/objects.js';
 import { partLog } from '../observability/log.js';
 import type { Grant, ResourceHandler } from '../membership/ownership.js';
 import { PARTITION_KIND, partitionsOf } from './jobId.js';
@@ -9,6 +10,9 @@
 
 const log = partLog('task-owner');
 
+const dataCentreReturned = (before: ConfigurationSet, now: ConfigurationSet): boolean =>
+  [...before.dataCentres.keys()].some((name) => isOut(before, name) && !isOut(now, name));
+
 /** Owns partitions. */
 export class PartitionHandler implements ResourceHandler {
   readonly kind = PARTITION_KIND;
@@ -18,7 +22,14 @@
   /**
    * @param context - parts of the entry
    */
-  constructor(private readonly context: TaskContext) {}
+  constructor(private readonly context: TaskContext) {
+    let before = context.configuration.current();
+    context.configuration.onChange((set) => {
+      const hasReturned = before !== undefined && dataCentreReturned(before, set);
+      before = set;
+      this.owners.forEach((owner) => owner.configurationChanged(hasReturned));
+    });
+  }
 
   resources(): readonly string[] {
     const set = this.context.configuration.current();
--- a/packages/samphirenotch/src/tasks/partitionOwner.ts
+++ b/packages/samphirenotch/src/tasks/partitionOwner.ts
@@ -4,6 +4,7 @@
  */
 import { setMaxListeners } from 'node:events';
 import { partLog } from '../observability/log.js';
+import type { StartPacing } from '../decisions/startPacing.js';
 import type { Grant } from '../membership/ownership.js';
 import type { AttemptReport } from '../platform/worker.js';
 import { AttemptKeeper } from './attemptKeeper.js';
@@ -19,6 +20,7 @@
 import { loadPartition, type LoadedPartition } from './partitionLoad.js';
 import type { PartitionContext, TaskContext } from './taskContext.js';
 import {
+  PACED_OUTAGE_MS,
   RELEASE_TIMEOUT_MS,
   SCHEDULE_INTERVAL_MS,
   STORE_BACKOFF_MAXIMUM_MS,
@@ -44,6 +46,8 @@
 
   private starter: JobStarter | undefined;
 
+  private readonly pacing: StartPacing;
+
   private loops: Promise<unknown> = Promise.resolve();
 
   /**
@@ -54,6 +58,7 @@
     private readonly context: TaskContext,
     readonly grant: Grant,
   ) {
+    this.pacing = context.makePacing();
     setMaxListeners(0, this.stop.signal);
     grant.signal.addEventListener('abort', () => this.stop.abort());
     if (grant.signal.aborted) this.stop.abort();
@@ -135,8 +140,18 @@
     };
   }
 
+  /**
+   * Takes note of a new configuration.
+   *
+   * @param hasReturned - whether a data centre came back with it
+   */
+  configurationChanged(hasReturned: boolean): void {
+    if (hasReturned) this.pacing.capacityReturned(this.context.clock.monotonicMs());
+    this.notify();
+  }
+
   /** Looks at queue and attempts soon. */
-  notify(): void {
+  private notify(): void {
     this.scheduler?.notify();
     this.keeper?.notify();
   }
@@ -170,9 +185,9 @@
   }
 
   private compose(loaded: LoadedPartition): void {
-    const pacing = this.context.makePacing();
-    const onReturn = (): void => {
-      pacing.capacityReturned(this.context.clock.monotonicMs());
+    const { pacing } = this;
+    const onReturn = (outageMs: number): void => {
+      if (outageMs >= PACED_OUTAGE_MS) pacing.capacityReturned(this.context.clock.monotonicMs());
       this.notify();
     };
     const onJob = (job: Job): void => this.tell(job);
@@ -194,9 +209,6 @@
     this.scheduler = new Scheduler(context, new ShardSearch(context), this.starter, pacing);
     this.reports = reports;
     this.store = jobs;
-    this.context.configuration.onChange(() => {
-      if (!this.stop.signal.aborted) onReturn();
-    });
   }
 
   private commitContext(): Omit<CommitContext, 'onDurable'> {
--- a/packages/samphirenotch/src/tasks/scheduler.ts
+++ b/packages/samphirenotch/src/tasks/scheduler.ts
@@ -3,6 +3,7 @@
  */
 import { Ok, Err, type Result } from '../results.js';
 import type { ConfigurationSet, TaskClass } from '../config/objects.js';
+import type { Impossibility } from '../decisions/impossibleJobs.js';
 import type { QueuedTask } from '../decisions/placementPolicy.js';
 import type { StartPacing } from '../decisions/startPacing.js';
 import { detach } from './detach.js';
@@ -23,6 +24,8 @@
   readonly quotas: QuotaUse;
   /** Classes for which no room was found in this round. */
   readonly full: Map<string, WaitReason>;
+  /** Classes that fit no worker, by what stops them. */
+  readonly impossible: ReadonlyMap<string, Impossibility>;
 }
 
 /** Starts the queued jobs of one partition. */
@@ -87,8 +90,10 @@
     const set = configuration.current();
     if (!set) return;
     this.waiting.clear();
-    const round = { set, quotas: new QuotaUse(set, jobs.latest.activeJobs()), full: new Map() };
-    for (const jobId of this.ordered(set)) {
+    const quotas = new QuotaUse(set, jobs.latest.activeJobs());
+    const order = this.ordered(set);
+    const round = { set, quotas, full: new Map(), impossible: this.impossibleClasses(set) };
+    for (const jobId of order) {
       if (!this.mayGoOn()) return;
       const job = jobs.latest.get(jobId);
       if (job?.state !== 'queued') continue;
@@ -132,7 +137,7 @@
   private async consider(job: Job, round: Round): Promise<Result<void, WaitReason>> {
     const taskClass = round.set.taskClasses.get(job.taskClass);
     if (!taskClass) return Ok(undefined);
-    if (this.nameImpossible(job, taskClass)) return Ok(undefined);
+    if (this.nameImpossible(job, round)) return Ok(undefined);
     const obstacle = this.obstacle(job, taskClass, round);
     if (obstacle) return Err(obstacle);
     return this.place(job, taskClass, round);
@@ -177,22 +182,35 @@
     return Ok(undefined);
   }
 
-  /** Ends a job that can never run. Data centres without a known worker give no proof. */
-  private nameImpossible(job: Job, taskClass: TaskClass): boolean {
-    const { impossibleJobs, capacities, jobs, clock } = this.context;
+  /** Ends a job that can never run. */
+  private nameImpossible(job: Job, round: Round): boolean {
+    const verdict = round.impossible.get(job.taskClass);
+    if (!verdict) return false;
+    const { jobs, clock } = this.context;
+    detach(jobs.put(failed(job, verdict.reason, verdict.limit, clock.wallMs())));
+    return true;
+  }
+
+  private impossibleClasses(set: ConfigurationSet): ReadonlyMap<string, Impossibility> {
+    const { jobs } = this.context;
+    const names = new Set(jobs.latest.queuedJobs().map(({ taskClass }) => taskClass));
+    const verdicts = new Map<string, Impossibility>();
+    for (const name of names) {
+      const taskClass = set.taskClasses.get(name);
+      const verdict = taskClass && this.judge(taskClass);
+      if (verdict) verdicts.set(name, verdict);
+    }
+    return verdicts;
+  }
+
+  /** Judges a class. A data centre without a known worker gives no proof. */
+  private judge(taskClass: TaskClass): Impossibility | undefined {
+    const { impossibleJobs, capacities } = this.context;
     const offers = capacities().filter(({ dataCentre }) =>
       taskClass.dataCentres.includes(dataCentre),
     );
     const known = new Set(offers.map(({ dataCentre }) => dataCentre));
-    if (!taskClass.dataCentres.every((name) => known.has(name))) return false;
-    const verdict = impossibleJobs.judge(
-      taskClass.size,
-      offers,
-      job.failedAttempts,
-      taskClass.maximumAttempts,
-    );
-    if (!verdict) return false;
-    detach(jobs.put(failed(job, verdict.reason, verdict.limit, clock.wallMs())));
-    return true;
+    if (!taskClass.dataCentres.every((name) => known.has(name))) return undefined;
+    return impossibleJobs.judge(taskClass.size, offers, 0, taskClass.maximumAttempts);
   }
 }
--- a/packages/samphirenotch/src/tasks/taskSettings.ts
+++ b/packages/samphirenotch/src/tasks/taskSettings.ts
@@ -66,3 +66,5 @@
 export const JOBS_PER_SWEEP = 500;
 /** How long a partition that is handed over may take to finish what it has begun, in milliseconds. */
 export const RELEASE_TIMEOUT_MS = 5_000;
+/** An outage of the store after which starts are spread out, in milliseconds. */
+export const PACED_OUTAGE_MS = 5_000;
--- a/tests/tasks/cancellation.spec.ts
+++ b/tests/tasks/cancellation.spec.ts
@@ -30,10 +30,27 @@
       !outcome.ok,
     );
     t.is(ends.length, world.startsOf(JOB));
+    t.true((final?.attempts ?? 0) <= 1);
     t.deepEqual(world.violations(), []);
   });
 }
 
+test('should not send a start that was cancelled before its intent was stored', async (t) => {
+  const world = taskWorld();
+  const entry = world.entry('e1');
+  await entry.own(1);
+  await world.pass(100);
+  world.store.faults.delayMs = 100;
+  const submitting = entry.submit(JOB);
+  await world.until(() => entry.latest(JOB)?.state === 'starting');
+  const cancelling = entry.cancel(JOB);
+  await world.pass(2_000);
+  t.true((await submitting).ok);
+  t.true((await cancelling).ok);
+  t.is(entry.show(JOB)?.state, 'cancelled');
+  t.is(world.startsOf(JOB), 0);
+});
+
 for (const delayMs of [0, 30, 70, 110, 150, 200, 300]) {
   test(`should not resume a task cancelled ${delayMs} ms into its eviction`, async (t) => {
     const world = taskWorld();
--- a/tests/tasks/jobLife.spec.ts
+++ b/tests/tasks/jobLife.spec.ts
@@ -100,3 +100,27 @@
   await world.until(() => second.show(JOB)?.state === 'completed');
   t.is(world.startsOf(JOB), 1);
 });
+
+test('should spread starts out when a data centre or the store returns and not otherwise', async (t) => {
+  const world = taskWorld();
+  const entry = world.entry('e1');
+  await entry.own(1);
+  await world.pass(100);
+  const normal = world.current();
+  world.configure({ ...normal, version: 2 });
+  world.configure(withOutage(normal, 'timaru'));
+  t.is(world.returnsOfCapacity(), 0);
+  world.configure(normal);
+  t.is(world.returnsOfCapacity(), 1);
+  world.store.faults.loseAnswers = 1;
+  const submitting = entry.submit(JOB);
+  await world.until(() => entry.show(JOB)?.state === 'completed');
+  await submitting;
+  t.is(world.returnsOfCapacity(), 1);
+  world.store.faults.down = true;
+  entry.submit('timaru~0~a2').catch(() => undefined);
+  await world.pass(8_000);
+  world.store.faults.down = false;
+  await world.until(() => entry.show('timaru~0~a2')?.state === 'completed');
+  t.is(world.returnsOfCapacity(), 2);
+});
