Restart tasks of classes that ask for it after a cut, on the proof of their lapsed lease

Cause: a class set to restart stayed with its unreachable data centre until the cut healed. Change: an attempt whose reports have not come for the lapse time of the shards' leases is given up, if its class had settled as restarting at its start. An owner that may have been replaced takes no reports, since a report that is taken keeps such work alive.

--- a/packages/samphirenotch/src/tasks/attemptKeeper.ts
+++ b/packages/samphirenotch/src/tasks/attemptKeeper.ts
@@ -4,6 +4,7 @@
  */
 import { isOut, type ConfigurationSet } from '../config/objects.js';
 import { detach } from './detach.js';
+import { RESTART_PROOF_MS, START_FRESHNESS_MS } from '../shards/taskLease.js';
 import type { AttemptReports } from './attemptReports.js';
 import type { AttemptResolver } from './attemptResolver.js';
 import type { AttemptStopper } from './attemptStopper.js';
@@ -11,6 +12,7 @@
 import { dataCentreOf } from './jobId.js';
 import type { JobStarter } from './jobStarter.js';
 import { evicting } from './jobTransitions.js';
+import type { RestartPolicies } from './restartPolicies.js';
 import type { PartitionContext } from './taskContext.js';
 import {
   ATTEMPT_SILENCE_MS,
@@ -29,6 +31,8 @@
 
   private readonly asked = new Set<string>();
 
+  private readonly askedAtMs = new Map<string, number>();
+
   private sweptAtMs = 0;
 
   private readonly tookOverAtMs: number;
@@ -39,6 +43,7 @@
    * @param resolver - asks after attempts
    * @param stopper - stops what is evicted
    * @param starter - has starts in hand, which are left alone
+   * @param policies - knows which attempts lapse by themselves
    */
   constructor(
     private readonly context: PartitionContext,
@@ -46,6 +51,7 @@
     private readonly resolver: AttemptResolver,
     private readonly stopper: AttemptStopper,
     private readonly starter: JobStarter,
+    private readonly policies: RestartPolicies,
   ) {
     this.wakeUp = new WakeUp(context.clock, context.signal);
     this.tookOverAtMs = context.clock.monotonicMs();
@@ -61,7 +67,7 @@
     const { signal, configuration } = this.context;
     while (!signal.aborted) {
       const set = configuration.current();
-      if (set) this.evict(set);
+      if (set) this.followConfiguration(set);
       this.resume();
       this.audit();
       this.sweep();
@@ -69,6 +75,27 @@
     }
   }
 
+  private followConfiguration(set: ConfigurationSet): void {
+    this.policies.observe(set);
+    this.evict(set);
+    this.concludeLapses(set);
+  }
+
+  /** Gives up attempts that lapsed by themselves, since no report of them came for so long. */
+  private concludeLapses(set: ConfigurationSet): void {
+    const { jobs, clock, grant, configuration } = this.context;
+    if (!grant.isCertain() || configuration.confirmedAgeMs() > START_FRESHNESS_MS) return;
+    const nowMs = clock.monotonicMs();
+    for (const job of jobs.latest.activeJobs()) {
+      const { attempt } = job;
+      const isSet = set.taskClasses.get(job.taskClass)?.onPartition === 'restart';
+      if (!attempt?.restarts || !isSet || this.starter.isInHand(job.id)) continue;
+      const sinceMs = Math.max(this.reports.lastSeenMs(attempt), this.tookOverAtMs);
+      if (nowMs - sinceMs <= RESTART_PROOF_MS) continue;
+      detach(this.reports.settle(attempt, { kind: 'gone', neverStarted: false }));
+    }
+  }
+
   /** Evicts from data centres that are out, the most urgent work first. */
   private evict(set: ConfigurationSet): void {
     const { jobs, clock } = this.context;
@@ -104,7 +131,8 @@
   private isSilent(job: Job): boolean {
     if (!job.attempt || job.state === 'evicting' || job.cancelRequested) return false;
     if (this.asked.has(job.id) || this.starter.isInHand(job.id)) return false;
-    const seenAtMs = this.reports.lastSeenMs(job.attempt);
+    const heardAtMs = this.reports.lastSeenMs(job.attempt);
+    const seenAtMs = Math.max(heardAtMs, this.askedAtMs.get(job.id) ?? 0);
     if (job.state === 'starting' && seenAtMs === 0) return true;
     const sinceMs = Math.max(seenAtMs, this.tookOverAtMs);
     return this.context.clock.monotonicMs() - sinceMs > ATTEMPT_SILENCE_MS;
@@ -113,10 +141,11 @@
   private async ask(job: Job): Promise<void> {
     const { attempt } = job;
     if (!attempt) return;
-    this.reports.note(attempt.id);
+    this.askedAtMs.set(job.id, this.context.clock.monotonicMs());
     const fate = await this.resolver.ask(attempt);
     const present = this.context.jobs.latest.get(job.id);
     const isSame = present?.attempt?.id === attempt.id && isActive(present);
+    if (!isSame || fate.ok) this.askedAtMs.delete(job.id);
     if (fate.ok && isSame) await this.reports.settle(attempt, fate.val);
   }
 
--- a/packages/samphirenotch/src/tasks/attemptReports.ts
+++ b/packages/samphirenotch/src/tasks/attemptReports.ts
@@ -28,7 +28,7 @@
   ) {}
 
   /**
-   * Tells when an attempt was last heard of.
+   * Tells when a report of an attempt last came.
    *
    * @param attempt - the attempt
    * @returns monotonic time in milliseconds, 0 if never by this owner
@@ -37,15 +37,6 @@
     return this.seenAtMs.get(attempt.id) ?? 0;
   }
 
-  /**
-   * Notes that an attempt was heard or asked of just now.
-   *
-   * @param attemptId - id of the attempt
-   */
-  note(attemptId: string): void {
-    this.seenAtMs.set(attemptId, this.context.clock.monotonicMs());
-  }
-
   /**
    * Applies a report.
    *
@@ -57,7 +48,7 @@
   async apply(shard: string, workerId: string, report: AttemptReport): Promise<boolean> {
     const job = this.context.jobs.latest.get(jobOfAttempt(report.attemptId));
     if (!job || job.attempt?.id !== report.attemptId) return this.stray(shard, workerId, report);
-    this.note(report.attemptId);
+    this.seenAtMs.set(report.attemptId, this.context.clock.monotonicMs());
     if (report.phase === 'running') {
       this.applyRunning(job, report);
       return false;
--- a/packages/samphirenotch/src/tasks/job.ts
+++ b/packages/samphirenotch/src/tasks/job.ts
@@ -20,6 +20,8 @@
   readonly size: Size;
   /** Wall clock time of the intent to start, in milliseconds since the Unix epoch. */
   readonly intendedAtMs: number;
+  /** Its lease lapses by itself while no report of it reaches the partition's owner. */
+  readonly restarts: boolean;
   /** Whether the attempt goes on from a checkpoint. */
   readonly resumed: boolean;
 }
--- a/packages/samphirenotch/src/tasks/jobStarter.ts
+++ b/packages/samphirenotch/src/tasks/jobStarter.ts
@@ -7,13 +7,15 @@
 import { callWithin } from '../time/call.js';
 import type { AttemptOrder } from '../platform/worker.js';
 import type { Reservation } from '../shards/shardService.js';
+import { TASK_LEASE_MS } from '../shards/taskLease.js';
 import { dataCentreOf } from './jobId.js';
 import { cancelled, intended, neverStarted } from './jobTransitions.js';
-import { ATTEMPT_LEASE_MS, SHARD_TIMEOUT_MS } from './taskSettings.js';
+import { SHARD_TIMEOUT_MS } from './taskSettings.js';
 import type { AttemptReports } from './attemptReports.js';
 import type { AttemptResolver } from './attemptResolver.js';
 import type { AttemptStopper } from './attemptStopper.js';
 import type { Attempt, Job } from './job.js';
+import type { RestartPolicies } from './restartPolicies.js';
 import type { PartitionContext } from './taskContext.js';
 
 const log = partLog('task-starts');
@@ -27,12 +29,14 @@
    * @param reports - takes in answers
    * @param resolver - follows up lost answers
    * @param stopper - stops what was cancelled meanwhile
+   * @param policies - knows which attempts lapse by themselves
    */
   constructor(
     private readonly context: PartitionContext,
     private readonly reports: AttemptReports,
     private readonly resolver: AttemptResolver,
     private readonly stopper: AttemptStopper,
+    private readonly policies: RestartPolicies,
   ) {}
 
   /**
@@ -72,6 +76,7 @@
       epoch: reservation.epoch,
       size: reservation.size,
       intendedAtMs: nowMs,
+      restarts: this.policies.isSettled(job.taskClass),
       resumed: job.checkpoint !== undefined,
     };
     this.inHand.add(job.id);
@@ -162,7 +167,7 @@
       tenant: job.tenant,
       size: attempt.size,
       payload: job.payload,
-      leaseMs: ATTEMPT_LEASE_MS,
+      leaseMs: TASK_LEASE_MS,
       ...(job.checkpoint === undefined ? {} : { checkpoint: job.checkpoint }),
     };
   }
--- a/packages/samphirenotch/src/tasks/partitionOwner.ts
+++ b/packages/samphirenotch/src/tasks/partitionOwner.ts
@@ -13,6 +13,7 @@
 import { AttemptStopper } from './attemptStopper.js';
 import { JobStarter } from './jobStarter.js';
 import { JobStore } from './jobStore.js';
+import { RestartPolicies } from './restartPolicies.js';
 import { Scheduler } from './scheduler.js';
 import { ShardSearch } from './shardSearch.js';
 import type { CommitContext } from './groupCommit.js';
@@ -107,14 +108,15 @@
    * @param shard - shard of the worker
    * @param workerId - the worker
    * @param report - what it says of an attempt
-   * @returns true once the end of the attempt is durable; nothing while the jobs are not loaded
+   * @returns true once the end of the attempt is durable; nothing while the jobs are not loaded or
+   * another entry may own them, since a report that is taken lets the attempt run on
    */
   async report(
     shard: string,
     workerId: string,
     report: AttemptReport,
   ): Promise<boolean | undefined> {
-    if (!this.jobs()) return undefined;
+    if (!this.jobs() || !this.grant.isCertain()) return undefined;
     return this.reports?.apply(shard, workerId, report);
   }
 
@@ -204,8 +206,16 @@
     );
     const resolver = new AttemptResolver(context);
     this.stopper = new AttemptStopper(context, (target, fate) => reports.settle(target, fate));
-    this.starter = new JobStarter(context, reports, resolver, this.stopper);
-    this.keeper = new AttemptKeeper(context, reports, resolver, this.stopper, this.starter);
+    const policies = new RestartPolicies(context.clock);
+    this.starter = new JobStarter(context, reports, resolver, this.stopper, policies);
+    this.keeper = new AttemptKeeper(
+      context,
+      reports,
+      resolver,
+      this.stopper,
+      this.starter,
+      policies,
+    );
     this.scheduler = new Scheduler(context, new ShardSearch(context), this.starter, pacing);
     this.reports = reports;
     this.store = jobs;
--- a/packages/samphirenotch/src/tasks/partitionRecord.ts
+++ b/packages/samphirenotch/src/tasks/partitionRecord.ts
@@ -23,6 +23,7 @@
   epoch: z.number(),
   size: SIZE,
   intendedAtMs: z.number(),
+  restarts: z.boolean(),
   resumed: z.boolean(),
 });
 
--- a/packages/samphirenotch/src/tasks/taskSettings.ts
+++ b/packages/samphirenotch/src/tasks/taskSettings.ts
@@ -37,8 +37,6 @@
 export const STOP_TIMEOUT_MS = 15_000;
 /** Wait between two questions about an attempt whose fate is unknown, in milliseconds. */
 export const RESOLVE_BACKOFF_MS = 500;
-/** Lease of an attempt at its worker, in milliseconds. */
-export const ATTEMPT_LEASE_MS = 15_000;
 /** First wait before a failed job is tried again, in milliseconds. */
 export const RETRY_BACKOFF_MS = 500;
 /** Longest wait before a failed job is tried again, in milliseconds. */
@@ -68,3 +66,5 @@
 export const RELEASE_TIMEOUT_MS = 5_000;
 /** An outage of the store after which starts are spread out, in milliseconds. */
 export const PACED_OUTAGE_MS = 5_000;
+/** Time in which every entry that may start tasks has the same configuration, in milliseconds. */
+export const POLICY_SETTLED_MS = 10_000;
--- a/tests/tasks/lostWorkers.spec.ts
+++ b/tests/tasks/lostWorkers.spec.ts
@@ -114,3 +114,43 @@
   t.deepEqual(stopped, ['timaru~0~gone.1.1']);
   t.is(await owner?.report('shard/timaru/r1', 'timaru-2', { ...report, phase: 'stopped' }), true);
 });
+
+test('should restart a task elsewhere after a cut once its lease lapsed by itself', async (t) => {
+  const world = taskWorld();
+  const entry = world.entry('e1');
+  world.shards.faults.restarting.add('roaming');
+  await entry.own(1);
+  await world.pass(12_000);
+  const payload = JSON.stringify({ runMs: 90_000 });
+  const submitting = entry.submit(JOB, { taskClass: 'roaming', payload });
+  await world.until(() => entry.show(JOB)?.state === 'running');
+  await submitting;
+  world.shards.faults.cut.add('timaru');
+  await world.until(() => world.startsOf(JOB) === 2);
+  world.shards.faults.cut.clear();
+  await world.until(() => entry.show(JOB)?.state === 'completed');
+  const starts = world.history.events.filter(({ kind }) => kind === 'attempt-started');
+  t.deepEqual(
+    starts.map(({ dataCentre }) => dataCentre),
+    ['timaru', 'temuka'],
+  );
+  t.deepEqual(world.violations(), []);
+});
+
+test('should take no report that keeps work alive once another entry may own the partition', async (t) => {
+  const world = taskWorld();
+  const [first, second] = [world.entry('e1'), world.entry('e2')];
+  world.shards.faults.restarting.add('roaming');
+  await first.own(1);
+  await world.pass(12_000);
+  const payload = JSON.stringify({ runMs: 300_000 });
+  const submitting = first.submit(JOB, { taskClass: 'roaming', payload });
+  await world.until(() => first.show(JOB)?.state === 'running');
+  await submitting;
+  world.reportTo(first);
+  world.shards.faults.lose = (_step, attemptId) =>
+    attemptId.endsWith('.1.1') ? 'request' : undefined;
+  await second.own(2);
+  await world.until(() => world.startsOf(JOB) === 2);
+  t.deepEqual(world.violations(), []);
+});
