--- /dev/null
+++ b/tests/tasks/taskHttp.spec.ts
@@ -0,0 +1,131 @@
+/**
+ * Tasks over HTTP at an entry that owns nothing, forwarded to the one that does.
+ */
+import { fetch, type Response } from 'undici';
+import anyTest, { type TestFn } from 'ava';
+import { taskServers, type TaskServers } from '../fixtures/taskServers.js';
+
+const test = anyTest as TestFn<TaskServers>;
+
+interface TaskBody {
+  readonly id: string;
+  readonly state: string;
+  readonly cursor?: string;
+  readonly tasks?: readonly TaskBody[];
+  readonly outcome?: string;
+  readonly title?: string;
+}
+
+const HEADERS = { tenant: 'desk', 'content-type': 'application/json' };
+
+const submit = (
+  servers: TaskServers,
+  body: unknown,
+  headers: Record<string, string> = {},
+): Promise<Response> =>
+  fetch(`${servers.url}/tasks`, {
+    method: 'POST',
+    headers: { ...HEADERS, ...headers },
+    body: typeof body === 'string' ? body : JSON.stringify(body),
+  });
+
+const read = async (response: Response): Promise<TaskBody> => (await response.json()) as TaskBody;
+
+test.beforeEach(async (t) => {
+  t.context = await taskServers();
+});
+
+test.afterEach.always((t) => t.context.close());
+
+test('should submit, follow to the end and show a task through a forward', async (t) => {
+  const response = await submit(t.context, { taskClass: 'plan', payload: { runMs: 100 } });
+  t.is(response.status, 201);
+  const { id } = await read(response);
+  t.is(response.headers.get('location'), `/tasks/${encodeURIComponent(id)}`);
+  const events = await fetch(`${t.context.url}/tasks/${id}/events`);
+  const text = await events.text();
+  t.true(text.includes('"state":"running"'));
+  t.true(text.includes('"state":"completed"'));
+  const shown = await read(await fetch(`${t.context.url}/tasks/${id}`));
+  t.is(shown.state, 'completed');
+});
+
+test('should give one job for an idempotency key and refuse another task under it', async (t) => {
+  const key = { 'idempotency-key': 'k1' };
+  const task = { taskClass: 'plan', payload: { runMs: 100 } };
+  const all = await Promise.all([1, 2, 3].map(() => submit(t.context, task, key)));
+  const ids = await Promise.all(all.map(async (each) => (await read(each)).id));
+  t.is(new Set(ids).size, 1);
+  const other = await submit(t.context, { ...task, payload: 'other' }, key);
+  t.is(other.status, 409);
+  t.is((await read(other)).outcome, 'not-run');
+});
+
+test('should cancel a running task and explain where it runs', async (t) => {
+  const { id } = await read(
+    await submit(t.context, { taskClass: 'watch', payload: { runMs: 600_000 } }),
+  );
+  const at = `${t.context.url}/tasks/${id}`;
+  while ((await read(await fetch(at))).state !== 'running');
+  const explained = (await (await fetch(`${at}/explain`)).json()) as { reason: string };
+  t.is(explained.reason, 'placed');
+  const cancelled = await fetch(at, { method: 'DELETE' });
+  t.is(cancelled.status, 200);
+  t.is((await read(cancelled)).state, 'cancelled');
+});
+
+test('should list all tasks page by page', async (t) => {
+  const task = { taskClass: 'plan', payload: { runMs: 10 } };
+  const submitted = await Promise.all(Array.from({ length: 12 }, () => submit(t.context, task)));
+  const ids = await Promise.all(submitted.map(async (each) => (await read(each)).id));
+  const listed: string[] = [];
+  let cursor: string | undefined = '';
+  while (cursor !== undefined) {
+    const query: string = cursor === '' ? '' : `&cursor=${cursor}`;
+    const page: TaskBody = await read(await fetch(`${t.context.url}/tasks?limit=5${query}`));
+    listed.push(...(page.tasks ?? []).map(({ id }) => id));
+    cursor = page.cursor;
+  }
+  t.deepEqual([...listed].sort(), [...ids].sort());
+});
+
+test('should answer bad input with a problem that says that nothing was run', async (t) => {
+  const { url } = t.context;
+  const good = { taskClass: 'plan', payload: '' };
+  const answers = await Promise.all([
+    submit(t.context, 'no json'),
+    submit(t.context, { ...good, extra: 1 }),
+    submit(t.context, { ...good, taskClass: 'unknown' }),
+    submit(t.context, { ...good, payload: 'x'.repeat(70_000) }),
+    submit(t.context, good, { tenant: 'stranger' }),
+    fetch(`${url}/tasks`, { method: 'POST', body: JSON.stringify(good) }),
+    fetch(`${url}/tasks?limit=0`),
+    fetch(`${url}/tasks?cursor=zzz`),
+    fetch(`${url}/tasks?state=sleeping`),
+    fetch(`${url}/tasks`, { method: 'PATCH' }),
+  ]);
+  t.deepEqual(
+    answers.map(({ status }) => status),
+    answers.map(() => 400),
+  );
+  const bodies = await Promise.all(answers.map(read));
+  t.true(bodies.every(({ outcome }) => outcome === 'not-run'));
+  const missing = await Promise.all([
+    fetch(`${url}/tasks/timaru~0~none`),
+    fetch(`${url}/tasks/nonsense`),
+    fetch(`${url}/tasks/a/b/c`),
+    fetch(`${url}/tasks/timaru~0~none/events`),
+  ]);
+  t.deepEqual(
+    missing.map(({ status }) => status),
+    [404, 404, 404, 404],
+  );
+});
+
+test('should refuse with a time to come back when nobody owns the partition', async (t) => {
+  t.context.abandon();
+  const refused = await submit(t.context, { taskClass: 'plan', payload: '' });
+  t.is(refused.status, 503);
+  t.truthy(refused.headers.get('retry-after'));
+  t.is((await read(refused)).outcome, 'not-run');
+});
