--- a/packages/samphirenotch/src/tasks/partitionOwner.ts
+++ b/packages/samphirenotch/src/tasks/partitionOwner.ts
@@ -4,6 +4,7 @@
  */
 import { setMaxListeners } from 'node:events';
 import { partLog } from '../observability/log.js';
+import type { StartPacing } from '../decisions/startPacing.js';
 import type { Grant } from '../membership/ownership.js';
 import type { AttemptReport } from '../platform/worker.js';
 import { AttemptKeeper } from './attemptKeeper.js';
@@ -12,6 +13,7 @@
 import { AttemptStopper } from './attemptStopper.js';
 import { JobStarter } from './jobStarter.js';
 import { JobStore } from './jobStore.js';
+import { RestartPolicies } from './restartPolicies.js';
 import { Scheduler } from './scheduler.js';
 import { ShardSearch } from './shardSearch.js';
 import type { CommitContext } from './groupCommit.js';
@@ -19,6 +21,7 @@
 import { loadPartition, type LoadedPartition } from './partitionLoad.js';
 import type { PartitionContext, TaskContext } from './taskContext.js';
 import {
+  PACED_OUTAGE_MS,
   RELEASE_TIMEOUT_MS,
   SCHEDULE_INTERVAL_MS,
   STORE_BACKOFF_MAXIMUM_MS,
@@ -44,6 +47,8 @@
 
   private starter: JobStarter | undefined;
 
+  private readonly pacing: StartPacing;
+
   private loops: Promise<unknown> = Promise.resolve();
 
   /**
@@ -54,6 +59,7 @@
     private readonly context: TaskContext,
     readonly grant: Grant,
   ) {
+    this.pacing = context.makePacing();
     setMaxListeners(0, this.stop.signal);
     grant.signal.addEventListener('abort', () => this.stop.abort());
     if (grant.signal.aborted) this.stop.abort();
@@ -102,14 +108,15 @@
    * @param shard - shard of the worker
    * @param workerId - the worker
    * @param report - what it says of an attempt
-   * @returns true once the end of the attempt is durable; nothing while the jobs are not loaded
+   * @returns true once the end of the attempt is durable; nothing while the jobs are not loaded or
+   * another entry may own them, since a report that is taken lets the attempt run on
    */
   async report(
     shard: string,
     workerId: string,
     report: AttemptReport,
   ): Promise<boolean | undefined> {
-    if (!this.jobs()) return undefined;
+    if (!this.jobs() || !this.grant.isCertain()) return undefined;
     return this.reports?.apply(shard, workerId, report);
   }
 
@@ -135,8 +142,18 @@
     };
   }
 
+  /**
+   * Takes note of a new configuration.
+   *
+   * @param hasReturned - whether a data centre came back with it
+   */
+  configurationChanged(hasReturned: boolean): void {
+    if (hasReturned) this.pacing.capacityReturned(this.context.clock.monotonicMs());
+    this.notify();
+  }
+
   /** Looks at queue and attempts soon. */
-  notify(): void {
+  private notify(): void {
     this.scheduler?.notify();
     this.keeper?.notify();
   }
@@ -170,9 +187,9 @@
   }
 
   private compose(loaded: LoadedPartition): void {
-    const pacing = this.context.makePacing();
-    const onReturn = (): void => {
-      pacing.capacityReturned(this.context.clock.monotonicMs());
+    const { pacing } = this;
+    const onReturn = (outageMs: number): void => {
+      if (outageMs >= PACED_OUTAGE_MS) pacing.capacityReturned(this.context.clock.monotonicMs());
       this.notify();
     };
     const onJob = (job: Job): void => this.tell(job);
@@ -189,14 +206,19 @@
     );
     const resolver = new AttemptResolver(context);
     this.stopper = new AttemptStopper(context, (target, fate) => reports.settle(target, fate));
-    this.starter = new JobStarter(context, reports, resolver, this.stopper);
-    this.keeper = new AttemptKeeper(context, reports, resolver, this.stopper, this.starter);
+    const policies = new RestartPolicies(context.clock);
+    this.starter = new JobStarter(context, reports, resolver, this.stopper, policies);
+    this.keeper = new AttemptKeeper(
+      context,
+      reports,
+      resolver,
+      this.stopper,
+      this.starter,
+      policies,
+    );
     this.scheduler = new Scheduler(context, new ShardSearch(context), this.starter, pacing);
     this.reports = reports;
     this.store = jobs;
-    this.context.configuration.onChange(() => {
-      if (!this.stop.signal.aborted) onReturn();
-    });
   }
 
   private commitContext(): Omit<CommitContext, 'onDurable'> {
