Withhold hedges without a free slot in the benchmark, as entries do

Cause: the fake queued hedging sends behind others; an entry makes one only in a slot that is free. Ruled out: a second threshold on load inside the budget, which changes nothing once slots decide. Conclusion: hedging pays and is kept, on the condition that it takes a free slot.

--- a/benchmarks/support/retryFake.ts
+++ b/benchmarks/support/retryFake.ts
@@ -101,9 +101,11 @@
     });
   }
 
+  /** As at an entry, a further send takes a slot that is free at once or is not made. */
   private sendAgain(request: Request): void {
     const nowMs = this.loop.nowMs();
     if (nowMs >= request.deadlineMs) return;
+    if (this.busySlots >= this.slots) return;
     if (!this.run.policy.tryRetry(nowMs)) return;
     this.furtherSends += 1;
     this.send(request);
