Teach the interference model by the requests themselves

Cause: nothing outside the benchmarks observed slowdowns, so an entry would never have learned any. Ruled out: a separate report by workers, which lags and needs another message. Change: the choice of workers gathers 16 requests beside the same neighbours into one measurement.

--- a/benchmarks/decisions/workerChoice.ts
+++ b/benchmarks/decisions/workerChoice.ts
@@ -54,10 +54,9 @@
 ];
 
 const runLearned = (firm: Firm, scenario: ChoiceScenario, seed: number): Figures => {
-  const interference = new LearnedInterference();
-  const choice = new LearnedWorkerChoice(seed + 1, interference);
+  const choice = new LearnedWorkerChoice(seed + 1, new LearnedInterference());
 
-  return runRequests({ firm, scenario, seed, interference, choice });
+  return runRequests({ firm, scenario, seed, choice });
 };
 
 const compareScenario = (firm: Firm, scenario: ChoiceScenario): Comparison[] =>
--- a/benchmarks/support/requestFake.ts
+++ b/benchmarks/support/requestFake.ts
@@ -5,12 +5,11 @@
  */
 
 import { SeededRandom } from 'samphirenotch/decisions/seededRandom.js';
-import type { InterferenceModel } from 'samphirenotch/decisions/interferenceModel.js';
 import type { WorkerCandidate, WorkerChoice } from 'samphirenotch/decisions/workerChoice.js';
 
 import { EventLoop } from './eventLoop.js';
 import { type Firm, workersPerDataCentre } from './firms.js';
-import { mean, quantile } from './statistics.js';
+import { quantile } from './statistics.js';
 
 /** What happens during a run. */
 export interface ChoiceScenario {
@@ -31,8 +30,6 @@
   readonly scenario: ChoiceScenario;
   readonly seed: number;
   readonly choice: WorkerChoice;
-  /** Model that is taught from reports that lag. */
-  readonly interference?: InterferenceModel;
 }
 
 /** A worker with its slots. */
@@ -43,8 +40,6 @@
 
   private busy = 0;
 
-  private latenciesMs: number[] = [];
-
   constructor(index: number) {
     this.index = index;
     this.workerId = `worker-${index}`;
@@ -61,24 +56,12 @@
   release(): void {
     this.busy -= 1;
   }
-
-  answered(latencyMs: number): void {
-    this.latenciesMs.push(latencyMs);
-  }
-
-  takeLatenciesMs(): readonly number[] {
-    const taken = this.latenciesMs;
-    this.latenciesMs = [];
-    return taken;
-  }
 }
 
 const RUN_MS = 20_000;
 const WARM_UP_MS = 3_000;
 const SILENCE_TIMEOUT_MS = 1_000;
 const FAILURE_MS = 1;
-const REPORT_PERIOD_MS = 1_000;
-const REPORT_LAG_MS = 3_000;
 /** Slowdown of a request beside a full set of others, less 1. */
 const CONTENTION = 0.5;
 
@@ -109,7 +92,6 @@
 
   measure(): Record<string, number> {
     this.planArrival();
-    this.loop.every(REPORT_PERIOD_MS, () => this.report());
     this.loop.runUntil(RUN_MS);
     return {
       p50: quantile(this.latenciesMs, 0.5),
@@ -206,7 +188,6 @@
     const { workerId } = worker;
     const { taskClass } = firm.quick;
     choice.observe({ workerId, taskClass, kind, latencyMs: nowMs - sentAtMs, nowMs });
-    if (kind === 'answered') worker.answered(nowMs - sentAtMs);
     if (arrivedAtMs > WARM_UP_MS) this.count(kind === 'answered', nowMs - arrivedAtMs);
     this.dispatch();
   }
@@ -217,21 +198,6 @@
     this.latenciesMs.push(wasAnswered ? latencyMs : Math.max(latencyMs, SILENCE_TIMEOUT_MS));
     if (!wasAnswered) this.lost += 1;
   }
-
-  /** Workers report the slowdown of the last period; the report arrives late. */
-  private report(): void {
-    const { firm, interference } = this.run;
-    for (const worker of this.workers) {
-      const latenciesMs = worker.takeLatenciesMs();
-      if (!interference || latenciesMs.length === 0) continue;
-      const neighbours = this.neighboursOf(worker);
-      const slowdown = mean(latenciesMs) / firm.quick.serviceMs;
-      const victimClass = firm.quick.taskClass;
-      this.loop.after(REPORT_LAG_MS, () =>
-        interference.observe({ victimClass, neighbours, slowdown, nowMs: this.loop.nowMs() }),
-      );
-    }
-  }
 }
 
 /**
--- a/packages/samphirenotch/src/decisions/learnedWorkerChoice.ts
+++ b/packages/samphirenotch/src/decisions/learnedWorkerChoice.ts
@@ -4,14 +4,16 @@
  */
 import { DecayingMean } from './decayingMean.js';
 import { SeededRandom } from './seededRandom.js';
+import { SlowdownSampler } from './slowdownSampler.js';
 import { WorkerHealth } from './workerHealth.js';
 
 import type { InterferenceModel } from './interferenceModel.js';
+import type { SlowdownSamplerSettings } from './slowdownSampler.js';
 import type { WorkerCandidate, WorkerChoice, WorkerObservation } from './workerChoice.js';
 import type { WorkerHealthSettings } from './workerHealth.js';
 
 /** Settings of the choice. */
-export interface LearnedWorkerChoiceSettings extends WorkerHealthSettings {
+export interface LearnedWorkerChoiceSettings extends WorkerHealthSettings, SlowdownSamplerSettings {
   /** Candidates that are compared for one request. */
   readonly sampledCandidates: number;
   /** Weight of a full worker relative to an idle one; 0 ignores outstanding work. */
@@ -37,11 +39,14 @@
   latencyHalfLifeMs: 3_000,
   latencyPriorWeight: 2,
   trialShare: 0.05,
+  requestsPerMeasurement: 16,
 };
 
 interface LatencyRecord {
   /** Latency relative to that of the class, less what its neighbours explain. */
   readonly relative: DecayingMean;
+  readonly samplers: Map<string, SlowdownSampler>;
+  neighbours: readonly string[];
   predictedSlowdown: number;
 }
 
@@ -169,6 +174,7 @@
   private cost(taskClass: string, candidate: WorkerCandidate, nowMs: number): number {
     const { outstandingWeight, latencyPriorWeight } = this.settings;
     const record = this.latencyOf(candidate.workerId);
+    record.neighbours = candidate.neighbours;
     record.predictedSlowdown = this.interference.predict(taskClass, candidate.neighbours, nowMs);
     const load = 1 + outstandingWeight * (candidate.busySlots / candidate.slots);
     const relative = record.relative.shrunkTo(1, latencyPriorWeight, nowMs);
@@ -181,7 +187,19 @@
     const unhinderedMs = latencyMs / record.predictedSlowdown;
     const usualMs = classLatency.shrunkTo(unhinderedMs, Number.EPSILON, nowMs);
     classLatency.observe(unhinderedMs, nowMs);
-    if (usualMs > 0) record.relative.observe(unhinderedMs / usualMs, nowMs);
+    if (usualMs <= 0) return;
+    record.relative.observe(unhinderedMs / usualMs, nowMs);
+    this.teach(record, taskClass, latencyMs / usualMs, nowMs);
+  }
+
+  /** What requests show of their neighbours goes to the model that placement uses too. */
+  private teach(record: LatencyRecord, victimClass: string, ratio: number, nowMs: number): void {
+    const { neighbours, samplers } = record;
+    const sampler = samplers.get(victimClass) ?? new SlowdownSampler(this.settings);
+    samplers.set(victimClass, sampler);
+    const slowdown = sampler.add(ratio, neighbours);
+    if (slowdown === undefined) return;
+    this.interference.observe({ victimClass, neighbours, slowdown, nowMs });
   }
 
   private latencyOf(workerId: string): LatencyRecord {
@@ -189,6 +207,8 @@
     if (known) return known;
     const record: LatencyRecord = {
       relative: new DecayingMean(this.settings.latencyHalfLifeMs),
+      samplers: new Map(),
+      neighbours: [],
       predictedSlowdown: 1,
     };
     this.latencies.set(workerId, record);
