Take a noted base version lightly at an empty store, and show progress

Cause: a trial with the programs as separate processes worked through all commands, but publishing notes the version in the directory, and the next run against a fresh store would have been a conflict. A command against a store that is down said nothing for 21 s.

Long publishes say that they go on, and problems name the step and the peer.

--- a/packages/samphirenotch-cli/src/cliProblem.ts
+++ b/packages/samphirenotch-cli/src/cliProblem.ts
@@ -55,6 +55,9 @@
   return status >= FIRST_SERVER_ERROR ? EXIT_CODES.unavailable : EXIT_CODES.refused;
 };
 
+const placeLine = ({ detail, peer, step }: Body): readonly string[] =>
+  step === undefined || detail?.includes(step) ? [] : [`It failed at ${step}, ${peer}:`];
+
 const retryLine = ({ retryAfterMs }: Body): readonly string[] =>
   retryAfterMs === undefined
     ? []
@@ -92,6 +95,7 @@
   const checked = BODY.safeParse(parsed);
   const body: Body = checked.success ? checked.data : {};
   const lines = [
+    ...placeLine(body),
     body.detail ?? `The entry answered with status ${status}.`,
     ...(body.problems ?? []).map(describeProblem),
     ...(body.changed ?? []).map((each) => `  ${describeChange(each)}`),
--- a/packages/samphirenotch-cli/src/publishCommand.ts
+++ b/packages/samphirenotch-cli/src/publishCommand.ts
@@ -7,6 +7,7 @@
 import type { CliProblem } from './cliProblem.js';
 import type { EntryClient } from './entryClient.js';
 import { EntryCommand } from './entryCommand.js';
+import { withProgress } from './progress.js';
 import { whenInForce } from './whenInForce.js';
 
 /** A command that publishes. */
@@ -27,7 +28,12 @@
     const publishedBy = this.author(this.by);
     if (!publishedBy.ok) return publishedBy;
     const sent = { ...body, publishedBy: publishedBy.val, why: this.why };
-    const published = readAnswer(PUBLISHED, await client.post(path, sent));
+    const answer = await withProgress(
+      client.post(path, sent),
+      'Publishing; the platform is slow to answer.',
+      (line) => this.note(line),
+    );
+    const published = readAnswer(PUBLISHED, answer);
     if (!published.ok) return published;
     const { isNew, record } = published.val;
     this.print(
--- a/packages/samphirenotch/src/config/publisher.ts
+++ b/packages/samphirenotch/src/config/publisher.ts
@@ -73,12 +73,12 @@
     if (request.publishedBy.trim() === '') return Err(missingText('the publisher'));
     const root = await this.history.root(call);
     if (!root.ok) return Err(failed(root.val));
-    const base = request.baseVersion ?? root.val.record?.version ?? 0;
-    if (base !== (root.val.record?.version ?? 0)) return this.conflict(base, call);
+    const { record } = root.val;
+    const base = request.baseVersion ?? record?.version;
+    if (record && base !== record.version) return this.conflict(base ?? 0, call);
     const checked = checkConfiguration(request.files, context);
     if (!checked.ok) return Err({ kind: 'problems', problems: checked.val });
     const content = toContent(request.files);
-    const { record } = root.val;
     if (record?.digest === content.digest) return Ok({ record, isNew: false });
     return this.accept(request, root.val, content, call);
   }
@@ -195,7 +195,7 @@
     call: Call,
   ): Promise<Result<readonly ChangedObject[], Failure>> {
     const before = await this.filesOfVersion(baseVersion, call);
-    if (!before.ok) return before;
+    if (!before.ok) return before.val.code === 'not-found' ? Ok([]) : before;
     if (!current) return Ok([]);
     const after = await this.history.files(current.digest, call);
     return after.ok ? Ok(changedObjects(before.val, after.val)) : after;
--- a/tests/config/publisher.spec.ts
+++ b/tests/config/publisher.spec.ts
@@ -172,6 +172,17 @@
   t.deepEqual(changedBy(refusal), ['tenant growers']);
 });
 
+test('should take files that were noted at another store only if nothing is accepted yet', async (t) => {
+  const { clock, store } = openStore();
+  const { publisher } = openDesk(store, clock);
+  const request = { files: FILES, baseVersion: 7, publishedBy: 'a', why: 'a new store' };
+  const call = longCall(clock);
+  t.true((await publisher.publish(request, CONTEXT, call)).ok);
+  const refusal = refusalOf(await publisher.publish(request, CONTEXT, call));
+
+  t.is(refusal?.kind, 'conflict');
+});
+
 test('should restore old content as a new version', async (t) => {
   const { clock, store } = openStore();
   await publish(clock, store, FILES);
