--- a/packages/samphirenotch/src/membership/prefixFollower.ts
+++ b/packages/samphirenotch/src/membership/prefixFollower.ts
@@ -10,8 +10,8 @@
 import { callWithin } from '../time/call.js';
 import type { Clock } from '../time/clock.js';
 
-const WATCH_HOLD_MS = 10_000;
-const WATCH_TIMEOUT_MS = 12_000;
+const WATCH_HOLD_MS = 4000;
+const WATCH_TIMEOUT_MS = 5000;
 const LIST_TIMEOUT_MS = 2000;
 const SHORTEST_RETRY_MS = 100;
 const LONGEST_RETRY_MS = 1000;
--- a/packages/samphirenotch/src/shards/attemptStops.ts
+++ b/packages/samphirenotch/src/shards/attemptStops.ts
@@ -2,17 +2,18 @@
  * Ends attempts at one worker, and says when it is proved that they run no more.
  */
 import type { Failure } from '../failure.js';
-import type { AttemptReport } from '../platform/worker.js';
+import { NEVER_STARTED, type AttemptReport } from '../platform/worker.js';
 import { Err, Ok, type Result } from '../results.js';
 import { callWithin, type Call } from '../time/call.js';
 import type { Clock } from '../time/clock.js';
 import type { OwnedWorker } from './ownedWorker.js';
-import { unknownEffect } from './shardFailure.js';
-import { absentReport, endedReport, type TrackedAttempt } from './trackedAttempt.js';
+import { notRun, unknownEffect } from './shardFailure.js';
+import { endedReport, type TrackedAttempt } from './trackedAttempt.js';
 
 const STOP_TIMEOUT_MS = 1000;
 const STOP_STEP = 'shard.stop';
 const FIND_STEP = 'shard.find';
+const NOT_HELD = 'the worker does not hold it';
 
 /** Attempts that are remembered as given up, at most. */
 const MOST_VOIDED = 10_000;
@@ -22,6 +23,9 @@
   /** Attempts that must not start here any more. */
   private readonly voided = new Set<string>();
 
+  /** Those of them that were reserved and never sent to the worker. */
+  private readonly neverSent = new Map<string, TrackedAttempt>();
+
   /**
    * @param owned - the worker
    * @param clock - for deadlines and leases
@@ -41,6 +45,21 @@
     return this.voided.has(attemptId);
   }
 
+  /**
+   * Keeps an attempt from being reserved or started here any more.
+   *
+   * @param attemptId - the attempt
+   */
+  voidAttempt(attemptId: string): void {
+    this.voided.add(attemptId);
+    const attempt = this.owned.attempts.get(attemptId);
+    if (attempt?.state === 'reserved') {
+      this.neverSent.set(attemptId, attempt);
+      this.forget(attemptId);
+    }
+    this.dropOldest();
+  }
+
   /**
    * Stops an attempt.
    *
@@ -104,8 +123,11 @@
     if (!stopped.ok) return stopped;
     if (!isFinal) return this.unknown(STOP_STEP, 'the start may yet arrive');
     this.forget(attempt.attemptId);
-    if (stopped.val || offer.keepsEndedAttempts) return stopped;
-    return Ok(endedReport(attempt, 'lapsed', 'the worker does not hold it'));
+    if (stopped.val) return stopped;
+    // Later the worker may have run the attempt and lost its memory since.
+    const isFresh = this.clock.monotonicMs() - attempt.answeredAtMs <= STOP_TIMEOUT_MS;
+    if (isFresh && offer.keepsEndedAttempts) return Ok(undefined);
+    return Ok(endedReport(attempt, 'lapsed', NOT_HELD));
   }
 
   /**
@@ -142,7 +164,18 @@
       return this.unknown(STOP_STEP, 'a start of an earlier owner may yet arrive');
     }
     this.forget(attemptId);
-    return Ok(stopped.val ?? absentReport(attemptId, attempt));
+    return stopped.val ? Ok(stopped.val) : this.describeAbsent(attemptId, attempt);
+  }
+
+  private describeAbsent(
+    attemptId: string,
+    attempt: TrackedAttempt | undefined,
+  ): Result<AttemptReport, Failure> {
+    const neverSent = this.neverSent.get(attemptId);
+    if (neverSent) return Ok(endedReport(neverSent, 'stopped', NEVER_STARTED));
+    if (attempt?.state === 'uncertain') return Ok(endedReport(attempt, 'stopped', NEVER_STARTED));
+    if (attempt) return Ok(endedReport(attempt, 'lapsed', NOT_HELD));
+    return Err(notRun('worker.stop', this.owned.id, 'not-found', NOT_HELD));
   }
 
   /** Resolves to nothing if the worker says that it does not hold the attempt and never will. */
@@ -166,11 +199,11 @@
     return taken.ok ? taken.val : undefined;
   }
 
-  private voidAttempt(attemptId: string): void {
-    this.voided.add(attemptId);
+  private dropOldest(): void {
     const [oldest] = this.voided;
-    if (this.voided.size > MOST_VOIDED && oldest !== undefined) this.voided.delete(oldest);
-    if (this.owned.attempts.get(attemptId)?.state === 'reserved') this.forget(attemptId);
+    if (this.voided.size <= MOST_VOIDED || oldest === undefined) return;
+    this.voided.delete(oldest);
+    this.neverSent.delete(oldest);
   }
 
   private forget(attemptId: string): void {
--- a/packages/samphirenotch/src/shards/ownedWorker.ts
+++ b/packages/samphirenotch/src/shards/ownedWorker.ts
@@ -167,7 +167,11 @@
    * @param failure - the failure
    */
   learnFailure(failure: Failure): void {
-    if (failure.code !== 'stale-epoch') return;
+    if (failure.code === 'stale-epoch') this.fence();
+  }
+
+  /** Notes that another owner with a higher epoch has the worker: nothing is sent to it any more. */
+  fence(): void {
     this.isFenced = true;
     this.ledger.close();
   }
--- a/packages/samphirenotch/src/shards/placement.ts
+++ b/packages/samphirenotch/src/shards/placement.ts
@@ -179,14 +179,10 @@
 
   private dropOverdue(workers: readonly ShardWorker[]): void {
     const oldestMs = this.parts.clock.monotonicMs() - RESERVATION_MS;
-    workers.forEach(({ owned }) => {
-      const overdue = [...owned.attempts.values()].filter(
-        ({ state, sinceMs }) => state === 'reserved' && sinceMs < oldestMs,
-      );
-      overdue.forEach(({ attemptId }) => {
-        owned.attempts.delete(attemptId);
-        owned.ledger.free(attemptId);
-      });
+    workers.forEach(({ owned, stops }) => {
+      [...owned.attempts.values()]
+        .filter(({ state, sinceMs }) => state === 'reserved' && sinceMs < oldestMs)
+        .forEach(({ attemptId }) => stops.voidAttempt(attemptId));
     });
   }
 
--- a/packages/samphirenotch/src/shards/trackedAttempt.ts
+++ b/packages/samphirenotch/src/shards/trackedAttempt.ts
@@ -4,7 +4,6 @@
 import type { Failure } from '../failure.js';
 import type { AttemptReport, Size } from '../platform/worker.js';
 import type { Result } from '../results.js';
-import { NO_SIZE } from './sizes.js';
 
 /**
  * `reserved`: room is set aside; `starting`: a start is under way; `running`: the worker holds it;
@@ -60,20 +59,3 @@
   const base = { attemptId, jobId, partition, taskClass, tenant, size, phase, detail };
   return report?.checkpoint === undefined ? base : { ...base, checkpoint: report.checkpoint };
 };
-
-/**
- * Describes an attempt that a worker does not hold.
- *
- * @param attemptId - the attempt
- * @param attempt - what was known of it, if anything
- * @returns the report for the owner of its job
- */
-export const absentReport = (
-  attemptId: string,
-  attempt: TrackedAttempt | undefined,
-): AttemptReport => {
-  const detail = 'the worker does not hold it';
-  if (attempt) return endedReport(attempt, 'stopped', detail);
-  const job = { jobId: '', partition: '', taskClass: '', tenant: '' };
-  return { attemptId, ...job, size: NO_SIZE, phase: 'stopped', detail };
-};
--- a/packages/samphirenotch/src/shards/workerLoop.ts
+++ b/packages/samphirenotch/src/shards/workerLoop.ts
@@ -5,7 +5,12 @@
 import type { SizeEstimate } from '../decisions/sizeEstimate.js';
 import type { Failure } from '../failure.js';
 import { partLog } from '../observability/log.js';
-import type { AttemptReport, Inventory, Renewal } from '../platform/worker.js';
+import {
+  NEVER_STARTED,
+  type AttemptReport,
+  type Inventory,
+  type Renewal,
+} from '../platform/worker.js';
 import type { Result } from '../results.js';
 import { callWithin } from '../time/call.js';
 import type { Clock } from '../time/clock.js';
@@ -69,6 +74,7 @@
       this.learnFailure(claimed.val);
       return;
     }
+    if (!this.hasOwnEpoch(claimed.val)) return;
     owned.claim();
     owned.ledger.countForeignSlots(claimed.val.busySlots);
     this.takeIn(claimed.val, sentAtMs);
@@ -99,16 +105,22 @@
       this.learnFailure(answer.val);
       return;
     }
-    if (answer.val.epoch !== owned.grant.epoch) {
-      log.warn('A worker lost its epoch.', { worker: owned.id });
-      owned.unclaim();
-      return;
-    }
+    if (!this.hasOwnEpoch(answer.val)) return;
     const heldThroughout = Math.min(heldBefore, owned.ledger.heldSlots());
     owned.ledger.settleForeignSlots(answer.val.busySlots, heldThroughout);
     this.takeIn(answer.val, sentAtMs);
   }
 
+  /** A higher epoch is that of a newer owner; a lower one that of a worker which lost its memory. */
+  private hasOwnEpoch({ epoch }: Inventory): boolean {
+    const { owned } = this.parts;
+    if (epoch === owned.grant.epoch) return true;
+    log.warn('A worker has another epoch.', { worker: owned.id, epoch });
+    if (epoch > owned.grant.epoch) owned.fence();
+    else owned.unclaim();
+    return false;
+  }
+
   private takeIn(inventory: Inventory, sentAtMs: number): void {
     const { owned, reporter, onRoom } = this.parts;
     inventory.attempts.forEach((report) => this.takeReport(report));
@@ -174,7 +186,7 @@
     for (const attempt of uncertain) {
       const chased = await stops.chase(attempt);
       if (!chased.ok) continue;
-      reporter.conclude(chased.val ?? endedReport(attempt, 'stopped', 'the start did not arrive'));
+      reporter.conclude(chased.val ?? endedReport(attempt, 'stopped', NEVER_STARTED));
     }
   }
 
--- /dev/null
+++ b/tests/membership/ownership.spec.ts
@@ -0,0 +1,209 @@
+import test from 'ava';
+import { Lease } from 'samphirenotch/membership/lease.js';
+import { OwnerKeys } from 'samphirenotch/membership/ownerKey.js';
+import type { Grant, ResourceHandler } from 'samphirenotch/membership/ownership.js';
+import { SESSION_TIMES } from 'samphirenotch/membership/session.js';
+
+import { shortCall } from '../fixtures/platform.js';
+import {
+  shardEntry,
+  shardSite,
+  until,
+  whileTimeMoves,
+  type ShardSite,
+} from '../fixtures/shardSite.js';
+
+const RESOURCE = 'partition/timaru/0';
+
+/** Makes a handler that notes what it was told. */
+const notingHandler = (names: readonly string[] = [RESOURCE]) => {
+  const taken: Grant[] = [];
+  const released: string[] = [];
+  const handler: ResourceHandler = {
+    kind: 'partition',
+    resources: () => names,
+    take: (grant) => {
+      taken.push(grant);
+      return Promise.resolve();
+    },
+    release: (resource) => {
+      released.push(resource);
+      return Promise.resolve();
+    },
+  };
+  return { handler, taken, released };
+};
+
+/** Tells whether a key is in the store. */
+const isStored = async (site: ShardSite, key: string): Promise<boolean> => {
+  const call = { deadlineMs: Infinity, signal: new AbortController().signal };
+  const read = await site.store.get(key, call);
+  return read.ok && read.val !== undefined;
+};
+
+/** Makes entries that all want the same resources. */
+const entriesOf = (ids: readonly string[], names?: readonly string[]) => {
+  const site = shardSite([]);
+  const entries = ids.map((id) => {
+    const notes = notingHandler(names);
+    return { ...notes, entry: shardEntry(site, id, { handlers: [notes.handler] }) };
+  });
+  const holders = (resource = RESOURCE) =>
+    entries.filter(({ entry }) => entry.ownership.grantOf(resource)?.isCertain());
+  return { site, entries, holders };
+};
+
+test('should give a resource to exactly one of two would-be owners', async (t) => {
+  const { site, entries, holders } = entriesOf(['e1', 'e2']);
+  await until(site, () => holders().length > 0);
+  await site.clock.advance(5000);
+  t.is(holders().length, 1);
+  const [owner] = holders();
+  entries.forEach(({ entry }) => t.is(entry.ownership.ownerOf(RESOURCE), owner?.entry.id));
+});
+
+test('should count certainty from the sending of a renewal, not from its answer', async (t) => {
+  const { site, entries, holders } = entriesOf(['e1']);
+  await until(site, () => holders().length > 0);
+  const [owner] = entries;
+  if (owner) owner.entry.link.answerDelayMs = SESSION_TIMES.callTimeoutMs - 50;
+  await site.clock.advance(10_000);
+  t.is(holders().length, 1);
+  if (owner) owner.entry.link.cut = true;
+  while (await isStored(site, 'entries/e1')) await site.clock.advance(50);
+  t.is(holders().length, 0, 'certainty ends before the lease');
+});
+
+test('should know at once after a pause that its grant may have lapsed', async (t) => {
+  const { site, entries, holders } = entriesOf(['e1', 'e2']);
+  await until(site, () => holders().length > 0);
+  const [first] = holders();
+  const grant = first?.entry.ownership.grantOf(RESOURCE);
+  if (!first || !grant) return t.fail('nobody owns the resource');
+  first.entry.link.frozen = true;
+  const rival = entries.find(({ entry }) => entry.id !== first.entry.id);
+  await until(site, () => rival?.entry.ownership.grantOf(RESOURCE) !== undefined);
+  t.false(grant.isCertain());
+  t.false(grant.signal.aborted, 'it cannot have noticed anything else');
+  first.entry.link.frozen = false;
+  await until(site, () => grant.signal.aborted, 3000);
+  t.deepEqual(first.released, [RESOURCE]);
+  const epoch = rival?.entry.ownership.grantOf(RESOURCE)?.epoch ?? 0;
+  return t.true(epoch > grant.epoch);
+});
+
+test('should own what it swapped when the answer to the swap was lost', async (t) => {
+  const { site, entries, holders } = entriesOf(['e1']);
+  await until(site, () => entries[0]?.entry.directory.isRegistered() === true);
+  entries[0]?.entry.link.lostAnswers.add('swap');
+  await until(site, () => holders().length > 0, 10_000);
+  const call = { deadlineMs: Infinity, signal: new AbortController().signal };
+  const stored = await site.store.get(`owners/${RESOURCE}`, call);
+  const revision = stored.ok ? stored.val?.revision : undefined;
+  t.is(entries[0]?.entry.ownership.grantOf(RESOURCE)?.epoch, revision);
+  t.is(entries[0]?.taken.length, 1);
+  t.is(revision, 2, 'the first swap is the one that counts');
+});
+
+test('should keep grants without certainty while the store is down', async (t) => {
+  const { site, entries, holders } = entriesOf(['e1', 'e2']);
+  await until(site, () => holders().length > 0);
+  const [owner] = holders();
+  const grant = owner?.entry.ownership.grantOf(RESOURCE);
+  site.store.faults.down = true;
+  await site.clock.advance(60_000);
+  t.is(owner?.entry.ownership.grantOf(RESOURCE), grant);
+  t.false(grant?.signal.aborted);
+  t.false(grant?.isCertain());
+  t.is(entries.filter(({ taken }) => taken.length > 0).length, 1, 'nobody else acquired');
+});
+
+test('should revoke a grant when a rival is first at the store that returned', async (t) => {
+  const { site, entries, holders } = entriesOf(['e1', 'e2']);
+  await until(site, () => holders().length > 0);
+  const [old] = holders();
+  const grant = old?.entry.ownership.grantOf(RESOURCE);
+  const rival = entries.find(({ entry }) => entry.id !== old?.entry.id);
+  if (!old || !rival || !grant) return t.fail('nobody owns the resource');
+  site.store.faults.down = true;
+  await site.clock.advance(20_000);
+  old.entry.link.cut = true;
+  site.store.faults.down = false;
+  await until(site, () => rival.entry.ownership.grantOf(RESOURCE) !== undefined);
+  t.false(grant.isCertain(), 'never certain beside the rival');
+  old.entry.link.cut = false;
+  await until(site, () => grant.signal.aborted, 5000);
+  await until(site, () => old.entry.ownership.ownerOf(RESOURCE) === rival.entry.id);
+  return t.true((rival.entry.ownership.grantOf(RESOURCE)?.epoch ?? 0) > grant.epoch);
+});
+
+test('should hand over at a planned stop without waiting for a lease', async (t) => {
+  const { site, entries, holders } = entriesOf(['e1', 'e2']);
+  await until(site, () => holders().length > 0);
+  await site.clock.advance(5000);
+  const [old] = holders();
+  const rival = entries.find(({ entry }) => entry.id !== old?.entry.id);
+  if (!old || !rival) return t.fail('nobody owns the resource');
+  const drained = old.entry.ownership.drain(new AbortController().signal);
+  const waitedMs = await until(site, () => rival.taken.length > 0);
+  await whileTimeMoves(site, drained);
+  t.true(waitedMs < 1000, `it took ${waitedMs} ms`);
+  return t.deepEqual(old.released, [RESOURCE], 'the old owner had finished before');
+});
+
+test('should adopt what a dead data centre owned, and give it back later', async (t) => {
+  const site = shardSite([]);
+  const notes = [notingHandler(), notingHandler(), notingHandler()];
+  const make = (id: string, dataCentre: string, index: number) =>
+    shardEntry(site, id, {
+      dataCentre,
+      handlers: [notes[index]?.handler ?? notingHandler().handler],
+    });
+  const home = make('h1', 'timaru', 0);
+  const away = make('a1', 'rakaia', 1);
+  const owns = (entry: typeof home): boolean =>
+    entry.ownership.grantOf(RESOURCE)?.isCertain() === true;
+  await until(site, () => owns(home));
+  home.kill();
+  await until(site, () => owns(away));
+  const returned = make('h2', 'timaru', 2);
+  await until(site, () => owns(returned));
+  t.false(owns(away));
+});
+
+test('should move few resources when an entry joins, and a few at a time', async (t) => {
+  const names = Array.from({ length: 40 }, (_, index) => `partition/timaru/${index}`);
+  const { site, entries } = entriesOf(['e1', 'e2', 'e3'], names);
+  const held = (entry: (typeof entries)[number]['entry']): number =>
+    names.filter((name) => entry.ownership.grantOf(name)?.isCertain()).length;
+  await until(site, () => entries.reduce((sum, { entry }) => sum + held(entry), 0) === 40);
+  await site.clock.advance(10_000);
+  const notes = notingHandler(names);
+  const joined = shardEntry(site, 'e4', { handlers: [notes.handler] });
+  let least = 40;
+  await until(site, () => {
+    const total = [...entries.map(({ entry }) => entry), joined].reduce(
+      (sum, entry) => sum + held(entry),
+      0,
+    );
+    least = Math.min(least, total);
+    return held(joined) >= 4 && total === 40;
+  });
+  await site.clock.advance(10_000);
+  t.true(least >= 36, `${40 - least} were without an owner at once`);
+  t.true(held(joined) <= 16, `${held(joined)} moved to the new entry`);
+  const moved = entries.flatMap(({ released }) => released).length;
+  t.is(moved, held(joined), 'nothing moved between the others');
+});
+
+test('should let one of two swaps win where both entries saw no owner', async (t) => {
+  const site = shardSite([]);
+  const swaps = await Promise.all(
+    ['e1', 'e2'].map(async (id) => {
+      const granted = await site.store.grantLease(5000, shortCall(site.clock));
+      const lease = new Lease(granted.ok ? granted.val : '', site.clock, Infinity);
+      return new OwnerKeys(site.store, site.clock, id).acquire(RESOURCE, 0, lease);
+    }),
+  );
+  t.deepEqual(swaps.map(({ kind }) => kind).sort(), ['acquired', 'lost']);
+});
