--- a/packages/samphirenotch/src/shards/ownedWorker.ts
+++ b/packages/samphirenotch/src/shards/ownedWorker.ts
@@ -103,13 +103,13 @@
   }
 
   /**
-   * Tells whether only this owner can have renewed leases since the worker was claimed.
+   * Tells whether only this owner can have renewed the attempts that it tracks: it claimed the worker
+   * before it tracked any, and nobody can have claimed it since.
    *
    * @returns true if leases may be concluded to have lapsed
    */
   mayConcludeLapse(): boolean {
-    if (!this.grant.isCertain() || this.isFenced) return false;
-    return this.claimed || !this.worker.offer.refusesOlderEpochs;
+    return this.grant.isCertain() && !this.isFenced;
   }
 
   isClaimed(): boolean {
--- a/tests/shards/outages.spec.ts
+++ b/tests/shards/outages.spec.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import { violations } from 'samphirenotch-stand-ins/invariants.js';
 import { FULL_OFFER } from 'samphirenotch-stand-ins/memoryWorker.js';
-import { START_FRESHNESS_MS } from 'samphirenotch/shards/taskLease.js';
+import { LAPSE_MS, START_FRESHNESS_MS, TASK_LEASE_MS } from 'samphirenotch/shards/taskLease.js';
 
 import { shortCall, workerListing } from '../fixtures/platform.js';
 import {
@@ -40,6 +40,9 @@
   );
 };
 
+const untilOwned = (site: ShardSite, entry: ShardEntry): Promise<number> =>
+  until(site, () => entry.ownership.grantOf(SHARD)?.isCertain() === true);
+
 const lostGrant = (entry: ShardEntry): boolean => entry.handler.ownerOf(SHARD) === undefined;
 
 test('should go on through an outage where workers refuse older epochs, until one is claimed', async (t) => {
@@ -235,3 +238,34 @@
   t.true(isRunning(site, 'keeps'));
   t.false(isRunning(site, 'restarts'));
 });
+
+test('should conclude that an attempt lapsed only while nobody else can have renewed it', async (t) => {
+  const site = shardSite();
+  const entry = shardEntry(site, 'e1');
+  await untilOpen(site, entry);
+  const room = await reserved(site, entry, { attemptId: 'a1' });
+  await startIn(site, entry, room, { attemptId: 'a1' });
+  const worker = site.workers.get('w1');
+  if (worker) worker.faults.silent = true;
+  site.store.faults.down = true;
+  await site.clock.advance(LAPSE_MS + 10_000);
+  const lapsed = () => entry.reports.filter(({ phase }) => phase === 'lapsed');
+  t.deepEqual(lapsed(), [], 'a rival may have claimed the worker');
+  site.store.faults.down = false;
+  await untilOwned(site, entry);
+  t.deepEqual(lapsed(), [], 'the owner is a new one');
+});
+
+test('should report an attempt as lapsed when its worker died and its lease is over', async (t) => {
+  const site = shardSite();
+  const entry = shardEntry(site, 'e1');
+  await untilOpen(site, entry);
+  const room = await reserved(site, entry, { attemptId: 'a1' });
+  await startIn(site, entry, room, { attemptId: 'a1' });
+  const worker = site.workers.get('w1');
+  if (worker) worker.faults.silent = true;
+  const lapsed = () => entry.reports.some(({ phase }) => phase === 'lapsed');
+  const waitedMs = await until(site, lapsed);
+  t.true(waitedMs >= TASK_LEASE_MS, `it was concluded after ${waitedMs} ms`);
+  t.false(isRunning(site, 'a1'), 'by the word of the worker too');
+});
--- a/tests/shards/placement.spec.ts
+++ b/tests/shards/placement.spec.ts
@@ -146,11 +146,14 @@
   old.kill();
   const successor = shardEntry(site, 'e2');
   await until(site, () => successor.handler.ownerOf(SHARD)?.worker('w2')?.owned.isOpen() === true);
-  await site.clock.advance(60_000);
   const onlyFirst = { excludedWorkers: ['w2'], declaredSize: WHOLE };
   t.like(await reserve(site, successor, { attemptId: 'a2', ...onlyFirst }), {
     reason: 'no-room-now',
   });
+  await site.clock.advance(60_000);
+  t.like(await reserve(site, successor, { attemptId: 'a2', ...onlyFirst }), {
+    reason: 'no-room-now',
+  });
   const found = await whileTimeMoves(
     site,
     successor.local.find(SHARD, 'w1', 'a1', shortCall(site.clock)),
