--- a/tests/tasks/taskHttp.spec.ts
+++ b/tests/tasks/taskHttp.spec.ts
@@ -2,11 +2,9 @@
  * Tasks over HTTP at an entry that owns nothing, forwarded to the one that does.
  */
 import { fetch, type Response } from 'undici';
-import anyTest, { type TestFn } from 'ava';
+import test, { type ExecutionContext } from 'ava';
 import { taskServers, type TaskServers } from '../fixtures/taskServers.js';
 
-const test = anyTest as TestFn<TaskServers>;
-
 interface TaskBody {
   readonly id: string;
   readonly state: string;
@@ -31,41 +29,44 @@
 
 const read = async (response: Response): Promise<TaskBody> => (await response.json()) as TaskBody;
 
-test.beforeEach(async (t) => {
-  t.context = await taskServers();
-});
-
-test.afterEach.always((t) => t.context.close());
+const started = async (t: ExecutionContext): Promise<TaskServers> => {
+  const servers = await taskServers();
+  t.teardown(() => servers.close());
+  return servers;
+};
 
 test('should submit, follow to the end and show a task through a forward', async (t) => {
-  const response = await submit(t.context, { taskClass: 'plan', payload: { runMs: 100 } });
+  const servers = await started(t);
+  const response = await submit(servers, { taskClass: 'plan', payload: { runMs: 100 } });
   t.is(response.status, 201);
   const { id } = await read(response);
   t.is(response.headers.get('location'), `/tasks/${encodeURIComponent(id)}`);
-  const events = await fetch(`${t.context.url}/tasks/${id}/events`);
+  const events = await fetch(`${servers.url}/tasks/${id}/events`);
   const text = await events.text();
   t.true(text.includes('"state":"running"'));
   t.true(text.includes('"state":"completed"'));
-  const shown = await read(await fetch(`${t.context.url}/tasks/${id}`));
+  const shown = await read(await fetch(`${servers.url}/tasks/${id}`));
   t.is(shown.state, 'completed');
 });
 
 test('should give one job for an idempotency key and refuse another task under it', async (t) => {
+  const servers = await started(t);
   const key = { 'idempotency-key': 'k1' };
   const task = { taskClass: 'plan', payload: { runMs: 100 } };
-  const all = await Promise.all([1, 2, 3].map(() => submit(t.context, task, key)));
+  const all = await Promise.all([1, 2, 3].map(() => submit(servers, task, key)));
   const ids = await Promise.all(all.map(async (each) => (await read(each)).id));
   t.is(new Set(ids).size, 1);
-  const other = await submit(t.context, { ...task, payload: 'other' }, key);
+  const other = await submit(servers, { ...task, payload: 'other' }, key);
   t.is(other.status, 409);
   t.is((await read(other)).outcome, 'not-run');
 });
 
 test('should cancel a running task and explain where it runs', async (t) => {
+  const servers = await started(t);
   const { id } = await read(
-    await submit(t.context, { taskClass: 'watch', payload: { runMs: 600_000 } }),
+    await submit(servers, { taskClass: 'watch', payload: { runMs: 600_000 } }),
   );
-  const at = `${t.context.url}/tasks/${id}`;
+  const at = `${servers.url}/tasks/${id}`;
   while ((await read(await fetch(at))).state !== 'running');
   const explained = (await (await fetch(`${at}/explain`)).json()) as { reason: string };
   t.is(explained.reason, 'placed');
@@ -75,14 +76,15 @@
 });
 
 test('should list all tasks page by page', async (t) => {
+  const servers = await started(t);
   const task = { taskClass: 'plan', payload: { runMs: 10 } };
-  const submitted = await Promise.all(Array.from({ length: 12 }, () => submit(t.context, task)));
+  const submitted = await Promise.all(Array.from({ length: 12 }, () => submit(servers, task)));
   const ids = await Promise.all(submitted.map(async (each) => (await read(each)).id));
   const listed: string[] = [];
   let cursor: string | undefined = '';
   while (cursor !== undefined) {
     const query: string = cursor === '' ? '' : `&cursor=${cursor}`;
-    const page: TaskBody = await read(await fetch(`${t.context.url}/tasks?limit=5${query}`));
+    const page: TaskBody = await read(await fetch(`${servers.url}/tasks?limit=5${query}`));
     listed.push(...(page.tasks ?? []).map(({ id }) => id));
     cursor = page.cursor;
   }
@@ -90,14 +92,15 @@
 });
 
 test('should answer bad input with a problem that says that nothing was run', async (t) => {
-  const { url } = t.context;
+  const servers = await started(t);
+  const { url } = servers;
   const good = { taskClass: 'plan', payload: '' };
   const answers = await Promise.all([
-    submit(t.context, 'no json'),
-    submit(t.context, { ...good, extra: 1 }),
-    submit(t.context, { ...good, taskClass: 'unknown' }),
-    submit(t.context, { ...good, payload: 'x'.repeat(70_000) }),
-    submit(t.context, good, { tenant: 'stranger' }),
+    submit(servers, 'no json'),
+    submit(servers, { ...good, extra: 1 }),
+    submit(servers, { ...good, taskClass: 'unknown' }),
+    submit(servers, { ...good, payload: 'x'.repeat(70_000) }),
+    submit(servers, good, { tenant: 'stranger' }),
     fetch(`${url}/tasks`, { method: 'POST', body: JSON.stringify(good) }),
     fetch(`${url}/tasks?limit=0`),
     fetch(`${url}/tasks?cursor=zzz`),
@@ -123,8 +126,9 @@
 });
 
 test('should refuse with a time to come back when nobody owns the partition', async (t) => {
-  t.context.abandon();
-  const refused = await submit(t.context, { taskClass: 'plan', payload: '' });
+  const servers = await started(t);
+  servers.abandon();
+  const refused = await submit(servers, { taskClass: 'plan', payload: '' });
   t.is(refused.status, 503);
   t.truthy(refused.headers.get('retry-after'));
   t.is((await read(refused)).outcome, 'not-run');
