Check leaving workers, configuration versions and planned stops in trials

Cause: the checker of histories did not see three promises: no work to leaving workers, no older configuration, no request cut off by a planned stop. Change: two more rules, each with a test that it is caught; the balancer of trials stops sending one second after an entry stops being ready; outages and leaving workers last longer than their 5 s of grace.

--- a/packages/samphirenotch-stand-ins/src/site/site.ts
+++ b/packages/samphirenotch-stand-ins/src/site/site.ts
@@ -8,6 +8,7 @@
 import { request } from 'undici';
 
 import type { HistoryEvent } from '../history.js';
+import type { LeaveWindow } from '../invariants.js';
 import type { StoreFaults } from '../storeFaults.js';
 import type { WorkerFaults } from '../workerFaults.js';
 
@@ -40,6 +41,8 @@
 
 const READY_TIMEOUT_MS = 20_000;
 const POLL_INTERVAL_MS = 50;
+/** Time until the balancer sends no more to an entry that is not ready. */
+const BALANCER_LAG_MS = 1000;
 
 /**
  * Waits.
@@ -76,10 +79,18 @@
   return response.body.json();
 };
 
+const closeRelays = ({ platformRelay, peerRelay }: SiteEntry): void => {
+  platformRelay.close();
+  peerRelay.close();
+};
+
 /** A running site. */
 export class Site {
   readonly entries: SiteEntry[] = [];
 
+  /** Times in which workers were listed as leaving. */
+  readonly leaveWindows: LeaveWindow[] = [];
+
   private readonly racks: ChildProgram[] = [];
 
   private listings: WorkerListing[] = [];
@@ -162,8 +173,11 @@
    * @returns its exit code
    */
   async stopEntry(entry: SiteEntry): Promise<number | null> {
-    const code = await entry.program.terminate();
-    this.forget(entry);
+    const ended = entry.program.terminate();
+    await pause(BALANCER_LAG_MS);
+    this.entries.splice(this.entries.indexOf(entry), 1);
+    const code = await ended;
+    closeRelays(entry);
     return code;
   }
 
@@ -184,11 +198,14 @@
     await post(`http://${worker.address}/control/faults`, faults);
   }
 
-  /** Changes what the platform's VM list says of a worker. */
-  async list(workerId: string, changes: Partial<WorkerListing>): Promise<void> {
+  /** Lists a worker as leaving or no longer leaving. */
+  async listLeaving(workerId: string, leaving: boolean): Promise<void> {
     const worker = this.listings.find(({ id }) => id === workerId);
     if (!worker) throw new Error(`There is no worker ${workerId}.`);
-    await post(`http://127.0.0.1:${this.platformPort}/vms/put`, { ...worker, ...changes });
+    if (!leaving) this.endLeaveWindow(workerId);
+    await post(`http://127.0.0.1:${this.platformPort}/vms/put`, { ...worker, leaving });
+    if (!leaving) return;
+    this.leaveWindows.push({ workerId, listedAtMs: Date.now(), endedAtMs: Infinity });
   }
 
   /** @returns workers of the site */
@@ -210,10 +227,7 @@
     const programs = [...this.entries.map(({ program }) => program), ...this.racks];
     if (this.platform) programs.push(this.platform);
     await Promise.all(programs.filter(({ running }) => running).map((program) => program.kill()));
-    this.entries.forEach((entry) => {
-      entry.platformRelay.close();
-      entry.peerRelay.close();
-    });
+    this.entries.forEach(closeRelays);
   }
 
   private async startPlatform(): Promise<void> {
@@ -257,9 +271,14 @@
     return seeds.length === 0 ? [] : [`seedPeers = ${seeds.join(', ')}`];
   }
 
+  private endLeaveWindow(workerId: string): void {
+    const index = this.leaveWindows.findLastIndex((window) => window.workerId === workerId);
+    const window = this.leaveWindows[index];
+    if (window) this.leaveWindows[index] = { ...window, endedAtMs: Date.now() };
+  }
+
   private forget(entry: SiteEntry): void {
     this.entries.splice(this.entries.indexOf(entry), 1);
-    entry.platformRelay.close();
-    entry.peerRelay.close();
+    closeRelays(entry);
   }
 }
--- a/packages/samphirenotch-stand-ins/src/site/siteFault.ts
+++ b/packages/samphirenotch-stand-ins/src/site/siteFault.ts
@@ -1,7 +1,7 @@
 /**
  * Faults of a running site, each with its cure.
  */
-import { until, type Site, type SiteEntry } from './site.js';
+import { pause, until, type Site, type SiteEntry } from './site.js';
 import type { SiteOperator } from './siteOperator.js';
 
 /** Where faults are made. */
@@ -25,6 +25,10 @@
 }
 
 const TAKE_OVER_TIMEOUT_MS = 15_000;
+/** Longer than a leaving worker may still get new work. */
+const LEAVING_MS = 8000;
+/** Longer than a task may still start in a data centre that is out. */
+const OUT_MS = 8000;
 
 /** Waits until others own everything, or for some time: beside another fault nobody may be able to. */
 const takenOver = async (
@@ -179,8 +183,9 @@
   name: 'worker leaves',
   begin: async ({ site, pick }) => {
     const { id } = pick(site.workers());
-    await site.list(id, { leaving: true });
-    return { cure: () => site.list(id, { leaving: false }) };
+    await site.listLeaving(id, true);
+    await pause(LEAVING_MS);
+    return { cure: () => site.listLeaving(id, false) };
   },
 };
 
@@ -189,6 +194,7 @@
   begin: async ({ site, operator, pick }) => {
     const { name } = pick(site.plan.dataCentres);
     await operator.insistOnOutage('start', name);
+    await pause(OUT_MS);
     return { cure: () => operator.insistOnOutage('end', name) };
   },
 };
--- a/packages/samphirenotch-stand-ins/src/site/siteTrial.ts
+++ b/packages/samphirenotch-stand-ins/src/site/siteTrial.ts
@@ -1,7 +1,7 @@
 /**
  * A trial of a site: mixed load, faults one after another, cure, and the verdict of the histories.
  */
-import { violations, type Violation } from '../invariants.js';
+import { violations, type VersionSample, type Violation } from '../invariants.js';
 
 import { MixedLoad } from './mixedLoad.js';
 import type { LoadPlan } from './loadPlan.js';
@@ -11,6 +11,7 @@
 import type { Fault, FaultKind, FaultPlace } from './siteFault.js';
 import { SiteOperator } from './siteOperator.js';
 import type { SitePlan } from './sitePlan.js';
+import { sampleVersions } from './versionSampler.js';
 
 /** What a trial consists of. */
 export interface TrialPlan {
@@ -129,14 +130,18 @@
   try {
     await prepare(plan, site, operator);
     const load = new AbortController();
+    const versions: VersionSample[] = [];
+    const sampling = sampleVersions(site, operator, versions, load.signal);
     const sending = new MixedLoad(caller, plan.load).run(load.signal);
     await runFaults(plan, { site, operator, pick: plan.pick });
     load.abort();
-    await sending;
+    await Promise.all([sending, sampling]);
     const unfinished = await endTasks(plan, caller);
     const broken = violations({
       events: site.history(),
       outWindows: operator.outWindows,
+      leaveWindows: site.leaveWindows,
+      versions,
       callers: caller.records,
       onceClasses: plan.onceClasses,
     });
--- a/tests/invariants/invariants.spec.ts
+++ b/tests/invariants/invariants.spec.ts
@@ -19,6 +19,8 @@
 const evidence = (changes: Partial<Evidence>): Evidence => ({
   events: [],
   outWindows: [],
+  leaveWindows: [],
+  versions: [],
   callers: [],
   onceClasses: new Set(['swap']),
   ...changes,
@@ -69,6 +71,20 @@
   t.deepEqual(rulesOf({ events: [event({ atMs: 5001 })], outWindows }), ['start-while-out']);
 });
 
+test('should name work given to a worker that has been leaving', (t) => {
+  const leaveWindows = [{ workerId: 'w1', listedAtMs: 0, endedAtMs: 20_000 }];
+  const start = { kind: 'request-started' as const, requestId: 'r1' };
+  t.deepEqual(rulesOf({ events: [event({ ...start, atMs: 4999 })], leaveWindows }), []);
+  const late = [event({ ...start, atMs: 5001 })];
+  t.deepEqual(rulesOf({ events: late, leaveWindows }), ['work-while-leaving']);
+});
+
+test('should name an entry that went back to an older configuration', (t) => {
+  const sample = (entryId: string, version: number) => ({ entryId, atMs: 0, version });
+  t.deepEqual(rulesOf({ versions: [sample('e1', 1), sample('e1', 2), sample('e2', 1)] }), []);
+  t.deepEqual(rulesOf({ versions: [sample('e1', 2), sample('e1', 1)] }), ['older-configuration']);
+});
+
 test('should name an answer that is not the caller’s own', (t) => {
   const callers = [callerRecord({ bodyMatches: false })];
   t.deepEqual(rulesOf({ callers }), ['foreign-answer']);
--- a/tests/shards/outages.spec.ts
+++ b/tests/shards/outages.spec.ts
@@ -27,6 +27,8 @@
   violations({
     events: site.history.events,
     outWindows: [],
+    leaveWindows: [],
+    versions: [],
     callers: [],
     onceClasses: new Set(),
   }).map(({ rule }) => rule);
--- a/tests/site/faults.spec.ts
+++ b/tests/site/faults.spec.ts
@@ -13,3 +13,12 @@
     holds(t, await tryFaults([name], SEED));
   });
 }
+
+test.serial('should cut off no request in progress in a planned stop', async (t) => {
+  t.timeout(170_000);
+  const { records } = await tryFaults(['entryStopped'], SEED);
+  t.deepEqual(
+    records.filter(({ outcome }) => outcome === 'unknown'),
+    [],
+  );
+});
--- a/utils/demo/demoRun.ts
+++ b/utils/demo/demoRun.ts
@@ -5,11 +5,12 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 
-import type { OutWindow } from 'samphirenotch-stand-ins/invariants.js';
+import type { OutWindow, VersionSample } from 'samphirenotch-stand-ins/invariants.js';
 import { MixedLoad } from 'samphirenotch-stand-ins/site/mixedLoad.js';
 import { pause, Site, until } from 'samphirenotch-stand-ins/site/site.js';
 import { SiteCaller } from 'samphirenotch-stand-ins/site/siteCaller.js';
 import { SiteOperator } from 'samphirenotch-stand-ins/site/siteOperator.js';
+import { sampleVersions } from 'samphirenotch-stand-ins/site/versionSampler.js';
 
 import { requestTable, ruleVerdicts, taskLines, type Verdict } from './demoReport.js';
 import type { DemoSite } from './demoSite.js';
@@ -41,6 +42,8 @@
 
   private readonly caller: SiteCaller;
 
+  private readonly versions: VersionSample[] = [];
+
   private readonly startedMs = performance.now();
 
   /**
@@ -66,7 +69,11 @@
   async run(): Promise<boolean> {
     try {
       await this.begin();
+      const sampling = new AbortController();
+      const sampled = sampleVersions(this.site, this.operator, this.versions, sampling.signal);
       const [, window] = await Promise.all([this.load(), this.faults()]);
+      sampling.abort();
+      await sampled;
       const allEnded = await this.finish();
       return this.report(window, allEnded);
     } finally {
@@ -156,7 +163,15 @@
   private report(window: OutWindow, allEnded: boolean): boolean {
     const events = this.site.history();
     const { onceClasses, tasks } = this.demo;
-    const evidence = { events, outWindows: [window], callers: this.caller.records, onceClasses };
+    const { versions } = this;
+    const evidence = {
+      events,
+      outWindows: [window],
+      leaveWindows: [],
+      versions,
+      callers: this.caller.records,
+      onceClasses,
+    };
     const verdicts: readonly Verdict[] = [
       ...ruleVerdicts(evidence),
       { text: 'Every accepted task came to an end', holds: allEnded },
