--- a/benchmarks/main.ts
+++ b/benchmarks/main.ts
@@ -5,6 +5,7 @@
  */
 
 import { compareAdmission } from './decisions/admission.js';
+import { comparePlacement } from './decisions/placement.js';
 import { compareRetries } from './decisions/retries.js';
 import { compareWorkerChoice } from './decisions/workerChoice.js';
 import type { Comparison } from './support/comparison.js';
@@ -14,6 +15,7 @@
   { name: 'workerChoice', run: compareWorkerChoice },
   { name: 'admission', run: compareAdmission },
   { name: 'retries', run: compareRetries },
+  { name: 'placement', run: comparePlacement },
 ];
 
 const only = process.argv.find((each) => each.startsWith('--only='))?.slice('--only='.length);
--- a/packages/samphirenotch/src/decisions/learnedPlacement.ts
+++ b/packages/samphirenotch/src/decisions/learnedPlacement.ts
@@ -40,6 +40,8 @@
   readonly importance: (taskClass: string) => number;
   /** Reads the time, in milliseconds. */
   readonly nowMs: () => number;
+  /** Classes of requests that workers answer beside tasks. */
+  readonly requestClasses?: () => readonly string[];
 }
 
 const filledShare = (free: number, wanted: number, capacity: number): number =>
@@ -114,11 +116,12 @@
     return fillWeight * Math.max(cores, memory) + imbalanceWeight * Math.abs(cores - memory);
   }
 
-  private slowdownCost(task: PlacementTask, { neighbours }: PlacementCandidate, nowMs: number) {
+  private slowdownCost(task: PlacementTask, candidate: PlacementCandidate, nowMs: number): number {
     const { disturbanceWeight, sufferingWeight } = this.settings;
+    const { neighbours } = candidate;
     const suffered = this.interference.predict(task.taskClass, neighbours, nowMs) - 1;
     const beside = [task.taskClass];
-    let disturbance = 0;
+    let disturbance = this.requestDisturbance(task, candidate, nowMs);
     for (const neighbour of neighbours) {
       const importance = this.surroundings.importance(neighbour);
       if (importance === 0) continue;
@@ -126,4 +129,20 @@
     }
     return disturbanceWeight * disturbance + sufferingWeight * suffered;
   }
+
+  /** Requests suffer more where there are more of them, and where they suffer already. */
+  private requestDisturbance(
+    task: PlacementTask,
+    { neighbours, busySlots }: PlacementCandidate,
+    nowMs: number,
+  ): number {
+    const busyShare = busySlots / this.settings.slotsPerWorker;
+    let disturbance = 0;
+    for (const requestClass of this.surroundings.requestClasses?.() ?? []) {
+      const now = this.interference.predict(requestClass, neighbours, nowMs);
+      const added = this.interference.predict(requestClass, [task.taskClass], nowMs) - 1;
+      disturbance += busyShare * now * added;
+    }
+    return disturbance;
+  }
 }
--- a/packages/samphirenotch/src/decisions/urgencyOrder.ts
+++ b/packages/samphirenotch/src/decisions/urgencyOrder.ts
@@ -10,7 +10,7 @@
 }
 
 /** Settings that the entry uses unless told otherwise. */
-export const URGENCY_ORDER_DEFAULTS: UrgencyOrderSettings = { agingMs: 60_000 };
+export const URGENCY_ORDER_DEFAULTS: UrgencyOrderSettings = { agingMs: 600_000 };
 
 interface RankedTask {
   readonly task: QueuedTask;
