--- a/tests/requests/keyClaims.spec.ts
+++ b/tests/requests/keyClaims.spec.ts
@@ -2,36 +2,14 @@
  * Idempotency keys at their owner: one run for each key, whoever asks and whoever owns.
  */
 import test from 'ava';
-import type { Grant } from 'samphirenotch/membership/ownership.js';
 import type { KeyClaim, KeyDecision } from 'samphirenotch/requests/keyAuthority.js';
-import { KeyPartitions } from 'samphirenotch/requests/keyPartitions.js';
+import type { KeyPartitions } from 'samphirenotch/requests/keyPartitions.js';
 import type { Result } from 'samphirenotch/results.js';
 import { callWithin } from 'samphirenotch/time/call.js';
-import { ManualClock } from 'samphirenotch/time/manualClock.js';
-import { MemoryKeyValueStore } from 'samphirenotch-stand-ins/memoryKeyValueStore.js';
-import { requestConfiguration } from '../fixtures/requestEntries.js';
-import { idsInOrder } from '../fixtures/requests.js';
-
-const RESOURCE = 'keys/timaru/0';
+import { keyOwners } from '../fixtures/keyOwners.js';
 
 const bench = () => {
-  const clock = new ManualClock();
-  const store = new MemoryKeyValueStore(clock);
-  const configuration = {
-    current: () => requestConfiguration(),
-    confirmedAgeMs: () => 0,
-    onChange: () => {},
-  };
-  const owner = async (entry: string) => {
-    const life = new AbortController();
-    const newId = idsInOrder(entry);
-    const keys = new KeyPartitions({ store, clock, configuration, entry, newId });
-    const { signal } = life;
-    const grant: Grant = { resource: RESOURCE, epoch: 1, signal, isCertain: () => true };
-    await keys.take(grant);
-    await clock.advance(1);
-    return keys;
-  };
+  const { clock, store, owner } = keyOwners();
   const claim = async (keys: KeyPartitions, changes: Partial<KeyClaim> = {}) => {
     const wish = { partition: 0, key: 'k', token: 't1', fingerprint: 'f', ...changes };
     const deciding = keys.claim(wish, callWithin(clock, 10_000));
