Place waiting requests anew when their workers change hands

A request that waited at an entry whose shards were handed over stayed in its queue until its deadline, which made a planned stop lose requests. The queue now sends them away, and the router places them anew, at a peer if need be; so does a request whose right to the worker is lost right before the send. Without the one or the other the new test ends with 504 or 503. Every 503 that says not run now carries Retry-After.

--- a/packages/samphirenotch/src/requests/requestRouter.ts
+++ b/packages/samphirenotch/src/requests/requestRouter.ts
@@ -27,6 +27,9 @@
 /** Peers that one request is handed to at most, one after the other. */
 const MAXIMUM_FORWARDS = 2;
 
+/** Places looked for at most, when owners of workers change meanwhile. */
+const MAXIMUM_PLACES = 4;
+
 const RETRY_AFTER_MS = 500;
 
 /** Step of a refusal before anything was sent. */
@@ -49,6 +52,13 @@
   readonly seed: number;
 }
 
+/** Steps that fail only before a request is sent to a worker. */
+const UNSENT_STEPS: ReadonlySet<string> = new Set([PLACE_STEP, 'requests.queue', 'requests.send']);
+
+/** The workers went to another owner while the request waited here. */
+const wasLeftUnsent = ({ code, effect, step }: Failure): boolean =>
+  code === 'not-owner' && effect === 'not-run' && UNSENT_STEPS.has(step);
+
 interface ServiceState {
   readonly queue: ServiceQueue;
   readonly policy: RetryPolicy;
@@ -95,26 +105,29 @@
   private async place(request: ServiceRequest, limit: Limit, call: Call): Promise<ServiceOutcome> {
     const triedPeers: string[] = [];
     let mayHaveRun = false;
-    for (;;) {
+    for (let places = 1; ; places += 1) {
       const forwards = triedPeers.length;
       const outcome = await this.placeOnce(request, limit, triedPeers, call);
       if (outcome.ok) return outcome;
       mayHaveRun ||= outcome.val.effect === 'unknown';
       const wasForwarded = triedPeers.length > forwards;
-      const again = wasForwarded && this.mayPlaceAgain(request, outcome.val, triedPeers);
-      if (!again) return mayHaveRun ? Err(withEffect(outcome.val, 'unknown')) : outcome;
+      const again = wasForwarded
+        ? this.mayForwardAgain(request, outcome.val, triedPeers)
+        : wasLeftUnsent(outcome.val);
+      if (again && places < MAXIMUM_PLACES) continue;
+      return mayHaveRun ? Err(withEffect(outcome.val, 'unknown')) : outcome;
     }
   }
 
   /** After a forward that failed: nothing was sent, or the request may be sent again. */
-  private mayPlaceAgain(
+  private mayForwardAgain(
     request: ServiceRequest,
     failure: Failure,
     triedPeers: readonly string[],
   ): boolean {
     if (request.body.kind !== 'whole' || triedPeers.length >= MAXIMUM_FORWARDS) return false;
-    if (failure.code !== 'unavailable') return false;
-    if (failure.effect === 'not-run' && failure.step === PLACE_STEP) return true;
+    if (failure.code !== 'unavailable' && failure.code !== 'not-owner') return false;
+    if (failure.effect === 'not-run' && UNSENT_STEPS.has(failure.step)) return true;
     if (!request.idempotent) return false;
     const { policy } = this.serviceOf(request.service);
     return policy.tryRetry(this.parts.clock.monotonicMs());
--- a/packages/samphirenotch/src/requests/serviceHandler.ts
+++ b/packages/samphirenotch/src/requests/serviceHandler.ts
@@ -6,7 +6,7 @@
 import type { ConfigurationView } from '../config/configurationView.js';
 import { Failure } from '../failure.js';
 import type { HttpExchange, HttpHandler } from '../http/httpHandler.js';
-import { writeProblem } from '../http/problem.js';
+import { statusOf, writeProblem } from '../http/problem.js';
 import { requestIdOf } from '../http/requestId.js';
 import { partLog } from '../observability/log.js';
 import type { Recorder } from '../observability/recorder.js';
@@ -24,6 +24,10 @@
 const CONTENT_TOO_LARGE = 413;
 const TOO_MANY_REQUESTS = 429;
 const UNPROCESSABLE = 422;
+const SERVICE_UNAVAILABLE = 503;
+
+/** Told with a refusal that names no time itself. */
+const RETRY_AFTER_SECONDS = 1;
 
 const log = partLog('requests');
 
@@ -141,6 +145,9 @@
       });
       return;
     }
+    if (effect === 'not-run' && statusOf(failure) === SERVICE_UNAVAILABLE) {
+      response.setHeader('Retry-After', RETRY_AFTER_SECONDS);
+    }
     const isLimit = failure instanceof TenantOverLimit;
     writeProblem(response, failure, requestId, isLimit ? { status: TOO_MANY_REQUESTS } : {});
   }
--- a/packages/samphirenotch/src/requests/serviceQueue.ts
+++ b/packages/samphirenotch/src/requests/serviceQueue.ts
@@ -133,6 +133,7 @@
     while (this.waiters.size > 0) {
       this.shed();
       this.handOut();
+      if (!slots.serves(this.parts.service)) this.sendAway();
       if (this.waiters.size === 0) return;
       const round = new AbortController();
       const tick = clock.sleep(SHED_INTERVAL_MS, round.signal);
@@ -149,6 +150,13 @@
     }
   }
 
+  /** The workers have gone to another entry; those that wait are placed anew. */
+  private sendAway(): void {
+    for (const ticket of [...this.waiters.keys()]) {
+      this.withdraw(ticket, 'not-owner', 'The workers of the service have another owner now.');
+    }
+  }
+
   private handOut(): void {
     const { admission, clock, service, slots } = this.parts;
     while (slots.freeSlots() > 0) {
--- a/packages/samphirenotch/src/requests/workerExchange.ts
+++ b/packages/samphirenotch/src/requests/workerExchange.ts
@@ -12,22 +12,20 @@
 import { endToEndHeaders } from './headers.js';
 import type { HeldSlot } from './heldSlot.js';
 import { openBody } from './requestBody.js';
+import { refusal } from './refusal.js';
 import { recallAfter } from './requestRecall.js';
 import type { ServiceOutcome, ServiceRequest } from './serviceRequest.js';
 
 const STEP = 'worker.execute';
+const BEFORE_STEP = 'requests.send';
 
 /** Abort reason of a send whose request another send has answered. */
 export const LOST_RACE = 'lost-race';
 
 type HeadOutcome = Result<WorkerAnswer, Failure>;
 
-const failure = (
-  code: FailureCode,
-  peer: string,
-  effect: 'not-run' | 'unknown',
-  message: string,
-): Failure => new Failure({ code, step: STEP, peer, effect, message });
+const unknown = (code: FailureCode, peer: string, message: string): Failure =>
+  new Failure({ code, step: STEP, peer, effect: 'unknown', message });
 
 /** What the exchange is made of. */
 export interface WorkerExchangeParts {
@@ -82,17 +80,20 @@
   }
 
   private refusalBeforeSend(held: HeldSlot, call: Call): Failure | undefined {
-    const { workerId } = held.slot;
-    if (call.signal.aborted) return failure('cancelled', workerId, 'not-run', 'The caller left.');
+    if (call.signal.aborted) return this.refuse(held, 'cancelled', 'The caller left.');
     if (remainingMs(this.parts.clock, call) === 0) {
-      return failure('deadline', workerId, 'not-run', 'The deadline passed before the send.');
+      return this.refuse(held, 'deadline', 'The deadline passed before the send.');
     }
     if (!held.slot.maySend()) {
-      return failure('not-owner', workerId, 'not-run', 'This entry may not use the worker now.');
+      return this.refuse(held, 'not-owner', 'This entry may not use the worker now.');
     }
     return undefined;
   }
 
+  private refuse({ slot }: HeldSlot, code: FailureCode, message: string): Failure {
+    return refusal({ code, step: BEFORE_STEP, peer: slot.workerId, message });
+  }
+
   private async execute(
     request: ServiceRequest,
     held: HeldSlot,
@@ -107,7 +108,7 @@
       const body = openBody(request.body);
       return await slot.worker.execute(slot.epoch, { ...identity, body }, call);
     } catch (error) {
-      return Err(failure('unavailable', slot.workerId, 'unknown', String(error)));
+      return Err(unknown('unavailable', slot.workerId, String(error)));
     }
   }
 
@@ -122,8 +123,8 @@
       const ended = anyAborted(over.signal, call.signal);
       await this.parts.clock.sleep(remainingMs(this.parts.clock, call), ended);
       return call.signal.aborted
-        ? Err(failure('cancelled', workerId, 'unknown', 'The caller left before the answer.'))
-        : Err(failure('deadline', workerId, 'unknown', 'No answer came before the deadline.'));
+        ? Err(unknown('cancelled', workerId, 'The caller left before the answer.'))
+        : Err(unknown('deadline', workerId, 'No answer came before the deadline.'));
     };
     const first = await Promise.race([sending, giveUp()]);
     over.abort();
@@ -165,7 +166,7 @@
       this.drop(answer, 'foreign');
       done();
       held.release('failed', latencyMs);
-      return Err(failure('unavailable', workerId, 'unknown', 'The answer was to another request.'));
+      return Err(unknown('unavailable', workerId, 'The answer was to another request.'));
     }
     this.parts.recorder.time('worker', request, latencyMs);
     const { status } = answer;
--- a/tests/requests/entries.spec.ts
+++ b/tests/requests/entries.spec.ts
@@ -155,6 +155,7 @@
     t.is(entry.peers[0]?.id, other.id);
   }
   const answer = await callerOf(front, SWAP);
+  t.truthy(answer.headers['retry-after']);
   t.deepEqual(await problemOf(answer), { status: 503, outcome: 'not-run' });
 });
 
@@ -244,6 +245,21 @@
   t.is(front.workers[0]?.sent.length, 1);
 });
 
+test('should place waiting requests elsewhere when the workers change hands', async (t) => {
+  const { enter } = site(t);
+  const front = await enter('front', [() => new Promise(() => {})]);
+  const back = await enter('back', [echo]);
+  callerOf(front, SWAP).catch(() => {});
+  while (front.slots.freeSlots() > 0) await oneTurn();
+  await front.own();
+  const waiting = callerOf(front, keyed('k1'));
+  while (front.router.queuedRequests === 0) await oneTurn();
+  introduce(front, back);
+  front.slots.handOver();
+  t.is(await text((await waiting).body), 'done ask');
+  t.is(back.workers[0]?.sent.length, 1);
+});
+
 test('should run a key again whose first request was proved not to have run', async (t) => {
   const { enter } = site(t);
   let refusals = 1;
