--- a/packages/samphirenotch/src/config/checker.ts
+++ b/packages/samphirenotch/src/config/checker.ts
@@ -3,14 +3,8 @@
  */
 import type { ConfigurationProblem } from './configurationProblem.js';
 import { toContent } from './content.js';
-import {
-  joinDraft,
-  objectsOf,
-  readDraftFile,
-  toSet,
-  type ConfigurationFiles,
-  type Draft,
-} from './draft.js';
+import { joinDraft, objectsOf, toSet, type ConfigurationFiles, type Draft } from './draft.js';
+import { DraftCache } from './draftCache.js';
 import { checkLimits } from './limitCheck.js';
 import type { ConfigurationSet } from './objects.js';
 import { checkPlaces, type WorkerCapacity } from './placeCheck.js';
@@ -83,23 +77,26 @@
  * Reads files into a draft.
  *
  * @param files - the files
+ * @param cache - what earlier sets held
  * @returns the draft
  */
-export const readDraft = (files: ConfigurationFiles): Draft =>
-  joinDraft([...files].map(([file, text]) => readDraftFile(file, text)));
+export const readDraft = (files: ConfigurationFiles, cache = new DraftCache()): Draft =>
+  joinDraft(cache.read(files));
 
 /**
  * Checks a set of files.
  *
  * @param files - the files
  * @param context - what they are checked against
+ * @param cache - what earlier sets held
  * @returns the set, not yet accepted and so of version 0, or every problem in the order of the files
  */
 export const checkConfiguration = (
   files: ConfigurationFiles,
   context: CheckContext,
+  cache = new DraftCache(),
 ): Result<ConfigurationSet, readonly ConfigurationProblem[]> => {
-  const draft = readDraft(files);
+  const draft = readDraft(files, cache);
   const problems = [
     ...checkFileNames(files),
     ...checkSizes(files, context.maximumValueBytes),
--- a/packages/samphirenotch/src/config/iniText.ts
+++ b/packages/samphirenotch/src/config/iniText.ts
@@ -47,13 +47,24 @@
 const QUOTED = /^(?:".*"|'.*')$/su;
 const REPLACEMENT = '\uFFFD';
 
-/** Control characters, among them NUL, but for tab, carriage return and line feed. */
-const isControl = (character: string): boolean => {
-  const code = character.codePointAt(0) ?? 0;
-  return (code < 32 && code !== 9 && code !== 10 && code !== 13) || code === 127;
+const TAB = 9;
+const LINE_FEED = 10;
+const CARRIAGE_RETURN = 13;
+const FIRST_PRINTABLE = 32;
+const DELETE = 127;
+
+const isControl = (code: number): boolean => {
+  if (code === TAB || code === LINE_FEED || code === CARRIAGE_RETURN) return false;
+  return code < FIRST_PRINTABLE || code === DELETE;
 };
 
-const isBinary = (text: string): boolean => text.includes(REPLACEMENT) || [...text].some(isControl);
+const isBinary = (text: string): boolean => {
+  if (text.includes(REPLACEMENT)) return true;
+  for (let index = 0; index < text.length; index += 1) {
+    if (isControl(text.charCodeAt(index))) return true;
+  }
+  return false;
+};
 
 const readValue = (raw: string): string => {
   const value: unknown = unsafe(raw);
--- a/packages/samphirenotch/src/config/publisher.ts
+++ b/packages/samphirenotch/src/config/publisher.ts
@@ -11,6 +11,7 @@
 import { checkConfiguration, type CheckContext } from './checker.js';
 import { toContent, type Content } from './content.js';
 import type { ConfigurationFiles } from './draft.js';
+import { DraftCache } from './draftCache.js';
 import { History, type Root } from './history.js';
 import type { Published, PublishRefusal, PublishRequest, Publication } from './publication.js';
 import { RootSwap } from './rootSwap.js';
@@ -48,6 +49,8 @@
 
   private readonly rootSwap: RootSwap;
 
+  private readonly drafts = new DraftCache();
+
   /**
    * @param parts - what it works with
    */
@@ -76,7 +79,7 @@
     const { record } = root.val;
     const base = request.baseVersion ?? record?.version;
     if (record && base !== record.version) return this.conflict(base ?? 0, call);
-    const checked = checkConfiguration(request.files, context);
+    const checked = checkConfiguration(request.files, context, this.drafts);
     if (!checked.ok) return Err({ kind: 'problems', problems: checked.val });
     const content = toContent(request.files);
     if (record?.digest === content.digest) return Ok({ record, isNew: false });
