Name what a restore changes

Cause: restoring an old version also ends an outage that began since, and nothing said so.

Change: the command lists the objects that differ before it restores.

--- a/tests/cli/commandLine.spec.ts
+++ b/tests/cli/commandLine.spec.ts
@@ -32,7 +32,8 @@
     { object: 'tenant growers', change: 'changed', keys: ['weight'] },
   ]);
   await runCli(['config', 'publish', directory, '--why', 'More for growers', '--by', 'jan'], env);
-  await runCli(['config', 'restore', '1', '--why', 'Back'], env);
+  const restored = await runCli(['config', 'restore', '1', '--why', 'Back'], env);
+  t.true(restored.err.includes('changed tenant growers (weight)'));
 
   const log = await runCli(['config', 'log', '--json'], env);
   const { records } = JSON.parse(log.out);
