--- a/packages/samphirenotch-cli/src/configurationDirectory.ts
+++ b/packages/samphirenotch-cli/src/configurationDirectory.ts
@@ -22,6 +22,17 @@
 const BASE_FILE = '.samphirenotch-base';
 const EXTENSION = '.ini';
 
+/** An entry takes no longer body than twice this. */
+const MOST_CHARACTERS = 8_000_000;
+
+const tooLarge = (directory: string, length: number): CliProblem => {
+  const line = `The files of ${directory} are too large: ${length} characters; accepted: at most ${MOST_CHARACTERS}.`;
+  return problem(EXIT_CODES.refused, line);
+};
+
+const pathOf = (error: unknown, directory: string): string =>
+  error instanceof Error && 'path' in error ? String(error.path) : directory;
+
 const reasonOf = (error: unknown): string => {
   const code = error instanceof Error && 'code' in error ? String(error.code) : 'error';
   if (code === 'ENOENT') return 'it does not exist';
@@ -60,13 +71,17 @@
     const texts = await Promise.all(
       names.map((name) => readFile(path.join(directory, name), 'utf8')),
     );
+    const length = texts.reduce((sum, text) => sum + text.length, 0);
+    if (length > MOST_CHARACTERS) return Err(tooLarge(directory, length));
     const files = names.map((name, index) => ({
       name: name.normalize('NFC'),
       text: texts[index] ?? '',
     }));
     return Ok({ files, baseVersion: await readBase(directory) });
   } catch (error) {
-    return Err(problem(EXIT_CODES.usage, `Cannot read ${directory}: ${reasonOf(error)}.`));
+    return Err(
+      problem(EXIT_CODES.usage, `Cannot read ${pathOf(error, directory)}: ${reasonOf(error)}.`),
+    );
   }
 };
 
--- a/packages/samphirenotch/src/config/iniText.ts
+++ b/packages/samphirenotch/src/config/iniText.ts
@@ -47,6 +47,9 @@
 const QUOTED = /^(?:".*"|'.*')$/su;
 const REPLACEMENT = '\uFFFD';
 
+/** Characters of a malformed line that a problem repeats. */
+const MOST_SHOWN = 60;
+
 const TAB = 9;
 const LINE_FEED = 10;
 const CARRIAGE_RETURN = 13;
@@ -66,6 +69,9 @@
   return false;
 };
 
+const shorten = (text: string): string =>
+  text.length <= MOST_SHOWN ? text : `${text.slice(0, MOST_SHOWN)}...`;
+
 const readValue = (raw: string): string => {
   const value: unknown = unsafe(raw);
   return typeof value === 'string' ? value : raw.trim().slice(1, -1);
@@ -104,13 +110,18 @@
     const heading = normalizeHeading(HEADING.exec(text)?.[1] ?? '');
     this.open = { heading, line, values: new Map() };
     if (heading !== '') return;
-    this.report(line, undefined, `malformed heading ${text}`, '[KIND NAME] on a line of its own');
+    this.report(
+      line,
+      undefined,
+      `malformed heading ${shorten(text)}`,
+      '[KIND NAME] on a line of its own',
+    );
   }
 
   private readAssignment(text: string, line: number): void {
     const [, key, raw] = ASSIGNMENT.exec(text) ?? [];
     if (key === undefined || raw === undefined) {
-      this.report(line, undefined, `neither a heading nor a key: ${text}`, 'key = value');
+      this.report(line, undefined, `neither a heading nor a key: ${shorten(text)}`, 'key = value');
       return;
     }
     if (!this.open) {
