--- a/tests/shards/schedule.spec.ts
+++ b/tests/shards/schedule.spec.ts
@@ -147,7 +147,14 @@
       await untilOpen(site, owner);
       t.is(certain, 1);
       const { events } = site.history;
-      const evidence = { events, outWindows: [], callers: [], onceClasses: new Set<string>() };
+      const evidence = {
+        events,
+        outWindows: [],
+        leaveWindows: [],
+        versions: [],
+        callers: [],
+        onceClasses: new Set<string>(),
+      };
       t.deepEqual(violations(evidence), []);
       const started = new Set(
         events.filter((event) => event.kind === 'attempt-started').map((event) => event.attemptId),
