--- a/packages/samphirenotch/src/config/contentFetcher.ts
+++ b/packages/samphirenotch/src/config/contentFetcher.ts
@@ -16,7 +16,7 @@
 const PART_TIMEOUT_MS = 1_500;
 
 /** So many parts are fetched at once. */
-const PARTS_AT_ONCE = 4;
+const PARTS_AT_ONCE = 3;
 
 const log = partLog('configuration');
 
--- a/packages/samphirenotch/src/config/history.ts
+++ b/packages/samphirenotch/src/config/history.ts
@@ -25,7 +25,7 @@
 }
 
 /** So many parts are read at once. */
-const PARTS_AT_ONCE = 4;
+const PARTS_AT_ONCE = 3;
 
 const PEER = 'store';
 
