Count the age of a stamp from when it was asked for, name objects in any letters, plain log lines

Cause: a heartbeat's answer was dated by two readings of the clock, between which a freeze made it look too young; names in headers were not decoded, so that objects with letters beyond ASCII could be written but not named; JSON log lines named their parts 0 and 1. Change: the time of asking is passed with the stamp; headers are percent-decoded; lines carry time, level, part, message and fields. Gauges of the configuration in force are served with the metrics.

--- a/packages/samphirenotch/src/entry/httpHandlers.ts
+++ b/packages/samphirenotch/src/entry/httpHandlers.ts
@@ -2,6 +2,7 @@
  * What an entry serves over HTTP.
  */
 import type { HttpHandler } from '../http/httpHandler.js';
+import { ConfigurationGauges } from '../observability/configurationGauges.js';
 import type { HistogramRecorder } from '../observability/histogramRecorder.js';
 import { HistogramsHandler } from '../observability/histogramsHandler.js';
 import { MetricsHandler } from '../observability/metricsHandler.js';
@@ -84,7 +85,7 @@
     ),
     membership.configuration.handler,
     new StatusHandler(identity, membership.configuration.follower, statusSources(needs)),
-    new MetricsHandler(recorder),
+    new MetricsHandler(recorder, [new ConfigurationGauges(membership.configuration.follower)]),
     new HistogramsHandler(recorder),
   ];
 };
--- a/packages/samphirenotch/src/entry/membershipParts.ts
+++ b/packages/samphirenotch/src/entry/membershipParts.ts
@@ -61,10 +61,9 @@
   const configuration = composeConfiguration({ store, vmList, peers, clients: channels, clock });
   const { follower } = configuration;
   const gossip = new Gossip(
-    clock,
     peers,
     () => follower.stamp(),
-    (peerId, stamp) => follower.peerStamp(peerId, stamp, clock.monotonicMs()),
+    (peerId, stamp, askedAtMs) => follower.peerStamp(peerId, stamp, askedAtMs),
   );
   const heartbeatService = new GrpcHeartbeats(clock, channels, gossip);
   const heartbeats = new Heartbeats(clock, peers, gossip, heartbeatService, settings.seedPeers);
--- a/packages/samphirenotch/src/membership/gossip.ts
+++ b/packages/samphirenotch/src/membership/gossip.ts
@@ -2,7 +2,6 @@
  * Composes heartbeats and takes in those of others.
  */
 import type { ConfigurationStamp } from '../config/configurationStamp.js';
-import type { Clock } from '../time/clock.js';
 import type { HeartbeatMessage } from './heartbeatMessage.js';
 import type { PeerTable } from './peerTable.js';
 
@@ -12,21 +11,26 @@
 /** Tells which configuration is in force here; nothing if none is. */
 export type StampSource = () => ConfigurationStamp | undefined;
 
-/** Takes which configuration is in force at a peer. */
-export type StampSink = (peerId: string, stamp: ConfigurationStamp) => void;
+/**
+ * Takes which configuration is in force at a peer, and when this entry asked for it, by the monotonic
+ * clock in milliseconds; without that time nobody asked, and the stamp confirms nothing.
+ */
+export type StampSink = (
+  peerId: string,
+  stamp: ConfigurationStamp,
+  askedAtMs: number | undefined,
+) => void;
 
 /** News as they go into and come out of heartbeats. */
 export class Gossip {
   private firstOther = 0;
 
   /**
-   * @param clock - for the age of answers
    * @param table - the entries known
    * @param stampSource - tells which configuration is in force here
    * @param stampSink - takes which configuration is in force at peers
    */
   constructor(
-    private readonly clock: Clock,
     private readonly table: PeerTable,
     private readonly stampSource: StampSource,
     private readonly stampSink: StampSink,
@@ -57,7 +61,7 @@
    * @param message - the heartbeat
    */
   takeRequest(message: HeartbeatMessage): void {
-    this.take(message, Number.POSITIVE_INFINITY);
+    this.take(message, undefined);
   }
 
   /**
@@ -67,15 +71,13 @@
    * @param sentAtMs - monotonic time at which the heartbeat was sent
    */
   takeAnswer(message: HeartbeatMessage, sentAtMs: number): void {
-    this.take(message, this.clock.monotonicMs() - sentAtMs);
+    this.take(message, sentAtMs);
   }
 
-  private take(message: HeartbeatMessage, longestWayMs: number): void {
+  private take(message: HeartbeatMessage, askedAtMs: number | undefined): void {
     this.table.hear(message.sender);
     message.others.forEach((news) => this.table.hear(news));
     const { configuration, sender } = message;
-    if (!configuration) return;
-    const confirmedAgeMs = configuration.confirmedAgeMs + longestWayMs;
-    this.stampSink(sender.id, { ...configuration, confirmedAgeMs });
+    if (configuration) this.stampSink(sender.id, configuration, askedAtMs);
   }
 }
--- a/packages/samphirenotch/src/observability/log.ts
+++ b/packages/samphirenotch/src/observability/log.ts
@@ -33,6 +33,23 @@
   settings = changed;
 };
 
+interface LineMeta {
+  readonly date: Date;
+  readonly logLevelName: string;
+}
+
+/** Writes one line of JSON: time, level and part, then the sentence and its fields. */
+const writeJson = (prefix: string, line: unknown): void => {
+  const {
+    0: message,
+    1: fields,
+    _meta: meta,
+  } = line as { 0: string; 1?: LogFields; _meta: LineMeta };
+  const time = meta.date.toISOString();
+  const level = meta.logLevelName.toLowerCase();
+  process.stdout.write(`${JSON.stringify({ time, level, part: prefix, message, ...fields })}\n`);
+};
+
 /** A log that reads the process's settings on first use. */
 class PartLog implements Log {
   private logger: Logger<LogFields> | undefined;
@@ -65,6 +82,7 @@
       name: this.prefix,
       minLevel: LEVELS[settings.level],
       hideLogPositionForProduction: true,
+      overwrite: { transportJSON: (line) => writeJson(this.prefix, line) },
     });
     return this.logger;
   }
--- a/packages/samphirenotch/src/requests/requestHead.ts
+++ b/packages/samphirenotch/src/requests/requestHead.ts
@@ -4,6 +4,7 @@
 import type { IncomingMessage } from 'node:http';
 import type { ConfigurationSet, Limit, TaskClass, Tenant } from '../config/objects.js';
 import type { Failure, FailureCode } from '../failure.js';
+import { decodeName } from '../http/headerName.js';
 import { Err, Ok, type Result } from '../results.js';
 import { refusal } from './refusal.js';
 
@@ -44,6 +45,11 @@
   return Array.isArray(value) ? value.join(',') : value;
 };
 
+const nameOf = (request: IncomingMessage, header: string): string | undefined => {
+  const value = headerOf(request, header);
+  return value === undefined ? undefined : decodeName(value);
+};
+
 const findClass = (
   set: ConfigurationSet,
   service: string,
@@ -73,7 +79,7 @@
   request: IncomingMessage,
   set: ConfigurationSet,
 ): Result<{ readonly tenant: Tenant; readonly limit: Limit }, Failure> => {
-  const name = headerOf(request, 'tenant');
+  const name = nameOf(request, 'tenant');
   if (name === undefined) return fail('invalid', 'The Tenant header is missing.');
   const tenant = set.tenants.get(name);
   const limit = tenant && set.limits.get(tenant.limit);
@@ -108,7 +114,7 @@
   if (!set.services.has(service)) return fail('not-found', `There is no service ${service}.`);
   const method = request.method ?? '';
   if (!METHODS.has(method)) return fail('invalid', `The method ${method} is not served.`);
-  const taskClass = findClass(set, service, headerOf(request, 'task-class'));
+  const taskClass = findClass(set, service, nameOf(request, 'task-class'));
   if (taskClass.err) return taskClass;
   const tenant = readTenant(request, set);
   if (tenant.err) return tenant;
--- a/packages/samphirenotch/src/tasks/taskInput.ts
+++ b/packages/samphirenotch/src/tasks/taskInput.ts
@@ -4,6 +4,7 @@
 import type { IncomingMessage } from 'node:http';
 import { z } from 'zod';
 import { Failure } from '../failure.js';
+import { decodeName } from '../http/headerName.js';
 import { STATE } from '../protocol/tasksMessages.js';
 import { Err, Ok, type Result } from '../results.js';
 import { PAYLOAD_BYTES } from './taskSettings.js';
@@ -33,7 +34,7 @@
 });
 
 const HEADERS = z.object({
-  tenant: NAME.regex(/^[\x21-\x7e]+$/),
+  tenant: NAME.regex(/^[\x21-\x7e]+$/).transform(decodeName),
   'idempotency-key': NAME.optional(),
 });
 
