--- a/packages/samphirenotch/src/observability/log.ts
+++ b/packages/samphirenotch/src/observability/log.ts
@@ -82,7 +82,9 @@
       name: this.prefix,
       minLevel: LEVELS[settings.level],
       hideLogPositionForProduction: true,
-      overwrite: { transportJSON: (line) => writeJson(this.prefix, line) },
+      ...(settings.format === 'json'
+        ? { overwrite: { transportJSON: (line: unknown) => writeJson(this.prefix, line) } }
+        : {}),
     });
     return this.logger;
   }
