Place small tasks so that large ones keep room, and spare busy workers

Change: room for a large task that a small one would take has a cost; an idle worker counts half as much as a full one for disturbance, since tasks outlast peaks of requests.

--- a/packages/samphirenotch/src/decisions/learnedPlacement.ts
+++ b/packages/samphirenotch/src/decisions/learnedPlacement.ts
@@ -2,6 +2,9 @@
  * Places a task where it disturbs requests least, is disturbed least, spreads over racks, and
  * leaves room that others can use.
  */
+import { LargeTasks } from './largeTasks.js';
+
+import type { Size } from '../platform/worker.js';
 import type { InterferenceModel } from './interferenceModel.js';
 import type { PlacementCandidate, PlacementPolicy, PlacementTask } from './placementPolicy.js';
 
@@ -19,6 +22,8 @@
   readonly fillWeight: number;
   /** Cost of a worker that has all of one dimension left and none of the other. */
   readonly imbalanceWeight: number;
+  /** Cost of a large task for which there is no room any more. */
+  readonly displacementWeight: number;
   /** Slots of a worker, to judge how busy it is. */
   readonly slotsPerWorker: number;
 }
@@ -31,6 +36,7 @@
   rackWeight: 0.2,
   fillWeight: 0.3,
   imbalanceWeight: 0.2,
+  displacementWeight: 0.5,
   slotsPerWorker: 8,
 };
 
@@ -55,6 +61,8 @@
 
   private readonly settings: LearnedPlacementSettings;
 
+  private readonly largeTasks = new LargeTasks();
+
   /**
    * @param interference - model of what classes do to each other
    * @param surroundings - importance of classes, and the time
@@ -82,11 +90,14 @@
     candidates: readonly PlacementCandidate[],
   ): PlacementCandidate | undefined {
     const nowMs = this.surroundings.nowMs();
+    this.largeTasks.observe(task.taskClass, task.size, nowMs);
+    const large = this.largeTasks.largest(nowMs) ?? task.size;
     const ofClass = [...task.classPerRack.values()].reduce((sum, count) => sum + count, 0);
     let best: PlacementCandidate | undefined;
     let least = Infinity;
     for (const candidate of candidates) {
-      const cost = this.cost(task, candidate, ofClass, nowMs);
+      const cost =
+        this.cost(task, candidate, ofClass, nowMs) + this.displacementCost(task, candidate, large);
       if (cost >= least) continue;
       least = cost;
       best = candidate;
@@ -109,6 +120,10 @@
     );
   }
 
+  private displacementCost(task: PlacementTask, { free }: PlacementCandidate, large: Size): number {
+    return this.settings.displacementWeight * this.largeTasks.displaced(free, task.size, large);
+  }
+
   private fillCost(task: PlacementTask, { free, capacity }: PlacementCandidate): number {
     const { fillWeight, imbalanceWeight } = this.settings;
     const cores = filledShare(free.milliCores, task.size.milliCores, capacity.milliCores);
@@ -130,13 +145,16 @@
     return disturbanceWeight * disturbance + sufferingWeight * suffered;
   }
 
-  /** Requests suffer more where there are more of them, and where they suffer already. */
+  /**
+   * Requests suffer more where there are more of them, and where they suffer already. A task stays
+   * longer than a peak of requests, so an idle worker counts half as much as a full one.
+   */
   private requestDisturbance(
     task: PlacementTask,
     { neighbours, busySlots }: PlacementCandidate,
     nowMs: number,
   ): number {
-    const busyShare = busySlots / this.settings.slotsPerWorker;
+    const busyShare = (1 + busySlots / this.settings.slotsPerWorker) / 2;
     let disturbance = 0;
     for (const requestClass of this.surroundings.requestClasses?.() ?? []) {
       const now = this.interference.predict(requestClass, neighbours, nowMs);
