--- a/packages/samphirenotch/src/decisions/learnedPlacement.ts
+++ b/packages/samphirenotch/src/decisions/learnedPlacement.ts
@@ -3,7 +3,6 @@
  * leaves room that others can use.
  */
 import { LargeTasks } from './largeTasks.js';
-import { RackSpread } from './rackSpread.js';
 
 import type { Size } from '../platform/worker.js';
 import type { InterferenceModel } from './interferenceModel.js';
@@ -17,7 +16,7 @@
   readonly sufferingWeight: number;
   /** Cost of a worker with all slots busy relative to an idle one. */
   readonly slotWeight: number;
-  /** Cost of a rack that runs all tasks of the class and is one of many. */
+  /** Cost of the rack that runs all tasks of the class. */
   readonly rackWeight: number;
   /** Cost of a worker with no room left relative to an empty one. */
   readonly fillWeight: number;
@@ -93,12 +92,12 @@
     const nowMs = this.surroundings.nowMs();
     this.largeTasks.observe(task.taskClass, task.size, nowMs);
     const large = this.largeTasks.largest(nowMs) ?? task.size;
-    const spread = new RackSpread(task.classPerRack, candidates);
+    const ofClass = [...task.classPerRack.values()].reduce((sum, count) => sum + count, 0);
     let best: PlacementCandidate | undefined;
     let least = Infinity;
     for (const candidate of candidates) {
       const cost =
-        this.cost(task, candidate, spread, nowMs) + this.displacementCost(task, candidate, large);
+        this.cost(task, candidate, ofClass, nowMs) + this.displacementCost(task, candidate, large);
       if (cost >= least) continue;
       least = cost;
       best = candidate;
@@ -109,11 +108,12 @@
   private cost(
     task: PlacementTask,
     candidate: PlacementCandidate,
-    spread: RackSpread,
+    ofClass: number,
     nowMs: number,
   ): number {
     const { rackWeight, slotWeight, slotsPerWorker } = this.settings;
-    const rack = rackWeight * spread.crowding(candidate.rack);
+    const onRack = task.classPerRack.get(candidate.rack) ?? 0;
+    const rack = ofClass === 0 ? 0 : rackWeight * (onRack / ofClass);
     const slots = slotWeight * (candidate.busySlots / slotsPerWorker);
     return (
       rack + slots + this.fillCost(task, candidate) + this.slowdownCost(task, candidate, nowMs)
