--- a/benchmarks/main.ts
+++ b/benchmarks/main.ts
@@ -5,7 +5,9 @@
  */
 
 import { compareAdmission } from './decisions/admission.js';
+import { compareInterference } from './decisions/interference.js';
 import { comparePlacement } from './decisions/placement.js';
+import { comparePressure } from './decisions/pressure.js';
 import { compareRetries } from './decisions/retries.js';
 import { compareWorkerChoice } from './decisions/workerChoice.js';
 import type { Comparison } from './support/comparison.js';
@@ -16,6 +18,8 @@
   { name: 'admission', run: compareAdmission },
   { name: 'retries', run: compareRetries },
   { name: 'placement', run: comparePlacement },
+  { name: 'interference', run: compareInterference },
+  { name: 'pressure', run: comparePressure },
 ];
 
 const only = process.argv.find((each) => each.startsWith('--only='))?.slice('--only='.length);
