--- /dev/null
+++ b/tests/membership/pacedStore.spec.ts
@@ -0,0 +1,69 @@
+import test from 'ava';
+import { MemoryKeyValueStore } from 'samphirenotch-stand-ins/memoryKeyValueStore.js';
+import { PACE_SETTINGS } from 'samphirenotch/membership/callPace.js';
+import { PacedKeyValueStore } from 'samphirenotch/membership/pacedKeyValueStore.js';
+import { callWithin } from 'samphirenotch/time/call.js';
+import { ManualClock } from 'samphirenotch/time/manualClock.js';
+
+const pacedStore = (changes: Partial<typeof PACE_SETTINGS> = {}) => {
+  const clock = new ManualClock();
+  const inner = new MemoryKeyValueStore(clock);
+  const settings = { ...PACE_SETTINGS, ...changes };
+  return { clock, inner, store: new PacedKeyValueStore(inner, clock, settings) };
+};
+
+test('should send no more calls than its pace, and refuse what would wait too long', async (t) => {
+  const { clock, store } = pacedStore({ callsPerSecond: 10, burst: 5 });
+  const answers = Promise.all(
+    Array.from({ length: 40 }, (_, index) => store.get(`k${index}`, callWithin(clock, 2050))),
+  );
+  await clock.advance(3000);
+  const failed = (await answers).filter(({ err }) => err);
+  t.is(store.counts.of('get'), 25, 'five at once and ten a second');
+  t.is(failed.length, 15);
+  failed.forEach(({ val }) => t.like(val, { code: 'overloaded', effect: 'not-run' }));
+});
+
+test('should join a get of the same key only until it is sent', async (t) => {
+  const { clock, inner, store } = pacedStore({ callsPerSecond: 10, burst: 0 });
+  const asked = [1, 2, 3].map(() => store.get('k', callWithin(clock, 2000)));
+  await clock.advance(1000);
+  await Promise.all(asked);
+  t.is(store.counts.of('get'), 1);
+  const later = store.get('k', callWithin(clock, 2000));
+  await clock.advance(1000);
+  t.true((await later).ok);
+  t.is(store.counts.of('get'), 2);
+  inner.faults.delayMs = 300;
+  const under = store.get('k', callWithin(clock, 2000));
+  await clock.advance(200);
+  t.is(store.counts.of('get'), 3);
+  const beside = store.get('k', callWithin(clock, 2000));
+  await clock.advance(1000);
+  t.true((await under).ok && (await beside).ok);
+  t.is(store.counts.of('get'), 4, 'it may not read what was there before it was asked');
+});
+
+test('should call a store that is down ever more seldom, but never hold a renewal up', async (t) => {
+  const { clock, inner, store } = pacedStore();
+  const granted = await store.grantLease(5000, callWithin(clock, 1000));
+  const leaseId = granted.ok ? granted.val : '';
+  inner.faults.down = true;
+  const life = new AbortController();
+  const work = async (): Promise<void> => {
+    while (!life.signal.aborted) {
+      await store.get('k', callWithin(clock, 5000));
+      await clock.sleep(10, life.signal);
+    }
+  };
+  work();
+  await clock.advance(20_000);
+  t.true(store.counts.of('get') < 30, `${store.counts.of('get')} gets in 20 s`);
+  const sentAtMs = clock.monotonicMs();
+  await store.renewLease(leaseId, callWithin(clock, 1000));
+  t.is(clock.monotonicMs(), sentAtMs);
+  inner.faults.down = false;
+  await clock.advance(3000);
+  t.true((await store.get('k', callWithin(clock, 1000))).ok);
+  life.abort();
+});
