--- a/packages/samphirenotch/src/requests/requestRouter.ts
+++ b/packages/samphirenotch/src/requests/requestRouter.ts
@@ -96,9 +96,14 @@
       const message = 'The tenant is over its rate of requests.';
       return Err(new TenantOverLimit(this.parts.entry, message, waitMs));
     }
+    const startedMs = this.parts.clock.monotonicMs();
     const { idempotencyKey } = request;
-    if (idempotencyKey === undefined) return this.place(request, limit, call);
-    const send = (): Promise<ServiceOutcome> => this.place(request, limit, call);
+    const send = (): Promise<ServiceOutcome> => {
+      const admittedMs = this.parts.clock.monotonicMs();
+      this.parts.recorder.time('admission', request, admittedMs - startedMs);
+      return this.place(request, limit, call);
+    };
+    if (idempotencyKey === undefined) return send();
     return this.parts.keyed.run(request, idempotencyKey, call, send);
   }
 
