Let an answer that began in time end after the deadline

Cause: the adapter to workers applied the deadline to the whole exchange, so that a large or slow answer was cut off in its middle. The deadline now bounds the time until the head; cancellation still bounds all.

--- a/packages/samphirenotch/src/platform/httpCommand.ts
+++ b/packages/samphirenotch/src/platform/httpCommand.ts
@@ -64,6 +64,35 @@
 export const exchangeSignal = (clock: Clock, call: Call): AbortSignal =>
   AbortSignal.any([call.signal, AbortSignal.timeout(Math.ceil(remainingMs(clock, call)))]);
 
+/**
+ * Runs an exchange that is bounded by the deadline until the head of the answer has come, and by
+ * cancellation to its end. What follows the head may take longer.
+ *
+ * @param clock - the clock that the deadline was set on
+ * @param call - the call
+ * @param exchange - sends and resolves to the head
+ * @returns what the exchange resolved to
+ */
+export const withHeadDeadline = async <T>(
+  clock: Clock,
+  call: Call,
+  exchange: (signal: AbortSignal) => Promise<T>,
+): Promise<T> => {
+  const headCame = new AbortController();
+  const late = new AbortController();
+  const watch = async (): Promise<void> => {
+    await clock.sleep(remainingMs(clock, call), headCame.signal);
+    if (headCame.signal.aborted) return;
+    late.abort(new DOMException('no answer in time', 'TimeoutError'));
+  };
+  watch().catch(() => late.abort());
+  try {
+    return await exchange(AbortSignal.any([call.signal, late.signal]));
+  } finally {
+    headCame.abort();
+  }
+};
+
 /**
  * Tells what an error thrown by an HTTP exchange means.
  *
--- a/packages/samphirenotch/src/platform/httpWorker.ts
+++ b/packages/samphirenotch/src/platform/httpWorker.ts
@@ -14,8 +14,8 @@
 import {
   answeredFailure,
   exchangeFailure,
-  exchangeSignal,
   sendCommand,
+  withHeadDeadline,
   type CommandTarget,
 } from './httpCommand.js';
 import type {
@@ -136,13 +136,15 @@
       return Err(new Failure({ code: 'deadline', step, peer, effect: 'not-run', message }));
     }
     try {
-      const response = await sendRequest(`${origin}/worker/execute`, {
-        method: 'POST',
-        dispatcher: this.pool,
-        headers: envelope(epoch, request),
-        body: request.body as Readable,
-        signal: exchangeSignal(this.clock, call),
-      });
+      const response = await withHeadDeadline(this.clock, call, (signal) =>
+        sendRequest(`${origin}/worker/execute`, {
+          method: 'POST',
+          dispatcher: this.pool,
+          headers: envelope(epoch, request),
+          body: request.body as Readable,
+          signal,
+        }),
+      );
       const headers = textHeaders(response.headers);
       if (headers[REFUSED_HEADER] !== undefined) {
         return Err(answeredFailure(await response.body.json(), step, peer));
