--- a/packages/samphirenotch/src/tasks/attemptKeeper.ts
+++ b/packages/samphirenotch/src/tasks/attemptKeeper.ts
@@ -12,14 +12,12 @@
 import { dataCentreOf } from './jobId.js';
 import type { JobStarter } from './jobStarter.js';
 import { evicting } from './jobTransitions.js';
+import { jobsToDrop } from './retention.js';
 import type { RestartPolicies } from './restartPolicies.js';
 import type { PartitionContext } from './taskContext.js';
 import {
   ATTEMPT_SILENCE_MS,
   AUDITS_PER_ROUND,
-  ENDED_JOBS_MAXIMUM,
-  JOBS_PER_SWEEP,
-  RETENTION_MS,
   SCHEDULE_INTERVAL_MS,
   SWEEP_INTERVAL_MS,
 } from './taskSettings.js';
@@ -154,12 +152,7 @@
     const nowMs = clock.monotonicMs();
     if (nowMs - this.sweptAtMs < SWEEP_INTERVAL_MS || !jobs.isAnswering()) return;
     this.sweptAtMs = nowMs;
-    const ended = jobs.latest.endedJobs();
-    const excess = ended.length - ENDED_JOBS_MAXIMUM;
-    const oldMs = clock.wallMs() - RETENTION_MS;
-    ended
-      .filter((job, index) => index < excess || job.stateSinceMs < oldMs)
-      .slice(0, JOBS_PER_SWEEP)
-      .forEach((job) => jobs.drop(job.id));
+    const dropped = jobsToDrop(jobs.latest.endedJobs(), clock.wallMs());
+    dropped.forEach((job) => jobs.drop(job.id));
   }
 }
--- a/packages/samphirenotch/src/tasks/jobId.ts
+++ b/packages/samphirenotch/src/tasks/jobId.ts
@@ -118,3 +118,33 @@
  * @returns id of the job
  */
 export const jobOfAttempt = (attemptId: string): string => attemptId.split('.')[0] ?? '';
+
+const KEYED_MARK = 'k';
+const KEYLESS_MARK = 'n';
+
+/**
+ * Makes the unique part of a job that was submitted with an idempotency key.
+ *
+ * @param tenant - whose key it is
+ * @param key - the key
+ * @returns letters and digits, the same for the same key
+ */
+export const uniqueOfKey = (tenant: string, key: string): string =>
+  `${KEYED_MARK}${digestOf(tenant, key)}`;
+
+/**
+ * Makes the unique part of a job that was submitted without an idempotency key.
+ *
+ * @param random - a value that no other job has
+ * @returns letters and digits
+ */
+export const uniqueWithoutKey = (random: string): string => `${KEYLESS_MARK}${random}`;
+
+/**
+ * Tells whether a job was submitted with an idempotency key.
+ *
+ * @param jobId - id of the job
+ * @returns true if it was
+ */
+export const isKeyed = (jobId: string): boolean =>
+  jobId.split(SEPARATOR)[2]?.startsWith(KEYED_MARK) ?? false;
--- /dev/null
+++ b/packages/samphirenotch/src/tasks/retention.ts
@@ -0,0 +1,21 @@
+/**
+ * Decides which ended jobs are dropped.
+ */
+import type { Job } from './job.js';
+import { isKeyed } from './jobId.js';
+import { ENDED_JOBS_MAXIMUM, JOBS_PER_SWEEP, RETENTION_MS } from './taskSettings.js';
+
+/**
+ * Finds ended jobs to drop: those kept long enough, and beyond a number the oldest of those that were
+ * submitted without an idempotency key. A key has to be known for the whole time.
+ *
+ * @param ended - ended jobs, the one that ended first coming first
+ * @param nowMs - wall clock time
+ * @returns the jobs to drop now
+ */
+export const jobsToDrop = (ended: readonly Job[], nowMs: number): readonly Job[] => {
+  const excess = ended.length - ENDED_JOBS_MAXIMUM;
+  const isDropped = (job: Job, index: number): boolean =>
+    job.stateSinceMs < nowMs - RETENTION_MS || (index < excess && !isKeyed(job.id));
+  return ended.filter(isDropped).slice(0, JOBS_PER_SWEEP);
+};
--- a/packages/samphirenotch/src/tasks/taskSubmitter.ts
+++ b/packages/samphirenotch/src/tasks/taskSubmitter.ts
@@ -5,7 +5,13 @@
 import { Failure } from '../failure.js';
 import { Err, type Result } from '../results.js';
 import type { Call } from '../time/call.js';
-import { choosePartition, digestOf, makeJobId, partitionsOf } from './jobId.js';
+import {
+  choosePartition,
+  makeJobId,
+  partitionsOf,
+  uniqueOfKey,
+  uniqueWithoutKey,
+} from './jobId.js';
 import type { TaskContext } from './taskContext.js';
 import { notOwned } from './taskFailure.js';
 import type { SubmissionInput } from './taskInput.js';
@@ -40,7 +46,7 @@
     if (invalid) return Err(invalid);
     const { tenant, idempotencyKey } = input;
     if (idempotencyKey === undefined) return this.submitAnywhere(set, input, call);
-    const unique = digestOf(tenant, idempotencyKey);
+    const unique = uniqueOfKey(tenant, idempotencyKey);
     const partition = choosePartition(partitionsOf(set), unique);
     if (partition === undefined) return Err(notOwned(STEP, 'partition'));
     return this.submitTo(partition, unique, input, call);
@@ -51,7 +57,7 @@
     input: SubmissionInput,
     call: Call,
   ): Promise<Result<TaskView, Failure>> {
-    const unique = this.context.random.unique();
+    const unique = uniqueWithoutKey(this.context.random.unique());
     let result: Result<TaskView, Failure> = Err(notOwned(STEP, 'partition'));
     for (const partition of this.nearest(set, input.taskClass, unique)) {
       result = await this.submitTo(partition, unique, input, call);
--- a/tests/tasks/jobLife.spec.ts
+++ b/tests/tasks/jobLife.spec.ts
@@ -124,3 +124,21 @@
   await world.until(() => entry.show('timaru~0~a2')?.state === 'completed');
   t.is(world.returnsOfCapacity(), 2);
 });
+
+test('should send no start into a data centre that was taken out after the intent was made', async (t) => {
+  const world = taskWorld();
+  const entry = world.entry('e1');
+  await entry.own(1);
+  await world.pass(100);
+  world.store.faults.delayMs = 100;
+  const submitting = entry.submit(JOB);
+  await world.until(() => entry.latest(JOB)?.state === 'starting');
+  world.configure(withOutage(world.current(), 'timaru'));
+  await world.until(() => entry.show(JOB)?.state === 'completed');
+  await submitting;
+  const starts = world.history.events.filter(({ kind }) => kind === 'attempt-started');
+  t.deepEqual(
+    starts.map(({ dataCentre }) => dataCentre),
+    ['temuka'],
+  );
+});
