--- /dev/null
+++ b/packages/samphirenotch/src/tasks/commitPace.ts
@@ -0,0 +1,65 @@
+/**
+ * Spaces out the commits of one partition: slower while the store is at its ceiling, and with
+ * growing waits while it does not answer.
+ */
+import {
+  COMMIT_INTERVAL_MAXIMUM_MS,
+  COMMIT_INTERVAL_MS,
+  STORE_BACKOFF_MAXIMUM_MS,
+  STORE_BACKOFF_MS,
+} from './taskSettings.js';
+import type { TaskRandom } from './taskRandom.js';
+
+const SLOWER = 2;
+const FASTER = 0.8;
+
+/** The pace of one partition's commits. */
+export class CommitPace {
+  private intervalMs = COMMIT_INTERVAL_MS;
+
+  private failures = 0;
+
+  /**
+   * @param random - spreads waits, so that partitions do not come back together
+   */
+  constructor(private readonly random: TaskRandom) {}
+
+  /** Notes that the store took a commit or answered a question. */
+  noteAnswer(): void {
+    this.failures = 0;
+    this.intervalMs = Math.max(COMMIT_INTERVAL_MS, this.intervalMs * FASTER);
+  }
+
+  /** Notes that the store is at its ceiling. */
+  noteOverload(): void {
+    this.intervalMs = Math.min(COMMIT_INTERVAL_MAXIMUM_MS, this.intervalMs * SLOWER);
+  }
+
+  /** Notes that the store did not answer. */
+  noteSilence(): void {
+    this.failures += 1;
+  }
+
+  /**
+   * Finds the time from one commit to the next.
+   *
+   * @returns milliseconds
+   */
+  intervalNowMs(): number {
+    if (this.intervalMs === COMMIT_INTERVAL_MS) return COMMIT_INTERVAL_MS;
+    return this.spread(this.intervalMs);
+  }
+
+  /**
+   * Finds the wait after a call that was not answered.
+   *
+   * @returns milliseconds
+   */
+  backoffMs(): number {
+    return this.spread(Math.min(STORE_BACKOFF_MAXIMUM_MS, STORE_BACKOFF_MS * 2 ** this.failures));
+  }
+
+  private spread(longestMs: number): number {
+    return (longestMs / 2) * (1 + this.random.fraction());
+  }
+}
--- a/packages/samphirenotch/src/tasks/groupCommit.ts
+++ b/packages/samphirenotch/src/tasks/groupCommit.ts
@@ -9,6 +9,7 @@
 import type { KeyValueStore } from '../platform/keyValueStore.js';
 import type { Clock } from '../time/clock.js';
 import { ChunkWriter } from './chunkWriter.js';
+import { CommitPace } from './commitPace.js';
 import { HeadWriter, type HeadOutcome, type HeadWrite } from './headWriter.js';
 import { encodeHead, encodeJob } from './partitionRecord.js';
 import {
@@ -16,8 +17,6 @@
   CHUNK_LENGTH,
   COMMIT_INTERVAL_MS,
   JOURNAL_LENGTH,
-  STORE_BACKOFF_MAXIMUM_MS,
-  STORE_BACKOFF_MS,
   STORE_RETRY_AFTER_MS,
 } from './taskSettings.js';
 import { WakeUp } from './wakeUp.js';
@@ -64,12 +63,12 @@
 
   private answering = true;
 
-  private failures = 0;
-
   private silentSinceMs = 0;
 
   private lost = false;
 
+  private readonly pace: CommitPace;
+
   private readonly wakeUp: WakeUp;
 
   private readonly head: HeadWriter<Commit>;
@@ -95,6 +94,7 @@
     const { store, clock, recorder, partition, signal } = context;
     this.head = new HeadWriter(store, clock, partition, revision);
     this.chunks = new ChunkWriter(store, clock, recorder, partition, chunkRevisions);
+    this.pace = new CommitPace(context.random);
     this.wakeUp = new WakeUp(clock, signal);
     const named = new Set(layout.chunks.keys());
     this.chunks.discard([...chunkRevisions.keys()].filter((name) => !named.has(name)));
@@ -145,11 +145,9 @@
       if (signal.aborted) break;
       const startedMs = clock.monotonicMs();
       await this.step();
-      if (this.answering) {
-        await clock.sleep(startedMs + COMMIT_INTERVAL_MS - clock.monotonicMs(), signal);
-      } else {
-        await clock.sleep(this.backoffMs(), signal);
-      }
+      const nextMs = startedMs + this.pace.intervalNowMs();
+      const waitMs = this.answering ? nextMs - clock.monotonicMs() : this.pace.backoffMs();
+      await clock.sleep(waitMs, signal);
     }
     this.abandon();
   }
@@ -165,8 +163,9 @@
       return;
     }
     this.context.recorder.count('task_commits');
-    this.apply(await this.head.write(commit.val, this.context.signal));
-    if (this.answering) await this.chunks.removeSome(this.context.signal);
+    const outcome = await this.head.write(commit.val, this.context.signal);
+    this.apply(outcome);
+    if (outcome.kind === 'stored') await this.chunks.removeSome(this.context.signal);
   }
 
   private async stepWithoutChanges(): Promise<void> {
@@ -213,6 +212,10 @@
       partition: this.context.partition,
       failure: failure.message,
     });
+    if (failure.code === 'overloaded' && failure.effect === 'not-run') {
+      this.pace.noteOverload();
+      return;
+    }
     this.noteAnswer(false);
     const doubtful = new Set(this.head.doubts().flatMap((doubt) => doubt.changes));
     const refused = this.pending.filter((change) => change.refusable && !doubtful.has(change));
@@ -225,7 +228,8 @@
     const returned = answers && !this.answering;
     if (!answers && this.answering) this.silentSinceMs = nowMs;
     this.answering = answers;
-    this.failures = answers ? 0 : this.failures + 1;
+    if (answers) this.pace.noteAnswer();
+    else this.pace.noteSilence();
     if (returned) this.context.onReturn(nowMs - this.silentSinceMs);
   }
 
@@ -265,11 +269,6 @@
     return end < 0 ? [...this.pending] : this.pending.slice(0, end);
   }
 
-  private backoffMs(): number {
-    const longest = Math.min(STORE_BACKOFF_MAXIMUM_MS, STORE_BACKOFF_MS * 2 ** this.failures);
-    return longest / 2 + (this.context.random.fraction() * longest) / 2;
-  }
-
   private abandon(): void {
     const doubtful = new Set(this.head.doubts().flatMap((doubt) => doubt.changes));
     for (const change of this.pending.splice(0)) {
--- a/packages/samphirenotch/src/tasks/taskSettings.ts
+++ b/packages/samphirenotch/src/tasks/taskSettings.ts
@@ -4,6 +4,8 @@
 
 /** Least time between two commits of one partition, in milliseconds. */
 export const COMMIT_INTERVAL_MS = 50;
+/** Longest time between two commits of a partition while the store is at its ceiling. */
+export const COMMIT_INTERVAL_MAXIMUM_MS = 1_000;
 /** How long one call to the store may take, in milliseconds. */
 export const STORE_TIMEOUT_MS = 2_000;
 /** First wait after a failed call to the store, in milliseconds. */
--- a/tests/tasks/groupCommit.spec.ts
+++ b/tests/tasks/groupCommit.spec.ts
@@ -90,6 +90,22 @@
   t.true(items.every(({ value }) => Buffer.byteLength(value) < world.store.maximumValueBytes / 2));
 });
 
+test('should slow down and refuse nothing while the store is at its ceiling', async (t) => {
+  const world = taskWorld(1, 8);
+  const entry = world.entry('e1');
+  await entry.own(1);
+  await world.pass(100);
+  const results: Promise<Result<unknown, Failure>>[] = [];
+  for (let count = 0; count < 100; count += 1) {
+    results.push(entry.submit(`timaru~0~e${count}`));
+    await world.pass(50);
+  }
+  await world.pass(2_000);
+  const refused = (await Promise.all(results)).filter(({ err }) => err);
+  t.deepEqual(refused, []);
+  t.true(world.store.meter.counts().refused < 25);
+});
+
 test('should write as often for two hundred tasks as for ten that come in the same time', async (t) => {
   const writes = [];
   for (const count of [10, 200]) {
