--- a/packages/samphirenotch-stand-ins/src/site/mixedLoad.ts
+++ b/packages/samphirenotch-stand-ins/src/site/mixedLoad.ts
@@ -5,10 +5,13 @@
 
 import type { LoadPlan, RequestLoad } from './loadPlan.js';
 import { pause } from './site.js';
-import type { SiteCaller } from './siteCaller.js';
+import type { CallerRequest, SiteCaller } from './siteCaller.js';
 
 const MS_PER_SECOND = 1000;
 const WATCHER_WORK_MS = 600_000;
+const TWIN_INTERVAL = 5;
+const MAXIMUM_RESENDS = 3;
+const RESEND_PAUSE_MS = 1000;
 
 /** Sends the load of a site for some time. */
 export class MixedLoad {
@@ -16,6 +19,8 @@
 
   private tasksSent = 0;
 
+  private keysSent = 0;
+
   /**
    * @param caller - who sends
    * @param plan - what is sent
@@ -68,17 +73,31 @@
     sending.finally(() => this.inFlight.delete(sending)).catch(() => undefined);
   }
 
-  private sendRequest(load: RequestLoad): Promise<unknown> {
-    const { taskClass, tenant, serviceMs, waitSeconds, keyed } = load;
-    return this.caller.send({
+  private async sendRequest(load: RequestLoad): Promise<void> {
+    const { taskClass, tenant, serviceMs, waitSeconds } = load;
+    const body = `${taskClass} ${randomUUID()}`;
+    const wanted = {
       service: this.plan.service,
       taskClass,
       tenant,
       serviceMs,
       waitSeconds,
-      body: `${taskClass} ${randomUUID()}`,
-      ...(keyed ? { idempotencyKey: randomUUID() } : {}),
-    });
+      body,
+    };
+    if (load.keyed) await this.sendKeyed({ ...wanted, idempotencyKey: randomUUID() });
+    else await this.caller.send(wanted);
+  }
+
+  /** Some keys are sent twice at once, and all again until they are answered, as callers do. */
+  private async sendKeyed(wanted: CallerRequest): Promise<void> {
+    this.keysSent += 1;
+    const copies = this.keysSent % TWIN_INTERVAL === 0 ? 2 : 1;
+    const first = await Promise.all(Array.from({ length: copies }, () => this.caller.send(wanted)));
+    let answered = first.some(({ outcome }) => outcome === 'answered');
+    for (let resends = 0; !answered && resends < MAXIMUM_RESENDS; resends += 1) {
+      await pause(RESEND_PAUSE_MS);
+      answered = (await this.caller.send(wanted)).outcome === 'answered';
+    }
   }
 
   private submitTask(): Promise<unknown> {
