Drop a worker that is listed elsewhere only when it is silent and empty

Cause: a worker that came back under its id at another address was never reached, and a usage report that had not changed was learned from each second. Ruled out: following the new address at once, since the list may be wrong and the attempts at the old one would count as gone. Change: the held worker stays while it answers or holds anything; learning takes a report once; a chase of lost starts ends with its loop.

--- a/packages/samphirenotch/src/shards/ownedWorker.ts
+++ b/packages/samphirenotch/src/shards/ownedWorker.ts
@@ -26,6 +26,9 @@
   /** Classes of requests that were answered there. */
   readonly requestClasses = new Set<string>();
 
+  /** Where it was reached first. */
+  readonly address: string;
+
   private readonly ownedSinceMs: number;
 
   private isListed = true;
@@ -58,6 +61,7 @@
     private readonly clock: Clock,
   ) {
     this.ledger = new Ledger(listing.capacity, listing.slots);
+    this.address = listing.address;
     this.ownedSinceMs = clock.monotonicMs();
     this.answeredAtMs = this.ownedSinceMs;
   }
--- a/packages/samphirenotch/src/shards/shardOwner.ts
+++ b/packages/samphirenotch/src/shards/shardOwner.ts
@@ -68,8 +68,8 @@
     if (this.controller.signal.aborted) return;
     const byId = new Map(listings.map((listing) => [listing.id, listing]));
     this.held.forEach(({ owned }) => owned.relist(byId.get(owned.id)));
-    listings.filter(({ id }) => !this.held.has(id)).forEach((listing) => this.hold(listing));
     this.dropVanished(byId);
+    listings.filter(({ id }) => !this.held.has(id)).forEach((listing) => this.hold(listing));
   }
 
   /**
@@ -108,11 +108,15 @@
     this.loops.push(made.loop.run(made.controller.signal));
   }
 
-  /** A worker that is neither listed nor heard and holds nothing is gone. */
+  /**
+   * A worker that is not listed, or listed elsewhere, is dropped once it is silent and holds nothing.
+   * The list may be wrong: while the worker answers where it was, it stays.
+   */
   private dropVanished(listed: ReadonlyMap<string, WorkerListing>): void {
     this.workers().forEach(({ owned, controller }) => {
+      const isWhereItWas = listed.get(owned.id)?.address === owned.address;
       const isInUse = owned.attempts.size > 0 || owned.ledger.heldSlots() > 0;
-      if (listed.has(owned.id) || isInUse || !owned.isSilent()) return;
+      if (isWhereItWas || isInUse || !owned.isSilent()) return;
       controller.abort();
       owned.retire();
       this.held.delete(owned.id);
--- a/packages/samphirenotch/src/shards/sizes.ts
+++ b/packages/samphirenotch/src/shards/sizes.ts
@@ -60,3 +60,13 @@
   size.milliCores <= room.milliCores &&
   size.memoryMb <= room.memoryMb &&
   size.accelerators <= room.accelerators;
+
+/**
+ * Tells whether two sizes are the same.
+ *
+ * @param left - a size
+ * @param right - another, or nothing
+ * @returns true if all amounts are equal
+ */
+export const isSameSize = (left: Size, right: Size | undefined): boolean =>
+  right !== undefined && fitsIn(left, right) && fitsIn(right, left);
--- a/packages/samphirenotch/src/shards/workerLoop.ts
+++ b/packages/samphirenotch/src/shards/workerLoop.ts
@@ -17,6 +17,7 @@
 import type { AttemptReporter } from './attemptReporter.js';
 import type { AttemptStops } from './attemptStops.js';
 import type { OwnedWorker } from './ownedWorker.js';
+import { isSameSize } from './sizes.js';
 import {
   LAPSE_MS,
   OWN_LAPSE_MS,
@@ -83,7 +84,7 @@
 
   private async beat(signal: AbortSignal): Promise<void> {
     const { owned, reporter, clock } = this.parts;
-    await this.chaseUncertain();
+    await this.chaseUncertain(signal);
     if (signal.aborted || !owned.mayCommand()) return;
     const sentAtMs = clock.monotonicMs();
     const heldBefore = owned.ledger.heldSlots();
@@ -139,7 +140,7 @@
       return;
     }
     const attempt = known ?? this.adopt(report);
-    if (report.used) {
+    if (report.used && !isSameSize(report.used, attempt.report?.used)) {
       sizes.observe(report.taskClass, attempt.declared, report.used);
       owned.ledger.count(report.attemptId, report.used);
     }
@@ -157,7 +158,7 @@
     const taskClass = configuration.current()?.taskClasses.get(report.taskClass);
     return {
       ...report,
-      declared: report.size,
+      declared: taskClass?.size ?? report.size,
       priority: taskClass?.priority ?? 0,
       state: 'running',
       sinceMs: nowMs,
@@ -181,10 +182,11 @@
     });
   }
 
-  private async chaseUncertain(): Promise<void> {
+  private async chaseUncertain(signal: AbortSignal): Promise<void> {
     const { owned, stops, reporter } = this.parts;
     const uncertain = [...owned.attempts.values()].filter(({ state }) => state === 'uncertain');
     for (const attempt of uncertain) {
+      if (signal.aborted) return;
       const chased = await stops.chase(attempt);
       if (!chased.ok) continue;
       reporter.conclude(chased.val ?? endedReport(attempt, 'stopped', NEVER_STARTED));
--- a/tests/shards/outages.spec.ts
+++ b/tests/shards/outages.spec.ts
@@ -261,3 +261,32 @@
   t.true(waitedMs >= TASK_LEASE_MS, `it was concluded after ${waitedMs} ms`);
   t.false(isRunning(site, 'a1'), 'by the word of the worker too');
 });
+
+test('should reach a replaced worker at its new address, once the old one holds nothing', async (t) => {
+  const site = shardSite();
+  const entry = shardEntry(site, 'e1');
+  await untilOpen(site, entry);
+  const room = await reserved(site, entry, { attemptId: 'a1' });
+  await startIn(site, entry, room, { attemptId: 'a1' });
+  const before = entry.handler.ownerOf(SHARD)?.worker('w1')?.owned;
+  site.listings = [workerListing({ address: '127.0.0.1:2' })];
+  await site.clock.advance(5000);
+  t.is(entry.handler.ownerOf(SHARD)?.worker('w1')?.owned, before, 'the list may be wrong');
+  const worker = site.workers.get('w1');
+  if (worker) worker.faults.silent = true;
+  await until(site, () => entry.handler.ownerOf(SHARD)?.worker('w1')?.owned !== before);
+  t.false(isRunning(site, 'a1'), 'its lease was over before');
+  if (worker) worker.faults.silent = false;
+  await untilOpen(site, entry);
+  t.is(entry.handler.ownerOf(SHARD)?.worker('w1')?.owned.address, '127.0.0.1:2');
+});
+
+test('should count a slot as busy after silence, until the worker shows that it is free', async (t) => {
+  const site = shardSite([workerListing({ slots: 1 })]);
+  const entry = shardEntry(site, 'e1');
+  await untilOpen(site, entry);
+  entry.slots.takeSlot(WISH)?.release({ kind: 'silent', latencyMs: 1000 });
+  t.is(entry.slots.takeSlot(WISH), undefined);
+  await site.clock.advance(1100);
+  t.truthy(entry.slots.takeSlot(WISH));
+});
