--- a/packages/samphirenotch/src/shards/ledger.ts
+++ b/packages/samphirenotch/src/shards/ledger.ts
@@ -4,7 +4,7 @@
  * Until an inventory was taken the worker counts as full.
  */
 import type { Size } from '../platform/worker.js';
-import { fitsIn, largerOf, leftOf, NO_SIZE, sumSizes } from './sizes.js';
+import { fitsIn, leftOf, NO_SIZE, sumSizes } from './sizes.js';
 
 /** The account of one worker. */
 export class Ledger {
@@ -62,13 +62,13 @@
   }
 
   /**
-   * Counts an attempt that the worker holds, room or not, and never less of it than before.
+   * Counts an attempt that the worker holds, room or not.
    *
    * @param attemptId - the attempt
-   * @param size - what was given to it, or what it uses
+   * @param size - what was given to it, or what it uses beyond that
    */
   count(attemptId: string, size: Size): void {
-    this.counted.set(attemptId, largerOf(size, this.counted.get(attemptId) ?? NO_SIZE));
+    this.counted.set(attemptId, size);
   }
 
   /**
--- a/packages/samphirenotch/src/shards/workerLoop.ts
+++ b/packages/samphirenotch/src/shards/workerLoop.ts
@@ -17,7 +17,7 @@
 import type { AttemptReporter } from './attemptReporter.js';
 import type { AttemptStops } from './attemptStops.js';
 import type { OwnedWorker } from './ownedWorker.js';
-import { isSameSize } from './sizes.js';
+import { isSameSize, largerOf } from './sizes.js';
 import {
   LAPSE_MS,
   OWN_LAPSE_MS,
@@ -142,8 +142,9 @@
     const attempt = known ?? this.adopt(report);
     if (report.used && !isSameSize(report.used, attempt.report?.used)) {
       sizes.observe(report.taskClass, attempt.declared, report.used);
-      owned.ledger.count(report.attemptId, report.used);
     }
+    const used = report.used ?? attempt.report?.used ?? attempt.size;
+    owned.ledger.count(report.attemptId, largerOf(attempt.size, used));
     const isNewCheckpoint = report.checkpoint !== attempt.report?.checkpoint;
     const checkpointedAtMs = isNewCheckpoint
       ? this.parts.clock.monotonicMs()
