Go on where a watch is silent or the list of VMs is empty

Cause: a watch that never answers kept an entry from seeing that an owner died, and an empty list of VMs gave up every shard without work. Ruled out: a shorter hold of the watch; it costs calls and does not help where watches are never answered while other calls are. Change: after a failed watch the prefix is listed again; an empty list is not used; channels to silent peers are closed when there are many.

--- a/packages/samphirenotch/src/membership/peerChannels.ts
+++ b/packages/samphirenotch/src/membership/peerChannels.ts
@@ -9,6 +9,9 @@
 const KEEPALIVE_TIMEOUT_MS = 2000;
 const LONGEST_RECONNECT_MS = 1000;
 
+/** Channels beyond which those to silent peers are closed. */
+const MOST_CHANNELS = 64;
+
 const CHANNEL_OPTIONS: ChannelOptions = {
   'grpc.keepalive_time_ms': KEEPALIVE_TIME_MS,
   'grpc.keepalive_timeout_ms': KEEPALIVE_TIMEOUT_MS,
@@ -64,9 +67,21 @@
   private channelTo(address: string): PeerChannel {
     const known = this.channels.get(address);
     if (known) return known;
+    if (this.channels.size >= MOST_CHANNELS) this.closeUnused();
     const channel = new Channel(address, credentials.createInsecure(), CHANNEL_OPTIONS);
     const made = { channel, clients: new Map<unknown, Client>() };
     this.channels.set(address, made);
     return made;
   }
+
+  /** Entries come and go at new addresses; channels to those that are gone are closed. */
+  private closeUnused(): void {
+    const live = new Set(this.peers.live().map(({ address }) => address));
+    [...this.channels]
+      .filter(([address]) => !live.has(address))
+      .forEach(([address, { channel }]) => {
+        channel.close();
+        this.channels.delete(address);
+      });
+  }
 }
--- a/packages/samphirenotch/src/membership/prefixFollower.ts
+++ b/packages/samphirenotch/src/membership/prefixFollower.ts
@@ -28,6 +28,8 @@
 
   private revision: number | undefined;
 
+  private needsListing = true;
+
   /**
    * @param store - the platform's store
    * @param clock - for waits and deadlines
@@ -92,7 +94,10 @@
   }
 
   private step(signal: AbortSignal): Promise<boolean> {
-    return this.revision === undefined ? this.list(signal) : this.watch(this.revision, signal);
+    const { revision, needsListing } = this;
+    return needsListing || revision === undefined
+      ? this.list(signal)
+      : this.watch(revision, signal);
   }
 
   private async list(signal: AbortSignal): Promise<boolean> {
@@ -104,6 +109,7 @@
     }
     this.replace(listed.val);
     this.revision = listed.val.revision;
+    this.needsListing = false;
     this.notify();
     return true;
   }
@@ -118,11 +124,10 @@
   private async watch(revision: number, signal: AbortSignal): Promise<boolean> {
     const call = callWithin(this.clock, WATCH_TIMEOUT_MS, signal);
     const batch = await this.store.watch(this.prefix, revision, WATCH_HOLD_MS, call);
+    // A watch can be silent for good while other calls are answered, so a failed one is not trusted.
+    this.needsListing = !batch.ok || batch.val.compacted;
     if (!batch.ok) return false;
-    if (batch.val.compacted) {
-      this.revision = undefined;
-      return true;
-    }
+    if (batch.val.compacted) return true;
     batch.val.changes.forEach((change) => this.apply(change));
     this.revision = batch.val.revision;
     if (batch.val.changes.length > 0) this.notify();
--- a/packages/samphirenotch/src/shards/workerList.ts
+++ b/packages/samphirenotch/src/shards/workerList.ts
@@ -82,6 +82,11 @@
       log.debug('The list of VMs was not read.', { reason: listed.val.message });
       return;
     }
+    // A list without any worker would stop all work; it is more likely wrong than right.
+    if (listed.val.length === 0 && this.shards.size > 0) {
+      log.warn('The list of VMs came back empty and is not used.');
+      return;
+    }
     const shards = new Map<string, WorkerListing[]>();
     listed.val.forEach((listing) => {
       const shard = shardOf(listing);
--- a/tests/membership/ownership.spec.ts
+++ b/tests/membership/ownership.spec.ts
@@ -151,6 +151,37 @@
   return t.deepEqual(old.released, [RESOURCE], 'the old owner had finished before');
 });
 
+test('should replace a dead owner although every watch has gone silent', async (t) => {
+  const { site, entries, holders } = entriesOf(['e1', 'e2']);
+  await until(site, () => holders().length > 0);
+  await site.clock.advance(3000);
+  const [old] = holders();
+  const rival = entries.find(({ entry }) => entry.id !== old?.entry.id);
+  rival?.entry.link.lostAnswers.add('watch');
+  old?.entry.kill();
+  await until(site, () => (rival?.taken.length ?? 0) > 0);
+  t.deepEqual(
+    holders().map(({ entry }) => entry.id),
+    [rival?.entry.id],
+  );
+});
+
+test('should leave everything to the third of three entries when two stop at once', async (t) => {
+  const names = Array.from({ length: 12 }, (_, index) => `partition/timaru/${index}`);
+  const { site, entries } = entriesOf(['e1', 'e2', 'e3'], names);
+  const held = (index: number): number =>
+    names.filter((name) => entries[index]?.entry.ownership.grantOf(name)?.isCertain()).length;
+  await until(site, () => held(0) + held(1) + held(2) === names.length);
+  await site.clock.advance(10_000);
+  const { signal } = new AbortController();
+  const drained = Promise.all(
+    entries.slice(0, 2).map(({ entry }) => entry.ownership.drain(signal)),
+  );
+  const waitedMs = await until(site, () => held(2) === names.length);
+  await whileTimeMoves(site, drained);
+  t.true(waitedMs < 2000, `it took ${waitedMs} ms`);
+});
+
 test('should adopt what a dead data centre owned, and give it back later', async (t) => {
   const site = shardSite([]);
   const notes = [notingHandler(), notingHandler(), notingHandler()];
--- a/tests/shards/outages.spec.ts
+++ b/tests/shards/outages.spec.ts
@@ -290,3 +290,13 @@
   await site.clock.advance(1100);
   t.truthy(entry.slots.takeSlot(WISH));
 });
+
+test('should go on with the workers it knows when the list comes back empty', async (t) => {
+  const site = shardSite();
+  const entry = shardEntry(site, 'e1');
+  await untilOpen(site, entry);
+  site.listings = [];
+  await site.clock.advance(10_000);
+  t.truthy(entry.slots.takeSlot(WISH));
+  t.like(await reserve(site, entry, { attemptId: 'a1' }), { kind: 'reserved' });
+});
