Let claims wait for a new owner, and take in refused bodies

Claims that reached a new owner while it still read its partition were refused; they now wait until it has read it, within their deadline, unless the store does not answer. A body whose request was refused while it was still coming in was left unread, so that the caller's connection stood still; it is now read and dropped.

--- a/packages/samphirenotch/src/requests/keyClaims.ts
+++ b/packages/samphirenotch/src/requests/keyClaims.ts
@@ -11,6 +11,7 @@
 import type { KeyJournal } from './keyJournal.js';
 import { KEY_RETENTION_MS, type KeyMemory } from './keyMemory.js';
 import type { KeyRecord } from './keySegment.js';
+import { PendingClaims, type PendingClaim } from './pendingClaims.js';
 import { refusal } from './refusal.js';
 
 /** Shortest time between two writes of a partition, in milliseconds. */
@@ -35,14 +36,6 @@
 /** Time after the deadline within which a run may still be answering, in milliseconds. */
 const RUN_SLACK_MS = 60_000;
 
-interface PendingClaim {
-  readonly runsUntilMs: number;
-  readonly claim: KeyClaim;
-  readonly record: KeyRecord;
-  readonly settle: (result: Result<KeyDecision, Failure>) => void;
-  readonly result: Promise<Result<KeyDecision, Failure>>;
-}
-
 /** What the claims are made of. */
 export interface KeyClaimsParts {
   readonly journal: KeyJournal;
@@ -57,14 +50,13 @@
 export class KeyClaims {
   private readonly stop = new AbortController();
 
-  private readonly pending = new Map<string, PendingClaim>();
-
-  /** Tokens of pending claims that were given up. */
-  private readonly withdrawn = new Set<string>();
+  private readonly pending = new PendingClaims();
 
   private ends: KeyRecord[] = [];
 
-  private state: 'loading' | 'open' | 'store-out' = 'loading';
+  private loaded = false;
+
+  private storeAnswers = true;
 
   private wake = new AbortController();
 
@@ -96,14 +88,14 @@
    */
   async claim(claim: KeyClaim, call: Call): Promise<Result<KeyDecision, Failure>> {
     if (this.stop.signal.aborted) return Err(this.refuse('not-owner', 'The owner has changed.'));
-    if (this.state !== 'open') {
+    if (!this.storeAnswers) {
       return Err(this.refuse('unavailable', 'The store does not take claims now.'));
     }
     const { clock, memory } = this.parts;
-    const waiting = this.pending.get(claim.key);
+    const waiting = this.pending.find(claim.key);
     if (waiting) return this.joinWaiting(waiting, claim, call);
     memory.removeOlder(clock.wallMs() - KEY_RETENTION_MS);
-    const known = memory.decide(claim, clock.monotonicMs());
+    const known = this.loaded ? memory.decide(claim, clock.monotonicMs()) : undefined;
     if (known) return Ok(known);
     if (memory.size + this.pending.size >= MAXIMUM_KEYS) return Err(this.full());
     return this.within(this.enqueue(claim, call), claim, call);
@@ -116,10 +108,7 @@
    */
   settle(settlement: KeySettlement): void {
     const { key, token, outcome, answer } = settlement;
-    if (this.pending.get(key)?.claim.token === token) {
-      if (outcome === 'not-run') this.withdrawn.add(token);
-      return;
-    }
+    if (outcome === 'not-run' && this.pending.withdraw(key, token)) return;
     if (!this.parts.memory.end(key, token, outcome, answer)) return;
     this.ends.push({ kind: 'end', key, token, outcome });
     this.wake.abort();
@@ -131,7 +120,7 @@
     call: Call,
   ): Promise<Result<KeyDecision, Failure>> {
     if (waiting.claim.token === claim.token) {
-      this.withdrawn.delete(claim.token);
+      this.pending.renew(claim.token);
       return this.within(waiting.result, claim, call);
     }
     const same = waiting.claim.fingerprint === claim.fingerprint;
@@ -139,15 +128,8 @@
   }
 
   private enqueue(claim: KeyClaim, call: Call): Promise<Result<KeyDecision, Failure>> {
-    const { key, token, fingerprint } = claim;
     const atMs = this.parts.clock.wallMs();
-    const record: KeyRecord = { kind: 'claim', key, token, fingerprint, atMs };
-    let settle: PendingClaim['settle'] = () => {};
-    const result = new Promise<Result<KeyDecision, Failure>>((resolve) => {
-      settle = resolve;
-    });
-    const runsUntilMs = call.deadlineMs + RUN_SLACK_MS;
-    this.pending.set(key, { claim, record, settle, result, runsUntilMs });
+    const { result } = this.pending.add(claim, atMs, call.deadlineMs + RUN_SLACK_MS);
     this.wake.abort();
     return result;
   }
@@ -162,9 +144,7 @@
     const giveUp = async (): Promise<Result<KeyDecision, Failure>> => {
       await clock.sleep(Math.min(CLAIM_WAIT_MS, remainingMs(clock, call)), over.signal);
       if (over.signal.aborted) return result;
-      if (this.pending.get(claim.key)?.claim.token === claim.token) {
-        this.withdrawn.add(claim.token);
-      }
+      this.pending.withdraw(claim.key, claim.token);
       return Err(this.refuse('unavailable', 'The claim was not stored in time.'));
     };
     const first = await Promise.race([result, giveUp()]);
@@ -181,7 +161,7 @@
     const { clock } = this.parts;
     let removedAtMs = clock.monotonicMs();
     while (!this.stop.signal.aborted) {
-      if (this.state === 'loading' && !(await this.load())) continue;
+      if (!this.loaded && !(await this.load())) continue;
       await this.writePending();
       if (this.stop.signal.aborted) break;
       if (clock.monotonicMs() - removedAtMs > REMOVAL_INTERVAL_MS) {
@@ -190,7 +170,7 @@
       }
       await this.waitForWork();
     }
-    if (this.state === 'open') await this.writePending();
+    if (this.loaded && this.storeAnswers) await this.writePending();
     this.refusePending('not-owner', 'The owner has changed.');
   }
 
@@ -202,19 +182,21 @@
     }
     const records = await journal.takeOver();
     if (!records) {
+      this.storeOut();
       await clock.sleep(STORE_RETRY_MS, this.stop.signal);
       return false;
     }
     memory.load(records);
-    this.state = 'open';
+    this.loaded = true;
+    this.storeAnswers = true;
     log.info('Partition is taken over.', { resource: grant.resource, keys: memory.size });
     return true;
   }
 
   private async waitForWork(): Promise<void> {
     const { clock } = this.parts;
-    await clock.sleep(this.state === 'open' ? WRITE_INTERVAL_MS : STORE_RETRY_MS, this.stop.signal);
-    if (this.stop.signal.aborted || this.state !== 'open') return;
+    await clock.sleep(this.storeAnswers ? WRITE_INTERVAL_MS : STORE_RETRY_MS, this.stop.signal);
+    if (this.stop.signal.aborted || !this.loaded || !this.storeAnswers) return;
     if (this.pending.size > 0 || this.ends.length > 0) return;
     this.wake = new AbortController();
     await clock.sleep(REMOVAL_INTERVAL_MS, this.wake.signal);
@@ -222,16 +204,16 @@
 
   /** Writes all that came since the last write, in one swap. */
   private async writePending(): Promise<void> {
-    const claims = [...this.pending.values()];
+    const claims = this.undecided();
     const { ends } = this;
-    if (claims.length === 0 && ends.length === 0 && this.state === 'open') return;
+    if (claims.length === 0 && ends.length === 0 && this.storeAnswers) return;
     this.ends = [];
     const outcome = await this.parts.journal.append([
       ...ends,
       ...claims.map(({ record }) => record),
     ]);
     if (outcome === 'written') {
-      this.state = 'open';
+      this.storeAnswers = true;
       this.grant(claims);
       return;
     }
@@ -240,40 +222,46 @@
     else this.storeOut();
   }
 
-  private grant(claims: readonly PendingClaim[]): void {
+  /** Pending claims without those of keys that were learned while they waited. */
+  private undecided(): readonly PendingClaim[] {
     const { clock, memory } = this.parts;
-    for (const { claim, record, settle, runsUntilMs } of claims) {
+    for (const pending of this.pending.all()) {
+      const known = memory.decide(pending.claim, clock.monotonicMs());
+      if (!known) continue;
+      this.pending.remove(pending);
+      pending.settle(Ok(known));
+    }
+    return this.pending.all();
+  }
+
+  private grant(claims: readonly PendingClaim[]): void {
+    for (const pending of claims) {
+      const { claim, record, settle, runsUntilMs } = pending;
       const { key, token } = claim;
-      this.pending.delete(key);
-      if (this.withdrawn.delete(token)) {
+      if (this.pending.remove(pending)) {
         this.ends.push({ kind: 'end', key, token, outcome: 'not-run' });
         settle(Err(this.refuse('unavailable', 'The claim was given up.')));
         continue;
       }
-      const atMs = record.kind === 'claim' ? record.atMs : clock.wallMs();
-      memory.add(claim, atMs, runsUntilMs);
+      this.parts.memory.add(claim, record.atMs, runsUntilMs);
       settle(Ok({ kind: 'granted' }));
     }
   }
 
   private fenced(): void {
     log.warn('Another owner has written.', { resource: this.parts.grant.resource });
-    this.state = 'loading';
+    this.loaded = false;
     this.refusePending('unavailable', 'Another owner has taken the key over.');
   }
 
   private storeOut(): void {
-    if (this.state === 'open') log.warn('The store takes no claims.');
-    this.state = 'store-out';
+    if (this.storeAnswers) log.warn('The store takes no claims.');
+    this.storeAnswers = false;
     this.refusePending('unavailable', 'The store did not take the claim.');
   }
 
   private refusePending(code: FailureCode, message: string): void {
-    for (const { claim, settle } of [...this.pending.values()]) {
-      this.pending.delete(claim.key);
-      this.withdrawn.delete(claim.token);
-      settle(Err(this.refuse(code, message)));
-    }
+    this.pending.refuseAll(this.refuse(code, message));
   }
 
   private full(): Failure {
--- a/packages/samphirenotch/src/requests/serviceHandler.ts
+++ b/packages/samphirenotch/src/requests/serviceHandler.ts
@@ -67,6 +67,11 @@
     limited.on('error', (error) => {
       cause = error;
     });
+    // An answer may be complete before the body is; the rest is read and dropped.
+    response.once('finish', () => {
+      request.unpipe();
+      request.resume();
+    });
     const body = await readBody(limited).catch((error: unknown) => error);
     if (body instanceof Error) {
       this.brokenBody(response, body, requestId);
--- a/tests/requests/entries.spec.ts
+++ b/tests/requests/entries.spec.ts
@@ -3,6 +3,7 @@
  */
 import { createHash } from 'node:crypto';
 import { once } from 'node:events';
+import { connect } from 'node:net';
 import { PassThrough, Readable } from 'node:stream';
 import { json, text } from 'node:stream/consumers';
 import test, { type ExecutionContext } from 'ava';
@@ -356,6 +357,22 @@
   t.deepEqual(statuses, [200, 200, 429]);
 });
 
+test('should take in the rest of a body whose request was refused', async (t) => {
+  const { enter } = site(t);
+  const front = await enter('front');
+  const { hostname, port } = new URL(front.url);
+  const caller = connect(Number(port), hostname);
+  const head = 'POST /services/spot-desk/x HTTP/1.1\r\nHost: entry\r\nTenant: growers\r\n';
+  caller.write(`${head}Task-Class: swap\r\nContent-Length: ${CHUNK.length * CHUNKS}\r\n\r\n`);
+  Readable.from(largeBody(), { objectMode: false }).pipe(caller, { end: false });
+  const [answer] = (await once(caller, 'data')) as [Buffer];
+  t.true(answer.toString().startsWith('HTTP/1.1 503'));
+  while (caller.bytesWritten < CHUNK.length * CHUNKS) await oneTurn();
+  caller.write('GET /healthz HTTP/1.1\r\nHost: entry\r\nConnection: close\r\n\r\n');
+  const [next] = (await once(caller, 'data')) as [Buffer];
+  t.true(next.toString().startsWith('HTTP/1.1 200'));
+});
+
 test('should name what is wrong with a request', async (t) => {
   const { enter } = site(t);
   const front = await enter('front', [echo]);
--- a/tests/requests/keyClaims.spec.ts
+++ b/tests/requests/keyClaims.spec.ts
@@ -113,6 +113,19 @@
   t.is(kindOf(await claim(keys, { token: 't3' })), 'granted');
 });
 
+test('should let claims wait while a new owner reads what is stored', async (t) => {
+  const { owner, claim, clock, store } = bench();
+  const first = await owner('a');
+  await claim(first);
+  store.faults.delayMs = 100;
+  const second = await owner('b');
+  const call = callWithin(clock, 10_000);
+  const known = second.claim({ partition: 0, key: 'k', token: 't2', fingerprint: 'f' }, call);
+  const fresh = second.claim({ partition: 0, key: 'k2', token: 't3', fingerprint: 'f' }, call);
+  await clock.advance(1_000);
+  t.deepEqual([kindOf(await known), kindOf(await fresh)], ['outcome-unknown', 'granted']);
+});
+
 test('should give a key back whose claim was given up before it was stored', async (t) => {
   const { owner, claim, store, clock } = bench();
   const keys = await owner('a');
