Look at the queue of a partition at bounded cost

Cause: every finished start and every commit began a look at once; ordering 20,000 queued jobs takes 23 ms here, so a burst took most of a core.

--- a/packages/samphirenotch/src/tasks/scheduler.ts
+++ b/packages/samphirenotch/src/tasks/scheduler.ts
@@ -10,7 +10,12 @@
 import { makeAttemptId } from './jobId.js';
 import { failed } from './jobTransitions.js';
 import { QuotaUse } from './quotaUse.js';
-import { CONCURRENT_STARTS, SCHEDULE_INTERVAL_MS } from './taskSettings.js';
+import {
+  CONCURRENT_STARTS,
+  ORDER_SHARE,
+  ROUND_INTERVAL_MS,
+  SCHEDULE_INTERVAL_MS,
+} from './taskSettings.js';
 import { WakeUp } from './wakeUp.js';
 import type { Job } from './job.js';
 import type { JobStarter } from './jobStarter.js';
@@ -34,6 +39,9 @@
 
   private closed = false;
 
+  /** How long ordering the queue took in the last look, in milliseconds. */
+  private orderMs = 0;
+
   private readonly waiting = new Map<string, WaitReason>();
 
   /**
@@ -78,20 +86,24 @@
 
   /** Starts jobs until the partition is given up. */
   async run(): Promise<void> {
-    const { signal, jobs } = this.context;
+    const { signal, jobs, clock } = this.context;
     while (!signal.aborted) {
+      this.orderMs = 0;
       if (jobs.isAnswering() && !this.closed) await this.round();
+      await clock.sleep(Math.max(ROUND_INTERVAL_MS, this.orderMs * ORDER_SHARE), signal);
       await this.wakeUp.wait(SCHEDULE_INTERVAL_MS);
     }
   }
 
   private async round(): Promise<void> {
-    const { configuration, jobs } = this.context;
+    const { configuration, jobs, clock } = this.context;
     const set = configuration.current();
     if (!set) return;
     this.waiting.clear();
     const quotas = new QuotaUse(set, jobs.latest.activeJobs());
+    const beganMs = clock.monotonicMs();
     const order = this.ordered(set);
+    this.orderMs = clock.monotonicMs() - beganMs;
     const round = { set, quotas, full: new Map(), impossible: this.impossibleClasses(set) };
     for (const jobId of order) {
       if (!this.mayGoOn()) return;
--- a/packages/samphirenotch/src/tasks/taskSettings.ts
+++ b/packages/samphirenotch/src/tasks/taskSettings.ts
@@ -27,6 +27,10 @@
 
 /** Time between two looks at the queue without any news, in milliseconds. */
 export const SCHEDULE_INTERVAL_MS = 250;
+/** Least time between two looks at the queue, in milliseconds. */
+export const ROUND_INTERVAL_MS = 50;
+/** The queue is ordered for one part in this many of the time, however long it is. */
+export const ORDER_SHARE = 20;
 /** Starts of one partition that are under way side by side. */
 export const CONCURRENT_STARTS = 32;
 /** Shards asked for room in one look at the queue for one job. */
--- /dev/null
+++ b/tests/tasks/scheduling.spec.ts
@@ -0,0 +1,75 @@
+/**
+ * Looks at the queue: how often, and what keeps a job waiting.
+ */
+import test from 'ava';
+import { ROUND_INTERVAL_MS } from 'samphirenotch/tasks/taskSettings.js';
+import { taskClass, taskConfiguration, taskWorld } from '../fixtures/taskWorld.js';
+
+const ready = async (configure = taskConfiguration()) => {
+  const world = taskWorld();
+  world.configure(configure);
+  const entry = world.entry('e1');
+  await entry.own(1);
+  await world.pass(200);
+  return { world, entry };
+};
+
+const idsOf = (count: number): readonly string[] =>
+  Array.from({ length: count }, (_, index) => `timaru~0~s${index}`);
+
+test('should put the queue in order no more often than its interval under a burst', async (t) => {
+  const { world, entry } = await ready();
+  const ids = idsOf(60);
+  const before = world.looksAtQueue();
+  const beganMs = world.clock.monotonicMs();
+  const submitting = ids.map(async (id, index) => {
+    await world.clock.sleep(index * 7);
+    return entry.submit(id, { payload: '{"runMs":50}' });
+  });
+  await world.until(() => ids.every((id) => entry.show(id)?.state === 'completed'));
+  await Promise.all(submitting);
+  const passedMs = world.clock.monotonicMs() - beganMs;
+  t.true(world.looksAtQueue() - before <= passedMs / ROUND_INTERVAL_MS + 1);
+});
+
+test('should keep a tenant within its quota and name the quota', async (t) => {
+  const normal = taskConfiguration();
+  const quota = [...normal.quotas.values()].map((each) => ({ ...each, runningTasks: 4 }));
+  const { world, entry } = await ready({
+    ...normal,
+    quotas: new Map(quota.map((each) => [each.name, each])),
+  });
+  const ids = idsOf(6);
+  const submitting = ids.map((id) => entry.submit(id, { payload: '{"runMs":2000}' }));
+  await world.pass(1_500);
+  await Promise.all(submitting);
+  const running = ids.filter((id) => entry.show(id)?.state === 'running');
+  t.is(running.length, 2);
+  const waiting = ids.find((id) => entry.show(id)?.state === 'queued') ?? '';
+  t.is(await entry.explain(waiting), 'quota');
+  await world.until(() => ids.every((id) => entry.show(id)?.state === 'completed'));
+});
+
+test('should start a small task while a large one finds no room', async (t) => {
+  const large = taskClass('large', { size: { milliCores: 16_000, memoryMb: 1, accelerators: 0 } });
+  const normal = taskConfiguration();
+  const { world, entry } = await ready({
+    ...normal,
+    taskClasses: new Map([...normal.taskClasses, ['large', large]]),
+  });
+  const ids = idsOf(5);
+  const payload = '{"runMs":20000}';
+  const submitting = ids.map((id) => entry.submit(id, { taskClass: 'large', payload }));
+  await world.pass(1_000);
+  const late = entry.submit('timaru~0~late', { taskClass: 'large', payload });
+  await world.pass(500);
+  await Promise.all([...submitting, late]);
+  t.is(ids.filter((id) => entry.show(id)?.state === 'running').length, 4);
+  t.is(await entry.explain('timaru~0~late'), 'no-room-now');
+  const first = ids.find((id) => entry.show(id)?.state === 'running') ?? '';
+  const cancelling = entry.cancel(first);
+  const small = entry.submit('timaru~0~small', { payload: '{"runMs":100}' });
+  await world.until(() => entry.show('timaru~0~small')?.state === 'completed');
+  await Promise.all([cancelling, small]);
+  t.is(world.violations().length, 0);
+});
