--- a/packages/samphirenotch-stand-ins/src/site/childProgram.ts
+++ b/packages/samphirenotch-stand-ins/src/site/childProgram.ts
@@ -70,6 +70,11 @@
     this.child.kill('SIGCONT');
   }
 
+  /** Process id; nothing if the process could not be started. */
+  get pid(): number | undefined {
+    return this.child.pid;
+  }
+
   get running(): boolean {
     return this.child.exitCode === null && this.child.signalCode === null;
   }
--- a/packages/samphirenotch-stand-ins/src/site/tcpRelay.ts
+++ b/packages/samphirenotch-stand-ins/src/site/tcpRelay.ts
@@ -15,6 +15,8 @@
 
   private mode: RelayMode = 'open';
 
+  private passed = 0;
+
   /**
    * @param target - port on loopback that connections are passed on to
    */
@@ -22,6 +24,11 @@
     this.server = createServer((socket) => this.accept(socket));
   }
 
+  /** Bytes passed on so far, in both directions together. */
+  get passedBytes(): number {
+    return this.passed;
+  }
+
   /** @returns the port that the relay listens on */
   async listen(): Promise<number> {
     this.server.listen(0, '127.0.0.1');
@@ -61,7 +68,9 @@
   private join(from: Socket, to: Socket): void {
     this.sockets.add(from);
     from.on('data', (bytes) => {
-      if (this.mode === 'open') to.write(bytes);
+      if (this.mode !== 'open') return;
+      this.passed += bytes.length;
+      to.write(bytes);
     });
     from.on('error', () => from.destroy());
     from.on('close', () => {
