--- a/tests/shards/outages.spec.ts
+++ b/tests/shards/outages.spec.ts
@@ -300,3 +300,16 @@
   t.truthy(entry.slots.takeSlot(WISH));
   t.like(await reserve(site, entry, { attemptId: 'a1' }), { kind: 'reserved' });
 });
+
+test('should know from its first inventory that a worker leaves, when the entry is a new one', async (t) => {
+  const site = shardSite();
+  const old = shardEntry(site, 'e1');
+  await untilOpen(site, old);
+  const worker = site.workers.get('w1');
+  if (worker) worker.faults.leaving = true;
+  old.kill();
+  const entry = shardEntry(site, 'e2');
+  await until(site, () => entry.handler.ownerOf(SHARD)?.worker('w1')?.owned.isClaimed() === true);
+  t.is(entry.slots.takeSlot(WISH), undefined);
+  t.like(await reserve(site, entry, { attemptId: 'a1' }), { reason: 'no-room-now' });
+});
