Cure faults of trials in the opposite order

Cause: a data centre taken out before the store went down could not be brought back first; the trial waited on its own scaffold for minutes.

--- a/packages/samphirenotch-stand-ins/src/site/siteTrial.ts
+++ b/packages/samphirenotch-stand-ins/src/site/siteTrial.ts
@@ -23,7 +23,7 @@
   readonly configuration: string;
   readonly load: LoadPlan;
   readonly onceClasses: ReadonlySet<string>;
-  /** Faults, begun one after another and cured together. */
+  /** Faults, begun one after another and cured in the opposite order. */
   readonly faults: readonly FaultKind[];
   /** Time under load before the first fault and after each, in milliseconds. */
   readonly stepMs: number;
@@ -81,7 +81,7 @@
     begun.push(await kind.begin(place));
     await pause(plan.stepMs);
   }
-  for (const fault of begun) await fault.cure();
+  for (const fault of begun.reverse()) await fault.cure();
   await pause(plan.stepMs);
 };
 
