Relieve workers under pressure, and check callers' own request ids in trials

Cause: the pressure loop and the model of interference were built but not wired into the entry; trials compared callers' request ids with the ids of single sends, so that 'not run' was never really checked there; a key was never sent again after its answer. Change: both wired; workers' histories carry the caller's id (test: a run under it is named); every third key is sent again after its answer.

--- a/packages/samphirenotch-stand-ins/src/history.ts
+++ b/packages/samphirenotch-stand-ins/src/history.ts
@@ -24,6 +24,8 @@
   /** How an attempt ended. */
   readonly phase?: string;
   readonly requestId?: string;
+  /** Id that the caller gave its request, if it reached the worker. */
+  readonly callerRequestId?: string;
   readonly idempotencyKey?: string;
   readonly method?: string;
   /** Set if the worker was over its capacity after this event. */
--- a/packages/samphirenotch-stand-ins/src/memoryWorker.ts
+++ b/packages/samphirenotch-stand-ins/src/memoryWorker.ts
@@ -308,12 +308,13 @@
   }
 
   private describe(request: WorkerRequest): Partial<HistoryEvent> {
-    const idempotencyKey = request.headers['idempotency-key'];
+    const { 'idempotency-key': idempotencyKey, 'x-request-id': callerRequestId } = request.headers;
     return {
       requestId: request.requestId,
       method: request.method,
       taskClass: request.taskClass,
       ...(idempotencyKey === undefined ? {} : { idempotencyKey }),
+      ...(callerRequestId === undefined ? {} : { callerRequestId }),
     };
   }
 
--- a/packages/samphirenotch-stand-ins/src/site/mixedLoad.ts
+++ b/packages/samphirenotch-stand-ins/src/site/mixedLoad.ts
@@ -10,6 +10,7 @@
 const MS_PER_SECOND = 1000;
 const WATCHER_WORK_MS = 600_000;
 const TWIN_INTERVAL = 5;
+const REPEAT_INTERVAL = 3;
 const MAXIMUM_RESENDS = 3;
 const RESEND_PAUSE_MS = 1000;
 
@@ -88,7 +89,7 @@
     else await this.caller.send(wanted);
   }
 
-  /** Some keys are sent twice at once, and all again until they are answered, as callers do. */
+  /** Some keys are sent twice at once, some again after their answer, and all until they have one. */
   private async sendKeyed(wanted: CallerRequest): Promise<void> {
     this.keysSent += 1;
     const copies = this.keysSent % TWIN_INTERVAL === 0 ? 2 : 1;
@@ -98,6 +99,9 @@
       await pause(RESEND_PAUSE_MS);
       answered = (await this.caller.send(wanted)).outcome === 'answered';
     }
+    if (this.keysSent % REPEAT_INTERVAL !== 0) return;
+    await pause(RESEND_PAUSE_MS);
+    await this.caller.send(wanted);
   }
 
   private submitTask(): Promise<unknown> {
--- a/packages/samphirenotch/src/entry/entry.ts
+++ b/packages/samphirenotch/src/entry/entry.ts
@@ -89,6 +89,7 @@
       heartbeats.run(signal),
       configuration.follower.run(signal),
       this.work.workerList.run(signal),
+      this.work.pressure.run(signal),
       ownership.run(signal),
     ]);
     log.info('Entry started.', { id: this.settings.id, dataCentre: this.settings.dataCentre });
--- a/packages/samphirenotch/src/entry/workParts.ts
+++ b/packages/samphirenotch/src/entry/workParts.ts
@@ -3,6 +3,7 @@
  */
 import { CapacityAwareImpossibleJobs } from '../decisions/capacityAwareImpossibleJobs.js';
 import { DeadlineQueue } from '../decisions/deadlineQueue.js';
+import { HysteresisPressure } from '../decisions/hysteresisPressure.js';
 import type { CapacityOffer } from '../decisions/impossibleJobs.js';
 import { LearnedInterference } from '../decisions/learnedInterference.js';
 import { LearnedPlacement } from '../decisions/learnedPlacement.js';
@@ -20,6 +21,7 @@
 import { WorkerExchange } from '../requests/workerExchange.js';
 import type { EntrySettings } from '../settings/entrySettings.js';
 import { LocalShardService } from '../shards/localShardService.js';
+import { PressureLoop } from '../shards/pressureLoop.js';
 import { RemoteShardService } from '../shards/remoteShardService.js';
 import { RoutedShardService } from '../shards/routedShardService.js';
 import { ShardHandler } from '../shards/shardHandler.js';
@@ -42,6 +44,7 @@
   readonly shardHandler: ShardHandler;
   readonly localShards: LocalShardService;
   readonly slots: SlotPool;
+  readonly pressure: PressureLoop;
   readonly partitionHandler: PartitionHandler;
   readonly keyPartitions: KeyPartitions;
   readonly requestRouter: RequestRouter;
@@ -89,11 +92,12 @@
     workerList,
   );
   const choice = new LearnedWorkerChoice(seed, interference);
-  const slots = new SlotPool(shardHandler, follower, choice, clock);
+  const slots = new SlotPool(shardHandler, follower, choice, clock, interference);
+  const pressure = new PressureLoop(shardHandler, new HysteresisPressure(), interference, clock);
   const localShards = new LocalShardService(shardHandler, workerList, settings.dataCentre);
   const remote = new RemoteShardService(channels, clock);
   const shards = new RoutedShardService(localShards, remote, ownership, settings.id);
-  return { workerList, shardHandler, slots, localShards, shards };
+  return { workerList, shardHandler, slots, pressure, localShards, shards };
 };
 
 const buildTasks = (needs: WorkNeeds, built: ReturnType<typeof buildShards>) => {
--- a/tests/invariants/invariants.spec.ts
+++ b/tests/invariants/invariants.spec.ts
@@ -96,6 +96,12 @@
   t.deepEqual(rulesOf({ events, callers }), ['not-run-ran']);
 });
 
+test('should know a request that ran by the id that its caller gave it', (t) => {
+  const run = { kind: 'request-started' as const, requestId: 's1', callerRequestId: 'r1' };
+  const callers = [callerRecord({ outcome: 'not-run' })];
+  t.deepEqual(rulesOf({ events: [event(run)], callers }), ['not-run-ran']);
+});
+
 test('should name a non-idempotent request that ran twice under one key', (t) => {
   const run = { kind: 'request-started' as const, taskClass: 'swap', idempotencyKey: 'k1' };
   const events = [event({ ...run, requestId: 'r1' }), event({ ...run, requestId: 'r2' })];
