--- a/packages/samphirenotch/src/tasks/taskSettings.ts
+++ b/packages/samphirenotch/src/tasks/taskSettings.ts
@@ -15,7 +15,7 @@
 /** When a caller refused by a store outage may come back, in milliseconds. */
 export const STORE_RETRY_AFTER_MS = 2_000;
 /** Characters of job records that a head keeps before they are moved into chunks. */
-export const JOURNAL_LENGTH = 128 * 1024;
+export const JOURNAL_LENGTH = 64 * 1024;
 /** Characters that a chunk may have. */
 export const CHUNK_LENGTH = 128 * 1024;
 /** Bytes of changes that one commit carries. */
