--- a/packages/samphirenotch/src/tasks/groupCommit.ts
+++ b/packages/samphirenotch/src/tasks/groupCommit.ts
@@ -22,7 +22,7 @@
 import { WakeUp } from './wakeUp.js';
 import type { Job } from './job.js';
 import type { JobChange, PendingChange } from './jobChange.js';
-import type { NewChunk, PartitionLayout } from './partitionLayout.js';
+import type { Fold, PartitionLayout } from './partitionLayout.js';
 import type { TaskRandom } from './taskRandom.js';
 
 const log = partLog('task-store');
@@ -235,18 +235,10 @@
 
   private async prepare(): Promise<Result<Commit, Failure>> {
     const { random, owner, epoch } = this.context;
+    const fold = await this.fold();
+    if (fold.err) return fold;
     const changes = this.nextBatch();
-    let base = this.layout;
-    let written: readonly NewChunk[] = [];
-    if (base.journalLength() > Math.min(JOURNAL_LENGTH, this.valueLength)) {
-      const maximum = Math.min(CHUNK_LENGTH, this.valueLength);
-      const fold = base.fold(this.durable, maximum, () => `${epoch}-${random.unique()}`);
-      const stored = await this.chunks.write(fold.written, this.context.signal);
-      if (stored.err) return stored;
-      base = fold.layout;
-      written = fold.written;
-    }
-    const layout = base.with(changes);
+    const layout = fold.val.layout.with(changes);
     const writeId = `${owner}-${epoch}-${random.unique()}`;
     const text = encodeHead({
       writeId,
@@ -256,7 +248,21 @@
       removed: [...layout.removed],
       jobs: [...layout.journal.values()],
     });
-    return Ok({ writeId, text, layout, changes, chunks: written.map(({ name }) => name) });
+    const chunks = fold.val.written.map(({ name }) => name);
+    return Ok({ writeId, text, layout, changes, chunks });
+  }
+
+  /** Moves the head's jobs into chunks if there are many. While the head has room, that can wait. */
+  private async fold(): Promise<Result<Fold, Failure>> {
+    const { random, epoch, signal } = this.context;
+    const unfolded = { layout: this.layout, written: [] };
+    const length = this.layout.journalLength();
+    if (length <= Math.min(JOURNAL_LENGTH, this.valueLength)) return Ok(unfolded);
+    const maximum = Math.min(CHUNK_LENGTH, this.valueLength);
+    const fold = this.layout.fold(this.durable, maximum, () => `${epoch}-${random.unique()}`);
+    const stored = await this.chunks.write(fold.written, signal);
+    if (stored.ok) return Ok(fold);
+    return length <= this.valueLength ? Ok(unfolded) : stored;
   }
 
   private nextBatch(): readonly PendingChange[] {
