--- a/packages/samphirenotch/src/tasks/groupCommit.ts
+++ b/packages/samphirenotch/src/tasks/groupCommit.ts
@@ -2,7 +2,7 @@
  * Makes changes of jobs durable, many at a time: at most one swap of the partition's head is under
  * way, and the next one carries every change made since.
  */
-import { Failure } from '../failure.js';
+import type { Failure } from '../failure.js';
 import { partLog } from '../observability/log.js';
 import { Err, Ok, type Result } from '../results.js';
 import type { Recorder } from '../observability/recorder.js';
@@ -12,13 +12,8 @@
 import { CommitPace } from './commitPace.js';
 import { HeadWriter, type HeadOutcome, type HeadWrite } from './headWriter.js';
 import { encodeHead, encodeJob } from './partitionRecord.js';
-import {
-  BATCH_BYTES,
-  CHUNK_LENGTH,
-  COMMIT_INTERVAL_MS,
-  JOURNAL_LENGTH,
-  STORE_RETRY_AFTER_MS,
-} from './taskSettings.js';
+import { BATCH_BYTES, CHUNK_LENGTH, COMMIT_INTERVAL_MS, JOURNAL_LENGTH } from './taskSettings.js';
+import { ownershipLost, storeOut } from './taskFailure.js';
 import { WakeUp } from './wakeUp.js';
 import type { Job } from './job.js';
 import type { JobChange, PendingChange } from './jobChange.js';
@@ -27,6 +22,7 @@
 
 const log = partLog('task-store');
 
+const STEP = 'tasks.commit';
 const IDLE_WAIT_MS = 60_000;
 /** No value comes near the largest one that the store holds. */
 const VALUE_SHARE = 4;
@@ -118,9 +114,10 @@
    */
   add(change: JobChange): Promise<Result<void, Failure>> {
     if (this.lost || this.context.signal.aborted) {
-      return Promise.resolve(Err(this.notOwner('not-run')));
+      return Promise.resolve(Err(ownershipLost(STEP, this.context.partition, 'not-run')));
     }
-    if (change.refusable && !this.answering) return Promise.resolve(Err(this.outage()));
+    if (change.refusable && !this.answering)
+      return Promise.resolve(Err(storeOut(STEP, this.context.partition)));
     const text = change.job ? encodeJob(change.job) : '';
     return new Promise((resolve) => {
       const bytes = Buffer.byteLength(text);
@@ -220,7 +217,7 @@
     const doubtful = new Set(this.head.doubts().flatMap((doubt) => doubt.changes));
     const refused = this.pending.filter((change) => change.refusable && !doubtful.has(change));
     this.pending = this.pending.filter((change) => !refused.includes(change));
-    for (const change of refused) change.settle(Err(this.outage()));
+    for (const change of refused) change.settle(Err(storeOut(STEP, this.context.partition)));
   }
 
   private noteAnswer(answers: boolean): void {
@@ -278,29 +275,8 @@
   private abandon(): void {
     const doubtful = new Set(this.head.doubts().flatMap((doubt) => doubt.changes));
     for (const change of this.pending.splice(0)) {
-      change.settle(Err(this.notOwner(doubtful.has(change) ? 'unknown' : 'not-run')));
+      const effect = doubtful.has(change) ? 'unknown' : 'not-run';
+      change.settle(Err(ownershipLost(STEP, this.context.partition, effect)));
     }
   }
-
-  private outage(): Failure {
-    return new Failure({
-      code: 'unavailable',
-      step: 'tasks.commit',
-      peer: this.context.partition,
-      effect: 'not-run',
-      message: 'the store does not answer, and nothing is accepted that it has not stored',
-      retryAfterMs: STORE_RETRY_AFTER_MS,
-    });
-  }
-
-  private notOwner(effect: 'not-run' | 'unknown'): Failure {
-    return new Failure({
-      code: 'not-owner',
-      step: 'tasks.commit',
-      peer: this.context.partition,
-      effect,
-      message: 'this entry does not own the partition any more',
-      retryAfterMs: STORE_RETRY_AFTER_MS,
-    });
-  }
 }
--- a/packages/samphirenotch/src/tasks/taskFailure.ts
+++ b/packages/samphirenotch/src/tasks/taskFailure.ts
@@ -1,7 +1,7 @@
 /**
  * Failures of task handling that several modules report.
  */
-import { Failure } from '../failure.js';
+import { Failure, type Effect } from '../failure.js';
 import { STORE_RETRY_AFTER_MS } from './taskSettings.js';
 
 /**
@@ -53,3 +53,21 @@
     message: 'the store does not answer, and nothing is accepted that it has not stored',
     retryAfterMs: STORE_RETRY_AFTER_MS,
   });
+
+/**
+ * Says that the partition was given up with a change under way.
+ *
+ * @param step - the step that failed
+ * @param partition - the partition
+ * @param effect - whether the change may have been stored
+ * @returns the failure
+ */
+export const ownershipLost = (step: string, partition: string, effect: Effect): Failure =>
+  new Failure({
+    code: 'not-owner',
+    step,
+    peer: partition,
+    effect,
+    message: 'this entry does not own the partition any more',
+    retryAfterMs: STORE_RETRY_AFTER_MS,
+  });
