Believe an effect only where noise does not explain it

Change: an effect counts from three standard deviations above 0; variance grows by 0.00003 a second.

--- a/packages/samphirenotch/src/decisions/learnedInterference.ts
+++ b/packages/samphirenotch/src/decisions/learnedInterference.ts
@@ -19,8 +19,9 @@
 export const LEARNED_INTERFERENCE_DEFAULTS: LearnedInterferenceSettings = {
   measurementNoise: 0.2,
   priorDeviation: 0.3,
-  shiftVariancePerSecond: 0.0004,
+  shiftVariancePerSecond: 0.00003,
   forgetHalfLifeMs: 600_000,
+  significantDeviations: 3,
   leastEffect: 0.03,
 };
 
--- a/packages/samphirenotch/src/decisions/pairEffect.ts
+++ b/packages/samphirenotch/src/decisions/pairEffect.ts
@@ -10,6 +10,8 @@
   readonly shiftVariancePerSecond: number;
   /** Time after which an effect that is not seen any more counts half, in milliseconds. */
   readonly forgetHalfLifeMs: number;
+  /** Standard deviations above 0 from which an effect is believed. */
+  readonly significantDeviations: number;
 }
 
 const MILLISECONDS_PER_SECOND = 1_000;
@@ -83,10 +85,11 @@
    * Reads the effect as far as it is known.
    *
    * @param nowMs - time, in milliseconds
-   * @returns the mean, nearer to 0 the less sure and the older it is
+   * @returns the mean, nearer to 0 the less sure and the older it is; 0 if noise may explain it
    */
   trusted(nowMs: number): number {
-    const { priorDeviation, forgetHalfLifeMs } = this.decay;
+    const { priorDeviation, forgetHalfLifeMs, significantDeviations } = this.decay;
+    if (this.currentMean < significantDeviations * Math.sqrt(this.currentVariance)) return 0;
     const kept = 0.5 ** (Math.max(0, nowMs - this.seenAtMs) / forgetHalfLifeMs);
     const sureness = Math.max(0, 1 - this.currentVariance / priorDeviation ** 2);
     return this.currentMean * kept * sureness;
