Smooth latency readings longer before relieving a worker

Cause: a worker just at its target, with readings off by up to 40 %, was throttled once in 20 minutes. Change: readings lose half of their weight in 4 s.

--- a/packages/samphirenotch/src/decisions/hysteresisPressure.ts
+++ b/packages/samphirenotch/src/decisions/hysteresisPressure.ts
@@ -26,7 +26,7 @@
   highLatencyRatio: 1.2,
   lowLatencyRatio: 0.8,
   highMemoryRatio: 0.95,
-  smoothingHalfLifeMs: 1_500,
+  smoothingHalfLifeMs: 4_000,
   enterAfterMs: 2_000,
   settleMs: 3_000,
   easeAfterMs: 10_000,
