--- a/benchmarks/main.ts
+++ b/benchmarks/main.ts
@@ -5,6 +5,8 @@
  */
 
 import { compareAdmission } from './decisions/admission.js';
+import { compareDataCentreReturn } from './decisions/dataCentreReturn.js';
+import { compareFaults } from './decisions/faults.js';
 import { compareInterference } from './decisions/interference.js';
 import { comparePlacement } from './decisions/placement.js';
 import { comparePressure } from './decisions/pressure.js';
@@ -20,6 +22,8 @@
   { name: 'placement', run: comparePlacement },
   { name: 'interference', run: compareInterference },
   { name: 'pressure', run: comparePressure },
+  { name: 'dataCentreReturn', run: compareDataCentreReturn },
+  { name: 'faults', run: compareFaults },
 ];
 
 const only = process.argv.find((each) => each.startsWith('--only='))?.slice('--only='.length);
