Pace starts more slowly after capacity returns

Cause: at 10 starts a second doubling every 2 s, a small site started all its room within 5 s. Change: 2 starts a second doubling every 4 s, for 40 s.

--- a/packages/samphirenotch/src/decisions/pacedStarts.ts
+++ b/packages/samphirenotch/src/decisions/pacedStarts.ts
@@ -17,10 +17,10 @@
 
 /** Settings that the entry uses unless told otherwise. */
 export const PACED_STARTS_DEFAULTS: PacedStartsSettings = {
-  firstStartsPerSecond: 10,
-  doublingMs: 2_000,
-  pacedForMs: 20_000,
-  burst: 5,
+  firstStartsPerSecond: 2,
+  doublingMs: 4_000,
+  pacedForMs: 40_000,
+  burst: 2,
 };
 
 const MILLISECONDS_PER_SECOND = 1_000;
