--- /dev/null
+++ b/tests/decisions/workerChoice.spec.ts
@@ -0,0 +1,109 @@
+/**
+ * Checks the choice among workers that fail, fall silent or return.
+ *
+ * @packageDocumentation
+ */
+
+import test from 'ava';
+import { LearnedInterference } from 'samphirenotch/decisions/learnedInterference.js';
+import {
+  LEARNED_WORKER_CHOICE_DEFAULTS,
+  LearnedWorkerChoice,
+} from 'samphirenotch/decisions/learnedWorkerChoice.js';
+import type { WorkerCandidate } from 'samphirenotch/decisions/workerChoice.js';
+
+const SEED = 7;
+const WORKERS = 10;
+
+const candidates = (busy = 0): WorkerCandidate[] =>
+  Array.from({ length: WORKERS }, (_, index) => ({
+    workerId: `worker-${index}`,
+    busySlots: busy,
+    slots: 8,
+    neighbours: [],
+  }));
+
+const newChoice = () => new LearnedWorkerChoice(SEED, new LearnedInterference());
+
+const observe = (
+  choice: LearnedWorkerChoice,
+  workerId: string,
+  kind: 'answered' | 'failed' | 'silent',
+  nowMs: number,
+) => choice.observe({ workerId, taskClass: 'quick', kind, latencyMs: 10, nowMs });
+
+const failEverything = (choice: LearnedWorkerChoice, workerIds: readonly string[], nowMs: number) =>
+  workerIds.forEach((workerId) => {
+    for (let count = 0; count < 20; count += 1) observe(choice, workerId, 'failed', nowMs);
+  });
+
+const chosenIds = (choice: LearnedWorkerChoice, nowMs: number, times = 500, busy = 0) =>
+  new Set(
+    Array.from(
+      { length: times },
+      () => choice.choose('quick', candidates(busy), nowMs)?.workerId ?? 'none',
+    ),
+  );
+
+test('should not choose a worker that fails everything', (t) => {
+  const choice = newChoice();
+  choice.choose('quick', candidates(), 0);
+  failEverything(choice, ['worker-3'], 0);
+
+  t.false(chosenIds(choice, 1).has('worker-3'));
+});
+
+test('should keep most workers in use when all fail', (t) => {
+  const choice = newChoice();
+  choice.choose('quick', candidates(), 0);
+  failEverything(
+    choice,
+    candidates().map(({ workerId }) => workerId),
+    0,
+  );
+  const used = chosenIds(choice, 1);
+  const { largestEjectedShare } = LEARNED_WORKER_CHOICE_DEFAULTS;
+
+  t.false(used.has('none'));
+  t.true(used.size >= WORKERS * (1 - largestEjectedShare));
+});
+
+test('should eject a silent worker sooner than a failing one', (t) => {
+  const choice = newChoice();
+  choice.choose('quick', candidates(), 0);
+  observe(choice, 'worker-1', 'silent', 0);
+  observe(choice, 'worker-1', 'silent', 0);
+  observe(choice, 'worker-2', 'failed', 0);
+  observe(choice, 'worker-2', 'failed', 0);
+  const used = chosenIds(choice, 1);
+
+  t.false(used.has('worker-1'));
+  t.true(used.has('worker-2'));
+});
+
+test('should let a worker return by single trials only', (t) => {
+  const choice = newChoice();
+  const { ejectionMs, answersToReturn } = LEARNED_WORKER_CHOICE_DEFAULTS;
+  choice.choose('quick', candidates(), 0);
+  failEverything(choice, ['worker-3'], 0);
+
+  t.false(chosenIds(choice, ejectionMs + 1, 500, 1).has('worker-3'));
+  t.true(chosenIds(choice, ejectionMs + 1).has('worker-3'));
+
+  for (let count = 0; count < answersToReturn; count += 1) {
+    observe(choice, 'worker-3', 'answered', ejectionMs + 1);
+  }
+
+  t.true(chosenIds(choice, ejectionMs + 2, 500, 1).has('worker-3'));
+});
+
+test('should eject a worker for longer each time', (t) => {
+  const choice = newChoice();
+  const { ejectionMs } = LEARNED_WORKER_CHOICE_DEFAULTS;
+  choice.choose('quick', candidates(), 0);
+  failEverything(choice, ['worker-3'], 0);
+  observe(choice, 'worker-3', 'failed', ejectionMs + 1);
+
+  t.false(chosenIds(choice, 2 * ejectionMs + 2).has('worker-3'));
+  t.true(chosenIds(choice, 3 * ejectionMs + 2).has('worker-3'));
+});
