--- a/benchmarks/main.ts
+++ b/benchmarks/main.ts
@@ -1,5 +1,6 @@
 /**
- * Benchmarks of samphirenotch; `--ci` runs the seeded ones only and checks their bounds.
+ * Benchmarks of samphirenotch. `--ci` runs the seeded ones only, checks their bounds and writes
+ * nothing; `--only=NAME` runs one suite.
  *
  * @packageDocumentation
  */
@@ -12,10 +13,19 @@
 import { comparePressure } from './decisions/pressure.js';
 import { compareRetries } from './decisions/retries.js';
 import { compareWorkerChoice } from './decisions/workerChoice.js';
+import { measureDecisions } from './slopes/decisionSlopes.js';
+import type { Slope } from './slopes/measure.js';
+import { measureState } from './slopes/stateSlopes.js';
 import type { Comparison } from './support/comparison.js';
-import { formatTable } from './support/table.js';
+import { writeResults } from './support/results.js';
+import { formatSlopes, formatTable } from './support/table.js';
 
-const SUITES: readonly { readonly name: string; readonly run: () => Comparison[] }[] = [
+interface Suite {
+  readonly name: string;
+  readonly run: () => Comparison[];
+}
+
+const SUITES: readonly Suite[] = [
   { name: 'workerChoice', run: compareWorkerChoice },
   { name: 'admission', run: compareAdmission },
   { name: 'retries', run: compareRetries },
@@ -26,11 +36,30 @@
   { name: 'faults', run: compareFaults },
 ];
 
+const isCi = process.argv.includes('--ci');
 const only = process.argv.find((each) => each.startsWith('--only='))?.slice('--only='.length);
-const suites = SUITES.filter(({ name }) => only === undefined || name === only);
-const comparisons = suites.flatMap(({ run }) => run());
-const missed = comparisons.filter(({ isMet }) => !isMet);
 
+const runSuites = async (): Promise<Comparison[]> => {
+  const all: Comparison[] = [];
+
+  for (const { name, run } of SUITES.filter((suite) => only === undefined || suite.name === only)) {
+    const comparisons = run();
+    all.push(...comparisons);
+    if (!isCi) await writeResults(name, comparisons);
+  }
+
+  return all;
+};
+
+const runSlopes = async (): Promise<void> => {
+  const slopes: Slope[] = [...measureDecisions(), ...measureState()];
+  console.log(formatSlopes(slopes).join('\n'));
+  await writeResults('slopes', { node: process.version, slopes });
+};
+
+const comparisons = await runSuites();
+const missed = comparisons.filter(({ isMet }) => !isMet);
 console.log(formatTable(comparisons).join('\n'));
+if (!isCi && (only === undefined || only === 'slopes')) await runSlopes();
 console.log(`${comparisons.length} comparisons, ${missed.length} bounds not met`);
 process.exitCode = missed.length === 0 ? 0 : 1;
--- a/benchmarks/support/table.ts
+++ b/benchmarks/support/table.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 
+import type { Slope } from '../slopes/measure.js';
 import type { Comparison } from './comparison.js';
 
 const HEADINGS = [
@@ -45,15 +46,8 @@
   formatBound(comparison),
 ];
 
-/**
- * Lays comparisons out in columns.
- *
- * @param comparisons - what was measured
- * @returns the lines of the table
- */
-export const formatTable = (comparisons: readonly Comparison[]): string[] => {
-  const rows = [HEADINGS, ...comparisons.map(toRow)];
-  const widths = HEADINGS.map((_, column) =>
+const layOut = (rows: readonly (readonly string[])[]): string[] => {
+  const widths = (rows[0] ?? []).map((_, column) =>
     Math.max(...rows.map((row) => row[column]?.length ?? 0)),
   );
 
@@ -64,3 +58,31 @@
       .trimEnd(),
   );
 };
+
+/**
+ * Lays comparisons out in columns.
+ *
+ * @param comparisons - what was measured
+ * @returns the lines of the table
+ */
+export const formatTable = (comparisons: readonly Comparison[]): string[] =>
+  layOut([HEADINGS, ...comparisons.map(toRow)]);
+
+/**
+ * Lays slopes out in columns.
+ *
+ * @param slopes - what was measured
+ * @returns the lines of the table
+ */
+export const formatSlopes = (slopes: readonly Slope[]): string[] =>
+  layOut([
+    ['slope', 'unit', 'size', 'costs', 'fixed', 'each'],
+    ...slopes.map(({ name, unit, sizeOf, points, intercept, perItem }) => [
+      name,
+      unit,
+      sizeOf,
+      points.map(([size, cost]) => `${size}: ${format(cost)}`).join(', '),
+      format(intercept),
+      format(perItem),
+    ]),
+  ]);
