Write the capacity page from measured slopes

Ruled out: a page by hand, which drifts from what was measured; fitted lines below their first point, which went negative for the order of the queue.

--- /dev/null
+++ b/benchmarks/capacityMain.ts
@@ -0,0 +1,17 @@
+/**
+ * Writes docs/CAPACITY.md from what the benchmarks measured.
+ *
+ * @packageDocumentation
+ */
+
+import { writeFileSync } from 'node:fs';
+import path from 'node:path';
+
+import type { MeasuredSlopes } from './capacity/figures.js';
+import { writePage } from './capacity/page.js';
+import { readResults } from './support/results.js';
+
+const text = await writePage(readResults('slopes') as MeasuredSlopes);
+
+writeFileSync(path.join('docs', 'CAPACITY.md'), text);
+console.log('docs/CAPACITY.md is written.');
--- a/benchmarks/main.ts
+++ b/benchmarks/main.ts
@@ -13,6 +13,7 @@
 import { comparePressure } from './decisions/pressure.js';
 import { compareRetries } from './decisions/retries.js';
 import { compareWorkerChoice } from './decisions/workerChoice.js';
+import { measureCalls, measureFloor } from './slopes/callSlopes.js';
 import { measureDecisions } from './slopes/decisionSlopes.js';
 import type { Slope } from './slopes/measure.js';
 import { measureState } from './slopes/stateSlopes.js';
@@ -52,9 +53,10 @@
 };
 
 const runSlopes = async (): Promise<void> => {
-  const slopes: Slope[] = [...measureDecisions(), ...measureState()];
+  const slopes: Slope[] = [...measureDecisions(), ...measureState(), ...(await measureCalls())];
+  const processBytes = await measureFloor();
   console.log(formatSlopes(slopes).join('\n'));
-  await writeResults('slopes', { node: process.version, slopes });
+  await writeResults('slopes', { node: process.version, processBytes, slopes });
 };
 
 const comparisons = await runSuites();
--- a/benchmarks/slopes/stateSlopes.ts
+++ b/benchmarks/slopes/stateSlopes.ts
@@ -250,7 +250,7 @@
   measureSlope(
     'memory of histogram series',
     { sizeOf: 'series', unit: 'bytes' },
-    [100, 400, 800, 1_600],
+    [400, 1_600, 3_200, 6_400],
     seriesMemory,
   ),
   measureSlope(
