Send heartbeats to peers at growing distances, so that many entries see one another

Cause: with more than ten peers an entry sent to the five nearest on each side of the ring of ids. News then needs as many heartbeats as entries lie between, and with 56 entries the far half was older than the 3.5 s after which a peer counts as silent, though it lived. Ruled out: more peers for each entry (bytes grow by as much); a longer silence (a dead entry would be chosen for longer). Change: the same number of peers, at distances that grow by a constant factor.

--- a/packages/samphirenotch/src/membership/heartbeats.ts
+++ b/packages/samphirenotch/src/membership/heartbeats.ts
@@ -19,8 +19,22 @@
 
 const log = partLog('heartbeats');
 
+/** Distances on one side of the ring, from 1 to just below half of it, each one once. */
+const distancesOf = (peers: number): readonly number[] => {
+  const perSide = MOST_HEARTBEAT_PEERS / 2;
+  const farthest = Math.floor(peers / 2);
+  const factor = farthest ** (1 / (perSide - 1));
+  const distances: number[] = [];
+  for (let index = 0; index < perSide; index += 1) {
+    const nearest = (distances.at(-1) ?? 0) + 1;
+    distances.push(Math.max(nearest, Math.round(factor ** index)));
+  }
+  return distances;
+};
+
 /**
- * Chooses the peers to send to: all of a few, else the neighbours on both sides in order of ids.
+ * Chooses the peers to send to: all of a few, else some on both sides in order of ids, at distances
+ * that grow by a constant factor, so that news needs few steps to the farthest entry.
  *
  * @param selfId - id of the sending entry
  * @param peerIds - ids of the other entries
@@ -30,9 +44,12 @@
   if (peerIds.length <= MOST_HEARTBEAT_PEERS) return peerIds;
   const sorted = [...peerIds].sort();
   const position = sorted.filter((id) => id < selfId).length;
-  const perSide = MOST_HEARTBEAT_PEERS / 2;
   const ring = [...sorted.slice(position), ...sorted.slice(0, position)];
-  return [...ring.slice(0, perSide), ...ring.slice(-perSide)];
+  const chosen = distancesOf(ring.length).flatMap((distance) => [
+    ring[distance - 1],
+    ring[ring.length - distance],
+  ]);
+  return chosen.filter((id) => id !== undefined);
 };
 
 /** Sends heartbeats to peers and to addresses from the settings that no peer is known for yet. */
