--- a/tests/membership/heartbeatSpread.spec.ts
+++ b/tests/membership/heartbeatSpread.spec.ts
@@ -63,7 +63,6 @@
     [...tables].map(([address, table]) => [
       address,
       new Gossip(
-        clock,
         table,
         () => undefined,
         () => undefined,
