--- a/packages/samphirenotch-stand-ins/src/site/mixedLoad.ts
+++ b/packages/samphirenotch-stand-ins/src/site/mixedLoad.ts
@@ -92,6 +92,7 @@
   /** Some keys are sent twice at once, some again after their answer, and all until they have one. */
   private async sendKeyed(wanted: CallerRequest): Promise<void> {
     this.keysSent += 1;
+    const isRepeated = this.keysSent % REPEAT_INTERVAL === 0;
     const copies = this.keysSent % TWIN_INTERVAL === 0 ? 2 : 1;
     const first = await Promise.all(Array.from({ length: copies }, () => this.caller.send(wanted)));
     let answered = first.some(({ outcome }) => outcome === 'answered');
@@ -99,7 +100,7 @@
       await pause(RESEND_PAUSE_MS);
       answered = (await this.caller.send(wanted)).outcome === 'answered';
     }
-    if (this.keysSent % REPEAT_INTERVAL !== 0) return;
+    if (!isRepeated) return;
     await pause(RESEND_PAUSE_MS);
     await this.caller.send(wanted);
   }
