--- a/benchmarks/main.ts
+++ b/benchmarks/main.ts
@@ -1,10 +1,14 @@
 /**
- * Benchmarks of samphirenotch. `--ci` runs the seeded ones only, checks their bounds and writes
- * nothing; `--only=NAME` runs one suite.
+ * Benchmarks of samphirenotch: prints tables, writes `benchmarks/results/` and the capacity page.
+ * `--ci` runs the seeded ones only, checks their bounds and writes nothing; `--only=NAME` runs one.
  *
  * @packageDocumentation
  */
 
+import { writeFileSync } from 'node:fs';
+import path from 'node:path';
+
+import { writePage } from './capacity/page.js';
 import { compareAdmission } from './decisions/admission.js';
 import { compareDataCentreReturn } from './decisions/dataCentreReturn.js';
 import { compareFaults } from './decisions/faults.js';
@@ -37,6 +41,8 @@
   { name: 'faults', run: compareFaults },
 ];
 
+const CAPACITY_PAGE = path.join('docs', 'CAPACITY.md');
+
 const isCi = process.argv.includes('--ci');
 const only = process.argv.find((each) => each.startsWith('--only='))?.slice('--only='.length);
 
@@ -56,7 +62,9 @@
   const slopes: Slope[] = [...measureDecisions(), ...measureState(), ...(await measureCalls())];
   const processBytes = await measureFloor();
   console.log(formatSlopes(slopes).join('\n'));
-  await writeResults('slopes', { node: process.version, processBytes, slopes });
+  const measured = { node: process.version, processBytes, slopes };
+  await writeResults('slopes', measured);
+  writeFileSync(CAPACITY_PAGE, await writePage(measured));
 };
 
 const comparisons = await runSuites();
