Keep chunks that mostly count, so that writes follow changes and not jobs held

Cause: moving the head's jobs into chunks rewrote every chunk with one changed job in it. With 20,000 jobs changed at random nearly every chunk was rewritten each time, and discarded chunks came faster than they were removed, so that a new owner also read them. Ruled out: more removals for each commit (the writes stay); smaller chunks (more calls). Change: changed jobs go into new chunks, which come last and count before older copies; a chunk is rewritten once less than half of it counts, or when something in it was removed. The new test shows: without the change more than twice what was changed is written; the latest record of each job is found with and without it. Conclusion: removals still rewrite the chunks that they touch.

--- a/packages/samphirenotch/src/tasks/partitionLayout.ts
+++ b/packages/samphirenotch/src/tasks/partitionLayout.ts
@@ -5,6 +5,9 @@
 import type { Job } from './job.js';
 import type { PendingChange } from './jobChange.js';
 
+/** Share of a chunk's jobs that must still count for the chunk to stay. */
+const LEAST_SHARE = 0.5;
+
 /** A chunk that has to be written before a head may name it. */
 export interface NewChunk {
   readonly name: string;
@@ -20,7 +23,7 @@
 /** A value that says where each job is; changes make a new value. */
 export class PartitionLayout {
   /**
-   * @param chunks - jobs of each chunk, by the chunk's name
+   * @param chunks - jobs of each chunk, by the chunk's name; the copy in the last one counts
    * @param journal - encoded jobs in the head, by id
    * @param removed - ids of jobs that a chunk holds but that exist no more
    */
@@ -63,7 +66,8 @@
   }
 
   /**
-   * Moves all jobs from the head into chunks; chunks without a change stay as they are.
+   * Moves all jobs from the head into new chunks, which come last and so count before older copies.
+   * An older chunk stays as long as nothing in it was removed and at least half of it counts.
    *
    * @param jobs - the durable jobs, by id
    * @param maximumLength - characters that a chunk may have
@@ -73,14 +77,16 @@
   fold(jobs: ReadonlyMap<string, Job>, maximumLength: number, nextName: () => string): Fold {
     const chunks = new Map<string, ReadonlySet<string>>();
     const loose = new Map(this.journal);
+    const latest = this.latestChunks();
     for (const [name, ids] of this.chunks) {
-      if (!this.isTouched(ids)) {
+      const counting = [...ids].filter((id) => latest.get(id) === name && !this.journal.has(id));
+      if (counting.length >= ids.size * LEAST_SHARE && !this.hasRemoved(ids)) {
         chunks.set(name, ids);
         continue;
       }
-      for (const id of ids) {
+      for (const id of counting) {
         const job = jobs.get(id);
-        if (job && !this.removed.has(id) && !loose.has(id)) loose.set(id, encodeJob(job));
+        if (job && !this.removed.has(id)) loose.set(id, encodeJob(job));
       }
     }
     const written: NewChunk[] = [];
@@ -92,9 +98,18 @@
     return { layout: new PartitionLayout(chunks, new Map(), new Set()), written };
   }
 
-  private isTouched(ids: ReadonlySet<string>): boolean {
-    for (const id of ids) {
-      if (this.journal.has(id) || this.removed.has(id)) return true;
+  /** The chunk whose copy of a job counts, by the job's id. */
+  private latestChunks(): ReadonlyMap<string, string> {
+    const latest = new Map<string, string>();
+    for (const [name, ids] of this.chunks) {
+      for (const id of ids) latest.set(id, name);
+    }
+    return latest;
+  }
+
+  private hasRemoved(ids: ReadonlySet<string>): boolean {
+    for (const id of this.removed) {
+      if (ids.has(id)) return true;
     }
     return false;
   }
--- /dev/null
+++ b/tests/tasks/partitionLayout.spec.ts
@@ -0,0 +1,96 @@
+/**
+ * Chunks of a partition: what is written follows changes and not the jobs that are held.
+ */
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import test from 'ava';
+import type { Job } from 'samphirenotch/tasks/job.js';
+import { PartitionLayout } from 'samphirenotch/tasks/partitionLayout.js';
+import { encodeJob } from 'samphirenotch/tasks/partitionRecord.js';
+
+const JOBS = 1000;
+const CHANGES_PER_FOLD = 20;
+const FOLDS = 200;
+const CHUNK_LENGTH = 8 * 1024;
+
+const jobOf = (id: string, attempts: number): Job => ({
+  id,
+  partition: 'partition/timaru/0',
+  taskClass: 'plan',
+  tenant: 'desk',
+  payload: 'x'.repeat(100),
+  digest: 'd',
+  submittedAtMs: 0,
+  state: 'queued',
+  stateSinceMs: 0,
+  attempts,
+  failedAttempts: 0,
+  evictions: 0,
+  notBeforeMs: 0,
+  excludedWorkers: [],
+  cancelRequested: false,
+});
+
+/** Folds random changes again and again, and keeps the chunks as a store would. */
+const foldOften = (removes: boolean) => {
+  const random = xoroshiro128plus(7);
+  const draw = (end: number): number => uniformInt(random, 0, end - 1);
+  const jobs = new Map<string, Job>();
+  const stored = new Map<string, string>();
+  let layout = new PartitionLayout(new Map(), new Map(), new Set());
+  let names = 0;
+  const nextName = (): string => {
+    names += 1;
+    return `c${names}`;
+  };
+  let changed = 0;
+  let written = 0;
+  const put = (id: string, job: Job | undefined): void => {
+    const text = job ? encodeJob(job) : '';
+    changed += text.length;
+    layout = layout.with([
+      { jobId: id, ...(job ? { job } : {}), text, bytes: 0, refusable: false, settle: () => {} },
+    ]);
+    if (job) jobs.set(id, job);
+    else jobs.delete(id);
+  };
+  const fold = (): void => {
+    const next = layout.fold(jobs, CHUNK_LENGTH, () => nextName());
+    next.written.forEach(({ name, text }) => {
+      written += text.length;
+      stored.set(name, text);
+    });
+    layout = next.layout;
+  };
+  const read = (): ReadonlyMap<string, number> => {
+    const found = new Map<string, number>();
+    for (const name of layout.chunks.keys()) {
+      const chunk = JSON.parse(stored.get(name) ?? '') as { readonly jobs: readonly Job[] };
+      chunk.jobs.forEach(({ id, attempts }) => found.set(id, attempts));
+    }
+    return found;
+  };
+  for (let index = 0; index < JOBS; index += 1) put(`j${index}`, jobOf(`j${index}`, 0));
+  fold();
+  for (let round = 1; round <= FOLDS; round += 1) {
+    for (let change = 0; change < CHANGES_PER_FOLD; change += 1) {
+      const id = `j${draw(JOBS)}`;
+      put(id, removes && draw(4) === 0 ? undefined : jobOf(id, round));
+    }
+    fold();
+  }
+  const held = new Map([...jobs.values()].map(({ id, attempts }) => [id, attempts]));
+  return { changed, written, held, read: read() };
+};
+
+for (const removes of [false, true]) {
+  test(`should find the latest record of each job in the chunks, removals: ${removes}`, (t) => {
+    const { held, read } = foldOften(removes);
+    t.deepEqual([...read].sort(), [...held].sort());
+  });
+}
+
+test('should write at most twice what was changed, however many jobs there are', (t) => {
+  const { changed, written } = foldOften(false);
+  t.true(written <= 2 * changed);
+});
