Measure memory and entries more robustly

Cause: 28 entries started at once met on ports, and one page of tasks was read to count 600. Ruled out: a longer wait. Change: entries beyond the first of a data centre start one after another; no task may be waiting. Conclusion: tools only.

--- a/benchmarks/costs/costSite.ts
+++ b/benchmarks/costs/costSite.ts
@@ -87,8 +87,21 @@
   return status.resources.every(({ owner }) => owner !== null);
 };
 
-const prepare = async (site: Site, configuration: string): Promise<CostSite> => {
+/** Starts one entry of each data centre, then the others one after another. */
+const startAll = async (site: Site, wanted: readonly DataCentrePlan[]): Promise<void> => {
   await site.start();
+  const others = wanted.flatMap(({ name, entries }) =>
+    Array.from({ length: Math.max(0, entries - 1) }, () => name),
+  );
+  for (const dataCentre of others) await site.startEntry(dataCentre);
+};
+
+const prepare = async (
+  site: Site,
+  wanted: readonly DataCentrePlan[],
+  configuration: string,
+): Promise<CostSite> => {
+  await startAll(site, wanted);
   const operator = new SiteOperator(site);
   const { version } = await operator.publish(configuration);
   await operator.inForce(version);
@@ -116,9 +129,11 @@
     worker: join(packages, 'samphirenotch-stand-ins/dist/workerMain.js'),
     entry: join(packages, 'samphirenotch-entry/dist/main.js'),
   };
-  const site = new Site({ name: 'costs', capacity: CAPACITY, dataCentres }, programs, directory);
+  const first = dataCentres.map((each) => ({ ...each, entries: Math.min(1, each.entries) }));
+  const plan = { name: 'costs', capacity: CAPACITY, dataCentres: first };
+  const site = new Site(plan, programs, directory);
   try {
-    return await measure(await prepare(site, writeConfiguration(directory)));
+    return await measure(await prepare(site, dataCentres, writeConfiguration(directory)));
   } finally {
     await site.stop();
     rmSync(directory, { recursive: true, force: true });
--- a/benchmarks/costs/memory.ts
+++ b/benchmarks/costs/memory.ts
@@ -25,7 +25,7 @@
 const JOB_CLASS = 'lot-watcher';
 
 interface TaskPage {
-  readonly tasks: readonly { readonly state: string }[];
+  readonly tasks: readonly unknown[];
 }
 
 const firstEntry = ({ site }: CostSite): SiteEntry => {
@@ -115,8 +115,10 @@
   await until(
     `${size} jobs to run`,
     async () => {
-      const page = await caller.read<TaskPage>(`/tasks?state=running&limit=${size + 1}`);
-      return (page?.tasks.length ?? 0) >= Math.min(size, 100);
+      const waiting = ['queued', 'starting'].map((state) =>
+        caller.read<TaskPage>(`/tasks?state=${state}&limit=1`),
+      );
+      return (await Promise.all(waiting)).every((page) => page?.tasks.length === 0);
     },
     RUN_TIMEOUT_MS,
   );
