Give the test of cancellation a deadline that cannot stand in for it

With the class's deadline of 20 s the deadline itself cancelled the send when the cancellation was not passed on. The caller now waits far longer: without the passing on the test does not end.

--- a/tests/requests/entries.spec.ts
+++ b/tests/requests/entries.spec.ts
@@ -124,7 +124,8 @@
     introduce(front, back);
     const caller = new AbortController();
     const url = `${front.url}/services/spot-desk/x`;
-    const asking = request(url, { headers: SWAP, signal: caller.signal });
+    const headers = { ...SWAP, prefer: 'wait=3000' };
+    const asking = request(url, { headers, signal: caller.signal });
     await begun;
     caller.abort();
     await t.throwsAsync(asking, { any: true });
