--- a/utils/demo/demoReport.ts
+++ b/utils/demo/demoReport.ts
@@ -54,6 +54,24 @@
   );
 };
 
+/** Attempts that were stopped though nobody cancelled their job. */
+const evictionsOf = (events: readonly HistoryEvent[]): readonly HistoryEvent[] =>
+  events.filter(
+    ({ kind, phase, checkpoint }) =>
+      kind === 'attempt-ended' && phase === 'stopped' && checkpoint !== undefined,
+  );
+
+const resumedOf = (
+  evictions: readonly HistoryEvent[],
+  events: readonly HistoryEvent[],
+): readonly HistoryEvent[] =>
+  evictions.filter((eviction) =>
+    events.some(
+      ({ kind, jobId, atMs }) =>
+        kind === 'attempt-started' && jobId === eviction.jobId && atMs >= eviction.atMs,
+    ),
+  );
+
 /**
  * Counts what became of tasks.
  *
@@ -70,7 +88,7 @@
   const ended = events.filter(({ kind }) => kind === 'attempt-ended');
   const completed = ended.filter((event) => event.phase === 'completed');
   const ofClass = completed.filter((event) => event.taskClass === taskClass);
-  const evictions = ended.filter(({ phase }) => phase === 'stopped').length;
+  const evictions = evictionsOf(events);
   const meanwhile = ofClass.filter(
     ({ atMs }) => atMs > window.acceptedAtMs && atMs < window.endedAtMs,
   );
@@ -84,7 +102,7 @@
   const last = Math.max(0, ...startsThere.map(({ atMs }) => atMs - window.acceptedAtMs));
   return [
     `${taskClass} completed: ${ofClass.length}`,
-    `attempts stopped (evicted or cancelled): ${evictions}`,
+    `evictions: ${evictions.length}, of which resumed: ${resumedOf(evictions, events).length}`,
     `${taskClass} completed while ${window.dataCentre} was out: ${meanwhile.length}`,
     `last start in ${window.dataCentre} after acceptance: ${(last / MS_PER_SECOND).toFixed(2)} s`,
   ];
