End the events of tasks when an entry stops, and say so

Change: handlers are told when the entry begins to stop; events end with a problem that asks to follow again. Calls of peers are waited for as long as the longest wait that a caller may ask for, in place of 30 s, which cut longer ones off. Proof: the new test does not end without the change.

--- a/packages/samphirenotch/src/entry/entry.ts
+++ b/packages/samphirenotch/src/entry/entry.ts
@@ -20,8 +20,11 @@
 /** Longest time for handing over ownership in a planned stop, in milliseconds. */
 const HAND_OVER_TIMEOUT_MS = 10_000;
 
-/** Longest time that calls of peers are waited for in a planned stop, in milliseconds. */
-const PEER_DRAIN_TIMEOUT_MS = 30_000;
+/**
+ * Longest time that calls of peers are waited for in a planned stop, in milliseconds: the longest wait
+ * that a caller may ask for.
+ */
+const PEER_DRAIN_TIMEOUT_MS = 3_600_000;
 
 const log = partLog('entry');
 
--- a/packages/samphirenotch/src/http/callerServer.ts
+++ b/packages/samphirenotch/src/http/callerServer.ts
@@ -137,7 +137,7 @@
       ? new URL(request.url ?? '/', BASE_URL)
       : new URL(BASE_URL);
     const call = callWithin(this.options.clock, this.options.limits.callTimeoutMs, gone.signal);
-    return { request, response, url, call };
+    return { request, response, url, call, draining: this.draining.signal };
   }
 
   /** Asks the caller to use another connection if the drain began before the answer. */
--- a/packages/samphirenotch/src/http/httpHandler.ts
+++ b/packages/samphirenotch/src/http/httpHandler.ts
@@ -11,6 +11,8 @@
   readonly url: URL;
   /** Aborted when the caller goes away. */
   readonly call: Call;
+  /** Aborted when the entry begins to stop; streams without an end of their own end then. */
+  readonly draining: AbortSignal;
 }
 
 /** Serves the paths under a prefix. */
--- a/packages/samphirenotch/src/tasks/taskEvents.ts
+++ b/packages/samphirenotch/src/tasks/taskEvents.ts
@@ -2,9 +2,9 @@
  * Sends the changes of one task to a caller as server-sent events.
  */
 import type { ServerResponse } from 'node:http';
-import type { Failure } from '../failure.js';
+import { Failure } from '../failure.js';
+import type { HttpExchange } from '../http/httpHandler.js';
 import { writeProblem } from '../http/problem.js';
-import type { Call } from '../time/call.js';
 import type { Clock } from '../time/clock.js';
 import { detach } from './detach.js';
 import type { TaskQueries } from './taskOperations.js';
@@ -32,6 +32,16 @@
   }
 };
 
+const entryStops = (): Failure =>
+  new Failure({
+    code: 'unavailable',
+    step: 'tasks.follow',
+    peer: 'self',
+    effect: 'not-run',
+    message: 'the entry is stopping; follow again',
+    retryAfterMs: 0,
+  });
+
 const endWith = (response: ServerResponse, failure: Failure, requestId: string): void => {
   if (!response.headersSent) {
     writeProblem(response, failure, requestId);
@@ -42,27 +52,26 @@
 };
 
 /**
- * Follows a task until it has ended or the caller goes away.
+ * Follows a task until it has ended, the caller goes away or the entry begins to stop.
  *
- * @param response - where the events go
+ * @param exchange - where the events go
  * @param queries - where the job is decided on
  * @param jobId - the job
- * @param call - aborted when the caller goes away
  * @param clock - for signs of life
  * @param requestId - id for logs
  */
 export const sendEvents = async (
-  response: ServerResponse,
+  { response, call, draining }: HttpExchange,
   queries: TaskQueries,
   jobId: string,
-  call: Call,
   clock: Clock,
   requestId: string,
 ): Promise<void> => {
   const stop = new AbortController();
   const leave = (): void => stop.abort();
-  if (call.signal.aborted) leave();
-  call.signal.addEventListener('abort', leave);
+  const signals = [call.signal, draining];
+  if (signals.some(({ aborted }) => aborted)) leave();
+  signals.forEach((signal) => signal.addEventListener('abort', leave));
   response.on('close', leave);
   const onView = (view: TaskView): void => {
     begin(response);
@@ -72,8 +81,9 @@
   detach(keepAlive(response, clock, stop.signal));
   const within = { deadlineMs: Infinity, signal: stop.signal };
   const followed = await queries.follow(jobId, onView, within);
-  call.signal.removeEventListener('abort', leave);
+  signals.forEach((signal) => signal.removeEventListener('abort', leave));
   stop.abort();
-  if (followed.err) endWith(response, followed.val, requestId);
+  if (draining.aborted) endWith(response, entryStops(), requestId);
+  else if (followed.err) endWith(response, followed.val, requestId);
   else response.end();
 };
--- a/packages/samphirenotch/src/tasks/taskHandler.ts
+++ b/packages/samphirenotch/src/tasks/taskHandler.ts
@@ -131,8 +131,8 @@
   ): Promise<Failure | undefined> {
     const route = this.route(jobId);
     if (route.err) return route.val;
-    const { response, call } = exchange;
-    await sendEvents(response, route.val.queries, jobId, call, this.context.clock, requestId);
+    const { queries } = route.val;
+    await sendEvents(exchange, queries, jobId, this.context.clock, requestId);
     return undefined;
   }
 
--- a/tests/tasks/taskHttp.spec.ts
+++ b/tests/tasks/taskHttp.spec.ts
@@ -75,6 +75,21 @@
   t.is((await read(cancelled)).state, 'cancelled');
 });
 
+test('should end the events of a task when the entry stops, and say that it does', async (t) => {
+  const servers = await started(t);
+  const { id } = await read(
+    await submit(servers, { taskClass: 'watch', payload: { runMs: 600_000 } }),
+  );
+  const events = await fetch(`${servers.url}/tasks/${id}/events`);
+  servers.drain();
+  t.true((await events.text()).includes('event: problem'));
+  t.true(
+    ['queued', 'starting', 'running'].includes(
+      (await read(await fetch(`${servers.url}/tasks/${id}`))).state ?? '',
+    ),
+  );
+});
+
 test('should list all tasks page by page', async (t) => {
   const servers = await started(t);
   const task = { taskClass: 'plan', payload: { runMs: 10 } };
