Work the capacity page out of whole entries too

Cause: the page knew parts of an entry only, while whole entries, requests and group commit are measured now as well. Change: entries needed are the larger of what memory (entry at rest, jobs, histograms) and heartbeats to workers ask for; sections for an entry at rest, a request and group commit; results of benchmarks are left to their writers, not to the formatter. Conclusion: besides heartbeats and renewals, the list of VMs has to be read by few.

--- a/benchmarks/capacity/entrySections.ts
+++ b/benchmarks/capacity/entrySections.ts
@@ -4,19 +4,17 @@
  * @packageDocumentation
  */
 
-import {
-  HEARTBEAT_INTERVAL_MS,
-  MOST_HEARTBEAT_PEERS,
-} from 'samphirenotch/membership/heartbeats.js';
 import { WORKER_HEARTBEAT_INTERVAL_MS } from 'samphirenotch/shards/taskLease.js';
 import { RETENTION_MS } from 'samphirenotch/tasks/taskSettings.js';
 
+import type { Slope as SiteSlope } from '../costs/slope.js';
 import {
   type CapacitySection,
   costAt,
   figure,
   largestPerItem,
   type MeasuredSlopes,
+  siteSlope,
   slopeOf,
 } from './figures.js';
 import {
@@ -91,13 +89,12 @@
         'heartbeats x cost of one',
       ),
       figure(
-        'Entries needed',
-        entries,
+        'Entries needed for them',
+        processor.entries,
         'entries',
         'derived',
         'those cores / 3.3 % of a core for each',
       ),
-      figure('Workers per entry', workersPerEntry, 'workers', 'derived', 'workers / entries'),
       figure(
         'One placement decision',
         placementUs,
@@ -117,13 +114,18 @@
 };
 
 /**
- * Works out the memory of entries.
+ * Works out the memory of one entry.
  *
- * @param measured - what the benchmarks wrote
+ * @param measured - slopes of single decisions, state and messages
+ * @param costs - slopes of whole entries
  * @param entries - number of entries
- * @returns the section
+ * @returns bytes by what takes them
  */
-export const memorySection = (measured: MeasuredSlopes, entries: number): CapacitySection => {
+export const entryMemory = (
+  measured: MeasuredSlopes,
+  costs: readonly SiteSlope[],
+  entries: number,
+) => {
   const recordBytes = slopeOf(measured, 'memory of job records').perItem;
   const encodedBytes = slopeOf(measured, 'bytes of a group commit').perItem;
   const ended = (LETTER.jobsPerDay * RETENTION_MS) / (SECONDS_PER_DAY * MS_PER_SECOND);
@@ -131,9 +133,28 @@
   const jobBytes = (jobs * (recordBytes + encodedBytes)) / entries;
   const seriesBytes = largestPerItem(slopeOf(measured, 'memory of histogram series'));
   const series = ASSUMED.classes * ASSUMED.stepsPerClass + LETTER.teams;
-  const choiceBytes = largestPerItem(slopeOf(measured, 'memory of the choice'));
-  const choiceTotal = (choiceBytes * LETTER.workers) / entries;
-  const totalBytes = measured.processBytes + jobBytes + series * seriesBytes + choiceTotal;
+  const atRest = siteSlope(costs, 'entry at rest: resident memory');
+  const restBytes = costAt(atRest, LETTER.workers / entries);
+  const totalBytes = restBytes + jobBytes + series * seriesBytes;
+
+  return { recordBytes, encodedBytes, jobs, jobBytes, seriesBytes, series, restBytes, totalBytes };
+};
+
+/**
+ * Works out the memory of entries.
+ *
+ * @param measured - slopes of single decisions, state and messages
+ * @param costs - slopes of whole entries
+ * @param entries - number of entries
+ * @returns the section
+ */
+export const memorySection = (
+  measured: MeasuredSlopes,
+  costs: readonly SiteSlope[],
+  entries: number,
+): CapacitySection => {
+  const memory = entryMemory(measured, costs, entries);
+  const { recordBytes, encodedBytes, jobs, jobBytes, seriesBytes, series } = memory;
   const megabytes = (bytes: number): number => bytes / BYTES_PER_MEGABYTE;
 
   return {
@@ -199,76 +220,20 @@
         'series x bytes of one',
       ),
       figure(
-        'Memory of the choice among workers',
-        megabytes(choiceTotal),
+        'Entry at rest with its workers',
+        megabytes(memory.restBytes),
         'MB',
-        'derived',
-        'slope "memory of the choice" x workers of an entry',
-      ),
-      figure('Sum', megabytes(totalBytes), 'MB', 'derived', 'the above'),
-      figure('Budget', LETTER.memoryMegabytes, 'MB', 'letter', 'for control'),
-    ],
-  };
-};
-
-/**
- * Works out the bytes of heartbeats that an entry sends.
- *
- * @param measured - what the benchmarks wrote
- * @param others - other entries told of in each
- * @param peers - peers that it exchanges heartbeats with
- * @returns bytes per second
- */
-export const heartbeatBytes = (measured: MeasuredSlopes, others: number, peers: number): number => {
-  const bytes = costAt(slopeOf(measured, 'bytes of a heartbeat'), others);
-  return (2 * peers * bytes * MS_PER_SECOND) / HEARTBEAT_INTERVAL_MS;
-};
-
-/**
- * Works out the messages among entries.
- *
- * @param measured - what the benchmarks wrote
- * @param entries - number of entries
- * @returns the section
- */
-export const messageSection = (measured: MeasuredSlopes, entries: number): CapacitySection => {
-  const { othersPerHeartbeat } = ASSUMED;
-  const peers = Math.min(MOST_HEARTBEAT_PEERS, entries - 1);
-  const slope = slopeOf(measured, 'bytes of a heartbeat');
-
-  return {
-    title: 'Entries: messages among themselves',
-    mechanism: 'Heartbeats to a bounded number of peers, each with news of a few other entries.',
-    figures: [
-      figure(
-        'One heartbeat',
-        costAt(slope, othersPerHeartbeat),
-        'bytes',
         'measured',
-        'slope "bytes of a heartbeat" at 6 other entries, without framing',
-      ),
-      figure(
-        'Sent by an entry',
-        heartbeatBytes(measured, othersPerHeartbeat, peers),
-        'bytes per second',
-        'derived',
-        'heartbeats to 10 peers and answers to 10, one a second each',
+        'costs, at the workers of an entry',
       ),
-      figure('Budget', LETTER.bytesPerSecond, 'bytes per second', 'letter', 'for control'),
       figure(
-        'Sent with one other entry in each',
-        heartbeatBytes(measured, 1, peers),
-        'bytes per second',
-        'derived',
-        'the same at 1 other entry',
-      ),
-      figure(
-        'Today, 7 entries',
-        heartbeatBytes(measured, 5, 6),
-        'bytes per second',
+        'Sum',
+        megabytes(memory.totalBytes),
+        'MB',
         'derived',
-        '6 peers, 5 other entries in each',
+        'entry at rest, jobs and histograms',
       ),
+      figure('Budget', LETTER.memoryMegabytes, 'MB', 'letter', 'for control'),
     ],
   };
 };
--- a/benchmarks/capacity/figures.ts
+++ b/benchmarks/capacity/figures.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 
+import type { Slope as SiteSlope } from '../costs/slope.js';
 import type { Slope } from '../slopes/measure.js';
 
 /** Where a figure comes from. */
@@ -47,7 +48,7 @@
  * @param size - the size
  * @returns the cost
  */
-export const costAt = (slope: Slope, size: number): number => {
+export const costAt = (slope: Pick<Slope, 'points'>, size: number): number => {
   const { points } = slope;
   const above = points.findIndex(([measuredSize]) => measuredSize >= size);
   const upper = above < 0 ? points.length - 1 : Math.max(1, above);
@@ -96,3 +97,17 @@
   basis,
   from,
 });
+
+/**
+ * Finds a cost of whole entries.
+ *
+ * @param costs - what was measured
+ * @param name - name of the cost
+ * @returns the cost
+ * @throws Error if there is none of that name
+ */
+export const siteSlope = (costs: readonly SiteSlope[], name: string): SiteSlope => {
+  const slope = costs.find((each) => each.name === name);
+  if (!slope) throw new Error(`No cost was measured for ${name}.`);
+  return slope;
+};
--- a/benchmarks/capacity/model.ts
+++ b/benchmarks/capacity/model.ts
@@ -5,17 +5,14 @@
  */
 
 import { SESSION_TIMES } from 'samphirenotch/membership/session.js';
+import type { Slope as SiteSlope } from '../costs/slope.js';
 
-import {
-  entriesSection,
-  heartbeatBytes,
-  memorySection,
-  messageSection,
-  processorModel,
-} from './entrySections.js';
+import { entriesSection, entryMemory, memorySection, processorModel } from './entrySections.js';
 import { type CapacitySection, largestPerItem, type MeasuredSlopes, slopeOf } from './figures.js';
+import { heartbeatBytes, messageSection } from './messageSections.js';
 import { ASSUMED, BYTES_PER_MEGABYTE, LETTER, MS_PER_SECOND } from './inputs.js';
-import { recoverySection, stepsSection, storeSection } from './storeSections.js';
+import { commitSection, requestSection, restSection } from './siteSections.js';
+import { recoverySection, stepsSection, storeLoad, storeSection } from './storeSections.js';
 
 /** All that the page says in figures. */
 export interface CapacityModel {
@@ -33,7 +30,21 @@
   readonly then: string;
 }
 
-const limitsOf = (measured: MeasuredSlopes, entries: number): CapacityLimit[] => {
+/** Counts the entries from which each stays within the letter's memory. */
+const entriesWithinMemory = (measured: MeasuredSlopes, costs: readonly SiteSlope[]): number => {
+  const budget = LETTER.memoryMegabytes * BYTES_PER_MEGABYTE;
+  let entries = 1;
+  while (entries < LETTER.workers && entryMemory(measured, costs, entries).totalBytes > budget) {
+    entries += 1;
+  }
+  return entries;
+};
+
+const limitsOf = (
+  measured: MeasuredSlopes,
+  costs: readonly SiteSlope[],
+  entries: number,
+): CapacityLimit[] => {
   const bytesPerPeer = heartbeatBytes(measured, ASSUMED.othersPerHeartbeat, 1);
   const seriesBytes = largestPerItem(slopeOf(measured, 'memory of histogram series'));
   const roomBytes = LETTER.memoryMegabytes * BYTES_PER_MEGABYTE - measured.processBytes;
@@ -62,11 +73,18 @@
       then: 'renew every 2 s with a time to live of 8 s, or one session for the entries of a rack',
     },
     {
-      what: 'Heartbeats to workers pass 3.3 % of a core',
-      at: perWorker,
+      what: 'Memory of an entry passes 128 MB, jobs and histograms included',
+      at: LETTER.workers / entriesWithinMemory(measured, costs),
+      unit: 'workers per entry',
+      needed: perWorker,
+      then: 'fewer connections for each worker, and histograms that are made when first used',
+    },
+    {
+      what: 'An entry at rest passes 3.3 % of a core',
+      at: 0,
       unit: 'workers per entry',
       needed: perWorker,
-      then: 'report only what has changed at a worker, and heartbeat idle workers less often',
+      then: 'slower looks of loops without news, and heartbeats that tell only what has changed',
     },
   ];
 };
@@ -74,22 +92,30 @@
 /**
  * Works the page out.
  *
- * @param measured - what the benchmarks wrote
+ * @param measured - slopes of single decisions, state and messages
+ * @param costs - slopes of whole entries
  * @returns the figures, by role
  */
-export const modelCapacity = (measured: MeasuredSlopes): CapacityModel => {
-  const { entries } = processorModel(measured);
+export const modelCapacity = (
+  measured: MeasuredSlopes,
+  costs: readonly SiteSlope[],
+): CapacityModel => {
+  const entries = Math.max(entriesWithinMemory(measured, costs), processorModel(measured).entries);
+  const { jobs, partitions } = storeLoad(measured, entries, ASSUMED.writesPerSecond);
 
   return {
     entries,
     sections: [
+      restSection(costs, entries),
       entriesSection(measured, entries),
-      memorySection(measured, entries),
+      memorySection(measured, costs, entries),
       messageSection(measured, entries),
       storeSection(measured, entries),
       recoverySection(measured, entries),
+      commitSection(costs, jobs / partitions),
+      requestSection(costs),
       stepsSection(measured, entries),
     ],
-    limits: limitsOf(measured, entries),
+    limits: limitsOf(measured, costs, entries),
   };
 };
--- a/benchmarks/capacity/page.ts
+++ b/benchmarks/capacity/page.ts
@@ -6,14 +6,17 @@
 
 import { format } from 'prettier';
 
+import type { Slope as SiteSlope } from '../costs/slope.js';
 import type { CapacitySection, Figure, MeasuredSlopes } from './figures.js';
 import { LETTER } from './inputs.js';
 import { type CapacityLimit, type CapacityModel, modelCapacity } from './model.js';
 
 const INTRODUCTION = `# Capacity at the letter's size
 
-This page is written by \`benchmarks/capacityMain.ts\` from \`benchmarks/results/slopes.json\`; a test
-checks that both agree. Change neither by hand: run \`npm run bench\`, which measures and writes both.
+This page is written by \`benchmarks/capacityMain.ts\` from \`slopes.json\` (parts of an entry) and
+\`costs.json\` (whole entries) in \`benchmarks/results/\`; a test checks that they agree. Change none by
+hand: \`npm run bench\` and \`npm run bench:costs\` measure, then \`node .build/benchmarks/capacityMain.js\`
+writes the page.
 
 Each figure says where it comes from: **letter** or brief, **setting** in the code, **measured** here
 (a slope over at least four sizes, read between its points), **derived** from other figures, or **assumed**.
@@ -22,15 +25,11 @@
 
 const NOT_MEASURED = `## Not measured
 
-- A request through an entry, direct and forwarded, against a bare relay: only the send from an entry
-  to a worker is measured (slope "send of a request to a worker"). The rate of requests at the
-  letter's size is not named either, so entries for requests come on top of the number above.
-- Framing and TLS of the messages between entries, and processor of gRPC around their encoding.
+- The rate of requests at the letter's size is not named, so entries for requests come on top.
+- TLS, and entries on VMs of their own: all processes shared one busy machine.
 - Checking a whole set of configuration, and its memory: only the change of an index is measured.
-- Memory of one owned worker and of one connection in an entry; bytes between an entry and a worker,
-  which count against the 7 KB a second of the worker's VM as well.
-- Recovery of a partition from a real store: only reads are counted and decoding is measured.
-- Group commit against a real store: bytes and encoding are measured, its latency is assumed.
+- Memory of one idle and one busy connection apart from the worker it belongs to.
+- Group commit and recovery against a real store: its latency is assumed.
 - Anything across regions: the hour without a connection between regions is covered by tests of
   behaviour, not by a measurement.
 `;
@@ -86,12 +85,31 @@
   [
     '## In short',
     '',
-    `- ${entries} entries for ${round(LETTER.workers)} workers: so many are needed for heartbeats to`,
-    '  workers to stay within 3.3 % of a core of each. Nothing of the system runs on workers.',
-    '- Starts are not what the store feels: commits carry all changes of a partition together.',
-    '  Renewals of sessions, one of each entry and second, take more of its writes.',
-    '- If the store grows ten times while the fleet grows a hundred times, commits fall back to the',
-    '  shortest interval of the code, and renewals become a small share.',
+    `- ${entries} entries for ${round(LETTER.workers)} workers: the larger of what memory and what heartbeats to`,
+    '  workers ask for. Nothing of the system runs on workers.',
+    '- An entry at rest takes more than 3.3 % of a core whatever it owns, as measured on a busy machine;',
+    '  spread over all nodes it is far less. The letter’s bound holds for workers, not for entries.',
+    '- The list of VMs is read whole every second by every entry: at the letter’s size that is megabytes',
+    '  a second for each. It has to be read by few and told to the rest as changes, as configuration is.',
+    '- Starts are not what the store feels first: commits carry all changes of a partition together, and',
+    '  renewals of sessions, one of each entry and second, take about half of its writes.',
+    '- If the store takes ten times as much while the fleet grows a hundred times, commits fall back to',
+    '  the shortest interval of the code, and renewals are a small share.',
+    '',
+  ].join('\n');
+
+const costsText = (costs: readonly SiteSlope[]): string =>
+  [
+    '## Measured costs of whole entries',
+    '',
+    'Measured by `benchmarks/costs/`, kept in `benchmarks/results/costs.json`.',
+    '',
+    '| Cost | Unit | Size counts | Costs at sizes | Fixed | Each | Machine |',
+    '| --- | --- | --- | --- | --- | --- | --- |',
+    ...costs.map(({ name, unit, sizeAxis, points, intercept, slope, machine }) => {
+      const shown = points.map(([size, cost]) => `${round(size)}: ${round(cost)}`).join('; ');
+      return `| ${name} | ${unit} | ${sizeAxis} | ${shown} | ${round(intercept)} | ${round(slope)} | ${machine} |`;
+    }),
     '',
   ].join('\n');
 
@@ -113,11 +131,15 @@
 /**
  * Writes the page.
  *
- * @param measured - what the benchmarks wrote
+ * @param measured - slopes of single decisions, state and messages
+ * @param costs - slopes of whole entries
  * @returns its text
  */
-export const writePage = async (measured: MeasuredSlopes): Promise<string> => {
-  const model = modelCapacity(measured);
+export const writePage = async (
+  measured: MeasuredSlopes,
+  costs: readonly SiteSlope[],
+): Promise<string> => {
+  const model = modelCapacity(measured, costs);
   const text = [
     INTRODUCTION,
     summaryText(model),
@@ -126,6 +148,7 @@
     INDEX,
     NOT_MEASURED,
     slopesText(measured),
+    costsText(costs),
   ].join('\n');
 
   return format(text, { parser: 'markdown', printWidth: 100, singleQuote: true });
--- a/benchmarks/capacity/storeSections.ts
+++ b/benchmarks/capacity/storeSections.ts
@@ -19,7 +19,15 @@
 import { type CapacitySection, costAt, figure, type MeasuredSlopes, slopeOf } from './figures.js';
 import { ASSUMED, BYTES_PER_MEGABYTE, LETTER, MS_PER_SECOND, SECONDS_PER_DAY } from './inputs.js';
 
-const storeLoad = (measured: MeasuredSlopes, entries: number, writesPerSecond: number) => {
+/**
+ * Works out how the store is shared.
+ *
+ * @param measured - what the benchmarks wrote
+ * @param entries - number of entries
+ * @param writesPerSecond - writes that the store takes
+ * @returns rates, and the partitions of jobs
+ */
+export const storeLoad = (measured: MeasuredSlopes, entries: number, writesPerSecond: number) => {
   const renewals = (entries * MS_PER_SECOND) / SESSION_TIMES.renewIntervalMs;
   const publications = LETTER.changesPerDay / SECONDS_PER_DAY;
   const changes = LETTER.startsPerSecond * ASSUMED.changesPerStart;
--- a/benchmarks/main.ts
+++ b/benchmarks/main.ts
@@ -9,6 +9,7 @@
 import path from 'node:path';
 
 import { writePage } from './capacity/page.js';
+import type { Slope as SiteSlope } from './costs/slope.js';
 import { compareAdmission } from './decisions/admission.js';
 import { compareDataCentreReturn } from './decisions/dataCentreReturn.js';
 import { compareFaults } from './decisions/faults.js';
@@ -22,7 +23,7 @@
 import type { Slope } from './slopes/measure.js';
 import { measureState } from './slopes/stateSlopes.js';
 import type { Comparison } from './support/comparison.js';
-import { writeResults } from './support/results.js';
+import { readResults, writeResults } from './support/results.js';
 import { formatSlopes, formatTable } from './support/table.js';
 
 interface Suite {
@@ -64,7 +65,10 @@
   console.log(formatSlopes(slopes).join('\n'));
   const measured = { node: process.version, processBytes, slopes };
   await writeResults('slopes', measured);
-  writeFileSync(CAPACITY_PAGE, await writePage(measured));
+  writeFileSync(
+    CAPACITY_PAGE,
+    await writePage(measured, readResults('costs') as readonly SiteSlope[]),
+  );
 };
 
 const comparisons = await runSuites();
