--- a/packages/samphirenotch-stand-ins/src/memoryWorker.ts
+++ b/packages/samphirenotch-stand-ins/src/memoryWorker.ts
@@ -1,7 +1,6 @@
 /**
  * A worker in memory: capacity kept and checked, attempts under leases, request slots, faults.
  */
-import { Readable } from 'node:stream';
 import { buffer } from 'node:stream/consumers';
 
 import { Failure, type FailureCode } from 'samphirenotch/failure.js';
@@ -24,11 +23,10 @@
 
 import { AttemptRun } from './attemptRun.js';
 import type { History, HistoryEvent, HistoryKind } from './history.js';
+import { describeRequest, echoBody, serviceMsOf } from './requestEcho.js';
 import { noWorkerFaults, type WorkerFaults } from './workerFaults.js';
 
 const USAGE_LAG_MS = 2000;
-const DEFAULT_SERVICE_MS = 5;
-const INTERFERENCE_PER_TASK = 0.05;
 const REMEMBERED_REQUESTS = 10_000;
 
 /** The full offer; faults and tests may take parts of it away. */
@@ -178,7 +176,7 @@
     this.beginRequest(epoch, request);
     try {
       const body = await buffer(request.body);
-      await this.clock.sleep(this.serviceMs(request), call.signal);
+      await this.clock.sleep(serviceMsOf(request, this.running().length), call.signal);
       return await this.answerRequest(request, body, call);
     } catch (error) {
       return Err(this.failure('unavailable', 'worker.execute', String(error), 'unknown'));
@@ -243,9 +241,13 @@
     return run.report();
   }
 
+  private running(): readonly AttemptRun[] {
+    return [...this.runs.values()].filter((run) => run.phase === 'running');
+  }
+
   private isOverCapacity(): boolean {
     const { capacity } = this.listing;
-    const running = [...this.runs.values()].filter((run) => run.phase === 'running');
+    const running = this.running();
     const sum = (part: (size: Size) => number): number =>
       running.reduce((total, run) => total + part(run.order.size), 0);
     return (
@@ -298,32 +300,13 @@
     this.busySlots += 1;
     if (this.requests.size >= REMEMBERED_REQUESTS) this.requests.clear();
     this.requests.set(request.requestId, 'running');
-    this.log('request-started', { ...this.describe(request), epoch });
+    this.log('request-started', { ...describeRequest(request), epoch });
   }
 
   private endRequest(request: WorkerRequest): void {
     this.busySlots -= 1;
     this.requests.set(request.requestId, 'finished');
-    this.log('request-ended', this.describe(request));
-  }
-
-  private describe(request: WorkerRequest): Partial<HistoryEvent> {
-    const { 'idempotency-key': idempotencyKey, 'x-request-id': callerRequestId } = request.headers;
-    return {
-      requestId: request.requestId,
-      method: request.method,
-      taskClass: request.taskClass,
-      ...(idempotencyKey === undefined ? {} : { idempotencyKey }),
-      ...(callerRequestId === undefined ? {} : { callerRequestId }),
-    };
-  }
-
-  /** Service time asked for by `?ms=`, stretched by the tasks that run beside it. */
-  private serviceMs(request: WorkerRequest): number {
-    const { searchParams } = new URL(request.path, 'http://worker');
-    const wantedMs = Number(searchParams.get('ms') ?? DEFAULT_SERVICE_MS);
-    const tasks = [...this.runs.values()].filter((run) => run.phase === 'running').length;
-    return wantedMs * (1 + INTERFERENCE_PER_TASK * tasks);
+    this.log('request-ended', describeRequest(request));
   }
 
   private async answerRequest(
@@ -340,25 +323,10 @@
       requestId: this.faults.foreignAnswers ? `${request.requestId}-other` : request.requestId,
       status: this.faults.failEverything ? 500 : 200,
       headers: { 'content-type': 'application/octet-stream', 'x-worker': this.id },
-      body: this.answerBody(request, body),
+      body: echoBody(request, body, this.faults.cutAnswers),
     });
   }
 
-  /** Echoes the body, or as many bytes as `?bytes=` asks for. */
-  private answerBody(request: WorkerRequest, body: Buffer): Readable {
-    const { searchParams } = new URL(request.path, 'http://worker');
-    const bytes = searchParams.get('bytes');
-    const whole = bytes === null ? body : Buffer.alloc(Number(bytes), request.requestId);
-    if (!this.faults.cutAnswers) return Readable.from([whole], { objectMode: false });
-    return Readable.from(
-      (function* cut(): Generator<Buffer> {
-        yield whole.subarray(0, Math.floor(whole.length / 2));
-        throw new Error('the connection broke');
-      })(),
-      { objectMode: false },
-    );
-  }
-
   private async staySilent(step: string, call: Call): Promise<Result<never, Failure>> {
     await this.clock.sleep(remainingMs(this.clock, call), call.signal);
     return Err(this.failure('deadline', step, 'no answer in time', 'unknown'));
