Tell a broken connection from an answered conflict, and keep ports of trials apart

One entry ended at its start: its port, free when it was looked up, had been given to an outgoing connection of another trial meanwhile. Placement is told which classes are requests.

--- a/packages/samphirenotch-stand-ins/src/site/callerRecord.ts
+++ b/packages/samphirenotch-stand-ins/src/site/callerRecord.ts
@@ -8,6 +8,8 @@
   readonly taskClass: string;
   readonly idempotencyKey?: string;
   readonly outcome: 'answered' | 'not-run' | 'unknown';
+  /** Code of the problem that was answered; nothing if the connection broke. */
+  readonly problem?: string;
   /** The body of the answer was whole and the caller's own. */
   readonly bodyMatches?: boolean;
   readonly latencyMs: number;
--- a/packages/samphirenotch-stand-ins/src/site/childProgram.ts
+++ b/packages/samphirenotch-stand-ins/src/site/childProgram.ts
@@ -36,6 +36,8 @@
     this.child.stderr?.pipe(log);
     this.child.stdout?.pipe(log);
     this.firstLine = this.readFirstLine();
+    // Nobody may ask for the line of a program that is ended before it printed one.
+    this.firstLine.catch(() => undefined);
   }
 
   /** @returns the first line that the program prints; it fails if the program ends before */
--- a/packages/samphirenotch-stand-ins/src/site/freePort.ts
+++ b/packages/samphirenotch-stand-ins/src/site/freePort.ts
@@ -1,8 +1,27 @@
 /**
  * Finds ports for programs that have to know them before they start.
  */
+import { randomInt } from 'node:crypto';
 import { once } from 'node:events';
-import { createServer, type AddressInfo } from 'node:net';
+import { createServer } from 'node:net';
+
+/** Below the ports that systems give to outgoing connections, which would take them meanwhile. */
+const LOWEST_PORT = 12_000;
+const HIGHEST_PORT = 32_000;
+const TRIES = 100;
+
+const isFree = async (port: number): Promise<boolean> => {
+  const server = createServer();
+  try {
+    server.listen(port, '127.0.0.1');
+    await once(server, 'listening');
+    server.close();
+    await once(server, 'close');
+    return true;
+  } catch {
+    return false;
+  }
+};
 
 /**
  * Finds a port of loopback that nobody listens on.
@@ -10,11 +29,9 @@
  * @returns the port
  */
 export const freePort = async (): Promise<number> => {
-  const server = createServer();
-  server.listen(0, '127.0.0.1');
-  await once(server, 'listening');
-  const { port } = server.address() as AddressInfo;
-  server.close();
-  await once(server, 'close');
-  return port;
+  for (let tries = 0; tries < TRIES; tries += 1) {
+    const port = randomInt(LOWEST_PORT, HIGHEST_PORT);
+    if (await isFree(port)) return port;
+  }
+  throw new Error('No port is free.');
 };
--- a/packages/samphirenotch-stand-ins/src/site/site.ts
+++ b/packages/samphirenotch-stand-ins/src/site/site.ts
@@ -41,6 +41,7 @@
 
 const READY_TIMEOUT_MS = 20_000;
 const POLL_INTERVAL_MS = 50;
+const START_TRIES = 3;
 /** Time until the balancer sends no more to an entry that is not ready. */
 const BALANCER_LAG_MS = 1000;
 
@@ -130,35 +131,16 @@
    * @returns the entry
    */
   async startEntry(dataCentre: string): Promise<SiteEntry> {
-    this.entryCount += 1;
-    const id = `${dataCentre}-e${this.entryCount}`;
-    const [grpcPort, httpPort] = [await freePort(), await freePort()];
-    const platformRelay = new TcpRelay(this.platformPort);
-    const peerRelay = new TcpRelay(grpcPort);
-    const peerAddress = `127.0.0.1:${await peerRelay.listen()}`;
-    const settings = join(this.directory, `${id}.ini`);
-    const lines = [
-      '[entry]',
-      `id = ${id}`,
-      `dataCentre = ${dataCentre}`,
-      `grpcAddress = ${peerAddress}`,
-      `grpcListen = 127.0.0.1:${grpcPort}`,
-      `httpAddress = 127.0.0.1:${httpPort}`,
-      ...this.seedLine(),
-      '[platform]',
-      'kind = http',
-      `address = 127.0.0.1:${await platformRelay.listen()}`,
-      '[log]',
-      'format = json',
-      'level = info',
-    ];
-    writeFileSync(settings, `${lines.join('\n')}\n`);
-    const program = this.run(id, this.programs.entry, [settings]);
-    const origin = `http://127.0.0.1:${httpPort}`;
-    const entry = { id, dataCentre, origin, peerAddress, program, platformRelay, peerRelay };
-    this.entries.push(entry);
-    await until(`${id} to answer`, () => this.answers(entry));
-    return entry;
+    for (let tries = 1; ; tries += 1) {
+      const entry = await this.launchEntry(dataCentre);
+      try {
+        await until(`${entry.id} to answer`, () => this.answers(entry));
+        return entry;
+      } catch (error) {
+        this.forget(entry);
+        if (entry.program.running || tries === START_TRIES) throw error;
+      }
+    }
   }
 
   /** Kills an entry and forgets it. */
@@ -230,6 +212,38 @@
     this.entries.forEach(closeRelays);
   }
 
+  /** Another program may take a port before the entry does; then the entry ends by itself. */
+  private async launchEntry(dataCentre: string): Promise<SiteEntry> {
+    this.entryCount += 1;
+    const id = `${dataCentre}-e${this.entryCount}`;
+    const [grpcPort, httpPort] = [await freePort(), await freePort()];
+    const platformRelay = new TcpRelay(this.platformPort);
+    const peerRelay = new TcpRelay(grpcPort);
+    const peerAddress = `127.0.0.1:${await peerRelay.listen()}`;
+    const settings = join(this.directory, `${id}.ini`);
+    const lines = [
+      '[entry]',
+      `id = ${id}`,
+      `dataCentre = ${dataCentre}`,
+      `grpcAddress = ${peerAddress}`,
+      `grpcListen = 127.0.0.1:${grpcPort}`,
+      `httpAddress = 127.0.0.1:${httpPort}`,
+      ...this.seedLine(),
+      '[platform]',
+      'kind = http',
+      `address = 127.0.0.1:${await platformRelay.listen()}`,
+      '[log]',
+      'format = json',
+      'level = info',
+    ];
+    writeFileSync(settings, `${lines.join('\n')}\n`);
+    const program = this.run(id, this.programs.entry, [settings]);
+    const origin = `http://127.0.0.1:${httpPort}`;
+    const entry = { id, dataCentre, origin, peerAddress, program, platformRelay, peerRelay };
+    this.entries.push(entry);
+    return entry;
+  }
+
   private async startPlatform(): Promise<void> {
     this.platform = this.run('platform', this.programs.platform, ['127.0.0.1', '0']);
     this.platformPort = Number(await this.platform.line());
--- a/packages/samphirenotch-stand-ins/src/site/siteCaller.ts
+++ b/packages/samphirenotch-stand-ins/src/site/siteCaller.ts
@@ -28,6 +28,7 @@
 }
 
 interface Problem {
+  readonly title?: string;
   readonly outcome?: 'not-run' | 'unknown';
   readonly retryAfterMs?: number;
 }
@@ -143,7 +144,7 @@
     requestId: string,
     wanted: CallerRequest,
     entry: SiteEntry,
-  ): Promise<Pick<CallerRecord, 'outcome' | 'bodyMatches' | 'retryAfterMs'>> {
+  ): Promise<Pick<CallerRecord, 'outcome' | 'problem' | 'bodyMatches' | 'retryAfterMs'>> {
     const path = `/services/${wanted.service}/echo?ms=${wanted.serviceMs}`;
     try {
       const response = await request(`${entry.origin}${path}`, {
@@ -161,8 +162,9 @@
         signal: AbortSignal.timeout(wanted.waitSeconds * MS_PER_SECOND + CLIENT_GRACE_MS),
       });
       if (isProblem(response)) {
-        const { outcome = 'unknown', retryAfterMs } = (await response.body.json()) as Problem;
-        return { outcome, ...(retryAfterMs === undefined ? {} : { retryAfterMs }) };
+        const answered = (await response.body.json()) as Problem;
+        const { title: problem = 'unnamed', outcome = 'unknown', retryAfterMs } = answered;
+        return { outcome, problem, ...(retryAfterMs === undefined ? {} : { retryAfterMs }) };
       }
       return { outcome: 'answered', bodyMatches: (await response.body.text()) === wanted.body };
     } catch (error) {
--- a/packages/samphirenotch/src/entry/workParts.ts
+++ b/packages/samphirenotch/src/entry/workParts.ts
@@ -79,6 +79,10 @@
     importance: (taskClass) =>
       follower.current()?.taskClasses.get(taskClass)?.kind === 'request' ? 1 : 0,
     nowMs: () => clock.monotonicMs(),
+    requestClasses: () =>
+      [...(follower.current()?.taskClasses.values() ?? [])]
+        .filter(({ kind }) => kind === 'request')
+        .map(({ name }) => name),
   });
   const shardHandler = new ShardHandler(
     {
@@ -92,7 +96,7 @@
     workerList,
   );
   const choice = new LearnedWorkerChoice(seed, interference);
-  const slots = new SlotPool(shardHandler, follower, choice, clock, interference);
+  const slots = new SlotPool(shardHandler, follower, choice, clock);
   const pressure = new PressureLoop(shardHandler, new HysteresisPressure(), interference, clock);
   const localShards = new LocalShardService(shardHandler, workerList, settings.dataCentre);
   const remote = new RemoteShardService(channels, clock);
--- a/packages/samphirenotch/src/shards/heldSlot.ts
+++ b/packages/samphirenotch/src/shards/heldSlot.ts
@@ -6,7 +6,6 @@
 import type { Clock } from '../time/clock.js';
 import type { OwnedWorker } from './ownedWorker.js';
 import type { Slot, SlotOutcome } from './shardService.js';
-import type { SlowdownMeter } from './slowdownMeter.js';
 import type { StartGuard } from './startGuard.js';
 
 /** Share of its deadline that a request should take at a worker, at most. */
@@ -20,8 +19,6 @@
   readonly deadlineMs: number;
   readonly guard: StartGuard;
   readonly choice: WorkerChoice;
-  /** Learns what tasks do to requests, if that is wanted. */
-  readonly slowdowns: SlowdownMeter | undefined;
   readonly clock: Clock;
   readonly onFreed: () => void;
 }
@@ -70,9 +67,7 @@
   }
 
   private gauge(latencyMs: number, nowMs: number): void {
-    const { owned, taskClass, deadlineMs, slowdowns } = this.parts;
-    const neighbours = [...owned.attempts.values()].map((attempt) => attempt.taskClass);
-    slowdowns?.observe(taskClass, neighbours, latencyMs, nowMs);
+    const { owned, taskClass, deadlineMs } = this.parts;
     owned.requestClasses.add(taskClass);
     owned.latency.observe(latencyMs, deadlineMs * TARGET_SHARE, nowMs);
   }
--- a/packages/samphirenotch/src/shards/slotPool.ts
+++ b/packages/samphirenotch/src/shards/slotPool.ts
@@ -2,22 +2,18 @@
  * Request slots of all workers whose shards this entry owns.
  */
 import type { ConfigurationView } from '../config/configurationView.js';
-import type { InterferenceModel } from '../decisions/interferenceModel.js';
 import type { WorkerCandidate, WorkerChoice } from '../decisions/workerChoice.js';
 import type { Clock } from '../time/clock.js';
 import { HeldSlot } from './heldSlot.js';
 import type { OwnedWorker } from './ownedWorker.js';
 import type { ShardHandler } from './shardHandler.js';
 import type { Slot, SlotSource, SlotWish } from './shardService.js';
-import { SlowdownMeter } from './slowdownMeter.js';
 import { StartGuard } from './startGuard.js';
 
 /** Takes slots from the ledgers of owned workers. */
 export class SlotPool implements SlotSource {
   private readonly guard: StartGuard;
 
-  private readonly slowdowns: SlowdownMeter | undefined;
-
   private readonly waiting = new Set<() => void>();
 
   /**
@@ -25,16 +21,13 @@
    * @param configuration - the configuration in force
    * @param choice - chooses among workers
    * @param clock - for the choice
-   * @param interference - learns what tasks do to requests, if given
    */
   constructor(
     private readonly handler: ShardHandler,
     private readonly configuration: ConfigurationView,
     private readonly choice: WorkerChoice,
     private readonly clock: Clock,
-    interference?: InterferenceModel,
   ) {
-    this.slowdowns = interference && new SlowdownMeter(interference);
     this.guard = new StartGuard(configuration);
     handler.onRoom(() => this.wakeAll());
   }
@@ -47,11 +40,11 @@
     const chosen = this.choice.choose(wish.taskClass, candidates, this.clock.monotonicMs());
     const owned = free.find(({ id }) => id === chosen?.workerId);
     if (!owned?.ledger.tryTakeSlot()) return undefined;
-    const { guard, choice, clock, slowdowns } = this;
+    const { guard, choice, clock } = this;
     const onFreed = (): void => this.wakeAll();
     const { taskClass } = wish;
     const deadlineMs = this.configuration.current()?.taskClasses.get(taskClass)?.deadlineMs ?? 0;
-    return new HeldSlot({ owned, taskClass, deadlineMs, guard, choice, clock, slowdowns, onFreed });
+    return new HeldSlot({ owned, taskClass, deadlineMs, guard, choice, clock, onFreed });
   }
 
   serves(service: string): boolean {
