Put back the bounds that were narrowed, and list those that are not met

Cause: while the benchmarks were written, bounds that policies missed were dropped, and two scenarios moved to loads where they held. That is a loosening by measured figures. Change: heavy work, the tail of requests beside tasks and evictions are bounded by the baseline again; hedging at load 0.85 and the shift of load to 0.9 are back.

--- a/benchmarks/decisions/placement.ts
+++ b/benchmarks/decisions/placement.ts
@@ -25,31 +25,26 @@
 } from '../support/comparison.js';
 import { FIRMS, type Firm } from '../support/firms.js';
 
-/** Batch work that the firm weighs most is bounded; the other may lose room to it. */
-const metricsOf = (firm: Firm): readonly Metric[] => {
-  const isUrgentFirst = firm.name === 'council';
-
-  return [
-    { name: 'urgent done', unit: 'tasks', better: 'higher', notWorse: true },
-    { name: 'heavy done', unit: 'tasks', better: 'higher', notWorse: !isUrgentFirst },
-    { name: 'work done', unit: 'core hours', better: 'higher', notWorse: true },
-    { name: 'longest urgent wait', unit: 's', better: 'lower', notWorse: true },
-    { name: 'longest heavy wait', unit: 's', better: 'lower' },
-    { name: 'longest background wait', unit: 's', better: 'lower' },
-    { name: 'request slowdown p50', unit: 'times', better: 'lower' },
-    { name: 'request slowdown p99', unit: 'times', better: 'lower' },
-    { name: 'evictions', unit: 'tasks', better: 'lower' },
-  ];
-};
+const METRICS: readonly Metric[] = [
+  { name: 'urgent done', unit: 'tasks', better: 'higher', notWorse: true },
+  { name: 'heavy done', unit: 'tasks', better: 'higher', notWorse: true },
+  { name: 'work done', unit: 'core hours', better: 'higher', notWorse: true },
+  { name: 'longest urgent wait', unit: 's', better: 'lower', notWorse: true },
+  { name: 'longest heavy wait', unit: 's', better: 'lower' },
+  { name: 'longest background wait', unit: 's', better: 'lower' },
+  { name: 'request slowdown p50', unit: 'times', better: 'lower' },
+  { name: 'request slowdown p99', unit: 'times', better: 'lower', notWorse: true },
+  { name: 'evictions', unit: 'tasks', better: 'lower', notWorse: true },
+];
 
 /** Against the same sizes and order, placement alone has to disturb requests less. */
 const PLACEMENT_METRICS: readonly Metric[] = [
   { name: 'work done', unit: 'core hours', better: 'higher', notWorse: true },
-  { name: 'heavy done', unit: 'tasks', better: 'higher' },
+  { name: 'heavy done', unit: 'tasks', better: 'higher', notWorse: true },
   { name: 'longest heavy wait', unit: 's', better: 'lower' },
   { name: 'longest background wait', unit: 's', better: 'lower' },
   { name: 'request slowdown p50', unit: 'times', better: 'lower', notWorse: true },
-  { name: 'request slowdown p99', unit: 'times', better: 'lower' },
+  { name: 'request slowdown p99', unit: 'times', better: 'lower', notWorse: true },
 ];
 
 const learned = (firm: Firm, nowMs: () => number): BatchPolicies => {
@@ -113,7 +108,7 @@
   return [
     ...compare({
       ...plan,
-      metrics: metricsOf(firm),
+      metrics: METRICS,
       baselines: [
         onDeclaredSizes(firm, load, 'first fit', () => new FirstFit()),
         onDeclaredSizes(firm, load, 'best fit', () => new BestFit()),
--- a/benchmarks/decisions/retries.ts
+++ b/benchmarks/decisions/retries.ts
@@ -50,7 +50,7 @@
   failing: (nowMs) => (nowMs > 4_000 && nowMs < 10_000 ? 1 : 0),
 });
 
-const STALLS = [0.3, 0.6, 0.8].map((load) =>
+const STALLS = [0.3, 0.6, 0.8, 0.85].map((load) =>
   scenario(`2 % of sends stall, load ${load}`, { load, stalling: 0.02 }),
 );
 
--- a/benchmarks/decisions/workerChoice.ts
+++ b/benchmarks/decisions/workerChoice.ts
@@ -29,6 +29,7 @@
 const SCENARIOS: readonly ChoiceScenario[] = [
   { name: 'steady', load: () => 0.6 },
   { name: 'load shift', load: (nowMs) => (nowMs < 10_000 ? 0.3 : 0.8) },
+  { name: 'load shift into overload', load: (nowMs) => (nowMs < 10_000 ? 0.3 : 0.9) },
   {
     name: 'slow workers',
     load: () => 0.6,
--- a/benchmarks/main.ts
+++ b/benchmarks/main.ts
@@ -5,7 +5,7 @@
  * @packageDocumentation
  */
 
-import { writeFileSync } from 'node:fs';
+import { existsSync, readFileSync, writeFileSync } from 'node:fs';
 import path from 'node:path';
 
 import { writePage } from './capacity/page.js';
@@ -23,6 +23,7 @@
 import type { Slope } from './slopes/measure.js';
 import { measureState } from './slopes/stateSlopes.js';
 import type { Comparison } from './support/comparison.js';
+import { boundTitle, summarizeBounds } from './support/knownRedBounds.js';
 import { readResults, writeResults } from './support/results.js';
 import { formatSlopes, formatTable } from './support/table.js';
 
@@ -42,6 +43,7 @@
   { name: 'faults', run: compareFaults },
 ];
 
+const KNOWN_RED = 'KNOWN-RED.txt';
 const CAPACITY_PAGE = path.join('docs', 'CAPACITY.md');
 
 const isCi = process.argv.includes('--ci');
@@ -72,8 +74,15 @@
 };
 
 const comparisons = await runSuites();
-const missed = comparisons.filter(({ isMet }) => !isMet);
 console.log(formatTable(comparisons).join('\n'));
 if (!isCi && (only === undefined || only === 'slopes')) await runSlopes();
-console.log(`${comparisons.length} comparisons, ${missed.length} bounds not met`);
-process.exitCode = missed.length === 0 ? 0 : 1;
+const list = existsSync(KNOWN_RED) ? readFileSync(KNOWN_RED, 'utf8') : '';
+const { missed, passedOver, listFaults } = summarizeBounds(comparisons, list);
+const faults = only === undefined ? listFaults : [];
+comparisons
+  .filter(({ isMet }) => !isMet)
+  .forEach((each) => console.log(`not met: ${boundTitle(each)}, ratio ${each.ratio?.toFixed(3)}`));
+passedOver.forEach((line) => console.log(`known red: ${line}`));
+faults.forEach((fault) => console.log(`${KNOWN_RED}: ${fault}`));
+console.log(`${comparisons.length} comparisons, ${missed.length} bounds not met and not listed`);
+process.exitCode = missed.length + faults.length === 0 ? 0 : 1;
--- a/utils/knownRed.ts
+++ b/utils/knownRed.ts
@@ -28,6 +28,14 @@
 
 const fieldCount = 4;
 
+/**
+ * Tells whether an entry is about a bound of a benchmark, which the benchmarks themselves judge.
+ *
+ * @param title - The title of the entry.
+ * @returns True if it is.
+ */
+export const isBound = (title: string): boolean => title.startsWith('bound: ');
+
 /**
  * Reads the list: `title of test | command with seed | what was seen | issue N`, one a line.
  *
--- a/utils/verify.ts
+++ b/utils/verify.ts
@@ -9,7 +9,7 @@
 import { existsSync, readFileSync, rmSync } from 'node:fs';
 
 import { checkImports } from './checkImports.js';
-import { parseKnownRed, summarizeTests } from './knownRed.js';
+import { isBound, parseKnownRed, summarizeTests } from './knownRed.js';
 import { type CommandResult, runCommand } from './runCommand.js';
 import { parseTap } from './tap.js';
 
@@ -42,7 +42,10 @@
   const { ok: allPassed, output } = await runBin('ava', '--tap');
   const knownRedText = existsSync(knownRedFile) ? readFileSync(knownRedFile, 'utf8') : '';
   const tests = parseTap(output);
-  const summary = summarizeTests(tests, parseKnownRed(knownRedText));
+  const summary = summarizeTests(
+    tests,
+    parseKnownRed(knownRedText).filter(({ title }) => !isBound(title)),
+  );
 
   totals.passed = summary.passed;
   totals.failed = summary.failed.length;
@@ -63,10 +66,15 @@
   return { ok: faults.length === 0, output: [output, ...faults].join('\n') };
 };
 
-const runBenchmarks = async (): Promise<CommandResult> =>
-  existsSync(benchmarksFile)
-    ? runCommand(process.execPath, [benchmarksFile, '--ci'])
-    : { ok: true, output: '' };
+const runBenchmarks = async (): Promise<CommandResult> => {
+  const result = await runCommand(process.execPath, [benchmarksFile, '--ci']);
+
+  for (const line of result.output.split('\n').filter((each) => each.startsWith('known red: '))) {
+    console.log(line);
+  }
+
+  return result;
+};
 
 const steps: readonly Step[] = [
   { name: 'format', run: () => runBin('prettier', '--check', '--log-level', 'warn', '.') },
