Name two kinds of held slots apart, keep one wake-up and one list of failure codes

Cause: two classes were called HeldSlot, the wake-up of loops stood twice, and the codes of failures were listed three times. Change: SlotUse (requests) and LedgerSlot (shards); one Wakeup in time/; codes are listed in failure.ts. Behaviour is unchanged.

--- a/packages/samphirenotch/src/failure.ts
+++ b/packages/samphirenotch/src/failure.ts
@@ -5,18 +5,22 @@
 /** Whether the work that a failed call asked for may have been done. */
 export type Effect = 'not-run' | 'unknown';
 
+/** Every reason for which a call fails. */
+export const FAILURE_CODES = [
+  'invalid',
+  'not-found',
+  'conflict',
+  'overloaded',
+  'deadline',
+  'cancelled',
+  'unavailable',
+  'stale-epoch',
+  'not-owner',
+  'internal',
+] as const;
+
 /** Why a call failed. */
-export type FailureCode =
-  | 'invalid'
-  | 'not-found'
-  | 'conflict'
-  | 'overloaded'
-  | 'deadline'
-  | 'cancelled'
-  | 'unavailable'
-  | 'stale-epoch'
-  | 'not-owner'
-  | 'internal';
+export type FailureCode = (typeof FAILURE_CODES)[number];
 
 /** What a failure tells. */
 export interface FailureDetail {
--- a/packages/samphirenotch/src/grpc/grpcFailure.ts
+++ b/packages/samphirenotch/src/grpc/grpcFailure.ts
@@ -3,23 +3,12 @@
  */
 import { Metadata, status, type ServiceError } from '@grpc/grpc-js';
 import { z } from 'zod';
-import { Failure, type FailureCode } from '../failure.js';
+import { Failure, FAILURE_CODES, type FailureCode } from '../failure.js';
 
 const DETAIL_KEY = 'samphirenotch-failure';
 
 const DETAIL = z.object({
-  code: z.enum([
-    'invalid',
-    'not-found',
-    'conflict',
-    'overloaded',
-    'deadline',
-    'cancelled',
-    'unavailable',
-    'stale-epoch',
-    'not-owner',
-    'internal',
-  ]),
+  code: z.enum(FAILURE_CODES),
   step: z.string(),
   peer: z.string(),
   effect: z.enum(['not-run', 'unknown']),
--- a/packages/samphirenotch/src/membership/ownershipManager.ts
+++ b/packages/samphirenotch/src/membership/ownershipManager.ts
@@ -17,7 +17,7 @@
 import { PrefixFollower } from './prefixFollower.js';
 import type { Session } from './session.js';
 import { OWNERS_PREFIX, parseOwnerRecord } from './storeKeys.js';
-import { Wakeup } from './wakeup.js';
+import { Wakeup } from '../time/wakeup.js';
 
 const RECONCILE_INTERVAL_MS = 500;
 const REMOVE_RETRY_MS = 200;
--- a/packages/samphirenotch/src/platform/httpCommand.ts
+++ b/packages/samphirenotch/src/platform/httpCommand.ts
@@ -4,24 +4,13 @@
 import { request, type Dispatcher } from 'undici';
 import { z } from 'zod';
 
-import { Failure } from '../failure.js';
+import { Failure, FAILURE_CODES } from '../failure.js';
 import { Err, Ok, type Result } from '../results.js';
 import { remainingMs, type Call } from '../time/call.js';
 import type { Clock } from '../time/clock.js';
 
 const FAILURE_DETAIL = z.object({
-  code: z.enum([
-    'invalid',
-    'not-found',
-    'conflict',
-    'overloaded',
-    'deadline',
-    'cancelled',
-    'unavailable',
-    'stale-epoch',
-    'not-owner',
-    'internal',
-  ]),
+  code: z.enum(FAILURE_CODES),
   effect: z.enum(['not-run', 'unknown']),
   message: z.string(),
   retryAfterMs: z.number().optional(),
--- a/packages/samphirenotch/src/requests/requestRouter.ts
+++ b/packages/samphirenotch/src/requests/requestRouter.ts
@@ -13,7 +13,7 @@
 import type { Call } from '../time/call.js';
 import type { Clock } from '../time/clock.js';
 import type { ForwardClient } from './forwardClient.js';
-import { HeldSlot } from './heldSlot.js';
+import { SlotUse } from './slotUse.js';
 import type { KeyedRequests } from './keyedRequests.js';
 import { PeerChoice } from './peerChoice.js';
 import { refusal, withEffect } from './refusal.js';
@@ -188,19 +188,19 @@
     return { taskClass, tenant, tenantWeight, priority };
   }
 
-  private dispatch(request: ServiceRequest, held: HeldSlot, call: Call): Promise<ServiceOutcome> {
+  private dispatch(request: ServiceRequest, held: SlotUse, call: Call): Promise<ServiceOutcome> {
     const { clock, recorder, exchange } = this.parts;
     const { policy } = this.serviceOf(request.service);
     if (!request.idempotent || request.body.kind !== 'whole') {
       return exchange.send(request, held, call);
     }
-    const takeAnother = (tried: readonly string[]): HeldSlot | undefined =>
+    const takeAnother = (tried: readonly string[]): SlotUse | undefined =>
       this.takeSlot(request, tried);
     const race = new SendRace({ clock, recorder, exchange, policy, takeAnother }, request, call);
     return race.run(held);
   }
 
-  private takeSlot(request: ServiceRequest, tried: readonly string[]): HeldSlot | undefined {
+  private takeSlot(request: ServiceRequest, tried: readonly string[]): SlotUse | undefined {
     const { service, taskClass } = request;
     const excluded = [...tried];
     for (;;) {
@@ -212,9 +212,9 @@
     }
   }
 
-  private hold(request: ServiceRequest, slot: HeldSlot['slot']): HeldSlot {
+  private hold(request: ServiceRequest, slot: SlotUse['slot']): SlotUse {
     this.slotsInUse += 1;
-    return new HeldSlot(slot, this.parts.clock, (kind, heldMs) => {
+    return new SlotUse(slot, this.parts.clock, (kind, heldMs) => {
       this.slotsInUse -= 1;
       if (kind !== 'unused')
         this.serviceOf(request.service).queue.observe(request.taskClass, heldMs);
--- a/packages/samphirenotch/src/requests/sendRace.ts
+++ b/packages/samphirenotch/src/requests/sendRace.ts
@@ -9,7 +9,7 @@
 import { CALL_ENDED } from '../time/callEnded.js';
 import type { Clock } from '../time/clock.js';
 import { anyAborted } from './anyAborted.js';
-import type { HeldSlot } from './heldSlot.js';
+import type { SlotUse } from './slotUse.js';
 import { withEffect } from './refusal.js';
 import type { ServiceOutcome, ServiceRequest } from './serviceRequest.js';
 import { LOST_RACE, type WorkerExchange } from './workerExchange.js';
@@ -27,7 +27,7 @@
   readonly exchange: WorkerExchange;
   readonly policy: RetryPolicy;
   /** Takes a slot at a worker not tried yet, if one is free. */
-  readonly takeAnother: (triedWorkers: readonly string[]) => HeldSlot | undefined;
+  readonly takeAnother: (triedWorkers: readonly string[]) => SlotUse | undefined;
 }
 
 interface Send {
@@ -65,7 +65,7 @@
    * @param first - slot for the first send
    * @returns the first answer, or the last failure
    */
-  async run(first: HeldSlot): Promise<ServiceOutcome> {
+  async run(first: SlotUse): Promise<ServiceOutcome> {
     const { policy, clock } = this.parts;
     const startedMs = clock.monotonicMs();
     policy.recordFirstSend(startedMs);
@@ -124,7 +124,7 @@
     return true;
   }
 
-  private start(held: HeldSlot): void {
+  private start(held: SlotUse): void {
     this.triedWorkers.push(held.slot.workerId);
     const cancel = new AbortController();
     const signal = anyAborted(cancel.signal, this.call.signal);
--- a/packages/samphirenotch/src/requests/heldSlot.ts
+++ b/packages/samphirenotch/src/requests/slotUse.ts
@@ -5,7 +5,7 @@
 import type { Clock } from '../time/clock.js';
 
 /** A slot in use. */
-export class HeldSlot {
+export class SlotUse {
   private readonly takenAtMs: number;
 
   private released = false;
--- a/packages/samphirenotch/src/requests/workerExchange.ts
+++ b/packages/samphirenotch/src/requests/workerExchange.ts
@@ -11,7 +11,7 @@
 import { anyAborted } from './anyAborted.js';
 import { checkBody } from './answerBody.js';
 import { endToEndHeaders } from './headers.js';
-import type { HeldSlot } from './heldSlot.js';
+import type { SlotUse } from './slotUse.js';
 import { openBody } from './requestBody.js';
 import { refusal } from './refusal.js';
 import { recallAfter } from './requestRecall.js';
@@ -51,7 +51,7 @@
    * @param call - deadline of the answer's head, and cancellation
    * @returns the answer, or a failure that tells whether the request may have run
    */
-  async send(request: ServiceRequest, held: HeldSlot, call: Call): Promise<ServiceOutcome> {
+  async send(request: ServiceRequest, held: SlotUse, call: Call): Promise<ServiceOutcome> {
     const refused = this.refusalBeforeSend(held, call);
     if (refused) {
       held.release('unused');
@@ -80,7 +80,7 @@
     return this.accept(request, head.val, sendId, held, latencyMs, done);
   }
 
-  private refusalBeforeSend(held: HeldSlot, call: Call): Failure | undefined {
+  private refusalBeforeSend(held: SlotUse, call: Call): Failure | undefined {
     if (call.signal.aborted) return this.refuse(held, 'cancelled', 'The caller left.');
     if (remainingMs(this.parts.clock, call) === 0) {
       return this.refuse(held, 'deadline', 'The deadline passed before the send.');
@@ -91,13 +91,13 @@
     return undefined;
   }
 
-  private refuse({ slot }: HeldSlot, code: FailureCode, message: string): Failure {
+  private refuse({ slot }: SlotUse, code: FailureCode, message: string): Failure {
     return refusal({ code, step: BEFORE_STEP, peer: slot.workerId, message });
   }
 
   private async execute(
     request: ServiceRequest,
-    held: HeldSlot,
+    held: SlotUse,
     sendId: string,
     call: Call,
   ): Promise<HeadOutcome> {
@@ -115,7 +115,7 @@
 
   private async firstOf(
     sending: Promise<HeadOutcome>,
-    held: HeldSlot,
+    held: SlotUse,
     call: Call,
   ): Promise<HeadOutcome> {
     const { workerId } = held.slot;
@@ -158,7 +158,7 @@
     request: ServiceRequest,
     answer: WorkerAnswer,
     sendId: string,
-    held: HeldSlot,
+    held: SlotUse,
     latencyMs: number,
     done: () => boolean,
   ): ServiceOutcome {
--- a/packages/samphirenotch/src/shards/heldSlot.ts
+++ b/packages/samphirenotch/src/shards/ledgerSlot.ts
@@ -24,7 +24,7 @@
 }
 
 /** A slot that the ledger counts until it is released. */
-export class HeldSlot implements Slot {
+export class LedgerSlot implements Slot {
   private released = false;
 
   /**
--- a/packages/samphirenotch/src/shards/slotPool.ts
+++ b/packages/samphirenotch/src/shards/slotPool.ts
@@ -4,7 +4,7 @@
 import type { ConfigurationView } from '../config/configurationView.js';
 import type { WorkerCandidate, WorkerChoice } from '../decisions/workerChoice.js';
 import type { Clock } from '../time/clock.js';
-import { HeldSlot } from './heldSlot.js';
+import { LedgerSlot } from './ledgerSlot.js';
 import type { OwnedWorker } from './ownedWorker.js';
 import type { ShardHandler } from './shardHandler.js';
 import type { Slot, SlotSource, SlotWish } from './shardService.js';
@@ -44,7 +44,7 @@
     const onFreed = (): void => this.wakeAll();
     const { taskClass } = wish;
     const deadlineMs = this.configuration.current()?.taskClasses.get(taskClass)?.deadlineMs ?? 0;
-    return new HeldSlot({ owned, taskClass, deadlineMs, guard, choice, clock, onFreed });
+    return new LedgerSlot({ owned, taskClass, deadlineMs, guard, choice, clock, onFreed });
   }
 
   serves(service: string): boolean {
--- a/packages/samphirenotch/src/tasks/attemptKeeper.ts
+++ b/packages/samphirenotch/src/tasks/attemptKeeper.ts
@@ -21,11 +21,11 @@
   SCHEDULE_INTERVAL_MS,
   SWEEP_INTERVAL_MS,
 } from './taskSettings.js';
-import { WakeUp } from './wakeUp.js';
+import { Wakeup } from '../time/wakeup.js';
 
 /** Keeps the attempts of one partition in order. */
 export class AttemptKeeper {
-  private readonly wakeUp: WakeUp;
+  private readonly wakeup: Wakeup;
 
   private readonly asked = new Set<string>();
 
@@ -51,13 +51,13 @@
     private readonly starter: JobStarter,
     private readonly policies: RestartPolicies,
   ) {
-    this.wakeUp = new WakeUp(context.clock, context.signal);
+    this.wakeup = new Wakeup(context.clock);
     this.tookOverAtMs = context.clock.monotonicMs();
   }
 
   /** Asks for a look soon. */
   notify(): void {
-    this.wakeUp.notify();
+    this.wakeup.wake();
   }
 
   /** Works until the partition is given up. */
@@ -69,7 +69,7 @@
       this.resume();
       this.audit();
       this.sweep();
-      await this.wakeUp.wait(SCHEDULE_INTERVAL_MS);
+      await this.wakeup.wait(SCHEDULE_INTERVAL_MS, signal);
     }
   }
 
--- a/packages/samphirenotch/src/tasks/groupCommit.ts
+++ b/packages/samphirenotch/src/tasks/groupCommit.ts
@@ -14,7 +14,7 @@
 import { encodeHead, encodeJob } from './partitionRecord.js';
 import { BATCH_BYTES, CHUNK_LENGTH, COMMIT_INTERVAL_MS, JOURNAL_LENGTH } from './taskSettings.js';
 import { ownershipLost, storeOut } from './taskFailure.js';
-import { WakeUp } from './wakeUp.js';
+import { Wakeup } from '../time/wakeup.js';
 import type { Job } from './job.js';
 import type { JobChange, PendingChange } from './jobChange.js';
 import type { Fold, PartitionLayout } from './partitionLayout.js';
@@ -65,7 +65,7 @@
 
   private readonly pace: CommitPace;
 
-  private readonly wakeUp: WakeUp;
+  private readonly wakeup: Wakeup;
 
   private readonly head: HeadWriter<Commit>;
 
@@ -87,11 +87,11 @@
     revision: number,
     chunkRevisions: Map<string, number>,
   ) {
-    const { store, clock, recorder, partition, signal } = context;
+    const { store, clock, recorder, partition } = context;
     this.head = new HeadWriter(store, clock, partition, revision);
     this.chunks = new ChunkWriter(store, clock, recorder, partition, chunkRevisions);
     this.pace = new CommitPace(context.random);
-    this.wakeUp = new WakeUp(clock, signal);
+    this.wakeup = new Wakeup(clock);
     const named = new Set(layout.chunks.keys());
     this.chunks.discard([...chunkRevisions.keys()].filter((name) => !named.has(name)));
     this.valueLength = Math.floor(store.maximumValueBytes / VALUE_SHARE);
@@ -122,7 +122,7 @@
     return new Promise((resolve) => {
       const bytes = Buffer.byteLength(text);
       this.pending.push({ ...change, text, bytes, settle: resolve });
-      this.wakeUp.notify();
+      this.wakeup.wake();
     });
   }
 
@@ -138,7 +138,7 @@
   async run(): Promise<void> {
     const { clock, signal } = this.context;
     while (!signal.aborted && !this.lost) {
-      if (this.isIdle()) await this.wakeUp.wait(IDLE_WAIT_MS);
+      if (this.isIdle()) await this.wakeup.wait(IDLE_WAIT_MS, signal);
       if (signal.aborted) break;
       const startedMs = clock.monotonicMs();
       await this.step();
--- a/packages/samphirenotch/src/tasks/scheduler.ts
+++ b/packages/samphirenotch/src/tasks/scheduler.ts
@@ -16,7 +16,7 @@
   ROUND_INTERVAL_MS,
   SCHEDULE_INTERVAL_MS,
 } from './taskSettings.js';
-import { WakeUp } from './wakeUp.js';
+import { Wakeup } from '../time/wakeup.js';
 import type { Job } from './job.js';
 import type { JobStarter } from './jobStarter.js';
 import type { ShardSearch } from './shardSearch.js';
@@ -35,7 +35,7 @@
 
 /** Starts the queued jobs of one partition. */
 export class Scheduler {
-  private readonly wakeUp: WakeUp;
+  private readonly wakeup: Wakeup;
 
   private closed = false;
 
@@ -56,12 +56,12 @@
     private readonly starter: JobStarter,
     private readonly pacing: StartPacing,
   ) {
-    this.wakeUp = new WakeUp(context.clock, context.signal);
+    this.wakeup = new Wakeup(context.clock);
   }
 
   /** Asks for a look at the queue soon. */
   notify(): void {
-    this.wakeUp.notify();
+    this.wakeup.wake();
   }
 
   /** Starts nothing more. */
@@ -91,7 +91,7 @@
       this.orderMs = 0;
       if (jobs.isAnswering() && !this.closed) await this.round();
       await clock.sleep(Math.max(ROUND_INTERVAL_MS, this.orderMs * ORDER_SHARE), signal);
-      await this.wakeUp.wait(SCHEDULE_INTERVAL_MS);
+      await this.wakeup.wait(SCHEDULE_INTERVAL_MS, signal);
     }
   }
 
--- a/packages/samphirenotch/src/membership/wakeup.ts
+++ b/packages/samphirenotch/src/time/wakeup.ts
@@ -1,7 +1,7 @@
 /**
  * Lets loops wait for a while or until something happens.
  */
-import type { Clock } from '../time/clock.js';
+import type { Clock } from './clock.js';
 
 /** A wait that can be ended from elsewhere; a wake-up before the wait counts. */
 export class Wakeup {
--- a/tests/requests/sendRace.spec.ts
+++ b/tests/requests/sendRace.spec.ts
@@ -5,7 +5,7 @@
 import test from 'ava';
 import type { RetryPolicy } from 'samphirenotch/decisions/retryPolicy.js';
 import { Failure, type FailureDetail } from 'samphirenotch/failure.js';
-import { HeldSlot } from 'samphirenotch/requests/heldSlot.js';
+import { SlotUse } from 'samphirenotch/requests/slotUse.js';
 import { SendRace } from 'samphirenotch/requests/sendRace.js';
 import type { ServiceOutcome } from 'samphirenotch/requests/serviceRequest.js';
 import { WorkerExchange } from 'samphirenotch/requests/workerExchange.js';
@@ -48,9 +48,9 @@
   const exchange = new WorkerExchange({ clock, recorder, newId: idsInOrder('send') });
   const targets = scripts.map((script, index) => scriptedWorker(`w${index}`, script));
   const slots = scriptedSlots(targets);
-  const takeAnother = (excludedWorkers: readonly string[]): HeldSlot | undefined => {
+  const takeAnother = (excludedWorkers: readonly string[]): SlotUse | undefined => {
     const slot = slots.takeSlot({ service: '', taskClass: '', excludedWorkers });
-    return slot && new HeldSlot(slot, clock);
+    return slot && new SlotUse(slot, clock);
   };
   const run = (timeoutMs: number): Promise<ServiceOutcome> => {
     const call = callWithin(clock, timeoutMs, new AbortController().signal);
--- a/tests/requests/workerExchange.spec.ts
+++ b/tests/requests/workerExchange.spec.ts
@@ -6,7 +6,7 @@
 import test from 'ava';
 import { Failure } from 'samphirenotch/failure.js';
 import type { RequestMemory, WorkerAnswer } from 'samphirenotch/platform/worker.js';
-import { HeldSlot } from 'samphirenotch/requests/heldSlot.js';
+import { SlotUse } from 'samphirenotch/requests/slotUse.js';
 import type { ServiceOutcome } from 'samphirenotch/requests/serviceRequest.js';
 import { WorkerExchange } from 'samphirenotch/requests/workerExchange.js';
 import { Err, Ok } from 'samphirenotch/results.js';
@@ -33,7 +33,7 @@
     if (!slot) throw new Error('No slot is free.');
     const call = callWithin(clock, timeoutMs, signal);
     const request = serviceRequest({ idempotent: memory === undefined });
-    return exchange.send(request, new HeldSlot(slot, clock), call);
+    return exchange.send(request, new SlotUse(slot, clock), call);
   };
   return { clock, recorder, slots, target, send };
 };
