--- a/packages/samphirenotch/src/tasks/partitionOwner.ts
+++ b/packages/samphirenotch/src/tasks/partitionOwner.ts
@@ -237,6 +237,8 @@
   }
 
   private tell(job: Job): void {
+    const { id: task, state, attempt } = job;
+    log.info('Task changed.', { task, state, attempt: attempt?.id, worker: attempt?.workerId });
     if (job.state === 'queued') this.scheduler?.notify();
     for (const listener of this.listeners) listener(job);
   }
