--- a/utils/demo/demoReport.ts
+++ b/utils/demo/demoReport.ts
@@ -54,21 +54,15 @@
   );
 };
 
-/** Attempts that were stopped though nobody cancelled their job. */
-const evictionsOf = (events: readonly HistoryEvent[]): readonly HistoryEvent[] =>
-  events.filter(
-    ({ kind, phase, checkpoint }) =>
-      kind === 'attempt-ended' && phase === 'stopped' && checkpoint !== undefined,
-  );
-
-const resumedOf = (
-  evictions: readonly HistoryEvent[],
+/** Attempts that were stopped and whose job ran again later. */
+const evictionsOf = (
+  stopped: readonly HistoryEvent[],
   events: readonly HistoryEvent[],
 ): readonly HistoryEvent[] =>
-  evictions.filter((eviction) =>
+  stopped.filter((stop) =>
     events.some(
       ({ kind, jobId, atMs }) =>
-        kind === 'attempt-started' && jobId === eviction.jobId && atMs >= eviction.atMs,
+        kind === 'attempt-started' && jobId === stop.jobId && atMs >= stop.atMs,
     ),
   );
 
@@ -88,7 +82,8 @@
   const ended = events.filter(({ kind }) => kind === 'attempt-ended');
   const completed = ended.filter((event) => event.phase === 'completed');
   const ofClass = completed.filter((event) => event.taskClass === taskClass);
-  const evictions = evictionsOf(events);
+  const stopped = ended.filter(({ phase }) => phase === 'stopped');
+  const evictions = evictionsOf(stopped, events);
   const meanwhile = ofClass.filter(
     ({ atMs }) => atMs > window.acceptedAtMs && atMs < window.endedAtMs,
   );
@@ -102,7 +97,8 @@
   const last = Math.max(0, ...startsThere.map(({ atMs }) => atMs - window.acceptedAtMs));
   return [
     `${taskClass} completed: ${ofClass.length}`,
-    `evictions: ${evictions.length}, of which resumed: ${resumedOf(evictions, events).length}`,
+    `evictions: ${evictions.length}`,
+    `attempts stopped for good (cleared): ${stopped.length - evictions.length}`,
     `${taskClass} completed while ${window.dataCentre} was out: ${meanwhile.length}`,
     `last start in ${window.dataCentre} after acceptance: ${(last / MS_PER_SECOND).toFixed(2)} s`,
   ];
