Say on the capacity page what no number of entries holds

Cause: the second measurement of memory (129 MB at 30 workers) leaves no room below 128 MB, and the page then asked for one entry for each worker. Change: where memory cannot be held, heartbeats to workers alone give the number of entries, and the page says that memory is passed and by how much.

--- a/benchmarks/capacity/model.ts
+++ b/benchmarks/capacity/model.ts
@@ -17,6 +17,8 @@
 /** All that the page says in figures. */
 export interface CapacityModel {
   readonly entries: number;
+  /** Whether each of them stays within the letter's memory. */
+  readonly isMemoryHeld: boolean;
   readonly sections: readonly CapacitySection[];
   readonly limits: readonly CapacityLimit[];
 }
@@ -30,14 +32,16 @@
   readonly then: string;
 }
 
-/** Counts the entries from which each stays within the letter's memory. */
-const entriesWithinMemory = (measured: MeasuredSlopes, costs: readonly SiteSlope[]): number => {
+/** Counts the entries from which each stays within the letter's memory; nothing if none does. */
+const entriesWithinMemory = (
+  measured: MeasuredSlopes,
+  costs: readonly SiteSlope[],
+): number | undefined => {
   const budget = LETTER.memoryMegabytes * BYTES_PER_MEGABYTE;
-  let entries = 1;
-  while (entries < LETTER.workers && entryMemory(measured, costs, entries).totalBytes > budget) {
-    entries += 1;
+  for (let entries = 1; entries <= LETTER.workers; entries += 1) {
+    if (entryMemory(measured, costs, entries).totalBytes <= budget) return entries;
   }
-  return entries;
+  return undefined;
 };
 
 const limitsOf = (
@@ -49,6 +53,7 @@
   const seriesBytes = largestPerItem(slopeOf(measured, 'memory of histogram series'));
   const roomBytes = LETTER.memoryMegabytes * BYTES_PER_MEGABYTE - measured.processBytes;
   const perWorker = LETTER.workers / entries;
+  const withinMemory = entriesWithinMemory(measured, costs);
 
   return [
     {
@@ -74,7 +79,7 @@
     },
     {
       what: 'Memory of an entry passes 128 MB, jobs and histograms included',
-      at: LETTER.workers / entriesWithinMemory(measured, costs),
+      at: withinMemory === undefined ? 0 : LETTER.workers / withinMemory,
       unit: 'workers per entry',
       needed: perWorker,
       then: 'fewer connections for each worker, and histograms that are made when first used',
@@ -100,11 +105,13 @@
   measured: MeasuredSlopes,
   costs: readonly SiteSlope[],
 ): CapacityModel => {
-  const entries = Math.max(entriesWithinMemory(measured, costs), processorModel(measured).entries);
+  const withinMemory = entriesWithinMemory(measured, costs);
+  const entries = Math.max(withinMemory ?? 0, processorModel(measured).entries);
   const { jobs, partitions } = storeLoad(measured, entries, ASSUMED.writesPerSecond);
 
   return {
     entries,
+    isMemoryHeld: withinMemory !== undefined,
     sections: [
       restSection(costs, entries),
       entriesSection(measured, entries),
--- a/benchmarks/capacity/page.ts
+++ b/benchmarks/capacity/page.ts
@@ -81,14 +81,23 @@
     '',
   ].join('\n');
 
-const summaryText = ({ entries }: CapacityModel): string =>
+const memoryText = (isMemoryHeld: boolean): readonly string[] =>
+  isMemoryHeld
+    ? ['- Each of them stays within 128 MB.']
+    : [
+        '- No number of entries keeps each within 128 MB: at rest, with one worker and its histograms, an',
+        '  entry takes more. The table of memory has what it takes at the number above.',
+      ];
+
+const summaryText = ({ entries, isMemoryHeld }: CapacityModel): string =>
   [
     '## In short',
     '',
-    `- ${entries} entries for ${round(LETTER.workers)} workers: the larger of what memory and what heartbeats to`,
-    '  workers ask for. Nothing of the system runs on workers.',
+    `- ${entries} entries for ${round(LETTER.workers)} workers: the larger of what heartbeats to workers ask`,
+    '  for and, where it can be held, what memory asks for. Nothing of the system runs on workers.',
+    ...memoryText(isMemoryHeld),
     '- An entry at rest takes more than 3.3 % of a core whatever it owns, as measured on a busy machine;',
-    '  spread over all nodes it is far less. The letter’s bound holds for workers, not for entries.',
+    '  spread over all nodes it is far less. Read for an entry’s own VM the letter’s bound is passed.',
     '- The list of VMs is read whole every second by every entry: at the letter’s size that is megabytes',
     '  a second for each. It has to be read by few and told to the rest as changes, as configuration is.',
     '- Starts are not what the store feels first: commits carry all changes of a partition together, and',
