Rename the library's platform folder to infrastructure

The adapter of the operated platform takes the folder platform/ at the root, so that there is one folder of that name. Imports only; no behaviour changed.

--- a/benchmarks/costs/countedStore.ts
+++ b/benchmarks/costs/countedStore.ts
@@ -11,7 +11,7 @@
   Listing,
   Swap,
   SwapOutcome,
-} from 'samphirenotch/platform/keyValueStore.js';
+} from 'samphirenotch/infrastructure/keyValueStore.js';
 import type { Failure } from 'samphirenotch/failure.js';
 import type { Result } from 'samphirenotch/results.js';
 import type { Call } from 'samphirenotch/time/call.js';
--- a/benchmarks/decisions/faults.ts
+++ b/benchmarks/decisions/faults.ts
@@ -11,7 +11,7 @@
 import type { ImpossibleJobs } from 'samphirenotch/decisions/impossibleJobs.js';
 import { PlainImpossibleJobs } from 'samphirenotch/decisions/plainImpossibleJobs.js';
 import { SeededRandom } from 'samphirenotch/decisions/seededRandom.js';
-import type { Size } from 'samphirenotch/platform/worker.js';
+import type { Size } from 'samphirenotch/infrastructure/worker.js';
 
 import { type Comparison, compare, type Figures, SEEDS } from '../support/comparison.js';
 import { FIRMS, type Firm } from '../support/firms.js';
--- a/benchmarks/slopes/callSlopes.ts
+++ b/benchmarks/slopes/callSlopes.ts
@@ -10,7 +10,7 @@
 import { Readable } from 'node:stream';
 import { fileURLToPath } from 'node:url';
 
-import { HttpWorker } from 'samphirenotch/platform/httpWorker.js';
+import { HttpWorker } from 'samphirenotch/infrastructure/httpWorker.js';
 import { callWithin } from 'samphirenotch/time/call.js';
 import { SystemClock } from 'samphirenotch/time/clock.js';
 
--- a/benchmarks/support/batchFake.ts
+++ b/benchmarks/support/batchFake.ts
@@ -13,7 +13,7 @@
   QueueOrder,
 } from 'samphirenotch/decisions/placementPolicy.js';
 import type { SizeEstimate } from 'samphirenotch/decisions/sizeEstimate.js';
-import type { Size } from 'samphirenotch/platform/worker.js';
+import type { Size } from 'samphirenotch/infrastructure/worker.js';
 
 import { BatchWorker, type RunningTask } from './batchWorker.js';
 import { type BatchLoad, type Firm, rackOf, workersPerDataCentre } from './firms.js';
--- a/benchmarks/support/batchWorker.ts
+++ b/benchmarks/support/batchWorker.ts
@@ -5,7 +5,7 @@
  */
 
 import type { QueuedTask } from 'samphirenotch/decisions/placementPolicy.js';
-import type { Size } from 'samphirenotch/platform/worker.js';
+import type { Size } from 'samphirenotch/infrastructure/worker.js';
 
 /** A task that runs. */
 export interface RunningTask {
--- a/benchmarks/support/firms.ts
+++ b/benchmarks/support/firms.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 
-import type { Size } from 'samphirenotch/platform/worker.js';
+import type { Size } from 'samphirenotch/infrastructure/worker.js';
 
 /** A firm with its fleet and its two kinds of work. */
 export interface Firm {
--- a/packages/samphirenotch-stand-ins/src/attemptRun.ts
+++ b/packages/samphirenotch-stand-ins/src/attemptRun.ts
@@ -6,7 +6,7 @@
   AttemptPhase,
   AttemptReport,
   Size,
-} from 'samphirenotch/platform/worker.js';
+} from 'samphirenotch/infrastructure/worker.js';
 import { z } from 'zod';
 
 const SIZE = z.object({
--- a/packages/samphirenotch-stand-ins/src/history.ts
+++ b/packages/samphirenotch-stand-ins/src/history.ts
@@ -1,7 +1,7 @@
 /**
  * What a worker stand-in held, from when to when, for whom and under which epoch.
  */
-import type { Size } from 'samphirenotch/platform/worker.js';
+import type { Size } from 'samphirenotch/infrastructure/worker.js';
 
 /** Kinds of events. */
 export type HistoryKind =
--- a/packages/samphirenotch-stand-ins/src/jsonServer.ts
+++ b/packages/samphirenotch-stand-ins/src/jsonServer.ts
@@ -5,7 +5,7 @@
 import { json } from 'node:stream/consumers';
 
 import type { Failure } from 'samphirenotch/failure.js';
-import type { AttemptOrder, Renewal } from 'samphirenotch/platform/worker.js';
+import type { AttemptOrder, Renewal } from 'samphirenotch/infrastructure/worker.js';
 import type { Result } from 'samphirenotch/results.js';
 import type { Call } from 'samphirenotch/time/call.js';
 import type { Clock } from 'samphirenotch/time/clock.js';
--- a/packages/samphirenotch-stand-ins/src/memoryKeyValueStore.ts
+++ b/packages/samphirenotch-stand-ins/src/memoryKeyValueStore.ts
@@ -12,7 +12,7 @@
   Listing,
   Swap,
   SwapOutcome,
-} from 'samphirenotch/platform/keyValueStore.js';
+} from 'samphirenotch/infrastructure/keyValueStore.js';
 import { Err, Ok, type Result } from 'samphirenotch/results.js';
 import { remainingMs, type Call } from 'samphirenotch/time/call.js';
 import type { Clock } from 'samphirenotch/time/clock.js';
--- a/packages/samphirenotch-stand-ins/src/memoryWorker.ts
+++ b/packages/samphirenotch-stand-ins/src/memoryWorker.ts
@@ -4,7 +4,7 @@
 import { buffer } from 'node:stream/consumers';
 
 import { Failure, type FailureCode } from 'samphirenotch/failure.js';
-import type { WorkerListing } from 'samphirenotch/platform/vmList.js';
+import type { WorkerListing } from 'samphirenotch/infrastructure/vmList.js';
 import type {
   AttemptOrder,
   AttemptReport,
@@ -16,7 +16,7 @@
   WorkerAnswer,
   WorkerOffer,
   WorkerRequest,
-} from 'samphirenotch/platform/worker.js';
+} from 'samphirenotch/infrastructure/worker.js';
 import { Err, Ok, type Result } from 'samphirenotch/results.js';
 import { remainingMs, type Call } from 'samphirenotch/time/call.js';
 import type { Clock } from 'samphirenotch/time/clock.js';
--- a/packages/samphirenotch-stand-ins/src/platformServer.ts
+++ b/packages/samphirenotch-stand-ins/src/platformServer.ts
@@ -3,7 +3,7 @@
  */
 import type { Server } from 'node:http';
 
-import type { WorkerListing } from 'samphirenotch/platform/vmList.js';
+import type { WorkerListing } from 'samphirenotch/infrastructure/vmList.js';
 import { Ok } from 'samphirenotch/results.js';
 import type { Clock } from 'samphirenotch/time/clock.js';
 
--- a/packages/samphirenotch-stand-ins/src/requestEcho.ts
+++ b/packages/samphirenotch-stand-ins/src/requestEcho.ts
@@ -3,7 +3,7 @@
  */
 import { Readable } from 'node:stream';
 
-import type { WorkerRequest } from 'samphirenotch/platform/worker.js';
+import type { WorkerRequest } from 'samphirenotch/infrastructure/worker.js';
 
 import type { HistoryEvent } from './history.js';
 
--- a/packages/samphirenotch-stand-ins/src/site/site.ts
+++ b/packages/samphirenotch-stand-ins/src/site/site.ts
@@ -4,7 +4,7 @@
 import { mkdirSync, readFileSync, readdirSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 
-import type { WorkerListing } from 'samphirenotch/platform/vmList.js';
+import type { WorkerListing } from 'samphirenotch/infrastructure/vmList.js';
 import { request } from 'undici';
 
 import type { HistoryEvent } from '../history.js';
--- a/packages/samphirenotch-stand-ins/src/site/sitePlan.ts
+++ b/packages/samphirenotch-stand-ins/src/site/sitePlan.ts
@@ -1,8 +1,8 @@
 /**
  * The machines of a site: data centres with racks of workers, and entries.
  */
-import type { WorkerListing } from 'samphirenotch/platform/vmList.js';
-import type { Size } from 'samphirenotch/platform/worker.js';
+import type { WorkerListing } from 'samphirenotch/infrastructure/vmList.js';
+import type { Size } from 'samphirenotch/infrastructure/worker.js';
 
 /** A data centre of a site. */
 export interface DataCentrePlan {
--- a/packages/samphirenotch-stand-ins/src/workerMain.ts
+++ b/packages/samphirenotch-stand-ins/src/workerMain.ts
@@ -8,7 +8,7 @@
 import type { AddressInfo } from 'node:net';
 
 import { SystemClock } from 'samphirenotch/time/clock.js';
-import type { WorkerListing } from 'samphirenotch/platform/vmList.js';
+import type { WorkerListing } from 'samphirenotch/infrastructure/vmList.js';
 import { request } from 'undici';
 
 import { FileHistory } from './fileHistory.js';
--- a/packages/samphirenotch-stand-ins/src/workerServer.ts
+++ b/packages/samphirenotch-stand-ins/src/workerServer.ts
@@ -4,7 +4,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { pipeline } from 'node:stream/promises';
 
-import type { WorkerRequest } from 'samphirenotch/platform/worker.js';
+import type { WorkerRequest } from 'samphirenotch/infrastructure/worker.js';
 import { Ok } from 'samphirenotch/results.js';
 import type { Call } from 'samphirenotch/time/call.js';
 import type { Clock } from 'samphirenotch/time/clock.js';
--- a/packages/samphirenotch/src/config/configurationCommands.ts
+++ b/packages/samphirenotch/src/config/configurationCommands.ts
@@ -1,7 +1,7 @@
 /**
  * Commands of the configuration resource.
  */
-import type { VmList } from '../platform/vmList.js';
+import type { VmList } from '../infrastructure/vmList.js';
 import type { Failure } from '../failure.js';
 import { Err, Ok, type Result } from '../results.js';
 import { callWithin, type Call } from '../time/call.js';
--- a/packages/samphirenotch/src/config/configurationFollower.ts
+++ b/packages/samphirenotch/src/config/configurationFollower.ts
@@ -5,7 +5,7 @@
 import type { PeerClients } from '../grpc/grpcService.js';
 import type { Peers } from '../membership/peers.js';
 import { partLog } from '../observability/log.js';
-import type { KeyValueStore } from '../platform/keyValueStore.js';
+import type { KeyValueStore } from '../infrastructure/keyValueStore.js';
 import { callWithin } from '../time/call.js';
 import type { Clock } from '../time/clock.js';
 import type { AcceptedContent } from './acceptedContent.js';
--- a/packages/samphirenotch/src/config/configurationParts.ts
+++ b/packages/samphirenotch/src/config/configurationParts.ts
@@ -4,8 +4,8 @@
 import type { GrpcService, PeerClients } from '../grpc/grpcService.js';
 import type { HttpHandler } from '../http/httpHandler.js';
 import type { Peers } from '../membership/peers.js';
-import type { KeyValueStore } from '../platform/keyValueStore.js';
-import type { VmList } from '../platform/vmList.js';
+import type { KeyValueStore } from '../infrastructure/keyValueStore.js';
+import type { VmList } from '../infrastructure/vmList.js';
 import type { Clock } from '../time/clock.js';
 import { ConfigurationCommands } from './configurationCommands.js';
 import { ConfigurationFollower } from './configurationFollower.js';
--- a/packages/samphirenotch/src/config/history.ts
+++ b/packages/samphirenotch/src/config/history.ts
@@ -3,7 +3,7 @@
  */
 import pLimit from 'p-limit';
 import { Failure } from '../failure.js';
-import type { KeyValue, KeyValueStore } from '../platform/keyValueStore.js';
+import type { KeyValue, KeyValueStore } from '../infrastructure/keyValueStore.js';
 import { Err, Ok, type Result } from '../results.js';
 import type { Call } from '../time/call.js';
 import type { Clock } from '../time/clock.js';
--- a/packages/samphirenotch/src/config/limitCheck.ts
+++ b/packages/samphirenotch/src/config/limitCheck.ts
@@ -1,7 +1,7 @@
 /**
  * Checks limits and quotas against the limits that they must stay within.
  */
-import type { Size } from '../platform/worker.js';
+import type { Size } from '../infrastructure/worker.js';
 import type { ConfigurationProblem } from './configurationProblem.js';
 import { objectsOf, type Draft, type DraftObject } from './draft.js';
 import type { Limit, Quota } from './objects.js';
--- a/packages/samphirenotch/src/config/objectReader.ts
+++ b/packages/samphirenotch/src/config/objectReader.ts
@@ -1,7 +1,7 @@
 /**
  * Reads the object of each kind from its section. References are not followed here.
  */
-import type { Size } from '../platform/worker.js';
+import type { Size } from '../infrastructure/worker.js';
 import type { ObjectKind } from './objectKind.js';
 import type {
   DataCentre,
--- a/packages/samphirenotch/src/config/objects.ts
+++ b/packages/samphirenotch/src/config/objects.ts
@@ -1,7 +1,7 @@
 /**
  * The named objects that operators write. They refer to one another by name.
  */
-import type { Size } from '../platform/worker.js';
+import type { Size } from '../infrastructure/worker.js';
 
 /** What every object tells a successor. */
 export interface Description {
--- a/packages/samphirenotch/src/config/placeCheck.ts
+++ b/packages/samphirenotch/src/config/placeCheck.ts
@@ -1,7 +1,7 @@
 /**
  * Checks that services and task classes have somewhere to run.
  */
-import type { Size } from '../platform/worker.js';
+import type { Size } from '../infrastructure/worker.js';
 import type { ConfigurationProblem } from './configurationProblem.js';
 import { objectsOf, type Draft, type DraftObject } from './draft.js';
 import { problemAt } from './references.js';
--- a/packages/samphirenotch/src/config/publisher.ts
+++ b/packages/samphirenotch/src/config/publisher.ts
@@ -3,7 +3,7 @@
  */
 import { randomUUID } from 'node:crypto';
 import { Failure } from '../failure.js';
-import type { KeyValueStore } from '../platform/keyValueStore.js';
+import type { KeyValueStore } from '../infrastructure/keyValueStore.js';
 import { Err, Ok, type Result } from '../results.js';
 import type { Call } from '../time/call.js';
 import type { Clock } from '../time/clock.js';
--- a/packages/samphirenotch/src/config/rootSwap.ts
+++ b/packages/samphirenotch/src/config/rootSwap.ts
@@ -2,7 +2,7 @@
  * Makes a configuration the accepted one by a single compare-and-swap, also when answers are lost.
  */
 import { Failure } from '../failure.js';
-import type { KeyValueStore } from '../platform/keyValueStore.js';
+import type { KeyValueStore } from '../infrastructure/keyValueStore.js';
 import { Err, Ok, type Result } from '../results.js';
 import { remainingMs, type Call } from '../time/call.js';
 import type { Clock } from '../time/clock.js';
--- a/packages/samphirenotch/src/config/storeParts.ts
+++ b/packages/samphirenotch/src/config/storeParts.ts
@@ -2,7 +2,7 @@
  * Parts of content as the platform's store keeps them.
  */
 import type { Failure } from '../failure.js';
-import type { KeyValueStore } from '../platform/keyValueStore.js';
+import type { KeyValueStore } from '../infrastructure/keyValueStore.js';
 import { Ok, type Result } from '../results.js';
 import type { Call } from '../time/call.js';
 import type { PartSource } from './partSource.js';
--- a/packages/samphirenotch/src/decisions/capacityAwareImpossibleJobs.ts
+++ b/packages/samphirenotch/src/decisions/capacityAwareImpossibleJobs.ts
@@ -1,7 +1,7 @@
 /**
  * Names a job that fits no worker it may use before it has waited for one.
  */
-import type { Size } from '../platform/worker.js';
+import type { Size } from '../infrastructure/worker.js';
 import type { CapacityOffer, Impossibility, ImpossibleJobs } from './impossibleJobs.js';
 
 const DIMENSIONS = ['milliCores', 'memoryMb', 'accelerators'] as const;
--- a/packages/samphirenotch/src/decisions/declaredSize.ts
+++ b/packages/samphirenotch/src/decisions/declaredSize.ts
@@ -1,7 +1,7 @@
 /**
  * Baseline: tasks use what was declared.
  */
-import type { Size } from '../platform/worker.js';
+import type { Size } from '../infrastructure/worker.js';
 import type { SizeEstimate } from './sizeEstimate.js';
 
 /** Believes the declared sizes. */
--- a/packages/samphirenotch/src/decisions/impossibleJobs.ts
+++ b/packages/samphirenotch/src/decisions/impossibleJobs.ts
@@ -1,7 +1,7 @@
 /**
  * Tells jobs that can never run from jobs that have to wait.
  */
-import type { Size } from '../platform/worker.js';
+import type { Size } from '../infrastructure/worker.js';
 
 /** Capacity of the largest workers that a job may use. */
 export interface CapacityOffer {
--- a/packages/samphirenotch/src/decisions/largeTasks.ts
+++ b/packages/samphirenotch/src/decisions/largeTasks.ts
@@ -1,7 +1,7 @@
 /**
  * Remembers the largest tasks that were placed lately, so that small ones leave room for more.
  */
-import type { Size } from '../platform/worker.js';
+import type { Size } from '../infrastructure/worker.js';
 
 const REMEMBERED_FOR_MS = 600_000;
 
--- a/packages/samphirenotch/src/decisions/learnedPlacement.ts
+++ b/packages/samphirenotch/src/decisions/learnedPlacement.ts
@@ -4,7 +4,7 @@
  */
 import { LargeTasks } from './largeTasks.js';
 
-import type { Size } from '../platform/worker.js';
+import type { Size } from '../infrastructure/worker.js';
 import type { InterferenceModel } from './interferenceModel.js';
 import type { PlacementCandidate, PlacementPolicy, PlacementTask } from './placementPolicy.js';
 
--- a/packages/samphirenotch/src/decisions/learnedSize.ts
+++ b/packages/samphirenotch/src/decisions/learnedSize.ts
@@ -4,7 +4,7 @@
  */
 import { QuantileEstimate } from './quantileEstimate.js';
 
-import type { Size } from '../platform/worker.js';
+import type { Size } from '../infrastructure/worker.js';
 import type { SizeEstimate } from './sizeEstimate.js';
 
 /** Settings of the estimate. */
--- a/packages/samphirenotch/src/decisions/placementPolicy.ts
+++ b/packages/samphirenotch/src/decisions/placementPolicy.ts
@@ -1,7 +1,7 @@
 /**
  * Chooses the worker that an attempt of a task is placed on.
  */
-import type { Size } from '../platform/worker.js';
+import type { Size } from '../infrastructure/worker.js';
 
 /** A worker as placement sees it. */
 export interface PlacementCandidate {
--- a/packages/samphirenotch/src/decisions/plainImpossibleJobs.ts
+++ b/packages/samphirenotch/src/decisions/plainImpossibleJobs.ts
@@ -1,7 +1,7 @@
 /**
  * Baseline: only a job that has used up its attempts is given up.
  */
-import type { Size } from '../platform/worker.js';
+import type { Size } from '../infrastructure/worker.js';
 import type { CapacityOffer, Impossibility, ImpossibleJobs } from './impossibleJobs.js';
 
 /** Gives a job up after its last attempt. */
--- a/packages/samphirenotch/src/decisions/sizeEstimate.ts
+++ b/packages/samphirenotch/src/decisions/sizeEstimate.ts
@@ -1,7 +1,7 @@
 /**
  * Learns what classes of tasks really use while their declared sizes are far off.
  */
-import type { Size } from '../platform/worker.js';
+import type { Size } from '../infrastructure/worker.js';
 
 /** An estimate of what an attempt will use. */
 export interface SizeEstimate {
--- a/packages/samphirenotch/src/entry/platformParts.ts
+++ b/packages/samphirenotch/src/entry/platformParts.ts
@@ -2,11 +2,11 @@
  * The platform as an entry uses it.
  */
 import { PacedKeyValueStore } from '../membership/pacedKeyValueStore.js';
-import { HttpKeyValueStore } from '../platform/httpKeyValueStore.js';
-import { HttpVmList } from '../platform/httpVmList.js';
-import { HttpWorkerDirectory } from '../platform/httpWorkerDirectory.js';
-import type { VmList } from '../platform/vmList.js';
-import type { WorkerDirectory } from '../platform/worker.js';
+import { HttpKeyValueStore } from '../infrastructure/httpKeyValueStore.js';
+import { HttpVmList } from '../infrastructure/httpVmList.js';
+import { HttpWorkerDirectory } from '../infrastructure/httpWorkerDirectory.js';
+import type { VmList } from '../infrastructure/vmList.js';
+import type { WorkerDirectory } from '../infrastructure/worker.js';
 import type { EntrySettings } from '../settings/entrySettings.js';
 import type { Clock } from '../time/clock.js';
 
--- a/packages/samphirenotch/src/membership/entryDirectory.ts
+++ b/packages/samphirenotch/src/membership/entryDirectory.ts
@@ -2,7 +2,7 @@
  * Live entries by the store: registers this one under its lease and follows the others.
  */
 import { partLog } from '../observability/log.js';
-import type { KeyValueStore } from '../platform/keyValueStore.js';
+import type { KeyValueStore } from '../infrastructure/keyValueStore.js';
 import { callWithin } from '../time/call.js';
 import type { Clock } from '../time/clock.js';
 import { PrefixFollower } from './prefixFollower.js';
--- a/packages/samphirenotch/src/membership/ownerKey.ts
+++ b/packages/samphirenotch/src/membership/ownerKey.ts
@@ -1,7 +1,7 @@
 /**
  * Takes and frees the key in the store that says who owns a resource.
  */
-import type { KeyValueStore } from '../platform/keyValueStore.js';
+import type { KeyValueStore } from '../infrastructure/keyValueStore.js';
 import { callWithin } from '../time/call.js';
 import type { Clock } from '../time/clock.js';
 import type { Lease } from './lease.js';
--- a/packages/samphirenotch/src/membership/ownershipManager.ts
+++ b/packages/samphirenotch/src/membership/ownershipManager.ts
@@ -6,7 +6,7 @@
  * they are no longer certain.
  */
 import { partLog } from '../observability/log.js';
-import type { KeyValueStore } from '../platform/keyValueStore.js';
+import type { KeyValueStore } from '../infrastructure/keyValueStore.js';
 import type { Clock } from '../time/clock.js';
 import type { EntryDirectory } from './entryDirectory.js';
 import type { Lease } from './lease.js';
--- a/packages/samphirenotch/src/membership/pacedKeyValueStore.ts
+++ b/packages/samphirenotch/src/membership/pacedKeyValueStore.ts
@@ -12,7 +12,7 @@
   Listing,
   Swap,
   SwapOutcome,
-} from '../platform/keyValueStore.js';
+} from '../infrastructure/keyValueStore.js';
 import { Err, type Result } from '../results.js';
 import type { Call } from '../time/call.js';
 import type { Clock } from '../time/clock.js';
--- a/packages/samphirenotch/src/membership/prefixFollower.ts
+++ b/packages/samphirenotch/src/membership/prefixFollower.ts
@@ -6,7 +6,7 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
 import { partLog } from '../observability/log.js';
-import type { Change, KeyValue, KeyValueStore, Listing } from '../platform/keyValueStore.js';
+import type { Change, KeyValue, KeyValueStore, Listing } from '../infrastructure/keyValueStore.js';
 import { callWithin } from '../time/call.js';
 import type { Clock } from '../time/clock.js';
 
--- a/packages/samphirenotch/src/membership/session.ts
+++ b/packages/samphirenotch/src/membership/session.ts
@@ -7,7 +7,7 @@
  */
 import type { Failure } from '../failure.js';
 import { partLog } from '../observability/log.js';
-import type { KeyValueStore } from '../platform/keyValueStore.js';
+import type { KeyValueStore } from '../infrastructure/keyValueStore.js';
 import { Err, Ok, type Result } from '../results.js';
 import { callWithin } from '../time/call.js';
 import type { Clock } from '../time/clock.js';
--- a/packages/samphirenotch/src/protocol/shardMessages.ts
+++ b/packages/samphirenotch/src/protocol/shardMessages.ts
@@ -3,7 +3,7 @@
  */
 import { z } from 'zod';
 import { Failure } from '../failure.js';
-import type { AttemptOrder, AttemptReport } from '../platform/worker.js';
+import type { AttemptOrder, AttemptReport } from '../infrastructure/worker.js';
 import { Err, Ok, type Result } from '../results.js';
 import type { PlacementOutcome, PlacementWish, Reservation } from '../shards/shardService.js';
 import type {
--- a/packages/samphirenotch/src/requests/keyJournal.ts
+++ b/packages/samphirenotch/src/requests/keyJournal.ts
@@ -4,7 +4,7 @@
  * Whoever takes the partition over rewrites the last segment under its own name, so that every swap
  * of an earlier owner conflicts from then on. No clock and no lease takes part in that.
  */
-import type { KeyValueStore } from '../platform/keyValueStore.js';
+import type { KeyValueStore } from '../infrastructure/keyValueStore.js';
 import { callWithin, type Call } from '../time/call.js';
 import type { Clock } from '../time/clock.js';
 import {
--- a/packages/samphirenotch/src/requests/keyPartitions.ts
+++ b/packages/samphirenotch/src/requests/keyPartitions.ts
@@ -4,7 +4,7 @@
 import type { ConfigurationView } from '../config/configurationView.js';
 import type { Failure } from '../failure.js';
 import type { Grant, ResourceHandler } from '../membership/ownership.js';
-import type { KeyValueStore } from '../platform/keyValueStore.js';
+import type { KeyValueStore } from '../infrastructure/keyValueStore.js';
 import { Err, Ok, type Result } from '../results.js';
 import type { Call } from '../time/call.js';
 import type { Clock } from '../time/clock.js';
--- a/packages/samphirenotch/src/requests/requestRecall.ts
+++ b/packages/samphirenotch/src/requests/requestRecall.ts
@@ -2,7 +2,7 @@
  * Asks a worker what became of a request whose connection broke.
  */
 import { Failure } from '../failure.js';
-import type { RequestMemory, Worker } from '../platform/worker.js';
+import type { RequestMemory, Worker } from '../infrastructure/worker.js';
 import { callWithin, remainingMs, type Call } from '../time/call.js';
 import type { Clock } from '../time/clock.js';
 
--- a/packages/samphirenotch/src/requests/workerExchange.ts
+++ b/packages/samphirenotch/src/requests/workerExchange.ts
@@ -3,7 +3,7 @@
  */
 import { Failure, type FailureCode } from '../failure.js';
 import type { Recorder } from '../observability/recorder.js';
-import type { WorkerAnswer } from '../platform/worker.js';
+import type { WorkerAnswer } from '../infrastructure/worker.js';
 import { Err, Ok, type Result } from '../results.js';
 import { remainingMs, type Call } from '../time/call.js';
 import { CALL_ENDED } from '../time/callEnded.js';
--- a/packages/samphirenotch/src/shards/attemptReporter.ts
+++ b/packages/samphirenotch/src/shards/attemptReporter.ts
@@ -3,7 +3,7 @@
  * slow owner of jobs delays none.
  */
 import { partLog } from '../observability/log.js';
-import type { AttemptReport } from '../platform/worker.js';
+import type { AttemptReport } from '../infrastructure/worker.js';
 import { callWithin } from '../time/call.js';
 import type { Clock } from '../time/clock.js';
 import type { AttemptSink } from './shardService.js';
--- a/packages/samphirenotch/src/shards/attemptStarts.ts
+++ b/packages/samphirenotch/src/shards/attemptStarts.ts
@@ -3,7 +3,7 @@
  */
 import type { Failure } from '../failure.js';
 import { partLog } from '../observability/log.js';
-import type { AttemptOrder, AttemptReport } from '../platform/worker.js';
+import type { AttemptOrder, AttemptReport } from '../infrastructure/worker.js';
 import { Err, Ok, type Result } from '../results.js';
 import { callWithin, remainingMs, type Call } from '../time/call.js';
 import type { Clock } from '../time/clock.js';
--- a/packages/samphirenotch/src/shards/attemptStops.ts
+++ b/packages/samphirenotch/src/shards/attemptStops.ts
@@ -2,7 +2,7 @@
  * Ends attempts at one worker, and says when it is proved that they run no more.
  */
 import type { Failure } from '../failure.js';
-import { NEVER_STARTED, type AttemptReport } from '../platform/worker.js';
+import { NEVER_STARTED, type AttemptReport } from '../infrastructure/worker.js';
 import { Err, Ok, type Result } from '../results.js';
 import { callWithin, type Call } from '../time/call.js';
 import type { Clock } from '../time/clock.js';
--- a/packages/samphirenotch/src/shards/ledger.ts
+++ b/packages/samphirenotch/src/shards/ledger.ts
@@ -3,7 +3,7 @@
  *
  * Until an inventory was taken the worker counts as full.
  */
-import type { Size } from '../platform/worker.js';
+import type { Size } from '../infrastructure/worker.js';
 import { fitsIn, leftOf, NO_SIZE, sumSizes } from './sizes.js';
 
 /** The account of one worker. */
--- a/packages/samphirenotch/src/shards/ledgerSlot.ts
+++ b/packages/samphirenotch/src/shards/ledgerSlot.ts
@@ -2,7 +2,7 @@
  * A request slot at a worker.
  */
 import type { WorkerChoice } from '../decisions/workerChoice.js';
-import type { Worker } from '../platform/worker.js';
+import type { Worker } from '../infrastructure/worker.js';
 import type { Clock } from '../time/clock.js';
 import type { OwnedWorker } from './ownedWorker.js';
 import type { Slot, SlotOutcome } from './shardService.js';
--- a/packages/samphirenotch/src/shards/localShardService.ts
+++ b/packages/samphirenotch/src/shards/localShardService.ts
@@ -3,7 +3,7 @@
  */
 import type { Failure } from '../failure.js';
 import { dataCentreOf } from '../membership/rendezvous.js';
-import type { AttemptOrder, AttemptReport } from '../platform/worker.js';
+import type { AttemptOrder, AttemptReport } from '../infrastructure/worker.js';
 import { Err, Ok, type Result } from '../results.js';
 import type { Call } from '../time/call.js';
 import { notRun, unknownEffect } from './shardFailure.js';
--- a/packages/samphirenotch/src/shards/ownedWorker.ts
+++ b/packages/samphirenotch/src/shards/ownedWorker.ts
@@ -3,8 +3,8 @@
  */
 import type { Failure } from '../failure.js';
 import type { Grant } from '../membership/ownership.js';
-import type { WorkerListing } from '../platform/vmList.js';
-import type { Worker } from '../platform/worker.js';
+import type { WorkerListing } from '../infrastructure/vmList.js';
+import type { Worker } from '../infrastructure/worker.js';
 import type { Clock } from '../time/clock.js';
 import { LatencyGauge } from './latencyGauge.js';
 import { Ledger } from './ledger.js';
--- a/packages/samphirenotch/src/shards/placement.ts
+++ b/packages/samphirenotch/src/shards/placement.ts
@@ -5,7 +5,7 @@
 import type { PlacementCandidate } from '../decisions/placementPolicy.js';
 import type { Grant } from '../membership/ownership.js';
 import { dataCentreOf } from '../membership/rendezvous.js';
-import type { Size } from '../platform/worker.js';
+import type { Size } from '../infrastructure/worker.js';
 import { requestRoom } from './requestRoom.js';
 import type { ShardParts } from './shardParts.js';
 import type { NoRoomReason, PlacementOutcome, PlacementWish } from './shardService.js';
--- a/packages/samphirenotch/src/shards/remoteShardService.ts
+++ b/packages/samphirenotch/src/shards/remoteShardService.ts
@@ -4,7 +4,7 @@
 import { Failure } from '../failure.js';
 import type { PeerClients } from '../grpc/grpcService.js';
 import { callUnary, type UnaryMethod } from '../grpc/unaryCall.js';
-import type { AttemptOrder, AttemptReport } from '../platform/worker.js';
+import type { AttemptOrder, AttemptReport } from '../infrastructure/worker.js';
 import { ShardServiceClient } from '../protocol/generated/samphirenotch/v1/shards.js';
 import {
   findAnswerFromWire,
--- a/packages/samphirenotch/src/shards/requestRoom.ts
+++ b/packages/samphirenotch/src/shards/requestRoom.ts
@@ -2,7 +2,7 @@
  * Room that is set aside for requests on each worker of a data centre.
  */
 import type { ConfigurationSet } from '../config/objects.js';
-import type { Size } from '../platform/worker.js';
+import type { Size } from '../infrastructure/worker.js';
 import { NO_SIZE, sumSizes } from './sizes.js';
 
 /**
--- a/packages/samphirenotch/src/shards/routedShardService.ts
+++ b/packages/samphirenotch/src/shards/routedShardService.ts
@@ -3,7 +3,7 @@
  */
 import type { Failure } from '../failure.js';
 import type { Ownership } from '../membership/ownership.js';
-import type { AttemptOrder, AttemptReport } from '../platform/worker.js';
+import type { AttemptOrder, AttemptReport } from '../infrastructure/worker.js';
 import { Err, type Result } from '../results.js';
 import type { Call } from '../time/call.js';
 import type { RemoteShardService } from './remoteShardService.js';
--- a/packages/samphirenotch/src/shards/shardOwner.ts
+++ b/packages/samphirenotch/src/shards/shardOwner.ts
@@ -3,7 +3,7 @@
  */
 import { dataCentreOf } from '../membership/rendezvous.js';
 import type { Grant } from '../membership/ownership.js';
-import type { WorkerListing } from '../platform/vmList.js';
+import type { WorkerListing } from '../infrastructure/vmList.js';
 import { Placement } from './placement.js';
 import type { ShardParts } from './shardParts.js';
 import type { PlacementOutcome, PlacementWish } from './shardService.js';
--- a/packages/samphirenotch/src/shards/shardParts.ts
+++ b/packages/samphirenotch/src/shards/shardParts.ts
@@ -4,7 +4,7 @@
 import type { ConfigurationView } from '../config/configurationView.js';
 import type { PlacementPolicy } from '../decisions/placementPolicy.js';
 import type { SizeEstimate } from '../decisions/sizeEstimate.js';
-import type { WorkerDirectory } from '../platform/worker.js';
+import type { WorkerDirectory } from '../infrastructure/worker.js';
 import type { Clock } from '../time/clock.js';
 import type { AttemptSink } from './shardService.js';
 
--- a/packages/samphirenotch/src/shards/shardService.ts
+++ b/packages/samphirenotch/src/shards/shardService.ts
@@ -2,7 +2,7 @@
  * What the owner of a shard of workers does for requests and for tasks.
  */
 import type { Failure } from '../failure.js';
-import type { AttemptOrder, AttemptReport, Size, Worker } from '../platform/worker.js';
+import type { AttemptOrder, AttemptReport, Size, Worker } from '../infrastructure/worker.js';
 import type { Result } from '../results.js';
 import type { Call } from '../time/call.js';
 
--- a/packages/samphirenotch/src/shards/shardWorker.ts
+++ b/packages/samphirenotch/src/shards/shardWorker.ts
@@ -2,7 +2,7 @@
  * A worker of an owned shard with its commands and its loop.
  */
 import type { Grant } from '../membership/ownership.js';
-import type { WorkerListing } from '../platform/vmList.js';
+import type { WorkerListing } from '../infrastructure/vmList.js';
 import { AttemptReporter } from './attemptReporter.js';
 import { AttemptStarts } from './attemptStarts.js';
 import { AttemptStops } from './attemptStops.js';
--- a/packages/samphirenotch/src/shards/sizes.ts
+++ b/packages/samphirenotch/src/shards/sizes.ts
@@ -1,7 +1,7 @@
 /**
  * Arithmetic on sizes.
  */
-import type { Size } from '../platform/worker.js';
+import type { Size } from '../infrastructure/worker.js';
 
 /** Nothing at all. */
 export const NO_SIZE: Size = { milliCores: 0, memoryMb: 0, accelerators: 0 };
--- a/packages/samphirenotch/src/shards/trackedAttempt.ts
+++ b/packages/samphirenotch/src/shards/trackedAttempt.ts
@@ -2,7 +2,7 @@
  * An attempt as the owner of its worker tracks it.
  */
 import type { Failure } from '../failure.js';
-import type { AttemptReport, Size } from '../platform/worker.js';
+import type { AttemptReport, Size } from '../infrastructure/worker.js';
 import type { Result } from '../results.js';
 
 /**
--- a/packages/samphirenotch/src/shards/workerList.ts
+++ b/packages/samphirenotch/src/shards/workerList.ts
@@ -2,7 +2,7 @@
  * Follows the platform's list of workers, and groups them into shards: one for each rack.
  */
 import { partLog } from '../observability/log.js';
-import type { VmList, WorkerListing } from '../platform/vmList.js';
+import type { VmList, WorkerListing } from '../infrastructure/vmList.js';
 import { callWithin } from '../time/call.js';
 import type { Clock } from '../time/clock.js';
 
--- a/packages/samphirenotch/src/shards/workerLoop.ts
+++ b/packages/samphirenotch/src/shards/workerLoop.ts
@@ -10,7 +10,7 @@
   type AttemptReport,
   type Inventory,
   type Renewal,
-} from '../platform/worker.js';
+} from '../infrastructure/worker.js';
 import type { Result } from '../results.js';
 import { callWithin } from '../time/call.js';
 import type { Clock } from '../time/clock.js';
--- a/packages/samphirenotch/src/tasks/attemptEnd.ts
+++ b/packages/samphirenotch/src/tasks/attemptEnd.ts
@@ -2,7 +2,7 @@
  * Decides what follows when an attempt has ended.
  */
 import type { TaskClass } from '../config/objects.js';
-import { NEVER_STARTED, type AttemptReport } from '../platform/worker.js';
+import { NEVER_STARTED, type AttemptReport } from '../infrastructure/worker.js';
 import type { Job } from './job.js';
 import {
   cancelled,
--- a/packages/samphirenotch/src/tasks/attemptFate.ts
+++ b/packages/samphirenotch/src/tasks/attemptFate.ts
@@ -1,7 +1,7 @@
 /**
  * What became of an attempt, with proof.
  */
-import { NEVER_STARTED, type AttemptReport } from '../platform/worker.js';
+import { NEVER_STARTED, type AttemptReport } from '../infrastructure/worker.js';
 import type { Failure } from '../failure.js';
 import type { Result } from '../results.js';
 
--- a/packages/samphirenotch/src/tasks/attemptReports.ts
+++ b/packages/samphirenotch/src/tasks/attemptReports.ts
@@ -2,7 +2,7 @@
  * Takes in what workers report of attempts.
  */
 import { partLog } from '../observability/log.js';
-import type { AttemptReport } from '../platform/worker.js';
+import type { AttemptReport } from '../infrastructure/worker.js';
 import { detach } from './detach.js';
 import { afterAttempt } from './attemptEnd.js';
 import { epochOfAttempt, jobOfAttempt } from './jobId.js';
--- a/packages/samphirenotch/src/tasks/attemptSink.ts
+++ b/packages/samphirenotch/src/tasks/attemptSink.ts
@@ -1,7 +1,7 @@
 /**
  * Takes reports of attempts to the owner of their partition, here or at a peer.
  */
-import type { AttemptReport as Report } from '../platform/worker.js';
+import type { AttemptReport as Report } from '../infrastructure/worker.js';
 import { callUnary } from '../grpc/unaryCall.js';
 import { RECORDED_IDS } from '../protocol/tasksMessages.js';
 import { Err, Ok, type Result } from '../results.js';
--- a/packages/samphirenotch/src/tasks/attemptStopper.ts
+++ b/packages/samphirenotch/src/tasks/attemptStopper.ts
@@ -5,7 +5,7 @@
 import { partLog } from '../observability/log.js';
 import { callWithin } from '../time/call.js';
 import type { Failure } from '../failure.js';
-import type { AttemptReport } from '../platform/worker.js';
+import type { AttemptReport } from '../infrastructure/worker.js';
 import type { Result } from '../results.js';
 import { detach } from './detach.js';
 import { fateOfStop, type AttemptFate } from './attemptFate.js';
--- a/packages/samphirenotch/src/tasks/chunkWriter.ts
+++ b/packages/samphirenotch/src/tasks/chunkWriter.ts
@@ -6,7 +6,7 @@
 import { callWithin } from '../time/call.js';
 import type { Failure } from '../failure.js';
 import type { Recorder } from '../observability/recorder.js';
-import type { KeyValueStore } from '../platform/keyValueStore.js';
+import type { KeyValueStore } from '../infrastructure/keyValueStore.js';
 import type { Clock } from '../time/clock.js';
 import { chunkKey } from './partitionRecord.js';
 import { STORE_TIMEOUT_MS } from './taskSettings.js';
--- a/packages/samphirenotch/src/tasks/groupCommit.ts
+++ b/packages/samphirenotch/src/tasks/groupCommit.ts
@@ -6,7 +6,7 @@
 import { partLog } from '../observability/log.js';
 import { Err, Ok, type Result } from '../results.js';
 import type { Recorder } from '../observability/recorder.js';
-import type { KeyValueStore } from '../platform/keyValueStore.js';
+import type { KeyValueStore } from '../infrastructure/keyValueStore.js';
 import type { Clock } from '../time/clock.js';
 import { ChunkWriter } from './chunkWriter.js';
 import { CommitPace } from './commitPace.js';
--- a/packages/samphirenotch/src/tasks/headWriter.ts
+++ b/packages/samphirenotch/src/tasks/headWriter.ts
@@ -6,7 +6,7 @@
 import { Ok, type Result } from '../results.js';
 import { callWithin } from '../time/call.js';
 import type { Clock } from '../time/clock.js';
-import type { KeyValueStore } from '../platform/keyValueStore.js';
+import type { KeyValueStore } from '../infrastructure/keyValueStore.js';
 import { decodeHead, headKey } from './partitionRecord.js';
 import { STORE_TIMEOUT_MS } from './taskSettings.js';
 
--- a/packages/samphirenotch/src/tasks/job.ts
+++ b/packages/samphirenotch/src/tasks/job.ts
@@ -1,7 +1,7 @@
 /**
  * A job: one task that a caller submitted, with all that is kept about it.
  */
-import type { Size } from '../platform/worker.js';
+import type { Size } from '../infrastructure/worker.js';
 
 /** Where a job stands. `held` waits for an operator and is never started again by itself. */
 export type JobState =
--- a/packages/samphirenotch/src/tasks/jobStarter.ts
+++ b/packages/samphirenotch/src/tasks/jobStarter.ts
@@ -5,7 +5,7 @@
 import { isOut } from '../config/objects.js';
 import { partLog } from '../observability/log.js';
 import { callWithin } from '../time/call.js';
-import type { AttemptOrder } from '../platform/worker.js';
+import type { AttemptOrder } from '../infrastructure/worker.js';
 import type { Reservation } from '../shards/shardService.js';
 import { TASK_LEASE_MS } from '../shards/taskLease.js';
 import { dataCentreOf } from './jobId.js';
--- a/packages/samphirenotch/src/tasks/partitionLoad.ts
+++ b/packages/samphirenotch/src/tasks/partitionLoad.ts
@@ -5,7 +5,7 @@
 import { Failure } from '../failure.js';
 import { Err, Ok, type Result } from '../results.js';
 import { callWithin } from '../time/call.js';
-import type { KeyValue } from '../platform/keyValueStore.js';
+import type { KeyValue } from '../infrastructure/keyValueStore.js';
 import type { CommitContext } from './groupCommit.js';
 import { PartitionLayout } from './partitionLayout.js';
 import {
--- a/packages/samphirenotch/src/tasks/partitionOwner.ts
+++ b/packages/samphirenotch/src/tasks/partitionOwner.ts
@@ -6,7 +6,7 @@
 import { partLog } from '../observability/log.js';
 import type { StartPacing } from '../decisions/startPacing.js';
 import type { Grant } from '../membership/ownership.js';
-import type { AttemptReport } from '../platform/worker.js';
+import type { AttemptReport } from '../infrastructure/worker.js';
 import { AttemptKeeper } from './attemptKeeper.js';
 import { AttemptReports } from './attemptReports.js';
 import { AttemptResolver } from './attemptResolver.js';
--- a/packages/samphirenotch/src/tasks/quotaUse.ts
+++ b/packages/samphirenotch/src/tasks/quotaUse.ts
@@ -3,7 +3,7 @@
  * that no starts have to be agreed between partitions; a share is never below one task.
  */
 import type { ConfigurationSet, Quota } from '../config/objects.js';
-import type { Size } from '../platform/worker.js';
+import type { Size } from '../infrastructure/worker.js';
 import { partitionsOf } from './jobId.js';
 import type { Job } from './job.js';
 
--- a/packages/samphirenotch/src/tasks/taskContext.ts
+++ b/packages/samphirenotch/src/tasks/taskContext.ts
@@ -7,7 +7,7 @@
 import type { StartPacing } from '../decisions/startPacing.js';
 import type { Grant } from '../membership/ownership.js';
 import type { Recorder } from '../observability/recorder.js';
-import type { KeyValueStore } from '../platform/keyValueStore.js';
+import type { KeyValueStore } from '../infrastructure/keyValueStore.js';
 import type { ShardService } from '../shards/shardService.js';
 import type { Clock } from '../time/clock.js';
 import type { JobStore } from './jobStore.js';
--- a/tests/config/publisher.spec.ts
+++ b/tests/config/publisher.spec.ts
@@ -5,7 +5,7 @@
 import { MemoryKeyValueStore } from 'samphirenotch-stand-ins/memoryKeyValueStore.js';
 import type { Published, PublishRefusal } from 'samphirenotch/config/publication.js';
 import { ROOT_KEY } from 'samphirenotch/config/storedRoot.js';
-import type { KeyValueStore } from 'samphirenotch/platform/keyValueStore.js';
+import type { KeyValueStore } from 'samphirenotch/infrastructure/keyValueStore.js';
 import type { Result } from 'samphirenotch/results.js';
 import { callWithin } from 'samphirenotch/time/call.js';
 import { ManualClock } from 'samphirenotch/time/manualClock.js';
--- a/tests/platform/adapters.spec.ts
+++ b/tests/infrastructure/adapters.spec.ts
@@ -9,9 +9,9 @@
 import { MemoryWorker } from 'samphirenotch-stand-ins/memoryWorker.js';
 import { platformServer } from 'samphirenotch-stand-ins/platformServer.js';
 import { workerServer } from 'samphirenotch-stand-ins/workerServer.js';
-import { HttpKeyValueStore } from 'samphirenotch/platform/httpKeyValueStore.js';
-import { HttpWorker } from 'samphirenotch/platform/httpWorker.js';
-import type { WorkerRequest } from 'samphirenotch/platform/worker.js';
+import { HttpKeyValueStore } from 'samphirenotch/infrastructure/httpKeyValueStore.js';
+import { HttpWorker } from 'samphirenotch/infrastructure/httpWorker.js';
+import type { WorkerRequest } from 'samphirenotch/infrastructure/worker.js';
 import { SystemClock } from 'samphirenotch/time/clock.js';
 import { ManualClock } from 'samphirenotch/time/manualClock.js';
 
--- a/tests/platform/answerBeyondDeadline.spec.ts
+++ b/tests/infrastructure/answerBeyondDeadline.spec.ts
@@ -7,7 +7,7 @@
 import { Readable } from 'node:stream';
 import { text } from 'node:stream/consumers';
 import test, { type ExecutionContext } from 'ava';
-import { HttpWorker } from 'samphirenotch/platform/httpWorker.js';
+import { HttpWorker } from 'samphirenotch/infrastructure/httpWorker.js';
 import { callWithin } from 'samphirenotch/time/call.js';
 import { SystemClock } from 'samphirenotch/time/clock.js';
 
--- a/tests/requests/workerExchange.spec.ts
+++ b/tests/requests/workerExchange.spec.ts
@@ -5,7 +5,7 @@
 import { buffer, text } from 'node:stream/consumers';
 import test from 'ava';
 import { Failure } from 'samphirenotch/failure.js';
-import type { RequestMemory, WorkerAnswer } from 'samphirenotch/platform/worker.js';
+import type { RequestMemory, WorkerAnswer } from 'samphirenotch/infrastructure/worker.js';
 import { SlotUse } from 'samphirenotch/requests/slotUse.js';
 import type { ServiceOutcome } from 'samphirenotch/requests/serviceRequest.js';
 import { WorkerExchange } from 'samphirenotch/requests/workerExchange.js';
--- a/tests/shards/remote.spec.ts
+++ b/tests/shards/remote.spec.ts
@@ -3,7 +3,7 @@
 import { Failure } from 'samphirenotch/failure.js';
 import { PeerChannels } from 'samphirenotch/membership/peerChannels.js';
 import { PeerTable } from 'samphirenotch/membership/peerTable.js';
-import { NEVER_STARTED, type AttemptReport } from 'samphirenotch/platform/worker.js';
+import { NEVER_STARTED, type AttemptReport } from 'samphirenotch/infrastructure/worker.js';
 import { Err, Ok } from 'samphirenotch/results.js';
 import { GrpcShardService } from 'samphirenotch/shards/grpcShardService.js';
 import { RemoteShardService } from 'samphirenotch/shards/remoteShardService.js';
--- a/utils/checkImports.ts
+++ b/utils/checkImports.ts
@@ -2,7 +2,7 @@
  * Checks that each folder imports only what its `ALLOWED_IMPORTS` file names.
  *
  * The nearest such file upward counts. It holds one entry a line: a folder relative to the folder of
- * the file (`../platform/`), a package (`undici`), or a prefix that ends in a colon (`node:`).
+ * the file (`../infrastructure/`), a package (`undici`), or a prefix that ends in a colon (`node:`).
  *
  * @packageDocumentation
  */
