--- /dev/null
+++ b/packages/samphirenotch/src/jobs/jobCommands.ts
@@ -0,0 +1,154 @@
+/**
+ * What callers change: they hand jobs in and cancel them. Any entry serves any job.
+ */
+import type { Failure } from '../failure.js';
+import type { Transaction, TransactionStore } from '../infrastructure/transactionStore.js';
+import { partLog } from '../observability/log.js';
+import { callWithin, remainingMs, type Call } from '../time/call.js';
+import type { Clock } from '../time/clock.js';
+
+import { encodeAccepted } from './acceptedJob.js';
+import { ACCEPTED_PREFIX, CANCELLED_PREFIX } from './jobKeys.js';
+import type { JobReplica } from './jobReplica.js';
+import type { JobSpec } from './jobSpec.js';
+import type { Queue } from './siteConfiguration.js';
+import type { StoreFollower } from './storeFollower.js';
+
+/** Time for one call to the store, in milliseconds; it answers in a few unless something is wrong. */
+const TRY_MS = 500;
+
+/** Time for a command as a whole, in milliseconds; callers ask again elsewhere. */
+const COMMAND_MS = 1_400;
+
+/** Silence of the store after which commands are refused at once, in milliseconds. */
+const STORE_LOST_MS = 2_000;
+
+/** When callers may come back while the store is away, in milliseconds. */
+const STORE_RETRY_MS = 1_000;
+
+/** When callers may come back after the store was too busy, in milliseconds. */
+const BUSY_RETRY_MS = 500;
+
+/** What became of a command. */
+export type CommandOutcome =
+  | { readonly kind: 'done' }
+  | { readonly kind: 'not-found' }
+  /** Not done, and never will be. */
+  | { readonly kind: 'refused'; readonly retryAfterMs: number; readonly reason: string }
+  /** May be done or not; asking again with the same id is safe. */
+  | { readonly kind: 'unknown'; readonly reason: string };
+
+/** What commands work with. */
+export interface JobCommandsOptions {
+  readonly store: TransactionStore;
+  readonly replica: JobReplica;
+  /** Follows the replica's prefix; tells how long the store has been silent. */
+  readonly follower: StoreFollower;
+  readonly clock: Clock;
+}
+
+/** Serves commands of callers. */
+export class JobCommands {
+  private readonly log = partLog('commands');
+
+  /**
+   * @param options - store and replica
+   */
+  constructor(private readonly options: JobCommandsOptions) {}
+
+  /**
+   * Accepts a job, durably.
+   *
+   * @param jobId - id that the caller chose
+   * @param queue - the queue
+   * @param job - the job
+   * @param call - deadline of the caller
+   * @returns what became of it
+   */
+  async submit(jobId: string, queue: Queue, job: JobSpec, call: Call): Promise<CommandOutcome> {
+    const { replica, clock } = this.options;
+    if (replica.find(jobId)) return { kind: 'done' };
+    const accepted = { id: jobId, queue, acceptedAtMs: clock.wallMs(), job };
+    const key = ACCEPTED_PREFIX + jobId;
+    const transaction = {
+      expectations: [{ key, revision: 0 }],
+      writes: [{ key, value: encodeAccepted(accepted) }],
+      removals: [],
+    };
+    // A conflict says that the job is there already, from this call or from another one.
+    const outcome = await this.commit(transaction, call);
+    this.report('submit', jobId, queue.name, outcome);
+    return outcome;
+  }
+
+  /**
+   * Cancels a job, durably.
+   *
+   * @param jobId - the job
+   * @param queue - the queue that it was asked for in
+   * @param call - deadline of the caller
+   * @returns what became of it
+   */
+  async cancel(jobId: string, queue: Queue, call: Call): Promise<CommandOutcome> {
+    const outcome = await this.cancelKnown(jobId, call);
+    this.report('cancel', jobId, queue.name, outcome);
+    return outcome;
+  }
+
+  private async cancelKnown(jobId: string, call: Call): Promise<CommandOutcome> {
+    const { replica, store, clock } = this.options;
+    if (replica.isCancelled(jobId)) return { kind: 'done' };
+    if (!replica.find(jobId)) {
+      const known = await store.get(ACCEPTED_PREFIX + jobId, this.tryWithin(call));
+      if (known.err) return { kind: 'refused', retryAfterMs: STORE_RETRY_MS, reason: 'no store' };
+      if (!known.val) return { kind: 'not-found' };
+    }
+    return this.commit(
+      {
+        expectations: [],
+        writes: [{ key: CANCELLED_PREFIX + jobId, value: String(Math.round(clock.wallMs())) }],
+        removals: [],
+      },
+      call,
+    );
+  }
+
+  private tryWithin(call: Call): Call {
+    const { clock } = this.options;
+    return callWithin(clock, Math.min(TRY_MS, remainingMs(clock, call)), call.signal);
+  }
+
+  private async commit(transaction: Transaction, call: Call): Promise<CommandOutcome> {
+    const { store, clock, follower } = this.options;
+    if (follower.ageMs() > STORE_LOST_MS) {
+      return { kind: 'refused', retryAfterMs: STORE_RETRY_MS, reason: 'the store is away' };
+    }
+    const whole = callWithin(clock, Math.min(COMMAND_MS, remainingMs(clock, call)), call.signal);
+    let inDoubt = false;
+    let last: Failure | undefined;
+    while (remainingMs(clock, whole) > 0 && !call.signal.aborted) {
+      const outcome = await store.commit(transaction, this.tryWithin(whole));
+      if (outcome.ok) return { kind: 'done' };
+      last = outcome.val;
+      if (last.effect === 'unknown') inDoubt = true;
+      // Nothing was done: the caller is told so at once.
+      if (!inDoubt) {
+        return { kind: 'refused', retryAfterMs: BUSY_RETRY_MS, reason: last.message };
+      }
+    }
+    return { kind: 'unknown', reason: last?.message ?? 'the caller left no time' };
+  }
+
+  private report(command: string, jobId: string, queue: string, outcome: CommandOutcome): void {
+    const { follower, replica } = this.options;
+    this.log.info('A command was answered', {
+      command,
+      jobId,
+      queue,
+      outcome: outcome.kind,
+      reason: 'reason' in outcome ? outcome.reason : undefined,
+      revision: replica.revision(),
+      storeAgeMs: Math.round(follower.ageMs()),
+    });
+  }
+}
--- /dev/null
+++ b/packages/samphirenotch/src/jobs/jobEntry.ts
@@ -0,0 +1,130 @@
+/**
+ * An entry: it serves callers, follows the store, and owns all jobs while it is elected.
+ */
+import type { TaskWorkerDirectory } from '../infrastructure/taskWorker.js';
+import type { TransactionStore } from '../infrastructure/transactionStore.js';
+import type { Gauge } from '../observability/prometheusText.js';
+import type { Recorder } from '../observability/recorder.js';
+import type { Clock } from '../time/clock.js';
+
+import { JobCommands } from './jobCommands.js';
+import { SHARED_PREFIX } from './jobKeys.js';
+import { JobOwner } from './jobOwner.js';
+import { JobQueries } from './jobQueries.js';
+import { JobReplica } from './jobReplica.js';
+import { OperatorFollower } from './operatorFollower.js';
+import { OwnerElection } from './ownerElection.js';
+import type { SiteCodec } from './siteCodec.js';
+import { StoreFollower } from './storeFollower.js';
+
+/** Silence of the store after which an entry says that it is not ready, in milliseconds. */
+const NOT_READY_MS = 2_000;
+
+/** What an entry is made of. */
+export interface JobEntryOptions {
+  readonly store: TransactionStore;
+  readonly workers: TaskWorkerDirectory;
+  readonly codec: SiteCodec;
+  readonly clock: Clock;
+  readonly recorder: Recorder;
+  /** Name of the entry. */
+  readonly entry: string;
+  /** Name of the process, another one after each start. */
+  readonly process: string;
+  /** Longest lease that workers take, in milliseconds. */
+  readonly holdLimitMs: number;
+  /** Share of a core that the entry's VM has. */
+  readonly processorShare: number;
+}
+
+/** What the server of callers is given. */
+export interface JobEntryParts {
+  readonly commands: JobCommands;
+  readonly queries: JobQueries;
+  readonly operator: OperatorFollower;
+}
+
+/** One entry. */
+export class JobEntry {
+  readonly parts: JobEntryParts;
+
+  private readonly replica = new JobReplica();
+
+  private readonly operator: OperatorFollower;
+
+  private readonly jobsFollower: StoreFollower;
+
+  private readonly operatorFollower: StoreFollower;
+
+  private readonly election: OwnerElection;
+
+  private isOwner = false;
+
+  /**
+   * @param options - outside systems, clock and name
+   */
+  constructor(private readonly options: JobEntryOptions) {
+    const { store, clock, codec } = options;
+    this.operator = new OperatorFollower(codec);
+    this.jobsFollower = new StoreFollower(store, SHARED_PREFIX, this.replica, clock);
+    this.operatorFollower = new StoreFollower(store, codec.operatorPrefix, this.operator, clock);
+    this.election = new OwnerElection({
+      store,
+      replica: this.replica,
+      clock,
+      entry: options.entry,
+      process: options.process,
+      eagerness: Math.min(1, options.processorShare),
+      serve: async (term) => {
+        this.isOwner = true;
+        await new JobOwner(
+          { ...options, replica: this.replica, operator: this.operator },
+          term,
+        ).serve();
+        this.isOwner = false;
+      },
+    });
+    this.replica.whenCaughtUp(() => this.election.notify());
+    const { replica } = this;
+    this.parts = {
+      commands: new JobCommands({ store, replica, follower: this.jobsFollower, clock }),
+      queries: new JobQueries({ store, replica, clock }),
+      operator: this.operator,
+    };
+  }
+
+  /** @returns true if callers are served well here */
+  isReady(): boolean {
+    return (
+      this.operator.view().configuration !== undefined &&
+      this.jobsFollower.ageMs() < NOT_READY_MS &&
+      this.operatorFollower.ageMs() < NOT_READY_MS
+    );
+  }
+
+  /** @returns values for metrics */
+  gauges(): readonly Gauge[] {
+    const gauge = (name: string, value: number): Gauge => ({ name, labels: {}, value });
+    return [
+      gauge('is_owner', this.isOwner ? 1 : 0),
+      gauge('jobs_open', this.replica.openJobs().length),
+      gauge('configuration_version', this.operator.view().configuration?.version ?? 0),
+      gauge('store_age_seconds', this.jobsFollower.ageMs() / 1_000),
+    ];
+  }
+
+  /**
+   * Serves until told to stop; gives ownership back. Callers are served beyond that.
+   *
+   * @param signal - ends election and ownership
+   */
+  async run(signal: AbortSignal): Promise<void> {
+    const following = new AbortController();
+    const followers = [
+      this.jobsFollower.run(following.signal),
+      this.operatorFollower.run(following.signal),
+    ];
+    followers.forEach((follower) => follower.catch(() => following.abort()));
+    await this.election.run(signal);
+  }
+}
--- /dev/null
+++ b/packages/samphirenotch/src/jobs/jobOwner.ts
@@ -0,0 +1,287 @@
+/**
+ * One term of ownership: takes over all jobs and workers, then starts, watches and ends tasks.
+ */
+import type {
+  RunEnd,
+  RunReport,
+  TaskWorkerDirectory,
+  WorkerDescription,
+} from '../infrastructure/taskWorker.js';
+import type { TransactionStore } from '../infrastructure/transactionStore.js';
+import { partLog } from '../observability/log.js';
+import type { Recorder } from '../observability/recorder.js';
+import type { Clock } from '../time/clock.js';
+import { Wakeup } from '../time/wakeup.js';
+
+import { FillerPacing } from './fillerPacing.js';
+import { JobBook } from './jobBook.js';
+import type { JobReplica } from './jobReplica.js';
+import { StepLauncher } from './stepLauncher.js';
+import type { OperatorFollower } from './operatorFollower.js';
+import { roomOf, type OwnedJob, type OwnedRun, type OwnedTask } from './ownedJob.js';
+import type { Term } from './ownerElection.js';
+import { ProgressJournal } from './progressJournal.js';
+import type { SiteCodec } from './siteCodec.js';
+import { StoreFollower } from './storeFollower.js';
+import { takeOver } from './takeover.js';
+import { WorkerAgent, type AgentListener } from './workerAgent.js';
+import { WorkerDirectory, type DirectoryListener } from './workerDirectory.js';
+import { WorkerFleet } from './workerFleet.js';
+
+/** Longest wait between two passes over waiting tasks, in milliseconds. */
+const PASS_MS = 250;
+
+/** Least time between two passes, in milliseconds: starts of one moment go together. */
+const PASS_GAP_MS = 4;
+
+/** Wait before a task is tried again after a worker turned it away, in milliseconds. */
+const TURNED_AWAY_MS = 100;
+
+/** What an owner works with. */
+export interface JobOwnerOptions {
+  readonly store: TransactionStore;
+  readonly workers: TaskWorkerDirectory;
+  readonly codec: SiteCodec;
+  readonly replica: JobReplica;
+  readonly operator: OperatorFollower;
+  readonly clock: Clock;
+  readonly recorder: Recorder;
+  /** Name of this process. */
+  readonly process: string;
+  /** Longest lease that workers take, in milliseconds. */
+  readonly holdLimitMs: number;
+}
+
+/** Serves one term. */
+export class JobOwner implements AgentListener, DirectoryListener {
+  private readonly log = partLog('owner');
+
+  private readonly book: JobBook;
+
+  private readonly fleet: WorkerFleet;
+
+  private readonly launcher: StepLauncher;
+
+  private readonly pacing: FillerPacing;
+
+  private readonly wakeup: Wakeup;
+
+  private journal!: ProgressJournal;
+
+  /**
+   * @param options - what it works with
+   * @param term - the term
+   */
+  constructor(
+    private readonly options: JobOwnerOptions,
+    private readonly term: Term,
+  ) {
+    this.wakeup = new Wakeup(options.clock);
+    this.book = new JobBook(options.operator, options.clock);
+    this.fleet = new WorkerFleet((description) => this.connect(description), options.clock);
+    this.launcher = new StepLauncher({
+      book: this.book,
+      fleet: this.fleet,
+      operator: options.operator,
+      clock: options.clock,
+      fencingToken: term.fencingToken,
+    });
+    this.pacing = new FillerPacing(this.fleet);
+  }
+
+  /** Serves until the term ends. */
+  async serve(): Promise<void> {
+    const { options, term } = this;
+    const { signal } = term;
+    const takeover = await takeOver(options, term);
+    if (!takeover || signal.aborted) return;
+    this.journal = takeover.journal;
+    this.book.attach(this.journal, takeover.firstRun, takeover.progress);
+    this.fleet.attach(this.journal, takeover.roster);
+    const directory = new WorkerDirectory(options.codec, this, options.clock);
+    const follower = new StoreFollower(
+      options.store,
+      options.codec.workersPrefix,
+      directory,
+      options.clock,
+    );
+    options.replica.openJobs().forEach((job) => this.book.accept(job));
+    options.replica.listen({
+      onAccepted: (job) => {
+        this.book.accept(job);
+        this.wakeup.wake();
+      },
+      onCancelled: (jobId) => this.cancel(jobId),
+    });
+    this.book.openJobs().forEach(({ id }) => {
+      if (options.replica.isCancelled(id)) this.cancel(id);
+    });
+    this.log.info('Took over', {
+      fencingToken: term.fencingToken,
+      jobs: this.book.openJobs().length,
+      firstRun: takeover.firstRun,
+      suspects: takeover.roster.length,
+    });
+    await Promise.all([
+      this.journal.run(signal),
+      follower.run(signal),
+      this.passes(directory),
+      this.summaries(),
+    ]);
+    options.replica.listen(undefined);
+    this.fleet.close();
+    this.log.info('The term is over', { fencingToken: term.fencingToken });
+  }
+
+  onWorker(description: WorkerDescription): void {
+    const isNew = this.fleet.describe(description);
+    if (isNew || description.phase === 'draining') this.wakeup.wake();
+  }
+
+  onUnlisted(id: string): void {
+    this.fleet.unlist(id);
+  }
+
+  onUnknownRun(agent: WorkerAgent, report: RunReport): OwnedRun | undefined {
+    const task = this.book.findTask(report.taskId);
+    if (!task || task.done || !task.step.occurrence.job.isOpen) return undefined;
+    if (task.runs.length > 0 && !task.step.spec.speculative) return undefined;
+    const { job } = task.step.occurrence;
+    job.begun = true;
+    task.nextRun = Math.max(task.nextRun, report.run + 1);
+    this.log.info('Adopted a run', { taskId: task.id, run: report.run, worker: agent.id });
+    return agent.adopt(task, report.run, roomOf(task), 'running');
+  }
+
+  onEnd(agent: WorkerAgent, run: OwnedRun | undefined, end: RunEnd): void {
+    const task = this.book.findTask(end.taskId);
+    this.log.info('A run has ended', {
+      taskId: end.taskId,
+      run: end.run,
+      worker: agent.id,
+      kind: end.kind,
+      known: run !== undefined,
+      afterMs: run ? Math.round(this.options.clock.monotonicMs() - run.startedMs) : undefined,
+    });
+    this.options.recorder.count('run_ends', { kind: end.kind });
+    if (!task) return;
+    task.nextRun = Math.max(task.nextRun, end.run + 1);
+    if (end.checkpoint !== '') task.checkpoint = end.checkpoint;
+    this.fleet.noteEnd(agent, task, end.kind);
+    task.step.occurrence.job.settled = false;
+    if (end.kind === 'done') this.finishTask(task);
+    if (end.kind === 'failed') this.failTask(task, agent, end.run);
+    this.wakeup.wake();
+  }
+
+  onGone(run: OwnedRun, reason: string): void {
+    const { task } = run;
+    this.options.recorder.count('runs_gone');
+    this.log.info('A task goes back to waiting', { taskId: task.id, run: run.run, reason });
+    task.notBeforeMs = this.options.clock.monotonicMs() + TURNED_AWAY_MS;
+    task.step.occurrence.job.settled = false;
+    this.wakeup.wake();
+  }
+
+  onChange(): void {
+    this.wakeup.wake();
+  }
+
+  onFenced(agent: WorkerAgent): void {
+    this.fleet.noteFenced(agent);
+    this.wakeup.wake();
+  }
+
+  onStaleToken(agent: WorkerAgent): void {
+    this.term.depose(`worker ${agent.id} has seen a higher fencing token`);
+  }
+
+  stored(): Promise<boolean> {
+    return this.journal.written(this.journal.newest());
+  }
+
+  private connect(description: WorkerDescription): WorkerAgent {
+    const { options, term } = this;
+    return new WorkerAgent({
+      description,
+      worker: options.workers.connect(description.id, description.address),
+      clock: options.clock,
+      fencingToken: term.fencingToken,
+      holdLimitMs: options.holdLimitMs,
+      listener: this,
+      signal: term.signal,
+    });
+  }
+
+  private finishTask(task: OwnedTask): void {
+    if (task.done) return;
+    const { step } = task;
+    const { job } = step.occurrence;
+    if (step.spec.longRunning) return;
+    // One end of a gang stands for all its members.
+    const finished = step.spec.gang ? step.tasks.filter(({ done }) => !done) : [task];
+    finished.forEach((each) => {
+      const owned = each;
+      owned.done = true;
+      step.doneCount += 1;
+    });
+    task.runs.forEach((run) => run.agent.stop(run, 'another copy is done'));
+    this.book.noteProgress(job);
+    if (job.isDone && job.isOpen) this.book.finish(job, 'completed');
+  }
+
+  private failTask(task: OwnedTask, agent: WorkerAgent, run: number): void {
+    if (task.done || task.failedRuns.includes(run)) return;
+    task.failedRuns.push(run);
+    task.failedOn.add(agent.id);
+    const { job } = task.step.occurrence;
+    if (task.step.spec.longRunning) return;
+    this.book.noteProgress(job);
+    const attempts = this.countFailures(task);
+    if (attempts < job.queue.maximumAttempts || !job.isOpen) return;
+    this.log.warn('A job has failed', { jobId: job.id, taskId: task.id, attempts });
+    this.book.finish(job, 'failed');
+    this.stopRuns(job, 'the job has failed');
+  }
+
+  /** Failed runs of a gang count once for all members. */
+  private countFailures(task: OwnedTask): number {
+    if (!task.step.spec.gang) return task.failedRuns.length;
+    return new Set(task.step.tasks.flatMap(({ failedRuns }) => failedRuns)).size;
+  }
+
+  private cancel(jobId: string): void {
+    const job = this.book.find(jobId);
+    if (!job || job.cancelled) return;
+    job.cancelled = true;
+    this.log.info('A job is cancelled', { jobId, runs: job.activeRuns().length });
+    this.stopRuns(job, 'the job is cancelled');
+    this.book.forget(job);
+  }
+
+  private stopRuns(job: OwnedJob, reason: string): void {
+    job.activeRuns().forEach((run) => run.agent.stop(run, reason));
+  }
+
+  private async passes(directory: WorkerDirectory): Promise<void> {
+    const { clock } = this.options;
+    const { signal } = this.term;
+    while (!signal.aborted) {
+      await this.wakeup.wait(PASS_MS, signal);
+      await clock.sleep(PASS_GAP_MS, signal);
+      if (signal.aborted) return;
+      this.fleet.maintain();
+      this.pacing.adjust();
+      this.launcher.pass(directory.complete);
+    }
+  }
+
+  private async summaries(): Promise<void> {
+    const { clock, replica } = this.options;
+    const { signal } = this.term;
+    while (!signal.aborted) {
+      await clock.sleep(this.book.summaryMs, signal);
+      this.book.summarize(replica.revision());
+    }
+  }
+}
--- /dev/null
+++ b/packages/samphirenotch/src/jobs/operatorFollower.ts
@@ -0,0 +1,85 @@
+/**
+ * Keeps up with what operators ask for.
+ */
+import type { KeyValue } from '../infrastructure/keyValueStore.js';
+import { partLog } from '../observability/log.js';
+
+import type { SiteCodec } from './siteCodec.js';
+import type { OperatorView, SiteConfiguration } from './siteConfiguration.js';
+import type { StoreListener } from './storeFollower.js';
+
+/** Holds the newest configuration and the evacuated data centres. */
+export class OperatorFollower implements StoreListener {
+  private readonly log = partLog('operator');
+
+  private configuration: SiteConfiguration | undefined;
+
+  private readonly evacuations = new Map<string, string>();
+
+  private callback: (() => void) | undefined;
+
+  /**
+   * @param codec - reads items
+   */
+  constructor(private readonly codec: SiteCodec) {}
+
+  /** @returns what operators ask for */
+  view(): OperatorView {
+    return {
+      configuration: this.configuration,
+      evacuated: new Set(this.evacuations.values()),
+    };
+  }
+
+  /**
+   * Calls a function after each change.
+   *
+   * @param callback - the function
+   */
+  whenChanged(callback: () => void): void {
+    this.callback = callback;
+  }
+
+  onListing(items: readonly KeyValue[]): void {
+    const present = new Set(items.map(({ key }) => key));
+    [...this.evacuations.keys()]
+      .filter((key) => !present.has(key))
+      .forEach((key) => this.onChange(key, undefined));
+    items.forEach(({ key, value }) => this.onChange(key, value));
+  }
+
+  onChange(key: string, value: string | undefined): void {
+    if (value === undefined) {
+      const dataCentre = this.evacuations.get(key);
+      if (dataCentre === undefined) return;
+      this.evacuations.delete(key);
+      this.log.info('A data centre is taken back', { dataCentre });
+      this.callback?.();
+      return;
+    }
+    const item = this.codec.readOperatorItem(key, value);
+    if (!item) return;
+    if (item.kind === 'evacuation') this.evacuate(key, item.dataCentre);
+    else this.configure(item.configuration);
+    this.callback?.();
+  }
+
+  onCaughtUp(): void {}
+
+  private evacuate(key: string, dataCentre: string): void {
+    if (this.evacuations.has(key)) return;
+    this.evacuations.set(key, dataCentre);
+    this.log.info('A data centre is evacuated', { dataCentre });
+  }
+
+  private configure(configuration: SiteConfiguration): void {
+    const known = this.configuration?.version ?? 0;
+    if (configuration.version <= known) return;
+    this.configuration = configuration;
+    this.log.info('A configuration is in force', {
+      version: configuration.version,
+      former: known,
+      queues: configuration.queues.length,
+    });
+  }
+}
--- /dev/null
+++ b/packages/samphirenotch/src/jobs/ownedJob.ts
@@ -0,0 +1,227 @@
+/**
+ * A job in the memory of its owner: occurrences, steps, tasks and their runs.
+ */
+import type { Size } from '../infrastructure/worker.js';
+
+import type { JobProgress, StepProgress } from './jobProgress.js';
+import { taskIdOf, type AcceptedJob, type StepSpec } from './jobSpec.js';
+import type { Queue } from './siteConfiguration.js';
+import type { WorkerAgent } from './workerAgent.js';
+
+/** Where a run stands, as far as its owner knows. */
+export type RunPhase =
+  /** The order to start it was sent. */
+  | 'starting'
+  | 'running'
+  /** The order was not answered: it may run, or may yet start. */
+  | 'in-doubt'
+  | 'stopping';
+
+/** One start of a task on a worker. */
+export interface OwnedRun {
+  readonly task: OwnedTask;
+  readonly run: number;
+  readonly agent: WorkerAgent;
+  readonly size: Size;
+  phase: RunPhase;
+  /** Monotonic time of the order or of the sighting, in milliseconds. */
+  readonly startedMs: number;
+  /** Monotonic time at which the worker confirmed the start. */
+  confirmedMs: number | undefined;
+  percent: number;
+  gauge: number;
+  /** Share of its processors that it is let work at, in percent. */
+  pace: number;
+  /** Monotonic time since when the gauge is over the step's target; undefined if it is not. */
+  overTargetSinceMs: number | undefined;
+}
+
+/** A task. */
+export interface OwnedTask {
+  readonly step: OwnedStep;
+  readonly index: number;
+  readonly id: string;
+  done: boolean;
+  /** Numbers of the runs that failed. */
+  failedRuns: number[];
+  nextRun: number;
+  checkpoint: string;
+  readonly runs: OwnedRun[];
+  /** Monotonic time before which it is not started again, in milliseconds. */
+  notBeforeMs: number;
+  /** Workers on which it failed. */
+  readonly failedOn: Set<string>;
+}
+
+/** A step of an occurrence. */
+export interface OwnedStep {
+  readonly occurrence: OwnedOccurrence;
+  readonly index: number;
+  readonly spec: StepSpec;
+  readonly tasks: OwnedTask[];
+  doneCount: number;
+}
+
+/** One time that the steps of a job run. */
+export interface OwnedOccurrence {
+  readonly job: OwnedJob;
+  readonly index: number;
+  /** Unix milliseconds; 0 for a job without times. */
+  readonly dueAtMs: number;
+  readonly steps: OwnedStep[];
+}
+
+/** What a job needs to be made. */
+export interface OwnedJobOptions {
+  readonly accepted: AcceptedJob;
+  readonly revision: number;
+  readonly queue: Queue;
+  readonly progress: JobProgress | undefined;
+  /** Smallest number for new runs, above all that former owners used. */
+  readonly firstRun: number;
+  /** Monotonic time that stands for its acceptance, in milliseconds. */
+  readonly acceptedMs: number;
+}
+
+/** A job. */
+export class OwnedJob {
+  readonly occurrences = new Map<number, OwnedOccurrence>();
+
+  readonly accepted: AcceptedJob;
+
+  readonly revision: number;
+
+  readonly acceptedMs: number;
+
+  /** The queue as last configured. */
+  queue: Queue;
+
+  /** No task waits: nothing to do until one of its runs ends. */
+  settled = false;
+
+  /** A task of it was started at some time. */
+  begun = false;
+
+  cancelled = false;
+
+  /** The final state, once it is decided; it may not be stored yet. */
+  final: 'completed' | 'failed' | undefined;
+
+  /**
+   * @param options - the job and what is known of it
+   */
+  constructor(private readonly options: OwnedJobOptions) {
+    this.accepted = options.accepted;
+    this.revision = options.revision;
+    this.queue = options.queue;
+    this.acceptedMs = options.acceptedMs;
+    this.begun = options.progress !== undefined;
+    const { repeatCount } = options.accepted.job;
+    const count = Math.max(1, repeatCount);
+    for (let index = 0; index < count; index += 1) this.addOccurrence(index);
+  }
+
+  /** @returns the job's id */
+  get id(): string {
+    return this.accepted.id;
+  }
+
+  /** @returns true if tasks of the job may be started */
+  get isOpen(): boolean {
+    return !this.cancelled && this.final === undefined;
+  }
+
+  /** @returns true once every task of every occurrence is done */
+  get isDone(): boolean {
+    return [...this.occurrences.values()].every(({ steps }) =>
+      steps.every(({ spec, doneCount }) => !spec.longRunning && doneCount === spec.count),
+    );
+  }
+
+  /**
+   * Finds a task by its id.
+   *
+   * @param taskId - the task
+   * @returns the task, or undefined if the job has none of that id
+   */
+  findTask(taskId: string): OwnedTask | undefined {
+    const [, occurrence, step, index] = taskId.split('.');
+    return this.occurrences.get(Number(occurrence))?.steps[Number(step)]?.tasks[Number(index)];
+  }
+
+  /** @returns every run of the job that may be in progress */
+  activeRuns(): readonly OwnedRun[] {
+    return [...this.occurrences.values()].flatMap(({ steps }) =>
+      steps.flatMap(({ tasks }) => tasks.flatMap(({ runs }) => runs)),
+    );
+  }
+
+  private addOccurrence(index: number): void {
+    const { accepted, progress } = this.options;
+    const { repeatCount, startAtMs, intervalMs, steps } = accepted.job;
+    const occurrence: OwnedOccurrence = {
+      job: this,
+      index,
+      dueAtMs: repeatCount > 0 ? startAtMs + index * intervalMs : 0,
+      steps: [],
+    };
+    const known = progress?.get(index);
+    steps.forEach((spec, at) => occurrence.steps.push(this.makeStep(occurrence, spec, at, known)));
+    this.occurrences.set(index, occurrence);
+  }
+
+  private makeStep(
+    occurrence: OwnedOccurrence,
+    spec: StepSpec,
+    at: number,
+    known: readonly StepProgress[] | undefined,
+  ): OwnedStep {
+    const progress = known?.[at];
+    const step: OwnedStep = {
+      occurrence,
+      index: at,
+      spec,
+      tasks: [],
+      doneCount: progress?.done.size ?? 0,
+    };
+    for (let index = 0; index < spec.count; index += 1) {
+      const failedRuns = progress?.failedRuns.get(index) ?? [];
+      step.tasks.push({
+        step,
+        index,
+        id: taskIdOf(this.id, occurrence.index, at, index),
+        done: progress?.done.has(index) ?? false,
+        failedRuns: [...failedRuns],
+        nextRun: Math.max(this.options.firstRun, ...failedRuns.map((run) => run + 1)),
+        checkpoint: '',
+        runs: [],
+        notBeforeMs: 0,
+        failedOn: new Set(),
+      });
+    }
+    return step;
+  }
+}
+
+/**
+ * Tells whether all steps that a step comes after are done.
+ *
+ * @param step - the step
+ * @returns true if its tasks may start as far as order goes
+ */
+export const isStepOpen = ({ spec, occurrence }: OwnedStep): boolean =>
+  spec.after.every((earlier) => {
+    const step = occurrence.steps[earlier];
+    return step !== undefined && step.doneCount === step.spec.count;
+  });
+
+/**
+ * Tells which room a task takes: a filler takes no processors.
+ *
+ * @param task - the task
+ * @returns the room
+ */
+export const roomOf = ({ step }: OwnedTask): Size => {
+  const { size, filler } = step.spec;
+  return filler ? { ...size, milliCores: 0 } : size;
+};
--- /dev/null
+++ b/packages/samphirenotch/src/jobs/ownerElection.ts
@@ -0,0 +1,178 @@
+/**
+ * Elects one entry as the owner of all jobs and workers, by a lease in the store.
+ *
+ * The revision of the write that takes the lease is the owner's fencing token: workers refuse orders
+ * with a lower one. An owner that cannot renew goes on for a while, since an outage of the store
+ * deposes nobody; it stops at the first refusal by a worker or by the journal.
+ */
+import type { TransactionStore } from '../infrastructure/transactionStore.js';
+import { partLog } from '../observability/log.js';
+import { callWithin } from '../time/call.js';
+import type { Clock } from '../time/clock.js';
+import { Wakeup } from '../time/wakeup.js';
+
+import { OWNER_KEY } from './jobKeys.js';
+import type { JobReplica } from './jobReplica.js';
+
+/** Time to live of the owner's lease, in milliseconds: how long a dead owner goes unnoticed. */
+const LEASE_MS = 2_500;
+
+/** Time between renewals, in milliseconds: three tries within a lease. */
+const RENEWAL_MS = 700;
+
+/** Time for one call to the store, in milliseconds. */
+const CALL_TIMEOUT_MS = 600;
+
+/** How long an owner goes on without a confirmed lease, in milliseconds; longer than most outages. */
+export const LONGEST_UNCONFIRMED_MS = 12_000;
+
+/** Longest wait for a change of owner, in milliseconds. */
+const CHECK_MS = 500;
+
+/** Spread of candidates, so that not all ask at once, in milliseconds. */
+const CANDIDATE_SPREAD_MS = 120;
+
+/** One term of ownership. */
+export interface Term {
+  readonly fencingToken: number;
+  /** Ends the term. */
+  readonly signal: AbortSignal;
+  /**
+   * Ends the term from within.
+   *
+   * @param reason - what showed that another owner has taken over
+   */
+  depose(reason: string): void;
+}
+
+/** What an election needs. */
+export interface ElectionOptions {
+  readonly store: TransactionStore;
+  readonly replica: JobReplica;
+  readonly clock: Clock;
+  /** Name of this entry. */
+  readonly entry: string;
+  /** Name of this process, another one after each start. */
+  readonly process: string;
+  /** From 0 to 1: how early this entry stands for election. */
+  readonly eagerness: number;
+  /** Serves a term until its signal is aborted. */
+  readonly serve: (term: Term) => Promise<void>;
+}
+
+/** Stands for election whenever there is no owner. */
+export class OwnerElection {
+  private readonly log = partLog('election');
+
+  private readonly wakeup: Wakeup;
+
+  private confirmedMs = 0;
+
+  /**
+   * @param options - what it works with
+   */
+  constructor(private readonly options: ElectionOptions) {
+    this.wakeup = new Wakeup(options.clock);
+  }
+
+  /** Looks at the replica anew. */
+  notify(): void {
+    this.wakeup.wake();
+  }
+
+  /**
+   * Stands for election until told to stop; gives the lease back at the end.
+   *
+   * @param signal - ends the election and the term
+   */
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock, eagerness } = this.options;
+    while (!signal.aborted) {
+      if (!this.isVacant()) {
+        await this.wakeup.wait(CHECK_MS, signal);
+        continue;
+      }
+      await clock.sleep((1 - eagerness) * CANDIDATE_SPREAD_MS, signal);
+      if (!signal.aborted && this.isVacant()) await this.stand(signal);
+    }
+  }
+
+  private isVacant(): boolean {
+    const { replica, entry, process } = this.options;
+    if (replica.revision() === 0) return false;
+    const owner = replica.owner();
+    // A lease of this entry's former life protects nothing any more.
+    return owner === undefined || (owner.entry === entry && owner.process !== process);
+  }
+
+  private async stand(signal: AbortSignal): Promise<void> {
+    const { store, clock, replica, entry, process } = this.options;
+    const lease = await store.grantLease(LEASE_MS, callWithin(clock, CALL_TIMEOUT_MS, signal));
+    if (lease.err) {
+      await clock.sleep(CALL_TIMEOUT_MS / 2, signal);
+      return;
+    }
+    const sentMs = clock.monotonicMs();
+    const expected = replica.owner()?.revision ?? 0;
+    const outcome = await store.commit(
+      {
+        expectations: [{ key: OWNER_KEY, revision: expected }],
+        writes: [{ key: OWNER_KEY, value: `${entry} ${process}`, leaseId: lease.val }],
+        removals: [],
+      },
+      callWithin(clock, CALL_TIMEOUT_MS, signal),
+    );
+    if (outcome.ok && outcome.val.kind === 'committed') {
+      this.confirmedMs = sentMs;
+      await this.serveTerm(outcome.val.revision, lease.val, signal);
+      return;
+    }
+    this.log.info('Another entry was elected, or the store did not answer', {
+      outcome: outcome.ok ? outcome.val.kind : outcome.val.message,
+    });
+    await store.revokeLease(lease.val, callWithin(clock, CALL_TIMEOUT_MS));
+    await clock.sleep(CALL_TIMEOUT_MS / 2, signal);
+  }
+
+  private async serveTerm(
+    fencingToken: number,
+    leaseId: string,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const ended = new AbortController();
+    const stop = (): void => ended.abort();
+    signal.addEventListener('abort', stop);
+    const depose = (reason: string): void => {
+      if (ended.signal.aborted) return;
+      this.log.warn('The term ends', { fencingToken, reason });
+      ended.abort();
+    };
+    this.log.info('Elected', { fencingToken, leaseId });
+    const term: Term = { fencingToken, signal: ended.signal, depose };
+    await Promise.all([this.renew(leaseId, term), this.options.serve(term)]);
+    signal.removeEventListener('abort', stop);
+    const { store, clock } = this.options;
+    const freed = await store.revokeLease(leaseId, callWithin(clock, CALL_TIMEOUT_MS));
+    this.log.info('The lease was given back', { fencingToken, answered: freed.ok });
+  }
+
+  private async renew(leaseId: string, term: Term): Promise<void> {
+    const { store, clock } = this.options;
+    while (!term.signal.aborted) {
+      await clock.sleep(RENEWAL_MS, term.signal);
+      if (term.signal.aborted) return;
+      const sentMs = clock.monotonicMs();
+      const call = callWithin(clock, CALL_TIMEOUT_MS, term.signal);
+      const renewed = await store.renewLease(leaseId, call);
+      if (renewed.ok && renewed.val) this.confirmedMs = sentMs;
+      if (renewed.ok && !renewed.val) {
+        // The key went with the lease, so a rival may have been elected already.
+        term.depose('the lease has ended');
+      }
+      const unconfirmedMs = clock.monotonicMs() - this.confirmedMs;
+      if (unconfirmedMs > LONGEST_UNCONFIRMED_MS) {
+        term.depose(`the lease is unconfirmed for ${Math.round(unconfirmedMs)} ms`);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/samphirenotch/src/jobs/progressJournal.ts
@@ -0,0 +1,202 @@
+/**
+ * Writes the owner's changes in order, several in one transaction.
+ *
+ * Every transaction expects the revision of the journal key that the one before it left and writes
+ * that key anew. So a transaction whose answer was lost cannot take effect after a later one, and
+ * none of a former owner can once its successor has written the key.
+ */
+import type { Failure } from '../failure.js';
+import type { TransactionStore, Write } from '../infrastructure/transactionStore.js';
+import { partLog } from '../observability/log.js';
+import { callWithin } from '../time/call.js';
+import type { Clock } from '../time/clock.js';
+import { Wakeup } from '../time/wakeup.js';
+
+import { JOURNAL_KEY } from './jobKeys.js';
+
+/** Time for one transaction, in milliseconds. */
+const COMMIT_TIMEOUT_MS = 1_200;
+
+/** Wait before a failed transaction is tried again, in milliseconds. */
+const RETRY_MS = 200;
+
+/** Time in which changes gather before they are written, in milliseconds; saves store calls. */
+const GATHER_MS = 12;
+
+/** Entries of each transaction that the journal key itself takes: one expectation, one write. */
+const OWN_ENTRIES = 2;
+
+/** Longest wait for something to write, in milliseconds. */
+const IDLE_MS = 1_000;
+
+/** A change to one key; the value is read when it is written. */
+export interface JournalChange {
+  readonly key: string;
+  /** Value to write, or undefined to remove the key. */
+  readonly value: () => string | undefined;
+}
+
+interface Waiter {
+  readonly sequence: number;
+  readonly resolve: (written: boolean) => void;
+}
+
+/** The journal of one term of ownership. */
+export class ProgressJournal {
+  private readonly log = partLog('journal');
+
+  private readonly pending = new Map<string, { change: JournalChange; sequence: number }>();
+
+  private readonly wakeup: Wakeup;
+
+  private waiters: Waiter[] = [];
+
+  private sequence = 0;
+
+  private closed = false;
+
+  private inDoubt = false;
+
+  /**
+   * @param store - the store
+   * @param clock - time
+   * @param revision - revision at which this owner wrote the journal key
+   * @param label - value of the journal key
+   * @param onDeposed - called when another owner has written the journal
+   */
+  constructor(
+    private readonly store: TransactionStore,
+    private readonly clock: Clock,
+    private revision: number,
+    private readonly label: string,
+    private readonly onDeposed: (reason: string) => void,
+  ) {
+    this.wakeup = new Wakeup(clock);
+  }
+
+  /**
+   * Adds a change; a change to the same key that is not written yet is replaced.
+   *
+   * @param change - the change
+   * @returns a number to wait for with `written`
+   */
+  add(change: JournalChange): number {
+    this.sequence += 1;
+    this.pending.set(change.key, { change, sequence: this.sequence });
+    this.wakeup.wake();
+    return this.sequence;
+  }
+
+  /**
+   * Waits until a change is stored.
+   *
+   * @param sequence - number of the change
+   * @returns false if the term ended first
+   */
+  written(sequence: number): Promise<boolean> {
+    if (this.closed) return Promise.resolve(false);
+    if (this.oldestPending() > sequence) return Promise.resolve(true);
+    return new Promise((resolve) => {
+      this.waiters.push({ sequence, resolve });
+    });
+  }
+
+  /** @returns the number of the newest change */
+  newest(): number {
+    return this.sequence;
+  }
+
+  /**
+   * Writes until the term ends.
+   *
+   * @param signal - ends the term
+   */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      if (this.pending.size === 0) {
+        await this.wakeup.wait(IDLE_MS, signal);
+        if (this.pending.size > 0) await this.clock.sleep(GATHER_MS, signal);
+        continue;
+      }
+      await this.writeSome(signal);
+    }
+    this.closed = true;
+    this.waiters.forEach(({ resolve }) => resolve(false));
+    this.waiters = [];
+  }
+
+  private async writeSome(signal: AbortSignal): Promise<void> {
+    const most = this.store.maximumTransactionEntries - OWN_ENTRIES;
+    const batch = [...this.pending.values()].slice(0, most);
+    if (this.inDoubt && !(await this.settleDoubt(signal))) return;
+    const values = batch.map(({ change }) => ({ key: change.key, value: change.value() }));
+    const writes = values.filter((each): each is Write => each.value !== undefined);
+    const removals = values.filter(({ value }) => value === undefined).map(({ key }) => key);
+    const outcome = await this.store.commit(
+      {
+        expectations: [{ key: JOURNAL_KEY, revision: this.revision }],
+        writes: [...writes, { key: JOURNAL_KEY, value: this.label }],
+        removals,
+      },
+      callWithin(this.clock, COMMIT_TIMEOUT_MS, signal),
+    );
+    if (outcome.err) {
+      await this.noteFailure(outcome.val, signal);
+      return;
+    }
+    if (outcome.val.kind !== 'committed') {
+      // Either a transaction without an answer took effect late, or another owner has written.
+      this.inDoubt = true;
+      return;
+    }
+    this.inDoubt = false;
+    this.revision = outcome.val.revision;
+    batch.forEach(({ change, sequence }) => {
+      if (this.pending.get(change.key)?.sequence === sequence) this.pending.delete(change.key);
+    });
+    this.resolveWaiters();
+  }
+
+  /** After a lost answer, reads which of the owner's transactions the journal stands at. */
+  private async settleDoubt(signal: AbortSignal): Promise<boolean> {
+    const call = callWithin(this.clock, COMMIT_TIMEOUT_MS, signal);
+    const item = await this.store.get(JOURNAL_KEY, call);
+    if (item.err) {
+      await this.clock.sleep(RETRY_MS, signal);
+      return false;
+    }
+    if (item.val?.value !== this.label) {
+      this.onDeposed('the journal names another owner');
+      await this.clock.sleep(RETRY_MS, signal);
+      return false;
+    }
+    // The lost transaction may still take effect; then the next one conflicts and is tried again.
+    this.revision = item.val.revision;
+    return true;
+  }
+
+  private async noteFailure(failure: Failure, signal: AbortSignal): Promise<void> {
+    if (failure.effect === 'unknown') this.inDoubt = true;
+    this.log.warn('Progress was not stored', {
+      reason: failure.message,
+      effect: failure.effect,
+      pending: this.pending.size,
+    });
+    await this.clock.sleep(RETRY_MS, signal);
+  }
+
+  private oldestPending(): number {
+    let oldest = Number.POSITIVE_INFINITY;
+    this.pending.forEach(({ sequence }) => {
+      oldest = Math.min(oldest, sequence);
+    });
+    return oldest;
+  }
+
+  private resolveWaiters(): void {
+    const oldest = this.oldestPending();
+    const ready = this.waiters.filter(({ sequence }) => sequence < oldest);
+    this.waiters = this.waiters.filter(({ sequence }) => sequence >= oldest);
+    ready.forEach(({ resolve }) => resolve(true));
+  }
+}
--- /dev/null
+++ b/packages/samphirenotch/src/jobs/stepLauncher.ts
@@ -0,0 +1,174 @@
+/**
+ * Starts waiting tasks where there is room.
+ */
+import { partLog } from '../observability/log.js';
+import type { Clock } from '../time/clock.js';
+
+import type { JobBook } from './jobBook.js';
+import type { OperatorFollower } from './operatorFollower.js';
+import { isStepOpen, roomOf, type OwnedJob, type OwnedStep, type OwnedTask } from './ownedJob.js';
+import { DeadlineStepOrder, type StepOrder } from './stepOrder.js';
+import { SpreadPlacement, type TaskPlacement } from './taskPlacement.js';
+import type { WorkerAgent } from './workerAgent.js';
+import type { WorkerFleet } from './workerFleet.js';
+
+/** What a launcher works with. */
+export interface StepLauncherOptions {
+  readonly book: JobBook;
+  readonly fleet: WorkerFleet;
+  readonly operator: OperatorFollower;
+  readonly clock: Clock;
+  readonly fencingToken: number;
+}
+
+interface Start {
+  readonly task: OwnedTask;
+  readonly agent: WorkerAgent;
+}
+
+/** Starts tasks, pass by pass. */
+export class StepLauncher {
+  private readonly log = partLog('starts');
+
+  private readonly order: StepOrder = new DeadlineStepOrder();
+
+  private readonly placement: TaskPlacement = new SpreadPlacement();
+
+  /**
+   * @param options - jobs, workers and configuration
+   */
+  constructor(private readonly options: StepLauncherOptions) {}
+
+  /**
+   * Starts what can be started.
+   *
+   * @param directoryKnown - whether the list of workers has been read
+   */
+  pass(directoryKnown: boolean): void {
+    const { book, clock } = this.options;
+    if (!directoryKnown) return;
+    book.refreshQueues();
+    const nowMs = clock.monotonicMs();
+    const steps = book
+      .openJobs()
+      .filter((job) => !job.settled && this.isAccountedFor(job))
+      .flatMap((job) => this.waitingSteps(job, nowMs));
+    this.order.sort(steps, nowMs).forEach((step) => this.startStep(step, nowMs));
+  }
+
+  /** Before all workers of the former owner are known, its tasks may run unseen. */
+  private isAccountedFor(job: OwnedJob): boolean {
+    const { fleet, fencingToken } = this.options;
+    return !fleet.hasSuspects || job.revision > fencingToken;
+  }
+
+  private waitingSteps(job: OwnedJob, nowMs: number): readonly OwnedStep[] {
+    const wallMs = this.options.clock.wallMs();
+    const open = [...job.occurrences.values()].flatMap(({ steps }) =>
+      steps.filter(({ spec, doneCount }) => doneCount < spec.count || spec.longRunning),
+    );
+    const unfinished = open.filter(isStepOpen);
+    const waiting = unfinished.filter(({ tasks }) =>
+      tasks.some((task) => !task.done && task.runs.length === 0),
+    );
+    const owned = job;
+    owned.settled = waiting.length === 0;
+    return waiting.filter(
+      ({ occurrence, tasks }) =>
+        occurrence.dueAtMs <= wallMs && tasks.some((task) => this.isWaiting(task, nowMs)),
+    );
+  }
+
+  private isWaiting(task: OwnedTask, nowMs: number): boolean {
+    return !task.done && task.runs.length === 0 && task.notBeforeMs <= nowMs;
+  }
+
+  private startStep(step: OwnedStep, nowMs: number): void {
+    const { fleet, operator } = this.options;
+    const { job } = step.occurrence;
+    if (!job.isOpen) return;
+    const { evacuated } = operator.view();
+    const workers = fleet.candidates(job.queue.service, evacuated);
+    if (step.spec.gang) {
+      this.startGang(step, workers, nowMs);
+      return;
+    }
+    for (const task of step.tasks) {
+      if (!this.isWaiting(task, nowMs)) continue;
+      const size = roomOf(task);
+      const agent = this.placement.choose({ task, size, workers });
+      // All tasks of a step ask for the same.
+      if (!agent) return;
+      this.start({ task, agent }, task.nextRun);
+    }
+  }
+
+  /** Members of a gang start together or not at all. */
+  private startGang(step: OwnedStep, workers: readonly WorkerAgent[], nowMs: number): void {
+    const members = step.tasks.filter(({ done }) => !done);
+    if (!members.every((task) => this.isWaiting(task, nowMs))) return;
+    const run = Math.max(...members.map(({ nextRun }) => nextRun));
+    const checkpoint = members.map((task) => task.checkpoint).find((each) => each !== '') ?? '';
+    const racks = step.spec.sameRack ? this.racksOf(workers) : [];
+    const groups = [...racks, workers];
+    const found = groups.map((group) => this.placeAll(members, group)).find((starts) => starts);
+    if (!found) return;
+    found.forEach(({ task, agent }) => {
+      const member = task;
+      member.checkpoint = checkpoint;
+      this.start({ task: member, agent }, run);
+    });
+  }
+
+  private racksOf(workers: readonly WorkerAgent[]): readonly (readonly WorkerAgent[])[] {
+    const racks = new Map<string, WorkerAgent[]>();
+    workers.forEach((agent) => {
+      const rack = agent.description.labels.at(-1) ?? '';
+      racks.set(rack, [...(racks.get(rack) ?? []), agent]);
+    });
+    return [...racks.values()];
+  }
+
+  /** Places members one by one on what the ones before leave. */
+  private placeAll(
+    members: readonly OwnedTask[],
+    workers: readonly WorkerAgent[],
+  ): readonly Start[] | undefined {
+    const starts: Start[] = [];
+    for (const task of members) {
+      const size = roomOf(task);
+      const taken = (agent: WorkerAgent): number =>
+        starts.filter((start) => start.agent === agent).length;
+      const limit = task.step.spec.perWorkerLimit;
+      const fitting = workers.filter((agent) => {
+        const count = taken(agent) + 1;
+        if (limit > 0 && count > limit) return false;
+        return agent.fits({
+          milliCores: size.milliCores * count,
+          memoryMb: size.memoryMb * count,
+          accelerators: size.accelerators * count,
+        });
+      });
+      const agent = this.placement.choose({ task, size, workers: fitting });
+      if (!agent) return undefined;
+      starts.push({ task, agent });
+    }
+    return starts;
+  }
+
+  private start({ task, agent }: Start, run: number): void {
+    const { job } = task.step.occurrence;
+    const owned = task;
+    owned.nextRun = run + 1;
+    job.begun = true;
+    this.log.info('Starting a task', {
+      taskId: task.id,
+      run,
+      worker: agent.id,
+      dataCentre: agent.description.dataCentre,
+      freeMilliCores: agent.free().milliCores,
+      configuration: this.options.operator.view().configuration?.version,
+    });
+    agent.start(task, run, roomOf(task), undefined);
+  }
+}
--- /dev/null
+++ b/packages/samphirenotch/src/jobs/stepOrder.ts
@@ -0,0 +1,86 @@
+/**
+ * The order in which waiting steps are offered room.
+ *
+ * Answers the pattern of bursts of heavy jobs beside urgent ones: long-running tasks first, since
+ * they are missed while they are away; then jobs that can still be in time, urgent queues before
+ * others and within them the earliest deadline; then late jobs in the same order.
+ */
+import type { OwnedJob, OwnedStep } from './ownedJob.js';
+
+/** Orders steps that wait for room. */
+export interface StepOrder {
+  /**
+   * @param steps - steps with tasks that may start
+   * @param nowMs - monotonic time in milliseconds
+   * @returns the steps, first served first
+   */
+  sort(steps: readonly OwnedStep[], nowMs: number): readonly OwnedStep[];
+}
+
+/** Assumed duration of a task whose estimate is missing, in milliseconds. */
+const DEFAULT_ESTIMATE_MS = 1_000;
+
+/**
+ * Estimates the longest chain of work that starts with a step.
+ *
+ * @param job - the job
+ * @param from - index of the step
+ * @returns milliseconds
+ */
+export const chainMs = (job: OwnedJob, from: number): number => {
+  const { steps } = job.accepted.job;
+  const longest = new Map<number, number>();
+  for (let index = steps.length - 1; index >= 0; index -= 1) {
+    const own = steps[index]?.estimateMs || DEFAULT_ESTIMATE_MS;
+    const later = steps
+      .map(({ after }, at) => (after.includes(index) ? (longest.get(at) ?? 0) : 0))
+      .reduce((most, each) => Math.max(most, each), 0);
+    longest.set(index, own + later);
+  }
+  return longest.get(from) ?? 0;
+};
+
+/**
+ * Tells by when a job should be complete.
+ *
+ * @param job - the job
+ * @returns monotonic time in milliseconds
+ */
+export const objectiveMs = (job: OwnedJob): number => {
+  const { stretch, targetLatencyMs } = job.queue;
+  const chain = Math.max(0, ...job.accepted.job.steps.map((_, index) => chainMs(job, index)));
+  return job.acceptedMs + stretch * chain + targetLatencyMs;
+};
+
+interface Rank {
+  readonly step: OwnedStep;
+  readonly group: number;
+  readonly priority: number;
+  readonly dueMs: number;
+}
+
+const LONG_RUNNING = 0;
+const IN_TIME = 1;
+const LATE = 2;
+
+/** Deadlines of those that can be in time first. */
+export class DeadlineStepOrder implements StepOrder {
+  sort(steps: readonly OwnedStep[], nowMs: number): readonly OwnedStep[] {
+    return steps
+      .map((step) => this.rank(step, nowMs))
+      .sort(
+        (left, right) =>
+          left.group - right.group || left.priority - right.priority || left.dueMs - right.dueMs,
+      )
+      .map(({ step }) => step);
+  }
+
+  private rank(step: OwnedStep, nowMs: number): Rank {
+    const { job } = step.occurrence;
+    const dueMs = objectiveMs(job);
+    const { priority } = job.queue;
+    if (step.spec.longRunning) return { step, group: LONG_RUNNING, priority, dueMs };
+    const isInTime = nowMs + chainMs(job, step.index) <= dueMs;
+    return { step, group: isInTime ? IN_TIME : LATE, priority, dueMs };
+  }
+}
--- /dev/null
+++ b/packages/samphirenotch/src/jobs/storeFollower.ts
@@ -0,0 +1,132 @@
+/**
+ * Keeps up with all keys under a prefix of the store: lists once, then watches.
+ */
+import type { KeyValue } from '../infrastructure/keyValueStore.js';
+import type { TransactionStore } from '../infrastructure/transactionStore.js';
+import { partLog } from '../observability/log.js';
+import { callWithin } from '../time/call.js';
+import type { Clock } from '../time/clock.js';
+
+/** How long the store may hold a watch open, in milliseconds; bounds how long silence goes unseen. */
+const WATCH_HOLD_MS = 1_000;
+
+/** Time beyond the hold after which a watch counts as silent, in milliseconds. */
+const WATCH_SLACK_MS = 500;
+
+/** Time for a page of a listing, in milliseconds. */
+const LIST_TIMEOUT_MS = 1_500;
+
+/** Wait after a failed call, in milliseconds. */
+const RETRY_MS = 150;
+
+/** Receives what is under the prefix. */
+export interface StoreListener {
+  /** Replaces everything known. */
+  onListing(items: readonly KeyValue[], revision: number): void;
+  /** One change; without a value the key was removed. */
+  onChange(key: string, value: string | undefined, revision: number): void;
+  /** After all changes of an answer, also of an empty one. */
+  onCaughtUp(revision: number): void;
+}
+
+/** Follows one prefix. */
+export class StoreFollower {
+  private readonly log = partLog('follower');
+
+  private revision = 0;
+
+  private listed = false;
+
+  private lastContact = Number.NEGATIVE_INFINITY;
+
+  private failing = false;
+
+  /**
+   * @param store - the store
+   * @param prefix - the prefix
+   * @param listener - receives items and changes
+   * @param clock - time
+   */
+  constructor(
+    private readonly store: TransactionStore,
+    private readonly prefix: string,
+    private readonly listener: StoreListener,
+    private readonly clock: Clock,
+  ) {}
+
+  /** @returns milliseconds since the store last answered for this prefix */
+  ageMs(): number {
+    return this.clock.monotonicMs() - this.lastContact;
+  }
+
+  /** @returns the revision up to which everything is known */
+  knownRevision(): number {
+    return this.listed ? this.revision : 0;
+  }
+
+  /**
+   * Follows until told to stop.
+   *
+   * @param signal - ends following
+   */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const ok = this.listed ? await this.watch(signal) : await this.list(signal);
+      if (!ok && !signal.aborted) await this.clock.sleep(RETRY_MS, signal);
+    }
+  }
+
+  private async list(signal: AbortSignal): Promise<boolean> {
+    const call = callWithin(this.clock, LIST_TIMEOUT_MS, signal);
+    const sentAt = this.clock.monotonicMs();
+    const listing = await this.store.list(this.prefix, call);
+    if (listing.err) return this.noteFailure(listing.val.message);
+    this.revision = listing.val.revision;
+    this.listed = true;
+    this.noteSuccess(sentAt);
+    this.listener.onListing(listing.val.items, this.revision);
+    this.listener.onCaughtUp(this.revision);
+    return true;
+  }
+
+  private async watch(signal: AbortSignal): Promise<boolean> {
+    const call = callWithin(this.clock, WATCH_HOLD_MS + WATCH_SLACK_MS, signal);
+    const batch = await this.store.watch(this.prefix, this.revision, WATCH_HOLD_MS, call);
+    if (batch.err) return this.noteFailure(batch.val.message);
+    if (batch.val.compacted) {
+      this.log.info('The store dropped its history; listing again', {
+        prefix: this.prefix,
+        revision: this.revision,
+      });
+      this.listed = false;
+      return true;
+    }
+    this.noteSuccess(this.clock.monotonicMs());
+    batch.val.changes.forEach(({ key, value, revision }) =>
+      this.listener.onChange(key, value, revision),
+    );
+    this.revision = Math.max(this.revision, batch.val.revision);
+    this.listener.onCaughtUp(this.revision);
+    return true;
+  }
+
+  private noteSuccess(at: number): void {
+    if (this.failing) {
+      this.failing = false;
+      this.log.info('The store answers again', { prefix: this.prefix, revision: this.revision });
+    }
+    this.lastContact = at;
+  }
+
+  private noteFailure(reason: string): false {
+    if (!this.failing) {
+      this.failing = true;
+      this.log.warn('The store does not answer', {
+        prefix: this.prefix,
+        revision: this.revision,
+        reason,
+      });
+    }
+    return false;
+  }
+}
--- /dev/null
+++ b/packages/samphirenotch/src/jobs/workerDirectory.ts
@@ -0,0 +1,79 @@
+/**
+ * Keeps up with the workers that describe themselves in the store.
+ */
+import type { KeyValue } from '../infrastructure/keyValueStore.js';
+import type { WorkerDescription } from '../infrastructure/taskWorker.js';
+import type { Clock } from '../time/clock.js';
+
+import type { SiteCodec } from './siteCodec.js';
+import type { StoreListener } from './storeFollower.js';
+
+/** Time that an entry may be missing from a listing before it counts as gone, in milliseconds. */
+const MISSING_MS = 2_500;
+
+/** Hears of workers. */
+export interface DirectoryListener {
+  onWorker(description: WorkerDescription): void;
+  onUnlisted(id: string): void;
+}
+
+/** Holds the listed workers. */
+export class WorkerDirectory implements StoreListener {
+  private readonly workers = new Map<string, WorkerDescription>();
+
+  /** Keys missing from the last listing, with the time since when. */
+  private readonly missing = new Map<string, number>();
+
+  private isComplete = false;
+
+  /**
+   * @param codec - reads items
+   * @param listener - hears of workers
+   * @param clock - time
+   */
+  constructor(
+    private readonly codec: SiteCodec,
+    private readonly listener: DirectoryListener,
+    private readonly clock: Clock,
+  ) {}
+
+  /** @returns true once the directory was listed */
+  get complete(): boolean {
+    return this.isComplete;
+  }
+
+  onListing(items: readonly KeyValue[]): void {
+    const present = new Set(items.map(({ key }) => key));
+    const nowMs = this.clock.monotonicMs();
+    [...this.workers.keys()]
+      .filter((key) => !present.has(key) && !this.missing.has(key))
+      .forEach((key) => this.missing.set(key, nowMs));
+    items.forEach(({ key, value }) => this.onChange(key, value));
+    this.isComplete = true;
+  }
+
+  onChange(key: string, value: string | undefined): void {
+    const known = this.workers.get(key);
+    if (value === undefined) {
+      // Entries that lapsed with an outage of the store come back soon.
+      if (known && !this.missing.has(key)) this.missing.set(key, this.clock.monotonicMs());
+      return;
+    }
+    const description = this.codec.readWorker(key, value);
+    if (!description) return;
+    this.missing.delete(key);
+    this.workers.set(key, description);
+    this.listener.onWorker(description);
+  }
+
+  onCaughtUp(): void {
+    const nowMs = this.clock.monotonicMs();
+    this.missing.forEach((sinceMs, key) => {
+      if (nowMs - sinceMs < MISSING_MS) return;
+      this.missing.delete(key);
+      const known = this.workers.get(key);
+      this.workers.delete(key);
+      if (known) this.listener.onUnlisted(known.id);
+    });
+  }
+}
--- /dev/null
+++ b/packages/samphirenotch/src/jobs/workerFleet.ts
@@ -0,0 +1,225 @@
+/**
+ * All workers of an owner.
+ */
+import type { RunEndKind, WorkerDescription } from '../infrastructure/taskWorker.js';
+import { partLog } from '../observability/log.js';
+import type { Clock } from '../time/clock.js';
+
+import { ROSTER_KEY } from './jobKeys.js';
+import type { OwnedTask } from './ownedJob.js';
+import { LONGEST_UNCONFIRMED_MS } from './ownerElection.js';
+import type { ProgressJournal } from './progressJournal.js';
+import type { WorkerAgent } from './workerAgent.js';
+import { WorkerHealth } from './workerHealth.js';
+
+/** Longest lease that a former owner can have granted last, with drift, in milliseconds. */
+const FORMER_LEASE_MS = 6_500;
+
+/** A worker that a former owner may have started something on. */
+export interface RosterEntry {
+  readonly id: string;
+  readonly address: string;
+  readonly service: string;
+  readonly dataCentre: string;
+}
+
+const NO_ROOM = { milliCores: 0, memoryMb: 0, accelerators: 0 };
+
+const describeFormer = (entry: RosterEntry): WorkerDescription => ({
+  ...entry,
+  capacity: NO_ROOM,
+  labels: [],
+  phase: 'draining',
+  coldMs: 0,
+  bornMs: 0,
+});
+
+/** Holds an agent for each worker. */
+export class WorkerFleet {
+  private readonly log = partLog('fleet');
+
+  private readonly agents = new Map<string, WorkerAgent>();
+
+  private readonly health = new Map<string, WorkerHealth>();
+
+  /** Workers that may run what nobody knows of, with the time at which no lease can be left. */
+  private readonly suspects = new Map<WorkerAgent, number>();
+
+  private journal!: ProgressJournal;
+
+  private lastRoster = '';
+
+  /**
+   * @param connect - makes the agent of a worker
+   * @param clock - time
+   */
+  constructor(
+    private readonly connect: (description: WorkerDescription) => WorkerAgent,
+    private readonly clock: Clock,
+  ) {}
+
+  /** @returns all agents */
+  all(): readonly WorkerAgent[] {
+    return [...this.agents.values()];
+  }
+
+  /** @returns true while a run of a former owner may be unknown */
+  get hasSuspects(): boolean {
+    return this.suspects.size > 0;
+  }
+
+  /**
+   * Sets what the term began with.
+   *
+   * @param journal - where the roster is written
+   * @param roster - workers of former owners
+   */
+  attach(journal: ProgressJournal, roster: readonly RosterEntry[]): void {
+    this.journal = journal;
+    const untilMs = this.clock.monotonicMs() + LONGEST_UNCONFIRMED_MS + FORMER_LEASE_MS;
+    roster.forEach((entry) => {
+      const agent = this.add(describeFormer(entry));
+      agent.unlisted = true;
+      this.suspects.set(agent, untilMs);
+    });
+  }
+
+  /**
+   * Takes news of a worker.
+   *
+   * @param description - the worker
+   * @returns true if it is new or takes work again
+   */
+  describe(description: WorkerDescription): boolean {
+    const known = this.agents.get(description.id);
+    if (!known) {
+      this.log.info('A worker is listed', {
+        worker: description.id,
+        address: description.address,
+        dataCentre: description.dataCentre,
+        phase: description.phase,
+      });
+      this.add(description);
+      return true;
+    }
+    const before = known.description;
+    const wasUnlisted = known.unlisted;
+    known.describe(description);
+    if (before.phase !== description.phase) {
+      this.log.info('A worker has changed', {
+        worker: description.id,
+        phase: description.phase,
+        remainingMs: description.remainingMs,
+      });
+    }
+    return wasUnlisted || before.phase !== description.phase;
+  }
+
+  /**
+   * A worker has left the directory.
+   *
+   * @param id - the worker
+   */
+  unlist(id: string): void {
+    const agent = this.agents.get(id);
+    if (!agent) return;
+    agent.unlisted = true;
+    this.log.info('A worker is no longer listed', { worker: id, runs: agent.runCount });
+  }
+
+  /**
+   * A worker refuses orders of former owners from now on.
+   *
+   * @param agent - its agent
+   */
+  noteFenced(agent: WorkerAgent): void {
+    if (!this.suspects.delete(agent)) return;
+    if (this.suspects.size === 0)
+      this.log.info('All workers of the former owner are accounted for');
+  }
+
+  /**
+   * Learns from the end of a run.
+   *
+   * @param agent - the worker's agent
+   * @param task - the task
+   * @param kind - how the run ended
+   */
+  noteEnd(agent: WorkerAgent, task: OwnedTask, kind: RunEndKind): void {
+    if (kind !== 'done' && kind !== 'failed') return;
+    const health = this.health.get(agent.id) ?? new WorkerHealth();
+    this.health.set(agent.id, health);
+    const nowMs = this.clock.monotonicMs();
+    const avoidMs = health.note(task.step.occurrence.job.id, kind === 'failed', nowMs);
+    if (avoidMs === 0) return;
+    const avoided = agent;
+    avoided.avoidUntilMs = Math.max(agent.avoidUntilMs, nowMs + avoidMs);
+    this.log.warn('A worker fails what it runs and is avoided', { worker: agent.id, avoidMs });
+  }
+
+  /**
+   * Lists workers that may get new tasks.
+   *
+   * @param service - their service
+   * @param evacuated - data centres that get none
+   * @returns their agents
+   */
+  candidates(service: string, evacuated: ReadonlySet<string>): readonly WorkerAgent[] {
+    return this.all().filter(
+      (agent) =>
+        agent.takesWork &&
+        agent.description.service === service &&
+        !evacuated.has(agent.description.dataCentre),
+    );
+  }
+
+  /** Drops workers that are gone, gives up waiting for those that cannot be reached, stores the roster. */
+  maintain(): void {
+    const nowMs = this.clock.monotonicMs();
+    this.suspects.forEach((untilMs, agent) => {
+      if (nowMs < untilMs) return;
+      this.suspects.delete(agent);
+      this.log.warn('A worker of the former owner was not reached; its leases have lapsed', {
+        worker: agent.id,
+      });
+    });
+    this.all()
+      .filter((agent) => agent.unlisted && agent.runCount === 0 && !this.suspects.has(agent))
+      .forEach((agent) => this.remove(agent));
+    this.storeRoster();
+  }
+
+  /** Ends all agents. */
+  close(): void {
+    this.all().forEach((agent) => agent.close());
+  }
+
+  private add(description: WorkerDescription): WorkerAgent {
+    const agent = this.connect(description);
+    this.agents.set(description.id, agent);
+    agent.run().catch((error: unknown) => {
+      this.log.error('An agent has failed', { worker: description.id, reason: String(error) });
+    });
+    return agent;
+  }
+
+  private remove(agent: WorkerAgent): void {
+    this.log.info('A worker is dropped', { worker: agent.id });
+    agent.close();
+    this.agents.delete(agent.id);
+    this.health.delete(agent.id);
+  }
+
+  private storeRoster(): void {
+    const roster = this.all().map(({ description }) => ({
+      id: description.id,
+      address: description.address,
+      service: description.service,
+      dataCentre: description.dataCentre,
+    }));
+    const text = JSON.stringify(roster);
+    if (text === this.lastRoster) return;
+    this.lastRoster = text;
+    this.journal.add({ key: ROSTER_KEY, value: () => text });
+  }
+}
--- /dev/null
+++ b/packages/samphirenotch/src/jobs/workerHealth.ts
@@ -0,0 +1,60 @@
+/**
+ * Finds workers that fail what they run, from the ends that they list.
+ *
+ * Answers the pattern of grey failures: a worker that reports good health and fails or drops its
+ * tasks. Failures of several jobs in a short window count; those of one job are the job's own.
+ */
+
+/** Ends of a worker that are remembered. */
+const WINDOW = 8;
+
+/** Jobs that must have failed on a worker before it is avoided. */
+const FAILED_JOBS = 2;
+
+/** Share of remembered ends that must have failed. */
+const FAILED_SHARE = 0.5;
+
+/** How long a worker is avoided the first time, in milliseconds; doubles with each relapse. */
+const AVOID_MS = 2_000;
+
+/** Longest time for which a worker is avoided, in milliseconds. */
+const LONGEST_AVOID_MS = 8_000;
+
+/** Time for which ends count, in milliseconds. */
+const MEMORY_MS = 6_000;
+
+interface RememberedEnd {
+  readonly jobId: string;
+  readonly failed: boolean;
+  readonly atMs: number;
+}
+
+/** What is known of one worker's ends. */
+export class WorkerHealth {
+  private ends: readonly RememberedEnd[] = [];
+
+  private avoidMs = AVOID_MS;
+
+  /**
+   * Takes an end.
+   *
+   * @param jobId - the job
+   * @param failed - whether the run failed
+   * @param nowMs - monotonic time in milliseconds
+   * @returns for how long the worker is to be avoided from now, in milliseconds; 0 if it is not
+   */
+  note(jobId: string, failed: boolean, nowMs: number): number {
+    const recent = this.ends.filter(({ atMs }) => nowMs - atMs < MEMORY_MS);
+    this.ends = [...recent, { jobId, failed, atMs: nowMs }].slice(-WINDOW);
+    const failures = this.ends.filter((end) => end.failed);
+    const jobs = new Set(failures.map((end) => end.jobId));
+    if (!failed) {
+      this.avoidMs = Math.max(AVOID_MS, this.avoidMs / 2);
+      return 0;
+    }
+    if (jobs.size < FAILED_JOBS || failures.length < FAILED_SHARE * this.ends.length) return 0;
+    const avoidMs = this.avoidMs;
+    this.avoidMs = Math.min(LONGEST_AVOID_MS, avoidMs * 2);
+    return avoidMs;
+  }
+}
