Learn how fillers disturb serving tasks, pair by pair

The inverse of a tail falls about linearly with the processors of fillers beside it, at slopes that differ by pair. Placement and pacing use learned slopes; followers that do not own jobs let changes gather.

--- a/packages/samphirenotch/src/jobs/fillerPacing.ts
+++ b/packages/samphirenotch/src/jobs/fillerPacing.ts
@@ -1,82 +1,127 @@
 /**
- * Slows fillers down where they keep a serving task from its target.
+ * Slows fillers down where they would keep a serving task from its target.
  *
- * Answers the pattern of interference that differs by pair and shifts within seconds: nothing is
- * assumed of pairs, the measured tail decides. Fast down, slow up.
+ * Answers the pattern of interference that differs by pair and shifts within seconds: the pairs that
+ * disturb most are slowed first, as far as what was learned of them asks for. A target that is
+ * missed all the same stops every filler on the worker until it is met again.
  */
+import type { Clock } from '../time/clock.js';
+
+import type { FillerUse, Interference } from './interference.js';
 import type { OwnedRun } from './ownedJob.js';
 import type { WorkerAgent } from './workerAgent.js';
 import type { WorkerFleet } from './workerFleet.js';
 
-/** Tail over target above which fillers are slowed down hard. */
-const OVER = 1;
-
-/** Tail over target above which fillers are slowed down a little, before the target is missed. */
-const NEAR = 0.85;
-
-/** Tail over target below which fillers get more. */
-const BELOW = 0.6;
-
-/** Factor of the pace when a target is missed. */
-const HARD_FACTOR = 0.3;
-
-/** Factor of the pace when a target is near. */
-const SOFT_FACTOR = 0.7;
+/** Tail over target that is aimed for: below 1, since loads shift between two looks. */
+const AIM = 0.9;
 
-/** What the pace gains at each step, in percent. */
-const RISE_PERCENT = 20;
+/** Time over the target after which every filler beside it stands still, in milliseconds. */
+const PATIENCE_MS = 900;
 
-/** Pace below which fillers stand still, in percent. */
-const LEAST_PERCENT = 8;
+/** Paces are rounded to steps, in percent, so that small changes send no orders. */
+const STEP_PERCENT = 20;
 
 const FULL_PERCENT = 100;
 
-const isServing = ({ task, phase }: OwnedRun): boolean =>
-  task.step.spec.targetMs > 0 && phase === 'running';
+/** Tells whether a run serves users under a target. */
+export const isServing = ({ task }: OwnedRun): boolean => task.step.spec.targetMs > 0;
 
-const isFilling = ({ task, phase }: OwnedRun): boolean =>
-  task.step.spec.filler && phase === 'running';
+/** Tells whether a run takes only processors that others leave unused. */
+export const isFiller = ({ task }: OwnedRun): boolean => task.step.spec.filler;
+
+/**
+ * Lists what the fillers of a worker would use at full pace.
+ *
+ * @param runs - everything on the worker
+ * @param milliCores - the worker's processors
+ * @returns their uses
+ */
+export const fullUses = (runs: readonly OwnedRun[], milliCores: number): readonly FillerUse[] =>
+  runs.filter(isFiller).map(({ task }) => ({
+    image: task.step.spec.image,
+    share: task.step.spec.size.milliCores / milliCores,
+  }));
 
 /** Adjusts paces after each look at a worker. */
 export class FillerPacing {
   private readonly seenLooks = new WeakMap<WorkerAgent, number>();
 
-  private readonly paces = new WeakMap<WorkerAgent, number>();
-
   /**
    * @param fleet - the workers
+   * @param interference - what was learned of pairs
+   * @param clock - time
    */
-  constructor(private readonly fleet: WorkerFleet) {}
+  constructor(
+    private readonly fleet: WorkerFleet,
+    private readonly interference: Interference,
+    private readonly clock: Clock,
+  ) {}
 
   /** Adjusts every worker that was looked at since the last time. */
   adjust(): void {
-    this.fleet.all().forEach((agent) => this.adjustAgent(agent));
+    const nowMs = this.clock.monotonicMs();
+    this.fleet.all().forEach((agent) => {
+      if (this.seenLooks.get(agent) === agent.looks) return;
+      this.seenLooks.set(agent, agent.looks);
+      this.adjustAgent(agent, nowMs);
+    });
   }
 
-  private adjustAgent(agent: WorkerAgent): void {
-    if (this.seenLooks.get(agent) === agent.looks) return;
-    this.seenLooks.set(agent, agent.looks);
-    const fillers = agent.activeRuns().filter(isFilling);
+  private adjustAgent(agent: WorkerAgent, nowMs: number): void {
+    const runs = agent.activeRuns();
+    const { milliCores } = agent.description.capacity;
+    this.interference.learn(runs, milliCores, nowMs);
+    const serving = runs.filter((run) => isServing(run) && run.percent === FULL_PERCENT);
+    serving.forEach((run) => this.noteTarget(run, nowMs));
+    const fillers = runs.filter((run) => isFiller(run) && run.phase === 'running');
     if (fillers.length === 0) return;
-    const before = this.paces.get(agent) ?? FULL_PERCENT;
-    const pace = this.nextPace(agent, before);
-    this.paces.set(agent, pace);
-    fillers.filter((run) => run.pace !== pace).forEach((run) => agent.pace(run, pace));
+    const isHarmed = serving.some(
+      ({ overTargetSinceMs }) =>
+        overTargetSinceMs !== undefined && nowMs - overTargetSinceMs >= PATIENCE_MS,
+    );
+    const paces = isHarmed
+      ? new Map(fillers.map((run) => [run, 0]))
+      : this.paces(fillers, serving, milliCores, nowMs);
+    paces.forEach((pace, run) => {
+      if (run.pace !== pace) agent.pace(run, pace).catch(() => undefined);
+    });
   }
 
-  private nextPace(agent: WorkerAgent, before: number): number {
-    const ratios = agent
-      .activeRuns()
-      .filter(isServing)
-      .map(({ gauge, task }) => gauge / task.step.spec.targetMs);
-    const worst = Math.max(0, ...ratios);
-    if (worst > OVER) return this.atLeast(before * HARD_FACTOR);
-    if (worst > NEAR) return this.atLeast(before * SOFT_FACTOR);
-    if (worst < BELOW) return Math.min(FULL_PERCENT, before + RISE_PERCENT);
-    return before;
+  private noteTarget(run: OwnedRun, nowMs: number): void {
+    const owned = run;
+    if (run.gauge <= run.task.step.spec.targetMs) owned.overTargetSinceMs = undefined;
+    else owned.overTargetSinceMs ??= nowMs;
   }
 
-  private atLeast(pace: number): number {
-    return pace < LEAST_PERCENT ? 0 : Math.round(pace);
+  private paces(
+    fillers: readonly OwnedRun[],
+    serving: readonly OwnedRun[],
+    milliCores: number,
+    nowMs: number,
+  ): ReadonlyMap<OwnedRun, number> {
+    const paces = new Map(fillers.map((run) => [run, FULL_PERCENT]));
+    serving.forEach((run) => {
+      const { image, targetMs } = run.task.step.spec;
+      const uses = fillers.map((filler) => ({
+        image: filler.task.step.spec.image,
+        share:
+          (((paces.get(filler) ?? 0) / FULL_PERCENT) * filler.task.step.spec.size.milliCores) /
+          milliCores,
+      }));
+      const inverse = this.interference.inverseTail(run, uses, nowMs);
+      if (inverse === undefined) return;
+      let excess = 1 / (AIM * targetMs) - inverse;
+      const worstFirst = fillers
+        .map((filler, at) => ({ filler, loss: this.interference.loss(image, uses.slice(at, at + 1)) }))
+        .sort((left, right) => right.loss - left.loss);
+      worstFirst.forEach(({ filler, loss }) => {
+        if (excess <= 0 || loss <= 0) return;
+        const kept = Math.max(0, loss - excess) / loss;
+        const pace = (paces.get(filler) ?? 0) * kept;
+        paces.set(filler, Math.floor(pace / STEP_PERCENT) * STEP_PERCENT);
+        excess -= loss * (1 - kept);
+      });
+    });
+    return paces;
   }
 }
--- a/packages/samphirenotch/src/jobs/jobEntry.ts
+++ b/packages/samphirenotch/src/jobs/jobEntry.ts
@@ -20,6 +20,9 @@
 /** Silence of the store after which an entry says that it is not ready, in milliseconds. */
 const NOT_READY_MS = 2_000;
 
+/** How long changes of jobs gather at an entry that does not own them, in milliseconds. */
+const GATHER_MS = 200;
+
 /** What an entry is made of. */
 export interface JobEntryOptions {
   readonly store: TransactionStore;
@@ -66,7 +69,9 @@
   constructor(private readonly options: JobEntryOptions) {
     const { store, clock, codec } = options;
     this.operator = new OperatorFollower(codec);
-    this.jobsFollower = new StoreFollower(store, SHARED_PREFIX, this.replica, clock);
+    this.jobsFollower = new StoreFollower(store, SHARED_PREFIX, this.replica, clock, () =>
+      this.isOwner ? 0 : GATHER_MS,
+    );
     this.operatorFollower = new StoreFollower(store, codec.operatorPrefix, this.operator, clock);
     this.election = new OwnerElection({
       store,
--- a/packages/samphirenotch/src/jobs/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/jobOwner.ts
@@ -14,6 +14,7 @@
 import { Wakeup } from '../time/wakeup.js';
 
 import { FillerPacing } from './fillerPacing.js';
+import { Interference } from './interference.js';
 import { JobBook } from './jobBook.js';
 import type { JobReplica } from './jobReplica.js';
 import { StepLauncher } from './stepLauncher.js';
@@ -34,6 +35,9 @@
 /** Least time between two passes, in milliseconds: starts of one moment go together. */
 const PASS_GAP_MS = 4;
 
+/** How long news of workers gather, in milliseconds: heartbeats of all arrive all the time. */
+const DIRECTORY_GATHER_MS = 250;
+
 /** Wait before a task is tried again after a worker turned it away, in milliseconds. */
 const TURNED_AWAY_MS = 100;
 
@@ -79,14 +83,16 @@
     this.wakeup = new Wakeup(options.clock);
     this.book = new JobBook(options.operator, options.clock);
     this.fleet = new WorkerFleet((description) => this.connect(description), options.clock);
+    const interference = new Interference();
     this.launcher = new StepLauncher({
       book: this.book,
       fleet: this.fleet,
       operator: options.operator,
       clock: options.clock,
       fencingToken: term.fencingToken,
+      interference,
     });
-    this.pacing = new FillerPacing(this.fleet);
+    this.pacing = new FillerPacing(this.fleet, interference, options.clock);
   }
 
   /** Serves until the term ends. */
@@ -104,6 +110,7 @@
       options.codec.workersPrefix,
       directory,
       options.clock,
+      () => DIRECTORY_GATHER_MS,
     );
     options.replica.openJobs().forEach((job) => this.book.accept(job));
     options.replica.listen({
--- a/packages/samphirenotch/src/jobs/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/stepLauncher.ts
@@ -4,6 +4,7 @@
 import { partLog } from '../observability/log.js';
 import type { Clock } from '../time/clock.js';
 
+import type { Interference } from './interference.js';
 import type { JobBook } from './jobBook.js';
 import type { OperatorFollower } from './operatorFollower.js';
 import { isStepOpen, roomOf, type OwnedJob, type OwnedStep, type OwnedTask } from './ownedJob.js';
@@ -19,6 +20,7 @@
   readonly operator: OperatorFollower;
   readonly clock: Clock;
   readonly fencingToken: number;
+  readonly interference: Interference;
 }
 
 interface Start {
@@ -32,12 +34,14 @@
 
   private readonly order: StepOrder = new DeadlineStepOrder();
 
-  private readonly placement: TaskPlacement = new SpreadPlacement();
+  private readonly placement: TaskPlacement;
 
   /**
    * @param options - jobs, workers and configuration
    */
-  constructor(private readonly options: StepLauncherOptions) {}
+  constructor(private readonly options: StepLauncherOptions) {
+    this.placement = new SpreadPlacement(options.interference, options.clock);
+  }
 
   /**
    * Starts what can be started.
--- a/packages/samphirenotch/src/jobs/storeFollower.ts
+++ b/packages/samphirenotch/src/jobs/storeFollower.ts
@@ -46,12 +46,15 @@
    * @param prefix - the prefix
    * @param listener - receives items and changes
    * @param clock - time
+   * @param gatherMs - how long changes gather before they are asked for, in milliseconds; each
+   *   answer is a priced call
    */
   constructor(
     private readonly store: TransactionStore,
     private readonly prefix: string,
     private readonly listener: StoreListener,
     private readonly clock: Clock,
+    private readonly gatherMs: () => number = () => 0,
   ) {}
 
   /** @returns milliseconds since the store last answered for this prefix */
@@ -73,6 +76,8 @@
     while (!signal.aborted) {
       const ok = this.listed ? await this.watch(signal) : await this.list(signal);
       if (!ok && !signal.aborted) await this.clock.sleep(RETRY_MS, signal);
+      const gatherMs = this.gatherMs();
+      if (ok && gatherMs > 0) await this.clock.sleep(gatherMs, signal);
     }
   }
 
--- a/packages/samphirenotch/src/jobs/taskPlacement.ts
+++ b/packages/samphirenotch/src/jobs/taskPlacement.ts
@@ -6,8 +6,11 @@
  * worker costs least and bursts find room everywhere.
  */
 import type { Size } from '../infrastructure/worker.js';
+import type { Clock } from '../time/clock.js';
 
-import type { OwnedTask } from './ownedJob.js';
+import { fullUses, isFiller, isServing } from './fillerPacing.js';
+import type { Interference } from './interference.js';
+import type { OwnedRun, OwnedTask } from './ownedJob.js';
 import type { WorkerAgent } from './workerAgent.js';
 
 /** What a placement may use. */
@@ -36,26 +39,32 @@
 /** Weight of a worker that is still slow after its start. */
 const COLD_WEIGHT = 2;
 
-/** Weight of each filler beside a serving task, and of each serving task beside a filler. */
-const DISTURBANCE_WEIGHT = 0.4;
+/** Weight of the share of a serving task's spare room that a filler would take. */
+const DISTURBANCE_WEIGHT = 1;
 
-const countServing = (agent: WorkerAgent): number =>
-  agent.activeRuns().filter(({ task }) => task.step.spec.targetMs > 0).length;
+/** Tail over target that must be predicted with a filler beside it; loads rise while it runs. */
+const PLACEMENT_AIM = 0.8;
 
-const countFillers = (agent: WorkerAgent): number =>
-  agent.activeRuns().filter(({ task }) => task.step.spec.filler).length;
+/** Share of its declared processors that a serving task uses at the peak of its load. */
+const SERVING_USE = 0.65;
 
-const fillerMilliCores = (agent: WorkerAgent): number =>
-  agent
-    .activeRuns()
-    .filter(({ task }) => task.step.spec.filler)
-    .reduce((sum, { task }) => sum + task.step.spec.size.milliCores, 0);
+const sumMilliCores = (runs: readonly OwnedRun[]): number =>
+  runs.reduce((sum, { task }) => sum + task.step.spec.size.milliCores, 0);
 
 const countOfStep = (agent: WorkerAgent, task: OwnedTask): number =>
   agent.activeRuns().filter((run) => run.task.step === task.step).length;
 
 /** Spreads by free room, away from disturbance. */
 export class SpreadPlacement implements TaskPlacement {
+  /**
+   * @param interference - what was learned of fillers and serving tasks
+   * @param clock - time
+   */
+  constructor(
+    private readonly interference: Interference,
+    private readonly clock: Clock,
+  ) {}
+
   choose({ task, size, workers }: PlacementInput): WorkerAgent | undefined {
     let best: WorkerAgent | undefined;
     let bestCost = Number.POSITIVE_INFINITY;
@@ -78,14 +87,41 @@
   private cost(agent: WorkerAgent, task: OwnedTask): number {
     const { spec } = task.step;
     const { capacity, labels, coldMs } = agent.description;
-    const free = agent.free();
-    const fillers = spec.filler ? fillerMilliCores(agent) : 0;
-    let cost = 1 - (free.milliCores - fillers) / Math.max(1, capacity.milliCores);
+    let cost = spec.filler
+      ? this.fillerCost(agent, task)
+      : 1 - agent.free().milliCores / Math.max(1, capacity.milliCores);
     if (spec.dataRack !== '' && !labels.includes(spec.dataRack)) cost += REMOTE_WEIGHT;
     if (task.failedOn.has(agent.id)) cost += FAILED_WEIGHT;
     if (coldMs > 0) cost += COLD_WEIGHT;
-    if (spec.filler) cost += DISTURBANCE_WEIGHT * countServing(agent);
-    if (spec.targetMs > 0) cost += DISTURBANCE_WEIGHT * countFillers(agent);
+    if (spec.targetMs > 0) cost += DISTURBANCE_WEIGHT * this.lossBeside(agent, task);
     return cost;
   }
+
+  /** A filler goes where processors are left over and no serving task would miss its target. */
+  private fillerCost(agent: WorkerAgent, task: OwnedTask): number {
+    const { spec } = task.step;
+    const { milliCores } = agent.description.capacity;
+    const runs = agent.activeRuns();
+    const serving = runs.filter(isServing);
+    const taken = sumMilliCores(runs) - (1 - SERVING_USE) * sumMilliCores(serving);
+    const unused = milliCores - taken;
+    if (unused < spec.size.milliCores) return Number.POSITIVE_INFINITY;
+    const added = { image: spec.image, share: spec.size.milliCores / milliCores };
+    const uses = [...fullUses(runs, milliCores), added];
+    const nowMs = this.clock.monotonicMs();
+    const worst = serving.reduce((most, run) => {
+      const inverse = this.interference.inverseTail(run, uses, nowMs);
+      if (inverse === undefined) return most;
+      const needed = 1 / (PLACEMENT_AIM * run.task.step.spec.targetMs);
+      return Math.max(most, inverse <= 0 ? Number.POSITIVE_INFINITY : needed / inverse);
+    }, 0);
+    if (worst > 1) return Number.POSITIVE_INFINITY;
+    return 1 - unused / milliCores + DISTURBANCE_WEIGHT * worst;
+  }
+
+  private lossBeside(agent: WorkerAgent, task: OwnedTask): number {
+    const { image, targetMs } = task.step.spec;
+    const uses = fullUses(agent.activeRuns().filter(isFiller), agent.description.capacity.milliCores);
+    return this.interference.loss(image, uses) * targetMs;
+  }
 }
--- a/packages/samphirenotch/src/jobs/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workerAgent.ts
@@ -24,6 +24,9 @@
 /** How long a worker may hold an answer until a run ends, in milliseconds. */
 const HOLD_WAIT_MS = 1_000;
 
+/** The same while fillers run beside a task with a target, whose tail is reported by half seconds. */
+const CLOSE_HOLD_WAIT_MS = 500;
+
 /** Time for an order, or for a hold beyond its wait, in milliseconds; a round trip takes a few. */
 const ORDER_TIMEOUT_MS = 600;
 
@@ -348,6 +351,14 @@
     return this.grantedUntilMs;
   }
 
+  private holdWaitMs(): number {
+    const runs = this.activeRuns();
+    const isClose =
+      runs.some(({ task }) => task.step.spec.filler) &&
+      runs.some(({ task }) => task.step.spec.targetMs > 0);
+    return isClose ? CLOSE_HOLD_WAIT_MS : HOLD_WAIT_MS;
+  }
+
   private leaseMs(): number {
     return Math.min(LEASE_MS, this.options.holdLimitMs);
   }
@@ -356,7 +367,7 @@
     const { clock, worker, fencingToken } = this.options;
     const storedAll = this.storedSequence >= this.seenSequence;
     const waits = this.fenced && this.answers && storedAll && this.runs.size > 0;
-    const waitMs = waits ? HOLD_WAIT_MS : 0;
+    const waitMs = waits ? this.holdWaitMs() : 0;
     const sentMs = clock.monotonicMs();
     const acknowledged = this.storedSequence;
     const leaseUntilMs = this.nextLease();
--- a/utils/bundle.mjs
+++ b/utils/bundle.mjs
@@ -12,7 +12,6 @@
 await build({
   entryPoints: ['platform/main.ts'],
   outfile,
-  external: [],
   bundle: true,
   platform: 'node',
   target: 'node20',
