Learn pair slopes by ridge regression

Each serving image now has a small regression over the images of fillers, with a constant for noise.

--- a/packages/samphirenotch/src/jobs/fillerPacing.ts
+++ b/packages/samphirenotch/src/jobs/fillerPacing.ts
@@ -7,8 +7,9 @@
  */
 import type { Clock } from '../time/clock.js';
 
-import type { FillerUse, Interference } from './interference.js';
+import type { Interference } from './interference.js';
 import type { OwnedRun } from './ownedJob.js';
+import type { FillerUse } from './pairSlopes.js';
 import type { WorkerAgent } from './workerAgent.js';
 import type { WorkerFleet } from './workerFleet.js';
 
--- a/packages/samphirenotch/src/jobs/interference.ts
+++ b/packages/samphirenotch/src/jobs/interference.ts
@@ -6,21 +6,10 @@
  * least disturbed of them shows what the tail would be without fillers.
  */
 import type { OwnedRun, OwnedStep } from './ownedJob.js';
+import { PairSlopes, type FillerUse } from './pairSlopes.js';
 
-/** Slope of an unknown pair: inverse milliseconds lost when fillers use a whole worker. */
-const PRIOR_SLOPE = 0.12;
-
-/** Largest slope that is learned. */
-const LARGEST_SLOPE = 3;
-
-/** Share of a residual that is learned at once when the disturbance was underestimated. */
-const RISE_RATE = 0.6;
-
-/** Share that is learned when it was overestimated; a pair is trusted again slowly. */
-const FALL_RATE = 0.15;
-
-/** Keeps small uses from moving slopes much, as a share of a worker. */
-const LEAST_USE = 0.03;
+/** Tail over target from which figures are saturated: they bound the loss from below only. */
+const SATURATED = 5;
 
 /** Age up to which a step's undisturbed tail is used, in milliseconds. */
 const BASE_AGE_MS = 1_500;
@@ -33,30 +22,12 @@
   readonly atMs: number;
 }
 
-/** How much of a worker fillers of one image use. */
-export interface FillerUse {
-  readonly image: string;
-  /** Share of the worker's processors, from 0 to 1. */
-  readonly share: number;
-}
-
 /** Slopes by pair, and undisturbed tails by step. */
 export class Interference {
-  private readonly slopes = new Map<string, number>();
+  private readonly slopes = new Map<string, PairSlopes>();
 
   private readonly bases = new WeakMap<OwnedStep, Base>();
 
-  /**
-   * Tells the slope of a pair.
-   *
-   * @param serving - image of the serving task
-   * @param filler - image of the filler
-   * @returns inverse milliseconds lost per worker of use
-   */
-  slope(serving: string, filler: string): number {
-    return this.slopes.get(`${serving} ${filler}`) ?? PRIOR_SLOPE;
-  }
-
   /**
    * Predicts the tail of a serving task.
    *
@@ -79,7 +50,7 @@
    * @returns inverse milliseconds
    */
   loss(serving: string, uses: readonly FillerUse[]): number {
-    return uses.reduce((sum, { image, share }) => sum + this.slope(serving, image) * share, 0);
+    return this.slopesOf(serving).predict(uses);
   }
 
   /**
@@ -118,21 +89,20 @@
   }
 
   private learnFrom(run: OwnedRun, uses: readonly FillerUse[], nowMs: number): void {
-    const { image } = run.task.step.spec;
+    const { image, targetMs } = run.task.step.spec;
     const base = this.baseOf(run.task.step, nowMs);
     if (base === undefined) return;
     const lost = Math.max(0, base - 1 / run.gauge);
-    const residual = lost - this.loss(image, uses);
-    const rate = residual > 0 ? RISE_RATE : FALL_RATE;
-    const energy = uses.reduce((sum, { share }) => sum + share * share, LEAST_USE * LEAST_USE);
-    const shares = new Map<string, number>();
-    uses.forEach(({ image: filler, share }) =>
-      shares.set(filler, (shares.get(filler) ?? 0) + share),
-    );
-    shares.forEach((share, filler) => {
-      const before = this.slope(image, filler);
-      const after = before + (rate * residual * share) / energy;
-      this.slopes.set(`${image} ${filler}`, Math.min(LARGEST_SLOPE, Math.max(0, after)));
-    });
+    const slopes = this.slopesOf(image);
+    if (run.gauge > SATURATED * targetMs && slopes.predict(uses) > lost) return;
+    slopes.learn(uses, lost);
+  }
+
+  private slopesOf(serving: string): PairSlopes {
+    const known = this.slopes.get(serving);
+    if (known) return known;
+    const slopes = new PairSlopes();
+    this.slopes.set(serving, slopes);
+    return slopes;
   }
 }
--- a/packages/samphirenotch/src/jobs/taskPlacement.ts
+++ b/packages/samphirenotch/src/jobs/taskPlacement.ts
@@ -43,10 +43,10 @@
 const DISTURBANCE_WEIGHT = 1;
 
 /** Tail over target that must be predicted with a filler beside it; loads rise while it runs. */
-const PLACEMENT_AIM = 0.8;
+const PLACEMENT_AIM = 0.85;
 
-/** Share of its declared processors that a serving task uses at the peak of its load. */
-const SERVING_USE = 0.65;
+/** Share of its declared processors that a serving task uses on average. */
+const SERVING_USE = 0.5;
 
 const sumMilliCores = (runs: readonly OwnedRun[]): number =>
   runs.reduce((sum, { task }) => sum + task.step.spec.size.milliCores, 0);
