--- a/packages/samphirenotch/src/jobs/jobBook.ts
+++ b/packages/samphirenotch/src/jobs/jobBook.ts
@@ -32,6 +32,9 @@
 
   private readonly jobs = new Map<string, OwnedJob>();
 
+  /** Jobs that this term has ended; their final state may not be stored yet. */
+  private readonly endedIds = new Set<string>();
+
   private journal!: ProgressJournal;
 
   private firstRun = 1;
@@ -97,7 +100,7 @@
    * @param job - the job
    */
   accept({ accepted, revision }: ReplicatedJob): void {
-    if (this.jobs.has(accepted.id)) return;
+    if (this.jobs.has(accepted.id) || this.endedIds.has(accepted.id)) return;
     const ageMs = this.clock.wallMs() - accepted.acceptedAtMs;
     const job = new OwnedJob({
       accepted,
@@ -138,7 +141,7 @@
     if (!job.isOpen) return;
     this.journal.add({
       key: PROGRESS_PREFIX + job.id,
-      value: () => (job.isOpen ? encodeProgress(job) : undefined),
+      value: () => encodeProgress(job),
     });
   }
 
@@ -156,9 +159,7 @@
       state: final,
       afterMs: Math.round(this.clock.monotonicMs() - job.acceptedMs),
     });
-    this.journal.add({ key: ENDED_PREFIX + job.id, value: () => final });
-    this.journal.add({ key: PROGRESS_PREFIX + job.id, value: () => undefined });
-    this.jobs.delete(job.id);
+    this.drop(job, this.journal.add({ key: ENDED_PREFIX + job.id, value: () => final }));
   }
 
   /**
@@ -167,8 +168,20 @@
    * @param job - the job
    */
   forget(job: OwnedJob): void {
-    this.journal.add({ key: PROGRESS_PREFIX + job.id, value: () => undefined });
+    this.drop(job, 0);
+  }
+
+  /** Progress goes only after the final state is stored, or a successor would begin the job anew. */
+  private drop(job: OwnedJob, sequence: number): void {
     this.jobs.delete(job.id);
+    this.endedIds.add(job.id);
+    const removeProgress = (stored: boolean): void => {
+      if (!stored) return;
+      this.journal.add({ key: PROGRESS_PREFIX + job.id, value: () => undefined });
+    };
+    this.journal.written(sequence).then(removeProgress, (error: unknown) => {
+      this.log.error('Progress was not removed', { jobId: job.id, reason: String(error) });
+    });
   }
 
   /**
--- a/packages/samphirenotch/src/jobs/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/jobOwner.ts
@@ -8,6 +8,7 @@
   WorkerDescription,
 } from '../infrastructure/taskWorker.js';
 import type { TransactionStore } from '../infrastructure/transactionStore.js';
+import type { Size } from '../infrastructure/worker.js';
 import { partLog } from '../observability/log.js';
 import type { Recorder } from '../observability/recorder.js';
 import type { Clock } from '../time/clock.js';
@@ -17,6 +18,7 @@
 import { Interference } from './interference.js';
 import { JobBook } from './jobBook.js';
 import type { JobReplica } from './jobReplica.js';
+import { jobIdOfTask } from './jobSpec.js';
 import { StepLauncher } from './stepLauncher.js';
 import type { OperatorFollower } from './operatorFollower.js';
 import { roomOf, type OwnedJob, type OwnedRun, type OwnedTask } from './ownedJob.js';
@@ -160,6 +162,13 @@
     return agent.adopt(task, report.run, roomOf(task), 'running');
   }
 
+  sizeOfUnknown(taskId: string): Size | undefined {
+    const job = this.options.replica.find(jobIdOfTask(taskId));
+    const step = job?.accepted.job.steps[Number(taskId.split('.')[2])];
+    if (!step) return undefined;
+    return step.filler ? { ...step.size, milliCores: 0 } : step.size;
+  }
+
   onEnd(agent: WorkerAgent, run: OwnedRun | undefined, end: RunEnd): void {
     const task = this.book.findTask(end.taskId);
     this.log.info('A run has ended', {
--- a/packages/samphirenotch/src/jobs/jobReplica.ts
+++ b/packages/samphirenotch/src/jobs/jobReplica.ts
@@ -155,7 +155,12 @@
     this.cancelled = new Set();
     this.ended = new Map();
     this.ownerRecord = undefined;
-    items.forEach(({ key, value, revision }) => this.onChange(key, value, revision));
+    // A job whose end is listed too must not be taken for a new one.
+    const isAccepted = ({ key }: KeyValue): boolean => key.startsWith(ACCEPTED_PREFIX);
+    const others = items.filter((item) => !isAccepted(item));
+    [...others, ...items.filter(isAccepted)].forEach(({ key, value, revision }) =>
+      this.onChange(key, value, revision),
+    );
   }
 
   onChange(key: string, value: string | undefined, revision: number): void {
@@ -203,7 +208,7 @@
     try {
       const job = { accepted: decodeAccepted(value), revision };
       this.jobs.set(id, job);
-      this.listener?.onAccepted(job);
+      if (!this.ended.has(id) && !this.cancelled.has(id)) this.listener?.onAccepted(job);
     } catch (error) {
       this.log.error('An accepted job cannot be read', { jobId: id, reason: String(error) });
     }
--- a/packages/samphirenotch/src/jobs/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workerAgent.ts
@@ -55,6 +55,8 @@
 export interface AgentListener {
   /** A run of an earlier owner, or one that was taken for gone; returns the run, or undefined to stop it. */
   onUnknownRun(agent: WorkerAgent, report: RunReport): OwnedRun | undefined;
+  /** Room that a run takes which no open task has; undefined if nothing is known of its job. */
+  sizeOfUnknown(taskId: string): Size | undefined;
   /** The worker listed the end of a run. */
   onEnd(agent: WorkerAgent, run: OwnedRun | undefined, end: RunEnd): void;
   /** A run is over without a listed end: it never ran, its lease lapsed or its worker restarted. */
@@ -120,6 +122,9 @@
 
   private acknowledgedSequence = 0;
 
+  /** Runs that are being stopped because no open task has them, with the room that they take. */
+  private foreign: ReadonlyMap<string, Size> = new Map();
+
   private readonly used = { milliCores: 0, memoryMb: 0, accelerators: 0 };
 
   /**
@@ -171,10 +176,11 @@
   /** @returns what is left of its room */
   free(): Size {
     const { capacity } = this.description;
+    const sizes = [this.used, ...this.foreign.values()];
     return {
-      milliCores: capacity.milliCores - this.used.milliCores,
-      memoryMb: capacity.memoryMb - this.used.memoryMb,
-      accelerators: capacity.accelerators - this.used.accelerators,
+      milliCores: sizes.reduce((left, each) => left - each.milliCores, capacity.milliCores),
+      memoryMb: sizes.reduce((left, each) => left - each.memoryMb, capacity.memoryMb),
+      accelerators: sizes.reduce((left, each) => left - each.accelerators, capacity.accelerators),
     };
   }
 
@@ -313,7 +319,12 @@
   }
 
   private isIdle(): boolean {
-    return this.fenced && this.runs.size === 0 && this.acknowledgedSequence >= this.seenSequence;
+    return (
+      this.fenced &&
+      this.runs.size === 0 &&
+      this.foreign.size === 0 &&
+      this.acknowledgedSequence >= this.seenSequence
+    );
   }
 
   private use(size: Size, sign: 1 | -1): void {
@@ -429,7 +440,7 @@
       });
       await Promise.race([stored, clock.sleep(RETRY_MS, signal)]);
     }
-    if (this.runs.size > 0) {
+    if (this.runs.size > 0 || this.foreign.size > 0) {
       await clock.sleep(LOOK_GAP_MS, signal);
       return;
     }
@@ -463,10 +474,15 @@
       .filter(({ sequence }) => sequence > this.seenSequence)
       .forEach((end) => this.applyEnd(end));
     const listed = new Set<string>();
+    const foreign = new Map<string, Size>();
     holding.running.forEach((report) => {
-      listed.add(runKey(report.taskId, report.run));
-      this.applyReport(report);
+      const key = runKey(report.taskId, report.run);
+      listed.add(key);
+      if (this.applyReport(report)) return;
+      const size = this.options.listener.sizeOfUnknown(report.taskId);
+      foreign.set(key, size ?? this.description.capacity);
     });
+    this.foreign = foreign;
     this.findMissing(listed, sentMs);
     if (!this.fenced) {
       this.fenced = true;
@@ -481,17 +497,19 @@
     this.options.listener.onEnd(this, run, end);
   }
 
-  private applyReport(report: RunReport): void {
+  /** Returns false if no open task has the run. */
+  private applyReport(report: RunReport): boolean {
     const known = this.runs.get(runKey(report.taskId, report.run));
     const run = known ?? this.options.listener.onUnknownRun(this, report);
     if (!run) {
       this.stopUnknown(report);
-      return;
+      return false;
     }
     if (run.phase === 'starting' || run.phase === 'in-doubt') this.confirm(run);
     run.percent = report.percent;
     run.gauge = report.gauge;
     if (report.checkpoint !== '') run.task.checkpoint = report.checkpoint;
+    return true;
   }
 
   private confirm(run: OwnedRun): void {
@@ -525,6 +543,7 @@
     this.acknowledgedSequence = 0;
     this.grantedUntilMs = 0;
     this.workerClock.reset();
+    this.foreign = new Map();
     this.activeRuns().forEach((run) => {
       const mayStart = run.phase === 'starting' || run.phase === 'in-doubt';
       if (sameAddress && mayStart) return;
