Keep serving tasks of one image together

Cause: a worker with serving tasks of five images is disturbed by some filler whatever runs there, so no place was good for fillers.

--- a/packages/samphirenotch/src/jobs/taskPlacement.ts
+++ b/packages/samphirenotch/src/jobs/taskPlacement.ts
@@ -42,6 +42,9 @@
 /** Weight of the share of a serving task's spare room that a filler would take. */
 const DISTURBANCE_WEIGHT = 1;
 
+/** Weight of each other image that serves on a worker. */
+const MIXED_WEIGHT = 1;
+
 /** Tail over target that must be predicted with a filler beside it; loads rise while it runs. */
 const PLACEMENT_AIM = 0.85;
 
@@ -86,10 +89,8 @@
 
   private cost(agent: WorkerAgent, task: OwnedTask): number {
     const { spec } = task.step;
-    const { capacity, labels, coldMs } = agent.description;
-    let cost = spec.filler
-      ? this.fillerCost(agent, task)
-      : 1 - agent.free().milliCores / Math.max(1, capacity.milliCores);
+    const { labels, coldMs } = agent.description;
+    let cost = this.roomCost(agent, task);
     if (spec.dataRack !== '' && !labels.includes(spec.dataRack)) cost += REMOTE_WEIGHT;
     if (task.failedOn.has(agent.id)) cost += FAILED_WEIGHT;
     if (coldMs > 0) cost += COLD_WEIGHT;
@@ -97,6 +98,22 @@
     return cost;
   }
 
+  private roomCost(agent: WorkerAgent, task: OwnedTask): number {
+    if (task.step.spec.filler) return this.fillerCost(agent, task);
+    const free = agent.free().milliCores / Math.max(1, agent.description.capacity.milliCores);
+    if (task.step.spec.targetMs === 0) return 1 - free;
+    return free + MIXED_WEIGHT * this.otherImages(agent, task);
+  }
+
+  /** Serving tasks of one image keep together: fillers that disturb it have the other workers. */
+  private otherImages(agent: WorkerAgent, { step }: OwnedTask): number {
+    const images = agent
+      .activeRuns()
+      .filter(isServing)
+      .map(({ task }) => task.step.spec.image);
+    return new Set(images.filter((image) => image !== step.spec.image)).size;
+  }
+
   /** A filler goes where processors are left over and no serving task would miss its target. */
   private fillerCost(agent: WorkerAgent, task: OwnedTask): number {
     const { spec } = task.step;
