--- a/packages/samphirenotch/src/jobs/fillerPacing.ts
+++ b/packages/samphirenotch/src/jobs/fillerPacing.ts
@@ -14,7 +14,7 @@
 import type { WorkerFleet } from './workerFleet.js';
 
 /** Tail over target that is aimed for: below 1, since loads shift between two looks. */
-const AIM = 0.9;
+const AIM = 0.95;
 
 /** Time over the target after which every filler beside it stands still, in milliseconds. */
 const PATIENCE_MS = 900;
--- a/packages/samphirenotch/src/jobs/interference.ts
+++ b/packages/samphirenotch/src/jobs/interference.ts
@@ -17,8 +17,26 @@
 /** Time for which a run must have been in progress before its figures count, in milliseconds. */
 const SETTLED_MS = 700;
 
+/** Share of a reading's error that the level takes over; a step has several readings a second. */
+const LEVEL_GAIN = 0.25;
+
+/** Share of a reading's error that the trend takes over within its span. */
+const TREND_GAIN = 0.1;
+
+/** Span over which an error is taken to have grown, in milliseconds. */
+const TREND_SPAN_MS = 500;
+
+/** Loss beside fillers at which a reading has half its trust, in inverse milliseconds. */
+const TRUSTED_LOSS = 0.01;
+
+/** How far ahead tails are predicted, in milliseconds: a look, an order, and until it shows. */
+const AHEAD_MS = 700;
+
+/** What is known of a step's tail without fillers. */
 interface Base {
   readonly inverse: number;
+  /** Change by millisecond. */
+  readonly trend: number;
   readonly atMs: number;
 }
 
@@ -37,7 +55,7 @@
    * @returns the inverse of the tail in milliseconds; undefined while nothing is known of the step
    */
   inverseTail(run: OwnedRun, uses: readonly FillerUse[], nowMs: number): number | undefined {
-    const base = this.baseOf(run.task.step, nowMs);
+    const base = this.baseOf(run.task.step, nowMs + AHEAD_MS);
     if (base === undefined) return undefined;
     return base - this.loss(run.task.step.spec.image, uses);
   }
@@ -67,32 +85,50 @@
     const serving = runs.filter(
       (run) => run.task.step.spec.targetMs > 0 && run.gauge > 0 && run.percent === 100,
     );
-    serving.filter(settled).forEach((run) => this.noteBase(run, nowMs));
-    if (fillers.length === 0 || !fillers.every(settled)) return;
     const uses = fillers.map(({ task, gauge }) => ({
       image: task.step.spec.image,
       share: gauge / milliCores,
     }));
-    serving.filter(settled).forEach((run) => this.learnFrom(run, uses, nowMs));
+    serving.filter(settled).forEach((run) => {
+      const lost = this.loss(run.task.step.spec.image, uses);
+      if (fillers.length > 0) this.learnFrom(run, uses, nowMs);
+      this.noteBase(run, lost, nowMs);
+    });
   }
 
-  private noteBase({ task, gauge }: OwnedRun, nowMs: number): void {
-    const known = this.bases.get(task.step);
-    const inverse = 1 / gauge;
-    if (known && nowMs - known.atMs < BASE_AGE_MS && known.inverse > inverse) return;
-    this.bases.set(task.step, { inverse, atMs: nowMs });
+  /** Follows a step's undisturbed tail; what is known to be lost is added back, and trusted less. */
+  private noteBase({ task, gauge }: OwnedRun, lost: number, nowMs: number): void {
+    const { step } = task;
+    const reading = 1 / gauge + lost;
+    const known = this.bases.get(step);
+    if (!known || nowMs - known.atMs > BASE_AGE_MS) {
+      this.bases.set(step, { inverse: reading, trend: 0, atMs: nowMs });
+      return;
+    }
+    const elapsedMs = nowMs - known.atMs;
+    const expected = known.inverse + known.trend * elapsedMs;
+    const trust = TRUSTED_LOSS / (TRUSTED_LOSS + lost);
+    const error = reading - expected;
+    this.bases.set(step, {
+      inverse: expected + LEVEL_GAIN * trust * error,
+      trend: known.trend + (TREND_GAIN * trust * error) / TREND_SPAN_MS,
+      atMs: nowMs,
+    });
   }
 
-  private baseOf(step: OwnedStep, nowMs: number): number | undefined {
+  private baseOf(step: OwnedStep, atMs: number): number | undefined {
     const base = this.bases.get(step);
-    return base && nowMs - base.atMs < 2 * BASE_AGE_MS ? base.inverse : undefined;
+    if (!base) return undefined;
+    const elapsedMs = atMs - base.atMs;
+    if (elapsedMs > 2 * BASE_AGE_MS) return undefined;
+    return Math.max(0, base.inverse + base.trend * Math.min(elapsedMs, BASE_AGE_MS));
   }
 
   private learnFrom(run: OwnedRun, uses: readonly FillerUse[], nowMs: number): void {
     const { image, targetMs } = run.task.step.spec;
     const base = this.baseOf(run.task.step, nowMs);
     if (base === undefined) return;
-    const lost = Math.max(0, base - 1 / run.gauge);
+    const lost = base - 1 / run.gauge;
     const slopes = this.slopesOf(image);
     if (run.gauge > SATURATED * targetMs && slopes.predict(uses) > lost) return;
     slopes.learn(uses, lost);
--- a/packages/samphirenotch/src/jobs/jobBook.ts
+++ b/packages/samphirenotch/src/jobs/jobBook.ts
@@ -109,6 +109,7 @@
       progress: this.progress.get(accepted.id),
       firstRun: this.firstRun,
       acceptedMs: this.clock.monotonicMs() - Math.min(LONGEST_AGE_MS, Math.max(0, ageMs)),
+      learnedMs: this.clock.monotonicMs(),
     });
     this.jobs.set(accepted.id, job);
     this.log.info('A job is taken in', {
--- a/packages/samphirenotch/src/jobs/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/jobOwner.ts
@@ -91,7 +91,7 @@
       fleet: this.fleet,
       operator: options.operator,
       clock: options.clock,
-      fencingToken: term.fencingToken,
+      term,
       interference,
     });
     this.pacing = new FillerPacing(this.fleet, interference, options.clock);
@@ -121,6 +121,9 @@
         this.wakeup.wake();
       },
       onCancelled: (jobId) => this.cancel(jobId),
+      onOwner: (owner) => {
+        if (owner?.revision !== term.fencingToken) term.depose('the lease is another one');
+      },
     });
     this.book.openJobs().forEach(({ id }) => {
       if (options.replica.isCancelled(id)) this.cancel(id);
@@ -226,6 +229,7 @@
       holdLimitMs: options.holdLimitMs,
       listener: this,
       signal: term.signal,
+      isSoleOwner: () => options.clock.monotonicMs() < term.certainUntilMs(),
     });
   }
 
--- a/packages/samphirenotch/src/jobs/jobReplica.ts
+++ b/packages/samphirenotch/src/jobs/jobReplica.ts
@@ -33,6 +33,7 @@
 export interface ReplicaListener {
   onAccepted(job: ReplicatedJob): void;
   onCancelled(jobId: string): void;
+  onOwner(owner: OwnerRecord | undefined): void;
 }
 
 interface Waiting {
@@ -161,11 +162,13 @@
     [...others, ...items.filter(isAccepted)].forEach(({ key, value, revision }) =>
       this.onChange(key, value, revision),
     );
+    if (!this.ownerRecord) this.listener?.onOwner(undefined);
   }
 
   onChange(key: string, value: string | undefined, revision: number): void {
     if (key === OWNER_KEY) {
       this.ownerRecord = this.readOwner(value, revision);
+      this.listener?.onOwner(this.ownerRecord);
       return;
     }
     if (key === WAITING_KEY) {
--- a/packages/samphirenotch/src/jobs/ownedJob.ts
+++ b/packages/samphirenotch/src/jobs/ownedJob.ts
@@ -81,6 +81,8 @@
   readonly firstRun: number;
   /** Monotonic time that stands for its acceptance, in milliseconds. */
   readonly acceptedMs: number;
+  /** Monotonic time at which this owner heard of it, in milliseconds. */
+  readonly learnedMs: number;
 }
 
 /** A job. */
@@ -93,6 +95,8 @@
 
   readonly acceptedMs: number;
 
+  readonly learnedMs: number;
+
   /** The queue as last configured. */
   queue: Queue;
 
@@ -115,6 +119,7 @@
     this.revision = options.revision;
     this.queue = options.queue;
     this.acceptedMs = options.acceptedMs;
+    this.learnedMs = options.learnedMs;
     this.begun = options.progress !== undefined;
     const { repeatCount } = options.accepted.job;
     const count = Math.max(1, repeatCount);
--- a/packages/samphirenotch/src/jobs/ownerElection.ts
+++ b/packages/samphirenotch/src/jobs/ownerElection.ts
@@ -17,6 +17,9 @@
 /** Time to live of the owner's lease, in milliseconds: how long a dead owner goes unnoticed. */
 const LEASE_MS = 2_500;
 
+/** What a lease is taken to be shorter than it is, in milliseconds; clocks differ a little. */
+const LEASE_MARGIN_MS = 100;
+
 /** Time between renewals, in milliseconds: three tries within a lease. */
 const RENEWAL_MS = 700;
 
@@ -37,6 +40,12 @@
   readonly fencingToken: number;
   /** Ends the term. */
   readonly signal: AbortSignal;
+  /**
+   * Tells until when the lease is certain. What is learned after that may belong to a successor.
+   *
+   * @returns monotonic time in milliseconds
+   */
+  certainUntilMs(): number;
   /**
    * Ends the term from within.
    *
@@ -148,7 +157,12 @@
       ended.abort();
     };
     this.log.info('Elected', { fencingToken, leaseId });
-    const term: Term = { fencingToken, signal: ended.signal, depose };
+    const term: Term = {
+      fencingToken,
+      signal: ended.signal,
+      certainUntilMs: () => this.confirmedMs + LEASE_MS - LEASE_MARGIN_MS,
+      depose,
+    };
     await Promise.all([this.renew(leaseId, term), this.options.serve(term)]);
     signal.removeEventListener('abort', stop);
     const { store, clock } = this.options;
--- a/packages/samphirenotch/src/jobs/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/stepLauncher.ts
@@ -8,6 +8,7 @@
 import type { JobBook } from './jobBook.js';
 import type { OperatorFollower } from './operatorFollower.js';
 import { isStepOpen, roomOf, type OwnedJob, type OwnedStep, type OwnedTask } from './ownedJob.js';
+import type { Term } from './ownerElection.js';
 import { DeadlineStepOrder, type StepOrder } from './stepOrder.js';
 import { SpreadPlacement, type TaskPlacement } from './taskPlacement.js';
 import type { WorkerAgent } from './workerAgent.js';
@@ -19,7 +20,7 @@
   readonly fleet: WorkerFleet;
   readonly operator: OperatorFollower;
   readonly clock: Clock;
-  readonly fencingToken: number;
+  readonly term: Term;
   readonly interference: Interference;
 }
 
@@ -62,8 +63,10 @@
 
   /** Before all workers of the former owner are known, its tasks may run unseen. */
   private isAccountedFor(job: OwnedJob): boolean {
-    const { fleet, fencingToken } = this.options;
-    return !fleet.hasSuspects || job.revision > fencingToken;
+    const { fleet, term } = this.options;
+    // A job that was learned after the lease may have lapsed can be a successor's.
+    if (job.learnedMs > term.certainUntilMs()) return false;
+    return !fleet.hasSuspects || job.revision > term.fencingToken;
   }
 
   private waitingSteps(job: OwnedJob, nowMs: number): readonly OwnedStep[] {
--- a/packages/samphirenotch/src/jobs/stepOrder.ts
+++ b/packages/samphirenotch/src/jobs/stepOrder.ts
@@ -1,9 +1,9 @@
 /**
  * The order in which waiting steps are offered room.
  *
- * Answers the pattern of bursts of heavy jobs beside urgent ones: long-running tasks first, since
- * they are missed while they are away; then jobs that can still be in time, urgent queues before
- * others and within them the earliest deadline; then late jobs in the same order.
+ * Answers the pattern of bursts beside long-running tasks that would take all room: jobs that can
+ * still be in time first, urgent queues before others and within them the earliest deadline; then
+ * long-running tasks, which keep what they get; then late jobs.
  */
 import type { OwnedJob, OwnedStep } from './ownedJob.js';
 
@@ -59,8 +59,9 @@
   readonly dueMs: number;
 }
 
-const LONG_RUNNING = 0;
-const IN_TIME = 1;
+/** Groups in the order in which they are served. */
+const IN_TIME = 0;
+const LONG_RUNNING = 1;
 const LATE = 2;
 
 /** Deadlines of those that can be in time first. */
--- a/packages/samphirenotch/src/jobs/taskPlacement.ts
+++ b/packages/samphirenotch/src/jobs/taskPlacement.ts
@@ -46,7 +46,7 @@
 const MIXED_WEIGHT = 1;
 
 /** Tail over target that must be predicted with a filler beside it; loads rise while it runs. */
-const PLACEMENT_AIM = 0.85;
+const PLACEMENT_AIM = 0.88;
 
 /** Share of its declared processors that a serving task uses on average. */
 const SERVING_USE = 0.5;
--- a/packages/samphirenotch/src/jobs/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workerAgent.ts
@@ -80,6 +80,8 @@
   readonly holdLimitMs: number;
   readonly listener: AgentListener;
   readonly signal: AbortSignal;
+  /** Tells whether no other owner can have granted a lease so far. */
+  readonly isSoleOwner: () => boolean;
 }
 
 const runKey = (taskId: string, run: number): string => `${taskId}#${run}`;
@@ -457,7 +459,10 @@
       });
       this.options.listener.onChange(this);
     }
-    if (this.fenced && this.workerClock.hasPassed(this.grantedUntilMs + LAPSE_SLACK_MS)) {
+    const hasLapsed =
+      this.fenced && this.workerClock.hasPassed(this.grantedUntilMs + LAPSE_SLACK_MS);
+    // A successor that this owner does not know of yet may have extended the lease.
+    if (hasLapsed && this.options.isSoleOwner()) {
       this.activeRuns().forEach((run) => this.gone(run, 'the lease has lapsed'));
     }
   }
