Test jobs and their owners on a site in memory

Fixtures: a store with transactions and a worker, in memory on a manual clock, with lost, late and silent answers, cuts and restarts; the worker's record says what must never happen. Found: jobs that were begun before any job waited stayed 'queued' and were counted as waiting (no summary was ever written); mended.

--- a/packages/samphirenotch/src/jobs/fillerPacing.ts
+++ b/packages/samphirenotch/src/jobs/fillerPacing.ts
@@ -113,7 +113,10 @@
       if (inverse === undefined) return;
       let excess = 1 / (AIM * targetMs) - inverse;
       const worstFirst = fillers
-        .map((filler, at) => ({ filler, loss: this.interference.loss(image, uses.slice(at, at + 1)) }))
+        .map((filler, at) => ({
+          filler,
+          loss: this.interference.loss(image, uses.slice(at, at + 1)),
+        }))
         .sort((left, right) => right.loss - left.loss);
       worstFirst.forEach(({ filler, loss }) => {
         if (excess <= 0 || loss <= 0) return;
--- a/packages/samphirenotch/src/jobs/jobBook.ts
+++ b/packages/samphirenotch/src/jobs/jobBook.ts
@@ -43,6 +43,9 @@
 
   private lastSummary = '';
 
+  /** Revision up to which the last summary speaks of all jobs. */
+  private summarizedTo = 0;
+
   /**
    * @param operator - configuration
    * @param clock - time
@@ -202,10 +205,16 @@
    * @param revision - revision up to which all accepted jobs are known
    */
   summarize(revision: number): void {
-    const ids = [...this.jobs.values()].filter(({ begun }) => !begun).map(({ id }) => id);
-    const known = ids.join(' ');
-    if (known === this.lastSummary) return;
+    const jobs = [...this.jobs.values()];
+    const known = jobs
+      .filter(({ begun }) => !begun)
+      .map(({ id }) => id)
+      .join(' ');
+    // Jobs that are newer than the last summary count as waiting until one leaves them out.
+    const hasNewer = jobs.some((job) => job.begun && job.revision > this.summarizedTo);
+    if (known === this.lastSummary && !hasNewer) return;
     this.lastSummary = known;
+    this.summarizedTo = revision;
     this.journal.add({ key: WAITING_KEY, value: () => `${revision} ${known}` });
   }
 }
--- a/packages/samphirenotch/src/jobs/taskPlacement.ts
+++ b/packages/samphirenotch/src/jobs/taskPlacement.ts
@@ -138,7 +138,10 @@
 
   private lossBeside(agent: WorkerAgent, task: OwnedTask): number {
     const { image, targetMs } = task.step.spec;
-    const uses = fullUses(agent.activeRuns().filter(isFiller), agent.description.capacity.milliCores);
+    const uses = fullUses(
+      agent.activeRuns().filter(isFiller),
+      agent.description.capacity.milliCores,
+    );
     return this.interference.loss(image, uses) * targetMs;
   }
 }
--- /dev/null
+++ b/tests/jobs/decisions.spec.ts
@@ -0,0 +1,168 @@
+/**
+ * Decisions on jobs, without a site.
+ */
+import test from 'ava';
+import { decodeProgress, encodeProgress } from 'samphirenotch/jobs/jobProgress.js';
+import { JobReplica } from 'samphirenotch/jobs/jobReplica.js';
+import { encodeAccepted } from 'samphirenotch/jobs/acceptedJob.js';
+import { OwnedJob } from 'samphirenotch/jobs/ownedJob.js';
+import { PairSlopes } from 'samphirenotch/jobs/pairSlopes.js';
+import { findQueue } from 'samphirenotch/jobs/siteConfiguration.js';
+import { DeadlineStepOrder } from 'samphirenotch/jobs/stepOrder.js';
+import { WorkerClock } from 'samphirenotch/jobs/workerClock.js';
+import { WorkerHealth } from 'samphirenotch/jobs/workerHealth.js';
+import { ManualClock } from 'samphirenotch/time/manualClock.js';
+
+import { makeJob, makeQueue, makeStep } from '../fixtures/jobSite.js';
+import type { JobSpec } from 'samphirenotch/jobs/jobSpec.js';
+import type { Queue } from 'samphirenotch/jobs/siteConfiguration.js';
+
+const makeOwned = (job: JobSpec, queue: Queue = makeQueue(), id = '00000000000000a1'): OwnedJob =>
+  new OwnedJob({
+    accepted: { id, queue, acceptedAtMs: 0, job },
+    revision: 5,
+    queue,
+    progress: undefined,
+    firstRun: 1,
+    acceptedMs: 0,
+    learnedMs: 0,
+  });
+
+const firstStep = (job: OwnedJob) => {
+  const step = job.occurrences.get(0)?.steps[0];
+  if (!step) throw new Error('the job has no step');
+  return step;
+};
+
+test('should keep done tasks and failed runs in the progress of a job', (t) => {
+  const job = makeOwned(makeJob(makeStep({ count: 6 }), makeStep({ count: 2, after: [0] })));
+  const step = firstStep(job);
+  [0, 1, 4].forEach((index) => {
+    const task = step.tasks[index];
+    if (task) task.done = true;
+  });
+  step.tasks[5]?.failedRuns.push(3, 4);
+  const progress = decodeProgress(encodeProgress(job)).get(0);
+  t.deepEqual([...(progress?.[0]?.done ?? [])], [0, 1, 4]);
+  t.deepEqual(progress?.[0]?.failedRuns.get(5), [3, 4]);
+  t.is(progress?.[1]?.done.size, 0);
+});
+
+test('should not hand on a listed job that has ended or is cancelled', (t) => {
+  const replica = new JobReplica();
+  const heard: string[] = [];
+  replica.listen({
+    onAccepted: ({ accepted }) => heard.push(accepted.id),
+    onCancelled: () => undefined,
+    onOwner: () => undefined,
+  });
+  const accept = (id: string) => ({
+    key: `jobs/accepted/${id}`,
+    value: encodeAccepted({ id, queue: makeQueue(), acceptedAtMs: 0, job: makeJob(makeStep()) }),
+    revision: 3,
+  });
+  replica.onListing([
+    accept('open'),
+    accept('over'),
+    accept('gone'),
+    { key: 'jobs/cancelled/gone', value: '1', revision: 4 },
+    { key: 'jobs/ended/over', value: 'completed', revision: 5 },
+  ]);
+  t.deepEqual(heard, ['open']);
+  t.is(replica.stateOf('over'), 'completed');
+  t.is(replica.stateOf('gone'), 'cancelled');
+});
+
+test('should tell the owner that a listing shows no lease', (t) => {
+  const replica = new JobReplica();
+  const owners: unknown[] = [];
+  replica.listen({
+    onAccepted: () => undefined,
+    onCancelled: () => undefined,
+    onOwner: (owner) => owners.push(owner),
+  });
+  replica.onListing([]);
+  t.deepEqual(owners, [undefined]);
+});
+
+test('should offer room to urgent jobs in time first and to late ones last', (t) => {
+  const urgent = makeOwned(makeJob(makeStep()), makeQueue({ priority: 0 }), 'urgent');
+  const heavy = makeOwned(makeJob(makeStep()), makeQueue({ priority: 2 }), 'heavy');
+  const lasting = makeOwned(makeJob(makeStep({ longRunning: true })), makeQueue(), 'lasting');
+  const late = makeOwned(
+    makeJob(makeStep()),
+    makeQueue({ priority: 0, stretch: 0.1, targetLatencyMs: 10 }),
+    'late',
+  );
+  const sorted = new DeadlineStepOrder().sort([late, lasting, heavy, urgent].map(firstStep), 500);
+  t.deepEqual(
+    sorted.map(({ occurrence }) => occurrence.job.id),
+    ['urgent', 'heavy', 'lasting', 'late'],
+  );
+});
+
+test('should learn which filler disturbs, and leave the others near the prior', (t) => {
+  const slopes = new PairSlopes();
+  for (let round = 0; round < 40; round += 1) {
+    slopes.learn([{ image: 'loud', share: 0.1 }], 0.06);
+    slopes.learn([{ image: 'quiet', share: 0.1 }], 0.002);
+    slopes.learn(
+      [
+        { image: 'loud', share: 0.05 },
+        { image: 'quiet', share: 0.1 },
+      ],
+      0.032,
+    );
+  }
+  t.true(slopes.slope('loud') > 0.4);
+  t.true(slopes.slope('quiet') < 0.1);
+  t.true(slopes.slope('unknown') > 0);
+});
+
+test('should follow a pair whose disturbance changes', (t) => {
+  const slopes = new PairSlopes();
+  const seen = (lost: number): number => {
+    for (let round = 0; round < 400; round += 1) slopes.learn([{ image: 'f', share: 0.1 }], lost);
+    return slopes.slope('f');
+  };
+  const before = seen(0.01);
+  t.true(seen(0.08) > 2 * before);
+});
+
+test('should take a worker for slow before it says that a lease has lapsed', (t) => {
+  const clock = new ManualClock();
+  const workerClock = new WorkerClock(clock);
+  t.false(workerClock.hasPassed(0));
+  workerClock.read(1_000);
+  clock.jump(10_000);
+  t.false(workerClock.hasPassed(11_000));
+  t.true(workerClock.hasPassed(10_800));
+});
+
+test('should avoid a worker that fails tasks of several jobs, not one whose job fails', (t) => {
+  const own = new WorkerHealth();
+  const ownFault = [0, 1, 2, 3].map((at) => own.note('job', true, at * 100));
+  t.deepEqual(ownFault, [0, 0, 0, 0]);
+  const grey = new WorkerHealth();
+  grey.note('job 1', true, 0);
+  const first = grey.note('job 2', true, 100);
+  t.true(first > 0);
+  t.true(grey.note('job 3', true, 200) > first);
+});
+
+test('should route by the longest prefix of the host', (t) => {
+  const queues = [
+    makeQueue({ name: 'outer', prefix: '/a/' }),
+    makeQueue({ name: 'inner', prefix: '/a/b/' }),
+    makeQueue({ name: 'other', host: 'else.example', prefix: '/a/b/c/' }),
+  ];
+  const configuration = {
+    version: 1,
+    queues,
+    standbyServices: new Set<string>(),
+    maximumBodyBytes: 1,
+  };
+  t.is(findQueue(configuration, 'desk.example', '/a/b/c/1')?.name, 'inner');
+  t.is(findQueue(configuration, 'desk.example', '/a/1')?.name, 'outer');
+  t.is(findQueue(configuration, 'desk.example', '/x'), undefined);
+});
--- /dev/null
+++ b/tests/jobs/owners.spec.ts
@@ -0,0 +1,178 @@
+/**
+ * What holds while owners die, are cut off and come back.
+ */
+import test from 'ava';
+
+import { JobSite, makeJob, makeOwnedSite, makeStep } from '../fixtures/jobSite.js';
+
+const ID = '00000000000000a1';
+const SIZE = { milliCores: 1_000, memoryMb: 1_000, accelerators: 0 };
+
+/** A site with an owner and a second entry that follows. */
+const makeSuccession = async (durationMs = 5_000, workers = 2) => {
+  const { site, owner } = await makeOwnedSite({
+    workers,
+    behave: () => ({ size: SIZE, durationMs }),
+  });
+  const successor = site.start('b');
+  await site.run(500);
+  return { site, owner, successor };
+};
+
+test('should adopt what runs when the owner is killed', async (t) => {
+  const { site, owner, successor } = await makeSuccession();
+  await site.submit(owner, ID, makeJob(makeStep({ count: 4 })));
+  await site.run(500);
+  owner.kill();
+  await site.run(9_000);
+  t.is(await site.state(successor, ID), 'completed');
+  t.is(site.record.runs.length, 4);
+  t.deepEqual(site.record.violations, []);
+});
+
+test('should hand over at once when the owner is stopped', async (t) => {
+  const { site, owner, successor } = await makeSuccession(300);
+  owner.stop();
+  await site.run(600);
+  t.is(await site.submit(successor, ID, makeJob(makeStep())), 'done');
+  await site.run(1_200);
+  t.is(await site.state(successor, ID), 'completed');
+});
+
+test('should keep an accepted job when every entry is killed at once', async (t) => {
+  const { site, owner, successor } = await makeSuccession(1_000);
+  await site.submit(successor, ID, makeJob(makeStep({ count: 3 }), makeStep({ after: [0] })));
+  owner.kill();
+  successor.kill();
+  await site.run(1_500);
+  const restarted = site.start('c');
+  await site.run(8_000);
+  t.is(await site.state(restarted, ID), 'completed');
+  t.deepEqual(site.record.violations, []);
+});
+
+test('should take over at once from the former life of its own process', async (t) => {
+  const site = new JobSite({ workers: 1 });
+  const first = site.start('a');
+  await site.run(500);
+  await site.submit(first, ID, makeJob(makeStep()));
+  first.kill();
+  const second = site.start('a');
+  await site.run(1_800);
+  t.is(await site.state(second, ID), 'completed');
+  t.deepEqual(site.record.violations, []);
+});
+
+test('should count the room of runs that no open task has', async (t) => {
+  // A cancelled job's task goes on while its stop takes effect; the new owner must not fill its room.
+  const { site, owner, successor } = await makeOwnedSite({
+    workers: 1,
+    milliCores: 2_000,
+    behave: () => ({ size: { ...SIZE, milliCores: 2_000 }, durationMs: 30_000 }),
+  }).then(async (made) => ({ ...made, successor: made.site.start('b') }));
+  await site.run(500);
+  const step = makeStep({ size: { ...SIZE, milliCores: 2_000 } });
+  await site.submit(owner, ID, makeJob(step));
+  await site.run(300);
+  await site.submit(owner, '00000000000000a2', makeJob(step));
+  owner.kill();
+  await site.cancel(successor, ID);
+  await site.run(9_000);
+  t.true(site.record.of('00000000000000a2.0.0.0').length >= 1);
+  t.deepEqual(site.record.violations, []);
+});
+
+test('should not take a lease for lapsed that a successor may have extended', async (t) => {
+  // The owner loses the store and one worker; its successor holds that worker on.
+  const { site, owner, successor } = await makeSuccession(25_000);
+  await site.submit(owner, ID, makeJob(makeStep({ count: 4 })));
+  await site.run(500);
+  owner.store.isCutOff = true;
+  site.cutFromWorkers('a-1', ['w0']);
+  site.cutFromWorkers('b-2', ['w1']);
+  await site.run(11_000);
+  site.healWorkers();
+  owner.store.isCutOff = false;
+  await site.run(3_000);
+  t.deepEqual(site.record.violations, []);
+  t.is(await site.state(successor, ID), 'running');
+});
+
+test('should not start jobs that it learns of after its lease', async (t) => {
+  // The owner is cut off, another one is elected and serves a new job; then the cut heals.
+  const { site, owner, successor } = await makeSuccession(2_000, 4);
+  owner.store.isCutOff = true;
+  site.cutFromWorkers('a-1', ['w0', 'w1']);
+  site.cutFromWorkers('b-2', ['w2', 'w3']);
+  await site.run(4_000);
+  for (let at = 0; at < 4; at += 1) {
+    await site.submit(successor, `00000000000000c${at}`, makeJob(makeStep({ count: 3 })));
+  }
+  await site.run(200);
+  owner.store.isCutOff = false;
+  await site.run(400);
+  site.healWorkers();
+  await site.run(25_000);
+  t.deepEqual(site.record.violations, []);
+  t.is(await site.state(successor, '00000000000000c3'), 'completed');
+});
+
+test('should start nothing twice when the store drops its history', async (t) => {
+  const { site, owner } = await makeOwnedSite({ behave: () => ({ size: SIZE, durationMs: 300 }) });
+  await site.submit(owner, ID, makeJob(makeStep({ count: 2 })));
+  await site.run(1_000);
+  site.data.put('jobs/unrelated', 'x');
+  site.data.compactedTo = site.data.revision + 1_000;
+  await site.run(1_500);
+  site.data.compactedTo = 0;
+  await site.run(2_000);
+  t.is(site.record.runs.length, 2);
+  t.deepEqual(site.record.violations, []);
+});
+
+test('should go on with what it knows while the store is away', async (t) => {
+  const { site, owner } = await makeOwnedSite();
+  await site.submit(owner, ID, makeJob(makeStep(), makeStep({ after: [0] })));
+  await site.run(200);
+  owner.store.isCutOff = true;
+  await site.run(3_000);
+  t.is(site.record.runs.filter(({ kind }) => kind === 'done').length, 2);
+  owner.store.isCutOff = false;
+  await site.run(3_000);
+  t.is(await site.state(owner, ID), 'completed');
+  t.deepEqual(site.record.violations, []);
+});
+
+test('should keep every promise over kills, cuts and late orders', async (t) => {
+  for (const seed of [3, 5, 8, 13]) {
+    const site = new JobSite({
+      workers: 4,
+      behave: (taskId) => ({ size: SIZE, durationMs: 400 + (taskId.charCodeAt(15) % 5) * 300 }),
+    });
+    let live = [site.start('a'), site.start('b'), site.start('c')];
+    await site.run(600);
+    const ids: string[] = [];
+    for (let round = 0; round < 8; round += 1) {
+      const id = `0000000000000${seed}${round}`.padEnd(16, '0').slice(0, 15) + String(round);
+      const through = live[(round * seed) % live.length] ?? live[0];
+      if (through && (await site.submit(through, id, makeJob(makeStep({ count: 3 })))) === 'done') {
+        ids.push(id);
+      }
+      const worker = site.workers.get(`w${(round + seed) % 4}`);
+      if (round % 2 === 0) worker?.failStarts('late', 'answer-lost');
+      if (round === 3) worker?.restart();
+      if (round % 3 === 1) {
+        const [first, ...rest] = live;
+        first?.kill();
+        live = [...rest, site.start(first?.name ?? 'x')];
+      }
+      await site.run(700 + ((seed * round) % 5) * 200);
+    }
+    await site.run(20_000);
+    t.deepEqual(site.record.violations, [], `seed ${seed}`);
+    const [witness] = live;
+    for (const id of witness ? ids : []) {
+      t.is(witness && (await site.state(witness, id)), 'completed', `seed ${seed}, job ${id}`);
+    }
+  }
+});
--- /dev/null
+++ b/tests/jobs/progressJournal.spec.ts
@@ -0,0 +1,85 @@
+/**
+ * The journal of an owner, under lost and late answers.
+ */
+import test from 'ava';
+import { JOURNAL_KEY } from 'samphirenotch/jobs/jobKeys.js';
+import { ProgressJournal } from 'samphirenotch/jobs/progressJournal.js';
+import { ManualClock } from 'samphirenotch/time/manualClock.js';
+
+import { MemoryStoreData, MemoryTransactionStore } from '../fixtures/memoryTransactionStore.js';
+
+const makeJournal = () => {
+  const clock = new ManualClock();
+  const data = new MemoryStoreData(clock);
+  const store = new MemoryTransactionStore(data);
+  data.put(JOURNAL_KEY, '1 a');
+  const deposed: string[] = [];
+  const journal = new ProgressJournal(store, clock, data.revision, '1 a', (reason) =>
+    deposed.push(reason),
+  );
+  const ended = new AbortController();
+  journal.run(ended.signal).catch((error: unknown) => deposed.push(String(error)));
+  const write = (key: string, value: string): number => journal.add({ key, value: () => value });
+  const run = async (durationMs: number): Promise<void> => {
+    for (let at = 0; at < durationMs; at += 10) await clock.advance(10);
+  };
+  return { clock, data, store, journal, deposed, write, run };
+};
+
+test('should store several changes in one transaction', async (t) => {
+  const { data, store, write, run } = makeJournal();
+  write('k/1', 'a');
+  write('k/2', 'b');
+  await run(100);
+  t.is(data.items.get('k/1')?.value, 'a');
+  t.is(data.items.get('k/2')?.value, 'b');
+  t.is(store.calls.get('commit'), 1);
+});
+
+test('should say that a change is stored only when it is', async (t) => {
+  const { store, journal, write, run } = makeJournal();
+  store.failCommits('silent', 'silent');
+  let stored = false;
+  const sequence = write('k/1', 'a');
+  journal
+    .written(sequence)
+    .then((ok) => {
+      stored = ok;
+    })
+    .catch(() => undefined);
+  await run(1_500);
+  t.false(stored);
+  await run(3_000);
+  t.true(stored);
+});
+
+test('should keep a late transaction from undoing a later one', async (t) => {
+  const { data, store, write, run } = makeJournal();
+  store.failCommits('late');
+  write('k/1', 'old');
+  await run(600);
+  write('k/1', 'new');
+  await run(8_000);
+  t.is(data.items.get('k/1')?.value, 'new');
+});
+
+test('should go on after a transaction whose answer was lost', async (t) => {
+  const { data, store, deposed, write, run } = makeJournal();
+  store.failCommits('answer-lost');
+  write('k/1', 'a');
+  await run(4_000);
+  write('k/2', 'b');
+  await run(1_000);
+  t.is(data.items.get('k/1')?.value, 'a');
+  t.is(data.items.get('k/2')?.value, 'b');
+  t.deepEqual(deposed, []);
+});
+
+test('should end the term once another owner has written', async (t) => {
+  const { data, deposed, write, run } = makeJournal();
+  data.put(JOURNAL_KEY, '2 b');
+  write('k/1', 'a');
+  await run(500);
+  t.is(data.items.get('k/1'), undefined);
+  t.true(deposed.length > 0);
+});
--- /dev/null
+++ b/tests/jobs/workers.spec.ts
@@ -0,0 +1,88 @@
+/**
+ * What holds while workers are lost, restart and answer late.
+ */
+import test from 'ava';
+
+import { makeJob, makeOwnedSite, makeStep } from '../fixtures/jobSite.js';
+
+const ID = '00000000000000a1';
+const SIZE = { milliCores: 1_000, memoryMb: 1_000, accelerators: 0 };
+
+test('should run a task again only after the lease of a lost worker has lapsed', async (t) => {
+  const { site, owner } = await makeOwnedSite({
+    behave: () => ({ size: SIZE, durationMs: 20_000 }),
+  });
+  await site.submit(owner, ID, makeJob(makeStep()));
+  await site.run(500);
+  const [first] = site.record.runs;
+  site.cutFromWorkers('a-1', [first?.workerId ?? '']);
+  await site.run(15_000);
+  t.is(site.record.runs.length, 2);
+  t.is(site.record.runs[0]?.kind, 'lapsed');
+  t.deepEqual(site.record.violations, []);
+});
+
+test('should stop an order without an answer before the task is started again', async (t) => {
+  const { site, owner } = await makeOwnedSite({
+    workers: 2,
+    behave: () => ({ size: SIZE, durationMs: 3_000 }),
+  });
+  site.workers.forEach((worker) => worker.failStarts('late'));
+  await site.submit(owner, ID, makeJob(makeStep()));
+  await site.run(12_000);
+  t.deepEqual(site.record.violations, []);
+  t.is(await site.state(owner, ID), 'completed');
+});
+
+test('should keep the room of an order without an answer until it is settled', async (t) => {
+  const { site, owner } = await makeOwnedSite({
+    workers: 1,
+    milliCores: 1_000,
+    behave: () => ({ size: SIZE, durationMs: 1_500 }),
+  });
+  site.workers.get('w0')?.failStarts('answer-lost');
+  await site.submit(owner, ID, makeJob(makeStep()));
+  await site.submit(owner, '00000000000000a2', makeJob(makeStep()));
+  await site.run(12_000);
+  t.deepEqual(site.record.violations, []);
+  t.is(await site.state(owner, '00000000000000a2'), 'completed');
+});
+
+test('should run what was on a worker that has started again under its id', async (t) => {
+  const { site, owner } = await makeOwnedSite({
+    workers: 2,
+    behave: () => ({ size: SIZE, durationMs: 2_000 }),
+  });
+  await site.submit(owner, ID, makeJob(makeStep({ count: 2 })));
+  await site.run(500);
+  site.workers.get('w0')?.restart();
+  await site.run(6_000);
+  t.is(await site.state(owner, ID), 'completed');
+  t.deepEqual(site.record.violations, []);
+  t.true(site.record.runs.some(({ kind }) => kind === 'lost'));
+});
+
+test('should take a worker for gone that stays out of the directory', async (t) => {
+  const { site, owner } = await makeOwnedSite({ workers: 2 });
+  site.data.remove('workers/w0');
+  await site.run(3_500);
+  await site.submit(owner, ID, makeJob(makeStep({ count: 4 })));
+  await site.run(3_000);
+  t.true(site.record.runs.every(({ workerId }) => workerId === 'w1'));
+});
+
+test('should not acknowledge ends before they are stored', async (t) => {
+  const { site, owner } = await makeOwnedSite();
+  const successor = site.start('b');
+  await site.run(500);
+  await site.submit(owner, ID, makeJob(makeStep()));
+  await site.run(300);
+  // The end comes while the owner cannot store it, and dies with it.
+  owner.store.isCutOff = true;
+  await site.run(1_200);
+  owner.kill();
+  await site.run(9_000);
+  t.is(await site.state(successor, ID), 'completed');
+  t.is(site.record.runs.length, 1);
+  t.deepEqual(site.record.violations, []);
+});
