--- a/eslint.config.js
+++ b/eslint.config.js
@@ -21,6 +21,8 @@
       '**/node_modules/**',
       '**/dist/**',
       '.build/**',
+      'target/**',
+      'journal/**',
       'packages/*/src/protocol/generated/**',
     ],
   },
@@ -81,5 +83,11 @@
     ],
     rules: { 'no-console': 'off' },
   },
+  {
+    name: 'samphirenotch/daemons',
+    files: ['platform/main.ts'],
+    // Its watches and connections would keep the process alive after the last answer.
+    rules: { 'n/no-process-exit': 'off' },
+  },
   prettier,
 ];
--- a/packages/samphirenotch/src/jobs/jobEntry.ts
+++ b/packages/samphirenotch/src/jobs/jobEntry.ts
@@ -3,6 +3,7 @@
  */
 import type { TaskWorkerDirectory } from '../infrastructure/taskWorker.js';
 import type { TransactionStore } from '../infrastructure/transactionStore.js';
+import { partLog } from '../observability/log.js';
 import type { Gauge } from '../observability/prometheusText.js';
 import type { Recorder } from '../observability/recorder.js';
 import type { Clock } from '../time/clock.js';
@@ -61,6 +62,10 @@
 
   private readonly election: OwnerElection;
 
+  private readonly log = partLog('entry');
+
+  private readonly following = new AbortController();
+
   private isOwner = false;
 
   /**
@@ -124,12 +129,18 @@
    * @param signal - ends election and ownership
    */
   async run(signal: AbortSignal): Promise<void> {
-    const following = new AbortController();
-    const followers = [
-      this.jobsFollower.run(following.signal),
-      this.operatorFollower.run(following.signal),
-    ];
-    followers.forEach((follower) => follower.catch(() => following.abort()));
+    const followers = [this.jobsFollower, this.operatorFollower];
+    followers.forEach((follower) =>
+      follower.run(this.following.signal).catch((error: unknown) => {
+        this.log.error('Following the store has failed', { reason: String(error) });
+        this.following.abort();
+      }),
+    );
     await this.election.run(signal);
   }
+
+  /** Stops following the store; callers are served no more. */
+  close(): void {
+    this.following.abort();
+  }
 }
--- a/packages/samphirenotch/src/jobs/ownerElection.ts
+++ b/packages/samphirenotch/src/jobs/ownerElection.ts
@@ -151,6 +151,8 @@
     const ended = new AbortController();
     const stop = (): void => ended.abort();
     signal.addEventListener('abort', stop);
+    // A stop may have come while the store was asked.
+    if (signal.aborted) stop();
     const depose = (reason: string): void => {
       if (ended.signal.aborted) return;
       this.log.warn('The term ends', { fencingToken, reason });
--- a/packages/samphirenotch/src/jobs/pairSlopes.ts
+++ b/packages/samphirenotch/src/jobs/pairSlopes.ts
@@ -30,7 +30,7 @@
   private readonly indexes = new Map<string, number>();
 
   /** The first feature is the constant one. */
-  private readonly products: number[][] = [[PRIOR_WEIGHT]];
+  private products: number[][] = [[PRIOR_WEIGHT]];
 
   private readonly targets: number[] = [0];
 
@@ -71,11 +71,11 @@
       const index = this.indexOf(image);
       features[index] = (features[index] ?? 0) + share;
     });
-    this.products.forEach((row, i) => {
-      row.forEach((value, j) => {
-        row[j] = value * FADE + (features[i] ?? 0) * (features[j] ?? 0);
-      });
-      this.targets[i] = (this.targets[i] ?? 0) * FADE + (features[i] ?? 0) * lost;
+    this.products = this.products.map((row, i) =>
+      row.map((value, j) => value * FADE + (features[i] ?? 0) * (features[j] ?? 0)),
+    );
+    features.forEach((feature, i) => {
+      this.targets[i] = (this.targets[i] ?? 0) * FADE + feature * lost;
     });
     for (let round = 0; round < ROUNDS; round += 1) this.descend();
   }
--- a/tests/jobs/decisions.spec.ts
+++ b/tests/jobs/decisions.spec.ts
@@ -13,9 +13,9 @@
 import { WorkerHealth } from 'samphirenotch/jobs/workerHealth.js';
 import { ManualClock } from 'samphirenotch/time/manualClock.js';
 
-import { makeJob, makeQueue, makeStep } from '../fixtures/jobSite.js';
 import type { JobSpec } from 'samphirenotch/jobs/jobSpec.js';
 import type { Queue } from 'samphirenotch/jobs/siteConfiguration.js';
+import { makeJob, makeQueue, makeStep } from '../fixtures/jobSite.js';
 
 const makeOwned = (job: JobSpec, queue: Queue = makeQueue(), id = '00000000000000a1'): OwnedJob =>
   new OwnedJob({
--- a/tests/jobs/owners.spec.ts
+++ b/tests/jobs/owners.spec.ts
@@ -176,3 +176,16 @@
     }
   }
 });
+
+test('should give the lease back when it is stopped while it is being elected', async (t) => {
+  const site = new JobSite({ workers: 1 });
+  const first = site.start('a');
+  await site.clock.advance(8);
+  first.stop();
+  await site.run(200);
+  const second = site.start('b');
+  await site.run(700);
+  await site.submit(second, ID, makeJob(makeStep()));
+  await site.run(1_800);
+  t.is(await site.state(second, ID), 'completed');
+});
