--- a/packages/samphirenotch/src/jobs/interference.ts
+++ b/packages/samphirenotch/src/jobs/interference.ts
@@ -71,6 +71,17 @@
     return this.slopesOf(serving).predict(uses);
   }
 
+  /**
+   * Tells the slope of a pair.
+   *
+   * @param serving - image of the serving task
+   * @param filler - image of the filler
+   * @returns inverse milliseconds lost per worker of use
+   */
+  slope(serving: string, filler: string): number {
+    return this.slopesOf(serving).slope(filler);
+  }
+
   /**
    * Learns from one look at a worker.
    *
--- a/packages/samphirenotch/src/jobs/jobBook.ts
+++ b/packages/samphirenotch/src/jobs/jobBook.ts
@@ -41,6 +41,9 @@
 
   private progress: ReadonlyMap<string, JobProgress> = new Map();
 
+  /** Version of the configuration that the queues of jobs were taken from. */
+  private queuesVersion = 0;
+
   private lastSummary = '';
 
   /** Revision up to which the last summary speaks of all jobs. */
@@ -115,6 +118,7 @@
       learnedMs: this.clock.monotonicMs(),
     });
     this.jobs.set(accepted.id, job);
+    this.queuesVersion = 0;
     this.log.info('A job is taken in', {
       jobId: accepted.id,
       queue: accepted.queue.name,
@@ -128,7 +132,8 @@
   /** Takes the newest configuration of each queue. */
   refreshQueues(): void {
     const { configuration } = this.operator.view();
-    if (!configuration) return;
+    if (!configuration || configuration.version === this.queuesVersion) return;
+    this.queuesVersion = configuration.version;
     const queues = new Map(configuration.queues.map((queue) => [queue.name, queue]));
     this.jobs.forEach((job) => {
       const owned = job;
--- a/packages/samphirenotch/src/jobs/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/jobOwner.ts
@@ -19,6 +19,7 @@
 import { JobBook } from './jobBook.js';
 import type { JobReplica } from './jobReplica.js';
 import { jobIdOfTask } from './jobSpec.js';
+import { RunWatch } from './runWatch.js';
 import { StepLauncher } from './stepLauncher.js';
 import type { OperatorFollower } from './operatorFollower.js';
 import { roomOf, type OwnedJob, type OwnedRun, type OwnedTask } from './ownedJob.js';
@@ -35,7 +36,7 @@
 const PASS_MS = 250;
 
 /** Least time between two passes, in milliseconds: starts of one moment go together. */
-const PASS_GAP_MS = 4;
+const PASS_GAP_MS = 12;
 
 /** How long news of workers gather, in milliseconds: heartbeats of all arrive all the time. */
 const DIRECTORY_GATHER_MS = 250;
@@ -70,6 +71,8 @@
 
   private readonly pacing: FillerPacing;
 
+  private readonly watch: RunWatch;
+
   private readonly wakeup: Wakeup;
 
   private journal!: ProgressJournal;
@@ -85,6 +88,7 @@
     this.wakeup = new Wakeup(options.clock);
     this.book = new JobBook(options.operator, options.clock);
     this.fleet = new WorkerFleet((description) => this.connect(description), options.clock);
+    this.watch = new RunWatch(this.fleet, options.clock);
     const interference = new Interference();
     this.launcher = new StepLauncher({
       book: this.book,
@@ -291,6 +295,7 @@
       await clock.sleep(PASS_GAP_MS, signal);
       if (signal.aborted) return;
       this.fleet.maintain();
+      this.watch.check();
       this.pacing.adjust();
       this.launcher.pass(directory.complete);
     }
--- a/packages/samphirenotch/src/jobs/ownedJob.ts
+++ b/packages/samphirenotch/src/jobs/ownedJob.ts
@@ -29,6 +29,8 @@
   /** Monotonic time at which the worker confirmed the start. */
   confirmedMs: number | undefined;
   percent: number;
+  /** Monotonic time at which its percent last changed, in milliseconds. */
+  progressedMs: number;
   gauge: number;
   /** Share of its processors that it is let work at, in percent. */
   pace: number;
--- /dev/null
+++ b/packages/samphirenotch/src/jobs/runWatch.ts
@@ -0,0 +1,100 @@
+/**
+ * Moves runs off workers where they would be lost or stand still.
+ *
+ * Answers the patterns of planned replacement and of workers that hang: what drains gives its
+ * long-running tasks and its checkpoints to others while it still can, and a run without progress is
+ * tried elsewhere long before its lease lapses.
+ */
+import type { Clock } from '../time/clock.js';
+
+import type { OwnedRun } from './ownedJob.js';
+import type { WorkerAgent } from './workerAgent.js';
+import type { WorkerFleet } from './workerFleet.js';
+
+/** Time without progress after which a run is stopped, in milliseconds; progress is seen by seconds. */
+const STALL_MS = 2_500;
+
+/** How long a worker with a stalled run gets no new work, in milliseconds. */
+const AVOID_MS = 3_000;
+
+/** Time that a worker keeps for a stop and its answer, in milliseconds. */
+const STOP_MARGIN_MS = 500;
+
+/** Least time until a draining worker leaves if it does not say so, in milliseconds. */
+const DEFAULT_REMAINING_MS = 2_000;
+
+/** Pace below which no progress is expected, in percent. */
+const LEAST_PACE = 20;
+
+/** Duration of a task without an estimate, in milliseconds. */
+const DEFAULT_ESTIMATE_MS = 1_000;
+
+const FULL_PERCENT = 100;
+
+/**
+ * Estimates how long a run still takes.
+ *
+ * @param run - the run
+ * @param nowMs - monotonic time in milliseconds
+ * @returns milliseconds
+ */
+export const remainingRunMs = (run: OwnedRun, nowMs: number): number => {
+  const elapsedMs = nowMs - run.startedMs;
+  if (run.percent > 0) return (elapsedMs * (FULL_PERCENT - run.percent)) / run.percent;
+  return Math.max(0, (run.task.step.spec.estimateMs || DEFAULT_ESTIMATE_MS) - elapsedMs);
+};
+
+/** Looks after the runs of a fleet. */
+export class RunWatch {
+  /**
+   * @param fleet - the workers
+   * @param clock - time
+   */
+  constructor(
+    private readonly fleet: WorkerFleet,
+    private readonly clock: Clock,
+  ) {}
+
+  /** Stops what should run elsewhere. */
+  check(): void {
+    const nowMs = this.clock.monotonicMs();
+    this.fleet.all().forEach((agent) => {
+      if (!agent.answers) return;
+      if (agent.description.phase === 'draining') this.leave(agent, nowMs);
+      else this.findStalled(agent, nowMs);
+    });
+  }
+
+  private leave(agent: WorkerAgent, nowMs: number): void {
+    const remainingMs = agent.description.remainingMs ?? DEFAULT_REMAINING_MS;
+    agent.activeRuns().forEach((run) => {
+      if (run.phase !== 'running') return;
+      const { longRunning, checkpointing } = run.task.step.spec;
+      const isTooLong = remainingRunMs(run, nowMs) > remainingMs - STOP_MARGIN_MS;
+      if (longRunning || (checkpointing && isTooLong)) agent.stop(run, 'its worker drains');
+    });
+  }
+
+  private findStalled(agent: WorkerAgent, nowMs: number): void {
+    const avoided = agent;
+    agent
+      .activeRuns()
+      .filter((run) => this.isStalled(run, nowMs))
+      .forEach((run) => {
+        agent.stop(run, 'it makes no progress');
+        avoided.avoidUntilMs = Math.max(agent.avoidUntilMs, nowMs + AVOID_MS);
+      });
+  }
+
+  private isStalled(run: OwnedRun, nowMs: number): boolean {
+    const { longRunning, gang } = run.task.step.spec;
+    return (
+      run.phase === 'running' &&
+      !longRunning &&
+      !gang &&
+      run.percent < FULL_PERCENT &&
+      run.pace >= LEAST_PACE &&
+      nowMs - run.progressedMs >= STALL_MS
+    );
+  }
+}
--- a/packages/samphirenotch/src/jobs/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/stepLauncher.ts
@@ -53,6 +53,7 @@
     const { book, clock } = this.options;
     if (!directoryKnown) return;
     book.refreshQueues();
+    this.placement.refresh();
     const nowMs = clock.monotonicMs();
     const steps = book
       .openJobs()
@@ -177,5 +178,6 @@
       configuration: this.options.operator.view().configuration?.version,
     });
     agent.start(task, run, roomOf(task), undefined);
+    this.placement.forget(agent);
   }
 }
--- a/packages/samphirenotch/src/jobs/stepOrder.ts
+++ b/packages/samphirenotch/src/jobs/stepOrder.ts
@@ -20,6 +20,22 @@
 /** Assumed duration of a task whose estimate is missing, in milliseconds. */
 const DEFAULT_ESTIMATE_MS = 1_000;
 
+/** Chains by job; the steps of a job never change. */
+const chains = new WeakMap<OwnedJob, readonly number[]>();
+
+const longestChains = (job: OwnedJob): readonly number[] => {
+  const { steps } = job.accepted.job;
+  const longest = steps.map(() => 0);
+  for (let index = steps.length - 1; index >= 0; index -= 1) {
+    const own = steps[index]?.estimateMs || DEFAULT_ESTIMATE_MS;
+    const later = steps
+      .map(({ after }, at) => (after.includes(index) ? (longest[at] ?? 0) : 0))
+      .reduce((most, each) => Math.max(most, each), 0);
+    longest[index] = own + later;
+  }
+  return longest;
+};
+
 /**
  * Estimates the longest chain of work that starts with a step.
  *
@@ -28,16 +44,9 @@
  * @returns milliseconds
  */
 export const chainMs = (job: OwnedJob, from: number): number => {
-  const { steps } = job.accepted.job;
-  const longest = new Map<number, number>();
-  for (let index = steps.length - 1; index >= 0; index -= 1) {
-    const own = steps[index]?.estimateMs || DEFAULT_ESTIMATE_MS;
-    const later = steps
-      .map(({ after }, at) => (after.includes(index) ? (longest.get(at) ?? 0) : 0))
-      .reduce((most, each) => Math.max(most, each), 0);
-    longest.set(index, own + later);
-  }
-  return longest.get(from) ?? 0;
+  const known = chains.get(job) ?? longestChains(job);
+  chains.set(job, known);
+  return known[from] ?? 0;
 };
 
 /**
@@ -48,7 +57,7 @@
  */
 export const objectiveMs = (job: OwnedJob): number => {
   const { stretch, targetLatencyMs } = job.queue;
-  const chain = Math.max(0, ...job.accepted.job.steps.map((_, index) => chainMs(job, index)));
+  const chain = Math.max(0, ...job.accepted.job.steps.map((step, index) => chainMs(job, index)));
   return job.acceptedMs + stretch * chain + targetLatencyMs;
 };
 
--- a/packages/samphirenotch/src/jobs/taskPlacement.ts
+++ b/packages/samphirenotch/src/jobs/taskPlacement.ts
@@ -23,6 +23,14 @@
 
 /** Chooses workers. */
 export interface TaskPlacement {
+  /** Takes a new look at all workers; between two looks what was derived of them is kept. */
+  refresh(): void;
+  /**
+   * Takes a new look at one worker, after something was started on it.
+   *
+   * @param agent - the worker
+   */
+  forget(agent: WorkerAgent): void;
   /**
    * @param input - task and workers that may run it
    * @returns the worker, or undefined if none has room
@@ -57,8 +65,26 @@
 const countOfStep = (agent: WorkerAgent, task: OwnedTask): number =>
   agent.activeRuns().filter((run) => run.task.step === task.step).length;
 
+/** A serving task beside which a filler may be placed. */
+interface PredictedTail {
+  readonly image: string;
+  /** Predicted inverse of its tail, in inverse milliseconds. */
+  readonly inverse: number;
+  /** Least inverse that meets the aim. */
+  readonly needed: number;
+}
+
+/** What a worker offers to fillers. */
+interface FillerView {
+  /** Processors that others leave unused, in thousandths of a core. */
+  readonly unused: number;
+  readonly serving: readonly PredictedTail[];
+}
+
 /** Spreads by free room, away from disturbance. */
 export class SpreadPlacement implements TaskPlacement {
+  private readonly views = new Map<WorkerAgent, FillerView>();
+
   /**
    * @param interference - what was learned of fillers and serving tasks
    * @param clock - time
@@ -68,6 +94,14 @@
     private readonly clock: Clock,
   ) {}
 
+  refresh(): void {
+    this.views.clear();
+  }
+
+  forget(agent: WorkerAgent): void {
+    this.views.delete(agent);
+  }
+
   choose({ task, size, workers }: PlacementInput): WorkerAgent | undefined {
     let best: WorkerAgent | undefined;
     let bestCost = Number.POSITIVE_INFINITY;
@@ -115,25 +149,45 @@
   }
 
   /** A filler goes where processors are left over and no serving task would miss its target. */
-  private fillerCost(agent: WorkerAgent, task: OwnedTask): number {
-    const { spec } = task.step;
+  private fillerCost(agent: WorkerAgent, { step }: OwnedTask): number {
+    const { size, image } = step.spec;
+    const { milliCores } = agent.description.capacity;
+    const { unused, serving } = this.viewOf(agent);
+    if (unused < size.milliCores) return Number.POSITIVE_INFINITY;
+    const share = size.milliCores / milliCores;
+    let worst = 0;
+    for (const { image: served, needed, inverse } of serving) {
+      const left = inverse - this.interference.slope(served, image) * share;
+      if (left < needed) return Number.POSITIVE_INFINITY;
+      worst = Math.max(worst, needed / left);
+    }
+    return 1 - unused / milliCores + DISTURBANCE_WEIGHT * worst;
+  }
+
+  private viewOf(agent: WorkerAgent): FillerView {
+    const known = this.views.get(agent);
+    if (known) return known;
+    const view = this.makeView(agent);
+    this.views.set(agent, view);
+    return view;
+  }
+
+  private makeView(agent: WorkerAgent): FillerView {
     const { milliCores } = agent.description.capacity;
     const runs = agent.activeRuns();
     const serving = runs.filter(isServing);
     const taken = sumMilliCores(runs) - (1 - SERVING_USE) * sumMilliCores(serving);
-    const unused = milliCores - taken;
-    if (unused < spec.size.milliCores) return Number.POSITIVE_INFINITY;
-    const added = { image: spec.image, share: spec.size.milliCores / milliCores };
-    const uses = [...fullUses(runs, milliCores), added];
+    const uses = fullUses(runs, milliCores);
     const nowMs = this.clock.monotonicMs();
-    const worst = serving.reduce((most, run) => {
+    const predicted = serving.flatMap((run) => {
+      const { image, targetMs } = run.task.step.spec;
       const inverse = this.interference.inverseTail(run, uses, nowMs);
-      if (inverse === undefined) return most;
-      const needed = 1 / (PLACEMENT_AIM * run.task.step.spec.targetMs);
-      return Math.max(most, inverse <= 0 ? Number.POSITIVE_INFINITY : needed / inverse);
-    }, 0);
-    if (worst > 1) return Number.POSITIVE_INFINITY;
-    return 1 - unused / milliCores + DISTURBANCE_WEIGHT * worst;
+      // Nothing is known of the step yet: it restricts nothing.
+      return inverse === undefined
+        ? []
+        : [{ image, inverse, needed: 1 / (PLACEMENT_AIM * targetMs) }];
+    });
+    return { unused: milliCores - taken, serving: predicted };
   }
 
   private lossBeside(agent: WorkerAgent, task: OwnedTask): number {
--- a/packages/samphirenotch/src/jobs/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workerAgent.ts
@@ -31,7 +31,7 @@
 const ORDER_TIMEOUT_MS = 600;
 
 /** Least time between two looks at a worker, in milliseconds: ends gather, looks are priced. */
-const LOOK_GAP_MS = 40;
+const LOOK_GAP_MS = 80;
 
 /** Time between looks at a worker whose ends cannot be stored, or that does not answer. */
 const RETRY_MS = 400;
@@ -178,11 +178,16 @@
   /** @returns what is left of its room */
   free(): Size {
     const { capacity } = this.description;
-    const sizes = [this.used, ...this.foreign.values()];
+    let { milliCores, memoryMb, accelerators } = this.used;
+    this.foreign.forEach((size) => {
+      milliCores += size.milliCores;
+      memoryMb += size.memoryMb;
+      accelerators += size.accelerators;
+    });
     return {
-      milliCores: sizes.reduce((left, each) => left - each.milliCores, capacity.milliCores),
-      memoryMb: sizes.reduce((left, each) => left - each.memoryMb, capacity.memoryMb),
-      accelerators: sizes.reduce((left, each) => left - each.accelerators, capacity.accelerators),
+      milliCores: capacity.milliCores - milliCores,
+      memoryMb: capacity.memoryMb - memoryMb,
+      accelerators: capacity.accelerators - accelerators,
     };
   }
 
@@ -269,6 +274,7 @@
       startedMs,
       confirmedMs: phase === 'running' ? startedMs : undefined,
       percent: 0,
+      progressedMs: startedMs,
       gauge: 0,
       pace: 100,
       overTargetSinceMs: undefined,
@@ -311,6 +317,7 @@
     const owned = run;
     const before = run.pace;
     owned.pace = percent;
+    owned.progressedMs = clock.monotonicMs();
     const call = callWithin(clock, ORDER_TIMEOUT_MS, this.closed.signal);
     const name = { taskId: run.task.id, run: run.run };
     const answer = await worker.pace(name, percent, fencingToken, call);
@@ -511,6 +518,7 @@
       return false;
     }
     if (run.phase === 'starting' || run.phase === 'in-doubt') this.confirm(run);
+    if (run.percent !== report.percent) run.progressedMs = this.options.clock.monotonicMs();
     run.percent = report.percent;
     run.gauge = report.gauge;
     if (report.checkpoint !== '') run.task.checkpoint = report.checkpoint;
--- /dev/null
+++ b/packages/samphirenotch/src/observability/lineSink.ts
@@ -0,0 +1,109 @@
+/**
+ * Writes lines to standard output without ever waiting for its reader: lines gather and are written
+ * together, and a reader that is too slow costs lines, which are counted.
+ */
+import { write, writeSync } from 'node:fs';
+
+const STANDARD_OUTPUT = 1;
+
+/** Most characters that wait to be written; beyond that lines are dropped. */
+const MAXIMUM_PENDING = 1_048_576;
+
+/** Time in which lines gather, in milliseconds; each write is a system call. */
+const GATHER_MS = 25;
+
+/** Wait before a write that the reader was not ready for is tried again, in milliseconds. */
+const RETRY_MS = 25;
+
+/** Writes text to a file descriptor; the callback gets the number of bytes written. */
+export type TextWriter = (
+  text: Buffer,
+  done: (error: NodeJS.ErrnoException | null, bytes: number) => void,
+) => void;
+
+const writeStandardOutput: TextWriter = (text, done) => {
+  write(STANDARD_OUTPUT, text, done);
+};
+
+/** A bounded queue of lines in front of standard output. */
+export class LineSink {
+  private pending: string[] = [];
+
+  private pendingLength = 0;
+
+  private rest: Buffer | undefined;
+
+  private busy = false;
+
+  private droppedLines = 0;
+
+  private reportedDrops = 0;
+
+  /**
+   * @param writer - writes to standard output unless a test says otherwise
+   */
+  constructor(private readonly writer: TextWriter = writeStandardOutput) {}
+
+  /** @returns how many lines were dropped since the start */
+  get dropped(): number {
+    return this.droppedLines;
+  }
+
+  /**
+   * Queues a line.
+   *
+   * @param line - the line without its end
+   */
+  add(line: string): void {
+    if (this.pendingLength + line.length > MAXIMUM_PENDING) {
+      this.droppedLines += 1;
+      return;
+    }
+    this.pending.push(line);
+    this.pendingLength += line.length;
+    if (this.busy) return;
+    this.busy = true;
+    setTimeout(() => this.flush(), GATHER_MS).unref();
+  }
+
+  /** Writes what is queued, waiting for it; only for the end of the process. */
+  flushNow(): void {
+    const text = Buffer.concat([this.rest ?? Buffer.alloc(0), this.takePending()]);
+    this.rest = undefined;
+    try {
+      writeSync(STANDARD_OUTPUT, text);
+    } catch {
+      // Nobody reads any more, and there is nowhere else to say so.
+      this.droppedLines += 1;
+    }
+  }
+
+  private flush(): void {
+    const text = this.rest ?? this.takePending();
+    this.rest = undefined;
+    if (text.length === 0) {
+      this.busy = false;
+      return;
+    }
+    this.writer(text, (error, bytes) => {
+      const left = error ? text : text.subarray(bytes);
+      // Any other error than a slow reader is final for this text.
+      const isSlow = !error || error.code === 'EAGAIN';
+      if (left.length > 0 && isSlow) this.rest = left;
+      setTimeout(() => this.flush(), error ? RETRY_MS : GATHER_MS).unref();
+    });
+  }
+
+  private takePending(): Buffer {
+    const drops = this.droppedLines - this.reportedDrops;
+    this.reportedDrops = this.droppedLines;
+    const notice =
+      drops > 0
+        ? [JSON.stringify({ level: 'warn', part: 'log', message: 'Lines were dropped', drops })]
+        : [];
+    const lines = [...notice, ...this.pending];
+    this.pending = [];
+    this.pendingLength = 0;
+    return Buffer.from(lines.map((line) => `${line}\n`).join(''), 'utf8');
+  }
+}
--- a/packages/samphirenotch/src/observability/log.ts
+++ b/packages/samphirenotch/src/observability/log.ts
@@ -3,6 +3,8 @@
  */
 import { Logger } from 'tslog';
 
+import { LineSink } from './lineSink.js';
+
 /** Named values that belong to a log line, such as request and task ids. */
 export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
 
@@ -22,6 +24,12 @@
 
 const LEVELS = { debug: 2, info: 3, warn: 4, error: 5 } as const;
 
+const sink = new LineSink();
+process.once('exit', () => sink.flushNow());
+
+/** @returns how many lines were dropped because nobody read them */
+export const droppedLines = (): number => sink.dropped;
+
 let settings: LogSettings = { format: 'hidden', level: 'info' };
 
 /**
@@ -47,7 +55,7 @@
   } = line as { 0: string; 1?: LogFields; _meta: LineMeta };
   const time = meta.date.toISOString();
   const level = meta.logLevelName.toLowerCase();
-  process.stdout.write(`${JSON.stringify({ time, level, part: prefix, message, ...fields })}\n`);
+  sink.add(JSON.stringify({ time, level, part: prefix, message, ...fields }));
 };
 
 /** A log that reads the process's settings on first use. */
--- a/utils/checkImports.ts
+++ b/utils/checkImports.ts
@@ -14,7 +14,7 @@
 
 const allowedFileName = 'ALLOWED_IMPORTS';
 const strictRoot = path.join('packages', 'samphirenotch', 'src');
-const sideRoots = ['tests', 'benchmarks', 'utils'];
+const sideRoots = ['tests', 'benchmarks', 'utils', 'platform'];
 
 /** What one folder may import. */
 export interface AllowedImports {
--- a/utils/verify.ts
+++ b/utils/verify.ts
@@ -9,6 +9,7 @@
 import { existsSync, readFileSync, rmSync } from 'node:fs';
 
 import { checkImports } from './checkImports.js';
+import { checkNames } from './checkNames.js';
 import { isBound, parseKnownRed, summarizeTests } from './knownRed.js';
 import { type CommandResult, runCommand } from './runCommand.js';
 import { parseTap } from './tap.js';
@@ -31,6 +32,12 @@
   return { ok: violations.length === 0, output: violations.join('\n') };
 };
 
+const runNames = async (): Promise<CommandResult> => {
+  const violations = checkNames();
+
+  return { ok: violations.length === 0, output: violations.join('\n') };
+};
+
 /** Builds anew what the tests run from, so that no test outlives its source. */
 const runBuild = (): Promise<CommandResult> => {
   rmSync('.build/tests', { recursive: true, force: true });
@@ -80,6 +87,7 @@
   { name: 'format', run: () => runBin('prettier', '--check', '--log-level', 'warn', '.') },
   { name: 'lint', run: () => runBin('eslint', '--max-warnings', '0', '.') },
   { name: 'imports', run: runImports },
+  { name: 'names', run: runNames },
   { name: 'build', run: runBuild },
   { name: 'tests', run: runTests },
   { name: 'benchmarks', run: runBenchmarks },
