Keep owning while stopping until the store takes the lease back

Log lines are written in pieces of at most 4 KiB, since the reader cut larger ones: the line of the take-over was lost.

--- a/packages/samphirenotch/src/jobs/jobEntry.ts
+++ b/packages/samphirenotch/src/jobs/jobEntry.ts
@@ -37,6 +37,8 @@
   readonly process: string;
   /** Longest lease that workers take, in milliseconds. */
   readonly holdLimitMs: number;
+  /** How long a stopping owner goes on while the store does not take its lease back. */
+  readonly handoverMs: number;
   /** Share of a core that the entry's VM has. */
   readonly processorShare: number;
 }
@@ -84,6 +86,7 @@
       clock,
       entry: options.entry,
       process: options.process,
+      handoverMs: options.handoverMs,
       eagerness: Math.min(1, options.processorShare),
       serve: async (term) => {
         this.isOwner = true;
--- a/packages/samphirenotch/src/jobs/ownerElection.ts
+++ b/packages/samphirenotch/src/jobs/ownerElection.ts
@@ -5,6 +5,8 @@
  * with a lower one. An owner that cannot renew goes on for a while, since an outage of the store
  * deposes nobody; it stops at the first refusal by a worker or by the journal.
  */
+import { setMaxListeners } from 'node:events';
+
 import type { TransactionStore } from '../infrastructure/transactionStore.js';
 import { partLog } from '../observability/log.js';
 import { callWithin } from '../time/call.js';
@@ -32,6 +34,9 @@
 /** Longest wait for a change of owner, in milliseconds. */
 const CHECK_MS = 500;
 
+/** Wait before a stopping owner tries again to give its lease back, in milliseconds. */
+const HANDOVER_RETRY_MS = 150;
+
 /** Spread of candidates, so that not all ask at once, in milliseconds. */
 const CANDIDATE_SPREAD_MS = 120;
 
@@ -65,6 +70,8 @@
   readonly process: string;
   /** From 0 to 1: how early this entry stands for election. */
   readonly eagerness: number;
+  /** How long a stopping owner goes on while the store does not take its lease back. */
+  readonly handoverMs: number;
   /** Serves a term until its signal is aborted. */
   readonly serve: (term: Term) => Promise<void>;
 }
@@ -149,7 +156,12 @@
     signal: AbortSignal,
   ): Promise<void> {
     const ended = new AbortController();
-    const stop = (): void => ended.abort();
+    // Every worker, call and loop of the term listens.
+    setMaxListeners(0, ended.signal);
+    let handover: Promise<void> | undefined;
+    const stop = (): void => {
+      handover ??= this.handOver(leaseId, ended);
+    };
     signal.addEventListener('abort', stop);
     // A stop may have come while the store was asked.
     if (signal.aborted) stop();
@@ -167,9 +179,26 @@
     };
     await Promise.all([this.renew(leaseId, term), this.options.serve(term)]);
     signal.removeEventListener('abort', stop);
+    if (handover) await handover;
+    else await this.giveBack(leaseId);
+  }
+
+  /** A stopping owner goes on until the store has taken its lease back, or there is no time left. */
+  private async handOver(leaseId: string, ended: AbortController): Promise<void> {
+    const { clock, handoverMs } = this.options;
+    const untilMs = clock.monotonicMs() + handoverMs;
+    while (!ended.signal.aborted && clock.monotonicMs() < untilMs) {
+      if (await this.giveBack(leaseId)) break;
+      await clock.sleep(HANDOVER_RETRY_MS, ended.signal);
+    }
+    ended.abort();
+  }
+
+  private async giveBack(leaseId: string): Promise<boolean> {
     const { store, clock } = this.options;
     const freed = await store.revokeLease(leaseId, callWithin(clock, CALL_TIMEOUT_MS));
-    this.log.info('The lease was given back', { fencingToken, answered: freed.ok });
+    this.log.info('The lease was given back', { leaseId, answered: freed.ok });
+    return freed.ok;
   }
 
   private async renew(leaseId: string, term: Term): Promise<void> {
--- a/packages/samphirenotch/src/observability/lineSink.ts
+++ b/packages/samphirenotch/src/observability/lineSink.ts
@@ -9,6 +9,9 @@
 /** Most characters that wait to be written; beyond that lines are dropped. */
 const MAXIMUM_PENDING = 1_048_576;
 
+/** Most characters of one write: readers that take pieces of a pipe get whole lines then. */
+const MAXIMUM_WRITE = 4_096;
+
 /** Time in which lines gather, in milliseconds; each write is a system call. */
 const GATHER_MS = 25;
 
@@ -68,10 +71,10 @@
 
   /** Writes what is queued, waiting for it; only for the end of the process. */
   flushNow(): void {
-    const text = Buffer.concat([this.rest ?? Buffer.alloc(0), this.takePending()]);
-    this.rest = undefined;
     try {
-      writeSync(STANDARD_OUTPUT, text);
+      if (this.rest) writeSync(STANDARD_OUTPUT, this.rest);
+      this.rest = undefined;
+      while (this.pending.length > 0) writeSync(STANDARD_OUTPUT, this.takePending());
     } catch {
       // Nobody reads any more, and there is nowhere else to say so.
       this.droppedLines += 1;
@@ -90,7 +93,9 @@
       // Any other error than a slow reader is final for this text.
       const isSlow = !error || error.code === 'EAGAIN';
       if (left.length > 0 && isSlow) this.rest = left;
-      setTimeout(() => this.flush(), error ? RETRY_MS : GATHER_MS).unref();
+      const isBehind = this.rest === undefined && this.pendingLength > MAXIMUM_WRITE;
+      if (!error && isBehind) this.flush();
+      else setTimeout(() => this.flush(), error ? RETRY_MS : GATHER_MS).unref();
     });
   }
 
@@ -101,9 +106,19 @@
       drops > 0
         ? [JSON.stringify({ level: 'warn', part: 'log', message: 'Lines were dropped', drops })]
         : [];
-    const lines = [...notice, ...this.pending];
-    this.pending = [];
-    this.pendingLength = 0;
+    const lines = [...notice, ...this.takeLines()];
     return Buffer.from(lines.map((line) => `${line}\n`).join(''), 'utf8');
   }
+
+  private takeLines(): readonly string[] {
+    let length = 0;
+    let count = 0;
+    for (const line of this.pending) {
+      if (count > 0 && length + line.length > MAXIMUM_WRITE) break;
+      length += line.length;
+      count += 1;
+    }
+    this.pendingLength -= length;
+    return this.pending.splice(0, count);
+  }
 }
--- a/tests/jobs/owners.spec.ts
+++ b/tests/jobs/owners.spec.ts
@@ -189,3 +189,20 @@
   await site.run(1_800);
   t.is(await site.state(second, ID), 'completed');
 });
+
+test('should go on while it stops until the store takes its lease back', async (t) => {
+  const { site, owner, successor } = await makeSuccession(1_000);
+  await site.submit(owner, ID, makeJob(makeStep(), makeStep({ after: [0] })));
+  await site.run(300);
+  owner.store.isCutOff = true;
+  successor.store.isCutOff = true;
+  await site.run(200);
+  owner.stop();
+  await site.run(2_500);
+  t.is(site.record.runs.filter(({ kind }) => kind === 'done').length, 2);
+  owner.store.isCutOff = false;
+  successor.store.isCutOff = false;
+  await site.run(6_000);
+  t.is(await site.state(successor, ID), 'completed');
+  t.deepEqual(site.record.violations, []);
+});
--- a/tests/observability/lineSink.spec.ts
+++ b/tests/observability/lineSink.spec.ts
@@ -14,14 +14,14 @@
     waiting.push({ text, done });
     next?.();
   });
+  const nextWrite = (): Promise<void> =>
+    new Promise((resolve) => {
+      next = resolve;
+      // The sink's own timers do not keep a process alive.
+      setTimeout(resolve, 100);
+    });
   const write = async (): Promise<{ readonly text: string; readonly done: Done }> => {
-    while (waiting.length === 0) {
-      await new Promise<void>((resolve) => {
-        next = resolve;
-        // The sink's own timers do not keep a process alive.
-        setTimeout(resolve, 100);
-      });
-    }
+    while (waiting.length === 0) await nextWrite();
     const one = waiting.shift();
     const text = one?.text.toString('utf8') ?? '';
     written.push(text);
--- a/tests/platform/ingress.spec.ts
+++ b/tests/platform/ingress.spec.ts
@@ -48,6 +48,7 @@
     entry: 'a',
     process: 'a-1',
     holdLimitMs: 6_000,
+    handoverMs: 4_000,
     processorShare: 1,
   });
   const ingress = new Ingress({ ...entry.parts, clock, recorder });
