--- a/packages/samphirenotch/src/jobs/jobBook.ts
+++ b/packages/samphirenotch/src/jobs/jobBook.ts
@@ -199,6 +199,7 @@
    * @param jobId - the job
    */
   expire(jobId: string): void {
+    this.log.info('A job that is over is removed', { jobId });
     [ACCEPTED_PREFIX, CANCELLED_PREFIX, ENDED_PREFIX, PROGRESS_PREFIX].forEach((prefix) =>
       this.journal.add({ key: prefix + jobId, value: () => undefined }),
     );
--- a/packages/samphirenotch/src/jobs/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/jobOwner.ts
@@ -18,6 +18,7 @@
 import { Interference } from './interference.js';
 import { JobBook } from './jobBook.js';
 import type { JobReplica } from './jobReplica.js';
+import { JobRetention } from './jobRetention.js';
 import { jobIdOfTask } from './jobSpec.js';
 import { RunWatch } from './runWatch.js';
 import { StepLauncher } from './stepLauncher.js';
@@ -143,6 +144,7 @@
       follower.run(signal),
       this.passes(directory),
       this.summaries(),
+      new JobRetention(options.replica, this.book, options.clock).run(signal),
     ]);
     options.replica.listen(undefined);
     this.fleet.close();
--- a/packages/samphirenotch/src/jobs/jobReplica.ts
+++ b/packages/samphirenotch/src/jobs/jobReplica.ts
@@ -78,9 +78,9 @@
     return [...this.jobs.values()].filter(({ accepted }) => !this.ended.has(accepted.id));
   }
 
-  /** @returns all accepted jobs */
-  allJobs(): readonly ReplicatedJob[] {
-    return [...this.jobs.values()];
+  /** @returns ids of accepted jobs that have ended or are cancelled */
+  overJobIds(): readonly string[] {
+    return [...this.jobs.keys()].filter((id) => this.ended.has(id) || this.cancelled.has(id));
   }
 
   /**
--- /dev/null
+++ b/packages/samphirenotch/src/jobs/jobRetention.ts
@@ -0,0 +1,54 @@
+/**
+ * Removes jobs from the store that have been over for long enough.
+ */
+import type { Clock } from '../time/clock.js';
+
+import type { JobBook } from './jobBook.js';
+import type { JobReplica } from './jobReplica.js';
+
+/** Time for which callers may ask for a job that is over, in milliseconds; the platform asks for 120 s. */
+const RETENTION_MS = 180_000;
+
+/** Time between two looks, in milliseconds. */
+const LOOK_MS = 10_000;
+
+/** Most jobs removed at a look; keeps the store free for callers. */
+const MOST_AT_ONCE = 50;
+
+/** Remembers since when jobs are over, as far as this owner knows. */
+export class JobRetention {
+  private overSinceMs = new Map<string, number>();
+
+  /**
+   * @param replica - all jobs
+   * @param book - removes jobs
+   * @param clock - time
+   */
+  constructor(
+    private readonly replica: JobReplica,
+    private readonly book: JobBook,
+    private readonly clock: Clock,
+  ) {}
+
+  /**
+   * Removes jobs until told to stop.
+   *
+   * @param signal - ends it
+   */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await this.clock.sleep(LOOK_MS, signal);
+      if (!signal.aborted) this.look();
+    }
+  }
+
+  private look(): void {
+    const nowMs = this.clock.monotonicMs();
+    const over = this.replica.overJobIds();
+    this.overSinceMs = new Map(over.map((id) => [id, this.overSinceMs.get(id) ?? nowMs]));
+    over
+      .filter((id) => nowMs - (this.overSinceMs.get(id) ?? nowMs) >= RETENTION_MS)
+      .slice(0, MOST_AT_ONCE)
+      .forEach((id) => this.book.expire(id));
+  }
+}
--- a/tests/jobs/jobLife.spec.ts
+++ b/tests/jobs/jobLife.spec.ts
@@ -165,3 +165,16 @@
   await site.run(1_500);
   t.is(owner.entry.parts.queries.waiting(site.queue.name), 2);
 });
+
+test('should forget a job some time after its end, and not before', async (t) => {
+  const { site, owner } = await makeOwnedSite({ behave: () => ({ size: SIZE, durationMs: 100 }) });
+  await site.submit(owner, ID, makeJob(makeStep()));
+  await site.run(125_000);
+  t.is(await site.state(owner, ID), 'completed');
+  await site.run(80_000);
+  t.is(await site.state(owner, ID), 'not-found');
+  t.deepEqual(
+    [...site.data.items.keys()].filter((key) => key.includes(ID)),
+    [],
+  );
+});
