Move fillers that are paused for a serving task

A filler paused for 1.2 s is stopped (its checkpoint kept) and waits for a worker where it disturbs nobody.

--- a/packages/samphirenotch/src/jobs/runWatch.ts
+++ b/packages/samphirenotch/src/jobs/runWatch.ts
@@ -23,6 +23,12 @@
 /** Least time until a draining worker leaves if it does not say so, in milliseconds. */
 const DEFAULT_REMAINING_MS = 2_000;
 
+/** Time for which a filler may be paused before it moves, in milliseconds; loads swing by seconds. */
+const PAUSED_MS = 1_200;
+
+/** Progress that may be lost by moving a run without checkpoints, in percent. */
+const LITTLE_PERCENT = 30;
+
 /** Pace below which no progress is expected, in percent. */
 const LEAST_PACE = 20;
 
@@ -76,6 +82,10 @@
   }
 
   private findStalled(agent: WorkerAgent, nowMs: number): void {
+    agent
+      .activeRuns()
+      .filter((run) => this.isPaused(run, nowMs))
+      .forEach((run) => agent.stop(run, 'it is paused for a serving task'));
     const avoided = agent;
     agent
       .activeRuns()
@@ -86,6 +96,17 @@
       });
   }
 
+  /** A filler that stands still for a serving task may work at once beside others. */
+  private isPaused(run: OwnedRun, nowMs: number): boolean {
+    const { checkpointing } = run.task.step.spec;
+    return (
+      run.phase === 'running' &&
+      run.pace === 0 &&
+      (checkpointing || run.percent < LITTLE_PERCENT) &&
+      nowMs - run.progressedMs >= PAUSED_MS
+    );
+  }
+
   private isStalled(run: OwnedRun, nowMs: number): boolean {
     const { longRunning, gang } = run.task.step.spec;
     return (
