--- a/packages/samphirenotch/src/jobs/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workerAgent.ts
@@ -20,6 +20,7 @@
 
 import type { OwnedRun, OwnedTask } from './ownedJob.js';
 import { WorkerClock } from './workerClock.js';
+import { WorkerRoom } from './workerRoom.js';
 
 /** How long a worker may hold an answer until a run ends, in milliseconds. */
 const HOLD_WAIT_MS = 1_000;
@@ -124,10 +125,10 @@
 
   private acknowledgedSequence = 0;
 
-  /** Runs that are being stopped because no open task has them, with the room that they take. */
-  private foreign: ReadonlyMap<string, Size> = new Map();
+  private readonly room = new WorkerRoom();
 
-  private readonly used = { milliCores: 0, memoryMb: 0, accelerators: 0 };
+  /** How many runs are being stopped because no open task has them. */
+  private foreignRuns = 0;
 
   /**
    * @param options - worker, clock and listener
@@ -177,18 +178,7 @@
 
   /** @returns what is left of its room */
   free(): Size {
-    const { capacity } = this.description;
-    let { milliCores, memoryMb, accelerators } = this.used;
-    this.foreign.forEach((size) => {
-      milliCores += size.milliCores;
-      memoryMb += size.memoryMb;
-      accelerators += size.accelerators;
-    });
-    return {
-      milliCores: capacity.milliCores - milliCores,
-      memoryMb: capacity.memoryMb - memoryMb,
-      accelerators: capacity.accelerators - accelerators,
-    };
+    return this.room.free(this.description.capacity);
   }
 
   /**
@@ -198,12 +188,7 @@
    * @returns true if the room that is left holds it
    */
   fits(size: Size): boolean {
-    const free = this.free();
-    return (
-      size.milliCores <= free.milliCores &&
-      size.memoryMb <= free.memoryMb &&
-      size.accelerators <= free.accelerators
-    );
+    return this.room.fits(this.description.capacity, size);
   }
 
   /**
@@ -281,7 +266,7 @@
     };
     this.runs.set(runKey(task.id, run), owned);
     task.runs.push(owned);
-    this.use(size, 1);
+    this.room.take(size);
     return owned;
   }
 
@@ -331,22 +316,16 @@
     return (
       this.fenced &&
       this.runs.size === 0 &&
-      this.foreign.size === 0 &&
+      this.foreignRuns === 0 &&
       this.acknowledgedSequence >= this.seenSequence
     );
   }
 
-  private use(size: Size, sign: 1 | -1): void {
-    this.used.milliCores += sign * size.milliCores;
-    this.used.memoryMb += sign * size.memoryMb;
-    this.used.accelerators += sign * size.accelerators;
-  }
-
   private drop(run: OwnedRun): boolean {
     const key = runKey(run.task.id, run.run);
     if (this.runs.get(key) !== run) return false;
     this.runs.delete(key);
-    this.use(run.size, -1);
+    this.room.release(run.size);
     const at = run.task.runs.indexOf(run);
     if (at >= 0) run.task.runs.splice(at, 1);
     return true;
@@ -449,7 +428,7 @@
       });
       await Promise.race([stored, clock.sleep(RETRY_MS, signal)]);
     }
-    if (this.runs.size > 0 || this.foreign.size > 0) {
+    if (this.runs.size > 0 || this.foreignRuns > 0) {
       await clock.sleep(LOOK_GAP_MS, signal);
       return;
     }
@@ -486,15 +465,16 @@
       .filter(({ sequence }) => sequence > this.seenSequence)
       .forEach((end) => this.applyEnd(end));
     const listed = new Set<string>();
-    const foreign = new Map<string, Size>();
+    const foreign: Size[] = [];
     holding.running.forEach((report) => {
       const key = runKey(report.taskId, report.run);
       listed.add(key);
       if (this.applyReport(report)) return;
       const size = this.options.listener.sizeOfUnknown(report.taskId);
-      foreign.set(key, size ?? this.description.capacity);
+      foreign.push(size ?? this.description.capacity);
     });
-    this.foreign = foreign;
+    this.foreignRuns = foreign.length;
+    this.room.setForeign(foreign);
     this.findMissing(listed, sentMs);
     if (!this.fenced) {
       this.fenced = true;
@@ -556,7 +536,8 @@
     this.acknowledgedSequence = 0;
     this.grantedUntilMs = 0;
     this.workerClock.reset();
-    this.foreign = new Map();
+    this.foreignRuns = 0;
+    this.room.setForeign([]);
     this.activeRuns().forEach((run) => {
       const mayStart = run.phase === 'starting' || run.phase === 'in-doubt';
       if (sameAddress && mayStart) return;
