Never take a replaced change for a stored one

A change to a key that a newer change replaced before it was written counted as stored, so its end was acknowledged, and the owner was killed before the write. The new test fails without it.

--- a/packages/samphirenotch/src/jobs/progressJournal.ts
+++ b/packages/samphirenotch/src/jobs/progressJournal.ts
@@ -36,6 +36,14 @@
   readonly value: () => string | undefined;
 }
 
+interface PendingChange {
+  readonly change: JournalChange;
+  /** Number of the newest change to the key. */
+  readonly sequence: number;
+  /** Number of the oldest change to the key that is not stored. */
+  readonly since: number;
+}
+
 interface Waiter {
   readonly sequence: number;
   readonly resolve: (written: boolean) => void;
@@ -45,7 +53,7 @@
 export class ProgressJournal {
   private readonly log = partLog('journal');
 
-  private readonly pending = new Map<string, { change: JournalChange; sequence: number }>();
+  private readonly pending = new Map<string, PendingChange>();
 
   private readonly wakeup: Wakeup;
 
@@ -82,7 +90,8 @@
    */
   add(change: JournalChange): number {
     this.sequence += 1;
-    this.pending.set(change.key, { change, sequence: this.sequence });
+    const since = this.pending.get(change.key)?.since ?? this.sequence;
+    this.pending.set(change.key, { change, sequence: this.sequence, since });
     this.wakeup.wake();
     return this.sequence;
   }
@@ -151,12 +160,20 @@
     }
     this.inDoubt = false;
     this.revision = outcome.val.revision;
-    batch.forEach(({ change, sequence }) => {
-      if (this.pending.get(change.key)?.sequence === sequence) this.pending.delete(change.key);
-    });
+    batch.forEach((written) => this.noteWritten(written));
     this.resolveWaiters();
   }
 
+  /** Changes that came while the transaction was on its way are still to be written. */
+  private noteWritten({ change, sequence }: PendingChange): void {
+    const newest = this.pending.get(change.key);
+    if (!newest || newest.sequence === sequence) {
+      this.pending.delete(change.key);
+      return;
+    }
+    this.pending.set(change.key, { ...newest, since: sequence + 1 });
+  }
+
   /** After a lost answer, reads which of the owner's transactions the journal stands at. */
   private async settleDoubt(signal: AbortSignal): Promise<boolean> {
     const call = callWithin(this.clock, COMMIT_TIMEOUT_MS, signal);
@@ -187,8 +204,8 @@
 
   private oldestPending(): number {
     let oldest = Number.POSITIVE_INFINITY;
-    this.pending.forEach(({ sequence }) => {
-      oldest = Math.min(oldest, sequence);
+    this.pending.forEach(({ since }) => {
+      oldest = Math.min(oldest, since);
     });
     return oldest;
   }
--- a/tests/jobs/progressJournal.spec.ts
+++ b/tests/jobs/progressJournal.spec.ts
@@ -83,3 +83,20 @@
   t.is(data.items.get('k/1'), undefined);
   t.true(deposed.length > 0);
 });
+
+test('should not call a change stored that a newer one has replaced before it was written', async (t) => {
+  const { clock, data, journal, write, run } = makeJournal();
+  write('k/1', 'a');
+  // The transaction of the first key is on its way.
+  await clock.advance(13);
+  const sequence = write('k/2', 'b');
+  const presentWhenStored: boolean[] = [];
+  journal
+    .written(sequence)
+    .then(() => presentWhenStored.push(data.items.has('k/2')))
+    .catch(() => undefined);
+  write('k/2', 'c');
+  await run(500);
+  t.deepEqual(presentWhenStored, [true]);
+  t.is(data.items.get('k/2')?.value, 'c');
+});
