--- a/packages/samphirenotch/src/jobs/fillerPacing.ts
+++ b/packages/samphirenotch/src/jobs/fillerPacing.ts
@@ -5,6 +5,7 @@
  * disturb most are slowed first, as far as what was learned of them asks for. A target that is
  * missed all the same stops every filler on the worker until it is met again.
  */
+import { partLog } from '../observability/log.js';
 import type { Clock } from '../time/clock.js';
 
 import type { Interference } from './interference.js';
@@ -45,6 +46,8 @@
 
 /** Adjusts paces after each look at a worker. */
 export class FillerPacing {
+  private readonly log = partLog('pacing');
+
   private readonly seenLooks = new WeakMap<WorkerAgent, number>();
 
   /**
@@ -84,7 +87,10 @@
       ? new Map(fillers.map((run) => [run, 0]))
       : this.paces(fillers, serving, milliCores, nowMs);
     paces.forEach((pace, run) => {
-      if (run.pace !== pace) agent.pace(run, pace).catch(() => undefined);
+      if (run.pace === pace) return;
+      agent.pace(run, pace).catch((error: unknown) => {
+        this.log.error('A pace failed', { taskId: run.task.id, reason: String(error) });
+      });
     });
   }
 
--- a/packages/samphirenotch/src/jobs/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/jobOwner.ts
@@ -23,7 +23,7 @@
 import { RunWatch } from './runWatch.js';
 import { StepLauncher } from './stepLauncher.js';
 import type { OperatorFollower } from './operatorFollower.js';
-import { roomOf, type OwnedJob, type OwnedRun, type OwnedTask } from './ownedJob.js';
+import { roomOf, roomOfStep, type OwnedJob, type OwnedRun, type OwnedTask } from './ownedJob.js';
 import type { Term } from './ownerElection.js';
 import { ProgressJournal } from './progressJournal.js';
 import type { SiteCodec } from './siteCodec.js';
@@ -174,8 +174,7 @@
   sizeOfUnknown(taskId: string): Size | undefined {
     const job = this.options.replica.find(jobIdOfTask(taskId));
     const step = job?.accepted.job.steps[Number(taskId.split('.')[2])];
-    if (!step) return undefined;
-    return step.filler ? { ...step.size, milliCores: 0 } : step.size;
+    return step ? roomOfStep(step) : undefined;
   }
 
   onEnd(agent: WorkerAgent, run: OwnedRun | undefined, end: RunEnd): void {
--- a/packages/samphirenotch/src/jobs/ownedJob.ts
+++ b/packages/samphirenotch/src/jobs/ownedJob.ts
@@ -223,12 +223,18 @@
   });
 
 /**
- * Tells which room a task takes: a filler takes no processors.
+ * Tells which room each task of a step takes: a filler takes no processors.
+ *
+ * @param spec - the step
+ * @returns the room
+ */
+export const roomOfStep = ({ size, filler }: StepSpec): Size =>
+  filler ? { ...size, milliCores: 0 } : size;
+
+/**
+ * Tells which room a task takes.
  *
  * @param task - the task
  * @returns the room
  */
-export const roomOf = ({ step }: OwnedTask): Size => {
-  const { size, filler } = step.spec;
-  return filler ? { ...size, milliCores: 0 } : size;
-};
+export const roomOf = ({ step }: OwnedTask): Size => roomOfStep(step.spec);
--- a/packages/samphirenotch/src/jobs/storeFollower.ts
+++ b/packages/samphirenotch/src/jobs/storeFollower.ts
@@ -62,11 +62,6 @@
     return this.clock.monotonicMs() - this.lastContact;
   }
 
-  /** @returns the revision up to which everything is known */
-  knownRevision(): number {
-    return this.listed ? this.revision : 0;
-  }
-
   /**
    * Follows until told to stop.
    *
--- a/packages/samphirenotch/src/jobs/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workerAgent.ts
@@ -309,6 +309,13 @@
     if (answer.ok && answer.val.outcome === 'done') return;
     // Without an answer the pace is not known; the next decision sends it again.
     owned.pace = before === percent ? -1 : before;
+    this.log.warn('A pace was not taken', {
+      taskId: run.task.id,
+      run: run.run,
+      worker: this.id,
+      percent,
+      reason: answer.ok ? answer.val.outcome : answer.val.message,
+    });
     if (answer.ok && answer.val.outcome === 'stale-token') this.options.listener.onStaleToken(this);
   }
 
@@ -508,7 +515,7 @@
   private confirm(run: OwnedRun): void {
     const owned = run;
     owned.phase = 'running';
-    owned.confirmedMs = this.options.clock.monotonicMs();
+    this.markConfirmed(run);
   }
 
   /** A confirmed run that a later look does not show is over, whatever ended it. */
