End calls on silent connections with a timer of our own

Cause: the deadline of a store or worker call was AbortSignal.timeout inside AbortSignal.any. The combined signal holds its sources weakly, so a collection of garbage during the wait drops the timeout and the call on a silent connection never ends. A follower of the store then waited for its watch for good: the entry knew no owner of its partitions, took none, and answered 'not owned'. Ruled out: a lost task (the owner had it, completed), a stuck hand-over (others took over twice). Change: withinDeadline bounds the exchange by the clock's own timer, for commands and the head of an answer alike.

--- a/packages/samphirenotch/src/infrastructure/httpCommand.ts
+++ b/packages/samphirenotch/src/infrastructure/httpCommand.ts
@@ -44,41 +44,34 @@
 }
 
 /**
- * Makes the signal that ends an HTTP exchange: cancellation or the deadline.
+ * Runs an exchange that is bounded by the deadline until it resolves, and by cancellation to its
+ * end. An exchange that resolves to the head of an answer may take longer for what follows.
  *
- * @param clock - the clock that the deadline was set on
- * @param call - the call
- * @returns the signal
- */
-export const exchangeSignal = (clock: Clock, call: Call): AbortSignal =>
-  AbortSignal.any([call.signal, AbortSignal.timeout(Math.ceil(remainingMs(clock, call)))]);
-
-/**
- * Runs an exchange that is bounded by the deadline until the head of the answer has come, and by
- * cancellation to its end. What follows the head may take longer.
+ * The deadline is a timer of our own: a timeout signal that is only part of a combined one can be
+ * collected as garbage while the exchange waits, and then it never ends a silent connection.
  *
  * @param clock - the clock that the deadline was set on
  * @param call - the call
- * @param exchange - sends and resolves to the head
+ * @param exchange - sends, and reads as much as the deadline is for
  * @returns what the exchange resolved to
  */
-export const withHeadDeadline = async <T>(
+export const withinDeadline = async <T>(
   clock: Clock,
   call: Call,
   exchange: (signal: AbortSignal) => Promise<T>,
 ): Promise<T> => {
-  const headCame = new AbortController();
+  const resolved = new AbortController();
   const late = new AbortController();
   const watch = async (): Promise<void> => {
-    await clock.sleep(remainingMs(clock, call), headCame.signal);
-    if (headCame.signal.aborted) return;
+    await clock.sleep(remainingMs(clock, call), resolved.signal);
+    if (resolved.signal.aborted) return;
     late.abort(new DOMException('no answer in time', 'TimeoutError'));
   };
   watch().catch(() => late.abort());
   try {
     return await exchange(AbortSignal.any([call.signal, late.signal]));
   } finally {
-    headCame.abort();
+    resolved.abort();
   }
 };
 
@@ -123,6 +116,21 @@
   });
 };
 
+const exchange = async <T>(
+  target: CommandTarget,
+  command: Command<T>,
+  signal: AbortSignal,
+): Promise<{ readonly statusCode: number; readonly body: unknown }> => {
+  const response = await request(`${target.origin}${command.path}`, {
+    method: 'POST',
+    dispatcher: target.dispatcher,
+    headers: { 'content-type': 'application/json' },
+    body: JSON.stringify(command.body),
+    signal,
+  });
+  return { statusCode: response.statusCode, body: await response.body.json() };
+};
+
 /**
  * Sends a command and reads its answer.
  *
@@ -146,15 +154,10 @@
     );
   }
   try {
-    const response = await request(`${target.origin}${command.path}`, {
-      method: 'POST',
-      dispatcher: target.dispatcher,
-      headers: { 'content-type': 'application/json' },
-      body: JSON.stringify(command.body),
-      signal: exchangeSignal(clock, call),
-    });
-    const body: unknown = await response.body.json();
-    if (response.statusCode >= HTTP_ERROR) return Err(answeredFailure(body, step, target.peer));
+    const { statusCode, body } = await withinDeadline(clock, call, (signal) =>
+      exchange(target, command, signal),
+    );
+    if (statusCode >= HTTP_ERROR) return Err(answeredFailure(body, step, target.peer));
     const parsed = command.answer.safeParse(body);
     if (!parsed.success) return Err(answeredFailure(undefined, step, target.peer));
     return Ok(parsed.data);
--- a/packages/samphirenotch/src/infrastructure/httpWorker.ts
+++ b/packages/samphirenotch/src/infrastructure/httpWorker.ts
@@ -15,7 +15,7 @@
   answeredFailure,
   exchangeFailure,
   sendCommand,
-  withHeadDeadline,
+  withinDeadline,
   type CommandTarget,
 } from './httpCommand.js';
 import type {
@@ -136,7 +136,7 @@
       return Err(new Failure({ code: 'deadline', step, peer, effect: 'not-run', message }));
     }
     try {
-      const response = await withHeadDeadline(this.clock, call, (signal) =>
+      const response = await withinDeadline(this.clock, call, (signal) =>
         sendRequest(`${origin}/worker/execute`, {
           method: 'POST',
           dispatcher: this.pool,
--- /dev/null
+++ b/tests/infrastructure/silentStore.spec.ts
@@ -0,0 +1,64 @@
+/**
+ * A store whose connections go silent: nothing is answered, and nothing is closed either.
+ */
+import { once } from 'node:events';
+import { createServer, type Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { setFlagsFromString } from 'node:v8';
+import { runInNewContext } from 'node:vm';
+import test from 'ava';
+import { HttpKeyValueStore } from 'samphirenotch/infrastructure/httpKeyValueStore.js';
+import { callWithin } from 'samphirenotch/time/call.js';
+import { ManualClock } from 'samphirenotch/time/manualClock.js';
+
+const DEADLINE_MS = 1000;
+
+const silentServer = async (): Promise<Server> => {
+  const server = createServer(() => undefined);
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  return server;
+};
+
+const collectGarbage = (): void => {
+  setFlagsFromString('--expose-gc');
+  (runInNewContext('gc') as () => void)();
+};
+
+test('should end a call at its deadline though garbage was collected meanwhile', async (t) => {
+  t.timeout(10_000);
+  const server = await silentServer();
+  const { port } = server.address() as AddressInfo;
+  const clock = new ManualClock();
+  const store = new HttpKeyValueStore(`127.0.0.1:${port}`, clock);
+  const asked = once(server, 'request');
+  const answer = store.get('key', callWithin(clock, DEADLINE_MS));
+  await asked;
+  collectGarbage();
+  await clock.advance(DEADLINE_MS);
+  const { err, val } = await answer;
+  t.true(err);
+  t.like(val, { code: 'deadline', step: 'store.get', effect: 'unknown' });
+  await store.close();
+  server.closeAllConnections();
+  server.close();
+});
+
+test('should end a call that is cancelled', async (t) => {
+  t.timeout(10_000);
+  const server = await silentServer();
+  const { port } = server.address() as AddressInfo;
+  const clock = new ManualClock();
+  const store = new HttpKeyValueStore(`127.0.0.1:${port}`, clock);
+  const cancelled = new AbortController();
+  const asked = once(server, 'request');
+  const answer = store.get('key', callWithin(clock, DEADLINE_MS, cancelled.signal));
+  await asked;
+  cancelled.abort();
+  const { err, val } = await answer;
+  t.true(err);
+  t.like(val, { code: 'deadline', step: 'store.get', effect: 'unknown' });
+  await store.close();
+  server.closeAllConnections();
+  server.close();
+});
