Ask the policy service for tickets where a queue needs them

Cause: queues whose workers a policy service decides on got starts without a ticket. Workers refuse those, so such a queue would have run nothing. Change: StepPermissions asks for the most urgent waiting step, one call at a time, about at most 30 workers with room, those known to be allowed first; keeps tickets until shortly before they end; drops one that a worker does not take. platform/platformPolicy translates. A queue holds the times of its policy service in place of a flag. Ruled out: asking for all workers at once (the call's time grows with each one named).

--- a/packages/samphirenotch/src/jobs/acceptedJob.ts
+++ b/packages/samphirenotch/src/jobs/acceptedJob.ts
@@ -39,7 +39,7 @@
   maximumAttempts: z.number(),
   stretch: z.number(),
   targetLatencyMs: z.number(),
-  needsAdvice: z.boolean(),
+  policy: z.object({ decisionMs: z.number(), perWorkerMs: z.number() }).optional(),
 });
 
 const ACCEPTED = z.object({
--- a/packages/samphirenotch/src/jobs/jobEntry.ts
+++ b/packages/samphirenotch/src/jobs/jobEntry.ts
@@ -1,6 +1,7 @@
 /**
  * An entry: it serves callers, follows the store, and owns all jobs while it is elected.
  */
+import type { PolicyService } from '../infrastructure/policyService.js';
 import type { TaskWorkerDirectory } from '../infrastructure/taskWorker.js';
 import type { TransactionStore } from '../infrastructure/transactionStore.js';
 import { partLog } from '../observability/log.js';
@@ -28,6 +29,8 @@
 export interface JobEntryOptions {
   readonly store: TransactionStore;
   readonly workers: TaskWorkerDirectory;
+  /** Decides which workers may run a step; undefined if the site has no such service. */
+  readonly policy: PolicyService | undefined;
   readonly codec: SiteCodec;
   readonly clock: Clock;
   readonly recorder: Recorder;
--- a/packages/samphirenotch/src/jobs/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/jobOwner.ts
@@ -1,6 +1,7 @@
 /**
  * One term of ownership: takes over all jobs and workers, then starts, watches and ends tasks.
  */
+import type { PolicyService } from '../infrastructure/policyService.js';
 import type {
   RunEnd,
   RunReport,
@@ -27,6 +28,7 @@
 import type { Term } from './ownerElection.js';
 import { ProgressJournal } from './progressJournal.js';
 import type { SiteCodec } from './siteCodec.js';
+import { StepPermissions } from './stepPermissions.js';
 import { StoreFollower } from './storeFollower.js';
 import { takeOver } from './takeover.js';
 import { WorkerAgent, type AgentListener } from './workerAgent.js';
@@ -49,6 +51,8 @@
 export interface JobOwnerOptions {
   readonly store: TransactionStore;
   readonly workers: TaskWorkerDirectory;
+  /** Decides which workers may run a step; undefined if the site has no such service. */
+  readonly policy: PolicyService | undefined;
   readonly codec: SiteCodec;
   readonly replica: JobReplica;
   readonly operator: OperatorFollower;
@@ -70,6 +74,8 @@
 
   private readonly launcher: StepLauncher;
 
+  private readonly permissions: StepPermissions;
+
   private readonly pacing: FillerPacing;
 
   private readonly watch: RunWatch;
@@ -91,6 +97,7 @@
     this.fleet = new WorkerFleet((description) => this.connect(description), options.clock);
     this.watch = new RunWatch(this.fleet, options.clock);
     const interference = new Interference();
+    this.permissions = new StepPermissions(options.policy, options.clock, () => this.wakeup.wake());
     this.launcher = new StepLauncher({
       book: this.book,
       fleet: this.fleet,
@@ -98,6 +105,7 @@
       clock: options.clock,
       term,
       interference,
+      permissions: this.permissions,
     });
     this.pacing = new FillerPacing(this.fleet, interference, options.clock);
   }
@@ -144,6 +152,7 @@
       follower.run(signal),
       this.passes(directory),
       this.summaries(),
+      this.permissions.run(signal),
       new JobRetention(options.replica, this.book, options.clock).run(signal),
     ]);
     options.replica.listen(undefined);
@@ -207,6 +216,10 @@
     this.wakeup.wake();
   }
 
+  onTicketRefused({ task, agent }: OwnedRun): void {
+    this.permissions.revoke(task.step, agent.id);
+  }
+
   onChange(): void {
     this.wakeup.wake();
   }
--- a/packages/samphirenotch/src/jobs/jobSpec.ts
+++ b/packages/samphirenotch/src/jobs/jobSpec.ts
@@ -68,6 +68,10 @@
 export const taskIdOf = (jobId: string, occurrence: number, step: number, index: number): string =>
   `${jobId}.${occurrence}.${step}.${index}`;
 
+/** Names a step: job, occurrence and number. */
+export const stepIdOf = (jobId: string, occurrence: number, step: number): string =>
+  `${jobId}.${occurrence}.${step}`;
+
 /**
  * Names the job of a task.
  *
--- a/packages/samphirenotch/src/jobs/siteConfiguration.ts
+++ b/packages/samphirenotch/src/jobs/siteConfiguration.ts
@@ -2,6 +2,14 @@
  * What operators configure for jobs.
  */
 
+/** How long the policy service takes for one call. */
+export interface PolicyTimes {
+  /** For the call itself, in milliseconds. */
+  readonly decisionMs: number;
+  /** For each worker asked about, in milliseconds. */
+  readonly perWorkerMs: number;
+}
+
 /** A queue that callers hand jobs to. */
 export interface Queue {
   readonly name: string;
@@ -17,8 +25,8 @@
   readonly stretch: number;
   /** Allowed time on top of that, in milliseconds. */
   readonly targetLatencyMs: number;
-  /** The policy service decides which workers may run its steps. */
-  readonly needsAdvice: boolean;
+  /** How long the policy service takes that decides on workers; undefined if none decides. */
+  readonly policy?: PolicyTimes | undefined;
 }
 
 /** A configuration in force. */
--- a/packages/samphirenotch/src/jobs/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/stepLauncher.ts
@@ -9,6 +9,7 @@
 import type { OperatorFollower } from './operatorFollower.js';
 import { isStepOpen, roomOf, type OwnedJob, type OwnedStep, type OwnedTask } from './ownedJob.js';
 import type { Term } from './ownerElection.js';
+import type { StepPermissions } from './stepPermissions.js';
 import { DeadlineStepOrder, type StepOrder } from './stepOrder.js';
 import { SpreadPlacement, type TaskPlacement } from './taskPlacement.js';
 import type { WorkerAgent } from './workerAgent.js';
@@ -22,6 +23,7 @@
   readonly clock: Clock;
   readonly term: Term;
   readonly interference: Interference;
+  readonly permissions: StepPermissions;
 }
 
 interface Start {
@@ -54,6 +56,7 @@
     if (!directoryKnown) return;
     book.refreshQueues();
     this.placement.refresh();
+    this.options.permissions.beginPass();
     const nowMs = clock.monotonicMs();
     const steps = book
       .openJobs()
@@ -96,11 +99,21 @@
     const { job } = step.occurrence;
     if (!job.isOpen) return;
     const { evacuated } = operator.view();
-    const workers = fleet.candidates(job.queue.service, evacuated);
-    if (step.spec.gang) {
-      this.startGang(step, workers, nowMs);
-      return;
-    }
+    const candidates = fleet.candidates(job.queue.service, evacuated);
+    const workers = this.options.permissions.startable(step, candidates);
+    if (step.spec.gang) this.startGang(step, workers, nowMs);
+    else this.startTasks(step, workers, nowMs);
+    if (job.queue.policy) this.askForWorkers(step, candidates, nowMs);
+  }
+
+  /** Tickets are asked for only where tasks still wait. */
+  private askForWorkers(step: OwnedStep, workers: readonly WorkerAgent[], nowMs: number): void {
+    const task = step.tasks.find((each) => this.isWaiting(each, nowMs));
+    if (!task) return;
+    this.options.permissions.want(step, this.placement.rank({ task, size: roomOf(task), workers }));
+  }
+
+  private startTasks(step: OwnedStep, workers: readonly WorkerAgent[], nowMs: number): void {
     for (const task of step.tasks) {
       if (!this.isWaiting(task, nowMs)) continue;
       const size = roomOf(task);
@@ -177,7 +190,8 @@
       freeMilliCores: agent.free().milliCores,
       configuration: this.options.operator.view().configuration?.version,
     });
-    agent.start(task, run, roomOf(task), undefined);
+    const ticket = this.options.permissions.ticket(task.step, agent);
+    agent.start(task, run, roomOf(task), ticket);
     this.placement.forget(agent);
   }
 }
--- a/packages/samphirenotch/src/jobs/taskPlacement.ts
+++ b/packages/samphirenotch/src/jobs/taskPlacement.ts
@@ -36,6 +36,11 @@
    * @returns the worker, or undefined if none has room
    */
   choose(input: PlacementInput): WorkerAgent | undefined;
+  /**
+   * @param input - task and workers that may run it
+   * @returns the workers with room, the best first
+   */
+  rank(input: PlacementInput): readonly WorkerAgent[];
 }
 
 /** Weight of a worker off the rack of the task's data; above every other reason. */
@@ -115,6 +120,15 @@
     return best;
   }
 
+  rank({ task, size, workers }: PlacementInput): readonly WorkerAgent[] {
+    return workers
+      .filter((agent) => agent.fits(size) && this.isAllowed(agent, task))
+      .map((agent) => ({ agent, cost: this.cost(agent, task) }))
+      .filter(({ cost }) => Number.isFinite(cost))
+      .sort((one, other) => one.cost - other.cost)
+      .map(({ agent }) => agent);
+  }
+
   private isAllowed(agent: WorkerAgent, task: OwnedTask): boolean {
     const { requiredLabel, perWorkerLimit } = task.step.spec;
     if (requiredLabel !== '' && !agent.description.labels.includes(requiredLabel)) return false;
--- a/packages/samphirenotch/src/jobs/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workerAgent.ts
@@ -62,6 +62,8 @@
   onEnd(agent: WorkerAgent, run: OwnedRun | undefined, end: RunEnd): void;
   /** A run is over without a listed end: it never ran, its lease lapsed or its worker restarted. */
   onGone(run: OwnedRun, reason: string): void;
+  /** The worker did not take the ticket of a start. */
+  onTicketRefused(run: OwnedRun): void;
   /** Room or reachability has changed. */
   onChange(agent: WorkerAgent): void;
   /** The worker has taken this owner's token for the first time. */
@@ -611,7 +613,9 @@
       this.options.listener.onStaleToken(this);
       return;
     }
-    if (outcome !== 'superseded') {
+    if (outcome === 'no-ticket') {
+      this.options.listener.onTicketRefused(run);
+    } else if (outcome !== 'superseded') {
       this.avoidUntilMs = this.options.clock.monotonicMs() + TURNED_AWAY_MS;
     }
     this.gone(run, `the worker answered ${outcome}`);
--- a/tests/platform/clients.spec.ts
+++ b/tests/platform/clients.spec.ts
@@ -5,6 +5,7 @@
 import { callWithin } from 'samphirenotch/time/call.js';
 import { SystemClock } from 'samphirenotch/time/clock.js';
 
+import { PlatformPolicy } from '../../platform/platformPolicy.js';
 import { PlatformStore } from '../../platform/platformStore.js';
 import { PlatformWorkers } from '../../platform/platformWorkers.js';
 import { startStandIn, type StandInAnswer } from '../fixtures/httpStandIn.js';
@@ -176,3 +177,27 @@
   worker.close();
   standIn.close();
 });
+
+test('should read the decisions of the policy service', async (t) => {
+  const standIn = await startStandIn(() => ({
+    status: 200,
+    body: { Allowed: [['w1', 'ticket-1']], ValidityMs: 3_000 },
+  }));
+  const policy = new PlatformPolicy(standIn.address, clock);
+  const decision = (await policy.decide('a1.0.1', ['w1', 'w2'], call())).unwrap();
+  t.deepEqual([...decision.tickets], [['w1', 'ticket-1']]);
+  t.is(decision.validMs, 3_000);
+  t.deepEqual(standIn.received[0]?.body, { Step: 'a1.0.1', Workers: ['w1', 'w2'] });
+  standIn.close();
+});
+
+test('should tell a call that the policy service turned away from one in doubt', async (t) => {
+  const answers: StandInAnswer[] = [{ status: 429 }, { status: 200, body: { Allowed: 3 } }];
+  const standIn = await startStandIn(() => answers.shift());
+  const policy = new PlatformPolicy(standIn.address, clock);
+  const away = await policy.decide('a1.0.1', ['w1'], call());
+  const broken = await policy.decide('a1.0.1', ['w1'], call());
+  t.true(away.err && away.val.effect === 'not-run');
+  t.true(broken.err && broken.val.effect === 'unknown');
+  standIn.close();
+});
--- a/tests/platform/ingress.spec.ts
+++ b/tests/platform/ingress.spec.ts
@@ -42,6 +42,7 @@
   const entry = new JobEntry({
     store,
     workers: new MemoryTaskWorkers(new Map(), 'a', clock),
+    policy: undefined,
     codec: new PlatformCodec(),
     clock,
     recorder,
--- a/tests/platform/settings.spec.ts
+++ b/tests/platform/settings.spec.ts
@@ -20,7 +20,7 @@
   t.is(settings.entry, 'front-1');
   t.is(settings.storeAddress, '10.0.0.9:8169');
   t.is(settings.graceMs, 6_000);
-  t.is(settings.adviceAddress, undefined);
+  t.is(settings.policyAddress, undefined);
 });
 
 test('should name every field that is missing or wrong', (t) => {
