Find slow workers by runs that lag behind their siblings, and copy lagging runs

Cause: a worker that turns several times slower while it reports good health kept what it ran and got more; only runs without any progress for 2.5 s were moved. Steps that allow copies never had one. Change: the rate of each run at full pace is compared with the median of its step, ended runs included. Ruled out: estimates as the measure (they are off by up to 0.9 of their value).

--- a/packages/samphirenotch/src/jobs/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/jobOwner.ts
@@ -21,7 +21,9 @@
 import type { JobReplica } from './jobReplica.js';
 import { JobRetention } from './jobRetention.js';
 import { jobIdOfTask } from './jobSpec.js';
+import { noteDone } from './runSpeed.js';
 import { RunWatch } from './runWatch.js';
+import { SlowWorkers } from './slowWorkers.js';
 import { StepLauncher } from './stepLauncher.js';
 import type { OperatorFollower } from './operatorFollower.js';
 import { roomOf, roomOfStep, type OwnedJob, type OwnedRun, type OwnedTask } from './ownedJob.js';
@@ -80,6 +82,8 @@
 
   private readonly watch: RunWatch;
 
+  private readonly slowWorkers: SlowWorkers;
+
   private readonly wakeup: Wakeup;
 
   private journal!: ProgressJournal;
@@ -96,6 +100,7 @@
     this.book = new JobBook(options.operator, options.clock);
     this.fleet = new WorkerFleet((description) => this.connect(description), options.clock);
     this.watch = new RunWatch(this.fleet, options.clock);
+    this.slowWorkers = new SlowWorkers(this.fleet, options.clock);
     const interference = new Interference();
     this.permissions = new StepPermissions(options.policy, options.clock, () => this.wakeup.wake());
     this.launcher = new StepLauncher({
@@ -106,6 +111,7 @@
       term,
       interference,
       permissions: this.permissions,
+      slowWorkers: this.slowWorkers,
     });
     this.pacing = new FillerPacing(this.fleet, interference, options.clock);
   }
@@ -202,6 +208,7 @@
     if (end.checkpoint !== '') task.checkpoint = end.checkpoint;
     this.fleet.noteEnd(agent, task, end.kind);
     task.step.occurrence.job.settled = false;
+    if (end.kind === 'done' && run) noteDone(run, this.options.clock.monotonicMs());
     if (end.kind === 'done') this.finishTask(task);
     if (end.kind === 'failed') this.failTask(task, agent, end.run);
     this.wakeup.wake();
@@ -311,6 +318,7 @@
       if (directory.complete) this.fleet.noteDirectory();
       this.fleet.maintain();
       this.watch.check();
+      this.slowWorkers.check();
       this.pacing.adjust();
       this.launcher.pass(directory.complete);
     }
--- a/packages/samphirenotch/src/jobs/ownedJob.ts
+++ b/packages/samphirenotch/src/jobs/ownedJob.ts
@@ -17,6 +17,13 @@
   | 'in-doubt'
   | 'stopping';
 
+/** A run at one moment. */
+export interface RunSighting {
+  readonly percent: number;
+  /** Monotonic time in milliseconds. */
+  readonly atMs: number;
+}
+
 /** One start of a task on a worker. */
 export interface OwnedRun {
   readonly task: OwnedTask;
@@ -29,6 +36,10 @@
   /** Monotonic time at which the worker confirmed the start. */
   confirmedMs: number | undefined;
   percent: number;
+  /** Where it stood when it was first seen at its pace; undefined until then. */
+  sighted: RunSighting | undefined;
+  /** Monotonic time of the last report, in milliseconds. */
+  reportedMs: number;
   /** Monotonic time at which its percent last changed, in milliseconds. */
   progressedMs: number;
   gauge: number;
@@ -62,6 +73,8 @@
   readonly spec: StepSpec;
   readonly tasks: OwnedTask[];
   doneCount: number;
+  /** Speeds of runs that are done, in percent per millisecond. */
+  readonly doneRates: number[];
 }
 
 /** One time that the steps of a job run. */
@@ -190,6 +203,7 @@
       spec,
       tasks: [],
       doneCount: progress?.done.size ?? 0,
+      doneRates: [],
     };
     for (let index = 0; index < spec.count; index += 1) {
       const failedRuns = progress?.failedRuns.get(index) ?? [];
--- /dev/null
+++ b/packages/samphirenotch/src/jobs/runSpeed.ts
@@ -0,0 +1,93 @@
+/**
+ * Compares the speed of a run with that of its siblings.
+ *
+ * The tasks of a step do about the same work, while estimates are rough: what a run makes of its
+ * work in a second is compared with the median of its step, on other workers too.
+ */
+import type { OwnedRun, OwnedStep } from './ownedJob.js';
+
+/** Least time over which a rate is read, in milliseconds: workers report whole percents. */
+const LEAST_SPAN_MS = 500;
+
+/** Rates of a step that must be known before one of them is judged. */
+const LEAST_RATES = 3;
+
+/** Rates of ended runs that a step remembers. */
+const REMEMBERED_RATES = 30;
+
+/** Part of a percent that a run without progress may have made. */
+const UNSEEN_PERCENT = 0.5;
+
+const FULL_PERCENT = 100;
+
+/**
+ * Tells how fast a run works.
+ *
+ * @param run - the run
+ * @returns percent per millisecond; undefined if it is paced or was not seen for long enough
+ */
+export const rateOf = (run: OwnedRun): number | undefined => {
+  const { sighted, reportedMs, phase, pace, percent } = run;
+  if (phase !== 'running' || pace !== FULL_PERCENT || !sighted || percent >= FULL_PERCENT) {
+    return undefined;
+  }
+  const spanMs = reportedMs - sighted.atMs;
+  if (spanMs < LEAST_SPAN_MS) return undefined;
+  return Math.max(UNSEEN_PERCENT, percent - sighted.percent) / spanMs;
+};
+
+/**
+ * Remembers how fast a run was that is done.
+ *
+ * @param run - the run
+ * @param nowMs - monotonic time in milliseconds
+ */
+export const noteDone = (run: OwnedRun, nowMs: number): void => {
+  const { sighted, pace, confirmedMs } = run;
+  const { doneRates } = run.task.step;
+  if (pace !== FULL_PERCENT || confirmedMs === undefined || run.task.checkpoint !== '') return;
+  if (sighted && sighted.atMs > confirmedMs + LEAST_SPAN_MS * 2) return;
+  doneRates.push(FULL_PERCENT / Math.max(1, nowMs - confirmedMs));
+  if (doneRates.length > REMEMBERED_RATES) doneRates.shift();
+};
+
+/**
+ * Tells how fast the runs of a step work.
+ *
+ * @param step - the step
+ * @returns the median rate in percent per millisecond; undefined while too little is known
+ */
+export const expectedRate = (step: OwnedStep): number | undefined => {
+  const running = step.tasks.flatMap(({ runs }) => runs.flatMap((run) => rateOf(run) ?? []));
+  const rates = [...running, ...step.doneRates].sort((left, right) => left - right);
+  return rates.length < LEAST_RATES ? undefined : rates[Math.floor(rates.length / 2)];
+};
+
+/** A run beside what its step lets expect. */
+export interface RunSpeed {
+  readonly run: OwnedRun;
+  /** How many times slower it is than the median of its step. */
+  readonly slowdown: number;
+  /** Time that it still takes where it is, in milliseconds. */
+  readonly remainingMs: number;
+  /** Time that a whole run takes on another worker, in milliseconds. */
+  readonly freshMs: number;
+}
+
+/**
+ * Judges a run.
+ *
+ * @param run - the run
+ * @param expected - median rate of its step, in percent per millisecond
+ * @returns its speed; undefined while too little is known
+ */
+export const speedOf = (run: OwnedRun, expected: number | undefined): RunSpeed | undefined => {
+  const rate = rateOf(run);
+  if (rate === undefined || expected === undefined) return undefined;
+  return {
+    run,
+    slowdown: expected / rate,
+    remainingMs: (FULL_PERCENT - run.percent) / rate,
+    freshMs: FULL_PERCENT / expected,
+  };
+};
--- a/packages/samphirenotch/src/jobs/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/stepLauncher.ts
@@ -9,6 +9,7 @@
 import type { OperatorFollower } from './operatorFollower.js';
 import { isStepOpen, roomOf, type OwnedJob, type OwnedStep, type OwnedTask } from './ownedJob.js';
 import type { Term } from './ownerElection.js';
+import type { SlowWorkers } from './slowWorkers.js';
 import type { StepPermissions } from './stepPermissions.js';
 import { DeadlineStepOrder, type StepOrder } from './stepOrder.js';
 import { SpreadPlacement, type TaskPlacement } from './taskPlacement.js';
@@ -24,6 +25,7 @@
   readonly term: Term;
   readonly interference: Interference;
   readonly permissions: StepPermissions;
+  readonly slowWorkers: SlowWorkers;
 }
 
 interface Start {
@@ -63,6 +65,27 @@
       .filter((job) => !job.settled && this.isAccountedFor(job))
       .flatMap((job) => this.waitingSteps(job, nowMs));
     this.order.sort(steps, nowMs).forEach((step) => this.startStep(step, nowMs));
+    this.startCopies();
+  }
+
+  /** Copies take only what no waiting task has taken. */
+  private startCopies(): void {
+    const { fleet, operator, permissions, slowWorkers } = this.options;
+    const { evacuated } = operator.view();
+    const tasks = slowWorkers.lagging().filter(({ step }) => {
+      const { job } = step.occurrence;
+      return job.isOpen && this.isAccountedFor(job);
+    });
+    tasks.forEach((task) => {
+      const { step } = task;
+      const candidates = fleet
+        .candidates(step.occurrence.job.queue.service, evacuated)
+        .filter((agent) => task.runs.every((run) => run.agent !== agent));
+      const workers = permissions.startable(step, candidates);
+      const agent = this.placement.choose({ task, size: roomOf(task), workers });
+      if (!agent) return;
+      this.start({ task, agent }, task.nextRun);
+    });
   }
 
   /** Before all workers of the former owner are known, its tasks may run unseen. */
--- a/packages/samphirenotch/src/jobs/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workerAgent.ts
@@ -261,6 +261,8 @@
       startedMs,
       confirmedMs: phase === 'running' ? startedMs : undefined,
       percent: 0,
+      sighted: undefined,
+      reportedMs: startedMs,
       progressedMs: startedMs,
       gauge: 0,
       pace: 100,
@@ -304,6 +306,7 @@
     const owned = run;
     const before = run.pace;
     owned.pace = percent;
+    owned.sighted = undefined;
     owned.progressedMs = clock.monotonicMs();
     const call = callWithin(clock, ORDER_TIMEOUT_MS, this.closed.signal);
     const name = { taskId: run.task.id, run: run.run };
@@ -507,8 +510,11 @@
       return false;
     }
     if (run.phase === 'starting' || run.phase === 'in-doubt') this.confirm(run);
-    if (run.percent !== report.percent) run.progressedMs = this.options.clock.monotonicMs();
+    const nowMs = this.options.clock.monotonicMs();
+    if (run.percent !== report.percent) run.progressedMs = nowMs;
     run.percent = report.percent;
+    run.reportedMs = nowMs;
+    run.sighted ??= { percent: report.percent, atMs: nowMs };
     run.gauge = report.gauge;
     if (report.checkpoint !== '') run.task.checkpoint = report.checkpoint;
     return true;
