Count a job as begun when a worker has begun it, not when it was told to

Cause: a job left the list of waiting jobs with the order of its first start. An order that is dropped or refused begins nothing, so the count of waiting jobs was too low until a later start. Change: an answered start, a list that shows the run, or its end marks the job as begun. Before: workers 'count a job as waiting until a worker has begun one of its tasks' saw 0 for 1.

--- a/packages/samphirenotch/src/jobs/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/jobOwner.ts
@@ -186,6 +186,11 @@
     return agent.adopt(task, report.run, roomOf(task), 'running');
   }
 
+  onBegun({ task }: OwnedRun): void {
+    const { job } = task.step.occurrence;
+    job.begun = true;
+  }
+
   sizeOfUnknown(taskId: string): Size | undefined {
     const job = this.options.replica.find(jobIdOfTask(taskId));
     const step = job?.accepted.job.steps[Number(taskId.split('.')[2])];
@@ -204,10 +209,12 @@
     });
     this.options.recorder.count('run_ends', { kind: end.kind });
     if (!task) return;
+    const { job } = task.step.occurrence;
+    job.begun = true;
     task.nextRun = Math.max(task.nextRun, end.run + 1);
     if (end.checkpoint !== '') task.checkpoint = end.checkpoint;
     this.fleet.noteEnd(agent, task, end.kind);
-    task.step.occurrence.job.settled = false;
+    job.settled = false;
     if (end.kind === 'done' && run) noteDone(run, this.options.clock.monotonicMs());
     if (end.kind === 'done') this.finishTask(task);
     if (end.kind === 'failed') this.failTask(task, agent, end.run);
--- a/packages/samphirenotch/src/jobs/ownedJob.ts
+++ b/packages/samphirenotch/src/jobs/ownedJob.ts
@@ -118,7 +118,7 @@
   /** No task waits: nothing to do until one of its runs ends. */
   settled = false;
 
-  /** A task of it was started at some time. */
+  /** A worker has begun a task of it at some time. */
   begun = false;
 
   cancelled = false;
--- a/packages/samphirenotch/src/jobs/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/stepLauncher.ts
@@ -201,10 +201,8 @@
   }
 
   private start({ task, agent }: Start, run: number): void {
-    const { job } = task.step.occurrence;
     const owned = task;
     owned.nextRun = run + 1;
-    job.begun = true;
     this.log.info('Starting a task', {
       taskId: task.id,
       run,
--- a/packages/samphirenotch/src/jobs/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workerAgent.ts
@@ -58,6 +58,8 @@
   onUnknownRun(agent: WorkerAgent, report: RunReport): OwnedRun | undefined;
   /** Room that a run takes which no open task has; undefined if nothing is known of its job. */
   sizeOfUnknown(taskId: string): Size | undefined;
+  /** The worker has shown that it began a run: an answer, or one of its lists. */
+  onBegun(run: OwnedRun): void;
   /** The worker listed the end of a run. */
   onEnd(agent: WorkerAgent, run: OwnedRun | undefined, end: RunEnd): void;
   /** A run is over without a listed end: it never ran, its lease lapsed or its worker restarted. */
@@ -497,7 +499,10 @@
   private applyEnd(end: RunEnd): void {
     this.seenSequence = end.sequence;
     const run = this.runs.get(runKey(end.taskId, end.run));
-    if (run) this.drop(run);
+    if (run) {
+      this.options.listener.onBegun(run);
+      this.drop(run);
+    }
     this.options.listener.onEnd(this, run, end);
   }
 
@@ -509,6 +514,7 @@
       this.stopUnknown(report);
       return false;
     }
+    if (known) this.options.listener.onBegun(known);
     if (run.phase === 'starting' || run.phase === 'in-doubt') this.confirm(run);
     const nowMs = this.options.clock.monotonicMs();
     if (run.percent !== report.percent) run.progressedMs = nowMs;
@@ -611,6 +617,7 @@
 
   private handleStart(run: OwnedRun, outcome: OrderOutcome): void {
     if (outcome === 'done') {
+      this.options.listener.onBegun(run);
       if (run.phase === 'starting') this.confirm(run);
       else if (run.confirmedMs === undefined) this.markConfirmed(run);
       return;
--- a/tests/jobs/workers.spec.ts
+++ b/tests/jobs/workers.spec.ts
@@ -86,3 +86,15 @@
   t.is(site.record.runs.length, 1);
   t.deepEqual(site.record.violations, []);
 });
+
+test('should count a job as waiting until a worker has begun one of its tasks', async (t) => {
+  const { site, owner } = await makeOwnedSite({ workers: 1 });
+  site.workers.get('w0')?.failStarts('dropped', 'dropped', 'dropped');
+  await site.submit(owner, ID, makeJob(makeStep()));
+  await site.run(3_200);
+  t.is(site.record.runs.length, 0);
+  t.is(owner.entry.parts.queries.waiting(site.queue.name), 1);
+  await site.run(6_000);
+  t.is(await site.state(owner, ID), 'completed');
+  t.is(owner.entry.parts.queries.waiting(site.queue.name), 0);
+});
