Tell no count of waiting jobs that was not read, and list over slow links

Cause: an entry that had just started answered 0 waiting jobs while its first listing was under way. On links of 2 Mbit/s that listing never ended: the whole of it had 1.5 s, then began anew. Change: the time of a list call bounds each silence of the store, not the whole listing; the client waits on as long as bytes arrive.

--- a/packages/samphirenotch/src/infrastructure/transactionStore.ts
+++ b/packages/samphirenotch/src/infrastructure/transactionStore.ts
@@ -5,7 +5,7 @@
 import type { Result } from '../results.js';
 import type { Call } from '../time/call.js';
 
-import type { KeyValue, KeyValueStore } from './keyValueStore.js';
+import type { KeyValue, KeyValueStore, Listing } from './keyValueStore.js';
 
 /** A condition: the key is at the revision, or absent if that is 0. */
 export interface Expectation {
@@ -38,9 +38,14 @@
 /** A failed call with `effect: 'unknown'` may have taken effect, or may yet do so. */
 export interface TransactionStore extends Pick<
   KeyValueStore,
-  'get' | 'list' | 'grantLease' | 'renewLease' | 'revokeLease' | 'watch' | 'close'
+  'get' | 'grantLease' | 'renewLease' | 'revokeLease' | 'watch' | 'close'
 > {
   /** Largest number of expectations, writes and removals of a transaction together. */
   readonly maximumTransactionEntries: number;
+  /**
+   * Lists all keys under a prefix. A listing may be megabytes and links slow, so the time of the call
+   * bounds each silence of the store, not the whole.
+   */
+  list(prefix: string, call: Call): Promise<Result<Listing, Failure>>;
   commit(transaction: Transaction, call: Call): Promise<Result<TransactionOutcome, Failure>>;
 }
--- a/packages/samphirenotch/src/jobs/jobEntry.ts
+++ b/packages/samphirenotch/src/jobs/jobEntry.ts
@@ -104,7 +104,7 @@
     const { replica } = this;
     this.parts = {
       commands: new JobCommands({ store, replica, follower: this.jobsFollower, clock }),
-      queries: new JobQueries({ store, replica, clock }),
+      queries: new JobQueries({ store, replica, follower: this.jobsFollower, clock }),
       operator: this.operator,
     };
   }
--- a/packages/samphirenotch/src/jobs/jobQueries.ts
+++ b/packages/samphirenotch/src/jobs/jobQueries.ts
@@ -9,6 +9,7 @@
 import { ACCEPTED_PREFIX, ENDED_PREFIX } from './jobKeys.js';
 import type { JobReplica } from './jobReplica.js';
 import type { JobState } from './jobSpec.js';
+import type { StoreFollower } from './storeFollower.js';
 
 /** Time for a read of the store, in milliseconds. */
 const READ_MS = 800;
@@ -16,6 +17,9 @@
 /** When callers may come back if the store does not answer, in milliseconds. */
 const RETRY_MS = 1_000;
 
+/** Age up to which a count of waiting jobs is told, in milliseconds; callers accept 2 s. */
+const COUNT_AGE_MS = 2_000;
+
 /** What is known of a job's state. */
 export type StateOutcome =
   | { readonly kind: 'known'; readonly state: JobState }
@@ -26,6 +30,8 @@
 export interface JobQueriesOptions {
   readonly store: TransactionStore;
   readonly replica: JobReplica;
+  /** Tells how old the replica is. */
+  readonly follower: StoreFollower;
   readonly clock: Clock;
 }
 
@@ -70,9 +76,10 @@
    * Counts the jobs of a queue that no task was started of.
    *
    * @param queue - name of the queue
-   * @returns how many
+   * @returns how many; undefined if the jobs are not known here, or were read too long ago
    */
-  waiting(queue: string): number {
+  waiting(queue: string): number | undefined {
+    if (this.options.follower.ageMs() > COUNT_AGE_MS) return undefined;
     return this.options.replica.countWaiting(queue);
   }
 }
--- a/packages/samphirenotch/src/jobs/storeFollower.ts
+++ b/packages/samphirenotch/src/jobs/storeFollower.ts
@@ -13,8 +13,8 @@
 /** Time beyond the hold after which a watch counts as silent, in milliseconds. */
 const WATCH_SLACK_MS = 500;
 
-/** Time for a page of a listing, in milliseconds. */
-const LIST_TIMEOUT_MS = 1_500;
+/** Longest silence of the store during a listing, in milliseconds. */
+const LIST_SILENCE_MS = 1_500;
 
 /** Wait after a failed call, in milliseconds. */
 const RETRY_MS = 150;
@@ -77,7 +77,7 @@
   }
 
   private async list(signal: AbortSignal): Promise<boolean> {
-    const call = callWithin(this.clock, LIST_TIMEOUT_MS, signal);
+    const call = callWithin(this.clock, LIST_SILENCE_MS, signal);
     const sentAt = this.clock.monotonicMs();
     const listing = await this.store.list(this.prefix, call);
     if (listing.err) return this.noteFailure(listing.val.message);
--- a/tests/jobs/jobLife.spec.ts
+++ b/tests/jobs/jobLife.spec.ts
@@ -166,6 +166,20 @@
   t.is(owner.entry.parts.queries.waiting(site.queue.name), 2);
 });
 
+test('should count no waiting jobs at an entry that has not read them, or not lately', async (t) => {
+  const { site, owner } = await makeOwnedSite({ workers: 0 });
+  await site.submit(owner, ID, makeJob(makeStep()));
+  const other = site.start('b', true);
+  await site.run(1_000);
+  t.is(other.entry.parts.queries.waiting(site.queue.name), undefined);
+  other.store.isCutOff = false;
+  await site.run(3_000);
+  t.is(other.entry.parts.queries.waiting(site.queue.name), 1);
+  other.store.isCutOff = true;
+  await site.run(4_000);
+  t.is(other.entry.parts.queries.waiting(site.queue.name), undefined);
+});
+
 test('should forget a job some time after its end, and not before', async (t) => {
   const { site, owner } = await makeOwnedSite({ behave: () => ({ size: SIZE, durationMs: 100 }) });
   await site.submit(owner, ID, makeJob(makeStep()));
