--- a/packages/samphirenotch/src/jobs/jobEntry.ts
+++ b/packages/samphirenotch/src/jobs/jobEntry.ts
@@ -9,7 +9,9 @@
 import type { Recorder } from '../observability/recorder.js';
 import type { Clock } from '../time/clock.js';
 
+import type { EntryStatus } from './entryStatus.js';
 import { JobCommands } from './jobCommands.js';
+import type { JobExplanation } from './jobExplanation.js';
 import { SHARED_PREFIX } from './jobKeys.js';
 import { JobOwner } from './jobOwner.js';
 import { JobQueries } from './jobQueries.js';
@@ -71,7 +73,7 @@
 
   private readonly following = new AbortController();
 
-  private isOwner = false;
+  private ownerHere: JobOwner | undefined;
 
   /**
    * @param options - outside systems, clock and name
@@ -80,7 +82,7 @@
     const { store, clock, codec } = options;
     this.operator = new OperatorFollower(codec);
     this.jobsFollower = new StoreFollower(store, SHARED_PREFIX, this.replica, clock, () =>
-      this.isOwner ? 0 : GATHER_MS,
+      this.ownerHere ? 0 : GATHER_MS,
     );
     this.operatorFollower = new StoreFollower(store, codec.operatorPrefix, this.operator, clock);
     this.election = new OwnerElection({
@@ -92,12 +94,13 @@
       handoverMs: options.handoverMs,
       eagerness: Math.min(1, options.processorShare),
       serve: async (term) => {
-        this.isOwner = true;
-        await new JobOwner(
-          { ...options, replica: this.replica, operator: this.operator },
-          term,
-        ).serve();
-        this.isOwner = false;
+        const { replica: jobs, operator } = this;
+        this.ownerHere = new JobOwner({ ...options, replica: jobs, operator }, term);
+        try {
+          await this.ownerHere.serve();
+        } finally {
+          this.ownerHere = undefined;
+        }
       },
     });
     this.replica.whenCaughtUp(() => this.election.notify());
@@ -118,11 +121,41 @@
     );
   }
 
+  /** @returns what this entry knows of itself and the site */
+  status(): EntryStatus {
+    const { configuration, evacuated } = this.operator.view();
+    const ageMs = this.jobsFollower.ageMs();
+    return {
+      entry: this.options.entry,
+      isReady: this.isReady(),
+      owner: this.replica.owner()?.entry,
+      configurationVersion: configuration?.version,
+      evacuatedDataCentres: [...evacuated],
+      storeAgeMs: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined,
+      jobsOpen: this.replica.openJobs().length,
+      queues: (configuration?.queues ?? []).map(({ name }) => ({
+        queue: name,
+        waiting: this.parts.queries.waiting(name),
+      })),
+      ...(this.ownerHere ? { term: this.ownerHere.status() } : {}),
+    };
+  }
+
+  /**
+   * Explains a job.
+   *
+   * @param jobId - the job
+   * @returns why its tasks wait or where they run; undefined at entries that do not own it
+   */
+  explain(jobId: string): JobExplanation | undefined {
+    return this.ownerHere?.explain(jobId);
+  }
+
   /** @returns values for metrics */
   gauges(): readonly Gauge[] {
     const gauge = (name: string, value: number): Gauge => ({ name, labels: {}, value });
     return [
-      gauge('is_owner', this.isOwner ? 1 : 0),
+      gauge('is_owner', this.ownerHere ? 1 : 0),
       gauge('jobs_open', this.replica.openJobs().length),
       gauge('configuration_version', this.operator.view().configuration?.version ?? 0),
       gauge('store_age_seconds', this.jobsFollower.ageMs() / 1_000),
--- /dev/null
+++ b/packages/samphirenotch/src/jobs/jobExplanation.ts
@@ -0,0 +1,110 @@
+/**
+ * Why the tasks of a job wait.
+ */
+import type { Clock } from '../time/clock.js';
+
+import { isStepOpen, roomOf, type OwnedJob, type OwnedStep, type OwnedTask } from './ownedJob.js';
+import type { OperatorFollower } from './operatorFollower.js';
+import type { StepPermissions } from './stepPermissions.js';
+import type { TaskPlacement } from './taskPlacement.js';
+import type { WorkerFleet } from './workerFleet.js';
+
+/** What a step of a job does. */
+export interface StepExplanation {
+  readonly occurrence: number;
+  readonly step: number;
+  readonly tasks: number;
+  readonly done: number;
+  readonly running: number;
+  /** Workers of its runs, each once. */
+  readonly workers: readonly string[];
+  /** Why the rest waits; undefined if nothing waits. */
+  readonly waitsFor?: string;
+}
+
+/** A job as its owner sees it. */
+export interface JobExplanation {
+  readonly jobId: string;
+  readonly queue: string;
+  readonly isBegun: boolean;
+  readonly steps: readonly StepExplanation[];
+}
+
+/** What explanations are made from. */
+export interface ExplainerOptions {
+  readonly fleet: WorkerFleet;
+  readonly operator: OperatorFollower;
+  readonly placement: TaskPlacement;
+  readonly permissions: StepPermissions;
+  readonly clock: Clock;
+  /** Tells whether a job may be started as far as former owners go. */
+  readonly isAccountedFor: (job: OwnedJob) => boolean;
+}
+
+/** Explains jobs. */
+export class JobExplainer {
+  /**
+   * @param options - what explanations are made from
+   */
+  constructor(private readonly options: ExplainerOptions) {}
+
+  /**
+   * Explains a job.
+   *
+   * @param job - the job
+   * @returns its steps, and why what waits does
+   */
+  explain(job: OwnedJob): JobExplanation {
+    const steps = [...job.occurrences.values()].flatMap((occurrence) => occurrence.steps);
+    return {
+      jobId: job.id,
+      queue: job.queue.name,
+      isBegun: job.begun,
+      steps: steps.map((step) => this.explainStep(step)),
+    };
+  }
+
+  private explainStep(step: OwnedStep): StepExplanation {
+    const runs = step.tasks.flatMap((task) => task.runs);
+    const waiting = step.tasks.find((task) => !task.done && task.runs.length === 0);
+    return {
+      occurrence: step.occurrence.index,
+      step: step.index,
+      tasks: step.spec.count,
+      done: step.doneCount,
+      running: runs.length,
+      workers: [...new Set(runs.map(({ agent }) => agent.id))],
+      ...(waiting ? { waitsFor: this.reason(waiting) } : {}),
+    };
+  }
+
+  private reason(task: OwnedTask): string {
+    const { step } = task;
+    const { occurrence } = step;
+    const { job } = occurrence;
+    const { clock } = this.options;
+    if (!job.isOpen) return 'nothing: the job is over';
+    if (!this.options.isAccountedFor(job)) return 'workers of a former owner to be accounted for';
+    if (!isStepOpen(step)) return 'the steps before it';
+    if (occurrence.dueAtMs > clock.wallMs()) return 'its time';
+    if (task.notBeforeMs > clock.monotonicMs()) return 'a short while after a start that failed';
+    return this.placeReason(task);
+  }
+
+  private placeReason(task: OwnedTask): string {
+    const { fleet, operator, permissions, placement } = this.options;
+    const { step } = task;
+    const { evacuated } = operator.view();
+    const size = roomOf(task);
+    const workers = fleet.candidates(step.occurrence.job.queue.service, evacuated);
+    if (workers.length === 0) return 'a worker of its service that takes work';
+    const allowed = permissions.startable(step, workers);
+    if (allowed.length === 0) return 'a ticket of the policy service';
+    const fitting = allowed.filter((agent) => agent.fits(size));
+    if (fitting.length === 0) return 'room on a worker';
+    if (placement.rank({ task, size, workers: fitting }).length > 0) return 'the next pass';
+    return step.spec.filler
+      ? 'a worker with processors to spare where no serving task misses its target'
+      : 'a worker with its label, or with fewer tasks of its step';
+  }
+}
--- a/packages/samphirenotch/src/jobs/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/jobOwner.ts
@@ -15,9 +15,11 @@
 import type { Clock } from '../time/clock.js';
 import { Wakeup } from '../time/wakeup.js';
 
+import type { TermStatus } from './entryStatus.js';
 import { FillerPacing } from './fillerPacing.js';
 import { Interference } from './interference.js';
 import { JobBook } from './jobBook.js';
+import type { JobExplanation } from './jobExplanation.js';
 import type { JobReplica } from './jobReplica.js';
 import { JobRetention } from './jobRetention.js';
 import { jobIdOfTask } from './jobSpec.js';
@@ -166,6 +168,37 @@
     this.log.info('The term is over', { fencingToken: term.fencingToken });
   }
 
+  /**
+   * Explains a job.
+   *
+   * @param jobId - the job
+   * @returns why its tasks wait or where they run; undefined if no job of that id is open here
+   */
+  explain(jobId: string): JobExplanation | undefined {
+    const job = this.book.find(jobId);
+    return job && this.launcher.explain(job);
+  }
+
+  /** @returns the term and the workers */
+  status(): TermStatus {
+    const { clock } = this.options;
+    return {
+      fencingToken: this.term.fencingToken,
+      waitsForFormerOwner: this.fleet.hasSuspects,
+      isCertain: clock.monotonicMs() < this.term.certainUntilMs(),
+      workers: this.fleet.all().map((agent) => ({
+        worker: agent.id,
+        dataCentre: agent.description.dataCentre,
+        phase: agent.unlisted ? 'unlisted' : agent.description.phase,
+        takesWork: agent.takesWork,
+        answers: agent.answers,
+        runs: agent.runCount,
+        freeMilliCores: agent.free().milliCores,
+        freeMemoryMb: agent.free().memoryMb,
+      })),
+    };
+  }
+
   onWorker(description: WorkerDescription): void {
     const isNew = this.fleet.describe(description);
     if (isNew || description.phase === 'draining') this.wakeup.wake();
--- a/packages/samphirenotch/src/jobs/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/stepLauncher.ts
@@ -5,6 +5,7 @@
 import type { Clock } from '../time/clock.js';
 
 import type { Interference } from './interference.js';
+import { JobExplainer, type JobExplanation } from './jobExplanation.js';
 import type { JobBook } from './jobBook.js';
 import type { OperatorFollower } from './operatorFollower.js';
 import { isStepOpen, roomOf, type OwnedJob, type OwnedStep, type OwnedTask } from './ownedJob.js';
@@ -48,6 +49,18 @@
     this.placement = new SpreadPlacement(options.interference, options.clock);
   }
 
+  /**
+   * Explains why tasks of a job wait.
+   *
+   * @param job - the job
+   * @returns the explanation as of now
+   */
+  explain(job: OwnedJob): JobExplanation {
+    const { placement } = this;
+    const isAccountedFor = (each: OwnedJob): boolean => this.isAccountedFor(each);
+    return new JobExplainer({ ...this.options, placement, isAccountedFor }).explain(job);
+  }
+
   /**
    * Starts what can be started.
    *
--- /dev/null
+++ b/tests/jobs/status.spec.ts
@@ -0,0 +1,65 @@
+/**
+ * What operators can ask of a running site.
+ */
+import test from 'ava';
+
+import { makeJob, makeOwnedSite, makeStep } from '../fixtures/jobSite.js';
+
+const ID = '00000000000000a1';
+const OTHER_ID = '00000000000000a2';
+const SIZE = { milliCores: 1_000, memoryMb: 1_000, accelerators: 0 };
+
+const longTasks = () => ({ size: SIZE, durationMs: 60_000 });
+
+test('should tell who owns, what is in force and how workers stand', async (t) => {
+  const { site, owner } = await makeOwnedSite({ behave: longTasks });
+  const other = site.start('b');
+  await site.submit(owner, ID, makeJob(makeStep({ count: 3 })));
+  await site.run(2_000);
+  const { term, ...status } = owner.entry.status();
+  t.like(status, { entry: 'a', isReady: true, owner: 'a', configurationVersion: 1, jobsOpen: 1 });
+  t.deepEqual(status.queues, [{ queue: 'runs', waiting: 0 }]);
+  t.true((status.storeAgeMs ?? Infinity) < 2_000);
+  t.is(term?.workers.length, 2);
+  t.is(
+    term?.workers.reduce((sum, { runs }) => sum + runs, 0),
+    3,
+  );
+  t.like(other.entry.status(), { entry: 'b', owner: 'a', term: undefined });
+});
+
+test('should explain where tasks run and what the others wait for', async (t) => {
+  const { site, owner } = await makeOwnedSite({
+    workers: 1,
+    milliCores: 2_000,
+    behave: longTasks,
+  });
+  const steps = [makeStep({ count: 3 }), makeStep({ after: [0] })];
+  await site.submit(owner, ID, makeJob(...steps));
+  await site.submit(owner, OTHER_ID, makeJob(makeStep({ requiredLabel: 'none' })));
+  await site.run(1_000);
+  const explained = owner.entry.explain(ID);
+  t.like(explained, { jobId: ID, queue: 'runs', isBegun: true });
+  t.like(explained?.steps[0], {
+    tasks: 3,
+    running: 2,
+    workers: ['w0'],
+    waitsFor: 'room on a worker',
+  });
+  t.like(explained?.steps[1], { running: 0, waitsFor: 'the steps before it' });
+  site.list('w0', { phase: 'draining', remainingMs: 60_000 });
+  await site.run(600);
+  t.is(
+    owner.entry.explain(OTHER_ID)?.steps[0]?.waitsFor,
+    'a worker of its service that takes work',
+  );
+});
+
+test('should explain nothing at an entry that does not own the jobs', async (t) => {
+  const { site, owner } = await makeOwnedSite({ behave: longTasks });
+  const other = site.start('b');
+  await site.submit(owner, ID, makeJob(makeStep()));
+  await site.run(1_000);
+  t.is(other.entry.explain(ID), undefined);
+  t.is(owner.entry.explain('00000000000000ff'), undefined);
+});
