Take orders and the account of runs out of the agent of a worker

Change: WorkerRuns keeps what may be in progress and its room, WorkerOrders sends starts, stops and paces and judges their answers; the agent looks and holds. No decision changes.

--- a/packages/samphirenotch/src/jobs/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workerAgent.ts
@@ -4,7 +4,6 @@
 import type {
   Holding,
   HoldOutcome,
-  OrderOutcome,
   RunEnd,
   RunReport,
   TaskWorker,
@@ -20,7 +19,8 @@
 
 import type { OwnedRun, OwnedTask } from './ownedJob.js';
 import { WorkerClock } from './workerClock.js';
-import { WorkerRoom } from './workerRoom.js';
+import { ORDER_TIMEOUT_MS, WorkerOrders, type OrderContext } from './workerOrders.js';
+import { markConfirmed, WorkerRuns } from './workerRuns.js';
 
 /** How long a worker may hold an answer until a run ends, in milliseconds. */
 const HOLD_WAIT_MS = 1_000;
@@ -28,9 +28,6 @@
 /** The same while fillers run beside a task with a target, whose tail is reported by half seconds. */
 const CLOSE_HOLD_WAIT_MS = 500;
 
-/** Time for an order, or for a hold beyond its wait, in milliseconds; a round trip takes a few. */
-const ORDER_TIMEOUT_MS = 600;
-
 /** Least time between two looks at a worker, in milliseconds: ends gather, looks are priced. */
 const LOOK_GAP_MS = 80;
 
@@ -43,9 +40,6 @@
 /** Holds without an answer after which a worker gets no new work. */
 const MISSES_UNTIL_SILENT = 1;
 
-/** How long a worker that turned an order away gets no new work, in milliseconds. */
-const TURNED_AWAY_MS = 1_000;
-
 /** Longest time for which a lease is granted at once, in milliseconds. */
 const LEASE_MS = 6_000;
 
@@ -89,8 +83,6 @@
   readonly isSoleOwner: () => boolean;
 }
 
-const runKey = (taskId: string, run: number): string => `${taskId}#${run}`;
-
 /** One worker of an owner. */
 export class WorkerAgent {
   description: WorkerDescription;
@@ -106,7 +98,9 @@
 
   private readonly log = partLog('worker');
 
-  private readonly runs = new Map<string, OwnedRun>();
+  private readonly runs: WorkerRuns;
+
+  private readonly orders: WorkerOrders;
 
   private readonly workerClock: WorkerClock;
 
@@ -129,11 +123,6 @@
 
   private acknowledgedSequence = 0;
 
-  private readonly room = new WorkerRoom();
-
-  /** How many runs are being stopped because no open task has them. */
-  private foreignRuns = 0;
-
   /**
    * @param options - worker, clock and listener
    */
@@ -141,6 +130,8 @@
     this.description = options.description;
     this.workerClock = new WorkerClock(options.clock);
     this.wakeup = new Wakeup(options.clock);
+    this.runs = new WorkerRuns(options.clock);
+    this.orders = new WorkerOrders(this.orderContext());
     options.signal.addEventListener('abort', () => this.closed.abort());
   }
 
@@ -172,17 +163,17 @@
 
   /** @returns all runs that may be in progress on it */
   activeRuns(): readonly OwnedRun[] {
-    return [...this.runs.values()];
+    return this.runs.all();
   }
 
   /** @returns how many runs it may have in progress */
   get runCount(): number {
-    return this.runs.size;
+    return this.runs.count;
   }
 
   /** @returns what is left of its room */
   free(): Size {
-    return this.room.free(this.description.capacity);
+    return this.runs.free(this.description.capacity);
   }
 
   /**
@@ -192,7 +183,7 @@
    * @returns true if the room that is left holds it
    */
   fits(size: Size): boolean {
-    return this.room.fits(this.description.capacity, size);
+    return this.runs.fits(this.description.capacity, size);
   }
 
   /**
@@ -236,9 +227,7 @@
    */
   start(task: OwnedTask, run: number, size: Size, ticket: string | undefined): OwnedRun {
     const owned = this.adopt(task, run, size, 'starting');
-    this.sendStart(owned, ticket).catch((error: unknown) => {
-      this.log.error('A start failed', { taskId: task.id, reason: String(error) });
-    });
+    this.orders.start(owned, ticket);
     this.wakeup.wake();
     return owned;
   }
@@ -253,27 +242,7 @@
    * @returns the run
    */
   adopt(task: OwnedTask, run: number, size: Size, phase: OwnedRun['phase']): OwnedRun {
-    const startedMs = this.options.clock.monotonicMs();
-    const owned: OwnedRun = {
-      task,
-      run,
-      agent: this,
-      size,
-      phase,
-      startedMs,
-      confirmedMs: phase === 'running' ? startedMs : undefined,
-      percent: 0,
-      sighted: undefined,
-      reportedMs: startedMs,
-      progressedMs: startedMs,
-      gauge: 0,
-      pace: 100,
-      overTargetSinceMs: undefined,
-    };
-    this.runs.set(runKey(task.id, run), owned);
-    task.runs.push(owned);
-    this.room.take(size);
-    return owned;
+    return this.runs.add(this, task, run, size, phase);
   }
 
   /**
@@ -283,18 +252,7 @@
    * @param reason - for the log
    */
   stop(run: OwnedRun, reason: string): void {
-    if (run.phase === 'stopping') return;
-    const owned = run;
-    owned.phase = 'stopping';
-    this.log.info('Stopping a run', {
-      taskId: run.task.id,
-      run: run.run,
-      worker: this.id,
-      reason,
-    });
-    this.sendStop(owned).catch((error: unknown) => {
-      this.log.error('A stop failed', { taskId: run.task.id, reason: String(error) });
-    });
+    this.orders.stop(run, reason);
   }
 
   /**
@@ -303,50 +261,44 @@
    * @param run - the run
    * @param percent - the share, from 0 to 100
    */
-  async pace(run: OwnedRun, percent: number): Promise<void> {
-    const { worker, clock, fencingToken } = this.options;
-    const owned = run;
-    const before = run.pace;
-    owned.pace = percent;
-    owned.sighted = undefined;
-    owned.progressedMs = clock.monotonicMs();
-    const call = callWithin(clock, ORDER_TIMEOUT_MS, this.closed.signal);
-    const name = { taskId: run.task.id, run: run.run };
-    const answer = await worker.pace(name, percent, fencingToken, call);
-    if (answer.ok && answer.val.outcome === 'done') return;
-    // Without an answer the pace is not known; the next decision sends it again.
-    owned.pace = before === percent ? -1 : before;
-    this.log.warn('A pace was not taken', {
-      taskId: run.task.id,
-      run: run.run,
-      worker: this.id,
-      percent,
-      reason: answer.ok ? answer.val.outcome : answer.val.message,
-    });
-    if (answer.ok && answer.val.outcome === 'stale-token') this.options.listener.onStaleToken(this);
+  pace(run: OwnedRun, percent: number): Promise<void> {
+    return this.orders.pace(run, percent);
+  }
+
+  private orderContext(): OrderContext {
+    const { options, runs } = this;
+    const { worker, clock, fencingToken, listener } = options;
+    return {
+      id: this.id,
+      worker,
+      clock,
+      fencingToken,
+      runs,
+      signal: this.closed.signal,
+      nextLease: () => this.nextLease(),
+      readClock: (clockMs) => this.workerClock.read(clockMs),
+      begun: (run) => listener.onBegun(run),
+      gone: (run, reason) => this.gone(run, reason),
+      avoid: (durationMs) => {
+        this.avoidUntilMs = clock.monotonicMs() + durationMs;
+      },
+      lookSoon: () => this.wakeup.wake(),
+      staleToken: () => listener.onStaleToken(this),
+      ticketRefused: (run) => listener.onTicketRefused(run),
+    };
   }
 
   private isIdle(): boolean {
     return (
       this.fenced &&
-      this.runs.size === 0 &&
-      this.foreignRuns === 0 &&
+      this.runs.count === 0 &&
+      this.runs.foreignCount === 0 &&
       this.acknowledgedSequence >= this.seenSequence
     );
   }
 
-  private drop(run: OwnedRun): boolean {
-    const key = runKey(run.task.id, run.run);
-    if (this.runs.get(key) !== run) return false;
-    this.runs.delete(key);
-    this.room.release(run.size);
-    const at = run.task.runs.indexOf(run);
-    if (at >= 0) run.task.runs.splice(at, 1);
-    return true;
-  }
-
   private gone(run: OwnedRun, reason: string): void {
-    if (!this.drop(run)) return;
+    if (!this.runs.drop(run)) return;
     this.log.info('A run is over without a listed end', {
       taskId: run.task.id,
       run: run.run,
@@ -379,7 +331,7 @@
   private async look(signal: AbortSignal): Promise<void> {
     const { clock, worker, fencingToken } = this.options;
     const storedAll = this.storedSequence >= this.seenSequence;
-    const waits = this.fenced && this.answers && storedAll && this.runs.size > 0;
+    const waits = this.fenced && this.answers && storedAll && this.runs.count > 0;
     const waitMs = waits ? this.holdWaitMs() : 0;
     const sentMs = clock.monotonicMs();
     const acknowledged = this.storedSequence;
@@ -442,7 +394,7 @@
       });
       await Promise.race([stored, clock.sleep(RETRY_MS, signal)]);
     }
-    if (this.runs.size > 0 || this.foreignRuns > 0) {
+    if (this.runs.count > 0 || this.runs.foreignCount > 0) {
       await clock.sleep(LOOK_GAP_MS, signal);
       return;
     }
@@ -454,7 +406,7 @@
     if (this.misses === MISSES_UNTIL_SILENT) {
       this.log.warn('A worker does not answer', {
         worker: this.id,
-        runs: this.runs.size,
+        runs: this.runs.count,
         reason: failure.message,
       });
       this.options.listener.onChange(this);
@@ -478,17 +430,17 @@
     holding.ends
       .filter(({ sequence }) => sequence > this.seenSequence)
       .forEach((end) => this.applyEnd(end));
-    const listed = new Set<string>();
+    const listed = new Set<OwnedRun>();
     const foreign: Size[] = [];
     holding.running.forEach((report) => {
-      const key = runKey(report.taskId, report.run);
-      listed.add(key);
-      if (this.applyReport(report)) return;
+      const isKnown = this.applyReport(report);
+      const run = this.runs.find(report);
+      if (run) listed.add(run);
+      if (isKnown) return;
       const size = this.options.listener.sizeOfUnknown(report.taskId);
       foreign.push(size ?? this.description.capacity);
     });
-    this.foreignRuns = foreign.length;
-    this.room.setForeign(foreign);
+    this.runs.setForeign(foreign);
     this.findMissing(listed, sentMs);
     if (!this.fenced) {
       this.fenced = true;
@@ -498,20 +450,20 @@
 
   private applyEnd(end: RunEnd): void {
     this.seenSequence = end.sequence;
-    const run = this.runs.get(runKey(end.taskId, end.run));
+    const run = this.runs.find(end);
     if (run) {
       this.options.listener.onBegun(run);
-      this.drop(run);
+      this.runs.drop(run);
     }
     this.options.listener.onEnd(this, run, end);
   }
 
   /** Returns false if no open task has the run. */
   private applyReport(report: RunReport): boolean {
-    const known = this.runs.get(runKey(report.taskId, report.run));
+    const known = this.runs.find(report);
     const run = known ?? this.options.listener.onUnknownRun(this, report);
     if (!run) {
-      this.stopUnknown(report);
+      this.orders.stopUnknown(report);
       return false;
     }
     if (known) this.options.listener.onBegun(known);
@@ -529,13 +481,13 @@
   private confirm(run: OwnedRun): void {
     const owned = run;
     owned.phase = 'running';
-    this.markConfirmed(run);
+    markConfirmed(run, this.options.clock.monotonicMs());
   }
 
   /** A confirmed run that a later look does not show is over, whatever ended it. */
-  private findMissing(listed: ReadonlySet<string>, sentMs: number): void {
-    this.runs.forEach((run, key) => {
-      if (listed.has(key) || run.confirmedMs === undefined || run.confirmedMs >= sentMs) return;
+  private findMissing(listed: ReadonlySet<OwnedRun>, sentMs: number): void {
+    this.activeRuns().forEach((run) => {
+      if (listed.has(run) || run.confirmedMs === undefined || run.confirmedMs >= sentMs) return;
       this.gone(run, 'the worker no longer lists it');
     });
   }
@@ -550,15 +502,14 @@
     this.log.warn('A life of a worker is over', {
       worker: this.id,
       reason,
-      runs: this.runs.size,
+      runs: this.runs.count,
     });
     this.seenSequence = 0;
     this.storedSequence = 0;
     this.acknowledgedSequence = 0;
     this.grantedUntilMs = 0;
     this.workerClock.reset();
-    this.foreignRuns = 0;
-    this.room.setForeign([]);
+    this.runs.setForeign([]);
     this.activeRuns().forEach((run) => {
       const mayStart = run.phase === 'starting' || run.phase === 'in-doubt';
       if (sameAddress && mayStart) return;
@@ -566,126 +517,4 @@
       this.gone(run, reason);
     });
   }
-
-  private async sendStart(run: OwnedRun, ticket: string | undefined): Promise<void> {
-    const { worker, clock, fencingToken } = this.options;
-    const leaseUntilMs = this.nextLease();
-    if (leaseUntilMs === undefined) {
-      this.gone(run, 'the worker went silent before the order was sent');
-      return;
-    }
-    const { task } = run;
-    const answer = await worker.start(
-      {
-        taskId: task.id,
-        run: run.run,
-        spec: task.step.occurrence.job.accepted.job.spec,
-        leaseUntilMs,
-        fencingToken,
-        checkpoint: task.checkpoint,
-        ...(ticket === undefined ? {} : { ticket }),
-      },
-      callWithin(clock, ORDER_TIMEOUT_MS, this.closed.signal),
-    );
-    if (answer.err) {
-      this.startFailed(run, answer.val);
-      return;
-    }
-    if (answer.val.clockMs !== undefined) this.workerClock.read(answer.val.clockMs);
-    this.handleStart(run, answer.val.outcome);
-  }
-
-  private startFailed(run: OwnedRun, failure: Failure): void {
-    this.log.warn('A start was not answered', {
-      taskId: run.task.id,
-      run: run.run,
-      worker: this.id,
-      effect: failure.effect,
-      reason: failure.message,
-    });
-    this.avoidUntilMs = this.options.clock.monotonicMs() + TURNED_AWAY_MS;
-    if (failure.effect === 'not-run') {
-      this.gone(run, 'the order was not sent');
-      return;
-    }
-    if (run.phase !== 'starting') return;
-    const owned = run;
-    owned.phase = 'in-doubt';
-    // It may be carried out later. A stop that is answered rules that out.
-    this.stop(owned, 'the start was not answered');
-  }
-
-  private handleStart(run: OwnedRun, outcome: OrderOutcome): void {
-    if (outcome === 'done') {
-      this.options.listener.onBegun(run);
-      if (run.phase === 'starting') this.confirm(run);
-      else if (run.confirmedMs === undefined) this.markConfirmed(run);
-      return;
-    }
-    if (outcome === 'stale-token') {
-      this.options.listener.onStaleToken(this);
-      return;
-    }
-    if (outcome === 'no-ticket') {
-      this.options.listener.onTicketRefused(run);
-    } else if (outcome !== 'superseded') {
-      this.avoidUntilMs = this.options.clock.monotonicMs() + TURNED_AWAY_MS;
-    }
-    this.gone(run, `the worker answered ${outcome}`);
-  }
-
-  private markConfirmed(run: OwnedRun): void {
-    const owned = run;
-    owned.confirmedMs = this.options.clock.monotonicMs();
-  }
-
-  private async sendStop(run: OwnedRun): Promise<void> {
-    const { clock, worker, fencingToken } = this.options;
-    const { signal } = this.closed;
-    const name = { taskId: run.task.id, run: run.run };
-    while (!signal.aborted && this.runs.get(runKey(name.taskId, name.run)) === run) {
-      const call = callWithin(clock, ORDER_TIMEOUT_MS, signal);
-      const answer = await worker.stop(name, fencingToken, call);
-      if (answer.ok && answer.val.outcome === 'stale-token') {
-        this.options.listener.onStaleToken(this);
-        return;
-      }
-      if (answer.ok && answer.val.outcome === 'other-life') {
-        this.gone(run, 'its worker is gone');
-        return;
-      }
-      if (answer.ok && answer.val.outcome === 'done') {
-        // From here on a look that does not list the run shows that it is over.
-        if (run.confirmedMs === undefined) this.markConfirmed(run);
-        this.wakeup.wake();
-        return;
-      }
-      await clock.sleep(RETRY_MS, signal);
-    }
-  }
-
-  /** Stops a run that nothing is known of; repeated by the next look that lists it. */
-  private stopUnknown(report: RunReport): void {
-    const { clock, worker, fencingToken } = this.options;
-    this.log.info('Stopping a run that no open task has', {
-      taskId: report.taskId,
-      run: report.run,
-      worker: this.id,
-    });
-    worker
-      .stop(report, fencingToken, callWithin(clock, ORDER_TIMEOUT_MS, this.closed.signal))
-      .then((answer) => {
-        if (answer.err) {
-          this.log.warn('A stop was not answered', {
-            taskId: report.taskId,
-            run: report.run,
-            worker: this.id,
-            reason: answer.val.message,
-          });
-        }
-      })
-      .catch((error: unknown) => {
-        this.log.error('A stop failed', { taskId: report.taskId, reason: String(error) });
-      });
-  }
 }
--- /dev/null
+++ b/packages/samphirenotch/src/jobs/workerOrders.ts
@@ -0,0 +1,234 @@
+/**
+ * The orders to one worker: starts, stops and paces, and what their answers mean.
+ */
+import type {
+  OrderAnswer,
+  OrderOutcome,
+  RunName,
+  RunReport,
+  TaskWorker,
+} from '../infrastructure/taskWorker.js';
+import type { Failure } from '../failure.js';
+import { partLog } from '../observability/log.js';
+import type { Result } from '../results.js';
+import { callWithin, type Call } from '../time/call.js';
+import type { Clock } from '../time/clock.js';
+
+import type { OwnedRun } from './ownedJob.js';
+import { markConfirmed, type WorkerRuns } from './workerRuns.js';
+
+/** Time for an order, in milliseconds; a round trip takes a few. */
+export const ORDER_TIMEOUT_MS = 600;
+
+/** Time between two tries of an order that was not answered, in milliseconds. */
+const RETRY_MS = 400;
+
+/** How long a worker that turned an order away gets no new work, in milliseconds. */
+const TURNED_AWAY_MS = 1_000;
+
+/** What orders need to know and change of their worker. */
+export interface OrderContext {
+  readonly id: string;
+  readonly worker: TaskWorker;
+  readonly clock: Clock;
+  readonly fencingToken: number;
+  readonly runs: WorkerRuns;
+  /** Ends every order. */
+  readonly signal: AbortSignal;
+  /** The lease to send, on the worker's clock; undefined while nothing may be extended. */
+  nextLease(): number | undefined;
+  /** Takes a reading of the worker's clock. */
+  readClock(clockMs: number): void;
+  /** The worker has shown that it began a run. */
+  begun(run: OwnedRun): void;
+  /** A run is over without a listed end. */
+  gone(run: OwnedRun, reason: string): void;
+  /** The worker gets nothing new for a while. */
+  avoid(durationMs: number): void;
+  /** The next look is to come soon. */
+  lookSoon(): void;
+  staleToken(): void;
+  ticketRefused(run: OwnedRun): void;
+}
+
+const nameOf = ({ task, run }: OwnedRun): RunName => ({ taskId: task.id, run });
+
+/** Sends orders. */
+export class WorkerOrders {
+  private readonly log = partLog('worker');
+
+  /**
+   * @param context - the worker and its account
+   */
+  constructor(private readonly context: OrderContext) {}
+
+  /**
+   * Sends the start of a run that is counted already.
+   *
+   * @param run - the run
+   * @param ticket - permission of the policy service, if needed
+   */
+  start(run: OwnedRun, ticket: string | undefined): void {
+    this.sendStart(run, ticket).catch((error: unknown) => {
+      this.log.error('A start failed', { taskId: run.task.id, reason: String(error) });
+    });
+  }
+
+  /**
+   * Stops a run. Its room is taken until the worker has listed its end.
+   *
+   * @param run - the run
+   * @param reason - for the log
+   */
+  stop(run: OwnedRun, reason: string): void {
+    if (run.phase === 'stopping') return;
+    const owned = run;
+    owned.phase = 'stopping';
+    this.log.info('Stopping a run', { ...nameOf(run), worker: this.context.id, reason });
+    this.sendStop(owned).catch((error: unknown) => {
+      this.log.error('A stop failed', { taskId: run.task.id, reason: String(error) });
+    });
+  }
+
+  /**
+   * Lets a run work at a share of its processors.
+   *
+   * @param run - the run
+   * @param percent - the share, from 0 to 100
+   */
+  async pace(run: OwnedRun, percent: number): Promise<void> {
+    const { worker, clock, fencingToken } = this.context;
+    const owned = run;
+    const before = run.pace;
+    owned.pace = percent;
+    owned.sighted = undefined;
+    owned.progressedMs = clock.monotonicMs();
+    const answer = await worker.pace(nameOf(run), percent, fencingToken, this.call());
+    if (answer.ok && answer.val.outcome === 'done') return;
+    // Without an answer the pace is not known; the next decision sends it again.
+    owned.pace = before === percent ? -1 : before;
+    this.log.warn('A pace was not taken', {
+      ...nameOf(run),
+      worker: this.context.id,
+      percent,
+      reason: answer.ok ? answer.val.outcome : answer.val.message,
+    });
+    if (answer.ok && answer.val.outcome === 'stale-token') this.context.staleToken();
+  }
+
+  /**
+   * Stops a run that nothing is known of; repeated by the next look that lists it.
+   *
+   * @param report - the run
+   */
+  stopUnknown(report: RunReport): void {
+    const { worker, fencingToken, id } = this.context;
+    const { taskId, run } = report;
+    this.log.info('Stopping a run that no open task has', { taskId, run, worker: id });
+    worker
+      .stop(report, fencingToken, this.call())
+      .then((answer) => {
+        if (answer.ok) return;
+        const reason = answer.val.message;
+        this.log.warn('A stop was not answered', { taskId, run, worker: id, reason });
+      })
+      .catch((error: unknown) => {
+        this.log.error('A stop failed', { taskId, reason: String(error) });
+      });
+  }
+
+  private call(): Call {
+    return callWithin(this.context.clock, ORDER_TIMEOUT_MS, this.context.signal);
+  }
+
+  private async sendStart(run: OwnedRun, ticket: string | undefined): Promise<void> {
+    const { context } = this;
+    const leaseUntilMs = context.nextLease();
+    if (leaseUntilMs === undefined) {
+      context.gone(run, 'the worker went silent before the order was sent');
+      return;
+    }
+    const { task } = run;
+    const order = {
+      ...nameOf(run),
+      spec: task.step.occurrence.job.accepted.job.spec,
+      leaseUntilMs,
+      fencingToken: context.fencingToken,
+      checkpoint: task.checkpoint,
+      ...(ticket === undefined ? {} : { ticket }),
+    };
+    this.handleStart(run, await context.worker.start(order, this.call()));
+  }
+
+  private handleStart(run: OwnedRun, answer: Result<OrderAnswer, Failure>): void {
+    if (answer.err) {
+      this.startFailed(run, answer.val);
+      return;
+    }
+    const { clockMs, outcome } = answer.val;
+    if (clockMs !== undefined) this.context.readClock(clockMs);
+    if (outcome === 'done') this.started(run);
+    else this.refused(run, outcome);
+  }
+
+  private started(run: OwnedRun): void {
+    const owned = run;
+    this.context.begun(run);
+    if (run.phase === 'starting') owned.phase = 'running';
+    if (run.confirmedMs === undefined) markConfirmed(run, this.context.clock.monotonicMs());
+  }
+
+  private refused(run: OwnedRun, outcome: OrderOutcome): void {
+    if (outcome === 'stale-token') {
+      this.context.staleToken();
+      return;
+    }
+    if (outcome === 'no-ticket') this.context.ticketRefused(run);
+    else if (outcome !== 'superseded') this.context.avoid(TURNED_AWAY_MS);
+    this.context.gone(run, `the worker answered ${outcome}`);
+  }
+
+  private startFailed(run: OwnedRun, failure: Failure): void {
+    this.log.warn('A start was not answered', {
+      ...nameOf(run),
+      worker: this.context.id,
+      effect: failure.effect,
+      reason: failure.message,
+    });
+    this.context.avoid(TURNED_AWAY_MS);
+    if (failure.effect === 'not-run') {
+      this.context.gone(run, 'the order was not sent');
+      return;
+    }
+    if (run.phase !== 'starting') return;
+    const owned = run;
+    owned.phase = 'in-doubt';
+    // It may be carried out later. A stop that is answered rules that out.
+    this.stop(owned, 'the start was not answered');
+  }
+
+  private async sendStop(run: OwnedRun): Promise<void> {
+    const { worker, clock, fencingToken, signal, runs } = this.context;
+    while (!signal.aborted && runs.has(run)) {
+      const answer = await worker.stop(nameOf(run), fencingToken, this.call());
+      if (answer.ok && this.isStopSettled(run, answer.val.outcome)) return;
+      await clock.sleep(RETRY_MS, signal);
+    }
+  }
+
+  private isStopSettled(run: OwnedRun, outcome: OrderOutcome): boolean {
+    if (outcome === 'stale-token') {
+      this.context.staleToken();
+      return true;
+    }
+    if (outcome === 'other-life') {
+      this.context.gone(run, 'its worker is gone');
+      return true;
+    }
+    if (outcome !== 'done') return false;
+    // From here on a look that does not list the run shows that it is over.
+    if (run.confirmedMs === undefined) markConfirmed(run, this.context.clock.monotonicMs());
+    this.context.lookSoon();
+    return true;
+  }
+}
--- /dev/null
+++ b/packages/samphirenotch/src/jobs/workerRuns.ts
@@ -0,0 +1,163 @@
+/**
+ * The runs of one worker and the room that they take.
+ */
+import type { RunName } from '../infrastructure/taskWorker.js';
+import type { Size } from '../infrastructure/worker.js';
+import type { Clock } from '../time/clock.js';
+
+import type { OwnedRun, OwnedTask } from './ownedJob.js';
+import type { WorkerAgent } from './workerAgent.js';
+import { WorkerRoom } from './workerRoom.js';
+
+/** Pace at which a worker starts a task, in percent. */
+export const FULL_PERCENT = 100;
+
+const runKey = ({ taskId, run }: RunName): string => `${taskId}#${run}`;
+
+const nameOf = (run: OwnedRun): RunName => ({ taskId: run.task.id, run: run.run });
+
+/**
+ * Notes that a worker has shown or confirmed a run.
+ *
+ * @param run - the run
+ * @param nowMs - monotonic time in milliseconds
+ */
+export const markConfirmed = (run: OwnedRun, nowMs: number): void => {
+  const owned = run;
+  owned.confirmedMs = nowMs;
+};
+
+/** What may be in progress on a worker. */
+export class WorkerRuns {
+  private readonly runs = new Map<string, OwnedRun>();
+
+  private readonly room = new WorkerRoom();
+
+  private foreign = 0;
+
+  /**
+   * @param clock - time
+   */
+  constructor(private readonly clock: Clock) {}
+
+  /** @returns all runs that may be in progress */
+  all(): readonly OwnedRun[] {
+    return [...this.runs.values()];
+  }
+
+  /** @returns how many runs may be in progress */
+  get count(): number {
+    return this.runs.size;
+  }
+
+  /** @returns how many runs are being stopped because no open task has them */
+  get foreignCount(): number {
+    return this.foreign;
+  }
+
+  /**
+   * Finds a run.
+   *
+   * @param name - task and number
+   * @returns the run, or undefined if it is not counted here
+   */
+  find(name: RunName): OwnedRun | undefined {
+    return this.runs.get(runKey(name));
+  }
+
+  /**
+   * Tells whether a run is still counted.
+   *
+   * @param run - the run
+   * @returns true until it is dropped
+   */
+  has(run: OwnedRun): boolean {
+    return this.runs.get(runKey(nameOf(run))) === run;
+  }
+
+  /**
+   * Counts a run and takes its room.
+   *
+   * @param agent - the worker's agent
+   * @param task - its task
+   * @param run - its number
+   * @param size - room that it takes
+   * @param phase - where it stands
+   * @returns the run
+   */
+  add(
+    agent: WorkerAgent,
+    task: OwnedTask,
+    run: number,
+    size: Size,
+    phase: OwnedRun['phase'],
+  ): OwnedRun {
+    const startedMs = this.clock.monotonicMs();
+    const owned: OwnedRun = {
+      task,
+      run,
+      agent,
+      size,
+      phase,
+      startedMs,
+      confirmedMs: phase === 'running' ? startedMs : undefined,
+      percent: 0,
+      sighted: undefined,
+      reportedMs: startedMs,
+      progressedMs: startedMs,
+      gauge: 0,
+      pace: FULL_PERCENT,
+      overTargetSinceMs: undefined,
+    };
+    this.runs.set(runKey(nameOf(owned)), owned);
+    task.runs.push(owned);
+    this.room.take(size);
+    return owned;
+  }
+
+  /**
+   * Ends the account of a run.
+   *
+   * @param run - the run
+   * @returns false if it was not counted any more
+   */
+  drop(run: OwnedRun): boolean {
+    if (!this.has(run)) return false;
+    this.runs.delete(runKey(nameOf(run)));
+    this.room.release(run.size);
+    const at = run.task.runs.indexOf(run);
+    if (at >= 0) run.task.runs.splice(at, 1);
+    return true;
+  }
+
+  /**
+   * Sets the room of runs that no open task has.
+   *
+   * @param sizes - one size a run
+   */
+  setForeign(sizes: readonly Size[]): void {
+    this.foreign = sizes.length;
+    this.room.setForeign(sizes);
+  }
+
+  /**
+   * Tells what is left.
+   *
+   * @param capacity - what the worker holds
+   * @returns the room
+   */
+  free(capacity: Size): Size {
+    return this.room.free(capacity);
+  }
+
+  /**
+   * Tells whether a run fits.
+   *
+   * @param capacity - what the worker holds
+   * @param size - what the run asks for
+   * @returns true if the room that is left holds it
+   */
+  fits(capacity: Size, size: Size): boolean {
+    return this.room.fits(capacity, size);
+  }
+}
