Stop work that can wait for urgent tasks that fit nowhere

Cause: queues that come first may preempt others, and nothing did: an urgent task waited until a run of less urgent work ended. Change: where a task fits on no worker, the fewest runs of later queues that make room for it on one worker are stopped; only runs with checkpoints that still take a second or more, no gangs, nothing long-running. Runs that are being stopped count as room to come, so nothing is stopped twice over.

--- a/packages/samphirenotch/src/jobs/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/stepLauncher.ts
@@ -12,6 +12,7 @@
 import type { Term } from './ownerElection.js';
 import type { SlowWorkers } from './slowWorkers.js';
 import type { StepPermissions } from './stepPermissions.js';
+import { Preemption } from './preemption.js';
 import { DeadlineStepOrder, type StepOrder } from './stepOrder.js';
 import { SpreadPlacement, type TaskPlacement } from './taskPlacement.js';
 import type { WorkerAgent } from './workerAgent.js';
@@ -42,11 +43,14 @@
 
   private readonly placement: TaskPlacement;
 
+  private readonly preemption: Preemption;
+
   /**
    * @param options - jobs, workers and configuration
    */
   constructor(private readonly options: StepLauncherOptions) {
     this.placement = new SpreadPlacement(options.interference, options.clock);
+    this.preemption = new Preemption(options.clock);
   }
 
   /**
@@ -154,12 +158,23 @@
       if (!this.isWaiting(task, nowMs)) continue;
       const size = roomOf(task);
       const agent = this.placement.choose({ task, size, workers });
-      // All tasks of a step ask for the same.
-      if (!agent) return;
+      if (!agent) {
+        this.makeRoom(task, workers);
+        // All tasks of a step ask for the same.
+        return;
+      }
       this.start({ task, agent }, task.nextRun);
     }
   }
 
+  /** What lasts takes no room from work that ends, since it would keep it; fillers take none. */
+  private makeRoom(task: OwnedTask, workers: readonly WorkerAgent[]): void {
+    const { filler, longRunning } = task.step.spec;
+    if (filler || longRunning) return;
+    const permitted = workers.filter((agent) => this.placement.permits(agent, task));
+    this.preemption.makeRoom(task, roomOf(task), permitted);
+  }
+
   /** Members of a gang start together or not at all. */
   private startGang(step: OwnedStep, workers: readonly WorkerAgent[], nowMs: number): void {
     const members = step.tasks.filter(({ done }) => !done);
--- a/packages/samphirenotch/src/jobs/taskPlacement.ts
+++ b/packages/samphirenotch/src/jobs/taskPlacement.ts
@@ -36,6 +36,14 @@
    * @returns the worker, or undefined if none has room
    */
   choose(input: PlacementInput): WorkerAgent | undefined;
+  /**
+   * Tells whether a worker may run a task if it has room: its label, and few enough of its step.
+   *
+   * @param agent - the worker
+   * @param task - the task
+   * @returns true if it may
+   */
+  permits(agent: WorkerAgent, task: OwnedTask): boolean;
   /**
    * @param input - task and workers that may run it
    * @returns the workers with room, the best first
@@ -111,7 +119,7 @@
     let best: WorkerAgent | undefined;
     let bestCost = Number.POSITIVE_INFINITY;
     workers.forEach((agent) => {
-      if (!agent.fits(size) || !this.isAllowed(agent, task)) return;
+      if (!agent.fits(size) || !this.permits(agent, task)) return;
       const cost = this.cost(agent, task);
       if (cost >= bestCost) return;
       best = agent;
@@ -122,14 +130,14 @@
 
   rank({ task, size, workers }: PlacementInput): readonly WorkerAgent[] {
     return workers
-      .filter((agent) => agent.fits(size) && this.isAllowed(agent, task))
+      .filter((agent) => agent.fits(size) && this.permits(agent, task))
       .map((agent) => ({ agent, cost: this.cost(agent, task) }))
       .filter(({ cost }) => Number.isFinite(cost))
       .sort((one, other) => one.cost - other.cost)
       .map(({ agent }) => agent);
   }
 
-  private isAllowed(agent: WorkerAgent, task: OwnedTask): boolean {
+  permits(agent: WorkerAgent, task: OwnedTask): boolean {
     const { requiredLabel, perWorkerLimit } = task.step.spec;
     if (requiredLabel !== '' && !agent.description.labels.includes(requiredLabel)) return false;
     return perWorkerLimit === 0 || countOfStep(agent, task) < perWorkerLimit;
