--- a/benchmarks/main.ts
+++ b/benchmarks/main.ts
@@ -17,6 +17,7 @@
 import { comparePlacement } from './decisions/placement.js';
 import { comparePressure } from './decisions/pressure.js';
 import { compareRetries } from './decisions/retries.js';
+import { compareStepOrder } from './decisions/stepOrder.js';
 import { compareWorkerChoice } from './decisions/workerChoice.js';
 import { measureCalls, measureFloor } from './slopes/callSlopes.js';
 import { measureDecisions } from './slopes/decisionSlopes.js';
@@ -41,6 +42,7 @@
   { name: 'pressure', run: comparePressure },
   { name: 'dataCentreReturn', run: compareDataCentreReturn },
   { name: 'faults', run: compareFaults },
+  { name: 'stepOrder', run: compareStepOrder },
 ];
 
 const KNOWN_RED = 'KNOWN-RED.txt';
