Start one task of a job of fillers that nobody would bear, where there is room

Cause: a filler goes only where no serving task is predicted to miss its target. Ruled out: former owners' workers, the policy service, memory. Change: a job of fillers that has had nothing running for 1.5 s gets one task started on the worker where it disturbs least, while others take at most 0.6 of the service's processors; pacing does the rest. On fuller sites fillers wait as before.

--- a/packages/samphirenotch/src/jobs/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/stepLauncher.ts
@@ -13,6 +13,7 @@
 import type { SlowWorkers } from './slowWorkers.js';
 import type { StepPermissions } from './stepPermissions.js';
 import { Preemption } from './preemption.js';
+import { Starvation } from './starvation.js';
 import { DeadlineStepOrder, type StepOrder } from './stepOrder.js';
 import { SpreadPlacement, type TaskPlacement } from './taskPlacement.js';
 import type { WorkerAgent } from './workerAgent.js';
@@ -45,12 +46,15 @@
 
   private readonly preemption: Preemption;
 
+  private readonly starvation: Starvation;
+
   /**
    * @param options - jobs, workers and configuration
    */
   constructor(private readonly options: StepLauncherOptions) {
     this.placement = new SpreadPlacement(options.interference, options.clock);
     this.preemption = new Preemption(options.clock);
+    this.starvation = new Starvation(options.clock);
   }
 
   /**
@@ -81,10 +85,23 @@
       .openJobs()
       .filter((job) => !job.settled && this.isAccountedFor(job))
       .flatMap((job) => this.waitingSteps(job, nowMs));
-    this.order.sort(steps, nowMs).forEach((step) => this.startStep(step, nowMs));
+    const ordered = this.order.sort(steps, nowMs);
+    ordered.forEach((step) => this.startStep(step, nowMs));
+    this.starvation.starved(ordered).forEach((step) => this.startStarved(step, nowMs));
     this.startCopies();
   }
 
+  private startStarved(step: OwnedStep, nowMs: number): void {
+    const { fleet, operator, permissions } = this.options;
+    const { service } = step.occurrence.job.queue;
+    const candidates = fleet.candidates(service, operator.view().evacuated);
+    const task = step.tasks.find((each) => this.isWaiting(each, nowMs));
+    if (!task || step.spec.gang || !Starvation.hasRoom(candidates)) return;
+    const workers = permissions.startable(step, candidates);
+    const agent = this.placement.leastDisturbed({ task, size: roomOf(task), workers });
+    if (agent) this.start({ task, agent }, task.nextRun);
+  }
+
   /** Copies take only what no waiting task has taken. */
   private startCopies(): void {
     const { fleet, operator, permissions, slowWorkers } = this.options;
--- a/packages/samphirenotch/src/jobs/taskPlacement.ts
+++ b/packages/samphirenotch/src/jobs/taskPlacement.ts
@@ -44,6 +44,13 @@
    * @returns true if it may
    */
   permits(agent: WorkerAgent, task: OwnedTask): boolean;
+  /**
+   * Finds the worker where a filler that none is predicted to bear disturbs least.
+   *
+   * @param input - task and workers that may run it
+   * @returns the worker, or undefined if none has room
+   */
+  leastDisturbed(input: PlacementInput): WorkerAgent | undefined;
   /**
    * @param input - task and workers that may run it
    * @returns the workers with room, the best first
@@ -128,6 +135,19 @@
     return best;
   }
 
+  leastDisturbed({ task, size, workers }: PlacementInput): WorkerAgent | undefined {
+    let best: WorkerAgent | undefined;
+    let bestLeft = Number.NEGATIVE_INFINITY;
+    workers.forEach((agent) => {
+      if (!agent.fits(size) || !this.permits(agent, task)) return;
+      const left = this.marginBeside(agent, task);
+      if (left <= bestLeft) return;
+      best = agent;
+      bestLeft = left;
+    });
+    return best;
+  }
+
   rank({ task, size, workers }: PlacementInput): readonly WorkerAgent[] {
     return workers
       .filter((agent) => agent.fits(size) && this.permits(agent, task))
@@ -186,6 +206,16 @@
     return 1 - unused / milliCores + DISTURBANCE_WEIGHT * worst;
   }
 
+  /** What the tail nearest to its target is predicted to keep, as a share of what it needs. */
+  private marginBeside(agent: WorkerAgent, { step }: OwnedTask): number {
+    const { size, image } = step.spec;
+    const share = size.milliCores / agent.description.capacity.milliCores;
+    return this.viewOf(agent).serving.reduce((least, { image: served, needed, inverse }) => {
+      const left = inverse - this.interference.slope(served, image) * share;
+      return Math.min(least, left / needed);
+    }, Number.POSITIVE_INFINITY);
+  }
+
   private viewOf(agent: WorkerAgent): FillerView {
     const known = this.views.get(agent);
     if (known) return known;
