Serve with one copy what the jobs area had written again

Second reading of the change; no decision, bound or assertion changes. - Arithmetic on sizes: the jobs area had three copies beside shards/sizes. That file moves to infrastructure, where Size is, and serves both. - Serving and filler predicates, the full pace and 'little is lost by moving' stood in up to four modules: one copy each beside OwnedRun. - The search for the best worker and the margin beside serving tasks were written twice in placement. - Workers that take work were listed for each waiting step of a pass: once a pass and service now, since nothing that a pass does changes them. - A run's first showing was noted in three places on one path: in one. - Codes of unsent calls and the send method of the library's two HTTP clients: one copy each.

--- a/packages/samphirenotch/src/infrastructure/httpCommand.ts
+++ b/packages/samphirenotch/src/infrastructure/httpCommand.ts
@@ -17,7 +17,7 @@
 });
 
 /** Errors of undici and Node that arise before anything was sent. */
-const UNSENT_CODES: ReadonlySet<string> = new Set([
+export const UNSENT_CODES: ReadonlySet<string> = new Set([
   'ECONNREFUSED',
   'EHOSTUNREACH',
   'ENETUNREACH',
@@ -165,3 +165,29 @@
     return Err(exchangeFailure(error, step, target.peer));
   }
 };
+
+/** Sends the operations of one peer and reads their answers. */
+export type OperationSender = <T>(
+  operation: string,
+  body: unknown,
+  answer: z.ZodType<T>,
+  call: Call,
+) => Promise<Result<T, Failure>>;
+
+/**
+ * Makes the sender of a peer whose operations lie under one path.
+ *
+ * @param target - where they go
+ * @param kind - first part of paths and step names, such as `store`
+ * @param clock - the clock that deadlines are set on
+ * @returns the sender
+ */
+export const operationSender =
+  (target: CommandTarget, kind: string, clock: Clock): OperationSender =>
+  (operation, body, answer, call) =>
+    sendCommand(
+      target,
+      { path: `/${kind}/${operation}`, step: `${kind}.${operation}`, body, answer },
+      clock,
+      call,
+    );
--- a/packages/samphirenotch/src/infrastructure/httpKeyValueStore.ts
+++ b/packages/samphirenotch/src/infrastructure/httpKeyValueStore.ts
@@ -9,7 +9,7 @@
 import type { Call } from '../time/call.js';
 import type { Clock } from '../time/clock.js';
 
-import { sendCommand, type CommandTarget } from './httpCommand.js';
+import { operationSender, type OperationSender } from './httpCommand.js';
 import type {
   ChangeBatch,
   KeyValue,
@@ -44,7 +44,7 @@
 export class HttpKeyValueStore implements KeyValueStore {
   readonly maximumValueBytes = MAXIMUM_VALUE_BYTES;
 
-  private readonly target: CommandTarget;
+  private readonly send: OperationSender;
 
   private readonly pool: Pool;
 
@@ -52,16 +52,14 @@
    * @param address - IP address and port of the service
    * @param clock - the clock that deadlines are set on
    */
-  constructor(
-    address: string,
-    private readonly clock: Clock,
-  ) {
+  constructor(address: string, clock: Clock) {
     const origin = `http://${address}`;
     this.pool = new Pool(origin, {
       connections: MAXIMUM_CONNECTIONS,
       connect: { timeout: CONNECT_TIMEOUT_MS },
     });
-    this.target = { dispatcher: this.pool, origin, peer: `store ${address}` };
+    const target = { dispatcher: this.pool, origin, peer: `store ${address}` };
+    this.send = operationSender(target, 'store', clock);
   }
 
   async get(key: string, call: Call): Promise<Result<KeyValue | undefined, Failure>> {
@@ -113,14 +111,4 @@
   close(): Promise<void> {
     return this.pool.destroy();
   }
-
-  private send<T>(
-    operation: string,
-    body: unknown,
-    answer: z.ZodType<T>,
-    call: Call,
-  ): Promise<Result<T, Failure>> {
-    const command = { path: `/store/${operation}`, step: `store.${operation}`, body, answer };
-    return sendCommand(this.target, command, this.clock, call);
-  }
 }
--- a/packages/samphirenotch/src/infrastructure/httpWorker.ts
+++ b/packages/samphirenotch/src/infrastructure/httpWorker.ts
@@ -4,7 +4,6 @@
 import type { Readable } from 'node:stream';
 
 import { Pool, request as sendRequest, type Dispatcher } from 'undici';
-import type { z } from 'zod';
 
 import { Failure } from '../failure.js';
 import { Err, Ok, type Result } from '../results.js';
@@ -14,9 +13,10 @@
 import {
   answeredFailure,
   exchangeFailure,
-  sendCommand,
+  operationSender,
   withinDeadline,
   type CommandTarget,
+  type OperationSender,
 } from './httpCommand.js';
 import type {
   AttemptOrder,
@@ -69,6 +69,8 @@
 
   private readonly target: CommandTarget;
 
+  private readonly send: OperationSender;
+
   private readonly pool: Pool;
 
   /**
@@ -87,6 +89,7 @@
       connect: { timeout: CONNECT_TIMEOUT_MS },
     });
     this.target = { dispatcher: this.pool, origin, peer: `worker ${id}` };
+    this.send = operationSender(this.target, 'worker', clock);
   }
 
   claim(epoch: number, call: Call): Promise<Result<Inventory, Failure>> {
@@ -165,14 +168,4 @@
   close(): Promise<void> {
     return this.pool.destroy();
   }
-
-  private send<T>(
-    operation: string,
-    body: unknown,
-    answer: z.ZodType<T>,
-    call: Call,
-  ): Promise<Result<T, Failure>> {
-    const command = { path: `/worker/${operation}`, step: `worker.${operation}`, body, answer };
-    return sendCommand(this.target, command, this.clock, call);
-  }
 }
--- a/packages/samphirenotch/src/shards/sizes.ts
+++ b/packages/samphirenotch/src/infrastructure/sizes.ts
@@ -1,7 +1,7 @@
 /**
  * Arithmetic on sizes.
  */
-import type { Size } from '../infrastructure/worker.js';
+import type { Size } from './worker.js';
 
 /** Nothing at all. */
 export const NO_SIZE: Size = { milliCores: 0, memoryMb: 0, accelerators: 0 };
@@ -12,17 +12,44 @@
   accelerators: each(left.accelerators, right.accelerators),
 });
 
+/**
+ * Adds two sizes.
+ *
+ * @param left - a size
+ * @param right - another
+ * @returns their sum
+ */
+export const plusSize = (left: Size, right: Size): Size => combine(left, right, (a, b) => a + b);
+
+/**
+ * Takes one size from another.
+ *
+ * @param left - a size
+ * @param right - what is taken
+ * @returns the difference, below zero where more is taken than is there
+ */
+export const minusSize = (left: Size, right: Size): Size => combine(left, right, (a, b) => a - b);
+
+/**
+ * Multiplies a size.
+ *
+ * @param size - the size
+ * @param times - how often
+ * @returns the size of so many
+ */
+export const timesSize = (size: Size, times: number): Size =>
+  combine(size, size, (each) => each * times);
+
 /**
  * Adds sizes up.
  *
  * @param sizes - the sizes
  * @returns their sum
  */
-export const sumSizes = (sizes: Iterable<Size>): Size =>
-  [...sizes].reduce((sum, size) => combine(sum, size, (a, b) => a + b), NO_SIZE);
+export const sumSizes = (sizes: Iterable<Size>): Size => [...sizes].reduce(plusSize, NO_SIZE);
 
 /**
- * Takes one size from another.
+ * Finds what is left of a size.
  *
  * @param whole - what there is
  * @param part - what is taken
--- a/packages/samphirenotch/src/jobs/fillerPacing.ts
+++ b/packages/samphirenotch/src/jobs/fillerPacing.ts
@@ -9,7 +9,7 @@
 import type { Clock } from '../time/clock.js';
 
 import type { Interference } from './interference.js';
-import type { OwnedRun } from './ownedJob.js';
+import { FULL_PERCENT, isFiller, isServing, type OwnedRun } from './ownedJob.js';
 import type { FillerUse } from './pairSlopes.js';
 import type { WorkerAgent } from './workerAgent.js';
 import type { WorkerFleet } from './workerFleet.js';
@@ -23,13 +23,10 @@
 /** Paces are rounded to steps, in percent, so that small changes send no orders. */
 const STEP_PERCENT = 20;
 
-const FULL_PERCENT = 100;
-
-/** Tells whether a run serves users under a target. */
-export const isServing = ({ task }: OwnedRun): boolean => task.step.spec.targetMs > 0;
-
-/** Tells whether a run takes only processors that others leave unused. */
-export const isFiller = ({ task }: OwnedRun): boolean => task.step.spec.filler;
+const useOf = ({ task }: OwnedRun, milliCores: number, percent = FULL_PERCENT): FillerUse => ({
+  image: task.step.spec.image,
+  share: ((percent / FULL_PERCENT) * task.step.spec.size.milliCores) / milliCores,
+});
 
 /**
  * Lists what the fillers of a worker would use at full pace.
@@ -39,10 +36,7 @@
  * @returns their uses
  */
 export const fullUses = (runs: readonly OwnedRun[], milliCores: number): readonly FillerUse[] =>
-  runs.filter(isFiller).map(({ task }) => ({
-    image: task.step.spec.image,
-    share: task.step.spec.size.milliCores / milliCores,
-  }));
+  runs.filter(isFiller).map((run) => useOf(run, milliCores));
 
 /** Adjusts paces after each look at a worker. */
 export class FillerPacing {
@@ -109,12 +103,7 @@
     const paces = new Map(fillers.map((run) => [run, FULL_PERCENT]));
     serving.forEach((run) => {
       const { image, targetMs } = run.task.step.spec;
-      const uses = fillers.map((filler) => ({
-        image: filler.task.step.spec.image,
-        share:
-          (((paces.get(filler) ?? 0) / FULL_PERCENT) * filler.task.step.spec.size.milliCores) /
-          milliCores,
-      }));
+      const uses = fillers.map((filler) => useOf(filler, milliCores, paces.get(filler) ?? 0));
       const inverse = this.interference.inverseTail(run, uses, nowMs);
       if (inverse === undefined) return;
       let excess = 1 / (AIM * targetMs) - inverse;
--- a/packages/samphirenotch/src/jobs/interference.ts
+++ b/packages/samphirenotch/src/jobs/interference.ts
@@ -5,7 +5,7 @@
  * beside it, at a slope that differs widely by pair. Tasks of one step share their own load, so the
  * least disturbed of them shows what the tail would be without fillers.
  */
-import type { OwnedRun, OwnedStep } from './ownedJob.js';
+import { FULL_PERCENT, isFiller, isServing, type OwnedRun, type OwnedStep } from './ownedJob.js';
 import { PairSlopes, type FillerUse } from './pairSlopes.js';
 
 /** Tail over target from which figures are saturated: they bound the loss from below only. */
@@ -92,9 +92,9 @@
   learn(runs: readonly OwnedRun[], milliCores: number, nowMs: number): void {
     const settled = ({ confirmedMs }: OwnedRun): boolean =>
       confirmedMs !== undefined && nowMs - confirmedMs >= SETTLED_MS;
-    const fillers = runs.filter(({ task }) => task.step.spec.filler);
+    const fillers = runs.filter(isFiller);
     const serving = runs.filter(
-      (run) => run.task.step.spec.targetMs > 0 && run.gauge > 0 && run.percent === 100,
+      (run) => isServing(run) && run.gauge > 0 && run.percent === FULL_PERCENT,
     );
     const uses = fillers.map(({ task, gauge }) => ({
       image: task.step.spec.image,
--- a/packages/samphirenotch/src/jobs/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/jobOwner.ts
@@ -212,8 +212,6 @@
     const task = this.book.findTask(report.taskId);
     if (!task || task.done || !task.step.occurrence.job.isOpen) return undefined;
     if (task.runs.length > 0 && !task.step.spec.speculative) return undefined;
-    const { job } = task.step.occurrence;
-    job.begun = true;
     task.nextRun = Math.max(task.nextRun, report.run + 1);
     this.log.info('Adopted a run', { taskId: task.id, run: report.run, worker: agent.id });
     return agent.adopt(task, report.run, roomOf(task), 'running');
--- a/packages/samphirenotch/src/jobs/ownedJob.ts
+++ b/packages/samphirenotch/src/jobs/ownedJob.ts
@@ -49,6 +49,37 @@
   overTargetSinceMs: number | undefined;
 }
 
+/** Pace at which a worker starts a task, and progress of one that is done, in percent. */
+export const FULL_PERCENT = 100;
+
+/** Progress that may be thrown away by moving a run without checkpoints, in percent. */
+const LITTLE_PERCENT = 30;
+
+/**
+ * Tells whether a run serves users under a target.
+ *
+ * @param run - the run
+ * @returns true if its step has a target
+ */
+export const isServing = ({ task }: OwnedRun): boolean => task.step.spec.targetMs > 0;
+
+/**
+ * Tells whether a run takes only processors that others leave unused.
+ *
+ * @param run - the run
+ * @returns true if its step fills
+ */
+export const isFiller = ({ task }: OwnedRun): boolean => task.step.spec.filler;
+
+/**
+ * Tells whether little work is lost if a run is stopped and its task starts elsewhere.
+ *
+ * @param run - the run
+ * @returns true with checkpoints, or near the beginning
+ */
+export const losesLittle = ({ task, percent }: OwnedRun): boolean =>
+  task.step.spec.checkpointing || percent < LITTLE_PERCENT;
+
 /** A task. */
 export interface OwnedTask {
   readonly step: OwnedStep;
--- a/packages/samphirenotch/src/jobs/preemption.ts
+++ b/packages/samphirenotch/src/jobs/preemption.ts
@@ -6,6 +6,7 @@
  * from where they were. Gangs and long-running tasks are left alone.
  */
 import { partLog } from '../observability/log.js';
+import { fitsIn, plusSize } from '../infrastructure/sizes.js';
 import type { Size } from '../infrastructure/worker.js';
 import type { Clock } from '../time/clock.js';
 
@@ -16,17 +17,6 @@
 /** Time that a run must still take to be worth stopping, in milliseconds: a stop and a restart take about as long. */
 const LEAST_REMAINING_MS = 1_000;
 
-const add = (left: Size, right: Size): Size => ({
-  milliCores: left.milliCores + right.milliCores,
-  memoryMb: left.memoryMb + right.memoryMb,
-  accelerators: left.accelerators + right.accelerators,
-});
-
-const holds = (room: Size, size: Size): boolean =>
-  room.milliCores >= size.milliCores &&
-  room.memoryMb >= size.memoryMb &&
-  room.accelerators >= size.accelerators;
-
 const priorityOf = ({ step }: OwnedTask): number => step.occurrence.job.queue.priority;
 
 /** Stops runs for others. */
@@ -46,7 +36,7 @@
    * @param workers - workers that may run it
    */
   makeRoom(task: OwnedTask, size: Size, workers: readonly WorkerAgent[]): void {
-    if (workers.some((agent) => holds(Preemption.roomToCome(agent), size))) return;
+    if (workers.some((agent) => fitsIn(size, Preemption.roomToCome(agent)))) return;
     const priority = priorityOf(task);
     const fewest = workers
       .map((agent) => ({ agent, victims: this.victims(agent, size, priority) }))
@@ -67,7 +57,7 @@
     return agent
       .activeRuns()
       .filter(({ phase }) => phase === 'stopping')
-      .reduce((room, run) => add(room, run.size), agent.free());
+      .reduce((room, run) => plusSize(room, run.size), agent.free());
   }
 
   /** The runs to stop on a worker; none if that would not make enough room. */
@@ -80,11 +70,11 @@
     let room = Preemption.roomToCome(agent);
     const victims: OwnedRun[] = [];
     for (const run of candidates) {
-      if (holds(room, size)) break;
+      if (fitsIn(size, room)) break;
       victims.push(run);
-      room = add(room, run.size);
+      room = plusSize(room, run.size);
     }
-    return holds(room, size) ? victims : [];
+    return fitsIn(size, room) ? victims : [];
   }
 
   private static canWait(run: OwnedRun, priority: number, nowMs: number): boolean {
--- a/packages/samphirenotch/src/jobs/runSpeed.ts
+++ b/packages/samphirenotch/src/jobs/runSpeed.ts
@@ -4,7 +4,7 @@
  * The tasks of a step do about the same work, while estimates are rough: what a run makes of its
  * work in a second is compared with the median of its step, on other workers too.
  */
-import type { OwnedRun, OwnedStep } from './ownedJob.js';
+import { FULL_PERCENT, type OwnedRun, type OwnedStep } from './ownedJob.js';
 
 /** Least time over which a rate is read, in milliseconds: workers report whole percents. */
 const LEAST_SPAN_MS = 500;
@@ -18,8 +18,6 @@
 /** Part of a percent that a run without progress may have made. */
 const UNSEEN_PERCENT = 0.5;
 
-const FULL_PERCENT = 100;
-
 /**
  * Tells how fast a run works.
  *
--- a/packages/samphirenotch/src/jobs/runWatch.ts
+++ b/packages/samphirenotch/src/jobs/runWatch.ts
@@ -7,7 +7,7 @@
  */
 import type { Clock } from '../time/clock.js';
 
-import type { OwnedRun } from './ownedJob.js';
+import { FULL_PERCENT, losesLittle, type OwnedRun } from './ownedJob.js';
 import type { WorkerAgent } from './workerAgent.js';
 import type { WorkerFleet } from './workerFleet.js';
 
@@ -26,17 +26,12 @@
 /** Time for which a filler may be paused before it moves, in milliseconds; loads swing by seconds. */
 const PAUSED_MS = 1_200;
 
-/** Progress that may be lost by moving a run without checkpoints, in percent. */
-const LITTLE_PERCENT = 30;
-
 /** Pace below which no progress is expected, in percent. */
 const LEAST_PACE = 20;
 
 /** Duration of a task without an estimate, in milliseconds. */
 const DEFAULT_ESTIMATE_MS = 1_000;
 
-const FULL_PERCENT = 100;
-
 /**
  * Estimates how long a run still takes.
  *
@@ -98,11 +93,10 @@
 
   /** A filler that stands still for a serving task may work at once beside others. */
   private isPaused(run: OwnedRun, nowMs: number): boolean {
-    const { checkpointing } = run.task.step.spec;
     return (
       run.phase === 'running' &&
       run.pace === 0 &&
-      (checkpointing || run.percent < LITTLE_PERCENT) &&
+      losesLittle(run) &&
       nowMs - run.progressedMs >= PAUSED_MS
     );
   }
--- a/packages/samphirenotch/src/jobs/slowWorkers.ts
+++ b/packages/samphirenotch/src/jobs/slowWorkers.ts
@@ -8,7 +8,7 @@
 import { partLog } from '../observability/log.js';
 import type { Clock } from '../time/clock.js';
 
-import type { OwnedRun, OwnedStep, OwnedTask } from './ownedJob.js';
+import { losesLittle, type OwnedStep, type OwnedTask } from './ownedJob.js';
 import { expectedRate, speedOf, type RunSpeed } from './runSpeed.js';
 import type { WorkerAgent } from './workerAgent.js';
 import type { WorkerFleet } from './workerFleet.js';
@@ -40,9 +40,6 @@
 /** Gain that a move must promise, in milliseconds: stop, restart and the way. */
 const MOVE_GAIN_MS = 700;
 
-/** Progress that may be thrown away by moving a run without checkpoints, in percent. */
-const LITTLE_PERCENT = 30;
-
 interface Slowness {
   readonly sinceMs: number;
   readonly avoidMs: number;
@@ -138,11 +135,8 @@
   private static move({ run, slowdown, remainingMs, freshMs }: RunSpeed): void {
     const { spec } = run.task.step;
     if (slowdown < SLOW_RATIO || spec.gang || spec.speculative || spec.longRunning) return;
-    const keeps = spec.checkpointing || run.percent < LITTLE_PERCENT;
-    if (keeps && remainingMs > freshMs + MOVE_GAIN_MS) SlowWorkers.stop(run);
-  }
-
-  private static stop(run: OwnedRun): void {
-    run.agent.stop(run, 'its worker is slow');
+    if (losesLittle(run) && remainingMs > freshMs + MOVE_GAIN_MS) {
+      run.agent.stop(run, 'its worker is slow');
+    }
   }
 }
--- a/packages/samphirenotch/src/jobs/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/stepLauncher.ts
@@ -1,6 +1,7 @@
 /**
  * Starts waiting tasks where there is room.
  */
+import { timesSize } from '../infrastructure/sizes.js';
 import { partLog } from '../observability/log.js';
 import type { Clock } from '../time/clock.js';
 
@@ -48,6 +49,8 @@
 
   private readonly starvation: Starvation;
 
+  private readonly candidatesOfPass = new Map<string, readonly WorkerAgent[]>();
+
   /**
    * @param options - jobs, workers and configuration
    */
@@ -79,6 +82,7 @@
     if (!directoryKnown) return;
     book.refreshQueues();
     this.placement.refresh();
+    this.candidatesOfPass.clear();
     this.options.permissions.beginPass();
     const nowMs = clock.monotonicMs();
     const steps = book
@@ -91,31 +95,39 @@
     this.startCopies();
   }
 
+  /** Nothing that a pass does changes which workers take work. */
+  private candidates({ occurrence }: OwnedStep): readonly WorkerAgent[] {
+    const { fleet, operator } = this.options;
+    const { service } = occurrence.job.queue;
+    const known = this.candidatesOfPass.get(service);
+    if (known) return known;
+    const found = fleet.candidates(service, operator.view().evacuated);
+    this.candidatesOfPass.set(service, found);
+    return found;
+  }
+
   private startStarved(step: OwnedStep, nowMs: number): void {
-    const { fleet, operator, permissions } = this.options;
-    const { service } = step.occurrence.job.queue;
-    const candidates = fleet.candidates(service, operator.view().evacuated);
+    const candidates = this.candidates(step);
     const task = step.tasks.find((each) => this.isWaiting(each, nowMs));
     if (!task || step.spec.gang || !Starvation.hasRoom(candidates)) return;
-    const workers = permissions.startable(step, candidates);
+    const workers = this.options.permissions.startable(step, candidates);
     const agent = this.placement.leastDisturbed({ task, size: roomOf(task), workers });
     if (agent) this.start({ task, agent }, task.nextRun);
   }
 
   /** Copies take only what no waiting task has taken. */
   private startCopies(): void {
-    const { fleet, operator, permissions, slowWorkers } = this.options;
-    const { evacuated } = operator.view();
+    const { permissions, slowWorkers } = this.options;
     const tasks = slowWorkers.lagging().filter(({ step }) => {
       const { job } = step.occurrence;
       return job.isOpen && this.isAccountedFor(job);
     });
     tasks.forEach((task) => {
       const { step } = task;
-      const candidates = fleet
-        .candidates(step.occurrence.job.queue.service, evacuated)
-        .filter((agent) => task.runs.every((run) => run.agent !== agent));
-      const workers = permissions.startable(step, candidates);
+      const others = this.candidates(step).filter((agent) =>
+        task.runs.every((run) => run.agent !== agent),
+      );
+      const workers = permissions.startable(step, others);
       const agent = this.placement.choose({ task, size: roomOf(task), workers });
       if (!agent) return;
       this.start({ task, agent }, task.nextRun);
@@ -152,11 +164,9 @@
   }
 
   private startStep(step: OwnedStep, nowMs: number): void {
-    const { fleet, operator } = this.options;
     const { job } = step.occurrence;
     if (!job.isOpen) return;
-    const { evacuated } = operator.view();
-    const candidates = fleet.candidates(job.queue.service, evacuated);
+    const candidates = this.candidates(step);
     const workers = this.options.permissions.startable(step, candidates);
     if (step.spec.gang) this.startGang(step, workers, nowMs);
     else this.startTasks(step, workers, nowMs);
@@ -232,11 +242,7 @@
       const fitting = workers.filter((agent) => {
         const count = taken(agent) + 1;
         if (limit > 0 && count > limit) return false;
-        return agent.fits({
-          milliCores: size.milliCores * count,
-          memoryMb: size.memoryMb * count,
-          accelerators: size.accelerators * count,
-        });
+        return agent.fits(timesSize(size, count));
       });
       const agent = this.placement.choose({ task, size, workers: fitting });
       if (!agent) return undefined;
--- a/packages/samphirenotch/src/jobs/taskPlacement.ts
+++ b/packages/samphirenotch/src/jobs/taskPlacement.ts
@@ -8,9 +8,9 @@
 import type { Size } from '../infrastructure/worker.js';
 import type { Clock } from '../time/clock.js';
 
-import { fullUses, isFiller, isServing } from './fillerPacing.js';
+import { fullUses } from './fillerPacing.js';
 import type { Interference } from './interference.js';
-import type { OwnedRun, OwnedTask } from './ownedJob.js';
+import { isFiller, isServing, type OwnedRun, type OwnedTask } from './ownedJob.js';
 import type { WorkerAgent } from './workerAgent.js';
 
 /** What a placement may use. */
@@ -122,30 +122,12 @@
     this.views.delete(agent);
   }
 
-  choose({ task, size, workers }: PlacementInput): WorkerAgent | undefined {
-    let best: WorkerAgent | undefined;
-    let bestCost = Number.POSITIVE_INFINITY;
-    workers.forEach((agent) => {
-      if (!agent.fits(size) || !this.permits(agent, task)) return;
-      const cost = this.cost(agent, task);
-      if (cost >= bestCost) return;
-      best = agent;
-      bestCost = cost;
-    });
-    return best;
+  choose(input: PlacementInput): WorkerAgent | undefined {
+    return this.cheapest(input, (agent) => this.cost(agent, input.task));
   }
 
-  leastDisturbed({ task, size, workers }: PlacementInput): WorkerAgent | undefined {
-    let best: WorkerAgent | undefined;
-    let bestLeft = Number.NEGATIVE_INFINITY;
-    workers.forEach((agent) => {
-      if (!agent.fits(size) || !this.permits(agent, task)) return;
-      const left = this.marginBeside(agent, task);
-      if (left <= bestLeft) return;
-      best = agent;
-      bestLeft = left;
-    });
-    return best;
+  leastDisturbed(input: PlacementInput): WorkerAgent | undefined {
+    return this.cheapest(input, (agent) => -this.marginBeside(agent, input.task));
   }
 
   rank({ task, size, workers }: PlacementInput): readonly WorkerAgent[] {
@@ -163,6 +145,22 @@
     return perWorkerLimit === 0 || countOfStep(agent, task) < perWorkerLimit;
   }
 
+  private cheapest(
+    { task, size, workers }: PlacementInput,
+    costOf: (agent: WorkerAgent) => number,
+  ): WorkerAgent | undefined {
+    let best: WorkerAgent | undefined;
+    let bestCost = Number.POSITIVE_INFINITY;
+    workers.forEach((agent) => {
+      if (!agent.fits(size) || !this.permits(agent, task)) return;
+      const cost = costOf(agent);
+      if (cost >= bestCost) return;
+      best = agent;
+      bestCost = cost;
+    });
+    return best;
+  }
+
   private cost(agent: WorkerAgent, task: OwnedTask): number {
     const { spec } = task.step;
     const { labels, coldMs } = agent.description;
@@ -191,19 +189,12 @@
   }
 
   /** A filler goes where processors are left over and no serving task would miss its target. */
-  private fillerCost(agent: WorkerAgent, { step }: OwnedTask): number {
-    const { size, image } = step.spec;
-    const { milliCores } = agent.description.capacity;
-    const { unused, serving } = this.viewOf(agent);
-    if (unused < size.milliCores) return Number.POSITIVE_INFINITY;
-    const share = size.milliCores / milliCores;
-    let worst = 0;
-    for (const { image: served, needed, inverse } of serving) {
-      const left = inverse - this.interference.slope(served, image) * share;
-      if (left < needed) return Number.POSITIVE_INFINITY;
-      worst = Math.max(worst, needed / left);
-    }
-    return 1 - unused / milliCores + DISTURBANCE_WEIGHT * worst;
+  private fillerCost(agent: WorkerAgent, task: OwnedTask): number {
+    const { unused } = this.viewOf(agent);
+    if (unused < task.step.spec.size.milliCores) return Number.POSITIVE_INFINITY;
+    const margin = this.marginBeside(agent, task);
+    if (margin < 1) return Number.POSITIVE_INFINITY;
+    return 1 - unused / agent.description.capacity.milliCores + DISTURBANCE_WEIGHT / margin;
   }
 
   /** What the tail nearest to its target is predicted to keep, as a share of what it needs. */
--- a/packages/samphirenotch/src/jobs/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workerAgent.ts
@@ -17,7 +17,7 @@
 import type { Clock } from '../time/clock.js';
 import { Wakeup } from '../time/wakeup.js';
 
-import type { OwnedRun, OwnedTask } from './ownedJob.js';
+import { isFiller, isServing, type OwnedRun, type OwnedTask } from './ownedJob.js';
 import { WorkerClock } from './workerClock.js';
 import { ORDER_TIMEOUT_MS, WorkerOrders, type OrderContext } from './workerOrders.js';
 import { markConfirmed, WorkerRuns } from './workerRuns.js';
@@ -318,10 +318,7 @@
 
   private holdWaitMs(): number {
     const runs = this.activeRuns();
-    const isClose =
-      runs.some(({ task }) => task.step.spec.filler) &&
-      runs.some(({ task }) => task.step.spec.targetMs > 0);
-    return isClose ? CLOSE_HOLD_WAIT_MS : HOLD_WAIT_MS;
+    return runs.some(isFiller) && runs.some(isServing) ? CLOSE_HOLD_WAIT_MS : HOLD_WAIT_MS;
   }
 
   private leaseMs(): number {
@@ -451,10 +448,7 @@
   private applyEnd(end: RunEnd): void {
     this.seenSequence = end.sequence;
     const run = this.runs.find(end);
-    if (run) {
-      this.options.listener.onBegun(run);
-      this.runs.drop(run);
-    }
+    if (run) this.runs.drop(run);
     this.options.listener.onEnd(this, run, end);
   }
 
@@ -466,7 +460,7 @@
       this.orders.stopUnknown(report);
       return false;
     }
-    if (known) this.options.listener.onBegun(known);
+    this.options.listener.onBegun(run);
     if (run.phase === 'starting' || run.phase === 'in-doubt') this.confirm(run);
     const nowMs = this.options.clock.monotonicMs();
     if (run.percent !== report.percent) run.progressedMs = nowMs;
--- a/packages/samphirenotch/src/jobs/workerFleet.ts
+++ b/packages/samphirenotch/src/jobs/workerFleet.ts
@@ -1,6 +1,7 @@
 /**
  * All workers of an owner.
  */
+import { NO_SIZE } from '../infrastructure/sizes.js';
 import type { RunEndKind, WorkerDescription } from '../infrastructure/taskWorker.js';
 import { partLog } from '../observability/log.js';
 import type { Clock } from '../time/clock.js';
@@ -37,14 +38,12 @@
   readonly draining: boolean;
 }
 
-const NO_ROOM = { milliCores: 0, memoryMb: 0, accelerators: 0 };
-
 const describeFormer = (entry: RosterEntry): WorkerDescription => ({
   id: entry.id,
   address: entry.address,
   service: entry.service,
   dataCentre: entry.dataCentre,
-  capacity: NO_ROOM,
+  capacity: NO_SIZE,
   labels: [],
   phase: entry.draining ? 'draining' : 'ready',
   coldMs: 0,
--- a/packages/samphirenotch/src/jobs/workerRoom.ts
+++ b/packages/samphirenotch/src/jobs/workerRoom.ts
@@ -1,28 +1,15 @@
 /**
  * The account of one worker's room: nothing else keeps the worker from taking more than it holds.
  */
+import { fitsIn, minusSize, NO_SIZE, plusSize, sumSizes } from '../infrastructure/sizes.js';
 import type { Size } from '../infrastructure/worker.js';
 
-const NOTHING: Size = { milliCores: 0, memoryMb: 0, accelerators: 0 };
-
-const add = (left: Size, right: Size): Size => ({
-  milliCores: left.milliCores + right.milliCores,
-  memoryMb: left.memoryMb + right.memoryMb,
-  accelerators: left.accelerators + right.accelerators,
-});
-
-const subtract = (left: Size, right: Size): Size => ({
-  milliCores: left.milliCores - right.milliCores,
-  memoryMb: left.memoryMb - right.memoryMb,
-  accelerators: left.accelerators - right.accelerators,
-});
-
 /** What is taken of a worker. */
 export class WorkerRoom {
-  private used = NOTHING;
+  private used = NO_SIZE;
 
   /** Room of runs that are being stopped because no open task has them. */
-  private foreign = NOTHING;
+  private foreign = NO_SIZE;
 
   /**
    * Takes room for a run.
@@ -30,7 +17,7 @@
    * @param size - the room
    */
   take(size: Size): void {
-    this.used = add(this.used, size);
+    this.used = plusSize(this.used, size);
   }
 
   /**
@@ -39,7 +26,7 @@
    * @param size - the room
    */
   release(size: Size): void {
-    this.used = subtract(this.used, size);
+    this.used = minusSize(this.used, size);
   }
 
   /**
@@ -48,7 +35,7 @@
    * @param sizes - one size a run
    */
   setForeign(sizes: readonly Size[]): void {
-    this.foreign = sizes.reduce(add, NOTHING);
+    this.foreign = sumSizes(sizes);
   }
 
   /**
@@ -58,7 +45,7 @@
    * @returns the room; below zero where more is taken than is there
    */
   free(capacity: Size): Size {
-    return subtract(capacity, add(this.used, this.foreign));
+    return minusSize(capacity, plusSize(this.used, this.foreign));
   }
 
   /**
@@ -69,11 +56,6 @@
    * @returns true if the room that is left holds it
    */
   fits(capacity: Size, size: Size): boolean {
-    const free = this.free(capacity);
-    return (
-      size.milliCores <= free.milliCores &&
-      size.memoryMb <= free.memoryMb &&
-      size.accelerators <= free.accelerators
-    );
+    return fitsIn(size, this.free(capacity));
   }
 }
--- a/packages/samphirenotch/src/jobs/workerRuns.ts
+++ b/packages/samphirenotch/src/jobs/workerRuns.ts
@@ -5,13 +5,10 @@
 import type { Size } from '../infrastructure/worker.js';
 import type { Clock } from '../time/clock.js';
 
-import type { OwnedRun, OwnedTask } from './ownedJob.js';
+import { FULL_PERCENT, type OwnedRun, type OwnedTask } from './ownedJob.js';
 import type { WorkerAgent } from './workerAgent.js';
 import { WorkerRoom } from './workerRoom.js';
 
-/** Pace at which a worker starts a task, in percent. */
-export const FULL_PERCENT = 100;
-
 const runKey = ({ taskId, run }: RunName): string => `${taskId}#${run}`;
 
 const nameOf = (run: OwnedRun): RunName => ({ taskId: run.task.id, run: run.run });
--- a/packages/samphirenotch/src/shards/ledger.ts
+++ b/packages/samphirenotch/src/shards/ledger.ts
@@ -4,7 +4,7 @@
  * Until an inventory was taken the worker counts as full.
  */
 import type { Size } from '../infrastructure/worker.js';
-import { fitsIn, leftOf, NO_SIZE, sumSizes } from './sizes.js';
+import { fitsIn, leftOf, NO_SIZE, sumSizes } from '../infrastructure/sizes.js';
 
 /** The account of one worker. */
 export class Ledger {
--- a/packages/samphirenotch/src/shards/placement.ts
+++ b/packages/samphirenotch/src/shards/placement.ts
@@ -10,7 +10,7 @@
 import type { ShardParts } from './shardParts.js';
 import type { NoRoomReason, PlacementOutcome, PlacementWish } from './shardService.js';
 import type { ShardWorker } from './shardWorker.js';
-import { fitsIn, leftOf, smallerOf } from './sizes.js';
+import { fitsIn, leftOf, smallerOf } from '../infrastructure/sizes.js';
 import { StartGuard } from './startGuard.js';
 import type { TrackedAttempt } from './trackedAttempt.js';
 
--- a/packages/samphirenotch/src/shards/requestRoom.ts
+++ b/packages/samphirenotch/src/shards/requestRoom.ts
@@ -3,7 +3,7 @@
  */
 import type { ConfigurationSet } from '../config/objects.js';
 import type { Size } from '../infrastructure/worker.js';
-import { NO_SIZE, sumSizes } from './sizes.js';
+import { NO_SIZE, sumSizes } from '../infrastructure/sizes.js';
 
 /**
  * Adds up what the services of a data centre set aside.
--- a/packages/samphirenotch/src/shards/workerLoop.ts
+++ b/packages/samphirenotch/src/shards/workerLoop.ts
@@ -17,7 +17,7 @@
 import type { AttemptReporter } from './attemptReporter.js';
 import type { AttemptStops } from './attemptStops.js';
 import type { OwnedWorker } from './ownedWorker.js';
-import { isSameSize, largerOf } from './sizes.js';
+import { isSameSize, largerOf } from '../infrastructure/sizes.js';
 import {
   LAPSE_MS,
   OWN_LAPSE_MS,
--- a/tests/infrastructure/silentStore.spec.ts
+++ b/tests/infrastructure/silentStore.spec.ts
@@ -6,7 +6,7 @@
 import type { AddressInfo } from 'node:net';
 import { setFlagsFromString } from 'node:v8';
 import { runInNewContext } from 'node:vm';
-import test from 'ava';
+import test, { type ExecutionContext } from 'ava';
 import { HttpKeyValueStore } from 'samphirenotch/infrastructure/httpKeyValueStore.js';
 import { callWithin } from 'samphirenotch/time/call.js';
 import { ManualClock } from 'samphirenotch/time/manualClock.js';
@@ -25,40 +25,38 @@
   (runInNewContext('gc') as () => void)();
 };
 
-test('should end a call at its deadline though garbage was collected meanwhile', async (t) => {
+/** Asks a store that has taken the question and never answers. */
+const askSilentStore = async (t: ExecutionContext, signal?: AbortSignal) => {
   t.timeout(10_000);
   const server = await silentServer();
   const { port } = server.address() as AddressInfo;
   const clock = new ManualClock();
   const store = new HttpKeyValueStore(`127.0.0.1:${port}`, clock);
+  t.teardown(async () => {
+    await store.close();
+    server.closeAllConnections();
+    server.close();
+  });
   const asked = once(server, 'request');
-  const answer = store.get('key', callWithin(clock, DEADLINE_MS));
+  const answer = store.get('key', callWithin(clock, DEADLINE_MS, signal));
   await asked;
+  return { clock, answer };
+};
+
+test('should end a call at its deadline though garbage was collected meanwhile', async (t) => {
+  const { clock, answer } = await askSilentStore(t);
   collectGarbage();
   await clock.advance(DEADLINE_MS);
   const { err, val } = await answer;
   t.true(err);
   t.like(val, { code: 'deadline', step: 'store.get', effect: 'unknown' });
-  await store.close();
-  server.closeAllConnections();
-  server.close();
 });
 
 test('should end a call that is cancelled', async (t) => {
-  t.timeout(10_000);
-  const server = await silentServer();
-  const { port } = server.address() as AddressInfo;
-  const clock = new ManualClock();
-  const store = new HttpKeyValueStore(`127.0.0.1:${port}`, clock);
   const cancelled = new AbortController();
-  const asked = once(server, 'request');
-  const answer = store.get('key', callWithin(clock, DEADLINE_MS, cancelled.signal));
-  await asked;
+  const { answer } = await askSilentStore(t, cancelled.signal);
   cancelled.abort();
   const { err, val } = await answer;
   t.true(err);
   t.like(val, { code: 'deadline', step: 'store.get', effect: 'unknown' });
-  await store.close();
-  server.closeAllConnections();
-  server.close();
 });
