Forecast the load of serving tasks by the period that it swings with

Change: a level with a sine is fitted for each serving step by least squares; sixteen periods and a plain level compete over all steps of the site by the error of forecasts 0.7 s ahead, and a recent shift is added. Fillers are placed where the lowest forecast over the next 2.7 s bears them.

--- a/packages/samphirenotch/src/jobs/interference.ts
+++ b/packages/samphirenotch/src/jobs/interference.ts
@@ -7,44 +7,34 @@
  */
 import { FULL_PERCENT, isFiller, isServing, type OwnedRun, type OwnedStep } from './ownedJob.js';
 import { PairSlopes, type FillerUse } from './pairSlopes.js';
+import { SwingForecast } from './swingForecast.js';
+import { SwingPeriods } from './swingPeriods.js';
 
 /** Tail over target from which figures are saturated: they bound the loss from below only. */
 const SATURATED = 5;
 
-/** Age up to which a step's undisturbed tail is used, in milliseconds. */
-const BASE_AGE_MS = 1_500;
+/** Time after its last reading up to which a step's undisturbed tail is forecast, in milliseconds. */
+const LONGEST_FORECAST_MS = 4_000;
 
 /** Time for which a run must have been in progress before its figures count, in milliseconds. */
 const SETTLED_MS = 700;
 
-/** Share of a reading's error that the level takes over; a step has several readings a second. */
-const LEVEL_GAIN = 0.25;
-
-/** Share of a reading's error that the trend takes over within its span. */
-const TREND_GAIN = 0.1;
-
-/** Span over which an error is taken to have grown, in milliseconds. */
-const TREND_SPAN_MS = 500;
-
 /** Loss beside fillers at which a reading has half its trust, in inverse milliseconds. */
 const TRUSTED_LOSS = 0.01;
 
 /** How far ahead tails are predicted, in milliseconds: a look, an order, and until it shows. */
 const AHEAD_MS = 700;
 
-/** What is known of a step's tail without fillers. */
-interface Base {
-  readonly inverse: number;
-  /** Change by millisecond. */
-  readonly trend: number;
-  readonly atMs: number;
-}
+/** Moments of a filler's run that are predicted, in milliseconds from its start; most take two seconds. */
+const AHEADS_MS: readonly number[] = [700, 1_700, 2_700];
 
 /** Slopes by pair, and undisturbed tails by step. */
 export class Interference {
   private readonly slopes = new Map<string, PairSlopes>();
 
-  private readonly bases = new WeakMap<OwnedStep, Base>();
+  private readonly periods = new SwingPeriods();
+
+  private readonly bases = new WeakMap<OwnedStep, SwingForecast>();
 
   /**
    * Predicts the tail of a serving task.
@@ -60,6 +50,22 @@
     return base - this.loss(run.task.step.spec.image, uses);
   }
 
+  /**
+   * Predicts the longest tail of a serving task while a filler would run beside it.
+   *
+   * @param run - the serving task's run
+   * @param uses - fillers beside it
+   * @param nowMs - monotonic time in milliseconds
+   * @returns the least inverse of the tail in milliseconds; undefined while nothing is known
+   */
+  lowestInverseTail(run: OwnedRun, uses: readonly FillerUse[], nowMs: number): number | undefined {
+    const { step } = run.task;
+    const bases = AHEADS_MS.map((aheadMs) => this.baseOf(step, nowMs + aheadMs));
+    const known = bases.filter((base) => base !== undefined);
+    if (known.length === 0) return undefined;
+    return Math.min(...known) - this.loss(step.spec.image, uses);
+  }
+
   /**
    * Tells what fillers cost a serving image.
    *
@@ -110,29 +116,15 @@
   /** Follows a step's undisturbed tail; what is known to be lost is added back, and trusted less. */
   private noteBase({ task, gauge }: OwnedRun, lost: number, nowMs: number): void {
     const { step } = task;
-    const reading = 1 / gauge + lost;
-    const known = this.bases.get(step);
-    if (!known || nowMs - known.atMs > BASE_AGE_MS) {
-      this.bases.set(step, { inverse: reading, trend: 0, atMs: nowMs });
-      return;
-    }
-    const elapsedMs = nowMs - known.atMs;
-    const expected = known.inverse + known.trend * elapsedMs;
-    const trust = TRUSTED_LOSS / (TRUSTED_LOSS + lost);
-    const error = reading - expected;
-    this.bases.set(step, {
-      inverse: expected + LEVEL_GAIN * trust * error,
-      trend: known.trend + (TREND_GAIN * trust * error) / TREND_SPAN_MS,
-      atMs: nowMs,
-    });
+    const known = this.bases.get(step) ?? new SwingForecast(this.periods, nowMs);
+    this.bases.set(step, known);
+    known.learn(1 / gauge + lost, TRUSTED_LOSS / (TRUSTED_LOSS + lost), nowMs);
   }
 
   private baseOf(step: OwnedStep, atMs: number): number | undefined {
     const base = this.bases.get(step);
-    if (!base) return undefined;
-    const elapsedMs = atMs - base.atMs;
-    if (elapsedMs > 2 * BASE_AGE_MS) return undefined;
-    return Math.max(0, base.inverse + base.trend * Math.min(elapsedMs, BASE_AGE_MS));
+    if (!base || atMs - base.lastMs > LONGEST_FORECAST_MS) return undefined;
+    return Math.max(0, base.at(atMs));
   }
 
   private learnFrom(run: OwnedRun, uses: readonly FillerUse[], nowMs: number): void {
--- a/packages/samphirenotch/src/jobs/taskPlacement.ts
+++ b/packages/samphirenotch/src/jobs/taskPlacement.ts
@@ -74,7 +74,7 @@
 const MIXED_WEIGHT = 1;
 
 /** Tail over target that must be predicted with a filler beside it; loads rise while it runs. */
-const PLACEMENT_AIM = 0.88;
+const PLACEMENT_AIM = 0.8;
 
 /** Share of its declared processors that a serving task uses on average. */
 const SERVING_USE = 0.5;
@@ -224,7 +224,7 @@
     const nowMs = this.clock.monotonicMs();
     const predicted = serving.flatMap((run) => {
       const { image, targetMs } = run.task.step.spec;
-      const inverse = this.interference.inverseTail(run, uses, nowMs);
+      const inverse = this.interference.lowestInverseTail(run, uses, nowMs);
       // Nothing is known of the step yet: it restricts nothing.
       return inverse === undefined
         ? []
