Bring serving tasks together that close workers to fillers

Change: the room that a set of serving images leaves is judged by the learned slopes, weighted by the fillers that open jobs ask for.

--- /dev/null
+++ b/packages/samphirenotch/src/jobs/fillerRoom.ts
@@ -0,0 +1,114 @@
+/**
+ * How much room for fillers the serving tasks of a worker leave.
+ *
+ * A filler may use a share of a worker that its heaviest pair with a serving image there allows, so
+ * the images that serve on a worker decide together which fillers it is open to.
+ */
+import type { Interference } from './interference.js';
+import type { OwnedJob } from './ownedJob.js';
+
+/** Share of a worker that fillers find unused at most; serving tasks use about half of what they declare. */
+const MOST_SHARE = 0.6;
+
+/** Share of a target's inverse that fillers may take; loads swing, and peaks need the rest. */
+const TYPICAL_MARGIN = 1;
+
+/** Duration of a task without an estimate, in milliseconds. */
+const DEFAULT_ESTIMATE_MS = 1_000;
+
+/** An image that serves under a target. */
+export interface ServedImage {
+  readonly image: string;
+  /** Bound of its tail, in milliseconds. */
+  readonly targetMs: number;
+}
+
+/** Share of the work of fillers by image; the shares add up to 1. */
+export type FillerDemand = ReadonlyMap<string, number>;
+
+/**
+ * Tells which fillers the open jobs ask for.
+ *
+ * @param jobs - open jobs
+ * @returns each image's share of the work that is left
+ */
+export const fillerDemand = (jobs: readonly OwnedJob[]): FillerDemand => {
+  const work = new Map<string, number>();
+  jobs.forEach(({ occurrences }) =>
+    occurrences.forEach(({ steps }) =>
+      steps.forEach(({ spec, doneCount }) => {
+        if (!spec.filler) return;
+        const left = (spec.count - doneCount) * spec.size.milliCores;
+        const amount = left * (spec.estimateMs || DEFAULT_ESTIMATE_MS);
+        work.set(spec.image, (work.get(spec.image) ?? 0) + amount);
+      }),
+    ),
+  );
+  const whole = [...work.values()].reduce((sum, amount) => sum + amount, 0);
+  return new Map([...work].map(([image, amount]) => [image, whole > 0 ? amount / whole : 0]));
+};
+
+/** Judges sets of serving images. */
+export class FillerRoom {
+  private demand: FillerDemand = new Map();
+
+  private readonly shares = new Map<string, number>();
+
+  /**
+   * @param interference - what was learned of pairs
+   */
+  constructor(private readonly interference: Interference) {}
+
+  /**
+   * Takes what is asked for now.
+   *
+   * @param demand - share of the work by image of filler
+   */
+  refresh(demand: FillerDemand): void {
+    this.demand = demand;
+    this.shares.clear();
+  }
+
+  /**
+   * Tells how much of a worker the fillers that are asked for could use.
+   *
+   * @param served - images that serve on it
+   * @returns share of its processors, from 0 to 1
+   */
+  share(served: readonly ServedImage[]): number {
+    let sum = 0;
+    this.demand.forEach((weight, filler) => {
+      const least = served.reduce(
+        (share, each) => Math.min(share, this.pairShare(each, filler)),
+        MOST_SHARE,
+      );
+      sum += weight * least;
+    });
+    return sum;
+  }
+
+  private pairShare({ image, targetMs }: ServedImage, filler: string): number {
+    const key = `${image} ${filler} ${targetMs}`;
+    const known = this.shares.get(key);
+    if (known !== undefined) return known;
+    const slope = this.interference.slope(image, filler);
+    const share = slope > 0 ? TYPICAL_MARGIN / targetMs / slope : MOST_SHARE;
+    this.shares.set(key, share);
+    return share;
+  }
+}
+
+/**
+ * Lists each image once.
+ *
+ * @param served - images, some of them several times
+ * @returns each image with its strictest target
+ */
+export const distinctImages = (served: readonly ServedImage[]): readonly ServedImage[] => {
+  const strictest = new Map<string, ServedImage>();
+  served.forEach((each) => {
+    const known = strictest.get(each.image);
+    if (!known || each.targetMs < known.targetMs) strictest.set(each.image, each);
+  });
+  return [...strictest.values()];
+};
--- a/packages/samphirenotch/src/jobs/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/stepLauncher.ts
@@ -5,6 +5,7 @@
 import { partLog } from '../observability/log.js';
 import type { Clock } from '../time/clock.js';
 
+import { fillerDemand, FillerRoom } from './fillerRoom.js';
 import type { Interference } from './interference.js';
 import { JobExplainer, type JobExplanation } from './jobExplanation.js';
 import type { JobBook } from './jobBook.js';
@@ -14,6 +15,7 @@
 import type { SlowWorkers } from './slowWorkers.js';
 import type { StepPermissions } from './stepPermissions.js';
 import { Preemption } from './preemption.js';
+import { ServingMoves } from './servingMoves.js';
 import { Starvation } from './starvation.js';
 import { DeadlineStepOrder, type StepOrder } from './stepOrder.js';
 import { SpreadPlacement, type TaskPlacement } from './taskPlacement.js';
@@ -49,13 +51,19 @@
 
   private readonly starvation: Starvation;
 
+  private readonly room: FillerRoom;
+
+  private readonly moves: ServingMoves;
+
   private readonly candidatesOfPass = new Map<string, readonly WorkerAgent[]>();
 
   /**
    * @param options - jobs, workers and configuration
    */
   constructor(private readonly options: StepLauncherOptions) {
-    this.placement = new SpreadPlacement(options.interference, options.clock);
+    this.room = new FillerRoom(options.interference);
+    this.placement = new SpreadPlacement(options.interference, this.room, options.clock);
+    this.moves = new ServingMoves(this.room, this.placement, options.clock);
     this.preemption = new Preemption(options.clock);
     this.starvation = new Starvation(options.clock);
   }
@@ -82,6 +90,7 @@
     if (!directoryKnown) return;
     book.refreshQueues();
     this.placement.refresh();
+    this.room.refresh(fillerDemand(book.openJobs()));
     this.candidatesOfPass.clear();
     this.options.permissions.beginPass();
     const nowMs = clock.monotonicMs();
@@ -93,6 +102,19 @@
     ordered.forEach((step) => this.startStep(step, nowMs));
     this.starvation.starved(ordered).forEach((step) => this.startStarved(step, nowMs));
     this.startCopies();
+    this.moveServing();
+  }
+
+  private moveServing(): void {
+    const { fleet, operator } = this.options;
+    const { evacuated } = operator.view();
+    const agents = fleet
+      .all()
+      .filter(({ takesWork, description }) => takesWork && !evacuated.has(description.dataCentre));
+    this.moves.check(
+      agents,
+      ({ occurrence }) => this.isAccountedFor(occurrence.job) && !occurrence.job.queue.policy,
+    );
   }
 
   /** Nothing that a pass does changes which workers take work. */
--- a/packages/samphirenotch/src/jobs/taskPlacement.ts
+++ b/packages/samphirenotch/src/jobs/taskPlacement.ts
@@ -9,6 +9,7 @@
 import type { Clock } from '../time/clock.js';
 
 import { fullUses } from './fillerPacing.js';
+import { distinctImages, type FillerRoom } from './fillerRoom.js';
 import type { Interference } from './interference.js';
 import { isFiller, isServing, type OwnedRun, type OwnedTask } from './ownedJob.js';
 import type { WorkerAgent } from './workerAgent.js';
@@ -70,9 +71,12 @@
 /** Weight of the share of a serving task's spare room that a filler would take. */
 const DISTURBANCE_WEIGHT = 1;
 
-/** Weight of each other image that serves on a worker. */
+/** Weight of each other image that serves on a worker: what is not known of a pair may be bad. */
 const MIXED_WEIGHT = 1;
 
+/** Weight of the share of a worker that a serving task would close to fillers. */
+const CLOSED_WEIGHT = 4;
+
 /** Tail over target that must be predicted with a filler beside it; loads rise while it runs. */
 const PLACEMENT_AIM = 0.8;
 
@@ -107,10 +111,12 @@
 
   /**
    * @param interference - what was learned of fillers and serving tasks
+   * @param room - judges sets of serving images
    * @param clock - time
    */
   constructor(
     private readonly interference: Interference,
+    private readonly room: FillerRoom,
     private readonly clock: Clock,
   ) {}
 
@@ -176,16 +182,21 @@
     if (task.step.spec.filler) return this.fillerCost(agent, task);
     const free = agent.free().milliCores / Math.max(1, agent.description.capacity.milliCores);
     if (task.step.spec.targetMs === 0) return 1 - free;
-    return free + MIXED_WEIGHT * this.otherImages(agent, task);
+    return free + this.mixingCost(agent, task);
   }
 
   /** Serving tasks of one image keep together: fillers that disturb it have the other workers. */
-  private otherImages(agent: WorkerAgent, { step }: OwnedTask): number {
-    const images = agent
-      .activeRuns()
-      .filter(isServing)
-      .map(({ task }) => task.step.spec.image);
-    return new Set(images.filter((image) => image !== step.spec.image)).size;
+  private mixingCost(agent: WorkerAgent, { step }: OwnedTask): number {
+    const images = distinctImages(
+      agent
+        .activeRuns()
+        .filter(isServing)
+        .map(({ task }) => task.step.spec),
+    );
+    const others = images.filter(({ image }) => image !== step.spec.image);
+    if (others.length === 0) return 0;
+    const closed = this.room.share(images) - this.room.share([...others, step.spec]);
+    return MIXED_WEIGHT * others.length + CLOSED_WEIGHT * closed;
   }
 
   /** A filler goes where processors are left over and no serving task would miss its target. */
--- /dev/null
+++ b/tests/jobs/fillerRoom.spec.ts
@@ -0,0 +1,114 @@
+/**
+ * Judging which sets of serving images leave room for fillers.
+ */
+import test from 'ava';
+import { distinctImages, fillerDemand, FillerRoom } from 'samphirenotch/jobs/fillerRoom.js';
+import { Interference } from 'samphirenotch/jobs/interference.js';
+import { FULL_PERCENT, OwnedJob, type OwnedRun } from 'samphirenotch/jobs/ownedJob.js';
+
+import type { StepSpec } from 'samphirenotch/jobs/jobSpec.js';
+import { makeJob, makeQueue, makeStep } from '../fixtures/jobSite.js';
+
+const TARGET_MS = 20;
+
+const makeOwned = (...steps: readonly StepSpec[]): OwnedJob =>
+  new OwnedJob({
+    accepted: { id: 'j', queue: makeQueue(), acceptedAtMs: 0, job: makeJob(...steps) },
+    revision: 1,
+    queue: makeQueue(),
+    progress: undefined,
+    firstRun: 1,
+    acceptedMs: 0,
+    learnedMs: 0,
+  });
+
+const makeRun = (spec: StepSpec, gauge: number): OwnedRun => {
+  const step = makeOwned(spec).occurrences.get(0)?.steps[0];
+  const task = step?.tasks[0];
+  if (!task) throw new Error('the job has no task');
+  const run = { task, gauge, percent: FULL_PERCENT, confirmedMs: 0, phase: 'running', pace: 100 };
+  return run as unknown as OwnedRun;
+};
+
+/** Shows a pair of images for a while: without the filler at a tail of 8 ms, with it at another. */
+const show = (interference: Interference, [image, filler]: [string, string], tailMs: number) => {
+  const serving = makeRun(makeStep({ longRunning: true, image, targetMs: TARGET_MS }), 8);
+  const beside = makeRun(makeStep({ filler: true, image: filler }), 1_600);
+  for (let atMs = 1_000; atMs < 30_000; atMs += 500) {
+    const isBeside = atMs % 2_000 >= 1_000;
+    serving.gauge = isBeside ? tailMs : 8;
+    interference.learn(isBeside ? [serving, beside] : [serving], 16_000, atMs);
+  }
+};
+
+const served = (...images: readonly string[]) =>
+  images.map((image) => ({ image, targetMs: TARGET_MS }));
+
+const makeRoom = (): FillerRoom => {
+  const interference = new Interference();
+  show(interference, ['touchy', 'loud'], 30);
+  show(interference, ['touchy', 'quiet'], 8);
+  show(interference, ['calm', 'loud'], 8);
+  show(interference, ['calm', 'quiet'], 8);
+  const room = new FillerRoom(interference);
+  room.refresh(
+    new Map([
+      ['loud', 0.5],
+      ['quiet', 0.5],
+    ]),
+  );
+  return room;
+};
+
+test('should find less room beside an image that bears a filler badly', (t) => {
+  const room = makeRoom();
+  t.true(room.share(served('touchy')) < 0.75 * room.share(served('calm')));
+});
+
+test('should let the most sensitive image of a worker decide', (t) => {
+  const room = makeRoom();
+  t.is(room.share(served('calm', 'touchy')), room.share(served('touchy')));
+  t.is(room.share(served('touchy', 'touchy')), room.share(served('touchy')));
+});
+
+test('should judge by the fillers that are asked for', (t) => {
+  const room = makeRoom();
+  room.refresh(new Map([['quiet', 1]]));
+  t.is(room.share(served('touchy')), room.share(served('calm')));
+});
+
+test('should find no room where no filler asks for any', (t) => {
+  const room = makeRoom();
+  room.refresh(new Map());
+  t.is(room.share(served('calm')), 0);
+});
+
+test('should weigh fillers by the work that is left of them', (t) => {
+  const job = makeOwned(
+    makeStep({ filler: true, image: 'a', count: 3, estimateMs: 1_000 }),
+    makeStep({ filler: true, image: 'b', count: 1, estimateMs: 3_000 }),
+    makeStep({ image: 'c', count: 9 }),
+  );
+  t.deepEqual(
+    [...fillerDemand([job])],
+    [
+      ['a', 0.5],
+      ['b', 0.5],
+    ],
+  );
+  t.deepEqual([...fillerDemand([])], []);
+});
+
+test('should keep the strictest target of an image', (t) => {
+  t.deepEqual(
+    distinctImages([
+      { image: 'a', targetMs: 20 },
+      { image: 'b', targetMs: 10 },
+      { image: 'a', targetMs: 15 },
+    ]),
+    [
+      { image: 'a', targetMs: 15 },
+      { image: 'b', targetMs: 10 },
+    ],
+  );
+});
