Never acknowledge ends of a life that a worker began unseen

The worker forgot the new end, nobody saw it, and the task ran a second time after it was done.

Change: a hold acknowledges only when there is something new to acknowledge; a worker whose entry tells of a newer life gets no work until it has shown that life, and is asked at once. A worker that comes back at another address is reached there (its agent kept the connection to the former one for good).

A hold that is already on its way with a new number when the worker restarts is still possible; the worker must have restarted, run a task and ended it within one exchange.

--- a/packages/samphirenotch/src/jobs/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/jobOwner.ts
@@ -289,7 +289,7 @@
     const { options, term } = this;
     return new WorkerAgent({
       description,
-      worker: options.workers.connect(description.id, description.address),
+      connect: (address) => options.workers.connect(description.id, address),
       clock: options.clock,
       fencingToken: term.fencingToken,
       holdLimitMs: options.holdLimitMs,
--- a/packages/samphirenotch/src/jobs/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workerAgent.ts
@@ -37,6 +37,9 @@
 /** Longest time that the end of the last run stays unacknowledged, in milliseconds. */
 const ACKNOWLEDGE_MS = 1_200;
 
+/** Acknowledges no end. */
+const NOTHING_NEW = 0;
+
 /** Holds without an answer after which a worker gets no new work. */
 const MISSES_UNTIL_SILENT = 1;
 
@@ -72,7 +75,8 @@
 /** What an agent is made of. */
 export interface AgentOptions {
   readonly description: WorkerDescription;
-  readonly worker: TaskWorker;
+  /** Connects to an address of the worker. */
+  readonly connect: (address: string) => TaskWorker;
   readonly clock: Clock;
   readonly fencingToken: number;
   /** Longest lease that workers take, in milliseconds. */
@@ -98,6 +102,8 @@
 
   private readonly log = partLog('worker');
 
+  private worker: TaskWorker;
+
   private readonly runs: WorkerRuns;
 
   private readonly orders: WorkerOrders;
@@ -114,6 +120,9 @@
 
   private bornMs: number | undefined;
 
+  /** The newest life that was known, by the worker or the directory, when the worker showed its own. */
+  private shownBornMs = 0;
+
   /** Highest lease sent, on the worker's clock. */
   private grantedUntilMs = 0;
 
@@ -128,6 +137,7 @@
    */
   constructor(private readonly options: AgentOptions) {
     this.description = options.description;
+    this.worker = options.connect(options.description.address);
     this.workerClock = new WorkerClock(options.clock);
     this.wakeup = new Wakeup(options.clock);
     this.runs = new WorkerRuns(options.clock);
@@ -156,6 +166,7 @@
       this.fenced &&
       this.answers &&
       !this.unlisted &&
+      !this.hasRestarted &&
       this.description.phase === 'ready' &&
       this.options.clock.monotonicMs() >= this.avoidUntilMs
     );
@@ -192,16 +203,20 @@
    * @param description - the worker as it describes itself now
    */
   describe(description: WorkerDescription): void {
+    if (description.address !== this.description.address) {
+      this.worker.close();
+      this.worker = this.options.connect(description.address);
+    }
     this.description = description;
     this.unlisted = false;
-    if (this.bornMs !== undefined && description.bornMs > this.bornMs) this.wakeup.wake();
+    if (this.hasRestarted) this.wakeup.wake();
   }
 
   /** Ends the agent; the worker's runs go on until their leases lapse. */
   close(): void {
     this.closed.abort();
     this.wakeup.wake();
-    this.options.worker.close();
+    this.worker.close();
   }
 
   /** Serves the worker until closed. */
@@ -267,10 +282,10 @@
 
   private orderContext(): OrderContext {
     const { options, runs } = this;
-    const { worker, clock, fencingToken, listener } = options;
+    const { clock, fencingToken, listener } = options;
     return {
       id: this.id,
-      worker,
+      worker: () => this.worker,
       clock,
       fencingToken,
       runs,
@@ -288,9 +303,15 @@
     };
   }
 
+  /** The directory tells of a life that the worker itself has not shown yet. */
+  private get hasRestarted(): boolean {
+    return this.bornMs !== undefined && this.description.bornMs > this.shownBornMs;
+  }
+
   private isIdle(): boolean {
     return (
       this.fenced &&
+      !this.hasRestarted &&
       this.runs.count === 0 &&
       this.runs.foreignCount === 0 &&
       this.acknowledgedSequence >= this.seenSequence
@@ -326,12 +347,15 @@
   }
 
   private async look(signal: AbortSignal): Promise<void> {
-    const { clock, worker, fencingToken } = this.options;
+    const { worker } = this;
+    const { clock, fencingToken } = this.options;
     const storedAll = this.storedSequence >= this.seenSequence;
     const waits = this.fenced && this.answers && storedAll && this.runs.count > 0;
     const waitMs = waits ? this.holdWaitMs() : 0;
     const sentMs = clock.monotonicMs();
-    const acknowledged = this.storedSequence;
+    // A number that says nothing new could drop ends of a life that the worker began unseen.
+    const acknowledged =
+      this.storedSequence > this.acknowledgedSequence ? this.storedSequence : NOTHING_NEW;
     const leaseUntilMs = this.nextLease();
     const outcome = await worker.hold(
       {
@@ -421,6 +445,7 @@
       this.endLife('the worker has started again', true);
     }
     this.bornMs = holding.bornMs;
+    this.shownBornMs = Math.max(holding.bornMs, this.description.bornMs);
     this.looks += 1;
     this.workerClock.read(holding.clockMs);
     this.acknowledgedSequence = Math.max(this.acknowledgedSequence, acknowledged);
--- a/packages/samphirenotch/src/jobs/workerOrders.ts
+++ b/packages/samphirenotch/src/jobs/workerOrders.ts
@@ -29,7 +29,8 @@
 /** What orders need to know and change of their worker. */
 export interface OrderContext {
   readonly id: string;
-  readonly worker: TaskWorker;
+  /** The connection to the worker, which may move. */
+  readonly worker: () => TaskWorker;
   readonly clock: Clock;
   readonly fencingToken: number;
   readonly runs: WorkerRuns;
@@ -97,7 +98,8 @@
    * @param percent - the share, from 0 to 100
    */
   async pace(run: OwnedRun, percent: number): Promise<void> {
-    const { worker, clock, fencingToken } = this.context;
+    const { clock, fencingToken } = this.context;
+    const worker = this.context.worker();
     const owned = run;
     const before = run.pace;
     owned.pace = percent;
@@ -122,7 +124,8 @@
    * @param report - the run
    */
   stopUnknown(report: RunReport): void {
-    const { worker, fencingToken, id } = this.context;
+    const { fencingToken, id } = this.context;
+    const worker = this.context.worker();
     const { taskId, run } = report;
     this.log.info('Stopping a run that no open task has', { taskId, run, worker: id });
     worker
@@ -157,7 +160,7 @@
       checkpoint: task.checkpoint,
       ...(ticket === undefined ? {} : { ticket }),
     };
-    this.handleStart(run, await context.worker.start(order, this.call()));
+    this.handleStart(run, await context.worker().start(order, this.call()));
   }
 
   private handleStart(run: OwnedRun, answer: Result<OrderAnswer, Failure>): void {
@@ -208,7 +211,8 @@
   }
 
   private async sendStop(run: OwnedRun): Promise<void> {
-    const { worker, clock, fencingToken, signal, runs } = this.context;
+    const { clock, fencingToken, signal, runs } = this.context;
+    const worker = this.context.worker();
     while (!signal.aborted && runs.has(run)) {
       const answer = await worker.stop(nameOf(run), fencingToken, this.call());
       if (answer.ok && this.isStopSettled(run, answer.val.outcome)) return;
--- a/tests/jobs/workers.spec.ts
+++ b/tests/jobs/workers.spec.ts
@@ -98,3 +98,33 @@
   t.is(await site.state(owner, ID), 'completed');
   t.is(owner.entry.parts.queries.waiting(site.queue.name), 0);
 });
+
+test('should see what ends soon in a new life that a worker began unseen', async (t) => {
+  const { site, owner } = await makeOwnedSite({
+    workers: 1,
+    behave: () => ({ size: SIZE, durationMs: 0 }),
+  });
+  await site.submit(owner, ID, makeJob(makeStep({ count: 3 })));
+  await site.run(3_000);
+  // Nothing runs there, so nothing looks: the owner still knows numbers of ends of the former life.
+  site.workers.get('w0')?.restart();
+  const later = '00000000000000a2';
+  await site.submit(owner, later, makeJob(makeStep()));
+  await site.run(2_000);
+  t.is(await site.state(owner, later), 'completed');
+  t.is(site.record.of(`${later}.0.0.0`).length, 1);
+  t.deepEqual(site.record.violations, []);
+});
+
+test('should reach a worker that starts again at another address', async (t) => {
+  const { site, owner } = await makeOwnedSite({ workers: 1 });
+  const worker = site.workers.get('w0');
+  if (!worker) throw new Error('no worker');
+  worker.restart();
+  worker.address = 'w0:2';
+  site.list('w0', { address: worker.address, bornMs: worker.bornMs });
+  await site.run(500);
+  await site.submit(owner, ID, makeJob(makeStep()));
+  await site.run(3_000);
+  t.is(await site.state(owner, ID), 'completed');
+});
