--- /dev/null
+++ b/tests/soak/promiseChecker.spec.ts
@@ -0,0 +1,172 @@
+/**
+ * The checker of the soak catches each broken promise, and nothing that is allowed.
+ */
+import test from 'ava';
+
+import { PromiseChecker, type CheckedWorker, type SoakRun } from './promiseChecker.js';
+import { QUEUES, type SoakJob, type SoakStep } from './soakJob.js';
+
+const STEP: SoakStep = {
+  count: 2,
+  cpu: 1_000,
+  memMb: 1_000,
+  durationMs: 500,
+  failEvery: 0,
+  after: [],
+  perWorker: 0,
+  checkpointing: false,
+  longRunning: false,
+  filler: false,
+};
+
+const ID = '00000000000000a1';
+
+const makeChecker = (...steps: readonly SoakStep[]) => {
+  const clock = { nowMs: 0 };
+  const checker = new PromiseChecker(() => clock.nowMs);
+  const [queue] = QUEUES;
+  if (!queue) throw new Error('no queue');
+  const job: SoakJob = { id: ID, queue, steps: steps.length > 0 ? steps : [STEP] };
+  checker.submitting(job);
+  checker.submitted(ID, 'accepted');
+  return { checker, clock, job };
+};
+
+const worker = (changes: Partial<CheckedWorker> = {}): CheckedWorker => ({
+  id: 'w0',
+  cpu: 4_000,
+  memMb: 8_000,
+  drainingSinceMs: undefined,
+  ...changes,
+});
+
+const run = (index: number, changes: Partial<SoakRun> = {}): SoakRun => ({
+  task: `${ID}.0.0.${index}`,
+  run: 1,
+  workerId: 'w0',
+  step: STEP,
+  startedMs: 0,
+  ...changes,
+});
+
+const promisesOf = ({ violations }: PromiseChecker): readonly string[] =>
+  violations.map(({ promise }) => promise);
+
+test('should find nothing wrong with a job that runs as it should', (t) => {
+  const { checker } = makeChecker(STEP, { ...STEP, after: [0] });
+  [0, 1].forEach((index) => {
+    const first = run(index);
+    checker.started(first, worker());
+    checker.ended(first, 'done');
+  });
+  [0, 1].forEach((index) => {
+    const later = run(index, { task: `${ID}.0.1.${index}`, step: { ...STEP, after: [0] } });
+    checker.started(later, worker());
+    checker.ended(later, 'done');
+  });
+  ['running', 'completed', 'completed'].forEach((state) => checker.shown(ID, state));
+  t.deepEqual(checker.violations, []);
+});
+
+test('should catch an overloaded worker', (t) => {
+  const { checker } = makeChecker();
+  checker.started(run(0), worker({ cpu: 1_500 }));
+  checker.started(run(1), worker({ cpu: 1_500 }));
+  t.deepEqual(promisesOf(checker), ['capacity']);
+});
+
+test('should count no processors of fillers, but their memory', (t) => {
+  const { checker } = makeChecker();
+  const filler = { ...STEP, filler: true };
+  checker.started(run(0, { step: filler }), worker({ cpu: 0, memMb: 1_500 }));
+  t.deepEqual(promisesOf(checker), []);
+  checker.started(run(1, { step: filler }), worker({ cpu: 0, memMb: 1_500 }));
+  t.deepEqual(promisesOf(checker), ['capacity']);
+});
+
+test('should catch a task that runs in two places', (t) => {
+  const { checker } = makeChecker();
+  checker.started(run(0), worker());
+  checker.started(run(0, { run: 2, workerId: 'w1' }), worker({ id: 'w1' }));
+  t.deepEqual(promisesOf(checker), ['one-run']);
+});
+
+test('should catch a task that is started after its end, unless the end was forgotten', (t) => {
+  const { checker } = makeChecker();
+  const first = run(0);
+  checker.started(first, worker());
+  checker.ended(first, 'done');
+  checker.endForgotten(first.task);
+  checker.started(run(0, { run: 2 }), worker());
+  t.deepEqual(promisesOf(checker), []);
+  checker.ended(run(0, { run: 2 }), 'done');
+  checker.started(run(0, { run: 3, workerId: 'w1' }), worker({ id: 'w1' }));
+  t.true(promisesOf(checker).includes('one-run'));
+});
+
+test('should catch a step that is started before the one it comes after', (t) => {
+  const { checker } = makeChecker({ ...STEP, count: 1 }, { ...STEP, after: [0] });
+  checker.started(run(0, { task: `${ID}.0.1.0`, step: { ...STEP, after: [0] } }), worker());
+  t.deepEqual(promisesOf(checker), ['order']);
+});
+
+test('should catch too many tasks of a step on a worker', (t) => {
+  const step = { ...STEP, perWorker: 1 };
+  const { checker } = makeChecker(step);
+  checker.started(run(0, { step }), worker());
+  checker.started(run(1, { step }), worker());
+  t.deepEqual(promisesOf(checker), ['per-worker-limit']);
+});
+
+test('should catch a start after all attempts have failed', (t) => {
+  const { checker, job } = makeChecker();
+  for (let at = 0; at < job.queue.maxAttempts; at += 1) checker.failureAcknowledged(run(0).task);
+  checker.started(run(0), worker());
+  t.deepEqual(promisesOf(checker), ['attempts']);
+});
+
+test('should catch work that nobody handed in, or that was refused', (t) => {
+  const { checker, job } = makeChecker();
+  checker.started(run(0, { task: '00000000000000ff.0.0.0' }), worker());
+  const refused = { ...job, id: '00000000000000b1' };
+  checker.submitting(refused);
+  checker.submitted(refused.id, 'refused');
+  checker.started(run(0, { task: `${refused.id}.0.0.0` }), worker());
+  t.deepEqual(promisesOf(checker), ['asked-for', 'refused']);
+});
+
+test('should catch a refusal that comes after the start', (t) => {
+  const { checker, job } = makeChecker();
+  const late = { ...job, id: '00000000000000b1' };
+  checker.submitting(late);
+  checker.started(run(0, { task: `${late.id}.0.0.0` }), worker());
+  t.deepEqual(promisesOf(checker), []);
+  checker.submitted(late.id, 'refused');
+  t.deepEqual(promisesOf(checker), ['refused']);
+});
+
+test('should catch starts long after a cancellation, or on a draining worker, in calm', (t) => {
+  const { checker, clock } = makeChecker();
+  checker.cancelling(ID);
+  checker.cancelled(ID);
+  clock.nowMs = 5_000;
+  checker.started(run(0), worker({ drainingSinceMs: 0 }));
+  t.deepEqual(promisesOf(checker), ['cancelled', 'draining']);
+  checker.isCalm = false;
+  checker.started(run(1), worker({ drainingSinceMs: 0 }));
+  t.is(checker.violations.length, 2);
+});
+
+test('should catch states that are not true', (t) => {
+  const { checker } = makeChecker();
+  checker.shown(ID, 'gone');
+  checker.shown(ID, 'cancelled');
+  t.deepEqual(promisesOf(checker), ['lost', 'state']);
+  const other = makeChecker();
+  other.checker.shown(ID, 'failed');
+  t.deepEqual(promisesOf(other.checker), ['state']);
+  const third = makeChecker();
+  third.checker.shown(ID, 'completed');
+  // One for each task that is not done.
+  t.deepEqual(promisesOf(third.checker), ['state', 'state']);
+});
--- a/tests/soak/soakCallers.ts
+++ b/tests/soak/soakCallers.ts
@@ -148,8 +148,8 @@
 
   /** Returns true once the job is accepted. */
   private async submit(job: SoakJob): Promise<boolean> {
-    this.checker.submitting(job);
     for (let attempt = 0; attempt < TRIES; attempt += 1) {
+      this.checker.submitting(job);
       const reply = await this.once(job, 'POST');
       if (isSuccess(reply)) {
         this.checker.submitted(job.id, 'accepted');
