Tell an owner that is late from peers that are silent

What callers saw: too little served on the grown deployments, with logs full of workers and a store that do not answer, though none of them was disturbed.

No decision is changed.

--- a/packages/samphirenotch-cli/src/answers.ts
+++ b/packages/samphirenotch-cli/src/answers.ts
@@ -69,7 +69,7 @@
 export const HISTOGRAMS = z.object({
   series: z.array(
     z.object({
-      step: z.enum(['admission', 'queue', 'forward', 'worker', 'total', 'start']),
+      step: z.enum(['admission', 'queue', 'forward', 'worker', 'total', 'start', 'loop', 'pass']),
       taskClass: z.string().optional(),
       tenant: z.string().optional(),
       dataCentre: z.string(),
--- a/packages/samphirenotch/src/jobs/jobEntry.ts
+++ b/packages/samphirenotch/src/jobs/jobEntry.ts
@@ -94,8 +94,9 @@
       handoverMs: options.handoverMs,
       eagerness: Math.min(1, options.processorShare),
       serve: async (term) => {
-        const { replica: jobs, operator } = this;
-        this.ownerHere = new JobOwner({ ...options, replica: jobs, operator }, term);
+        const { replica: jobs, operator, jobsFollower } = this;
+        const viewAgeMs = (): number => jobsFollower.ageMs();
+        this.ownerHere = new JobOwner({ ...options, replica: jobs, operator, viewAgeMs }, term);
         try {
           await this.ownerHere.serve();
         } finally {
--- a/packages/samphirenotch/src/jobs/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/jobOwner.ts
@@ -48,6 +48,9 @@
 /** Time between two passes beside the time that one takes: passes leave most of the processor to calls. */
 const PASS_REST = 3;
 
+/** Length of a pass from which a line is written, in milliseconds: nothing else is done meanwhile. */
+const NOTABLE_PASS_MS = 100;
+
 /** How long news of workers gather, in milliseconds: heartbeats of all arrive all the time. */
 const DIRECTORY_GATHER_MS = 250;
 
@@ -63,6 +66,8 @@
   readonly codec: SiteCodec;
   readonly replica: JobReplica;
   readonly operator: OperatorFollower;
+  /** Tells how old the newest news of jobs is, in milliseconds. */
+  readonly viewAgeMs: () => number;
   readonly clock: Clock;
   readonly recorder: Recorder;
   /** Name of this process. */
@@ -117,6 +122,7 @@
       interference,
       permissions: this.permissions,
       slowWorkers: this.slowWorkers,
+      viewAgeMs: options.viewAgeMs,
     });
     this.pacing = new FillerPacing(this.fleet, interference, options.clock);
   }
@@ -144,7 +150,7 @@
         this.book.accept(job);
         this.wakeup.wake();
       },
-      onCancelled: (jobId) => this.cancel(jobId),
+      onCancelled: (jobId, requestedAtMs) => this.cancel(jobId, requestedAtMs),
       onOwner: (owner) => {
         if (owner?.revision !== term.fencingToken) term.depose('the lease is another one');
       },
@@ -336,11 +342,17 @@
     return new Set(task.step.tasks.flatMap(({ failedRuns }) => failedRuns)).size;
   }
 
-  private cancel(jobId: string): void {
+  private cancel(jobId: string, requestedAtMs?: number): void {
     const job = this.book.find(jobId);
     if (!job || job.cancelled) return;
     job.cancelled = true;
-    this.log.info('A job is cancelled', { jobId, runs: job.activeRuns().length });
+    this.log.info('A job is cancelled', {
+      jobId,
+      runs: job.activeRuns().length,
+      // Wall clocks of entries differ a little.
+      afterMs: requestedAtMs && Math.round(this.options.clock.wallMs() - requestedAtMs),
+      viewAgeMs: Math.round(this.options.viewAgeMs()),
+    });
     this.stopRuns(job, 'the job is cancelled');
     this.book.forget(job);
   }
@@ -358,6 +370,7 @@
       await clock.sleep(Math.max(PASS_GAP_MS, PASS_REST * lastMs), signal);
       if (signal.aborted) return;
       const startMs = clock.monotonicMs();
+      const startsBefore = this.launcher.starts;
       if (directory.complete) this.fleet.noteDirectory();
       this.fleet.maintain();
       this.watch.check();
@@ -365,9 +378,20 @@
       this.pacing.adjust();
       this.launcher.pass(directory.complete);
       lastMs = clock.monotonicMs() - startMs;
+      this.notePass(lastMs, this.launcher.starts - startsBefore);
     }
   }
 
+  private notePass(tookMs: number, starts: number): void {
+    this.options.recorder.time('pass', { taskClass: 'owner', tenant: 'owner' }, tookMs);
+    if (tookMs < NOTABLE_PASS_MS) return;
+    this.log.warn('A pass took long', {
+      tookMs: Math.round(tookMs),
+      starts,
+      openJobs: this.book.openJobs().length,
+    });
+  }
+
   private async summaries(): Promise<void> {
     const { clock, replica } = this.options;
     const { signal } = this.term;
--- a/packages/samphirenotch/src/jobs/jobReplica.ts
+++ b/packages/samphirenotch/src/jobs/jobReplica.ts
@@ -32,7 +32,11 @@
 /** Hears of changes that the owner of jobs acts on. */
 export interface ReplicaListener {
   onAccepted(job: ReplicatedJob): void;
-  onCancelled(jobId: string): void;
+  /**
+   * @param jobId - the job
+   * @param requestedAtMs - wall clock of the entry that took the cancellation, in Unix milliseconds
+   */
+  onCancelled(jobId: string, requestedAtMs: number): void;
   onOwner(owner: OwnerRecord | undefined): void;
 }
 
@@ -183,7 +187,7 @@
         return;
       }
       this.cancelled.add(id);
-      this.listener?.onCancelled(id);
+      this.listener?.onCancelled(id, Number(value));
     }
     if (key.startsWith(ENDED_PREFIX)) {
       const id = key.slice(ENDED_PREFIX.length);
--- a/packages/samphirenotch/src/jobs/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/stepLauncher.ts
@@ -33,6 +33,8 @@
   readonly interference: Interference;
   readonly permissions: StepPermissions;
   readonly slowWorkers: SlowWorkers;
+  /** Tells how old the newest news of jobs is, in milliseconds. */
+  readonly viewAgeMs: () => number;
 }
 
 /** Time between two looks at what fillers ask for, in milliseconds. */
@@ -59,6 +61,8 @@
 
   private readonly moves: ServingMoves;
 
+  private startCount = 0;
+
   private demandMs = Number.NEGATIVE_INFINITY;
 
   /** What has fitted nowhere in this pass; larger tasks of the kind need not be tried. */
@@ -77,6 +81,11 @@
     this.starvation = new Starvation(options.clock);
   }
 
+  /** @returns how many runs were started so far */
+  get starts(): number {
+    return this.startCount;
+  }
+
   /**
    * Explains why tasks of a job wait.
    *
@@ -294,6 +303,7 @@
   private start({ task, agent }: Start, run: number): void {
     const owned = task;
     owned.nextRun = run + 1;
+    this.startCount += 1;
     this.log.info('Starting a task', {
       taskId: task.id,
       run,
@@ -301,6 +311,7 @@
       dataCentre: agent.description.dataCentre,
       freeMilliCores: agent.free().milliCores,
       configuration: this.options.operator.view().configuration?.version,
+      viewAgeMs: Math.round(this.options.viewAgeMs()),
     });
     const ticket = this.options.permissions.ticket(task.step, agent);
     agent.start(task, run, roomOf(task), ticket);
--- a/packages/samphirenotch/src/observability/recorder.ts
+++ b/packages/samphirenotch/src/observability/recorder.ts
@@ -2,8 +2,18 @@
  * Where parts record what happened, for histograms and counters.
  */
 
-/** Steps of a request or task that are timed. */
-export type Step = 'admission' | 'queue' | 'forward' | 'worker' | 'total' | 'start';
+/** Steps of a request or task that are timed, and what a process does by itself. */
+export type Step =
+  | 'admission'
+  | 'queue'
+  | 'forward'
+  | 'worker'
+  | 'total'
+  | 'start'
+  /** How late the event loop served a timer. */
+  | 'loop'
+  /** One look of an owner at all that waits. */
+  | 'pass';
 
 /** Whom a measurement belongs to. */
 export interface Subject {
--- a/tests/platform/clients.spec.ts
+++ b/tests/platform/clients.spec.ts
@@ -216,8 +216,10 @@
     callWithin(clock, 100),
   );
   t.is(given.err && given.val.effect, 'not-run');
+  t.regex(given.err ? given.val.message : '', /no answer in time, not sent, timer \d+ ms late/u);
   const ended = await slow;
   t.is(ended.err && ended.val.effect, 'unknown');
+  t.regex(ended.err ? ended.val.message : '', /no answer in time, sent \d+ ms ago/u);
   const next = await peer.send({ step: 'next', method: 'GET', path: '/next' }, call());
   t.true(next.ok);
   t.deepEqual(seen, ['/slow', '/next']);
