Show that an owner with much to start neither listens nor keeps its lease

The fixtures count the processor time of an order on the manual clock, which does not go back any more when what it woke took longer.

--- a/packages/samphirenotch/src/time/manualClock.ts
+++ b/packages/samphirenotch/src/time/manualClock.ts
@@ -65,7 +65,8 @@
       next.wake();
       await settle();
     }
-    this.nowMs = endMs;
+    // What was woken may have taken longer.
+    this.nowMs = Math.max(this.nowMs, endMs);
     await settle();
   }
 
--- /dev/null
+++ b/tests/jobs/burst.spec.ts
@@ -0,0 +1,124 @@
+/**
+ * What holds while far more tasks arrive at once than an owner can start in a moment.
+ */
+import test from 'ava';
+import { CANCELLED_PREFIX, OWNER_KEY } from 'samphirenotch/jobs/jobKeys.js';
+
+import { makeJob, makeOwnedSite, makeStep, type JobSite } from '../fixtures/jobSite.js';
+
+const JOBS = 150;
+const TASKS_OF_JOB = 20;
+const TASKS = JOBS * TASKS_OF_JOB;
+
+/** Processor time of the owner for each start, in milliseconds. */
+const ORDER_COST_MS = 1;
+
+/** Time after a cancellation from which nothing of its job may run, and that a stop takes. */
+const CANCEL_MS = 4_000;
+const STOP_MS = 100;
+
+/** Delay of the event loop that leaves calls, which time out after 600 ms, most of their time. */
+const LATEST_MS = 200;
+
+const SIZE = { milliCores: 1_000, memoryMb: 1_000, accelerators: 0 };
+
+const jobIds = Array.from({ length: JOBS }, (_each, index) => index.toString(16).padStart(16, '0'));
+
+/** A site whose owner meets all jobs at once, with a second entry that would take over. */
+const makeBurst = async () => {
+  const { site } = await makeOwnedSite({
+    workers: 60,
+    milliCores: 64_000,
+    orderCostMs: ORDER_COST_MS,
+    behave: () => ({ size: SIZE, durationMs: 60_000 }),
+  });
+  site.start('b');
+  await site.run(500);
+  site.putJobs(jobIds, makeJob(makeStep({ count: TASKS_OF_JOB })));
+  return site;
+};
+
+/** Measures the longest delay of a timer until stopped. */
+const probe = (site: JobSite) => {
+  const stopped = new AbortController();
+  let longestMs = 0;
+  const measure = async (): Promise<void> => {
+    while (!stopped.signal.aborted) {
+      const dueMs = site.clock.monotonicMs() + 10;
+      await site.clock.sleep(10, stopped.signal);
+      longestMs = Math.max(longestMs, site.clock.monotonicMs() - dueMs);
+    }
+  };
+  const running = measure();
+  return async (): Promise<number> => {
+    stopped.abort();
+    await running;
+    return longestMs;
+  };
+};
+
+// Guards against an owner that loses its lease because it does nothing but start tasks.
+test('should keep its lease while thousands of tasks are to be started', async (t) => {
+  const site = await makeBurst();
+  const token = site.data.items.get(OWNER_KEY)?.revision;
+  await site.run(8_000);
+  t.is(site.data.items.get(OWNER_KEY)?.revision, token);
+  t.deepEqual(site.record.violations, []);
+});
+
+// Guards against answers that wait unread until their calls have timed out.
+test('should let answers through while thousands of tasks are to be started', async (t) => {
+  const site = await makeBurst();
+  const stop = probe(site);
+  await site.run(8_000);
+  t.true((await stop()) <= LATEST_MS);
+});
+
+// Guards against an owner that rests while tasks wait for nothing but their start.
+test('should start a burst within twice the time that its orders take', async (t) => {
+  const site = await makeBurst();
+  await site.run(2 * TASKS * ORDER_COST_MS);
+  t.is(site.record.runs.length, TASKS);
+  t.deepEqual(site.record.violations, []);
+});
+
+// Guards against runs of a cancelled job that go on because its owner does not read its watch.
+test('should stop a cancelled job in time while thousands of tasks are to be started', async (t) => {
+  const { site } = await makeOwnedSite({
+    workers: 60,
+    milliCores: 64_000,
+    orderCostMs: 2 * ORDER_COST_MS,
+    behave: () => ({ size: SIZE, durationMs: 60_000 }),
+  });
+  const cancelled = 'ffffffffffffffff';
+  site.putJobs([cancelled], makeJob(makeStep({ count: TASKS_OF_JOB })));
+  await site.run(500);
+  t.is(site.record.runs.length, TASKS_OF_JOB);
+  site.putJobs(jobIds, makeJob(makeStep({ count: TASKS_OF_JOB })));
+  await site.clock.advance(5);
+  site.data.put(CANCELLED_PREFIX + cancelled, String(site.clock.wallMs()));
+  const lastMs = site.clock.monotonicMs() + CANCEL_MS + STOP_MS;
+  await site.run(2 * CANCEL_MS);
+  const runs = site.record.runs.filter(({ taskId }) => taskId.startsWith(cancelled));
+  t.deepEqual(
+    runs.filter(({ endedMs = Number.POSITIVE_INFINITY }) => endedMs > lastMs),
+    [],
+  );
+});
+
+// Guards against an owner that rests in proportion to the starts that it has just sent.
+test('should keep up with starts that take half of the processor', async (t) => {
+  const { site } = await makeOwnedSite({
+    workers: 60,
+    milliCores: 64_000,
+    orderCostMs: ORDER_COST_MS,
+    behave: () => ({ size: SIZE, durationMs: 300 }),
+  });
+  const ids = jobIds.slice(0, 50);
+  for (const id of ids) {
+    site.putJobs([id], makeJob(makeStep({ count: 50, estimateMs: 300 })));
+    await site.run(100);
+  }
+  await site.run(500);
+  t.is(site.record.runs.length, ids.length * 50);
+});
