Bound the time for which a pass starts tasks

What callers saw: too little served and jobs lost on the grown deployments, and work of jobs that they had cancelled going on.

Cause: a pass started all that waited, thousands of tasks, before anything else was read. For one to three seconds nothing renewed the owner's lease, listened to workers or learned of cancellations; afterwards the owner rested for three times as long, and the next pass had more to do.

Change: a pass starts tasks for 30 ms, then answers are read; the next one goes on with steps that were not tried, after those that are new and more urgent. Only passes that leave nothing to start rest, 100 ms at most. Moves, copies and starved steps wait for a pass that got to its end.

--- a/packages/samphirenotch/src/jobs/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/jobOwner.ts
@@ -45,9 +45,12 @@
 /** Least time between two passes, in milliseconds: starts of one moment go together. */
 const PASS_GAP_MS = 12;
 
-/** Time between two passes beside the time that one takes: passes leave most of the processor to calls. */
+/** Time between two passes beside the time that one takes, while nothing is left to start. */
 const PASS_REST = 3;
 
+/** Longest such time, in milliseconds: tasks that arrive wait as long. */
+const MOST_REST_MS = 100;
+
 /** Length of a pass from which a line is written, in milliseconds: nothing else is done meanwhile. */
 const NOTABLE_PASS_MS = 100;
 
@@ -57,6 +60,10 @@
 /** Wait before a task is tried again after a worker turned it away, in milliseconds. */
 const TURNED_AWAY_MS = 100;
 
+/** Passes that find nothing to start leave most of the processor to calls. */
+const restAfter = (tookMs: number): number =>
+  Math.max(PASS_GAP_MS, Math.min(MOST_REST_MS, PASS_REST * tookMs));
+
 /** What an owner works with. */
 export interface JobOwnerOptions {
   readonly store: TransactionStore;
@@ -364,10 +371,10 @@
   private async passes(directory: WorkerDirectory): Promise<void> {
     const { clock } = this.options;
     const { signal } = this.term;
-    let lastMs = 0;
+    let restMs = PASS_GAP_MS;
     while (!signal.aborted) {
       await this.wakeup.wait(PASS_MS, signal);
-      await clock.sleep(Math.max(PASS_GAP_MS, PASS_REST * lastMs), signal);
+      await clock.sleep(restMs, signal);
       if (signal.aborted) return;
       const startMs = clock.monotonicMs();
       const startsBefore = this.launcher.starts;
@@ -377,8 +384,11 @@
       this.slowWorkers.check();
       this.pacing.adjust();
       this.launcher.pass(directory.complete);
-      lastMs = clock.monotonicMs() - startMs;
-      this.notePass(lastMs, this.launcher.starts - startsBefore);
+      const tookMs = clock.monotonicMs() - startMs;
+      this.notePass(tookMs, this.launcher.starts - startsBefore);
+      // Answers that came meanwhile are read before the next pass, however soon that is.
+      if (this.launcher.isCutShort) this.wakeup.wake();
+      restMs = this.launcher.isCutShort ? PASS_GAP_MS : restAfter(tookMs);
     }
   }
 
--- a/packages/samphirenotch/src/jobs/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/stepLauncher.ts
@@ -37,6 +37,9 @@
   readonly viewAgeMs: () => number;
 }
 
+/** Time for which a pass starts tasks, in milliseconds: answers and renewals wait as long. */
+const STARTING_MS = 30;
+
 /** Time between two looks at what fillers ask for, in milliseconds. */
 const DEMAND_GAP_MS = 500;
 
@@ -63,6 +66,14 @@
 
   private startCount = 0;
 
+  /** Monotonic time at which the pass is cut short. */
+  private startUntilMs = 0;
+
+  /** What the passes since the last whole one have tried: the next one goes on with the others. */
+  private readonly tried = new Set<OwnedStep>();
+
+  private wasCut = false;
+
   private demandMs = Number.NEGATIVE_INFINITY;
 
   /** What has fitted nowhere in this pass; larger tasks of the kind need not be tried. */
@@ -86,6 +97,11 @@
     return this.startCount;
   }
 
+  /** @returns true if the last pass was cut short with steps left to try */
+  get isCutShort(): boolean {
+    return this.wasCut;
+  }
+
   /**
    * Explains why tasks of a job wait.
    *
@@ -118,12 +134,31 @@
       .filter((job) => !job.settled && this.isAccountedFor(job))
       .flatMap((job) => this.waitingSteps(job, nowMs));
     const ordered = this.order.sort(steps, nowMs);
-    ordered.forEach((step) => this.startStep(step, nowMs));
+    this.startSteps(ordered, nowMs);
+    if (this.wasCut) return;
     this.starvation.starved(ordered).forEach((step) => this.startStarved(step, nowMs));
     this.startCopies();
     this.moveServing();
   }
 
+  /** Starts tasks until time is up; each pass tries at least one step. */
+  private startSteps(ordered: readonly OwnedStep[], nowMs: number): void {
+    this.startUntilMs = this.options.clock.monotonicMs() + STARTING_MS;
+    const left = ordered.filter((step) => !this.tried.has(step));
+    const next = left.findIndex((step, at) => {
+      if (at > 0 && this.isTimeUp()) return true;
+      if (!this.startStep(step, nowMs)) return true;
+      this.tried.add(step);
+      return false;
+    });
+    this.wasCut = next >= 0;
+    if (!this.wasCut) this.tried.clear();
+  }
+
+  private isTimeUp(): boolean {
+    return this.options.clock.monotonicMs() >= this.startUntilMs;
+  }
+
   private refreshDemand(nowMs: number): void {
     if (nowMs < this.demandMs + DEMAND_GAP_MS) return;
     this.demandMs = nowMs;
@@ -210,14 +245,16 @@
     return !task.done && task.runs.length === 0 && task.notBeforeMs <= nowMs;
   }
 
-  private startStep(step: OwnedStep, nowMs: number): void {
+  /** Returns false if time was up before all its tasks were tried. */
+  private startStep(step: OwnedStep, nowMs: number): boolean {
     const { job } = step.occurrence;
-    if (!job.isOpen) return;
+    if (!job.isOpen) return true;
     const candidates = this.candidates(step);
     const workers = this.options.permissions.startable(step, candidates);
     if (step.spec.gang) this.startGang(step, workers, nowMs);
-    else this.startTasks(step, workers, nowMs);
+    else if (!this.startTasks(step, workers, nowMs)) return false;
     if (job.queue.policy) this.askForWorkers(step, candidates, nowMs);
+    return true;
   }
 
   /** Tickets are asked for only where tasks still wait. */
@@ -227,20 +264,22 @@
     this.options.permissions.want(step, this.placement.rank({ task, size: roomOf(task), workers }));
   }
 
-  private startTasks(step: OwnedStep, workers: readonly WorkerAgent[], nowMs: number): void {
-    if (this.misfits.includes(step)) return;
-    for (const task of step.tasks) {
-      if (!this.isWaiting(task, nowMs)) continue;
+  /** Returns false if time was up before all tasks were tried. */
+  private startTasks(step: OwnedStep, workers: readonly WorkerAgent[], nowMs: number): boolean {
+    if (this.misfits.includes(step)) return true;
+    for (const task of step.tasks.filter((each) => this.isWaiting(each, nowMs))) {
       const size = roomOf(task);
       const agent = this.placement.choose({ task, size, workers });
       if (!agent) {
         this.misfits.add(step);
         this.makeRoom(task, workers);
         // All tasks of a step ask for the same.
-        return;
+        return true;
       }
       this.start({ task, agent }, task.nextRun);
+      if (this.isTimeUp()) return false;
     }
+    return true;
   }
 
   /** What lasts takes no room from work that ends, since it would keep it; fillers take none. */
