Send a stop to where its worker is now

What callers would see: a task whose start was not answered never runs, if its worker comes back at another address meanwhile.

Cause: a stop that is repeated until it is answered kept the connection that it began with, to an address where nobody answers.

Change: each try uses the connection of now.

Shown by: 'should stop a run at the address to which its worker has moved', failing before.

--- a/packages/samphirenotch/src/jobs/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workerAgent.ts
@@ -1,6 +1,8 @@
 /**
  * The owner's side of one worker: holds its lease, keeps the account of its room, sends its orders.
  */
+import { setMaxListeners } from 'node:events';
+
 import type {
   Holding,
   HoldOutcome,
@@ -142,6 +144,8 @@
     this.wakeup = new Wakeup(options.clock);
     this.runs = new WorkerRuns(options.clock);
     this.orders = new WorkerOrders(this.orderContext());
+    // Every order in progress listens.
+    setMaxListeners(0, this.closed.signal);
     options.signal.addEventListener('abort', () => this.closed.abort());
   }
 
--- a/packages/samphirenotch/src/jobs/workerOrders.ts
+++ b/packages/samphirenotch/src/jobs/workerOrders.ts
@@ -212,9 +212,8 @@
 
   private async sendStop(run: OwnedRun): Promise<void> {
     const { clock, fencingToken, signal, runs } = this.context;
-    const worker = this.context.worker();
     while (!signal.aborted && runs.has(run)) {
-      const answer = await worker.stop(nameOf(run), fencingToken, this.call());
+      const answer = await this.context.worker().stop(nameOf(run), fencingToken, this.call());
       if (answer.ok && this.isStopSettled(run, answer.val.outcome)) return;
       await clock.sleep(RETRY_MS, signal);
     }
--- a/tests/jobs/workers.spec.ts
+++ b/tests/jobs/workers.spec.ts
@@ -128,3 +128,22 @@
   await site.run(3_000);
   t.is(await site.state(owner, ID), 'completed');
 });
+
+// Guards against a stop that is sent to a former address for good, so that its task never runs again.
+test('should stop a run at the address to which its worker has moved', async (t) => {
+  const { site, owner } = await makeOwnedSite({ workers: 1 });
+  const worker = site.workers.get('w0');
+  if (!worker) throw new Error('no worker');
+  worker.failStarts('dropped');
+  await site.submit(owner, ID, makeJob(makeStep()));
+  await site.run(300);
+  site.cutFromWorkers('a-1', ['w0']);
+  // The start has timed out by now, and its stop is on the way.
+  await site.run(700);
+  worker.restart();
+  worker.address = 'w0:2';
+  site.list('w0', { address: worker.address, bornMs: worker.bornMs });
+  site.healWorkers();
+  await site.run(5_000);
+  t.is(await site.state(owner, ID), 'completed');
+});
