Judge a run stalled by the reports that came, not by the time since

What callers would see: work thrown away and late, when the owner was late itself.

Cause, of the same class as the calls that were given up: a run counted as stalled 2.5 s after the last report that showed progress, whether or not reports came since.

Change: reports over at least a second must have shown no progress.

Shown by: 'should not take a run for stalled that was not reported meanwhile', failing before.

--- a/packages/samphirenotch/src/jobs/runWatch.ts
+++ b/packages/samphirenotch/src/jobs/runWatch.ts
@@ -17,6 +17,9 @@
 /** Time without progress after which a run is stopped, in milliseconds; progress is seen by seconds. */
 const STALL_MS = 2_500;
 
+/** Part of that time for which reports must have come, in milliseconds: an owner may have been late. */
+const SEEN_STALL_MS = 1_000;
+
 /** How long a worker with a stalled run gets no new work, in milliseconds. */
 const AVOID_MS = 3_000;
 
@@ -116,7 +119,8 @@
       !gang &&
       run.percent < FULL_PERCENT &&
       run.pace >= LEAST_PACE &&
-      nowMs - run.progressedMs >= STALL_MS
+      nowMs - run.progressedMs >= STALL_MS &&
+      run.reportedMs - run.progressedMs >= SEEN_STALL_MS
     );
   }
 }
--- a/tests/jobs/runWatch.spec.ts
+++ b/tests/jobs/runWatch.spec.ts
@@ -104,6 +104,7 @@
     percent: 50,
     startedMs: clock.monotonicMs(),
     progressedMs: clock.monotonicMs(),
+    reportedMs: clock.monotonicMs(),
   };
   const agent = {
     answers: true,
@@ -113,7 +114,7 @@
     stop: (_run: unknown, reason: string) => stopped.push(reason),
   };
   const fleet = { all: () => [agent] } as unknown as WorkerFleet;
-  return { clock, stopped, watch: new RunWatch(fleet, clock) };
+  return { clock, run, stopped, watch: new RunWatch(fleet, clock) };
 };
 
 test('should move a filler that is paused for a while, not one that is only slow', (t) => {
@@ -129,3 +130,15 @@
   slow.watch.check();
   t.deepEqual(slow.stopped, []);
 });
+
+// Guards against an owner that was late itself and takes runs that it did not look at for stalled.
+test('should not take a run for stalled that was not reported meanwhile', (t) => {
+  const { clock, run, stopped, watch } = makePacedFleet(100);
+  clock.jump(3_000);
+  watch.check();
+  t.deepEqual(stopped, []);
+  run.reportedMs = clock.monotonicMs();
+  clock.jump(200);
+  watch.check();
+  t.deepEqual(stopped, ['it makes no progress']);
+});
