Look for room to make once a pass and kind of task

Change: where no stops can make room for a task, none can for a task of the same kind and no smaller size within the pass: starts only take room, and what is stopped leaves no more than it held. The search ends at the first worker where a single stop is enough, and sorts nothing where nothing can wait. Decisions are the same.

--- a/packages/samphirenotch/src/jobs/preemption.ts
+++ b/packages/samphirenotch/src/jobs/preemption.ts
@@ -12,6 +12,7 @@
 
 import type { OwnedRun, OwnedTask } from './ownedJob.js';
 import { remainingRunMs } from './runWatch.js';
+import type { PlacementInput } from './taskPlacement.js';
 import type { WorkerAgent } from './workerAgent.js';
 
 /** Time that a run must still take to be worth stopping, in milliseconds: a stop and a restart take about as long. */
@@ -19,31 +20,59 @@
 
 const priorityOf = ({ step }: OwnedTask): number => step.occurrence.job.queue.priority;
 
+/** Tells which workers and runs count for a task; undefined if its step has limits of its own. */
+const kindOf = ({ step }: OwnedTask): string | undefined => {
+  const { queue } = step.occurrence.job;
+  const { perWorkerLimit, requiredLabel } = step.spec;
+  if (perWorkerLimit > 0 || queue.policy) return undefined;
+  return `${queue.priority} ${queue.service} ${requiredLabel}`;
+};
+
 /** Stops runs for others. */
 export class Preemption {
   private readonly log = partLog('preemption');
 
+  /** Sizes by kind for which no stops of this pass can make room. */
+  private readonly hopeless = new Map<string, Size[]>();
+
   /**
    * @param clock - time
    */
   constructor(private readonly clock: Clock) {}
 
+  /** Forgets where no room can be made, at the begin of a pass. */
+  beginPass(): void {
+    this.hopeless.clear();
+  }
+
   /**
    * Makes room for a task that fits nowhere.
    *
-   * @param task - the task
-   * @param size - room that it takes
-   * @param workers - workers that may run it
+   * @param input - the task and workers
+   * @param permits - tells whether a worker may run the task
    */
-  makeRoom(task: OwnedTask, size: Size, workers: readonly WorkerAgent[]): void {
-    if (workers.some((agent) => fitsIn(size, Preemption.roomToCome(agent)))) return;
-    const priority = priorityOf(task);
-    const fewest = workers
-      .map((agent) => ({ agent, victims: this.victims(agent, size, priority) }))
-      .filter(({ victims }) => victims.length > 0)
-      .sort((left, right) => left.victims.length - right.victims.length)[0];
-    if (!fewest) return;
-    const { agent, victims } = fewest;
+  makeRoom(
+    { task, size, workers }: PlacementInput,
+    permits: (agent: WorkerAgent) => boolean,
+  ): void {
+    const kind = kindOf(task);
+    // Starts and stops of a pass add nothing to what stops could free.
+    if (kind !== undefined && this.hopeless.get(kind)?.some((each) => fitsIn(each, size))) return;
+    const permitted = workers.filter(permits);
+    if (permitted.some((agent) => fitsIn(size, Preemption.roomToCome(agent)))) return;
+    const agent = this.fewestVictims(permitted, size, priorityOf(task));
+    if (agent) this.stopVictims(agent, task, size);
+    else if (kind !== undefined) this.noteHopeless(kind, size);
+  }
+
+  private noteHopeless(kind: string, size: Size): void {
+    const sizes = this.hopeless.get(kind) ?? [];
+    sizes.push(size);
+    this.hopeless.set(kind, sizes);
+  }
+
+  private stopVictims(agent: WorkerAgent, task: OwnedTask, size: Size): void {
+    const victims = this.victims(agent, size, priorityOf(task));
     this.log.info('Making room for a more urgent task', {
       taskId: task.id,
       worker: agent.id,
@@ -52,12 +81,32 @@
     victims.forEach((run) => agent.stop(run, 'a more urgent task needs its room'));
   }
 
+  /** Finds the first worker on which the fewest runs would have to stop; none of them has room. */
+  private fewestVictims(
+    workers: readonly WorkerAgent[],
+    size: Size,
+    priority: number,
+  ): WorkerAgent | undefined {
+    let fewest: WorkerAgent | undefined;
+    let least = Number.POSITIVE_INFINITY;
+    for (const agent of workers) {
+      const count = this.victims(agent, size, priority).length;
+      if (count > 0 && count < least) {
+        fewest = agent;
+        least = count;
+      }
+      if (least === 1) break;
+    }
+    return fewest;
+  }
+
   /** What is free, and what runs that are being stopped will leave. */
   private static roomToCome(agent: WorkerAgent): Size {
-    return agent
-      .activeRuns()
-      .filter(({ phase }) => phase === 'stopping')
-      .reduce((room, run) => plusSize(room, run.size), agent.free());
+    let room = agent.free();
+    for (const { phase, size } of agent.activeRuns()) {
+      if (phase === 'stopping') room = plusSize(room, size);
+    }
+    return room;
   }
 
   /** The runs to stop on a worker; none if that would not make enough room. */
@@ -67,6 +116,7 @@
       .activeRuns()
       .filter((run) => Preemption.canWait(run, priority, nowMs))
       .sort((left, right) => right.size.milliCores - left.size.milliCores);
+    if (candidates.length === 0) return [];
     let room = Preemption.roomToCome(agent);
     const victims: OwnedRun[] = [];
     for (const run of candidates) {
--- a/packages/samphirenotch/src/jobs/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/stepLauncher.ts
@@ -101,6 +101,7 @@
     this.placement.refresh();
     this.candidatesOfPass.clear();
     this.misfits.clear();
+    this.preemption.beginPass();
     this.options.permissions.beginPass();
     const nowMs = clock.monotonicMs();
     this.refreshDemand(nowMs);
@@ -238,8 +239,8 @@
   private makeRoom(task: OwnedTask, workers: readonly WorkerAgent[]): void {
     const { filler, longRunning } = task.step.spec;
     if (filler || longRunning) return;
-    const permitted = workers.filter((agent) => this.placement.permits(agent, task));
-    this.preemption.makeRoom(task, roomOf(task), permitted);
+    const input = { task, size: roomOf(task), workers };
+    this.preemption.makeRoom(input, (agent) => this.placement.permits(agent, task));
   }
 
   /** Members of a gang start together or not at all. */
