Cost workers once a pass and kind of task

Change: costs are kept by list of workers and kind of step; after a start the one worker is costed again, and workers on which a task has failed are costed for this task alone. What is left of a worker is kept until something is taken or given back. The same worker is chosen: the first of the cheapest.

--- a/packages/samphirenotch/src/jobs/taskPlacement.ts
+++ b/packages/samphirenotch/src/jobs/taskPlacement.ts
@@ -11,14 +11,16 @@
 import { fullUses } from './fillerPacing.js';
 import { distinctImages, type FillerRoom } from './fillerRoom.js';
 import type { Interference } from './interference.js';
-import { isFiller, isServing, type OwnedRun, type OwnedTask } from './ownedJob.js';
+import { isFiller, isServing, type OwnedRun, type OwnedStep, type OwnedTask } from './ownedJob.js';
 import type { WorkerAgent } from './workerAgent.js';
+import { WorkerCosts } from './workerCosts.js';
 
 /** What a placement may use. */
 export interface PlacementInput {
   readonly task: OwnedTask;
-  /** Room that the task takes. */
+  /** Room that the task takes, as all tasks of its step. */
   readonly size: Size;
+  /** What was derived of a list is kept with it: it must not change. */
   readonly workers: readonly WorkerAgent[];
 }
 
@@ -86,6 +88,13 @@
 const sumMilliCores = (runs: readonly OwnedRun[]): number =>
   runs.reduce((sum, { task }) => sum + task.step.spec.size.milliCores, 0);
 
+/** Tells which steps cost a worker the same; a step with a limit of its own stands alone. */
+const kindOf = (step: OwnedStep): string | OwnedStep => {
+  const { size, filler, targetMs, image, requiredLabel, dataRack, perWorkerLimit } = step.spec;
+  if (perWorkerLimit > 0) return step;
+  return JSON.stringify([size, filler, targetMs, image, requiredLabel, dataRack]);
+};
+
 const countOfStep = (agent: WorkerAgent, task: OwnedTask): number =>
   agent.activeRuns().filter((run) => run.task.step === task.step).length;
 
@@ -109,6 +118,12 @@
 export class SpreadPlacement implements TaskPlacement {
   private readonly views = new Map<WorkerAgent, FillerView>();
 
+  /** Workers on which something was started since the last look at all. */
+  private changed: WorkerAgent[] = [];
+
+  /** Costs by list of workers and by step or kind of step. */
+  private costs = new WeakMap<readonly WorkerAgent[], Map<string | OwnedStep, WorkerCosts>>();
+
   /**
    * @param interference - what was learned of fillers and serving tasks
    * @param room - judges sets of serving images
@@ -122,14 +137,23 @@
 
   refresh(): void {
     this.views.clear();
+    this.changed = [];
+    this.costs = new WeakMap();
   }
 
   forget(agent: WorkerAgent): void {
     this.views.delete(agent);
+    this.changed.push(agent);
   }
 
   choose(input: PlacementInput): WorkerAgent | undefined {
-    return this.cheapest(input, (agent) => this.cost(agent, input.task));
+    const { task, size } = input;
+    const costs = this.costsOf(input);
+    if (task.failedOn.size === 0) return costs.cheapest();
+    return costs.cheapestWith(
+      (agent) => task.failedOn.has(agent.id),
+      (agent) => this.costWithin(agent, task, size, FAILED_WEIGHT),
+    );
   }
 
   leastDisturbed(input: PlacementInput): WorkerAgent | undefined {
@@ -139,7 +163,7 @@
   rank({ task, size, workers }: PlacementInput): readonly WorkerAgent[] {
     return workers
       .filter((agent) => agent.fits(size) && this.permits(agent, task))
-      .map((agent) => ({ agent, cost: this.cost(agent, task) }))
+      .map((agent) => ({ agent, cost: this.cost(agent, task, this.failedCost(agent, task)) }))
       .filter(({ cost }) => Number.isFinite(cost))
       .sort((one, other) => one.cost - other.cost)
       .map(({ agent }) => agent);
@@ -151,6 +175,26 @@
     return perWorkerLimit === 0 || countOfStep(agent, task) < perWorkerLimit;
   }
 
+  private costsOf({ task, size, workers }: PlacementInput): WorkerCosts {
+    const { step } = task;
+    const ofList = this.costs.get(workers) ?? new Map<string | OwnedStep, WorkerCosts>();
+    this.costs.set(workers, ofList);
+    const known = ofList.get(step);
+    if (known) return known;
+    const kind = kindOf(step);
+    const costOf = (agent: WorkerAgent): number => this.costWithin(agent, task, size, 0);
+    const costs = ofList.get(kind) ?? new WorkerCosts({ workers, changed: this.changed, costOf });
+    ofList.set(kind, costs);
+    ofList.set(step, costs);
+    return costs;
+  }
+
+  /** Cost of a worker, if it has room and may run the task. */
+  private costWithin(agent: WorkerAgent, task: OwnedTask, size: Size, failedCost: number): number {
+    if (!agent.fits(size) || !this.permits(agent, task)) return Number.POSITIVE_INFINITY;
+    return this.cost(agent, task, failedCost);
+  }
+
   private cheapest(
     { task, size, workers }: PlacementInput,
     costOf: (agent: WorkerAgent) => number,
@@ -167,12 +211,16 @@
     return best;
   }
 
-  private cost(agent: WorkerAgent, task: OwnedTask): number {
+  private failedCost({ id }: WorkerAgent, { failedOn }: OwnedTask): number {
+    return failedOn.has(id) ? FAILED_WEIGHT : 0;
+  }
+
+  private cost(agent: WorkerAgent, task: OwnedTask, failedCost: number): number {
     const { spec } = task.step;
     const { labels, coldMs } = agent.description;
     let cost = this.roomCost(agent, task);
     if (spec.dataRack !== '' && !labels.includes(spec.dataRack)) cost += REMOTE_WEIGHT;
-    if (task.failedOn.has(agent.id)) cost += FAILED_WEIGHT;
+    cost += failedCost;
     if (coldMs > 0) cost += COLD_WEIGHT;
     if (spec.targetMs > 0) cost += DISTURBANCE_WEIGHT * this.lossBeside(agent, task);
     return cost;
--- a/packages/samphirenotch/src/jobs/workerRoom.ts
+++ b/packages/samphirenotch/src/jobs/workerRoom.ts
@@ -11,6 +11,9 @@
   /** Room of runs that are being stopped because no open task has them. */
   private foreign = NO_SIZE;
 
+  /** What is left of a capacity, until something is taken or given back: decisions read it often. */
+  private left: { readonly capacity: Size; readonly free: Size } | undefined;
+
   /**
    * Takes room for a run.
    *
@@ -18,6 +21,7 @@
    */
   take(size: Size): void {
     this.used = plusSize(this.used, size);
+    this.left = undefined;
   }
 
   /**
@@ -27,6 +31,7 @@
    */
   release(size: Size): void {
     this.used = minusSize(this.used, size);
+    this.left = undefined;
   }
 
   /**
@@ -36,6 +41,7 @@
    */
   setForeign(sizes: readonly Size[]): void {
     this.foreign = sumSizes(sizes);
+    this.left = undefined;
   }
 
   /**
@@ -45,7 +51,10 @@
    * @returns the room; below zero where more is taken than is there
    */
   free(capacity: Size): Size {
-    return minusSize(capacity, plusSize(this.used, this.foreign));
+    if (this.left?.capacity === capacity) return this.left.free;
+    const free = minusSize(capacity, plusSize(this.used, this.foreign));
+    this.left = { capacity, free };
+    return free;
   }
 
   /**
