Forecast a step once a pass, not once a worker

Change: forecasts are kept by step from one look at all workers to the next, at the time of the look; tails are predicted only where processors are left over; serving runs and fillers of a worker are listed when runs come or go; the kind of a step is told once. A look is as long as a pass: decisions differ only by what time passes within one.

--- a/packages/samphirenotch/src/jobs/fillerPacing.ts
+++ b/packages/samphirenotch/src/jobs/fillerPacing.ts
@@ -31,12 +31,11 @@
 /**
  * Lists what the fillers of a worker would use at full pace.
  *
- * @param runs - everything on the worker
- * @param milliCores - the worker's processors
+ * @param agent - the worker
  * @returns their uses
  */
-export const fullUses = (runs: readonly OwnedRun[], milliCores: number): readonly FillerUse[] =>
-  runs.filter(isFiller).map((run) => useOf(run, milliCores));
+export const fullUses = (agent: WorkerAgent): readonly FillerUse[] =>
+  agent.fillerRuns().map((run) => useOf(run, agent.description.capacity.milliCores));
 
 /** Adjusts paces after each look at a worker. */
 export class FillerPacing {
--- a/packages/samphirenotch/src/jobs/interference.ts
+++ b/packages/samphirenotch/src/jobs/interference.ts
@@ -51,19 +51,16 @@
   }
 
   /**
-   * Predicts the longest tail of a serving task while a filler would run beside it.
+   * Predicts the longest undisturbed tail of a step while a filler would run.
    *
-   * @param run - the serving task's run
-   * @param uses - fillers beside it
+   * @param step - the step
    * @param nowMs - monotonic time in milliseconds
    * @returns the least inverse of the tail in milliseconds; undefined while nothing is known
    */
-  lowestInverseTail(run: OwnedRun, uses: readonly FillerUse[], nowMs: number): number | undefined {
-    const { step } = run.task;
+  lowestBase(step: OwnedStep, nowMs: number): number | undefined {
     const bases = AHEADS_MS.map((aheadMs) => this.baseOf(step, nowMs + aheadMs));
     const known = bases.filter((base) => base !== undefined);
-    if (known.length === 0) return undefined;
-    return Math.min(...known) - this.loss(step.spec.image, uses);
+    return known.length === 0 ? undefined : Math.min(...known);
   }
 
   /**
--- a/packages/samphirenotch/src/jobs/servingMoves.ts
+++ b/packages/samphirenotch/src/jobs/servingMoves.ts
@@ -12,7 +12,7 @@
 import type { Clock } from '../time/clock.js';
 
 import { distinctImages, type FillerRoom, type ServedImage } from './fillerRoom.js';
-import { FULL_PERCENT, isServing, type OwnedRun, type OwnedStep } from './ownedJob.js';
+import { FULL_PERCENT, type OwnedRun, type OwnedStep } from './ownedJob.js';
 import type { TaskPlacement } from './taskPlacement.js';
 import type { WorkerAgent } from './workerAgent.js';
 
@@ -96,7 +96,7 @@
 
   /** Groups of runs that could leave a worker where several images serve. */
   private groupsOf(agent: WorkerAgent, nowMs: number): readonly Group[] {
-    const serving = agent.activeRuns().filter(isServing);
+    const serving = agent.servingRuns();
     const images = distinctImages(serving.map(servedOf));
     if (images.length < 2) return [];
     const { milliCores } = agent.description.capacity;
@@ -145,7 +145,7 @@
 
   /** What a task would close on another worker, as a share of it. */
   private loss(agent: WorkerAgent, run: OwnedRun): number {
-    const images = distinctImages(agent.activeRuns().filter(isServing).map(servedOf));
+    const images = distinctImages(agent.servingRuns().map(servedOf));
     if (images.some(({ image }) => image === run.task.step.spec.image)) return 0;
     return this.room.share(images) - this.room.share([...images, servedOf(run)]);
   }
--- a/packages/samphirenotch/src/jobs/taskPlacement.ts
+++ b/packages/samphirenotch/src/jobs/taskPlacement.ts
@@ -11,7 +11,7 @@
 import { fullUses } from './fillerPacing.js';
 import { distinctImages, type FillerRoom } from './fillerRoom.js';
 import type { Interference } from './interference.js';
-import { isFiller, isServing, type OwnedRun, type OwnedStep, type OwnedTask } from './ownedJob.js';
+import type { OwnedRun, OwnedStep, OwnedTask } from './ownedJob.js';
 import type { WorkerAgent } from './workerAgent.js';
 import { WorkerCosts } from './workerCosts.js';
 
@@ -88,11 +88,17 @@
 const sumMilliCores = (runs: readonly OwnedRun[]): number =>
   runs.reduce((sum, { task }) => sum + task.step.spec.size.milliCores, 0);
 
+const kinds = new WeakMap<OwnedStep, string>();
+
 /** Tells which steps cost a worker the same; a step with a limit of its own stands alone. */
 const kindOf = (step: OwnedStep): string | OwnedStep => {
   const { size, filler, targetMs, image, requiredLabel, dataRack, perWorkerLimit } = step.spec;
   if (perWorkerLimit > 0) return step;
-  return JSON.stringify([size, filler, targetMs, image, requiredLabel, dataRack]);
+  const known = kinds.get(step);
+  if (known !== undefined) return known;
+  const kind = JSON.stringify([size, filler, targetMs, image, requiredLabel, dataRack]);
+  kinds.set(step, kind);
+  return kind;
 };
 
 const countOfStep = (agent: WorkerAgent, task: OwnedTask): number =>
@@ -107,16 +113,19 @@
   readonly needed: number;
 }
 
-/** What a worker offers to fillers. */
-interface FillerView {
-  /** Processors that others leave unused, in thousandths of a core. */
-  readonly unused: number;
-  readonly serving: readonly PredictedTail[];
-}
-
 /** Spreads by free room, away from disturbance. */
 export class SpreadPlacement implements TaskPlacement {
-  private readonly views = new Map<WorkerAgent, FillerView>();
+  /** Monotonic time of the last look at all workers, in milliseconds. */
+  private lookedMs: number;
+
+  /** Processors that others leave unused on a worker, in thousandths of a core. */
+  private readonly unused = new Map<WorkerAgent, number>();
+
+  /** Serving tasks of a worker with fillers as they are beside them. */
+  private readonly tails = new Map<WorkerAgent, readonly PredictedTail[]>();
+
+  /** Inverses of the longest tails without fillers, in inverse milliseconds. */
+  private readonly bases = new Map<OwnedStep, number | undefined>();
 
   /** Workers on which something was started since the last look at all. */
   private changed: WorkerAgent[] = [];
@@ -133,16 +142,22 @@
     private readonly interference: Interference,
     private readonly room: FillerRoom,
     private readonly clock: Clock,
-  ) {}
+  ) {
+    this.lookedMs = clock.monotonicMs();
+  }
 
   refresh(): void {
-    this.views.clear();
+    this.lookedMs = this.clock.monotonicMs();
+    this.unused.clear();
+    this.tails.clear();
+    this.bases.clear();
     this.changed = [];
     this.costs = new WeakMap();
   }
 
   forget(agent: WorkerAgent): void {
-    this.views.delete(agent);
+    this.unused.delete(agent);
+    this.tails.delete(agent);
     this.changed.push(agent);
   }
 
@@ -235,12 +250,7 @@
 
   /** Serving tasks of one image keep together: fillers that disturb it have the other workers. */
   private mixingCost(agent: WorkerAgent, { step }: OwnedTask): number {
-    const images = distinctImages(
-      agent
-        .activeRuns()
-        .filter(isServing)
-        .map(({ task }) => task.step.spec),
-    );
+    const images = distinctImages(agent.servingRuns().map(({ task }) => task.step.spec));
     const others = images.filter(({ image }) => image !== step.spec.image);
     if (others.length === 0) return 0;
     const closed = this.room.share(images) - this.room.share([...others, step.spec]);
@@ -249,7 +259,7 @@
 
   /** A filler goes where processors are left over and no serving task would miss its target. */
   private fillerCost(agent: WorkerAgent, task: OwnedTask): number {
-    const { unused } = this.viewOf(agent);
+    const unused = this.unusedOf(agent);
     if (unused < task.step.spec.size.milliCores) return Number.POSITIVE_INFINITY;
     const margin = this.marginBeside(agent, task);
     if (margin < 1) return Number.POSITIVE_INFINITY;
@@ -260,44 +270,47 @@
   private marginBeside(agent: WorkerAgent, { step }: OwnedTask): number {
     const { size, image } = step.spec;
     const share = size.milliCores / agent.description.capacity.milliCores;
-    return this.viewOf(agent).serving.reduce((least, { image: served, needed, inverse }) => {
+    return this.tailsOf(agent).reduce((least, { image: served, needed, inverse }) => {
       const left = inverse - this.interference.slope(served, image) * share;
       return Math.min(least, left / needed);
     }, Number.POSITIVE_INFINITY);
   }
 
-  private viewOf(agent: WorkerAgent): FillerView {
-    const known = this.views.get(agent);
-    if (known) return known;
-    const view = this.makeView(agent);
-    this.views.set(agent, view);
-    return view;
+  private unusedOf(agent: WorkerAgent): number {
+    const known = this.unused.get(agent);
+    if (known !== undefined) return known;
+    const idle = (1 - SERVING_USE) * sumMilliCores(agent.servingRuns());
+    const taken = sumMilliCores(agent.activeRuns()) - idle;
+    const unused = agent.description.capacity.milliCores - taken;
+    this.unused.set(agent, unused);
+    return unused;
   }
 
-  private makeView(agent: WorkerAgent): FillerView {
-    const { milliCores } = agent.description.capacity;
-    const runs = agent.activeRuns();
-    const serving = runs.filter(isServing);
-    const taken = sumMilliCores(runs) - (1 - SERVING_USE) * sumMilliCores(serving);
-    const uses = fullUses(runs, milliCores);
-    const nowMs = this.clock.monotonicMs();
-    const predicted = serving.flatMap((run) => {
-      const { image, targetMs } = run.task.step.spec;
-      const inverse = this.interference.lowestInverseTail(run, uses, nowMs);
+  private tailsOf(agent: WorkerAgent): readonly PredictedTail[] {
+    const known = this.tails.get(agent);
+    if (known) return known;
+    const uses = fullUses(agent);
+    const tails = agent.servingRuns().flatMap(({ task }) => {
+      const { image, targetMs } = task.step.spec;
+      const base = this.baseOf(task.step);
       // Nothing is known of the step yet: it restricts nothing.
-      return inverse === undefined
-        ? []
-        : [{ image, inverse, needed: 1 / (PLACEMENT_AIM * targetMs) }];
+      if (base === undefined) return [];
+      const inverse = base - this.interference.loss(image, uses);
+      return [{ image, inverse, needed: 1 / (PLACEMENT_AIM * targetMs) }];
     });
-    return { unused: milliCores - taken, serving: predicted };
+    this.tails.set(agent, tails);
+    return tails;
+  }
+
+  private baseOf(step: OwnedStep): number | undefined {
+    if (this.bases.has(step)) return this.bases.get(step);
+    const base = this.interference.lowestBase(step, this.lookedMs);
+    this.bases.set(step, base);
+    return base;
   }
 
   private lossBeside(agent: WorkerAgent, task: OwnedTask): number {
     const { image, targetMs } = task.step.spec;
-    const uses = fullUses(
-      agent.activeRuns().filter(isFiller),
-      agent.description.capacity.milliCores,
-    );
-    return this.interference.loss(image, uses) * targetMs;
+    return this.interference.loss(image, fullUses(agent)) * targetMs;
   }
 }
--- a/packages/samphirenotch/src/jobs/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workerAgent.ts
@@ -17,7 +17,7 @@
 import type { Clock } from '../time/clock.js';
 import { Wakeup } from '../time/wakeup.js';
 
-import { isFiller, isServing, type OwnedRun, type OwnedTask } from './ownedJob.js';
+import type { OwnedRun, OwnedTask } from './ownedJob.js';
 import { WorkerClock } from './workerClock.js';
 import { ORDER_TIMEOUT_MS, WorkerOrders, type OrderContext } from './workerOrders.js';
 import { markConfirmed, WorkerRuns } from './workerRuns.js';
@@ -177,6 +177,16 @@
     return this.runs.all();
   }
 
+  /** @returns those of them that serve under a target */
+  servingRuns(): readonly OwnedRun[] {
+    return this.runs.serving();
+  }
+
+  /** @returns those of them that fill */
+  fillerRuns(): readonly OwnedRun[] {
+    return this.runs.fillers();
+  }
+
   /** @returns how many runs it may have in progress */
   get runCount(): number {
     return this.runs.count;
@@ -338,8 +348,8 @@
   }
 
   private holdWaitMs(): number {
-    const runs = this.activeRuns();
-    return runs.some(isFiller) && runs.some(isServing) ? CLOSE_HOLD_WAIT_MS : HOLD_WAIT_MS;
+    const isClose = this.fillerRuns().length > 0 && this.servingRuns().length > 0;
+    return isClose ? CLOSE_HOLD_WAIT_MS : HOLD_WAIT_MS;
   }
 
   private leaseMs(): number {
--- a/packages/samphirenotch/src/jobs/workerRuns.ts
+++ b/packages/samphirenotch/src/jobs/workerRuns.ts
@@ -5,7 +5,7 @@
 import type { Size } from '../infrastructure/worker.js';
 import type { Clock } from '../time/clock.js';
 
-import { FULL_PERCENT, type OwnedRun, type OwnedTask } from './ownedJob.js';
+import { FULL_PERCENT, isFiller, isServing, type OwnedRun, type OwnedTask } from './ownedJob.js';
 import type { WorkerAgent } from './workerAgent.js';
 import { WorkerRoom } from './workerRoom.js';
 
@@ -35,6 +35,10 @@
   /** The runs as a list, until one comes or goes: decisions read it far more often. */
   private listed: readonly OwnedRun[] | undefined;
 
+  private listedServing: readonly OwnedRun[] | undefined;
+
+  private listedFillers: readonly OwnedRun[] | undefined;
+
   /**
    * @param clock - time
    */
@@ -46,6 +50,18 @@
     return this.listed;
   }
 
+  /** @returns those of them that serve under a target */
+  serving(): readonly OwnedRun[] {
+    this.listedServing ??= this.all().filter(isServing);
+    return this.listedServing;
+  }
+
+  /** @returns those of them that fill */
+  fillers(): readonly OwnedRun[] {
+    this.listedFillers ??= this.all().filter(isFiller);
+    return this.listedFillers;
+  }
+
   /** @returns how many runs may be in progress */
   get count(): number {
     return this.runs.size;
@@ -111,7 +127,7 @@
       overTargetSinceMs: undefined,
     };
     this.runs.set(runKey(nameOf(owned)), owned);
-    this.listed = undefined;
+    this.forgetLists();
     task.runs.push(owned);
     this.room.take(size);
     return owned;
@@ -126,7 +142,7 @@
   drop(run: OwnedRun): boolean {
     if (!this.has(run)) return false;
     this.runs.delete(runKey(nameOf(run)));
-    this.listed = undefined;
+    this.forgetLists();
     this.room.release(run.size);
     const at = run.task.runs.indexOf(run);
     if (at >= 0) run.task.runs.splice(at, 1);
@@ -163,4 +179,10 @@
   fits(capacity: Size, size: Size): boolean {
     return this.room.fits(capacity, size);
   }
+
+  private forgetLists(): void {
+    this.listed = undefined;
+    this.listedServing = undefined;
+    this.listedFillers = undefined;
+  }
 }
