Look first where room was to come before

Change: the worker found last for the kind is looked at first in the same pass. Whether room comes is all that counts, not where.

--- a/packages/samphirenotch/src/jobs/preemption.ts
+++ b/packages/samphirenotch/src/jobs/preemption.ts
@@ -35,14 +35,18 @@
   /** Sizes by kind for which no stops of this pass can make room. */
   private readonly hopeless = new Map<string, Size[]>();
 
+  /** A worker by kind on which enough room was to come last, to be looked at first. */
+  private readonly roomy = new Map<string, WorkerAgent>();
+
   /**
    * @param clock - time
    */
   constructor(private readonly clock: Clock) {}
 
-  /** Forgets where no room can be made, at the begin of a pass. */
+  /** Forgets where room can be made or not, at the begin of a pass. */
   beginPass(): void {
     this.hopeless.clear();
+    this.roomy.clear();
   }
 
   /**
@@ -58,9 +62,14 @@
     const kind = kindOf(task);
     // Starts and stops of a pass add nothing to what stops could free.
     if (kind !== undefined && this.hopeless.get(kind)?.some((each) => fitsIn(each, size))) return;
-    const permitted = workers.filter(permits);
-    if (permitted.some((agent) => fitsIn(size, Preemption.roomToCome(agent)))) return;
-    const agent = this.fewestVictims(permitted, size, priorityOf(task));
+    const comes = (agent: WorkerAgent): boolean =>
+      fitsIn(size, Preemption.roomToCome(agent)) && permits(agent);
+    const known = kind === undefined ? undefined : this.roomy.get(kind);
+    if (known && comes(known)) return;
+    const roomy = workers.find(comes);
+    if (roomy && kind !== undefined) this.roomy.set(kind, roomy);
+    if (roomy) return;
+    const agent = this.fewestVictims(workers.filter(permits), size, priorityOf(task));
     if (agent) this.stopVictims(agent, task, size);
     else if (kind !== undefined) this.noteHopeless(kind, size);
   }
