--- a/packages/samphirenotch/src/jobs/runSpeed.ts
+++ b/packages/samphirenotch/src/jobs/runSpeed.ts
@@ -56,9 +56,15 @@
  * @returns the median rate in percent per millisecond; undefined while too little is known
  */
 export const expectedRate = (step: OwnedStep): number | undefined => {
-  const running = step.tasks.flatMap(({ runs }) => runs.flatMap((run) => rateOf(run) ?? []));
-  const rates = [...running, ...step.doneRates].sort((left, right) => left - right);
-  return rates.length < LEAST_RATES ? undefined : rates[Math.floor(rates.length / 2)];
+  const rates = [...step.doneRates];
+  step.tasks.forEach(({ runs }) =>
+    runs.forEach((run) => {
+      const rate = rateOf(run);
+      if (rate !== undefined) rates.push(rate);
+    }),
+  );
+  if (rates.length < LEAST_RATES) return undefined;
+  return Float64Array.from(rates).sort()[Math.floor(rates.length / 2)];
 };
 
 /** A run beside what its step lets expect. */
