Cost only workers that had room in a pass

Change: workers that have room are listed once a pass and size; starts only take room, so no other worker can be chosen before the next look.

--- a/packages/samphirenotch/src/jobs/taskPlacement.ts
+++ b/packages/samphirenotch/src/jobs/taskPlacement.ts
@@ -113,6 +113,14 @@
   readonly needed: number;
 }
 
+/** What was derived of a list of workers. */
+interface Derived {
+  /** Workers that had room, by size. */
+  readonly fitting: Map<string, readonly WorkerAgent[]>;
+  /** Costs by step or kind of step. */
+  readonly costs: Map<string | OwnedStep, WorkerCosts>;
+}
+
 /** Spreads by free room, away from disturbance. */
 export class SpreadPlacement implements TaskPlacement {
   /** Monotonic time of the last look at all workers, in milliseconds. */
@@ -130,8 +138,8 @@
   /** Workers on which something was started since the last look at all. */
   private changed: WorkerAgent[] = [];
 
-  /** Costs by list of workers and by step or kind of step. */
-  private costs = new WeakMap<readonly WorkerAgent[], Map<string | OwnedStep, WorkerCosts>>();
+  /** What was derived of each list of workers. */
+  private derived = new WeakMap<readonly WorkerAgent[], Derived>();
 
   /**
    * @param interference - what was learned of fillers and serving tasks
@@ -152,7 +160,7 @@
     this.tails.clear();
     this.bases.clear();
     this.changed = [];
-    this.costs = new WeakMap();
+    this.derived = new WeakMap();
   }
 
   forget(agent: WorkerAgent): void {
@@ -192,18 +200,37 @@
 
   private costsOf({ task, size, workers }: PlacementInput): WorkerCosts {
     const { step } = task;
-    const ofList = this.costs.get(workers) ?? new Map<string | OwnedStep, WorkerCosts>();
-    this.costs.set(workers, ofList);
-    const known = ofList.get(step);
+    const derived = this.derived.get(workers) ?? { fitting: new Map(), costs: new Map() };
+    this.derived.set(workers, derived);
+    const known = derived.costs.get(step);
     if (known) return known;
     const kind = kindOf(step);
-    const costOf = (agent: WorkerAgent): number => this.costWithin(agent, task, size, 0);
-    const costs = ofList.get(kind) ?? new WorkerCosts({ workers, changed: this.changed, costOf });
-    ofList.set(kind, costs);
-    ofList.set(step, costs);
+    const costs =
+      derived.costs.get(kind) ??
+      new WorkerCosts({
+        workers: this.fittingOf(derived, workers, size),
+        changed: this.changed,
+        costOf: (agent) => this.costWithin(agent, task, size, 0),
+      });
+    derived.costs.set(kind, costs);
+    derived.costs.set(step, costs);
     return costs;
   }
 
+  /** Starts only take room: what has none between two looks gets none. */
+  private fittingOf(
+    { fitting }: Derived,
+    workers: readonly WorkerAgent[],
+    size: Size,
+  ): readonly WorkerAgent[] {
+    const key = `${size.milliCores} ${size.memoryMb} ${size.accelerators}`;
+    const known = fitting.get(key);
+    if (known) return known;
+    const found = workers.filter((agent) => agent.fits(size));
+    fitting.set(key, found);
+    return found;
+  }
+
   /** Cost of a worker, if it has room and may run the task. */
   private costWithin(agent: WorkerAgent, task: OwnedTask, size: Size, failedCost: number): number {
     if (!agent.fits(size) || !this.permits(agent, task)) return Number.POSITIVE_INFINITY;
