--- a/packages/samphirenotch/src/jobs/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/stepLauncher.ts
@@ -43,6 +43,11 @@
   readonly agent: WorkerAgent;
 }
 
+/** Tells whether some task of a step is neither done nor in progress. */
+const hasWaiting = ({ spec, doneCount, tasks }: OwnedStep): boolean =>
+  (doneCount < spec.count || spec.longRunning) &&
+  tasks.some(({ done, runs }) => !done && runs.length === 0);
+
 /** Starts tasks, pass by pass. */
 export class StepLauncher {
   private readonly log = partLog('starts');
@@ -183,19 +188,18 @@
 
   private waitingSteps(job: OwnedJob, nowMs: number): readonly OwnedStep[] {
     const wallMs = this.options.clock.wallMs();
-    const open = [...job.occurrences.values()].flatMap(({ steps }) =>
-      steps.filter(({ spec, doneCount }) => doneCount < spec.count || spec.longRunning),
-    );
-    const unfinished = open.filter(isStepOpen);
-    const waiting = unfinished.filter(({ tasks }) =>
-      tasks.some((task) => !task.done && task.runs.length === 0),
-    );
+    const found: OwnedStep[] = [];
     const owned = job;
-    owned.settled = waiting.length === 0;
-    return waiting.filter(
-      ({ occurrence, tasks }) =>
-        occurrence.dueAtMs <= wallMs && tasks.some((task) => this.isWaiting(task, nowMs)),
+    owned.settled = true;
+    job.occurrences.forEach(({ steps, dueAtMs }) =>
+      steps.forEach((step) => {
+        if (!hasWaiting(step) || !isStepOpen(step)) return;
+        owned.settled = false;
+        if (dueAtMs > wallMs) return;
+        if (step.tasks.some((task) => this.isWaiting(task, nowMs))) found.push(step);
+      }),
     );
+    return found;
   }
 
   private isWaiting(task: OwnedTask, nowMs: number): boolean {
