Keep the longest chain of a job

Change: the longest chain is kept by job, as the chains of its steps are; queues may change, so the objective itself is not.

--- a/packages/samphirenotch/src/jobs/stepOrder.ts
+++ b/packages/samphirenotch/src/jobs/stepOrder.ts
@@ -49,6 +49,17 @@
   return known[from] ?? 0;
 };
 
+/** Longest chains of whole jobs. */
+const wholeChains = new WeakMap<OwnedJob, number>();
+
+const wholeChainMs = (job: OwnedJob): number => {
+  const known = wholeChains.get(job);
+  if (known !== undefined) return known;
+  const whole = Math.max(0, ...job.accepted.job.steps.map((_step, index) => chainMs(job, index)));
+  wholeChains.set(job, whole);
+  return whole;
+};
+
 /**
  * Tells by when a job should be complete.
  *
@@ -57,8 +68,7 @@
  */
 export const objectiveMs = (job: OwnedJob): number => {
   const { stretch, targetLatencyMs } = job.queue;
-  const chain = Math.max(0, ...job.accepted.job.steps.map((step, index) => chainMs(job, index)));
-  return job.acceptedMs + stretch * chain + targetLatencyMs;
+  return job.acceptedMs + stretch * wholeChainMs(job) + targetLatencyMs;
 };
 
 interface Rank {
