Compare choices of workers and victims with exhaustive ones

Fault: since the look for room is remembered within a pass, a task could be taken for hopeless after a more urgent one had stopped runs that it may not stop itself, whose room it may count on.

Change: what is hopeless is forgotten with each stop. Two seeded tests compare, over random fleets, kinds of task, failures and changes between passes, the workers that are chosen with those that a look at every worker finds, and the runs that are stopped with those of a plain search.

--- a/packages/samphirenotch/src/jobs/preemption.ts
+++ b/packages/samphirenotch/src/jobs/preemption.ts
@@ -32,7 +32,7 @@
 export class Preemption {
   private readonly log = partLog('preemption');
 
-  /** Sizes by kind for which no stops of this pass can make room. */
+  /** Sizes by kind for which no stops can make room, until something is stopped. */
   private readonly hopeless = new Map<string, Size[]>();
 
   /** A worker by kind on which enough room was to come last, to be looked at first. */
@@ -60,7 +60,7 @@
     permits: (agent: WorkerAgent) => boolean,
   ): void {
     const kind = kindOf(task);
-    // Starts and stops of a pass add nothing to what stops could free.
+    // Starts add nothing to what stops could free; a stop for a more urgent task does.
     if (kind !== undefined && this.hopeless.get(kind)?.some((each) => fitsIn(each, size))) return;
     const comes = (agent: WorkerAgent): boolean =>
       fitsIn(size, Preemption.roomToCome(agent)) && permits(agent);
@@ -82,6 +82,7 @@
 
   private stopVictims(agent: WorkerAgent, task: OwnedTask, size: Size): void {
     const victims = this.victims(agent, size, priorityOf(task));
+    this.hopeless.clear();
     this.log.info('Making room for a more urgent task', {
       taskId: task.id,
       worker: agent.id,
--- /dev/null
+++ b/tests/jobs/preemptionChoice.spec.ts
@@ -0,0 +1,152 @@
+/**
+ * Which runs are stopped for an urgent task, against the plain way of judging every worker.
+ */
+import test from 'ava';
+import { SeededRandom } from 'samphirenotch/decisions/seededRandom.js';
+import { fitsIn, plusSize } from 'samphirenotch/infrastructure/sizes.js';
+import type { Size } from 'samphirenotch/infrastructure/worker.js';
+import { roomOf, type OwnedRun, type OwnedTask } from 'samphirenotch/jobs/ownedJob.js';
+import { Preemption } from 'samphirenotch/jobs/preemption.js';
+import type { WorkerAgent } from 'samphirenotch/jobs/workerAgent.js';
+import { ManualClock } from 'samphirenotch/time/manualClock.js';
+
+import { makeQueue, makeStep } from '../fixtures/jobSite.js';
+import { makeOwnedStep, makeStillAgent, occupy } from '../fixtures/stillFleet.js';
+
+const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8, 9, 10];
+const WORKERS = 5;
+const RUNS_A_WORKER = 10;
+
+/** Sizes of runs and of tasks that wait, in steps of half a core. */
+const LARGEST_RUN = 3;
+const LARGEST_TASK = 12;
+
+const PASSES = 12;
+const TASKS_A_PASS = 10;
+const LASTING_MS = 5_000;
+
+const sizeOf = (milliCores: number): Size => ({ milliCores, memoryMb: 1_000, accelerators: 0 });
+
+const makeTask = (random: SeededRandom, priority: number, largest: number): OwnedTask => {
+  const step = makeOwnedStep(
+    makeStep({
+      size: sizeOf(500 * (1 + random.below(largest))),
+      checkpointing: random.fraction() < 0.8,
+      estimateMs: random.fraction() < 0.8 ? LASTING_MS : 100,
+      requiredLabel: random.fraction() < 0.2 ? 'fast' : '',
+    }),
+    makeQueue({ priority }),
+  );
+  const [task] = step.tasks;
+  if (!task) throw new Error('the step has no task');
+  return task;
+};
+
+const makeFleet = (random: SeededRandom, clock: ManualClock): readonly WorkerAgent[] =>
+  Array.from({ length: WORKERS }, (_each, index) => {
+    const agent = makeStillAgent(clock, {
+      id: `w${index}`,
+      labels: index % 3 === 0 ? ['fast'] : [],
+    });
+    for (let count = 0; count < RUNS_A_WORKER; count += 1) {
+      const { step } = makeTask(random, 1 + random.below(4), LARGEST_RUN);
+      if (agent.fits(step.spec.size)) occupy(agent, step);
+    }
+    return agent;
+  });
+
+const roomToCome = (agent: WorkerAgent): Size =>
+  agent
+    .activeRuns()
+    .filter(({ phase }) => phase === 'stopping')
+    .reduce((room, { size }) => plusSize(room, size), agent.free());
+
+const priorityOf = ({ step }: OwnedTask): number => step.occurrence.job.queue.priority;
+
+/** What has to stop on a worker, the largest first; undefined if it would not be enough. */
+const victimsOn = (agent: WorkerAgent, task: OwnedTask): readonly OwnedRun[] | undefined => {
+  const candidates = agent
+    .activeRuns()
+    .filter(
+      (run) =>
+        run.phase === 'running' &&
+        run.task.step.spec.checkpointing &&
+        run.task.step.spec.estimateMs === LASTING_MS &&
+        priorityOf(run.task) > priorityOf(task),
+    )
+    .sort((left, right) => right.size.milliCores - left.size.milliCores);
+  const counts = Array.from({ length: candidates.length }, (_each, index) => index + 1);
+  const enough = counts.find((count) => {
+    const freed = candidates.slice(0, count).map(({ size }) => size);
+    return fitsIn(roomOf(task), freed.reduce(plusSize, roomToCome(agent)));
+  });
+  return enough === undefined ? undefined : candidates.slice(0, enough);
+};
+
+const plainVictims = (
+  workers: readonly WorkerAgent[],
+  task: OwnedTask,
+  permits: (agent: WorkerAgent) => boolean,
+): readonly string[] => {
+  const permitted = workers.filter(permits);
+  if (permitted.some((agent) => fitsIn(roomOf(task), roomToCome(agent)))) return [];
+  const found = permitted.flatMap((agent) => {
+    const victims = victimsOn(agent, task);
+    return victims ? [victims] : [];
+  });
+  const fewest = Math.min(...found.map(({ length }) => length));
+  const stopped = found.find(({ length }) => length === fewest) ?? [];
+  return stopped.map(({ agent, task: { step } }) => `${agent.id} ${step.spec.size.milliCores}`);
+};
+
+const runsOf = (fleet: readonly WorkerAgent[]): readonly OwnedRun[] =>
+  fleet.flatMap((agent) => agent.activeRuns());
+
+/** What each task of some passes has stopped, and what it should have; each pass finds other runs. */
+const run = (seed: number) => {
+  const random = new SeededRandom(seed);
+  const clock = new ManualClock();
+  const preemption = new Preemption(clock);
+  return Array.from({ length: PASSES }).flatMap(() => {
+    preemption.beginPass();
+    const fleet = makeFleet(random, clock);
+    return Array.from({ length: TASKS_A_PASS }, () => {
+      const task = makeTask(random, random.below(4), LARGEST_TASK);
+      const size = roomOf(task);
+      const permits = ({ description }: WorkerAgent): boolean =>
+        task.step.spec.requiredLabel === '' || description.labels.includes('fast');
+      const place = fleet.find((agent) => permits(agent) && agent.fits(size));
+      if (place) {
+        place.adopt(task, 1, size, 'starting');
+        return { expected: [], stopped: [] };
+      }
+      const expected = plainVictims(fleet, task, permits);
+      const before = new Set(runsOf(fleet).filter(({ phase }) => phase === 'stopping'));
+      preemption.makeRoom({ task, size, workers: fleet }, permits);
+      const stopped = runsOf(fleet)
+        .filter((each) => each.phase === 'stopping' && !before.has(each))
+        .sort((left, right) => right.size.milliCores - left.size.milliCores)
+        .map(({ agent, size: { milliCores } }) => `${agent.id} ${milliCores}`);
+      return { expected, stopped };
+    });
+  });
+};
+
+// Guards against what is remembered of a pass: too little or too much would be stopped.
+test('should stop what a look at every worker for every task finds', (t) => {
+  SEEDS.forEach((seed) => {
+    const tried = run(seed);
+    t.deepEqual(
+      tried.map(({ stopped }) => stopped),
+      tried.map(({ expected }) => expected),
+      `seed ${seed}`,
+    );
+  });
+});
+
+// Guards against a comparison of nothing: tasks that all fit, or that nothing is stopped for.
+test('should meet tasks that something is stopped for', (t) => {
+  const stops = SEEDS.flatMap(run).filter(({ stopped }) => stopped.length > 0);
+  t.true(stops.length > SEEDS.length, `${stops.length}`);
+  t.true(stops.some(({ stopped }) => stopped.length > 1));
+});
--- /dev/null
+++ b/tests/jobs/taskPlacement.spec.ts
@@ -0,0 +1,188 @@
+/**
+ * Choosing workers, against the plain way of looking at every worker for every task.
+ */
+import test from 'ava';
+import { SeededRandom } from 'samphirenotch/decisions/seededRandom.js';
+import { FillerRoom } from 'samphirenotch/jobs/fillerRoom.js';
+import { Interference } from 'samphirenotch/jobs/interference.js';
+import type { StepSpec } from 'samphirenotch/jobs/jobSpec.js';
+import { FULL_PERCENT, roomOf, type OwnedStep } from 'samphirenotch/jobs/ownedJob.js';
+import { SpreadPlacement, type PlacementInput } from 'samphirenotch/jobs/taskPlacement.js';
+import type { WorkerAgent } from 'samphirenotch/jobs/workerAgent.js';
+import { ManualClock } from 'samphirenotch/time/manualClock.js';
+
+import { makeStep } from '../fixtures/jobSite.js';
+import { makeOwnedStep, makeStillAgent, occupy } from '../fixtures/stillFleet.js';
+
+const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8];
+const WORKERS = 24;
+const PASSES = 6;
+const STEPS_A_PASS = 14;
+const PASS_MS = 250;
+
+const pick = <T>(random: SeededRandom, values: readonly [T, ...T[]]): T =>
+  values[random.below(values.length)] ?? values[0];
+
+const makeSize = (random: SeededRandom) => ({
+  milliCores: pick(random, [500, 1_000, 1_700]),
+  memoryMb: pick(random, [500, 2_000]),
+  accelerators: 0,
+});
+
+const makeServing = (random: SeededRandom): StepSpec =>
+  makeStep({
+    size: makeSize(random),
+    longRunning: true,
+    image: pick(random, ['calm', 'touchy', 'plain']),
+    targetMs: pick(random, [10, 20]),
+    count: 3,
+  });
+
+const makeFiller = (random: SeededRandom): StepSpec =>
+  makeStep({
+    size: makeSize(random),
+    filler: true,
+    image: pick(random, ['loud', 'quiet']),
+    count: 4,
+  });
+
+const makeAny = (random: SeededRandom): StepSpec => {
+  const spec = pick(random, [
+    makeServing,
+    makeFiller,
+    (each) => makeStep({ size: makeSize(each) }),
+  ])(random);
+  return {
+    ...spec,
+    count: 1 + random.below(5),
+    dataRack: pick(random, ['', '', 'rack0', 'rack1']),
+    requiredLabel: pick(random, ['', '', '', 'fast']),
+    perWorkerLimit: pick(random, [0, 0, 1, 2]),
+  };
+};
+
+const makeFleet = (random: SeededRandom, clock: ManualClock): readonly WorkerAgent[] =>
+  Array.from({ length: WORKERS }, (_each, index) =>
+    makeStillAgent(clock, {
+      id: `w${index}`,
+      capacity: { milliCores: pick(random, [4_000, 8_000]), memoryMb: 16_000, accelerators: 0 },
+      labels: [...(random.fraction() < 0.5 ? ['fast'] : []), `rack${index % 4}`],
+      coldMs: random.fraction() < 0.1 ? 500 : 0,
+    }),
+  );
+
+/** Lets serving tasks show tails, beside fillers and without them. */
+const learn = (
+  { random, clock, fleet, interference }: World,
+  steps: readonly OwnedStep[],
+): void => {
+  steps.forEach((step) =>
+    step.tasks.forEach(({ runs }) =>
+      runs.forEach((run) => {
+        const shown = run;
+        shown.percent = FULL_PERCENT;
+        shown.gauge = step.spec.targetMs > 0 ? 5 + 10 * random.fraction() : 800;
+      }),
+    ),
+  );
+  fleet.forEach((agent) =>
+    interference.learn(
+      agent.activeRuns(),
+      agent.description.capacity.milliCores,
+      clock.monotonicMs(),
+    ),
+  );
+};
+
+interface World {
+  readonly random: SeededRandom;
+  readonly clock: ManualClock;
+  readonly fleet: readonly WorkerAgent[];
+  readonly interference: Interference;
+  readonly room: FillerRoom;
+  readonly placement: SpreadPlacement;
+}
+
+const makeWorld = (seed: number): World => {
+  const random = new SeededRandom(seed);
+  const clock = new ManualClock();
+  const interference = new Interference();
+  const room = new FillerRoom(interference);
+  const placement = new SpreadPlacement(interference, room, clock);
+  return { random, clock, fleet: makeFleet(random, clock), interference, room, placement };
+};
+
+/** The first of the cheapest workers, from nothing that was kept. */
+const exhaustive = ({ interference, room, clock }: World, input: PlacementInput) =>
+  new SpreadPlacement(interference, room, clock).rank(input)[0];
+
+/** Places the tasks of a step and tells how both ways chose. */
+const placeStep = (
+  world: World,
+  step: OwnedStep,
+  workers: readonly WorkerAgent[],
+): readonly (readonly [string, string])[] =>
+  step.tasks.map((task) => {
+    if (world.random.fraction() < 0.2) task.failedOn.add(`w${world.random.below(WORKERS)}`);
+    const input = { task, size: roomOf(task), workers };
+    const plain = exhaustive(world, input);
+    const chosen = world.placement.choose(input);
+    if (chosen) {
+      const run = chosen.adopt(task, 1, input.size, 'running');
+      run.confirmedMs = world.clock.monotonicMs();
+      world.placement.forget(chosen);
+    }
+    return [chosen?.id ?? 'none', plain?.id ?? 'none'];
+  });
+
+const changeSomeWorker = ({ random, fleet }: World): void => {
+  const agent = fleet[random.below(fleet.length)];
+  if (!agent) return;
+  agent.describe({ ...agent.description, coldMs: random.below(2), labels: ['fast', 'rack0'] });
+  const spec = makeStep({ size: makeSize(random) });
+  if (agent.fits(spec.size)) occupy(agent, makeOwnedStep(spec));
+};
+
+const run = (seed: number): readonly (readonly [string, string])[] => {
+  const world = makeWorld(seed);
+  const { random, clock, fleet, placement, room } = world;
+  const steps: OwnedStep[] = [];
+  return Array.from({ length: PASSES }).flatMap((_each, pass) => {
+    clock.jump(PASS_MS * 4);
+    learn(world, steps);
+    room.refresh(
+      new Map([
+        ['loud', 0.25 + 0.1 * pass],
+        ['quiet', 0.75 - 0.1 * pass],
+      ]),
+    );
+    placement.refresh();
+    const half = fleet.filter((_agent, index) => index % 2 === 0);
+    const added = Array.from({ length: STEPS_A_PASS }, () => makeOwnedStep(makeAny(random)));
+    steps.push(...added);
+    const choices = added.flatMap((step) => placeStep(world, step, pick(random, [fleet, half])));
+    changeSomeWorker(world);
+    return choices;
+  });
+};
+
+// Guards against costs that are kept although they have changed: the wrong worker would be chosen.
+test('should choose the worker that a look at every worker for every task finds', (t) => {
+  SEEDS.forEach((seed) => {
+    const choices = run(seed);
+    t.deepEqual(
+      choices.map(([chosen]) => chosen),
+      choices.map(([, plain]) => plain),
+      `seed ${seed}`,
+    );
+  });
+});
+
+// Guards against a comparison of nothing: fleets that are empty or full from the beginning.
+test('should meet tasks that fit and tasks that fit nowhere', (t) => {
+  SEEDS.forEach((seed) => {
+    const placed = run(seed).filter(([, plain]) => plain !== 'none').length;
+    const all = run(seed).length;
+    t.true(placed > all / 4 && placed < all, `seed ${seed}: ${placed} of ${all}`);
+  });
+});
