--- a/packages/samphirenotch/src/jobs/taskPlacement.ts
+++ b/packages/samphirenotch/src/jobs/taskPlacement.ts
@@ -11,14 +11,16 @@
 import { fullUses } from './fillerPacing.js';
 import { distinctImages, type FillerRoom } from './fillerRoom.js';
 import type { Interference } from './interference.js';
-import { isFiller, isServing, type OwnedRun, type OwnedTask } from './ownedJob.js';
+import type { OwnedRun, OwnedStep, OwnedTask } from './ownedJob.js';
 import type { WorkerAgent } from './workerAgent.js';
+import { WorkerCosts } from './workerCosts.js';
 
 /** What a placement may use. */
 export interface PlacementInput {
   readonly task: OwnedTask;
-  /** Room that the task takes. */
+  /** Room that the task takes, as all tasks of its step. */
   readonly size: Size;
+  /** What was derived of a list is kept with it: it must not change. */
   readonly workers: readonly WorkerAgent[];
 }
 
@@ -86,6 +88,19 @@
 const sumMilliCores = (runs: readonly OwnedRun[]): number =>
   runs.reduce((sum, { task }) => sum + task.step.spec.size.milliCores, 0);
 
+const kinds = new WeakMap<OwnedStep, string>();
+
+/** Tells which steps cost a worker the same; a step with a limit of its own stands alone. */
+const kindOf = (step: OwnedStep): string | OwnedStep => {
+  const { size, filler, targetMs, image, requiredLabel, dataRack, perWorkerLimit } = step.spec;
+  if (perWorkerLimit > 0) return step;
+  const known = kinds.get(step);
+  if (known !== undefined) return known;
+  const kind = JSON.stringify([size, filler, targetMs, image, requiredLabel, dataRack]);
+  kinds.set(step, kind);
+  return kind;
+};
+
 const countOfStep = (agent: WorkerAgent, task: OwnedTask): number =>
   agent.activeRuns().filter((run) => run.task.step === task.step).length;
 
@@ -98,16 +113,33 @@
   readonly needed: number;
 }
 
-/** What a worker offers to fillers. */
-interface FillerView {
-  /** Processors that others leave unused, in thousandths of a core. */
-  readonly unused: number;
-  readonly serving: readonly PredictedTail[];
+/** What was derived of a list of workers. */
+interface Derived {
+  /** Workers that had room, by size. */
+  readonly fitting: Map<string, readonly WorkerAgent[]>;
+  /** Costs by step or kind of step. */
+  readonly costs: Map<string | OwnedStep, WorkerCosts>;
 }
 
 /** Spreads by free room, away from disturbance. */
 export class SpreadPlacement implements TaskPlacement {
-  private readonly views = new Map<WorkerAgent, FillerView>();
+  /** Monotonic time of the last look at all workers, in milliseconds. */
+  private lookedMs: number;
+
+  /** Processors that others leave unused on a worker, in thousandths of a core. */
+  private readonly unused = new Map<WorkerAgent, number>();
+
+  /** Serving tasks of a worker with fillers as they are beside them. */
+  private readonly tails = new Map<WorkerAgent, readonly PredictedTail[]>();
+
+  /** Inverses of the longest tails without fillers, in inverse milliseconds. */
+  private readonly bases = new Map<OwnedStep, number | undefined>();
+
+  /** Workers on which something was started since the last look at all. */
+  private changed: WorkerAgent[] = [];
+
+  /** What was derived of each list of workers. */
+  private derived = new WeakMap<readonly WorkerAgent[], Derived>();
 
   /**
    * @param interference - what was learned of fillers and serving tasks
@@ -118,18 +150,33 @@
     private readonly interference: Interference,
     private readonly room: FillerRoom,
     private readonly clock: Clock,
-  ) {}
+  ) {
+    this.lookedMs = clock.monotonicMs();
+  }
 
   refresh(): void {
-    this.views.clear();
+    this.lookedMs = this.clock.monotonicMs();
+    this.unused.clear();
+    this.tails.clear();
+    this.bases.clear();
+    this.changed = [];
+    this.derived = new WeakMap();
   }
 
   forget(agent: WorkerAgent): void {
-    this.views.delete(agent);
+    this.unused.delete(agent);
+    this.tails.delete(agent);
+    this.changed.push(agent);
   }
 
   choose(input: PlacementInput): WorkerAgent | undefined {
-    return this.cheapest(input, (agent) => this.cost(agent, input.task));
+    const { task, size } = input;
+    const costs = this.costsOf(input);
+    if (task.failedOn.size === 0) return costs.cheapest();
+    return costs.cheapestWith(
+      (agent) => task.failedOn.has(agent.id),
+      (agent) => this.costWithin(agent, task, size, FAILED_WEIGHT),
+    );
   }
 
   leastDisturbed(input: PlacementInput): WorkerAgent | undefined {
@@ -139,7 +186,7 @@
   rank({ task, size, workers }: PlacementInput): readonly WorkerAgent[] {
     return workers
       .filter((agent) => agent.fits(size) && this.permits(agent, task))
-      .map((agent) => ({ agent, cost: this.cost(agent, task) }))
+      .map((agent) => ({ agent, cost: this.cost(agent, task, this.failedCost(agent, task)) }))
       .filter(({ cost }) => Number.isFinite(cost))
       .sort((one, other) => one.cost - other.cost)
       .map(({ agent }) => agent);
@@ -151,6 +198,45 @@
     return perWorkerLimit === 0 || countOfStep(agent, task) < perWorkerLimit;
   }
 
+  private costsOf({ task, size, workers }: PlacementInput): WorkerCosts {
+    const { step } = task;
+    const derived = this.derived.get(workers) ?? { fitting: new Map(), costs: new Map() };
+    this.derived.set(workers, derived);
+    const known = derived.costs.get(step);
+    if (known) return known;
+    const kind = kindOf(step);
+    const costs =
+      derived.costs.get(kind) ??
+      new WorkerCosts({
+        workers: this.fittingOf(derived, workers, size),
+        changed: this.changed,
+        costOf: (agent) => this.costWithin(agent, task, size, 0),
+      });
+    derived.costs.set(kind, costs);
+    derived.costs.set(step, costs);
+    return costs;
+  }
+
+  /** Starts only take room: what has none between two looks gets none. */
+  private fittingOf(
+    { fitting }: Derived,
+    workers: readonly WorkerAgent[],
+    size: Size,
+  ): readonly WorkerAgent[] {
+    const key = `${size.milliCores} ${size.memoryMb} ${size.accelerators}`;
+    const known = fitting.get(key);
+    if (known) return known;
+    const found = workers.filter((agent) => agent.fits(size));
+    fitting.set(key, found);
+    return found;
+  }
+
+  /** Cost of a worker, if it has room and may run the task. */
+  private costWithin(agent: WorkerAgent, task: OwnedTask, size: Size, failedCost: number): number {
+    if (!agent.fits(size) || !this.permits(agent, task)) return Number.POSITIVE_INFINITY;
+    return this.cost(agent, task, failedCost);
+  }
+
   private cheapest(
     { task, size, workers }: PlacementInput,
     costOf: (agent: WorkerAgent) => number,
@@ -167,12 +253,16 @@
     return best;
   }
 
-  private cost(agent: WorkerAgent, task: OwnedTask): number {
+  private failedCost({ id }: WorkerAgent, { failedOn }: OwnedTask): number {
+    return failedOn.has(id) ? FAILED_WEIGHT : 0;
+  }
+
+  private cost(agent: WorkerAgent, task: OwnedTask, failedCost: number): number {
     const { spec } = task.step;
     const { labels, coldMs } = agent.description;
     let cost = this.roomCost(agent, task);
     if (spec.dataRack !== '' && !labels.includes(spec.dataRack)) cost += REMOTE_WEIGHT;
-    if (task.failedOn.has(agent.id)) cost += FAILED_WEIGHT;
+    cost += failedCost;
     if (coldMs > 0) cost += COLD_WEIGHT;
     if (spec.targetMs > 0) cost += DISTURBANCE_WEIGHT * this.lossBeside(agent, task);
     return cost;
@@ -187,12 +277,7 @@
 
   /** Serving tasks of one image keep together: fillers that disturb it have the other workers. */
   private mixingCost(agent: WorkerAgent, { step }: OwnedTask): number {
-    const images = distinctImages(
-      agent
-        .activeRuns()
-        .filter(isServing)
-        .map(({ task }) => task.step.spec),
-    );
+    const images = distinctImages(agent.servingRuns().map(({ task }) => task.step.spec));
     const others = images.filter(({ image }) => image !== step.spec.image);
     if (others.length === 0) return 0;
     const closed = this.room.share(images) - this.room.share([...others, step.spec]);
@@ -201,7 +286,7 @@
 
   /** A filler goes where processors are left over and no serving task would miss its target. */
   private fillerCost(agent: WorkerAgent, task: OwnedTask): number {
-    const { unused } = this.viewOf(agent);
+    const unused = this.unusedOf(agent);
     if (unused < task.step.spec.size.milliCores) return Number.POSITIVE_INFINITY;
     const margin = this.marginBeside(agent, task);
     if (margin < 1) return Number.POSITIVE_INFINITY;
@@ -212,44 +297,47 @@
   private marginBeside(agent: WorkerAgent, { step }: OwnedTask): number {
     const { size, image } = step.spec;
     const share = size.milliCores / agent.description.capacity.milliCores;
-    return this.viewOf(agent).serving.reduce((least, { image: served, needed, inverse }) => {
+    return this.tailsOf(agent).reduce((least, { image: served, needed, inverse }) => {
       const left = inverse - this.interference.slope(served, image) * share;
       return Math.min(least, left / needed);
     }, Number.POSITIVE_INFINITY);
   }
 
-  private viewOf(agent: WorkerAgent): FillerView {
-    const known = this.views.get(agent);
+  private unusedOf(agent: WorkerAgent): number {
+    const known = this.unused.get(agent);
+    if (known !== undefined) return known;
+    const idle = (1 - SERVING_USE) * sumMilliCores(agent.servingRuns());
+    const taken = sumMilliCores(agent.activeRuns()) - idle;
+    const unused = agent.description.capacity.milliCores - taken;
+    this.unused.set(agent, unused);
+    return unused;
+  }
+
+  private tailsOf(agent: WorkerAgent): readonly PredictedTail[] {
+    const known = this.tails.get(agent);
     if (known) return known;
-    const view = this.makeView(agent);
-    this.views.set(agent, view);
-    return view;
-  }
-
-  private makeView(agent: WorkerAgent): FillerView {
-    const { milliCores } = agent.description.capacity;
-    const runs = agent.activeRuns();
-    const serving = runs.filter(isServing);
-    const taken = sumMilliCores(runs) - (1 - SERVING_USE) * sumMilliCores(serving);
-    const uses = fullUses(runs, milliCores);
-    const nowMs = this.clock.monotonicMs();
-    const predicted = serving.flatMap((run) => {
-      const { image, targetMs } = run.task.step.spec;
-      const inverse = this.interference.lowestInverseTail(run, uses, nowMs);
+    const uses = fullUses(agent);
+    const tails = agent.servingRuns().flatMap(({ task }) => {
+      const { image, targetMs } = task.step.spec;
+      const base = this.baseOf(task.step);
       // Nothing is known of the step yet: it restricts nothing.
-      return inverse === undefined
-        ? []
-        : [{ image, inverse, needed: 1 / (PLACEMENT_AIM * targetMs) }];
+      if (base === undefined) return [];
+      const inverse = base - this.interference.loss(image, uses);
+      return [{ image, inverse, needed: 1 / (PLACEMENT_AIM * targetMs) }];
     });
-    return { unused: milliCores - taken, serving: predicted };
+    this.tails.set(agent, tails);
+    return tails;
+  }
+
+  private baseOf(step: OwnedStep): number | undefined {
+    if (this.bases.has(step)) return this.bases.get(step);
+    const base = this.interference.lowestBase(step, this.lookedMs);
+    this.bases.set(step, base);
+    return base;
   }
 
   private lossBeside(agent: WorkerAgent, task: OwnedTask): number {
     const { image, targetMs } = task.step.spec;
-    const uses = fullUses(
-      agent.activeRuns().filter(isFiller),
-      agent.description.capacity.milliCores,
-    );
-    return this.interference.loss(image, uses) * targetMs;
+    return this.interference.loss(image, fullUses(agent)) * targetMs;
   }
 }
