--- a/tests/platform/clients.spec.ts
+++ b/tests/platform/clients.spec.ts
@@ -226,3 +226,22 @@
   peer.close();
   standIn.close();
 });
+
+// Guards against calls that ended while they waited for a connection and take that connection with them.
+test('should keep connections when calls end before they had one', async (t) => {
+  const standIn = await startStandIn(() => ({ status: 200, body: {} }));
+  const peer = new HttpPeer('worker', standIn.address, 1, clock);
+  const ask = (signal?: AbortSignal) =>
+    peer.send({ step: 'ask', method: 'GET', path: '/' }, callWithin(clock, 20_000, signal));
+  t.true((await ask()).ok);
+  const given = new AbortController();
+  const first = ask();
+  const waiting = Array.from({ length: 10 }, () => ask(given.signal));
+  given.abort();
+  t.true((await first).ok);
+  t.true((await Promise.all(waiting)).every((end) => end.err && end.val.effect === 'not-run'));
+  t.true((await ask()).ok);
+  t.is(new Set(standIn.callerPorts).size, 1);
+  peer.close();
+  standIn.close();
+});
--- a/tests/platform/ownDelay.spec.ts
+++ b/tests/platform/ownDelay.spec.ts
@@ -19,8 +19,12 @@
   while (clock.monotonicMs() < untilMs);
 };
 
-const connect = async () => {
-  const standIn = await startStandIn(() => ({ status: 200, body: {} }));
+/** A peer of the test; `onRequest` is called when it has received a request. */
+const connect = async (onRequest = (_path: string): void => undefined) => {
+  const standIn = await startStandIn(({ path }) => {
+    onRequest(path);
+    return { status: 200, body: {} };
+  });
   const peer = new HttpPeer('worker', standIn.address, 1, clock);
   const ask = (path: string) =>
     peer.send({ step: 'ask', method: 'GET', path }, callWithin(clock, CALL_MS));
@@ -50,3 +54,13 @@
   block();
   t.true((await pending).ok);
 });
+
+// Guards against answers that are thrown away because they were not read yet when their time was up.
+test.serial('should take an answer that came while the process was busy', async (t) => {
+  const { ask, close } = await connect((path) => {
+    if (path === '/busy') setImmediate(block);
+  });
+  t.teardown(close);
+  await ask('/first');
+  t.true((await ask('/busy')).ok);
+});
