Look again at a silent worker that has nothing left

What callers saw: too little served and jobs lost on the grown deployments.

Cause: a worker that did not answer was looked at only while it had runs. One that went silent and lost its last run then, by a lease that lapsed or starts that were given up, was never asked again and got no work for the rest of the owner's term.

Change: only a worker that answers may be left alone.

Shown by: 'should use a worker again that was silent until nothing was left on it', failing before.

--- a/packages/samphirenotch/src/jobs/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workerAgent.ts
@@ -325,6 +325,7 @@
   private isIdle(): boolean {
     return (
       this.fenced &&
+      this.answers &&
       !this.hasRestarted &&
       this.runs.count === 0 &&
       this.runs.foreignCount === 0 &&
--- a/tests/jobs/workers.spec.ts
+++ b/tests/jobs/workers.spec.ts
@@ -147,3 +147,16 @@
   await site.run(5_000);
   t.is(await site.state(owner, ID), 'completed');
 });
+
+// Guards against a worker that stays out of use because nothing looks at it after its runs were given up.
+test('should use a worker again that was silent until nothing was left on it', async (t) => {
+  const { site, owner } = await makeOwnedSite({ workers: 1 });
+  await site.submit(owner, ID, makeJob(makeStep()));
+  await site.run(200);
+  site.cutFromWorkers('a-1', ['w0']);
+  await site.run(10_000);
+  site.healWorkers();
+  await site.run(5_000);
+  t.is(await site.state(owner, ID), 'completed');
+  t.deepEqual(site.record.violations, []);
+});
