End an unconfirmed term by a timer of its own, and grant nothing after it

What callers would see: a task that runs twice, when an owner that was cut off from the store or frozen comes back to workers that its successor did not reach.

Cause: how long the lease is unconfirmed was looked at only when a renewal had ended, up to seconds late in a busy process, and an owner that woke from a freeze started tasks and extended leases before it looked. Found by review.

Change: the term ends by a timer of its own; passes start nothing and no lease is extended while the lease is unconfirmed for longer.

Shown by: 'should end an unconfirmed term in time however long calls to the store take' and 'should start nothing after a freeze that outlasts its lease until it is confirmed', both failing before.

--- a/packages/samphirenotch/src/jobs/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/jobOwner.ts
@@ -29,7 +29,7 @@
 import { StepLauncher } from './stepLauncher.js';
 import type { OperatorFollower } from './operatorFollower.js';
 import { roomOf, roomOfStep, type OwnedJob, type OwnedRun, type OwnedTask } from './ownedJob.js';
-import type { Term } from './ownerElection.js';
+import { LONGEST_UNCONFIRMED_MS, type Term } from './ownerElection.js';
 import { ProgressJournal } from './progressJournal.js';
 import type { SiteCodec } from './siteCodec.js';
 import { StepPermissions } from './stepPermissions.js';
@@ -309,6 +309,7 @@
       listener: this,
       signal: term.signal,
       isSoleOwner: () => options.clock.monotonicMs() < term.certainUntilMs(),
+      mayGrant: () => term.unconfirmedMs() <= LONGEST_UNCONFIRMED_MS,
     });
   }
 
--- a/packages/samphirenotch/src/jobs/ownerElection.ts
+++ b/packages/samphirenotch/src/jobs/ownerElection.ts
@@ -51,6 +51,13 @@
    * @returns monotonic time in milliseconds
    */
   certainUntilMs(): number;
+  /**
+   * Tells for how long the store has not confirmed the lease. Beyond `LONGEST_UNCONFIRMED_MS` a
+   * successor may count every lease of this owner as over.
+   *
+   * @returns milliseconds
+   */
+  unconfirmedMs(): number;
   /**
    * Ends the term from within.
    *
@@ -175,9 +182,10 @@
       fencingToken,
       signal: ended.signal,
       certainUntilMs: () => this.confirmedMs + LEASE_MS - LEASE_MARGIN_MS,
+      unconfirmedMs: () => this.options.clock.monotonicMs() - this.confirmedMs,
       depose,
     };
-    await Promise.all([this.renew(leaseId, term), this.options.serve(term)]);
+    await Promise.all([this.renew(leaseId, term), this.expire(term), this.options.serve(term)]);
     signal.removeEventListener('abort', stop);
     if (handover) await handover;
     else await this.giveBack(leaseId);
@@ -214,10 +222,18 @@
         // The key went with the lease, so a rival may have been elected already.
         term.depose('the lease has ended');
       }
-      const unconfirmedMs = clock.monotonicMs() - this.confirmedMs;
+    }
+  }
+
+  /** Ends a term that is unconfirmed for too long, however long calls to the store take. */
+  private async expire(term: Term): Promise<void> {
+    while (!term.signal.aborted) {
+      const unconfirmedMs = term.unconfirmedMs();
       if (unconfirmedMs > LONGEST_UNCONFIRMED_MS) {
         term.depose(`the lease is unconfirmed for ${Math.round(unconfirmedMs)} ms`);
+        return;
       }
+      await this.options.clock.sleep(LONGEST_UNCONFIRMED_MS - unconfirmedMs + 1, term.signal);
     }
   }
 }
--- a/packages/samphirenotch/src/jobs/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/stepLauncher.ts
@@ -12,7 +12,7 @@
 import type { OperatorFollower } from './operatorFollower.js';
 import { Misfits } from './misfits.js';
 import { isStepOpen, roomOf, type OwnedJob, type OwnedStep, type OwnedTask } from './ownedJob.js';
-import type { Term } from './ownerElection.js';
+import { LONGEST_UNCONFIRMED_MS, type Term } from './ownerElection.js';
 import type { SlowWorkers } from './slowWorkers.js';
 import type { StepPermissions } from './stepPermissions.js';
 import { Preemption } from './preemption.js';
@@ -125,8 +125,8 @@
    * @param directoryKnown - whether the list of workers has been read
    */
   pass(directoryKnown: boolean): void {
-    const { book, clock } = this.options;
-    if (!directoryKnown) return;
+    const { book, clock, term } = this.options;
+    if (!directoryKnown || term.unconfirmedMs() > LONGEST_UNCONFIRMED_MS) return;
     book.refreshQueues();
     this.placement.refresh();
     this.candidatesOfPass.clear();
--- a/packages/samphirenotch/src/jobs/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workerAgent.ts
@@ -87,6 +87,8 @@
   readonly signal: AbortSignal;
   /** Tells whether no other owner can have granted a lease so far. */
   readonly isSoleOwner: () => boolean;
+  /** Tells whether leases may be extended: no successor counts them as over yet. */
+  readonly mayGrant: () => boolean;
 }
 
 /** One worker of an owner. */
@@ -347,7 +349,7 @@
   /** The lease to send; after silence nothing is extended, so that it can be waited out. */
   private nextLease(): number | undefined {
     const now = this.workerClock.nowMs();
-    if (now === undefined || !this.answers) return undefined;
+    if (now === undefined || !this.answers || !this.options.mayGrant()) return undefined;
     this.grantedUntilMs = Math.max(this.grantedUntilMs, Math.floor(now + this.leaseMs()));
     return this.grantedUntilMs;
   }
--- /dev/null
+++ b/tests/jobs/formerOwner.spec.ts
@@ -0,0 +1,69 @@
+/**
+ * What an owner has to keep to towards its successor, however late it is.
+ */
+import test from 'ava';
+import type { JobReplica } from 'samphirenotch/jobs/jobReplica.js';
+import { LONGEST_UNCONFIRMED_MS, OwnerElection } from 'samphirenotch/jobs/ownerElection.js';
+import type { TransactionStore } from 'samphirenotch/infrastructure/transactionStore.js';
+import { Failure } from 'samphirenotch/failure.js';
+import { Err, Ok } from 'samphirenotch/results.js';
+import { ManualClock } from 'samphirenotch/time/manualClock.js';
+
+/** Time to live of the owner's lease, in milliseconds: its successor counts from its end at the earliest. */
+const LEASE_MS = 2_500;
+
+/** A store that renews once and is silent from then on, for a while with each call. */
+const makeSilentStore = (clock: ManualClock, silenceMs: number): TransactionStore => {
+  let renewals = 0;
+  const silent = async () => {
+    await clock.sleep(silenceMs);
+    const message = 'no answer in time';
+    return Err(
+      new Failure({ code: 'deadline', step: 'store', peer: 'store', effect: 'unknown', message }),
+    );
+  };
+  return {
+    grantLease: async () => Ok('1'),
+    commit: async () => Ok({ kind: 'committed' as const, revision: 2 }),
+    renewLease: async () => {
+      renewals += 1;
+      return renewals === 1 ? Ok(true) : silent();
+    },
+    revokeLease: silent,
+  } as unknown as TransactionStore;
+};
+
+/** Tells how long after its last confirmed renewal a term ends. */
+const unconfirmedTerm = async (silenceMs: number): Promise<number> => {
+  const clock = new ManualClock();
+  const stopped = new AbortController();
+  let confirmedMs: number | undefined;
+  let endedMs: number | undefined;
+  const election = new OwnerElection({
+    store: makeSilentStore(clock, silenceMs),
+    replica: { revision: () => 1, owner: () => undefined } as unknown as JobReplica,
+    clock,
+    entry: 'a',
+    process: 'a-1',
+    eagerness: 1,
+    handoverMs: 4_000,
+    serve: async (term) => {
+      confirmedMs ??= clock.monotonicMs() + 700;
+      while (!term.signal.aborted) await clock.sleep(50, term.signal);
+      endedMs ??= clock.monotonicMs();
+    },
+  });
+  const running = election.run(stopped.signal);
+  await clock.advance(20_000);
+  stopped.abort();
+  await clock.advance(20_000);
+  await running;
+  return (endedMs ?? Number.POSITIVE_INFINITY) - (confirmedMs ?? 0);
+};
+
+// Guards against leases that are granted after the time for which a successor waits for their end.
+test('should end an unconfirmed term in time however long calls to the store take', async (t) => {
+  t.true((await unconfirmedTerm(600)) <= LONGEST_UNCONFIRMED_MS + LEASE_MS);
+  // A call that ends long after its time, as those of a late process may.
+  t.true((await unconfirmedTerm(4_620)) <= LONGEST_UNCONFIRMED_MS + LEASE_MS);
+});
--- a/tests/jobs/owners.spec.ts
+++ b/tests/jobs/owners.spec.ts
@@ -2,6 +2,7 @@
  * What holds while owners die, are cut off and come back.
  */
 import test from 'ava';
+import { LONGEST_UNCONFIRMED_MS } from 'samphirenotch/jobs/ownerElection.js';
 
 import { JobSite, makeJob, makeOwnedSite, makeStep } from '../fixtures/jobSite.js';
 
@@ -222,3 +223,15 @@
   t.deepEqual(site.record.violations, []);
   t.is(await site.state(successor, ID), 'running');
 });
+
+// Guards against an owner that wakes up after its successor may have counted all its leases as over.
+test('should start nothing after a freeze that outlasts its lease until it is confirmed', async (t) => {
+  const { site, owner } = await makeOwnedSite({ workers: 1, milliCores: 4_000 });
+  await site.submit(owner, ID, makeJob(makeStep({ count: 8 })));
+  await site.run(500);
+  t.is(site.record.runs.length, 4);
+  owner.store.isCutOff = true;
+  site.clock.jump(LONGEST_UNCONFIRMED_MS + 8_000);
+  await site.run(2_000);
+  t.is(site.record.runs.length, 4);
+});
