Send orders by turns, and try the most urgent first in each pass

What callers would see: urgent tasks that wait while less urgent ones start, and an owner that does not listen while it stops what many callers cancelled.

Cause: a pass that was cut short left out what it had tried, until one pass got to its end. While more arrives than is started no pass does, so a task that failed, room that came up or a ticket waited for the end of the burst. And only starts were bounded: stops of cancelled jobs or of workers that drain, copies, starved fillers and the first looks after an election were still sent all in one turn of the event loop. Found by review of the bound on passes.

A pass begins with the most urgent and ends when time is up after a start, or when orders back up. What fits nowhere costs next to nothing since costs are kept. Four starved jobs of fillers get a task in each pass, on a worker that bears it if there is one.

Shown by: tests/jobs/cutPasses.spec.ts and tests/jobs/longTurns.spec.ts, all seven failing before.

--- a/packages/samphirenotch/src/jobs/fillerPacing.ts
+++ b/packages/samphirenotch/src/jobs/fillerPacing.ts
@@ -5,7 +5,6 @@
  * disturb most are slowed first, as far as what was learned of them asks for. A target that is
  * missed all the same stops every filler on the worker until it is met again.
  */
-import { partLog } from '../observability/log.js';
 import type { Clock } from '../time/clock.js';
 
 import type { Interference } from './interference.js';
@@ -39,8 +38,6 @@
 
 /** Adjusts paces after each look at a worker. */
 export class FillerPacing {
-  private readonly log = partLog('pacing');
-
   private readonly seenLooks = new WeakMap<WorkerAgent, number>();
 
   /**
@@ -81,9 +78,7 @@
       : this.paces(fillers, serving, milliCores, nowMs);
     paces.forEach((pace, run) => {
       if (run.pace === pace) return;
-      agent.pace(run, pace).catch((error: unknown) => {
-        this.log.error('A pace failed', { taskId: run.task.id, reason: String(error) });
-      });
+      agent.pace(run, pace);
     });
   }
 
--- a/packages/samphirenotch/src/jobs/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/jobOwner.ts
@@ -28,6 +28,7 @@
 import { SlowWorkers } from './slowWorkers.js';
 import { StepLauncher } from './stepLauncher.js';
 import type { OperatorFollower } from './operatorFollower.js';
+import { OrderTurns } from './orderTurns.js';
 import { roomOf, roomOfStep, type OwnedJob, type OwnedRun, type OwnedTask } from './ownedJob.js';
 import { LONGEST_UNCONFIRMED_MS, type Term } from './ownerElection.js';
 import { ProgressJournal } from './progressJournal.js';
@@ -103,6 +104,8 @@
 
   private readonly wakeup: Wakeup;
 
+  private readonly turns: OrderTurns;
+
   private journal!: ProgressJournal;
 
   /**
@@ -114,6 +117,7 @@
     private readonly term: Term,
   ) {
     this.wakeup = new Wakeup(options.clock);
+    this.turns = new OrderTurns(options.clock);
     this.book = new JobBook(options.operator, options.clock);
     this.fleet = new WorkerFleet((description) => this.connect(description), options.clock);
     this.watch = new RunWatch(this.fleet, options.clock);
@@ -130,6 +134,7 @@
       permissions: this.permissions,
       slowWorkers: this.slowWorkers,
       viewAgeMs: options.viewAgeMs,
+      turns: this.turns,
     });
     this.pacing = new FillerPacing(this.fleet, interference, options.clock);
   }
@@ -308,6 +313,7 @@
       holdLimitMs: options.holdLimitMs,
       listener: this,
       signal: term.signal,
+      turns: this.turns,
       isSoleOwner: () => options.clock.monotonicMs() < term.certainUntilMs(),
       mayGrant: () => term.unconfirmedMs() <= LONGEST_UNCONFIRMED_MS,
     });
--- a/packages/samphirenotch/src/jobs/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/stepLauncher.ts
@@ -10,6 +10,7 @@
 import { JobExplainer, type JobExplanation } from './jobExplanation.js';
 import type { JobBook } from './jobBook.js';
 import type { OperatorFollower } from './operatorFollower.js';
+import type { OrderTurns } from './orderTurns.js';
 import { Misfits } from './misfits.js';
 import { isStepOpen, roomOf, type OwnedJob, type OwnedStep, type OwnedTask } from './ownedJob.js';
 import { LONGEST_UNCONFIRMED_MS, type Term } from './ownerElection.js';
@@ -35,11 +36,15 @@
   readonly slowWorkers: SlowWorkers;
   /** Tells how old the newest news of jobs is, in milliseconds. */
   readonly viewAgeMs: () => number;
+  readonly turns: OrderTurns;
 }
 
 /** Time for which a pass starts tasks, in milliseconds: answers and renewals wait as long. */
 const STARTING_MS = 30;
 
+/** Jobs of fillers that nobody would bear of which a pass starts a task, at most. */
+const MOST_STARVED = 4;
+
 /** Time between two looks at what fillers ask for, in milliseconds. */
 const DEMAND_GAP_MS = 500;
 
@@ -74,9 +79,6 @@
   /** Monotonic time at which the pass is cut short. */
   private startUntilMs = 0;
 
-  /** What the passes since the last whole one have tried: the next one goes on with the others. */
-  private readonly tried = new Set<OwnedStep>();
-
   private wasCut = false;
 
   private demandMs = Number.NEGATIVE_INFINITY;
@@ -126,6 +128,7 @@
    */
   pass(directoryKnown: boolean): void {
     const { book, clock, term } = this.options;
+    this.wasCut = false;
     if (!directoryKnown || term.unconfirmedMs() > LONGEST_UNCONFIRMED_MS) return;
     book.refreshQueues();
     this.placement.refresh();
@@ -140,29 +143,18 @@
       .filter((job) => !job.settled && this.isAccountedFor(job))
       .flatMap((job) => this.waitingSteps(job, nowMs));
     const ordered = this.order.sort(steps, nowMs);
-    this.startSteps(ordered, nowMs);
-    if (this.wasCut) return;
-    this.starvation.starved(ordered).forEach((step) => this.startStarved(step, nowMs));
-    this.startCopies();
-    this.moveServing();
-  }
-
-  /** Starts tasks until time is up; each pass tries at least one step. */
-  private startSteps(ordered: readonly OwnedStep[], nowMs: number): void {
-    this.startUntilMs = this.options.clock.monotonicMs() + STARTING_MS;
-    const left = ordered.filter((step) => !this.tried.has(step));
-    const next = left.findIndex((step, at) => {
-      if (at > 0 && this.isTimeUp()) return true;
-      if (!this.startStep(step, nowMs)) return true;
-      this.tried.add(step);
-      return false;
-    });
-    this.wasCut = next >= 0;
-    if (!this.wasCut) this.tried.clear();
+    this.startUntilMs = clock.monotonicMs() + STARTING_MS;
+    const isWhole = ordered.every((step) => this.startStep(step, nowMs));
+    const starved = this.starvation.starved(ordered);
+    starved.slice(0, MOST_STARVED).forEach((step) => this.startStarved(step, nowMs));
+    const hasCopied = isWhole && this.startCopies();
+    this.wasCut = !isWhole || !hasCopied || starved.length > MOST_STARVED;
+    if (isWhole) this.moveServing();
   }
 
   private isTimeUp(): boolean {
-    return this.options.clock.monotonicMs() >= this.startUntilMs;
+    const { clock, turns } = this.options;
+    return turns.isBackedUp || clock.monotonicMs() >= this.startUntilMs;
   }
 
   private refreshDemand(nowMs: number): void {
@@ -199,26 +191,28 @@
     const task = step.tasks.find((each) => this.isWaiting(each, nowMs));
     if (!task || step.spec.gang || !Starvation.hasRoom(candidates)) return;
     const workers = this.options.permissions.startable(step, candidates);
-    const agent = this.placement.leastDisturbed({ task, size: roomOf(task), workers });
+    const input = { task, size: roomOf(task), workers };
+    const agent = this.placement.choose(input) ?? this.placement.leastDisturbed(input);
     if (agent) this.start({ task, agent }, task.nextRun);
   }
 
-  /** Copies take only what no waiting task has taken. */
-  private startCopies(): void {
+  /** Copies take only what no waiting task has taken. Returns false if time was up before all. */
+  private startCopies(): boolean {
     const { permissions, slowWorkers } = this.options;
     const tasks = slowWorkers.lagging().filter(({ step }) => {
       const { job } = step.occurrence;
       return job.isOpen && this.isAccountedFor(job);
     });
-    tasks.forEach((task) => {
+    return tasks.every((task) => {
       const { step } = task;
       const others = this.candidates(step).filter((agent) =>
         task.runs.every((run) => run.agent !== agent),
       );
       const workers = permissions.startable(step, others);
       const agent = this.placement.choose({ task, size: roomOf(task), workers });
-      if (!agent) return;
+      if (!agent) return true;
       this.start({ task, agent }, task.nextRun);
+      return !this.isTimeUp();
     });
   }
 
--- a/packages/samphirenotch/src/jobs/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workerAgent.ts
@@ -19,6 +19,7 @@
 import type { Clock } from '../time/clock.js';
 import { Wakeup } from '../time/wakeup.js';
 
+import type { OrderTurns } from './orderTurns.js';
 import type { OwnedRun, OwnedTask } from './ownedJob.js';
 import { WorkerClock } from './workerClock.js';
 import { ORDER_TIMEOUT_MS, WorkerOrders, type OrderContext } from './workerOrders.js';
@@ -85,6 +86,8 @@
   readonly holdLimitMs: number;
   readonly listener: AgentListener;
   readonly signal: AbortSignal;
+  /** Sends the orders of all workers. */
+  readonly turns: OrderTurns;
   /** Tells whether no other owner can have granted a lease so far. */
   readonly isSoleOwner: () => boolean;
   /** Tells whether leases may be extended: no successor counts them as over yet. */
@@ -292,8 +295,8 @@
    * @param run - the run
    * @param percent - the share, from 0 to 100
    */
-  pace(run: OwnedRun, percent: number): Promise<void> {
-    return this.orders.pace(run, percent);
+  pace(run: OwnedRun, percent: number): void {
+    this.orders.pace(run, percent);
   }
 
   private orderContext(): OrderContext {
@@ -305,6 +308,7 @@
       clock,
       fencingToken,
       runs,
+      turns: options.turns,
       signal: this.closed.signal,
       nextLease: () => this.nextLease(),
       readClock: (clockMs) => this.workerClock.read(clockMs),
@@ -364,8 +368,13 @@
   }
 
   private async look(signal: AbortSignal): Promise<void> {
+    const { clock, fencingToken, turns } = this.options;
+    // After an election all workers are looked at.
+    await new Promise<void>((resolve) => {
+      turns.run(resolve);
+    });
+    if (signal.aborted) return;
     const { worker } = this;
-    const { clock, fencingToken } = this.options;
     const storedAll = this.storedSequence >= this.seenSequence;
     const waits = this.fenced && this.answers && storedAll && this.runs.count > 0;
     const waitMs = waits ? this.holdWaitMs() : 0;
--- a/packages/samphirenotch/src/jobs/workerOrders.ts
+++ b/packages/samphirenotch/src/jobs/workerOrders.ts
@@ -14,6 +14,7 @@
 import { callWithin, type Call } from '../time/call.js';
 import type { Clock } from '../time/clock.js';
 
+import type { OrderTurns } from './orderTurns.js';
 import type { OwnedRun } from './ownedJob.js';
 import { markConfirmed, type WorkerRuns } from './workerRuns.js';
 
@@ -34,6 +35,7 @@
   readonly clock: Clock;
   readonly fencingToken: number;
   readonly runs: WorkerRuns;
+  readonly turns: OrderTurns;
   /** Ends every order. */
   readonly signal: AbortSignal;
   /** The lease to send, on the worker's clock; undefined while nothing may be extended. */
@@ -70,8 +72,10 @@
    * @param ticket - permission of the policy service, if needed
    */
   start(run: OwnedRun, ticket: string | undefined): void {
-    this.sendStart(run, ticket).catch((error: unknown) => {
-      this.log.error('A start failed', { taskId: run.task.id, reason: String(error) });
+    this.context.turns.run(() => {
+      this.sendStart(run, ticket).catch((error: unknown) => {
+        this.log.error('A start failed', { taskId: run.task.id, reason: String(error) });
+      });
     });
   }
 
@@ -86,8 +90,10 @@
     const owned = run;
     owned.phase = 'stopping';
     this.log.info('Stopping a run', { ...nameOf(run), worker: this.context.id, reason });
-    this.sendStop(owned).catch((error: unknown) => {
-      this.log.error('A stop failed', { taskId: run.task.id, reason: String(error) });
+    this.context.turns.run(() => {
+      this.sendStop(owned).catch((error: unknown) => {
+        this.log.error('A stop failed', { taskId: run.task.id, reason: String(error) });
+      });
     });
   }
 
@@ -97,16 +103,25 @@
    * @param run - the run
    * @param percent - the share, from 0 to 100
    */
-  async pace(run: OwnedRun, percent: number): Promise<void> {
-    const { clock, fencingToken } = this.context;
-    const worker = this.context.worker();
+  pace(run: OwnedRun, percent: number): void {
     const owned = run;
     const before = run.pace;
     owned.pace = percent;
     owned.sighted = undefined;
-    owned.progressedMs = clock.monotonicMs();
+    owned.progressedMs = this.context.clock.monotonicMs();
+    this.context.turns.run(() => {
+      this.sendPace(owned, percent, before).catch((error: unknown) => {
+        this.log.error('A pace failed', { taskId: run.task.id, reason: String(error) });
+      });
+    });
+  }
+
+  private async sendPace(run: OwnedRun, percent: number, before: number): Promise<void> {
+    const { fencingToken } = this.context;
+    const worker = this.context.worker();
     const answer = await worker.pace(nameOf(run), percent, fencingToken, this.call());
     if (answer.ok && answer.val.outcome === 'done') return;
+    const owned = run;
     // Without an answer the pace is not known; the next decision sends it again.
     owned.pace = before === percent ? -1 : before;
     this.log.warn('A pace was not taken', {
--- /dev/null
+++ b/tests/jobs/cutPasses.spec.ts
@@ -0,0 +1,126 @@
+/**
+ * What must not wait for the end of a burst that needs many passes.
+ */
+import test from 'ava';
+import { encodeAccepted } from 'samphirenotch/jobs/acceptedJob.js';
+import { ACCEPTED_PREFIX } from 'samphirenotch/jobs/jobKeys.js';
+import type { JobSpec } from 'samphirenotch/jobs/jobSpec.js';
+import type { Queue } from 'samphirenotch/jobs/siteConfiguration.js';
+
+import {
+  makeJob,
+  makeOwnedSite,
+  makeQueue,
+  makeStep,
+  type JobSite,
+  type JobSiteOptions,
+} from '../fixtures/jobSite.js';
+
+const URGENT_ID = 'ffffffffffffffff';
+const LESS_URGENT_ID = 'eeeeeeeeeeeeeeee';
+
+const SIZE = { milliCores: 1_000, memoryMb: 1_000, accelerators: 0 };
+
+/** Starts that arrive in each step of time; an owner sends fewer. */
+const STEP_MS = 50;
+const ARRIVALS = 60;
+
+/** How long more arrives than can be started, in milliseconds. */
+const BURST_MS = 5_000;
+
+/** A moment in which an urgent task starts where there is room, in milliseconds. */
+const SOON_MS = 1_000;
+
+const urgent = makeQueue({
+  name: 'urgent',
+  prefix: '/urgent/',
+  priority: 1,
+  targetLatencyMs: 60_000,
+});
+const lessUrgent = makeQueue({ name: 'less', prefix: '/less/', priority: 2 });
+const bulk = makeQueue({ name: 'bulk', prefix: '/bulk/', priority: 3 });
+
+const put = (site: JobSite, queue: Queue, ids: readonly string[], job: JobSpec): void => {
+  const writes = ids.map((id) => ({
+    key: ACCEPTED_PREFIX + id,
+    value: encodeAccepted({ id, queue, acceptedAtMs: site.clock.wallMs(), job }),
+  }));
+  site.data.apply({ expectations: [], writes, removals: [] });
+};
+
+const makeBulkSite = async (options: JobSiteOptions = {}): Promise<JobSite> => {
+  const { site } = await makeOwnedSite({
+    workers: 40,
+    milliCores: 64_000,
+    orderCostMs: 1,
+    behave: () => ({ size: SIZE, durationMs: 1_000 }),
+    ...options,
+  });
+  site.configure([site.queue, urgent, lessUrgent, bulk]);
+  await site.run(200);
+  return site;
+};
+
+/** Lets more arrive than can be started, for as long as the burst lasts. */
+const runBurst = async (site: JobSite, durationMs = BURST_MS, first = 0): Promise<void> => {
+  for (let at = 0; at < durationMs; at += STEP_MS) {
+    const id = (first + at).toString(16).padStart(16, '0');
+    put(site, bulk, [id], makeJob(makeStep({ count: ARRIVALS })));
+    await site.run(STEP_MS);
+  }
+};
+
+// Guards against a task that waits until a burst of less urgent ones is over, once a run of it ended.
+test('should start an urgent task again while less urgent ones keep coming', async (t) => {
+  let starts = 0;
+  const site = await makeBulkSite({
+    behave: (taskId) => {
+      if (!taskId.startsWith(URGENT_ID)) return { size: SIZE, durationMs: 1_000 };
+      starts += 1;
+      return { size: SIZE, durationMs: 500, fails: starts === 1 };
+    },
+  });
+  await runBurst(site, 1_000);
+  put(site, urgent, [URGENT_ID], makeJob(makeStep()));
+  await runBurst(site, BURST_MS, 1_000);
+  const [first, second] = site.record.of(`${URGENT_ID}.0.0.0`);
+  t.is(first?.kind, 'failed');
+  t.true((second?.startedMs ?? Infinity) - (first?.endedMs ?? 0) <= SOON_MS);
+});
+
+// Guards against room that goes to a less urgent task because the urgent one was tried just before.
+test('should give room that comes up to the most urgent task that waits for it', async (t) => {
+  const large = { ...SIZE, milliCores: 64_000 };
+  const sizeOf = (taskId: string) =>
+    taskId.startsWith('0') ? { size: SIZE, durationMs: 1_000 } : { size: large, durationMs: 1_500 };
+  const site = await makeBulkSite({ behave: sizeOf });
+  site.list('w0', { labels: ['only'] });
+  await site.run(600);
+  const step = makeStep({ size: large, requiredLabel: 'only' });
+  put(site, urgent, ['dddddddddddddddd'], makeJob(step));
+  await site.run(200);
+  await runBurst(site, 500);
+  put(site, urgent, [URGENT_ID], makeJob(step));
+  await runBurst(site, 500, 500);
+  put(site, lessUrgent, [LESS_URGENT_ID], makeJob(step));
+  await runBurst(site, BURST_MS, 1_000);
+  const order = site.record.runs
+    .filter(({ taskId }) => !taskId.startsWith('0'))
+    .map(({ taskId }) => taskId.slice(0, 1));
+  t.deepEqual(order.slice(0, 2), ['d', 'f']);
+});
+
+// Guards against tickets that end unused because the steps that they are for are not tried again.
+test('should use a ticket while tasks that need none keep coming', async (t) => {
+  const site = await makeBulkSite({ allows: () => true });
+  const queue = { ...urgent, policy: { decisionMs: 100, perWorkerMs: 0 } };
+  site.configure([site.queue, queue, bulk]);
+  await site.run(200);
+  await runBurst(site, 1_000);
+  put(site, queue, [URGENT_ID], makeJob(makeStep()));
+  const putMs = site.clock.monotonicMs();
+  await runBurst(site, BURST_MS, 1_000);
+  t.true((site.policy?.calls.length ?? 0) > 0);
+  const [run] = site.record.of(`${URGENT_ID}.0.0.0`);
+  t.true((run?.startedMs ?? Infinity) - putMs <= SOON_MS);
+});
--- /dev/null
+++ b/tests/jobs/longTurns.spec.ts
@@ -0,0 +1,103 @@
+/**
+ * Orders that are not starts of a burst, and must not keep an owner from listening either.
+ */
+import test from 'ava';
+import { CANCELLED_PREFIX } from 'samphirenotch/jobs/jobKeys.js';
+
+import { makeJob, makeOwnedSite, makeStep, type JobSite } from '../fixtures/jobSite.js';
+
+const SIZE = { milliCores: 1_000, memoryMb: 1_000, accelerators: 0 };
+
+/** Processor time of the owner for each order, in milliseconds. */
+const ORDER_COST_MS = 1;
+
+/** Delay of the event loop that leaves calls, which time out after 600 ms, most of their time. */
+const LATEST_MS = 200;
+
+const makeIds = (count: number): readonly string[] =>
+  Array.from({ length: count }, (_each, index) => index.toString(16).padStart(16, '0'));
+
+/** Moves time on and tells the longest delay of a timer meanwhile. */
+const longestDelay = async (site: JobSite, durationMs: number): Promise<number> => {
+  const stopped = new AbortController();
+  let longestMs = 0;
+  const measure = async (): Promise<void> => {
+    while (!stopped.signal.aborted) {
+      const dueMs = site.clock.monotonicMs() + 10;
+      await site.clock.sleep(10, stopped.signal);
+      longestMs = Math.max(longestMs, site.clock.monotonicMs() - dueMs);
+    }
+  };
+  const measured = measure();
+  await site.run(durationMs);
+  stopped.abort();
+  await measured;
+  return longestMs;
+};
+
+// Guards against an owner that starts one task of every starved job before it listens again.
+test('should let answers through while many jobs of fillers are starved', async (t) => {
+  const { site } = await makeOwnedSite({
+    workers: 40,
+    milliCores: 64_000,
+    orderCostMs: ORDER_COST_MS,
+    behave: () => ({ size: { ...SIZE, milliCores: 0, memoryMb: 10 }, durationMs: 60_000 }),
+  });
+  // No worker has so many processors left over.
+  const size = { milliCores: 70_000, memoryMb: 10, accelerators: 0 };
+  site.putJobs(makeIds(500), makeJob(makeStep({ filler: true, image: 'loud', size })));
+  t.true((await longestDelay(site, 5_000)) <= LATEST_MS);
+  t.is(site.record.runs.length, 500);
+});
+
+// Guards against an owner that starts all copies of what lags before it listens again.
+test('should let answers through while many tasks lag and may have copies', async (t) => {
+  const { site } = await makeOwnedSite({
+    workers: 40,
+    milliCores: 64_000,
+    behave: () => ({ size: SIZE, durationMs: 4_000 }),
+  });
+  site.record.copiesAllowed = true;
+  [...site.workers.values()].slice(0, 16).forEach((worker) => {
+    const slow = worker;
+    slow.slowdown = 10;
+  });
+  site.putJobs(makeIds(1), makeJob(makeStep({ count: 1_000, speculative: true })));
+  await site.run(1_000);
+  site.orderCostMs = ORDER_COST_MS;
+  t.true((await longestDelay(site, 5_000)) <= LATEST_MS);
+  t.true(site.record.runs.length > 1_300);
+});
+
+// Guards against an owner that stops all runs of all cancelled jobs before it listens again.
+test('should let answers through while many jobs are cancelled at once', async (t) => {
+  const { site } = await makeOwnedSite({
+    workers: 40,
+    milliCores: 64_000,
+    stopCostMs: ORDER_COST_MS,
+    behave: () => ({ size: SIZE, durationMs: 60_000 }),
+  });
+  const ids = makeIds(50);
+  site.putJobs(ids, makeJob(makeStep({ count: 20 })));
+  await site.run(3_000);
+  t.is(site.record.runs.length, 1_000);
+  const writes = ids.map((id) => ({ key: CANCELLED_PREFIX + id, value: '0' }));
+  site.data.apply({ expectations: [], writes, removals: [] });
+  t.true((await longestDelay(site, 3_000)) <= LATEST_MS);
+});
+
+// Guards against an owner that empties a whole data centre before it listens again.
+test('should let answers through while many workers drain at once', async (t) => {
+  const { site } = await makeOwnedSite({
+    workers: 40,
+    milliCores: 64_000,
+    stopCostMs: ORDER_COST_MS,
+    behave: () => ({ size: SIZE, durationMs: 60_000 }),
+  });
+  site.putJobs(makeIds(50), makeJob(makeStep({ count: 20, longRunning: true })));
+  await site.run(3_000);
+  [...site.workers.keys()]
+    .slice(0, 20)
+    .forEach((id) => site.list(id, { phase: 'draining', remainingMs: 2_000 }));
+  t.true((await longestDelay(site, 3_000)) <= LATEST_MS);
+});
