Never send a start whose run was stopped meanwhile

What callers would see: a task of a job that they cancelled that starts all the same.

Cause: a start that waited for its turn or for a connection was sent although its run had been stopped by then, and the stop after it. Found by review.

Change: right before it is sent a call is asked whether it is still wanted; a start that is not has not run, and says nothing against its worker.

Shown by: 'should not send a start that still waits when its run is stopped', failing before.

--- a/packages/samphirenotch/src/jobs/workerOrders.ts
+++ b/packages/samphirenotch/src/jobs/workerOrders.ts
@@ -161,6 +161,10 @@
 
   private async sendStart(run: OwnedRun, ticket: string | undefined): Promise<void> {
     const { context } = this;
+    if (run.phase !== 'starting') {
+      context.gone(run, 'it was stopped before the order was sent');
+      return;
+    }
     const leaseUntilMs = context.nextLease();
     if (leaseUntilMs === undefined) {
       context.gone(run, 'the worker went silent before the order was sent');
@@ -175,7 +179,9 @@
       checkpoint: task.checkpoint,
       ...(ticket === undefined ? {} : { ticket }),
     };
-    this.handleStart(run, await context.worker().start(order, this.call()));
+    // It may wait for a connection, and its job be cancelled meanwhile.
+    const call = { ...this.call(), isWanted: () => run.phase === 'starting' };
+    this.handleStart(run, await context.worker().start(order, call));
   }
 
   private handleStart(run: OwnedRun, answer: Result<OrderAnswer, Failure>): void {
@@ -207,6 +213,12 @@
   }
 
   private startFailed(run: OwnedRun, failure: Failure): void {
+    if (run.phase !== 'starting') {
+      if (failure.effect === 'not-run') {
+        this.context.gone(run, 'it was stopped before the order was sent');
+      }
+      return;
+    }
     this.log.warn('A start was not answered', {
       ...nameOf(run),
       worker: this.context.id,
@@ -218,7 +230,6 @@
       this.context.gone(run, 'the order was not sent');
       return;
     }
-    if (run.phase !== 'starting') return;
     const owned = run;
     owned.phase = 'in-doubt';
     // It may be carried out later. A stop that is answered rules that out.
--- a/packages/samphirenotch/src/time/call.ts
+++ b/packages/samphirenotch/src/time/call.ts
@@ -10,6 +10,8 @@
   readonly deadlineMs: number;
   /** Aborted when the answer is no longer wanted. */
   readonly signal: AbortSignal;
+  /** Asked right before a call that had to wait is sent; if false, it is given up as not run. */
+  readonly isWanted?: () => boolean;
 }
 
 const NEVER = new AbortController().signal;
--- /dev/null
+++ b/tests/platform/unsentOrders.spec.ts
@@ -0,0 +1,113 @@
+/**
+ * Orders that wait for a connection while what they were for is over.
+ */
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+
+import test from 'ava';
+import { OrderTurns } from 'samphirenotch/jobs/orderTurns.js';
+import { WorkerOrders } from 'samphirenotch/jobs/workerOrders.js';
+import { WorkerRuns } from 'samphirenotch/jobs/workerRuns.js';
+import { SystemClock } from 'samphirenotch/time/clock.js';
+
+import { PlatformWorkers } from '../../platform/platformWorkers.js';
+import { makeStep } from '../fixtures/jobSite.js';
+import { makeOwnedStep, makeStillAgent } from '../fixtures/stillFleet.js';
+
+/** Starts that a worker's connections carry at once. */
+const AT_ONCE = 4;
+
+/** A worker that answers starts only when told to, and what it received. */
+const startWorker = async () => {
+  const received: string[] = [];
+  const held: (() => void)[] = [];
+  const waits: { readonly isDone: () => boolean; readonly resolve: () => void }[] = [];
+  const check = (): void =>
+    waits.forEach(({ isDone, resolve }) => {
+      if (isDone()) resolve();
+    });
+  let isHolding = true;
+  const server = createServer(async (request, response) => {
+    const chunks: Buffer[] = [];
+    for await (const chunk of request) chunks.push(chunk as Buffer);
+    const { Task } = JSON.parse(Buffer.concat(chunks).toString('utf8')) as { Task: string };
+    received.push(`${request.url} ${Task}`);
+    const answer = (): void => {
+      response.end('{"ClockMs":1}');
+    };
+    if (isHolding) held.push(answer);
+    else answer();
+    check();
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  return {
+    address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+    received,
+    check,
+    release: () => {
+      isHolding = false;
+      held.forEach((answer) => answer());
+    },
+    until: (isDone: () => boolean) =>
+      new Promise<void>((resolve) => {
+        waits.push({ isDone, resolve });
+        check();
+      }),
+    close: () => {
+      server.closeAllConnections();
+      server.close();
+    },
+  };
+};
+
+// Guards against a task that is started after its owner has learned that its job is cancelled.
+test.serial('should not send a start that still waits when its run is stopped', async (t) => {
+  const clock = new SystemClock();
+  const server = await startWorker();
+  const worker = new PlatformWorkers(clock).connect('w0', server.address);
+  const ended = new AbortController();
+  t.teardown(() => {
+    ended.abort();
+    worker.close();
+    server.close();
+  });
+  const runs = new WorkerRuns(clock);
+  const agent = makeStillAgent(clock);
+  const orders = new WorkerOrders({
+    id: 'w0',
+    worker: () => worker,
+    clock,
+    fencingToken: 1,
+    runs,
+    turns: new OrderTurns(clock),
+    signal: ended.signal,
+    nextLease: () => 1_000_000,
+    readClock: () => undefined,
+    begun: () => undefined,
+    gone: (run) => {
+      runs.drop(run);
+      server.check();
+    },
+    avoid: () => undefined,
+    lookSoon: () => undefined,
+    staleToken: () => undefined,
+    ticketRefused: () => undefined,
+  });
+  const step = makeOwnedStep(makeStep({ count: AT_ONCE + 1 }));
+  const started = step.tasks.map((task) => {
+    const run = runs.add(agent, task, 1, step.spec.size, 'starting');
+    orders.start(run, undefined);
+    return run;
+  });
+  await server.until(() => server.received.length === AT_ONCE);
+  const last = started.at(-1);
+  if (!last) throw new Error('nothing was started');
+  orders.stop(last, 'the job is cancelled');
+  server.release();
+  const isStopped = (): boolean =>
+    !runs.has(last) || server.received.some((each) => each.startsWith('/v1/run-stop'));
+  await server.until(isStopped);
+  t.false(server.received.includes(`/v1/run-start ${last.task.id}`));
+});
