Keep a former owner's workers until the directory is read

Cause: a new owner dropped idle workers of the roster that it found before it had read the directory, and stored a roster without them. When it lost its lease soon after, its successor did not wait for what had been started on them meanwhile.

Change: nobody is dropped before the directory is known.

Shown by: 'should keep idle workers in the roster until the directory is read', failing before.

--- a/packages/samphirenotch/src/jobs/workerFleet.ts
+++ b/packages/samphirenotch/src/jobs/workerFleet.ts
@@ -65,6 +65,9 @@
 
   private lastRoster = '';
 
+  /** The directory has been read: a worker that is not listed has left. */
+  private isDirectoryKnown = false;
+
   /** The roster may differ from the one that was stored last. */
   private rosterChanged = true;
 
@@ -202,14 +205,17 @@
   /** Drops workers that are gone, gives up waiting for those that cannot be reached, stores the roster. */
   maintain(): void {
     this.clearSuspects();
-    this.all()
-      .filter((agent) => agent.unlisted && agent.runCount === 0 && !this.suspects.has(agent))
-      .forEach((agent) => this.remove(agent));
+    if (this.isDirectoryKnown) {
+      this.all()
+        .filter((agent) => agent.unlisted && agent.runCount === 0 && !this.suspects.has(agent))
+        .forEach((agent) => this.remove(agent));
+    }
     this.storeRoster();
   }
 
   /** The directory is known: what drained and stays out of it has left. */
   noteDirectory(): void {
+    this.isDirectoryKnown = true;
     const nowMs = this.clock.monotonicMs();
     this.suspects.forEach(({ draining, untilMs }, agent) => {
       // Entries that lapsed with an outage of the store come back within this time.
--- a/tests/jobs/owners.spec.ts
+++ b/tests/jobs/owners.spec.ts
@@ -2,6 +2,7 @@
  * What holds while owners die, are cut off and come back.
  */
 import test from 'ava';
+import { ROSTER_KEY } from 'samphirenotch/jobs/jobKeys.js';
 import { LONGEST_UNCONFIRMED_MS } from 'samphirenotch/jobs/ownerElection.js';
 
 import { JobSite, makeJob, makeOwnedSite, makeStep } from '../fixtures/jobSite.js';
@@ -235,3 +236,20 @@
   await site.run(2_000);
   t.is(site.record.runs.length, 4);
 });
+
+// Guards against a successor that forgets idle workers before it has read the directory: the owner after
+// it would not wait for what was started on them.
+test('should keep idle workers in the roster until the directory is read', async (t) => {
+  const { site, owner, successor } = await makeSuccession(1_000, 4);
+  const from = site.data.revision;
+  successor.store.unlisted.add('workers/');
+  owner.kill();
+  await site.run(6_000);
+  const rosters = site.data.changes
+    .filter(({ key, revision }) => key === ROSTER_KEY && revision > from)
+    .map(({ value }) => (JSON.parse(value ?? '[]') as unknown[]).length);
+  t.deepEqual(
+    rosters.filter((length) => length < 4),
+    [],
+  );
+});
