Start nothing on a worker that the stored roster does not name

What callers would see: a task that runs twice, when an owner dies right after a start on a worker that has just come.

Cause: the roster tells a successor which workers to fence before it judges what runs. A new worker got work at once, the roster that names it was stored a little later.

Change: a worker gets work once the stored roster names it.

Shown by: 'should start nothing on a worker before a roster that names it is stored', failing before.

--- a/packages/samphirenotch/src/jobs/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/stepLauncher.ts
@@ -165,10 +165,7 @@
 
   private moveServing(): void {
     const { fleet, operator } = this.options;
-    const { evacuated } = operator.view();
-    const agents = fleet
-      .all()
-      .filter(({ takesWork, description }) => takesWork && !evacuated.has(description.dataCentre));
+    const agents = fleet.usable(operator.view().evacuated);
     this.moves.check(
       agents,
       ({ occurrence }) => this.isAccountedFor(occurrence.job) && !occurrence.job.queue.policy,
--- a/packages/samphirenotch/src/jobs/workerFleet.ts
+++ b/packages/samphirenotch/src/jobs/workerFleet.ts
@@ -68,6 +68,9 @@
   /** The directory has been read: a worker that is not listed has left. */
   private isDirectoryKnown = false;
 
+  /** Ids of workers that the stored roster names: a successor waits for what was started on them. */
+  private rosteredIds: ReadonlySet<string> = new Set();
+
   /** The roster may differ from the one that was stored last. */
   private rosterChanged = true;
 
@@ -98,6 +101,7 @@
    */
   attach(journal: ProgressJournal, roster: readonly RosterEntry[]): void {
     this.journal = journal;
+    this.rosteredIds = new Set(roster.map(({ id }) => id));
     const leasesMs = this.clock.monotonicMs() + FORMER_LEASE_MS;
     roster.forEach((entry) => {
       const agent = this.add(describeFormer(entry));
@@ -194,10 +198,20 @@
    * @returns their agents
    */
   candidates(service: string, evacuated: ReadonlySet<string>): readonly WorkerAgent[] {
+    return this.usable(evacuated).filter((agent) => agent.description.service === service);
+  }
+
+  /**
+   * Lists workers of all services that may get new tasks.
+   *
+   * @param evacuated - data centres that get none
+   * @returns their agents
+   */
+  usable(evacuated: ReadonlySet<string>): readonly WorkerAgent[] {
     return this.all().filter(
       (agent) =>
         agent.takesWork &&
-        agent.description.service === service &&
+        this.rosteredIds.has(agent.id) &&
         !evacuated.has(agent.description.dataCentre),
     );
   }
@@ -280,6 +294,15 @@
     const text = JSON.stringify(roster);
     if (text === this.lastRoster) return;
     this.lastRoster = text;
-    this.journal.add({ key: ROSTER_KEY, value: () => text });
+    const sequence = this.journal.add({ key: ROSTER_KEY, value: () => text });
+    const ids = new Set(roster.map(({ id }) => id));
+    this.journal.written(sequence).then(
+      (stored) => {
+        if (stored) this.rosteredIds = ids;
+      },
+      (error: unknown) => {
+        this.log.error('The roster was not stored', { reason: String(error) });
+      },
+    );
   }
 }
--- a/tests/jobs/owners.spec.ts
+++ b/tests/jobs/owners.spec.ts
@@ -253,3 +253,22 @@
     [],
   );
 });
+
+// Guards against a start that no successor knows to wait for, since nothing stored names its worker.
+test('should start nothing on a worker before a roster that names it is stored', async (t) => {
+  const { site, owner } = await makeOwnedSite({
+    workers: 1,
+    milliCores: 1_000,
+    behave: () => ({ size: SIZE, durationMs: 20_000 }),
+  });
+  site.addWorker('w1');
+  owner.store.failCommitsOf(ROSTER_KEY, 'silent', 'silent');
+  await site.submit(owner, ID, makeJob(makeStep({ count: 2, estimateMs: 60_000 })));
+  await site.run(1_000);
+  t.deepEqual(
+    site.record.runs.map(({ workerId }) => workerId),
+    ['w0'],
+  );
+  await site.run(5_000);
+  t.true(site.record.runs.some(({ workerId }) => workerId === 'w1'));
+});
