Start nothing on news of jobs that are older than cancellations may be

What callers saw: work of jobs that they had cancelled started and went on (UNASKED).

Cause: nothing asked how old the owner's knowledge was. An owner whose watch was not answered, or not read, while its renewals succeeded went on starting tasks of jobs whose cancellation had been acknowledged seconds before.

A lease check alone would not have helped.

Change: a pass starts nothing while the news are older than 2.5 s, unless the store has not confirmed the lease for as long either: then nobody can cancel.

--- a/packages/samphirenotch/src/jobs/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/stepLauncher.ts
@@ -42,6 +42,12 @@
 /** Time for which a pass starts tasks, in milliseconds: answers and renewals wait as long. */
 const STARTING_MS = 30;
 
+/**
+ * Age of the news of jobs above which nothing starts, in milliseconds: cancellations are to count after
+ * three seconds at the earliest.
+ */
+const FRESH_NEWS_MS = 2_500;
+
 /** Jobs of fillers that nobody would bear of which a pass starts a task, at most. */
 const MOST_STARVED = 4;
 
@@ -81,6 +87,8 @@
 
   private wasCut = false;
 
+  private wasFresh = true;
+
   private demandMs = Number.NEGATIVE_INFINITY;
 
   /** What has fitted nowhere in this pass; larger tasks of the kind need not be tried. */
@@ -130,6 +138,8 @@
     const { book, clock, term } = this.options;
     this.wasCut = false;
     if (!directoryKnown || term.unconfirmedMs() > LONGEST_UNCONFIRMED_MS) return;
+    this.noteFreshness();
+    if (!this.wasFresh) return;
     book.refreshQueues();
     this.placement.refresh();
     this.candidatesOfPass.clear();
@@ -152,6 +162,21 @@
     if (isWhole) this.moveServing();
   }
 
+  /** While the store confirms the lease it also takes cancellations, which the owner has to hear of. */
+  private noteFreshness(): void {
+    const { term, viewAgeMs } = this.options;
+    const ageMs = viewAgeMs();
+    const isFresh = ageMs <= FRESH_NEWS_MS || term.unconfirmedMs() > FRESH_NEWS_MS;
+    if (isFresh === this.wasFresh) return;
+    this.wasFresh = isFresh;
+    const fields = {
+      viewAgeMs: Math.round(ageMs),
+      unconfirmedMs: Math.round(term.unconfirmedMs()),
+    };
+    if (isFresh) this.log.info('Starts go on', fields);
+    else this.log.warn('Starts wait for news of jobs', fields);
+  }
+
   private isTimeUp(): boolean {
     const { clock, turns } = this.options;
     return turns.isBackedUp || clock.monotonicMs() >= this.startUntilMs;
