Tell the age of an entry's view from the silence of its store

What callers would see: jobs refused with "the store is away" by an entry that was late itself for 2 s, with the store in order, and a balancer that is told that the entry is not ready; counts of waiting jobs told as new that were answered long before.

It was the time since the last answer was read, so time in which the entry did not listen counted as silence of the store, and an answer that had waited to be read made the view new.

An entry 2.1 s late refused a job and was not ready; a view answered 2.5 s before had age 0.

Change: a view is as old as the asking for the newest answer that is in it; counts go by that. A store is silent since its last answer only while calls to it fail; refusals and readiness go by that, 2 s after the last answer as before. Since the age now counts from the asking, two watches of 1 s each with the gathering between them would make a view 2.2 s old while nothing changes, and callers accept 2 s: a watch is held for less while the view is old, which also renews soon a view that is old because the entry was late. Logs, status and metrics tell both values.

--- a/packages/samphirenotch/src/jobs/entryStatus.ts
+++ b/packages/samphirenotch/src/jobs/entryStatus.ts
@@ -32,8 +32,10 @@
   readonly owner: string | undefined;
   readonly configurationVersion: number | undefined;
   readonly evacuatedDataCentres: readonly string[];
-  /** Time since the store last told of jobs, in milliseconds; undefined before the first time. */
+  /** How old the view of jobs may be, in milliseconds; undefined before there is one. */
   readonly storeAgeMs: number | undefined;
+  /** Time since the store last told of jobs, in milliseconds, 0 unless calls fail; undefined before. */
+  readonly storeSilentMs: number | undefined;
   readonly jobsOpen: number;
   readonly queues: readonly { readonly queue: string; readonly waiting: number | undefined }[];
   /** Only at the owner. */
--- a/packages/samphirenotch/src/jobs/jobCommands.ts
+++ b/packages/samphirenotch/src/jobs/jobCommands.ts
@@ -120,7 +120,7 @@
 
   private async commit(transaction: Transaction, call: Call): Promise<CommandOutcome> {
     const { store, clock, follower } = this.options;
-    if (follower.ageMs() > STORE_LOST_MS) {
+    if (follower.silenceMs() > STORE_LOST_MS) {
       return { kind: 'refused', retryAfterMs: STORE_RETRY_MS, reason: 'the store is away' };
     }
     const whole = callWithin(clock, Math.min(COMMAND_MS, remainingMs(clock, call)), call.signal);
@@ -148,7 +148,8 @@
       outcome: outcome.kind,
       reason: 'reason' in outcome ? outcome.reason : undefined,
       revision: replica.revision(),
-      storeAgeMs: Math.round(follower.ageMs()),
+      storeAgeMs: Math.round(follower.viewAgeMs()),
+      storeSilentMs: Math.round(follower.silenceMs()),
     });
   }
 }
--- a/packages/samphirenotch/src/jobs/jobEntry.ts
+++ b/packages/samphirenotch/src/jobs/jobEntry.ts
@@ -27,6 +27,9 @@
 /** How long changes of jobs gather at an entry that does not own them, in milliseconds. */
 const GATHER_MS = 200;
 
+const wholeMs = (durationMs: number): number | undefined =>
+  Number.isFinite(durationMs) ? Math.round(durationMs) : undefined;
+
 /** What an entry is made of. */
 export interface JobEntryOptions {
   readonly store: TransactionStore;
@@ -95,7 +98,7 @@
       eagerness: Math.min(1, options.processorShare),
       serve: async (term) => {
         const { replica: jobs, operator, jobsFollower } = this;
-        const viewAgeMs = (): number => jobsFollower.ageMs();
+        const viewAgeMs = (): number => jobsFollower.viewAgeMs();
         this.ownerHere = new JobOwner({ ...options, replica: jobs, operator, viewAgeMs }, term);
         try {
           await this.ownerHere.serve();
@@ -117,22 +120,22 @@
   isReady(): boolean {
     return (
       this.operator.view().configuration !== undefined &&
-      this.jobsFollower.ageMs() < NOT_READY_MS &&
-      this.operatorFollower.ageMs() < NOT_READY_MS
+      this.jobsFollower.silenceMs() < NOT_READY_MS &&
+      this.operatorFollower.silenceMs() < NOT_READY_MS
     );
   }
 
   /** @returns what this entry knows of itself and the site */
   status(): EntryStatus {
     const { configuration, evacuated } = this.operator.view();
-    const ageMs = this.jobsFollower.ageMs();
     return {
       entry: this.options.entry,
       isReady: this.isReady(),
       owner: this.replica.owner()?.entry,
       configurationVersion: configuration?.version,
       evacuatedDataCentres: [...evacuated],
-      storeAgeMs: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined,
+      storeAgeMs: wholeMs(this.jobsFollower.viewAgeMs()),
+      storeSilentMs: wholeMs(this.jobsFollower.silenceMs()),
       jobsOpen: this.replica.openJobs().length,
       queues: (configuration?.queues ?? []).map(({ name }) => ({
         queue: name,
@@ -159,7 +162,8 @@
       gauge('is_owner', this.ownerHere ? 1 : 0),
       gauge('jobs_open', this.replica.openJobs().length),
       gauge('configuration_version', this.operator.view().configuration?.version ?? 0),
-      gauge('store_age_seconds', this.jobsFollower.ageMs() / 1_000),
+      gauge('store_age_seconds', this.jobsFollower.viewAgeMs() / 1_000),
+      gauge('store_silent_seconds', this.jobsFollower.silenceMs() / 1_000),
     ];
   }
 
--- a/packages/samphirenotch/src/jobs/jobQueries.ts
+++ b/packages/samphirenotch/src/jobs/jobQueries.ts
@@ -79,7 +79,7 @@
    * @returns how many; undefined if the jobs are not known here, or were read too long ago
    */
   waiting(queue: string): number | undefined {
-    if (this.options.follower.ageMs() > COUNT_AGE_MS) return undefined;
+    if (this.options.follower.viewAgeMs() > COUNT_AGE_MS) return undefined;
     return this.options.replica.countWaiting(queue);
   }
 }
--- a/packages/samphirenotch/src/jobs/storeFollower.ts
+++ b/packages/samphirenotch/src/jobs/storeFollower.ts
@@ -10,6 +10,12 @@
 /** How long the store may hold a watch open, in milliseconds; bounds how long silence goes unseen. */
 const WATCH_HOLD_MS = 1_000;
 
+/** Shortest time for which a watch is held, in milliseconds. */
+const LEAST_HOLD_MS = 100;
+
+/** Age that a view may reach while a watch is held, in milliseconds; callers accept 2 s. */
+const HELD_VIEW_AGE_MS = 1_700;
+
 /** Time beyond the hold after which a watch counts as silent, in milliseconds. */
 const WATCH_SLACK_MS = 500;
 
@@ -37,7 +43,11 @@
 
   private listed = false;
 
-  private lastContact = Number.NEGATIVE_INFINITY;
+  /** Monotonic time at which the newest call was sent whose answer is in the view. */
+  private viewedMs = Number.NEGATIVE_INFINITY;
+
+  /** Monotonic time of the newest answer, in milliseconds. */
+  private lastContactMs = Number.NEGATIVE_INFINITY;
 
   private failing = false;
 
@@ -57,9 +67,21 @@
     private readonly gatherMs: () => number = () => 0,
   ) {}
 
-  /** @returns milliseconds since the store last answered for this prefix */
-  ageMs(): number {
-    return this.clock.monotonicMs() - this.lastContact;
+  /** @returns how old the view may be, in milliseconds: an answer may be as old as its call */
+  viewAgeMs(): number {
+    return this.clock.monotonicMs() - this.viewedMs;
+  }
+
+  /**
+   * Tells how long the store has been silent.
+   *
+   * @returns milliseconds since its last answer; 0 unless calls fail, so that time in which nobody
+   *   listened does not count
+   */
+  silenceMs(): number {
+    const hasAnswered = this.lastContactMs !== Number.NEGATIVE_INFINITY;
+    if (hasAnswered && !this.failing) return 0;
+    return this.clock.monotonicMs() - this.lastContactMs;
   }
 
   /**
@@ -78,21 +100,25 @@
 
   private async list(signal: AbortSignal): Promise<boolean> {
     const call = callWithin(this.clock, LIST_SILENCE_MS, signal);
-    const sentAt = this.clock.monotonicMs();
+    const sentMs = this.clock.monotonicMs();
     const listing = await this.store.list(this.prefix, call);
     if (listing.err) return this.noteFailure(listing.val.message);
     this.revision = listing.val.revision;
     this.listed = true;
-    this.noteSuccess(sentAt);
+    this.noteContact();
+    this.viewedMs = sentMs;
     this.listener.onListing(listing.val.items, this.revision);
     this.listener.onCaughtUp(this.revision);
     return true;
   }
 
   private async watch(signal: AbortSignal): Promise<boolean> {
-    const call = callWithin(this.clock, WATCH_HOLD_MS + WATCH_SLACK_MS, signal);
-    const batch = await this.store.watch(this.prefix, this.revision, WATCH_HOLD_MS, call);
+    const holdMs = this.holdMs();
+    const call = callWithin(this.clock, holdMs + WATCH_SLACK_MS, signal);
+    const sentMs = this.clock.monotonicMs();
+    const batch = await this.store.watch(this.prefix, this.revision, holdMs, call);
     if (batch.err) return this.noteFailure(batch.val.message);
+    this.noteContact();
     if (batch.val.compacted) {
       this.log.info('The store dropped its history; listing again', {
         prefix: this.prefix,
@@ -101,7 +127,7 @@
       this.listed = false;
       return true;
     }
-    this.noteSuccess(this.clock.monotonicMs());
+    this.viewedMs = sentMs;
     batch.val.changes.forEach(({ key, value, revision }) =>
       this.listener.onChange(key, value, revision),
     );
@@ -110,12 +136,17 @@
     return true;
   }
 
-  private noteSuccess(at: number): void {
+  private holdMs(): number {
+    const leftMs = Math.round(HELD_VIEW_AGE_MS - this.viewAgeMs());
+    return Math.min(WATCH_HOLD_MS, Math.max(LEAST_HOLD_MS, leftMs));
+  }
+
+  private noteContact(): void {
     if (this.failing) {
       this.failing = false;
       this.log.info('The store answers again', { prefix: this.prefix, revision: this.revision });
     }
-    this.lastContact = at;
+    this.lastContactMs = this.clock.monotonicMs();
   }
 
   private noteFailure(reason: string): false {
