Count a ticket's time from when it was asked for

What callers would see: starts that workers refuse for want of a good ticket, and tasks late by the wait for another one, when the owner was late itself.

A ticket of 1.5 s whose answer was read 2 s after the call was used.

Change: the validity counts from the sending of the call, the earliest moment at which the service can have begun to count. The time that the service takes to decide is lost of a ticket's use.

Shown by: 'should not use a ticket that ended before its answer was read', 'should use a ticket for its time since it was asked for', both failing before.

--- a/packages/samphirenotch/src/jobs/stepPermissions.ts
+++ b/packages/samphirenotch/src/jobs/stepPermissions.ts
@@ -155,6 +155,7 @@
     const serviceMs = times.decisionMs + times.perWorkerMs * workers.length;
     const ids = workers.map(({ id }) => id);
     const call = callWithin(this.clock, serviceMs + CALL_MARGIN_MS, signal);
+    const sentMs = this.clock.monotonicMs();
     const decision = await this.policy.decide(stepId, ids, call);
     if (decision.err) {
       this.log.warn('No decision of the policy service', {
@@ -172,7 +173,8 @@
       validMs,
     });
     const state = this.stateOf(step);
-    const untilMs = this.clock.monotonicMs() + validMs - TICKET_MARGIN_MS;
+    // The answer may have waited to be read.
+    const untilMs = sentMs + validMs - TICKET_MARGIN_MS;
     ids.forEach((id) => {
       const ticket = tickets.get(id);
       if (ticket === undefined) {
--- a/tests/jobs/policy.spec.ts
+++ b/tests/jobs/policy.spec.ts
@@ -2,8 +2,12 @@
  * Queues whose workers a policy service decides on.
  */
 import test from 'ava';
+import { StepPermissions } from 'samphirenotch/jobs/stepPermissions.js';
+import { Ok } from 'samphirenotch/results.js';
+import { ManualClock } from 'samphirenotch/time/manualClock.js';
 
-import { makeJob, makeOwnedSite, makeStep } from '../fixtures/jobSite.js';
+import { makeJob, makeOwnedSite, makeQueue, makeStep } from '../fixtures/jobSite.js';
+import { makeOwnedStep, makeStillAgent } from '../fixtures/stillFleet.js';
 
 const ID = '00000000000000a1';
 const OTHER_ID = '00000000000000a2';
@@ -85,3 +89,48 @@
   t.is(await site.state(other, ID), 'completed');
   t.deepEqual(site.record.violations, []);
 });
+
+/** Asks for a ticket of 1.5 s whose answer waits to be read. */
+const askLate = async (lateMs: number) => {
+  const clock = new ManualClock();
+  const ended = new AbortController();
+  let decisions = 0;
+  const policy = {
+    decide: async (_stepId: string, workerIds: readonly string[]) => {
+      clock.jump(lateMs);
+      return Ok({ tickets: new Map(workerIds.map((id) => [id, 'ticket'])), validMs: 1_500 });
+    },
+  };
+  const permissions = new StepPermissions(policy, clock, () => {
+    decisions += 1;
+  });
+  const queue = makeQueue({ policy: { decisionMs: 100, perWorkerMs: 0 } });
+  const step = makeOwnedStep(makeStep(), queue);
+  const agent = makeStillAgent(clock);
+  const running = permissions.run(ended.signal);
+  permissions.want(step, [agent]);
+  await clock.advance(10);
+  const end = async (): Promise<void> => {
+    ended.abort();
+    await clock.advance(2_000);
+    await running;
+  };
+  return { clock, ticket: () => permissions.ticket(step, agent), decisions: () => decisions, end };
+};
+
+// Guards against tickets that are used after their end because the answer waited to be read.
+test('should not use a ticket that ended before its answer was read', async (t) => {
+  const late = await askLate(2_000);
+  t.is(late.decisions(), 1);
+  t.is(late.ticket(), undefined);
+  await late.end();
+});
+
+// Guards against tickets that are used too long because the answer waited to be read.
+test('should use a ticket for its time since it was asked for', async (t) => {
+  const late = await askLate(800);
+  t.is(late.ticket(), 'ticket');
+  await late.clock.advance(500);
+  t.is(late.ticket(), undefined);
+  await late.end();
+});
