Count a worker as gone by answers that were asked for late enough

What callers would see: tasks that wait although workers are there, when the owner was late itself while entries of the directory lapsed for a moment.

The answer may have been given a moment after the removal, and the news of the worker's return wait behind it.

An answer of 0.1 s after the removal, read 2.6 s after it, made the worker gone.

Change: listeners of the store are told when an answer was asked for, and a worker is gone only if an answer lacks it that was asked for 2.5 s after its removal was noticed. Watches of the directory are held for less while a worker is missing, so that one that is gone is noticed as soon as before.

Shown by: 'should not count its own delay as time in which a worker was missing', failing before.

--- a/packages/samphirenotch/src/jobs/jobEntry.ts
+++ b/packages/samphirenotch/src/jobs/jobEntry.ts
@@ -84,9 +84,9 @@
   constructor(private readonly options: JobEntryOptions) {
     const { store, clock, codec } = options;
     this.operator = new OperatorFollower(codec);
-    this.jobsFollower = new StoreFollower(store, SHARED_PREFIX, this.replica, clock, () =>
-      this.ownerHere ? 0 : GATHER_MS,
-    );
+    this.jobsFollower = new StoreFollower(store, SHARED_PREFIX, this.replica, clock, {
+      gatherMs: () => (this.ownerHere ? 0 : GATHER_MS),
+    });
     this.operatorFollower = new StoreFollower(store, codec.operatorPrefix, this.operator, clock);
     this.election = new OwnerElection({
       store,
--- a/packages/samphirenotch/src/jobs/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/jobOwner.ts
@@ -149,7 +149,7 @@
       options.codec.workersPrefix,
       directory,
       options.clock,
-      () => DIRECTORY_GATHER_MS,
+      { gatherMs: () => DIRECTORY_GATHER_MS, holdMs: () => directory.longestHoldMs() },
     );
     options.replica.openJobs().forEach((job) => this.book.accept(job));
     options.replica.listen({
--- a/packages/samphirenotch/src/jobs/storeFollower.ts
+++ b/packages/samphirenotch/src/jobs/storeFollower.ts
@@ -31,8 +31,21 @@
   onListing(items: readonly KeyValue[], revision: number): void;
   /** One change; without a value the key was removed. */
   onChange(key: string, value: string | undefined, revision: number): void;
-  /** After all changes of an answer, also of an empty one. */
-  onCaughtUp(revision: number): void;
+  /**
+   * Called after all changes of an answer, also of an empty one.
+   *
+   * @param revision - revision of the store that the answer speaks of
+   * @param askedMs - monotonic time at which it was asked for, in milliseconds
+   */
+  onCaughtUp(revision: number, askedMs: number): void;
+}
+
+/** Makes a follower spare calls, or spend them; it asks at once and holds long otherwise. */
+export interface FollowerPace {
+  /** How long changes gather before they are asked for, in milliseconds; each answer is a priced call. */
+  readonly gatherMs?: () => number;
+  /** How long a watch may be held at most, in milliseconds. */
+  readonly holdMs?: () => number;
 }
 
 /** Follows one prefix. */
@@ -56,15 +69,14 @@
    * @param prefix - the prefix
    * @param listener - receives items and changes
    * @param clock - time
-   * @param gatherMs - how long changes gather before they are asked for, in milliseconds; each
-   *   answer is a priced call
+   * @param pace - how often it asks
    */
   constructor(
     private readonly store: TransactionStore,
     private readonly prefix: string,
     private readonly listener: StoreListener,
     private readonly clock: Clock,
-    private readonly gatherMs: () => number = () => 0,
+    private readonly pace: FollowerPace = {},
   ) {}
 
   /** @returns how old the view may be, in milliseconds: an answer may be as old as its call */
@@ -93,7 +105,7 @@
     while (!signal.aborted) {
       const ok = this.listed ? await this.watch(signal) : await this.list(signal);
       if (!ok && !signal.aborted) await this.clock.sleep(RETRY_MS, signal);
-      const gatherMs = this.gatherMs();
+      const gatherMs = this.pace.gatherMs?.() ?? 0;
       if (ok && gatherMs > 0) await this.clock.sleep(gatherMs, signal);
     }
   }
@@ -108,7 +120,7 @@
     this.noteContact();
     this.viewedMs = sentMs;
     this.listener.onListing(listing.val.items, this.revision);
-    this.listener.onCaughtUp(this.revision);
+    this.listener.onCaughtUp(this.revision, sentMs);
     return true;
   }
 
@@ -132,13 +144,14 @@
       this.listener.onChange(key, value, revision),
     );
     this.revision = Math.max(this.revision, batch.val.revision);
-    this.listener.onCaughtUp(this.revision);
+    this.listener.onCaughtUp(this.revision, sentMs);
     return true;
   }
 
   private holdMs(): number {
     const leftMs = Math.round(HELD_VIEW_AGE_MS - this.viewAgeMs());
-    return Math.min(WATCH_HOLD_MS, Math.max(LEAST_HOLD_MS, leftMs));
+    const longestMs = Math.min(WATCH_HOLD_MS, leftMs, this.pace.holdMs?.() ?? WATCH_HOLD_MS);
+    return Math.max(LEAST_HOLD_MS, longestMs);
   }
 
   private noteContact(): void {
--- a/packages/samphirenotch/src/jobs/workerDirectory.ts
+++ b/packages/samphirenotch/src/jobs/workerDirectory.ts
@@ -8,9 +8,12 @@
 import type { SiteCodec } from './siteCodec.js';
 import type { StoreListener } from './storeFollower.js';
 
-/** Time that an entry may be missing from a listing before it counts as gone, in milliseconds. */
+/** Time that an entry may be missing before it counts as gone, in milliseconds. */
 const MISSING_MS = 2_500;
 
+/** How long a watch is held at most while an entry is missing, in milliseconds. */
+const MISSING_HOLD_MS = 250;
+
 /** Hears of workers. */
 export interface DirectoryListener {
   onWorker(description: WorkerDescription): void;
@@ -21,7 +24,7 @@
 export class WorkerDirectory implements StoreListener {
   private readonly workers = new Map<string, WorkerDescription>();
 
-  /** Keys missing from the last listing, with the time since when. */
+  /** Keys that were removed, with the time at which this was noticed. */
   private readonly missing = new Map<string, number>();
 
   private isComplete = false;
@@ -42,6 +45,11 @@
     return this.isComplete;
   }
 
+  /** @returns how long a watch of the directory may be held, in milliseconds */
+  longestHoldMs(): number {
+    return this.missing.size > 0 ? MISSING_HOLD_MS : Infinity;
+  }
+
   onListing(items: readonly KeyValue[]): void {
     const present = new Set(items.map(({ key }) => key));
     const nowMs = this.clock.monotonicMs();
@@ -66,10 +74,10 @@
     this.listener.onWorker(description);
   }
 
-  onCaughtUp(): void {
-    const nowMs = this.clock.monotonicMs();
+  onCaughtUp(_revision: number, askedMs: number): void {
     this.missing.forEach((sinceMs, key) => {
-      if (nowMs - sinceMs < MISSING_MS) return;
+      // An answer that was asked for earlier may have waited to be read.
+      if (askedMs - sinceMs < MISSING_MS) return;
       this.missing.delete(key);
       const known = this.workers.get(key);
       this.workers.delete(key);
--- /dev/null
+++ b/tests/jobs/workerDirectory.spec.ts
@@ -0,0 +1,53 @@
+/**
+ * Workers that go missing from the directory.
+ */
+import test from 'ava';
+import { WorkerDirectory } from 'samphirenotch/jobs/workerDirectory.js';
+import { ManualClock } from 'samphirenotch/time/manualClock.js';
+
+import { makeStillAgent } from '../fixtures/stillFleet.js';
+
+const KEY = 'workers/w0';
+
+/** A directory that has just noticed that its only worker was removed. */
+const makeMissing = () => {
+  const clock = new ManualClock();
+  const gone: string[] = [];
+  const codec = {
+    workersPrefix: 'workers/',
+    operatorPrefix: 'operator/',
+    readWorker: () => makeStillAgent(clock).description,
+    readOperatorItem: () => undefined,
+  };
+  const listener = { onWorker: () => undefined, onUnlisted: (id: string) => gone.push(id) };
+  const directory = new WorkerDirectory(codec, listener, clock);
+  directory.onListing([{ key: KEY, value: '{}', revision: 1 }]);
+  directory.onChange(KEY, undefined);
+  directory.onCaughtUp(2, clock.monotonicMs());
+  return { clock, gone, directory };
+};
+
+// Guards against workers that are dropped although their news waits to be read.
+test('should not count its own delay as time in which a worker was missing', (t) => {
+  const { clock, gone, directory } = makeMissing();
+  // Asked for a moment after the removal and read late; the answer that lists the worker comes next.
+  const askedMs = clock.monotonicMs() + 100;
+  clock.jump(2_600);
+  directory.onCaughtUp(2, askedMs);
+  directory.onChange(KEY, '{}');
+  directory.onCaughtUp(3, clock.monotonicMs());
+  clock.jump(5_000);
+  directory.onCaughtUp(3, clock.monotonicMs());
+  t.deepEqual(gone, []);
+});
+
+// Guards against workers that are never dropped.
+test('should count a worker as gone that an answer lacks which was asked for 2.5 s later', (t) => {
+  const { clock, gone, directory } = makeMissing();
+  clock.jump(2_400);
+  directory.onCaughtUp(2, clock.monotonicMs());
+  t.deepEqual(gone, []);
+  clock.jump(100);
+  directory.onCaughtUp(2, clock.monotonicMs());
+  t.deepEqual(gone, ['w0']);
+});
