Time reports of runs by the clock of their worker

What callers would see: work stopped and done again, and sound workers left without work, when the owner was late itself.

An answer that had waited made its runs slower by the wait, and showed no progress over a time in which the worker had told nothing; a first answer that had waited made them faster.

Ten percent in 0.68 s counted as ten percent in 2.7 s after a wait of 2 s; a run whose second report came 0.68 s after the first was stopped as stalled after a wait of 2.6 s.

Change: the clock of a worker tells when it showed a time, never later than now, and reports are stamped with that. Speeds are told by the worker's clock alone, so that a first answer that was read late does not shorten the time either. A report that was made before the last order of a pace does not begin the measure of that pace; by the time of reading it did.

--- a/packages/samphirenotch/src/jobs/ownedJob.ts
+++ b/packages/samphirenotch/src/jobs/ownedJob.ts
@@ -20,6 +20,8 @@
 /** A run at one moment. */
 export interface RunSighting {
   readonly percent: number;
+  /** What the worker's clock showed, in milliseconds. */
+  readonly clockMs: number;
   /** Monotonic time in milliseconds. */
   readonly atMs: number;
 }
@@ -38,9 +40,11 @@
   percent: number;
   /** Where it stood when it was first seen at its pace; undefined until then. */
   sighted: RunSighting | undefined;
-  /** Monotonic time of the last report, in milliseconds. */
+  /** Monotonic time at which its worker made the last report, in milliseconds. */
   reportedMs: number;
-  /** Monotonic time at which its percent last changed, in milliseconds. */
+  /** What the worker's clock showed then, in milliseconds. */
+  reportedAtWorkerMs: number;
+  /** Monotonic time of the report in which its percent last changed, or of its last pace. */
   progressedMs: number;
   gauge: number;
   /** Share of its processors that it is let work at, in percent. */
--- a/packages/samphirenotch/src/jobs/runSpeed.ts
+++ b/packages/samphirenotch/src/jobs/runSpeed.ts
@@ -25,11 +25,11 @@
  * @returns percent per millisecond; undefined if it is paced or was not seen for long enough
  */
 export const rateOf = (run: OwnedRun): number | undefined => {
-  const { sighted, reportedMs, phase, pace, percent } = run;
+  const { sighted, reportedAtWorkerMs, phase, pace, percent } = run;
   if (phase !== 'running' || pace !== FULL_PERCENT || !sighted || percent >= FULL_PERCENT) {
     return undefined;
   }
-  const spanMs = reportedMs - sighted.atMs;
+  const spanMs = reportedAtWorkerMs - sighted.clockMs;
   if (spanMs < LEAST_SPAN_MS) return undefined;
   return Math.max(UNSEEN_PERCENT, percent - sighted.percent) / spanMs;
 };
--- a/packages/samphirenotch/src/jobs/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workerAgent.ts
@@ -470,7 +470,7 @@
     const listed = new Set<OwnedRun>();
     const foreign: Size[] = [];
     holding.running.forEach((report) => {
-      const isKnown = this.applyReport(report);
+      const isKnown = this.applyReport(report, holding.clockMs);
       const run = this.runs.find(report);
       if (run) listed.add(run);
       if (isKnown) return;
@@ -493,7 +493,7 @@
   }
 
   /** Returns false if no open task has the run. */
-  private applyReport(report: RunReport): boolean {
+  private applyReport(report: RunReport, clockMs: number): boolean {
     const known = this.runs.find(report);
     const run = known ?? this.options.listener.onUnknownRun(this, report);
     if (!run) {
@@ -502,12 +502,15 @@
     }
     this.options.listener.onBegun(run);
     if (run.phase === 'starting' || run.phase === 'in-doubt') this.confirm(run);
-    const nowMs = this.options.clock.monotonicMs();
-    if (run.percent !== report.percent) run.progressedMs = nowMs;
-    run.percent = report.percent;
-    run.reportedMs = nowMs;
-    run.sighted ??= { percent: report.percent, atMs: nowMs };
-    run.gauge = report.gauge;
+    const { percent, gauge } = report;
+    const shownMs = this.workerClock.whenShown(clockMs);
+    if (run.percent !== percent) run.progressedMs = Math.max(run.progressedMs, shownMs);
+    run.percent = percent;
+    run.reportedMs = shownMs;
+    run.reportedAtWorkerMs = clockMs;
+    // A report of before the last order of a pace tells nothing of that pace.
+    if (shownMs >= run.progressedMs) run.sighted ??= { percent, clockMs, atMs: shownMs };
+    run.gauge = gauge;
     if (report.checkpoint !== '') run.task.checkpoint = report.checkpoint;
     return true;
   }
--- a/packages/samphirenotch/src/jobs/workerClock.ts
+++ b/packages/samphirenotch/src/jobs/workerClock.ts
@@ -41,6 +41,18 @@
       : this.workerMs + (this.clock.monotonicMs() - this.readAtMs);
   }
 
+  /**
+   * Tells when the worker's clock showed a time, however late that was read.
+   *
+   * @param workerMs - the time on the worker's clock, of the last reading or before
+   * @returns monotonic time of this process in milliseconds, not later than now
+   */
+  whenShown(workerMs: number): number {
+    const nowMs = this.clock.monotonicMs();
+    if (this.workerMs === undefined) return nowMs;
+    return Math.min(nowMs, this.readAtMs + (workerMs - this.workerMs));
+  }
+
   /**
    * Tells whether the worker's clock has certainly passed a time.
    *
--- a/packages/samphirenotch/src/jobs/workerRuns.ts
+++ b/packages/samphirenotch/src/jobs/workerRuns.ts
@@ -121,6 +121,7 @@
       percent: 0,
       sighted: undefined,
       reportedMs: startedMs,
+      reportedAtWorkerMs: 0,
       progressedMs: startedMs,
       gauge: 0,
       pace: FULL_PERCENT,
