Remember how long a run took by the clock of its worker

What callers would see: sound workers that are avoided and whose work is moved, and slow ones that are not, when the owner was late itself.

A start that was read late made the run fast, an end that was read late made it slow. A run of an earlier term counted from its adoption, so after a change of owners, with everything late, runs that ended soon after it made all others look slow.

A run of 1 s was remembered as one of 0.2 s when its start was read 0.8 s late, and as one of 3 s when its end was read 2 s late.

Change: the time goes from the worker's clock in the answer to the start to its clock in the answer with the end. Runs whose start the owner did not see are not remembered.

Shown by: 'should remember how long a run took if the answer to its start was read late', 'should remember how long a run took if its end was read late', 'should not remember how long a run took whose start it did not see', all failing before.

--- a/packages/samphirenotch/src/jobs/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/jobOwner.ts
@@ -244,7 +244,7 @@
     return step ? roomOfStep(step) : undefined;
   }
 
-  onEnd(agent: WorkerAgent, run: OwnedRun | undefined, end: RunEnd): void {
+  onEnd(agent: WorkerAgent, run: OwnedRun | undefined, end: RunEnd, shownMs: number): void {
     const task = this.book.findTask(end.taskId);
     this.log.info('A run has ended', {
       taskId: end.taskId,
@@ -262,7 +262,7 @@
     if (end.checkpoint !== '') task.checkpoint = end.checkpoint;
     this.fleet.noteEnd(agent, task, end.kind);
     job.settled = false;
-    if (end.kind === 'done' && run) noteDone(run, this.options.clock.monotonicMs());
+    if (end.kind === 'done' && run) noteDone(run, shownMs);
     if (end.kind === 'done') this.finishTask(task);
     if (end.kind === 'failed') this.failTask(task, agent, end.run);
     this.wakeup.wake();
--- a/packages/samphirenotch/src/jobs/ownedJob.ts
+++ b/packages/samphirenotch/src/jobs/ownedJob.ts
@@ -35,7 +35,9 @@
   phase: RunPhase;
   /** Monotonic time of the order or of the sighting, in milliseconds. */
   readonly startedMs: number;
-  /** Monotonic time at which the worker confirmed the start. */
+  /** Monotonic time at which the worker answered the start; undefined if only a list showed the run. */
+  begunMs: number | undefined;
+  /** Monotonic time at which the owner knew of the start. */
   confirmedMs: number | undefined;
   percent: number;
   /** Where it stood when it was first seen at its pace; undefined until then. */
--- a/packages/samphirenotch/src/jobs/runSpeed.ts
+++ b/packages/samphirenotch/src/jobs/runSpeed.ts
@@ -38,14 +38,14 @@
  * Remembers how fast a run was that is done.
  *
  * @param run - the run
- * @param nowMs - monotonic time in milliseconds
+ * @param endedMs - monotonic time at which its worker showed its end, in milliseconds
  */
-export const noteDone = (run: OwnedRun, nowMs: number): void => {
-  const { sighted, pace, confirmedMs } = run;
+export const noteDone = (run: OwnedRun, endedMs: number): void => {
+  const { sighted, pace, begunMs } = run;
   const { doneRates } = run.task.step;
-  if (pace !== FULL_PERCENT || confirmedMs === undefined || run.task.checkpoint !== '') return;
-  if (sighted && sighted.atMs > confirmedMs + LEAST_SPAN_MS * 2) return;
-  doneRates.push(FULL_PERCENT / Math.max(1, nowMs - confirmedMs));
+  if (pace !== FULL_PERCENT || begunMs === undefined || run.task.checkpoint !== '') return;
+  if (sighted && sighted.atMs > begunMs + LEAST_SPAN_MS * 2) return;
+  doneRates.push(FULL_PERCENT / Math.max(1, endedMs - begunMs));
   if (doneRates.length > REMEMBERED_RATES) doneRates.shift();
 };
 
--- a/packages/samphirenotch/src/jobs/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workerAgent.ts
@@ -59,8 +59,8 @@
   sizeOfUnknown(taskId: string): Size | undefined;
   /** The worker has shown that it began a run: an answer, or one of its lists. */
   onBegun(run: OwnedRun): void;
-  /** The worker listed the end of a run. */
-  onEnd(agent: WorkerAgent, run: OwnedRun | undefined, end: RunEnd): void;
+  /** The worker listed the end of a run, at a monotonic time in milliseconds. */
+  onEnd(agent: WorkerAgent, run: OwnedRun | undefined, end: RunEnd, shownMs: number): void;
   /** A run is over without a listed end: it never ran, its lease lapsed or its worker restarted. */
   onGone(run: OwnedRun, reason: string): void;
   /** The worker did not take the ticket of a start. */
@@ -306,6 +306,7 @@
       signal: this.closed.signal,
       nextLease: () => this.nextLease(),
       readClock: (clockMs) => this.workerClock.read(clockMs),
+      whenShown: (clockMs) => this.workerClock.whenShown(clockMs),
       begun: (run) => listener.onBegun(run),
       gone: (run, reason) => this.gone(run, reason),
       avoid: (durationMs) => {
@@ -466,7 +467,7 @@
     this.acknowledgedSequence = Math.max(this.acknowledgedSequence, acknowledged);
     holding.ends
       .filter(({ sequence }) => sequence > this.seenSequence)
-      .forEach((end) => this.applyEnd(end));
+      .forEach((end) => this.applyEnd(end, holding.clockMs));
     const listed = new Set<OwnedRun>();
     const foreign: Size[] = [];
     holding.running.forEach((report) => {
@@ -485,11 +486,11 @@
     }
   }
 
-  private applyEnd(end: RunEnd): void {
+  private applyEnd(end: RunEnd, clockMs: number): void {
     this.seenSequence = end.sequence;
     const run = this.runs.find(end);
     if (run) this.runs.drop(run);
-    this.options.listener.onEnd(this, run, end);
+    this.options.listener.onEnd(this, run, end, this.workerClock.whenShown(clockMs));
   }
 
   /** Returns false if no open task has the run. */
--- a/packages/samphirenotch/src/jobs/workerOrders.ts
+++ b/packages/samphirenotch/src/jobs/workerOrders.ts
@@ -40,6 +40,8 @@
   nextLease(): number | undefined;
   /** Takes a reading of the worker's clock. */
   readClock(clockMs: number): void;
+  /** Monotonic time at which the worker's clock showed a time that was read. */
+  whenShown(clockMs: number): number;
   /** The worker has shown that it began a run. */
   begun(run: OwnedRun): void;
   /** A run is over without a listed end. */
@@ -170,15 +172,17 @@
     }
     const { clockMs, outcome } = answer.val;
     if (clockMs !== undefined) this.context.readClock(clockMs);
-    if (outcome === 'done') this.started(run);
+    if (outcome === 'done') this.started(run, clockMs);
     else this.refused(run, outcome);
   }
 
-  private started(run: OwnedRun): void {
+  private started(run: OwnedRun, clockMs: number | undefined): void {
+    const { clock } = this.context;
     const owned = run;
+    owned.begunMs = clockMs === undefined ? clock.monotonicMs() : this.context.whenShown(clockMs);
     this.context.begun(run);
     if (run.phase === 'starting') owned.phase = 'running';
-    if (run.confirmedMs === undefined) markConfirmed(run, this.context.clock.monotonicMs());
+    if (run.confirmedMs === undefined) markConfirmed(run, clock.monotonicMs());
   }
 
   private refused(run: OwnedRun, outcome: OrderOutcome): void {
--- a/packages/samphirenotch/src/jobs/workerRuns.ts
+++ b/packages/samphirenotch/src/jobs/workerRuns.ts
@@ -117,6 +117,7 @@
       size,
       phase,
       startedMs,
+      begunMs: undefined,
       confirmedMs: phase === 'running' ? startedMs : undefined,
       percent: 0,
       sighted: undefined,
--- a/tests/jobs/reportTimes.spec.ts
+++ b/tests/jobs/reportTimes.spec.ts
@@ -3,7 +3,7 @@
  */
 import test from 'ava';
 import type { Holding, TaskWorker } from 'samphirenotch/infrastructure/taskWorker.js';
-import { rateOf } from 'samphirenotch/jobs/runSpeed.js';
+import { noteDone, rateOf } from 'samphirenotch/jobs/runSpeed.js';
 import { RunWatch } from 'samphirenotch/jobs/runWatch.js';
 import { WorkerAgent, type AgentListener } from 'samphirenotch/jobs/workerAgent.js';
 import { WorkerClock } from 'samphirenotch/jobs/workerClock.js';
@@ -39,6 +39,39 @@
   t.is(workerClock.whenShown(6_500), clock.monotonicMs());
 });
 
+const ignore = (): void => undefined;
+
+interface AgentParts {
+  readonly clock: ManualClock;
+  readonly worker: Partial<TaskWorker>;
+  readonly listener: Partial<AgentListener>;
+  readonly ended: AbortController;
+}
+
+const makeAgent = ({ clock, worker, listener, ended }: AgentParts): WorkerAgent =>
+  new WorkerAgent({
+    description: makeStillAgent(clock).description,
+    connect: () => ({ close: ignore, ...worker }) as TaskWorker,
+    clock,
+    fencingToken: 1,
+    holdLimitMs: 6_000,
+    listener: {
+      onUnknownRun: () => undefined,
+      sizeOfUnknown: () => undefined,
+      onBegun: ignore,
+      onEnd: ignore,
+      onGone: ignore,
+      onTicketRefused: ignore,
+      onChange: ignore,
+      onFenced: ignore,
+      onStaleToken: ignore,
+      stored: async () => true,
+      ...listener,
+    },
+    signal: ended.signal,
+    isSoleOwner: () => true,
+  });
+
 /** A worker with one run of given percents by look, one of whose answers waits to be read. */
 const makeLateReader = (percents: readonly number[], lateLook: number, lateMs: number) => {
   const clock = new ManualClock();
@@ -65,28 +98,13 @@
     return Ok({ outcome: 'done' as const });
   };
   const pace = async () => Ok({ outcome: 'done' as const });
-  const ignore = (): void => undefined;
-  const listener: AgentListener = {
-    onUnknownRun: (agent) => step.tasks[0] && agent.adopt(step.tasks[0], 1, SIZE, 'running'),
-    sizeOfUnknown: () => undefined,
-    onBegun: ignore,
-    onEnd: ignore,
-    onGone: ignore,
-    onTicketRefused: ignore,
-    onChange: ignore,
-    onFenced: ignore,
-    onStaleToken: ignore,
-    stored: async () => true,
-  };
-  const agent = new WorkerAgent({
-    description: makeStillAgent(clock).description,
-    connect: () => ({ hold, stop, pace, close: ignore }) as unknown as TaskWorker,
+  const onUnknownRun: AgentListener['onUnknownRun'] = (adopting) =>
+    step.tasks[0] && adopting.adopt(step.tasks[0], 1, SIZE, 'running');
+  const agent = makeAgent({
     clock,
-    fencingToken: 1,
-    holdLimitMs: 6_000,
-    listener,
-    signal: ended.signal,
-    isSoleOwner: () => true,
+    worker: { hold, stop, pace },
+    listener: { onUnknownRun },
+    ended,
   });
   const watch = new RunWatch({ all: () => [agent] } as unknown as WorkerFleet, clock);
   const running = agent.run();
@@ -151,3 +169,61 @@
   t.is(run.sighted?.percent, 30);
   await end();
 });
+
+/** Tells how long a run of a second took as its step remembers it, when answers wait to be read. */
+const rememberedMs = async (lateStartMs: number, lateEndMs: number): Promise<number> => {
+  const RUN_MS = 1_000;
+  const clock = new ManualClock();
+  const step = makeOwnedStep(makeStep());
+  const [task] = step.tasks;
+  if (!task) throw new Error('the step has no task');
+  const ended = new AbortController();
+  let endMs: number | undefined;
+  const start = async () => {
+    const clockMs = clock.monotonicMs();
+    endMs = clockMs + RUN_MS;
+    await clock.sleep(lateStartMs);
+    return Ok({ outcome: 'done' as const, clockMs });
+  };
+  const hold = async () => {
+    if (endMs !== undefined) await clock.sleep(Math.max(0, endMs - clock.monotonicMs()));
+    const clockMs = clock.monotonicMs();
+    const end = { sequence: 1, taskId: task.id, run: 1, kind: 'done' as const, checkpoint: '' };
+    const ends = endMs === undefined ? [] : [end];
+    if (endMs !== undefined) await clock.sleep(lateEndMs);
+    return Ok({ kind: 'held' as const, holding: { clockMs, bornMs: 1, running: [], ends } });
+  };
+  const onEnd: AgentListener['onEnd'] = (_agent, run, _end, shownMs) => {
+    if (run) noteDone(run, shownMs);
+  };
+  const agent = makeAgent({ clock, worker: { start, hold }, listener: { onEnd }, ended });
+  const running = agent.run();
+  await clock.advance(200);
+  agent.start(task, 1, SIZE, undefined);
+  await clock.advance(5_000);
+  ended.abort();
+  await clock.advance(2_000);
+  await running;
+  return 100 / (step.doneRates[0] ?? 0);
+};
+
+// Guards against sound runs that count as slow beside one whose start was read late.
+test('should remember how long a run took if the answer to its start was read late', async (t) => {
+  t.is(Math.round(await rememberedMs(800, 0)), 1_000);
+});
+
+// Guards against slow runs that count as sound beside one whose end was read late.
+test('should remember how long a run took if its end was read late', async (t) => {
+  t.is(Math.round(await rememberedMs(0, 2_000)), 1_000);
+});
+
+// Guards against sound runs that count as slow beside one that began before its owner's term.
+test('should not remember how long a run took whose start it did not see', (t) => {
+  const clock = new ManualClock();
+  const step = makeOwnedStep(makeStep());
+  const [task] = step.tasks;
+  const run = task && makeStillAgent(clock).adopt(task, 1, SIZE, 'running');
+  clock.jump(200);
+  if (run) noteDone(run, clock.monotonicMs());
+  t.deepEqual(step.doneRates, []);
+});
