Judge what is left of a run by its last report

What callers would see: work stopped on draining workers, or for more urgent work, that was about to be done, when the owner was late itself.

A run half done after 1 s that nobody looked at for 0.4 s had 1.4 s left instead of 0.6 s.

Change: its speed goes from the worker's clock in the answer to the start to its last report, and the time since is taken off.

Shown by: 'should not take a run for slower because it was not looked at', 'should count the time of a run from when its worker began it', both failing before.

--- a/packages/samphirenotch/src/jobs/runWatch.ts
+++ b/packages/samphirenotch/src/jobs/runWatch.ts
@@ -46,9 +46,14 @@
  * @returns milliseconds
  */
 export const remainingRunMs = (run: OwnedRun, nowMs: number): number => {
-  const elapsedMs = nowMs - run.startedMs;
-  if (run.percent > 0) return (elapsedMs * (FULL_PERCENT - run.percent)) / run.percent;
-  return Math.max(0, (run.task.step.spec.estimateMs || DEFAULT_ESTIMATE_MS) - elapsedMs);
+  const { percent, reportedMs } = run;
+  const begunMs = run.begunMs ?? run.startedMs;
+  if (percent > 0) {
+    const wholeMs = ((reportedMs - begunMs) * FULL_PERCENT) / percent;
+    return Math.max(0, begunMs + wholeMs - nowMs);
+  }
+  const estimateMs = run.task.step.spec.estimateMs || DEFAULT_ESTIMATE_MS;
+  return Math.max(0, begunMs + estimateMs - nowMs);
 };
 
 /** Looks after the runs of a fleet. */
--- a/tests/jobs/runWatch.spec.ts
+++ b/tests/jobs/runWatch.spec.ts
@@ -2,12 +2,13 @@
  * Runs on workers that leave or hang.
  */
 import test from 'ava';
-import { RunWatch } from 'samphirenotch/jobs/runWatch.js';
+import { remainingRunMs, RunWatch } from 'samphirenotch/jobs/runWatch.js';
 import type { WorkerFleet } from 'samphirenotch/jobs/workerFleet.js';
 import { ManualClock } from 'samphirenotch/time/manualClock.js';
 
 import type { MemoryTaskWorker } from '../fixtures/memoryTaskWorker.js';
 import { makeJob, makeOwnedSite, makeStep } from '../fixtures/jobSite.js';
+import { makeOwnedStep, makeStillAgent, occupy } from '../fixtures/stillFleet.js';
 
 const SERVING = '00000000000000b1';
 const FILLER = '00000000000000c1';
@@ -142,3 +143,30 @@
   watch.check();
   t.deepEqual(stopped, ['it makes no progress']);
 });
+
+// Guards against runs that count as slow, and are stopped, because nobody looked at them for a while.
+test('should not take a run for slower because it was not looked at', (t) => {
+  const clock = new ManualClock();
+  const run = occupy(makeStillAgent(clock), makeOwnedStep(makeStep()));
+  clock.jump(1_000);
+  run.percent = 50;
+  run.reportedMs = clock.monotonicMs();
+  t.is(remainingRunMs(run, clock.monotonicMs()), 1_000);
+  clock.jump(400);
+  t.is(remainingRunMs(run, clock.monotonicMs()), 600);
+  clock.jump(2_000);
+  t.is(remainingRunMs(run, clock.monotonicMs()), 0);
+});
+
+// Guards against runs that count as slow because the order to start them waited to be sent.
+test('should count the time of a run from when its worker began it', (t) => {
+  const clock = new ManualClock();
+  const run = occupy(makeStillAgent(clock), makeOwnedStep(makeStep()));
+  clock.jump(2_000);
+  run.begunMs = clock.monotonicMs();
+  t.is(remainingRunMs(run, clock.monotonicMs()), 1_000);
+  clock.jump(500);
+  run.percent = 50;
+  run.reportedMs = clock.monotonicMs();
+  t.is(remainingRunMs(run, clock.monotonicMs()), 500);
+});
