--- a/packages/samphirenotch/src/jobs/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workerAgent.ts
@@ -60,8 +60,8 @@
   sizeOfUnknown(taskId: string): Size | undefined;
   /** The worker has shown that it began a run: an answer, or one of its lists. */
   onBegun(run: OwnedRun): void;
-  /** The worker listed the end of a run. */
-  onEnd(agent: WorkerAgent, run: OwnedRun | undefined, end: RunEnd): void;
+  /** The worker listed the end of a run, at a monotonic time in milliseconds. */
+  onEnd(agent: WorkerAgent, run: OwnedRun | undefined, end: RunEnd, shownMs: number): void;
   /** A run is over without a listed end: it never ran, its lease lapsed or its worker restarted. */
   onGone(run: OwnedRun, reason: string): void;
   /** The worker did not take the ticket of a start. */
@@ -312,6 +312,7 @@
       signal: this.closed.signal,
       nextLease: () => this.nextLease(),
       readClock: (clockMs) => this.workerClock.read(clockMs),
+      whenShown: (clockMs) => this.workerClock.whenShown(clockMs),
       begun: (run) => listener.onBegun(run),
       gone: (run, reason) => this.gone(run, reason),
       avoid: (durationMs) => {
@@ -477,11 +478,11 @@
     this.acknowledgedSequence = Math.max(this.acknowledgedSequence, acknowledged);
     holding.ends
       .filter(({ sequence }) => sequence > this.seenSequence)
-      .forEach((end) => this.applyEnd(end));
+      .forEach((end) => this.applyEnd(end, holding.clockMs));
     const listed = new Set<OwnedRun>();
     const foreign: Size[] = [];
     holding.running.forEach((report) => {
-      const isKnown = this.applyReport(report);
+      const isKnown = this.applyReport(report, holding.clockMs);
       const run = this.runs.find(report);
       if (run) listed.add(run);
       if (isKnown) return;
@@ -496,15 +497,15 @@
     }
   }
 
-  private applyEnd(end: RunEnd): void {
+  private applyEnd(end: RunEnd, clockMs: number): void {
     this.seenSequence = end.sequence;
     const run = this.runs.find(end);
     if (run) this.runs.drop(run);
-    this.options.listener.onEnd(this, run, end);
+    this.options.listener.onEnd(this, run, end, this.workerClock.whenShown(clockMs));
   }
 
   /** Returns false if no open task has the run. */
-  private applyReport(report: RunReport): boolean {
+  private applyReport(report: RunReport, clockMs: number): boolean {
     const known = this.runs.find(report);
     const run = known ?? this.options.listener.onUnknownRun(this, report);
     if (!run) {
@@ -513,12 +514,15 @@
     }
     this.options.listener.onBegun(run);
     if (run.phase === 'starting' || run.phase === 'in-doubt') this.confirm(run);
-    const nowMs = this.options.clock.monotonicMs();
-    if (run.percent !== report.percent) run.progressedMs = nowMs;
-    run.percent = report.percent;
-    run.reportedMs = nowMs;
-    run.sighted ??= { percent: report.percent, atMs: nowMs };
-    run.gauge = report.gauge;
+    const { percent, gauge } = report;
+    const shownMs = this.workerClock.whenShown(clockMs);
+    if (run.percent !== percent) run.progressedMs = Math.max(run.progressedMs, shownMs);
+    run.percent = percent;
+    run.reportedMs = shownMs;
+    run.reportedAtWorkerMs = clockMs;
+    // A report of before the last order of a pace tells nothing of that pace.
+    if (shownMs >= run.progressedMs) run.sighted ??= { percent, clockMs, atMs: shownMs };
+    run.gauge = gauge;
     if (report.checkpoint !== '') run.task.checkpoint = report.checkpoint;
     return true;
   }
--- /dev/null
+++ b/tests/jobs/reportTimes.spec.ts
@@ -0,0 +1,232 @@
+/**
+ * Reports of runs that an owner reads late: they tell of the time at which their worker made them.
+ */
+import test from 'ava';
+import type { Holding, TaskWorker } from 'samphirenotch/infrastructure/taskWorker.js';
+import { noteDone, rateOf } from 'samphirenotch/jobs/runSpeed.js';
+import { RunWatch } from 'samphirenotch/jobs/runWatch.js';
+import { OrderTurns } from 'samphirenotch/jobs/orderTurns.js';
+import { WorkerAgent, type AgentListener } from 'samphirenotch/jobs/workerAgent.js';
+import { WorkerClock } from 'samphirenotch/jobs/workerClock.js';
+import type { WorkerFleet } from 'samphirenotch/jobs/workerFleet.js';
+import { Ok } from 'samphirenotch/results.js';
+import { ManualClock } from 'samphirenotch/time/manualClock.js';
+
+import { makeStep } from '../fixtures/jobSite.js';
+import { makeOwnedStep, makeStillAgent } from '../fixtures/stillFleet.js';
+
+const SIZE = { milliCores: 1_000, memoryMb: 1_000, accelerators: 0 };
+
+/** Time that a worker holds each look, in milliseconds. */
+const LOOK_MS = 600;
+
+test('should tell when the clock of a worker showed a time, however late it was read', (t) => {
+  const clock = new ManualClock();
+  const workerClock = new WorkerClock(clock);
+  const firstMs = clock.monotonicMs();
+  workerClock.read(5_000);
+  t.is(workerClock.whenShown(5_000), firstMs);
+  clock.jump(3_000);
+  workerClock.read(6_000);
+  t.is(workerClock.whenShown(6_000), firstMs + 1_000);
+});
+
+test('should not tell that the clock of a worker showed a time later than now', (t) => {
+  const clock = new ManualClock();
+  const workerClock = new WorkerClock(clock);
+  t.is(workerClock.whenShown(5_000), clock.monotonicMs());
+  workerClock.read(5_000);
+  clock.jump(1_000);
+  t.is(workerClock.whenShown(6_500), clock.monotonicMs());
+});
+
+const ignore = (): void => undefined;
+
+interface AgentParts {
+  readonly clock: ManualClock;
+  readonly worker: Partial<TaskWorker>;
+  readonly listener: Partial<AgentListener>;
+  readonly ended: AbortController;
+}
+
+const makeAgent = ({ clock, worker, listener, ended }: AgentParts): WorkerAgent =>
+  new WorkerAgent({
+    description: makeStillAgent(clock).description,
+    connect: () => ({ close: ignore, ...worker }) as TaskWorker,
+    clock,
+    fencingToken: 1,
+    holdLimitMs: 6_000,
+    listener: {
+      onUnknownRun: () => undefined,
+      sizeOfUnknown: () => undefined,
+      onBegun: ignore,
+      onEnd: ignore,
+      onGone: ignore,
+      onTicketRefused: ignore,
+      onChange: ignore,
+      onFenced: ignore,
+      onStaleToken: ignore,
+      stored: async () => true,
+      ...listener,
+    },
+    signal: ended.signal,
+    turns: new OrderTurns(clock),
+    isSoleOwner: () => true,
+    mayGrant: () => true,
+  });
+
+/** A worker with one run of given percents by look, one of whose answers waits to be read. */
+const makeLateReader = (percents: readonly number[], lateLook: number, lateMs: number) => {
+  const clock = new ManualClock();
+  const step = makeOwnedStep(makeStep());
+  const ended = new AbortController();
+  const stopped: string[] = [];
+  let looks = 0;
+  const hold = async () => {
+    await clock.sleep(LOOK_MS);
+    const percent = percents[Math.min(looks, percents.length - 1)] ?? 0;
+    looks += 1;
+    const taskId = step.tasks[0]?.id ?? '';
+    const holding: Holding = {
+      clockMs: clock.monotonicMs(),
+      bornMs: 1,
+      running: [{ taskId, run: 1, checkpoint: '', percent, gauge: 0 }],
+      ends: [],
+    };
+    if (looks === lateLook) await clock.sleep(lateMs);
+    return Ok({ kind: 'held' as const, holding });
+  };
+  const stop = async ({ taskId }: { readonly taskId: string }) => {
+    stopped.push(taskId);
+    return Ok({ outcome: 'done' as const });
+  };
+  const pace = async () => Ok({ outcome: 'done' as const });
+  const onUnknownRun: AgentListener['onUnknownRun'] = (adopting) =>
+    step.tasks[0] && adopting.adopt(step.tasks[0], 1, SIZE, 'running');
+  const agent = makeAgent({
+    clock,
+    worker: { hold, stop, pace },
+    listener: { onUnknownRun },
+    ended,
+  });
+  const watch = new RunWatch({ all: () => [agent] } as unknown as WorkerFleet, clock);
+  const running = agent.run();
+  const end = async (): Promise<void> => {
+    ended.abort();
+    await clock.advance(2_000);
+    await running;
+  };
+  return { clock, agent, watch, stopped, end };
+};
+
+// Guards against workers that count as slow, by the time of reading, when the owner read late.
+test('should tell the speed of a run by the clock of its worker', async (t) => {
+  const { clock, agent, end } = makeLateReader([10, 20], 2, 2_000);
+  await clock.advance(3_300);
+  const [run] = agent.activeRuns();
+  t.is(run?.percent, 20);
+  const tenPercentMs = 10 / ((run && rateOf(run)) ?? 0);
+  t.true(tenPercentMs >= LOOK_MS && tenPercentMs <= LOOK_MS + 100);
+  await end();
+});
+
+// Guards against workers that seem fast beside others because their first answer was read late.
+test('should tell the speed of a run by the clock of its worker from the first report', async (t) => {
+  const { clock, agent, end } = makeLateReader([10, 20, 30], 1, 2_000);
+  await clock.advance(3_300);
+  const [run] = agent.activeRuns();
+  t.is(run?.percent, 20);
+  const tenPercentMs = 10 / ((run && rateOf(run)) ?? 0);
+  // From the first report to the second: the first one's wait, the gap between looks, a look.
+  t.true(tenPercentMs >= 2_000 + LOOK_MS);
+  await end();
+});
+
+// Guards against runs that are stopped because a report without progress waited to be read.
+test('should not take a run for stalled by a report that was read late', async (t) => {
+  const { clock, agent, watch, stopped, end } = makeLateReader([10, 10], 2, 2_600);
+  await clock.advance(3_900);
+  t.is(agent.looks, 2);
+  watch.check();
+  t.deepEqual(stopped, []);
+  await clock.advance(2_000);
+  watch.check();
+  t.is(stopped.length, 1);
+  await end();
+});
+
+// Guards against runs that count as slow by the time in which they were paced.
+test('should not tell the speed of a run from a report made before its pace was ordered', async (t) => {
+  const { clock, agent, end } = makeLateReader([10, 20, 30], 2, 2_000);
+  await clock.advance(2_000);
+  const [run] = agent.activeRuns();
+  if (!run) throw new Error('the run is not known');
+  // The second report is on its way.
+  await agent.pace(run, 0);
+  await clock.advance(500);
+  await agent.pace(run, 100);
+  await clock.advance(800);
+  t.is(run.percent, 20);
+  t.is(run.sighted, undefined);
+  await clock.advance(700);
+  t.is(run.sighted?.percent, 30);
+  await end();
+});
+
+/** Tells how long a run of a second took as its step remembers it, when answers wait to be read. */
+const rememberedMs = async (lateStartMs: number, lateEndMs: number): Promise<number> => {
+  const RUN_MS = 1_000;
+  const clock = new ManualClock();
+  const step = makeOwnedStep(makeStep());
+  const [task] = step.tasks;
+  if (!task) throw new Error('the step has no task');
+  const ended = new AbortController();
+  let endMs: number | undefined;
+  const start = async () => {
+    const clockMs = clock.monotonicMs();
+    endMs = clockMs + RUN_MS;
+    await clock.sleep(lateStartMs);
+    return Ok({ outcome: 'done' as const, clockMs });
+  };
+  const hold = async () => {
+    if (endMs !== undefined) await clock.sleep(Math.max(0, endMs - clock.monotonicMs()));
+    const clockMs = clock.monotonicMs();
+    const end = { sequence: 1, taskId: task.id, run: 1, kind: 'done' as const, checkpoint: '' };
+    const ends = endMs === undefined ? [] : [end];
+    if (endMs !== undefined) await clock.sleep(lateEndMs);
+    return Ok({ kind: 'held' as const, holding: { clockMs, bornMs: 1, running: [], ends } });
+  };
+  const onEnd: AgentListener['onEnd'] = (_agent, run, _end, shownMs) => {
+    if (run) noteDone(run, shownMs);
+  };
+  const agent = makeAgent({ clock, worker: { start, hold }, listener: { onEnd }, ended });
+  const running = agent.run();
+  await clock.advance(200);
+  agent.start(task, 1, SIZE, undefined);
+  await clock.advance(5_000);
+  ended.abort();
+  await clock.advance(2_000);
+  await running;
+  return 100 / (step.doneRates[0] ?? 0);
+};
+
+// Guards against sound runs that count as slow beside one whose start was read late.
+test('should remember how long a run took if the answer to its start was read late', async (t) => {
+  t.is(Math.round(await rememberedMs(800, 0)), 1_000);
+});
+
+// Guards against slow runs that count as sound beside one whose end was read late.
+test('should remember how long a run took if its end was read late', async (t) => {
+  t.is(Math.round(await rememberedMs(0, 2_000)), 1_000);
+});
+
+// Guards against sound runs that count as slow beside one that began before its owner's term.
+test('should not remember how long a run took whose start it did not see', (t) => {
+  const clock = new ManualClock();
+  const step = makeOwnedStep(makeStep());
+  const [task] = step.tasks;
+  const run = task && makeStillAgent(clock).adopt(task, 1, SIZE, 'running');
+  clock.jump(200);
+  if (run) noteDone(run, clock.monotonicMs());
+  t.deepEqual(step.doneRates, []);
+});
--- a/tests/platform/unsentOrders.spec.ts
+++ b/tests/platform/unsentOrders.spec.ts
@@ -85,6 +85,7 @@
     signal: ended.signal,
     nextLease: () => 1_000_000,
     readClock: () => undefined,
+    whenShown: () => clock.monotonicMs(),
     begun: () => undefined,
     gone: (run) => {
       runs.drop(run);
