Count a ticket's time from when it can have been decided

What callers would see: steps that never start, where the policy service takes about as long as its tickets are valid.

Cause: counted from the sending of the call, the service's own time was taken off.

Change: it counts from the sending and the time that the service takes at least.

Shown by: 'should use a ticket of a service that takes longer than it is valid', failing before.

--- a/packages/samphirenotch/src/jobs/stepPermissions.ts
+++ b/packages/samphirenotch/src/jobs/stepPermissions.ts
@@ -173,8 +173,8 @@
       validMs,
     });
     const state = this.stateOf(step);
-    // The answer may have waited to be read.
-    const untilMs = sentMs + validMs - TICKET_MARGIN_MS;
+    // Decided at this time at the earliest; the answer may have waited to be read.
+    const untilMs = sentMs + serviceMs + validMs - TICKET_MARGIN_MS;
     ids.forEach((id) => {
       const ticket = tickets.get(id);
       if (ticket === undefined) {
