Learn nothing from workers whose size is not known yet

Cause: a new owner holds the workers of the roster at once, and their size is 0 until the directory was read. Paces were adjusted in passes before that. Fillers that use a share of nothing gave the regression of pairs infinite shares and then NaN, which it keeps: every pace, every predicted tail and every cost of a filler or a serving task that rests on the pair was NaN for the rest of the term.

Evidence: elected at 5.4 s, 1,128 runs adopted from 6.2 s on, a pass at 6.95 to 7.1 s, the directory read at 7.2 s, the first of 66 paces with percent null at 7.6 s; at 8 s 287 starts on 19 workers of 350.

Change: workers whose size is not known are left out of pacing and learning.

Shown by: 'should learn nothing from a worker whose size is not known yet', failing before (NaN instead of 0.1).

--- a/packages/samphirenotch/src/jobs/fillerPacing.ts
+++ b/packages/samphirenotch/src/jobs/fillerPacing.ts
@@ -55,6 +55,8 @@
   adjust(): void {
     const nowMs = this.clock.monotonicMs();
     this.fleet.all().forEach((agent) => {
+      // Workers of a former owner answer before the directory tells their size.
+      if (agent.description.capacity.milliCores === 0) return;
       if (this.seenLooks.get(agent) === agent.looks) return;
       this.seenLooks.set(agent, agent.looks);
       this.adjustAgent(agent, nowMs);
--- /dev/null
+++ b/tests/jobs/fillerPacing.spec.ts
@@ -0,0 +1,47 @@
+/**
+ * Pacing of fillers and what it learns on the way.
+ */
+import test from 'ava';
+import { FillerPacing } from 'samphirenotch/jobs/fillerPacing.js';
+import { Interference } from 'samphirenotch/jobs/interference.js';
+import { FULL_PERCENT } from 'samphirenotch/jobs/ownedJob.js';
+import type { WorkerAgent } from 'samphirenotch/jobs/workerAgent.js';
+import type { WorkerFleet } from 'samphirenotch/jobs/workerFleet.js';
+import { ManualClock } from 'samphirenotch/time/manualClock.js';
+import { NO_SIZE } from 'samphirenotch/infrastructure/sizes.js';
+
+import { makeStep } from '../fixtures/jobSite.js';
+import { makeOwnedStep, makeStillAgent, occupy } from '../fixtures/stillFleet.js';
+
+const LOOK_MS = 500;
+
+/** Lets a serving task and a filler of an adopted worker be looked at for a while. */
+const lookAt = (agent: WorkerAgent, clock: ManualClock, interference: Interference): void => {
+  const serving = occupy(agent, makeOwnedStep(makeStep({ image: 'touchy', targetMs: 20 })));
+  const filler = occupy(agent, makeOwnedStep(makeStep({ image: 'loud', filler: true })));
+  serving.percent = FULL_PERCENT;
+  serving.gauge = 30;
+  filler.gauge = 900;
+  const pacing = new FillerPacing(
+    { all: () => [agent] } as unknown as WorkerFleet,
+    interference,
+    clock,
+  );
+  const looked = agent;
+  for (let look = 0; look < 6; look += 1) {
+    clock.jump(LOOK_MS);
+    looked.looks += 1;
+    pacing.adjust();
+  }
+};
+
+// Guards against figures of workers that a new owner holds before the directory tells their size:
+// shares of nothing spoil what is known of every pair for the rest of the term.
+test('should learn nothing from a worker whose size is not known yet', (t) => {
+  const clock = new ManualClock();
+  const interference = new Interference();
+  lookAt(makeStillAgent(clock, { capacity: NO_SIZE }), clock, interference);
+  t.is(interference.slope('touchy', 'loud'), new Interference().slope('touchy', 'loud'));
+  lookAt(makeStillAgent(clock, { id: 'w1' }), clock, interference);
+  t.true(Number.isFinite(interference.slope('touchy', 'loud')));
+});
