Never take a worker without room because another's cost is no number

What callers saw: starts on workers that were full (LIMIT) or had as many tasks of the step as they may (ROUTE), after figures of interference had become NaN.

Cause: the search for the cheapest worker passed over costs that are not below the best one with `cost >= best`. No comparison with NaN is true, so the first NaN became the best and every later worker replaced it, also those with an infinite cost, which have no room or may not run the task. Since costs are kept for a pass, nothing else checks that.

Change: only a cost that is below the best one replaces it.

--- a/packages/samphirenotch/src/jobs/taskPlacement.ts
+++ b/packages/samphirenotch/src/jobs/taskPlacement.ts
@@ -246,7 +246,7 @@
     workers.forEach((agent) => {
       if (!agent.fits(size) || !this.permits(agent, task)) return;
       const cost = costOf(agent);
-      if (cost >= bestCost) return;
+      if (!(cost < bestCost)) return;
       best = agent;
       bestCost = cost;
     });
--- a/packages/samphirenotch/src/jobs/workerCosts.ts
+++ b/packages/samphirenotch/src/jobs/workerCosts.ts
@@ -89,7 +89,8 @@
     let bestCost = Number.POSITIVE_INFINITY;
     this.options.workers.forEach((agent, index) => {
       const cost = costAt(index, agent);
-      if (cost >= bestCost) return;
+      // False for a cost that is no number, too.
+      if (!(cost < bestCost)) return;
       best = agent;
       bestCost = cost;
     });
--- a/tests/jobs/taskPlacement.spec.ts
+++ b/tests/jobs/taskPlacement.spec.ts
@@ -9,6 +9,7 @@
 import { FULL_PERCENT, roomOf, type OwnedStep } from 'samphirenotch/jobs/ownedJob.js';
 import { SpreadPlacement, type PlacementInput } from 'samphirenotch/jobs/taskPlacement.js';
 import type { WorkerAgent } from 'samphirenotch/jobs/workerAgent.js';
+import { WorkerCosts } from 'samphirenotch/jobs/workerCosts.js';
 import { ManualClock } from 'samphirenotch/time/manualClock.js';
 
 import { makeStep } from '../fixtures/jobSite.js';
@@ -186,3 +187,18 @@
     t.true(placed > all / 4 && placed < all, `seed ${seed}: ${placed} of ${all}`);
   });
 });
+
+// Guards against a cost that is no number: it made every later worker the cheapest, also full ones.
+test('should not take a worker without room after one whose cost is no number', (t) => {
+  const clock = new ManualClock();
+  const workers = ['w0', 'w1', 'w2'].map((id) => makeStillAgent(clock, { id }));
+  const find = (...costs: readonly number[]): string | undefined =>
+    new WorkerCosts({
+      workers,
+      changed: [],
+      costOf: (agent) => costs[workers.indexOf(agent)] ?? Number.POSITIVE_INFINITY,
+    }).cheapest()?.id;
+  t.is(find(Number.NaN, Number.POSITIVE_INFINITY, Number.POSITIVE_INFINITY), undefined);
+  t.is(find(1, Number.NaN, 2), 'w0');
+  t.is(find(Number.NaN, 2, 1), 'w2');
+});
