--- a/tests/platform/settings.spec.ts
+++ b/tests/platform/settings.spec.ts
@@ -35,3 +35,11 @@
   const error = t.throws(() => readSettings({}), { instanceOf: SettingsError });
   t.regex(error?.message ?? '', /SAMPHIRENOTCH_BOOT/u);
 });
+
+// Guards against fast VMs that stand for election as late as slower ones with the same share of a core.
+test('should count the speed of its cores into what a VM has of a processor', (t) => {
+  const read = (limits: Record<string, number>): number =>
+    parseSettings(JSON.stringify(makeFile({ Limits: limits }))).processorShare;
+  t.is(read({ CpuShare: 0.25, Cores: 2 }), 0.5);
+  t.is(read({ CpuShare: 0.25 }), 0.25);
+});
