--- a/tests/jobs/owners.spec.ts
+++ b/tests/jobs/owners.spec.ts
@@ -272,3 +272,25 @@
   await site.run(5_000);
   t.true(site.record.runs.some(({ workerId }) => workerId === 'w1'));
 });
+
+// Guards against an owner that is too slow for the site because it heard of the vacancy first.
+test('should elect a fast entry although slow ones hear of the vacancy earlier', async (t) => {
+  const owners: (string | undefined)[] = [];
+  for (let delayMs = 0; delayMs < 200; delayMs += 25) {
+    const site = new JobSite({ workers: 1 });
+    const first = site.start('first');
+    await site.run(500);
+    const fast = site.start('fast');
+    await site.clock.advance(70);
+    ['slow-1', 'slow-2'].forEach((name) => site.start(name, false, 0.2));
+    // Changes keep the entries gathering.
+    for (let at = 0; at < 1_000 + delayMs; at += 25) {
+      site.data.put('jobs/change', String(at));
+      await site.clock.advance(25);
+    }
+    first.stop();
+    await site.run(1_500);
+    owners.push(fast.entry.status().owner);
+  }
+  t.deepEqual(new Set(owners), new Set(['fast']));
+});
--- a/tests/platform/clients.spec.ts
+++ b/tests/platform/clients.spec.ts
@@ -245,3 +245,24 @@
   peer.close();
   standIn.close();
 });
+
+// Guards against a silent call that fails others with it: they waited for its connection and were never sent.
+test('should send calls that waited while connections were replaced after silence', async (t) => {
+  const standIn = await startStandIn(({ path }) =>
+    path === '/silent' ? undefined : { status: 200, body: {} },
+  );
+  const peer = new HttpPeer('worker', standIn.address, 1, clock);
+  t.teardown(() => {
+    peer.close();
+    standIn.close();
+  });
+  const ask = (path: string, timeoutMs: number) =>
+    peer.send({ step: 'ask', method: 'GET', path }, callWithin(clock, timeoutMs));
+  const silent = ask('/silent', 200);
+  const waiting = await Promise.all([ask('/one', 5_000), ask('/two', 5_000)]);
+  t.deepEqual(
+    waiting.map((end) => (end.err ? end.val.message : 'answered')),
+    ['answered', 'answered'],
+  );
+  t.true((await silent).err);
+});
