Elect fast entries although slow ones hear of the vacancy first

Cause: entries that do not own gather news for 200 ms, so they hear of a vacancy as far apart, while speed set fast and slow ones apart by 59 ms at most, and by less than that as the number of cores was not counted.

Change: a slow entry waits for longer than the spread of the news, and only where a faster one has owned before or may: entries compare themselves with the fastest owner that they have heard of.

--- a/packages/samphirenotch/src/jobs/jobEntry.ts
+++ b/packages/samphirenotch/src/jobs/jobEntry.ts
@@ -95,7 +95,7 @@
       entry: options.entry,
       process: options.process,
       handoverMs: options.handoverMs,
-      eagerness: Math.min(1, options.processorShare),
+      processorShare: options.processorShare,
       serve: async (term) => {
         const { replica: jobs, operator, jobsFollower } = this;
         const viewAgeMs = (): number => jobsFollower.viewAgeMs();
--- a/packages/samphirenotch/src/jobs/jobReplica.ts
+++ b/packages/samphirenotch/src/jobs/jobReplica.ts
@@ -26,6 +26,8 @@
   readonly entry: string;
   /** Names the process, so that a restarted entry knows a lease of its former life. */
   readonly process: string;
+  /** What its VM has of a core of the usual speed. */
+  readonly processorShare: number;
   readonly revision: number;
 }
 
@@ -61,6 +63,8 @@
 
   private ownerRecord: OwnerRecord | undefined;
 
+  private largestShare = 0;
+
   private caughtUpTo = 0;
 
   private listener: ReplicaListener | undefined;
@@ -72,6 +76,11 @@
     return this.ownerRecord;
   }
 
+  /** @returns the largest share of a core that an owner had so far; 0 before the first one */
+  largestOwnerShare(): number {
+    return this.largestShare;
+  }
+
   /** @returns the revision up to which the replica is complete */
   revision(): number {
     return this.caughtUpTo;
@@ -223,8 +232,10 @@
 
   private readOwner(value: string | undefined, revision: number): OwnerRecord | undefined {
     if (value === undefined) return undefined;
-    const [entry = '', process = ''] = value.split(' ');
-    return { entry, process, revision };
+    const [entry = '', process = '', share = '0'] = value.split(' ');
+    const processorShare = Number(share);
+    this.largestShare = Math.max(this.largestShare, processorShare);
+    return { entry, process, processorShare, revision };
   }
 
   private readWaiting(value: string): Waiting {
--- a/packages/samphirenotch/src/jobs/ownerElection.ts
+++ b/packages/samphirenotch/src/jobs/ownerElection.ts
@@ -37,8 +37,11 @@
 /** Wait before a stopping owner tries again to give its lease back, in milliseconds. */
 const HANDOVER_RETRY_MS = 150;
 
-/** Spread of candidates, so that not all ask at once, in milliseconds. */
-const CANDIDATE_SPREAD_MS = 120;
+/**
+ * Spread of candidates, in milliseconds: entries hear of a vacancy up to 200 ms apart, and a slow one is
+ * not to be elected because it heard first.
+ */
+const CANDIDATE_SPREAD_MS = 320;
 
 /** One term of ownership. */
 export interface Term {
@@ -75,8 +78,8 @@
   readonly entry: string;
   /** Name of this process, another one after each start. */
   readonly process: string;
-  /** From 0 to 1: how early this entry stands for election. */
-  readonly eagerness: number;
+  /** What the entry's VM has of a core of the usual speed: faster entries stand for election earlier. */
+  readonly processorShare: number;
   /** How long a stopping owner goes on while the store does not take its lease back. */
   readonly handoverMs: number;
   /** Serves a term until its signal is aborted. */
@@ -109,17 +112,23 @@
    * @param signal - ends the election and the term
    */
   async run(signal: AbortSignal): Promise<void> {
-    const { clock, eagerness } = this.options;
+    const { clock } = this.options;
     while (!signal.aborted) {
       if (!this.isVacant()) {
         await this.wakeup.wait(CHECK_MS, signal);
         continue;
       }
-      await clock.sleep((1 - eagerness) * CANDIDATE_SPREAD_MS, signal);
+      await clock.sleep((1 - this.eagerness()) * CANDIDATE_SPREAD_MS, signal);
       if (!signal.aborted && this.isVacant()) await this.stand(signal);
     }
   }
 
+  /** From 0 to 1: this entry beside the fastest owner so far, or beside a whole core at first. */
+  private eagerness(): number {
+    const { replica, processorShare } = this.options;
+    return Math.min(1, processorShare / (replica.largestOwnerShare() || 1));
+  }
+
   private isVacant(): boolean {
     const { replica, entry, process } = this.options;
     if (replica.revision() === 0) return false;
@@ -129,7 +138,7 @@
   }
 
   private async stand(signal: AbortSignal): Promise<void> {
-    const { store, clock, replica, entry, process } = this.options;
+    const { store, clock, replica, entry, process, processorShare } = this.options;
     const lease = await store.grantLease(LEASE_MS, callWithin(clock, CALL_TIMEOUT_MS, signal));
     if (lease.err) {
       await clock.sleep(CALL_TIMEOUT_MS / 2, signal);
@@ -137,10 +146,11 @@
     }
     const sentMs = clock.monotonicMs();
     const expected = replica.owner()?.revision ?? 0;
+    const value = `${entry} ${process} ${processorShare}`;
     const outcome = await store.commit(
       {
         expectations: [{ key: OWNER_KEY, revision: expected }],
-        writes: [{ key: OWNER_KEY, value: `${entry} ${process}`, leaseId: lease.val }],
+        writes: [{ key: OWNER_KEY, value, leaseId: lease.val }],
         removals: [],
       },
       callWithin(clock, CALL_TIMEOUT_MS, signal),
--- a/tests/jobs/formerOwner.spec.ts
+++ b/tests/jobs/formerOwner.spec.ts
@@ -41,11 +41,15 @@
   let endedMs: number | undefined;
   const election = new OwnerElection({
     store: makeSilentStore(clock, silenceMs),
-    replica: { revision: () => 1, owner: () => undefined } as unknown as JobReplica,
+    replica: {
+      revision: () => 1,
+      owner: () => undefined,
+      largestOwnerShare: () => 0,
+    } as unknown as JobReplica,
     clock,
     entry: 'a',
     process: 'a-1',
-    eagerness: 1,
+    processorShare: 1,
     handoverMs: 4_000,
     serve: async (term) => {
       confirmedMs ??= clock.monotonicMs() + 700;
