Start some long-running tasks in every pass

Cause: long-running steps come after all that can be in time. Passes that are cut short begin with the most urgent, so while an owner is short of time they never got to them.

Change: a pass that is cut short starts a task of each of four long-running steps behind that point, where there is room.

Shown by: 'should start a long-running task while tasks that can be in time keep coming', failing before.

--- a/packages/samphirenotch/src/jobs/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/stepLauncher.ts
@@ -20,7 +20,7 @@
 import { ServingMoves } from './servingMoves.js';
 import { Starvation } from './starvation.js';
 import { DeadlineStepOrder, type StepOrder } from './stepOrder.js';
-import { SpreadPlacement, type TaskPlacement } from './taskPlacement.js';
+import { SpreadPlacement, type PlacementInput, type TaskPlacement } from './taskPlacement.js';
 import type { WorkerAgent } from './workerAgent.js';
 import type { WorkerFleet } from './workerFleet.js';
 
@@ -48,8 +48,11 @@
  */
 const FRESH_NEWS_MS = 2_500;
 
-/** Jobs of fillers that nobody would bear of which a pass starts a task, at most. */
-const MOST_STARVED = 4;
+/**
+ * Tasks that a pass starts at most of starved fillers, and of long-running steps behind the point where
+ * it was cut short.
+ */
+const MOST_RESERVED = 4;
 
 /** Time between two looks at what fillers ask for, in milliseconds. */
 const DEMAND_GAP_MS = 500;
@@ -154,11 +157,13 @@
       .flatMap((job) => this.waitingSteps(job, nowMs));
     const ordered = this.order.sort(steps, nowMs);
     this.startUntilMs = clock.monotonicMs() + STARTING_MS;
-    const isWhole = ordered.every((step) => this.startStep(step, nowMs));
+    const cutAt = ordered.findIndex((step) => !this.startStep(step, nowMs));
+    const isWhole = cutAt < 0;
     const starved = this.starvation.starved(ordered);
-    starved.slice(0, MOST_STARVED).forEach((step) => this.startStarved(step, nowMs));
+    starved.slice(0, MOST_RESERVED).forEach((step) => this.startStarved(step, nowMs));
+    if (!isWhole) this.startLasting(ordered.slice(cutAt + 1), nowMs);
     const hasCopied = isWhole && this.startCopies();
-    this.wasCut = !isWhole || !hasCopied || starved.length > MOST_STARVED;
+    this.wasCut = !isWhole || !hasCopied || starved.length > MOST_RESERVED;
     if (isWhole) this.moveServing();
   }
 
@@ -209,12 +214,31 @@
   }
 
   private startStarved(step: OwnedStep, nowMs: number): void {
-    const candidates = this.candidates(step);
+    if (!Starvation.hasRoom(this.candidates(step))) return;
+    this.startOne(
+      step,
+      nowMs,
+      (input) => this.placement.choose(input) ?? this.placement.leastDisturbed(input),
+    );
+  }
+
+  /** Long-running tasks come after short ones for room, not for the owner's time. */
+  private startLasting(steps: readonly OwnedStep[], nowMs: number): void {
+    steps
+      .filter(({ spec }) => spec.longRunning)
+      .slice(0, MOST_RESERVED)
+      .forEach((step) => this.startOne(step, nowMs, (input) => this.placement.choose(input)));
+  }
+
+  private startOne(
+    step: OwnedStep,
+    nowMs: number,
+    choose: (input: PlacementInput) => WorkerAgent | undefined,
+  ): void {
     const task = step.tasks.find((each) => this.isWaiting(each, nowMs));
-    if (!task || step.spec.gang || !Starvation.hasRoom(candidates)) return;
-    const workers = this.options.permissions.startable(step, candidates);
-    const input = { task, size: roomOf(task), workers };
-    const agent = this.placement.choose(input) ?? this.placement.leastDisturbed(input);
+    if (!task || step.spec.gang) return;
+    const workers = this.options.permissions.startable(step, this.candidates(step));
+    const agent = choose({ task, size: roomOf(task), workers });
     if (agent) this.start({ task, agent }, task.nextRun);
   }
 
--- a/tests/jobs/cutPasses.spec.ts
+++ b/tests/jobs/cutPasses.spec.ts
@@ -124,3 +124,14 @@
   const [run] = site.record.of(`${URGENT_ID}.0.0.0`);
   t.true((run?.startedMs ?? Infinity) - putMs <= SOON_MS);
 });
+
+// Guards against long-running tasks that wait until no short one can be in time any more or none is left.
+test('should start a long-running task while tasks that can be in time keep coming', async (t) => {
+  const site = await makeBulkSite();
+  await runBurst(site, 1_000);
+  put(site, urgent, [URGENT_ID], makeJob(makeStep({ longRunning: true })));
+  const putMs = site.clock.monotonicMs();
+  await runBurst(site, BURST_MS, 1_000);
+  const [run] = site.record.of(`${URGENT_ID}.0.0.0`);
+  t.true((run?.startedMs ?? Infinity) - putMs <= SOON_MS);
+});
