--- a/benchmarks/decisions/stepOrder.ts
+++ b/benchmarks/decisions/stepOrder.ts
@@ -4,8 +4,8 @@
  * @packageDocumentation
  */
 
-import { FirstComeStepOrder } from 'samphirenotch/jobs/firstComeStepOrder.js';
-import { DeadlineStepOrder } from 'samphirenotch/jobs/stepOrder.js';
+import { FirstComeStepOrder } from 'samphirenotch/jobs/placement/firstComeStepOrder.js';
+import { DeadlineStepOrder } from 'samphirenotch/jobs/placement/stepOrder.js';
 
 import { type Comparison, compare, type Metric, SEEDS } from '../support/comparison.js';
 import {
--- a/benchmarks/support/stepOrderFake.ts
+++ b/benchmarks/support/stepOrderFake.ts
@@ -6,10 +6,11 @@
  */
 
 import { SeededRandom } from 'samphirenotch/decisions/seededRandom.js';
-import type { StepSpec } from 'samphirenotch/jobs/jobSpec.js';
-import { isStepOpen, OwnedJob, type OwnedStep } from 'samphirenotch/jobs/ownedJob.js';
-import type { Queue } from 'samphirenotch/jobs/siteConfiguration.js';
-import type { StepOrder } from 'samphirenotch/jobs/stepOrder.js';
+import type { StepSpec } from 'samphirenotch/jobs/model/jobSpec.js';
+import { isStepOpen, OwnedJob, type OwnedStep } from 'samphirenotch/jobs/model/ownedJob.js';
+import { WHOLE_SITE } from 'samphirenotch/jobs/model/shareLayout.js';
+import type { Queue } from 'samphirenotch/jobs/model/siteConfiguration.js';
+import type { StepOrder } from 'samphirenotch/jobs/placement/stepOrder.js';
 
 import type { Figures } from './comparison.js';
 
@@ -111,7 +112,7 @@
   }));
   const job = { spec: '', steps, repeatCount: 0, startAtMs: 0, intervalMs: 0 };
   return new OwnedJob({
-    accepted: { id, queue, acceptedAtMs: nowMs, job },
+    accepted: { id, home: WHOLE_SITE, queue, acceptedAtMs: nowMs, job },
     revision: 1,
     queue,
     progress: undefined,
--- /dev/null
+++ b/packages/samphirenotch/src/jobs/entry/homes.ts
@@ -0,0 +1,109 @@
+/**
+ * Chooses homes for jobs that are handed in, by the newest news of all shares.
+ */
+import { SeededRandom } from '../../decisions/seededRandom.js';
+import { partLog } from '../../observability/log.js';
+
+import type { JobSpec } from '../model/jobSpec.js';
+import { WHOLE_SITE, type Share } from '../model/shareLayout.js';
+import {
+  demandOf,
+  RoomiestOfTwo,
+  type HomeCandidate,
+  type HomeChoice,
+} from '../placement/homeChoice.js';
+import type { JobReplica } from '../store/jobReplica.js';
+import type { OperatorFollower } from '../store/operatorFollower.js';
+import type { RoomBoard } from '../store/roomBoard.js';
+
+/** What is needed to choose. */
+export interface HomesOptions {
+  readonly replica: JobReplica;
+  readonly rooms: RoomBoard;
+  readonly operator: OperatorFollower;
+  readonly dataCentre: string;
+  /** Name of this process: others choose otherwise on the same news. */
+  readonly process: string;
+}
+
+/** Age up to which news of rooms serve, in milliseconds. */
+const ROOMS_AGE_MS = 3_000;
+
+const SEED_FACTOR = 31;
+const SEED_BOUND = 2 ** 31;
+
+const seedOf = (text: string): number =>
+  [...text].reduce(
+    (seed, character) => (seed * SEED_FACTOR + character.charCodeAt(0)) % SEED_BOUND,
+    1,
+  );
+
+/** Homes of one entry. */
+export class Homes {
+  private readonly log = partLog('homes');
+
+  private readonly choice: HomeChoice;
+
+  /**
+   * @param options - the replica and the entry
+   */
+  constructor(private readonly options: HomesOptions) {
+    this.choice = new RoomiestOfTwo(new SeededRandom(seedOf(options.process)));
+  }
+
+  /**
+   * Chooses the home of a job.
+   *
+   * @param job - the job
+   * @returns id of the share
+   */
+  async choose(job: JobSpec): Promise<string> {
+    const { replica } = this.options;
+    const { layout } = replica.shares;
+    if (!layout) return WHOLE_SITE;
+    const [only] = layout.shares;
+    if (layout.shares.length === 1) return only.id;
+    await this.knowRooms();
+    const loads = this.loads();
+    const candidates = layout.shares.map((share) => this.candidate(share, loads));
+    return this.choice.choose(job, candidates);
+  }
+
+  /** Room changes slowly, other than what jobs ask for: only the first job waits for news of it. */
+  private async knowRooms(): Promise<void> {
+    const { rooms } = this.options;
+    const reading = rooms.refresh(ROOMS_AGE_MS);
+    if (rooms.ageMs() === Number.POSITIVE_INFINITY) {
+      await reading;
+      return;
+    }
+    reading.catch((error: unknown) => {
+      this.log.error('Rooms were not read', { reason: String(error) });
+    });
+  }
+
+  private candidate(share: Share, loads: ReadonlyMap<string, number>): HomeCandidate {
+    const { replica, rooms, operator, dataCentre } = this.options;
+    const { evacuated } = operator.view();
+    return {
+      share: share.id,
+      isOwned: replica.shares.owner(share.id) !== undefined,
+      isLocal: share.dataCentres.includes(dataCentre),
+      room: rooms.of(share.id),
+      isEvacuated: share.dataCentres.every((name) => evacuated.has(name)),
+      load: loads.get(share.id) ?? 0,
+    };
+  }
+
+  /** What open jobs ask for, by home. */
+  private loads(): ReadonlyMap<string, number> {
+    const { replica } = this.options;
+    const loads = new Map<string, number>();
+    replica.openJobs().forEach((job) => {
+      if (replica.isCancelled(job.accepted.id)) return;
+      const home = replica.homeOf(job);
+      loads.set(home, (loads.get(home) ?? 0) + demandOf(job.accepted.job));
+    });
+    return loads;
+  }
+}
--- a/packages/samphirenotch/src/jobs/jobCommands.ts
+++ b/packages/samphirenotch/src/jobs/entry/jobCommands.ts
@@ -1,18 +1,18 @@
 /**
  * What callers change: they hand jobs in and cancel them. Any entry serves any job.
  */
-import type { Failure } from '../failure.js';
-import type { Transaction, TransactionStore } from '../infrastructure/transactionStore.js';
-import { partLog } from '../observability/log.js';
-import { callWithin, remainingMs, type Call } from '../time/call.js';
-import type { Clock } from '../time/clock.js';
-
-import { encodeAccepted } from './acceptedJob.js';
-import { ACCEPTED_PREFIX, CANCELLED_PREFIX } from './jobKeys.js';
-import type { JobReplica } from './jobReplica.js';
-import type { JobSpec } from './jobSpec.js';
-import type { Queue } from './siteConfiguration.js';
-import type { StoreFollower } from './storeFollower.js';
+import type { Failure } from '../../failure.js';
+import type { Transaction, TransactionStore } from '../../infrastructure/transactionStore.js';
+import { partLog } from '../../observability/log.js';
+import { callWithin, remainingMs, type Call } from '../../time/call.js';
+import type { Clock } from '../../time/clock.js';
+
+import { encodeAccepted } from '../model/acceptedJob.js';
+import type { JobSpec } from '../model/jobSpec.js';
+import type { Queue } from '../model/siteConfiguration.js';
+import { ACCEPTED_PREFIX, CANCELLED_PREFIX } from '../store/jobKeys.js';
+import type { JobReplica } from '../store/jobReplica.js';
+import type { StoreFollower } from '../store/storeFollower.js';
 
 /** Time for one call to the store, in milliseconds; it answers in a few unless something is wrong. */
 const TRY_MS = 500;
@@ -45,6 +45,8 @@
   /** Follows the replica's prefix; tells how long the store has been silent. */
   readonly follower: StoreFollower;
   readonly clock: Clock;
+  /** Chooses the share that is to decide about a job. */
+  readonly chooseHome: (job: JobSpec) => Promise<string>;
 }
 
 /** Serves commands of callers. */
@@ -66,9 +68,10 @@
    * @returns what became of it
    */
   async submit(jobId: string, queue: Queue, job: JobSpec, call: Call): Promise<CommandOutcome> {
-    const { replica, clock } = this.options;
+    const { replica, clock, chooseHome } = this.options;
     if (replica.find(jobId)) return { kind: 'done' };
-    const accepted = { id: jobId, queue, acceptedAtMs: clock.wallMs(), job };
+    const home = await chooseHome(job);
+    const accepted = { id: jobId, home, queue, acceptedAtMs: clock.wallMs(), job };
     const key = ACCEPTED_PREFIX + jobId;
     const transaction = {
       expectations: [{ key, revision: 0 }],
@@ -77,7 +80,7 @@
     };
     // A conflict says that the job is there already, from this call or from another one.
     const outcome = await this.commit(transaction, call);
-    this.report('submit', jobId, queue.name, outcome);
+    this.report('submit', jobId, queue.name, outcome, home);
     return outcome;
   }
 
@@ -139,12 +142,19 @@
     return { kind: 'unknown', reason: last?.message ?? 'the caller left no time' };
   }
 
-  private report(command: string, jobId: string, queue: string, outcome: CommandOutcome): void {
+  private report(
+    command: string,
+    jobId: string,
+    queue: string,
+    outcome: CommandOutcome,
+    home?: string,
+  ): void {
     const { follower, replica } = this.options;
     this.log.info('A command was answered', {
       command,
       jobId,
       queue,
+      home,
       outcome: outcome.kind,
       reason: 'reason' in outcome ? outcome.reason : undefined,
       revision: replica.revision(),
--- a/packages/samphirenotch/src/jobs/jobEntry.ts
+++ b/packages/samphirenotch/src/jobs/entry/jobEntry.ts
@@ -1,25 +1,27 @@
 /**
  * An entry: it serves callers, follows the store, and owns all jobs while it is elected.
  */
-import type { PolicyService } from '../infrastructure/policyService.js';
-import type { TaskWorkerDirectory } from '../infrastructure/taskWorker.js';
-import type { TransactionStore } from '../infrastructure/transactionStore.js';
-import { partLog } from '../observability/log.js';
-import type { Gauge } from '../observability/prometheusText.js';
-import type { Recorder } from '../observability/recorder.js';
-import type { Clock } from '../time/clock.js';
-
-import type { EntryStatus } from './entryStatus.js';
+import type { PolicyService } from '../../infrastructure/policyService.js';
+import type { TaskWorkerDirectory } from '../../infrastructure/taskWorker.js';
+import type { TransactionStore } from '../../infrastructure/transactionStore.js';
+import { partLog } from '../../observability/log.js';
+import type { Gauge } from '../../observability/prometheusText.js';
+import type { Recorder } from '../../observability/recorder.js';
+import type { Clock } from '../../time/clock.js';
+
+import type { SiteCodec } from '../model/siteCodec.js';
+import type { JobSpec } from '../model/jobSpec.js';
+import type { EntryStatus, ShareStatus } from '../ownership/entryStatus.js';
+import { ShareOwners } from '../ownership/shareOwners.js';
+import type { JobExplanation } from '../placement/jobExplanation.js';
+import { SHARED_PREFIX } from '../store/jobKeys.js';
+import { JobReplica } from '../store/jobReplica.js';
+import { OperatorFollower } from '../store/operatorFollower.js';
+import { RoomBoard } from '../store/roomBoard.js';
+import { StoreFollower } from '../store/storeFollower.js';
 import { JobCommands } from './jobCommands.js';
-import type { JobExplanation } from './jobExplanation.js';
-import { SHARED_PREFIX } from './jobKeys.js';
-import { JobOwner } from './jobOwner.js';
+import { Homes } from './homes.js';
 import { JobQueries } from './jobQueries.js';
-import { JobReplica } from './jobReplica.js';
-import { OperatorFollower } from './operatorFollower.js';
-import { OwnerElection } from './ownerElection.js';
-import type { SiteCodec } from './siteCodec.js';
-import { StoreFollower } from './storeFollower.js';
 
 /** Silence of the store after which an entry says that it is not ready, in milliseconds. */
 const NOT_READY_MS = 2_000;
@@ -27,6 +29,12 @@
 /** How long changes of jobs gather at an entry that does not own them, in milliseconds. */
 const GATHER_MS = 200;
 
+/** The same at an owner, for which every answer is as much work as a start. */
+const OWNER_GATHER_MS = 15;
+
+/** Age up to which the status tells of rooms, in milliseconds. */
+const STATUS_AGE_MS = 1_000;
+
 const wholeMs = (durationMs: number): number | undefined =>
   Number.isFinite(durationMs) ? Math.round(durationMs) : undefined;
 
@@ -49,6 +57,9 @@
   readonly handoverMs: number;
   /** Share of a core that the entry's VM has. */
   readonly processorShare: number;
+  readonly dataCentre: string;
+  /** Time for workers to list themselves before the site is divided for the first time. */
+  readonly layoutSettleMs: number;
 }
 
 /** What the server of callers is given. */
@@ -70,14 +81,14 @@
 
   private readonly operatorFollower: StoreFollower;
 
-  private readonly election: OwnerElection;
+  private readonly rooms: RoomBoard;
+
+  private readonly shareOwners: ShareOwners;
 
   private readonly log = partLog('entry');
 
   private readonly following = new AbortController();
 
-  private ownerHere: JobOwner | undefined;
-
   /**
    * @param options - outside systems, clock and name
    */
@@ -85,32 +96,23 @@
     const { store, clock, codec } = options;
     this.operator = new OperatorFollower(codec);
     this.jobsFollower = new StoreFollower(store, SHARED_PREFIX, this.replica, clock, {
-      gatherMs: () => (this.ownerHere ? 0 : GATHER_MS),
+      gatherMs: () => (this.shareOwners.all().length > 0 ? OWNER_GATHER_MS : GATHER_MS),
     });
     this.operatorFollower = new StoreFollower(store, codec.operatorPrefix, this.operator, clock);
-    this.election = new OwnerElection({
-      store,
-      replica: this.replica,
-      clock,
-      entry: options.entry,
-      process: options.process,
-      handoverMs: options.handoverMs,
-      processorShare: options.processorShare,
-      serve: async (term) => {
-        const { replica: jobs, operator, jobsFollower } = this;
-        const viewAgeMs = (): number => jobsFollower.viewAgeMs();
-        this.ownerHere = new JobOwner({ ...options, replica: jobs, operator, viewAgeMs }, term);
-        try {
-          await this.ownerHere.serve();
-        } finally {
-          this.ownerHere = undefined;
-        }
-      },
+    this.rooms = new RoomBoard(store, clock);
+    const { replica, rooms, operator, jobsFollower } = this;
+    this.shareOwners = new ShareOwners({
+      ...options,
+      replica,
+      rooms,
+      operator,
+      viewAgeMs: () => jobsFollower.viewAgeMs(),
     });
-    this.replica.whenCaughtUp(() => this.election.notify());
-    const { replica } = this;
+    replica.whenCaughtUp(() => this.shareOwners.notify());
+    const homes = new Homes({ ...options, replica, rooms, operator });
+    const chooseHome = (job: JobSpec): Promise<string> => homes.choose(job);
     this.parts = {
-      commands: new JobCommands({ store, replica, follower: this.jobsFollower, clock }),
+      commands: new JobCommands({ store, replica, follower: jobsFollower, clock, chooseHome }),
       queries: new JobQueries({ store, replica, follower: this.jobsFollower, clock }),
       operator: this.operator,
     };
@@ -125,13 +127,26 @@
     );
   }
 
+  /** @returns the entry's name */
+  get name(): string {
+    return this.options.entry;
+  }
+
+  /** @returns names of the entries that own shares, by the last news */
+  owners(): readonly string[] {
+    const names = this.shares().flatMap(({ owner }) => (owner === undefined ? [] : [owner]));
+    return [...new Set(names)];
+  }
+
   /** @returns what this entry knows of itself and the site */
   status(): EntryStatus {
+    this.refreshRooms();
     const { configuration, evacuated } = this.operator.view();
     return {
       entry: this.options.entry,
       isReady: this.isReady(),
-      owner: this.replica.owner()?.entry,
+      shares: this.shares(),
+      roomAgeMs: wholeMs(this.rooms.ageMs()),
       configurationVersion: configuration?.version,
       evacuatedDataCentres: [...evacuated],
       storeAgeMs: wholeMs(this.jobsFollower.viewAgeMs()),
@@ -141,7 +156,8 @@
         queue: name,
         waiting: this.parts.queries.waiting(name),
       })),
-      ...(this.ownerHere ? { term: this.ownerHere.status() } : {}),
+      terms: this.shareOwners.all().map((owner) => owner.status()),
+      workers: this.shareOwners.all().flatMap((owner) => owner.workers()),
     };
   }
 
@@ -152,14 +168,17 @@
    * @returns why its tasks wait or where they run; undefined at entries that do not own it
    */
   explain(jobId: string): JobExplanation | undefined {
-    return this.ownerHere?.explain(jobId);
+    return this.shareOwners
+      .all()
+      .map((owner) => owner.explain(jobId))
+      .find((explanation) => explanation !== undefined);
   }
 
   /** @returns values for metrics */
   gauges(): readonly Gauge[] {
     const gauge = (name: string, value: number): Gauge => ({ name, labels: {}, value });
     return [
-      gauge('is_owner', this.ownerHere ? 1 : 0),
+      gauge('shares_owned', this.shareOwners.all().length),
       gauge('jobs_open', this.replica.openJobs().length),
       gauge('configuration_version', this.operator.view().configuration?.version ?? 0),
       gauge('store_age_seconds', this.jobsFollower.viewAgeMs() / 1_000),
@@ -180,7 +199,31 @@
         this.following.abort();
       }),
     );
-    await this.election.run(signal);
+    await this.shareOwners.run(signal);
+  }
+
+  /** The next status tells of it. */
+  private refreshRooms(): void {
+    this.rooms.refresh(STATUS_AGE_MS).catch((error: unknown) => {
+      this.log.error('Rooms were not read', { reason: String(error) });
+    });
+  }
+
+  private shares(): readonly ShareStatus[] {
+    const { replica, rooms } = this;
+    const { layout } = replica.shares;
+    const homes = replica.openJobs().map((job) => replica.homeOf(job));
+    return (layout?.shares ?? []).map(({ id }) => {
+      const room = rooms.of(id);
+      return {
+        share: id,
+        owner: replica.shares.owner(id)?.entry,
+        capacityMilliCores: room.capacity,
+        unusedMilliCores: room.unused,
+        waitingMilliCores: room.waiting,
+        jobsOpen: homes.filter((home) => home === id).length,
+      };
+    });
   }
 
   /** Stops following the store; callers are served no more. */
--- a/packages/samphirenotch/src/jobs/jobQueries.ts
+++ b/packages/samphirenotch/src/jobs/entry/jobQueries.ts
@@ -1,15 +1,15 @@
 /**
  * What callers ask: the state of a job, and how many jobs of a queue wait.
  */
-import type { TransactionStore } from '../infrastructure/transactionStore.js';
-import { partLog } from '../observability/log.js';
-import { callWithin, remainingMs, type Call } from '../time/call.js';
-import type { Clock } from '../time/clock.js';
+import type { TransactionStore } from '../../infrastructure/transactionStore.js';
+import { partLog } from '../../observability/log.js';
+import { callWithin, remainingMs, type Call } from '../../time/call.js';
+import type { Clock } from '../../time/clock.js';
 
-import { ACCEPTED_PREFIX, ENDED_PREFIX } from './jobKeys.js';
-import type { JobReplica } from './jobReplica.js';
-import type { JobState } from './jobSpec.js';
-import type { StoreFollower } from './storeFollower.js';
+import type { JobState } from '../model/jobSpec.js';
+import { ACCEPTED_PREFIX, ENDED_PREFIX } from '../store/jobKeys.js';
+import type { JobReplica } from '../store/jobReplica.js';
+import type { StoreFollower } from '../store/storeFollower.js';
 
 /** Time for a read of the store, in milliseconds. */
 const READ_MS = 800;
--- a/packages/samphirenotch/src/jobs/acceptedJob.ts
+++ b/packages/samphirenotch/src/jobs/model/acceptedJob.ts
@@ -44,6 +44,7 @@
 
 const ACCEPTED = z.object({
   id: z.string(),
+  home: z.string(),
   queue: QUEUE,
   acceptedAtMs: z.number(),
   job: z.object({
--- a/packages/samphirenotch/src/jobs/jobProgress.ts
+++ b/packages/samphirenotch/src/jobs/model/jobProgress.ts
@@ -3,8 +3,6 @@
  */
 import { z } from 'zod';
 
-import type { OwnedJob } from './ownedJob.js';
-
 const STEP = z.object({
   /** Done tasks as runs of indexes: start, length, start, length... */
   d: z.array(z.number()),
@@ -23,6 +21,24 @@
 /** Progress by occurrence and step. */
 export type JobProgress = ReadonlyMap<number, readonly StepProgress[]>;
 
+/** What is written of a task. */
+interface TaskRecord {
+  readonly index: number;
+  readonly done: boolean;
+  readonly failedRuns: readonly number[];
+}
+
+/** A job as far as its progress goes. */
+export interface RecordedJob {
+  readonly occurrences: ReadonlyMap<
+    number,
+    {
+      readonly index: number;
+      readonly steps: readonly { readonly tasks: readonly TaskRecord[] }[];
+    }
+  >;
+}
+
 const toRanges = (flags: readonly boolean[]): readonly number[] => {
   const ranges: number[] = [];
   flags.forEach((flag, index) => {
@@ -55,7 +71,7 @@
  * @param job - the job
  * @returns text for the store
  */
-export const encodeProgress = (job: OwnedJob): string => {
+export const encodeProgress = (job: RecordedJob): string => {
   const occurrences = [...job.occurrences.values()].map(({ index, steps }) => ({
     k: index,
     s: steps.map(({ tasks }) => {
--- a/packages/samphirenotch/src/jobs/jobSpec.ts
+++ b/packages/samphirenotch/src/jobs/model/jobSpec.ts
@@ -1,7 +1,7 @@
 /**
  * Jobs made of steps, as callers hand them in.
  */
-import type { Size } from '../infrastructure/worker.js';
+import type { Size } from '../../infrastructure/worker.js';
 
 import type { Queue } from './siteConfiguration.js';
 
@@ -57,6 +57,8 @@
 /** An accepted job as it is stored. */
 export interface AcceptedJob {
   readonly id: string;
+  /** Id of the share that decides about it. */
+  readonly home: string;
   /** Its queue as configured when it was accepted. */
   readonly queue: Queue;
   /** Wall clock at acceptance, in Unix milliseconds. */
--- a/packages/samphirenotch/src/jobs/ownedJob.ts
+++ b/packages/samphirenotch/src/jobs/model/ownedJob.ts
@@ -1,12 +1,12 @@
 /**
  * A job in the memory of its owner: occurrences, steps, tasks and their runs.
  */
-import type { Size } from '../infrastructure/worker.js';
+import type { Size } from '../../infrastructure/worker.js';
 
+import type { DelegatedTask, Delegation } from './delegation.js';
 import type { JobProgress, StepProgress } from './jobProgress.js';
-import { taskIdOf, type AcceptedJob, type StepSpec } from './jobSpec.js';
+import { stepIdOf, taskIdOf, type AcceptedJob, type StepSpec } from './jobSpec.js';
 import type { Queue } from './siteConfiguration.js';
-import type { WorkerAgent } from './workerAgent.js';
 
 /** Where a run stands, as far as its owner knows. */
 export type RunPhase =
@@ -26,11 +26,24 @@
   readonly atMs: number;
 }
 
+/** What a run needs of its worker. */
+export interface RunHost {
+  /** The worker's id. */
+  readonly id: string;
+  /**
+   * Stops a run. Its room is taken until the worker has listed its end.
+   *
+   * @param run - the run
+   * @param reason - for the log
+   */
+  stop(run: OwnedRun, reason: string): void;
+}
+
 /** One start of a task on a worker. */
 export interface OwnedRun {
   readonly task: OwnedTask;
   readonly run: number;
-  readonly agent: WorkerAgent;
+  readonly agent: RunHost;
   readonly size: Size;
   phase: RunPhase;
   /** Monotonic time of the order or of the sighting, in milliseconds. */
@@ -101,10 +114,14 @@
   notBeforeMs: number;
   /** Workers on which it failed. */
   readonly failedOn: Set<string>;
+  /** Another share has it: nothing of it is started here. */
+  away: boolean;
 }
 
 /** A step of an occurrence. */
 export interface OwnedStep {
+  /** Job, occurrence and number: alike in all parts of a job that a share has. */
+  readonly id: string;
   readonly occurrence: OwnedOccurrence;
   readonly index: number;
   readonly spec: StepSpec;
@@ -112,6 +129,8 @@
   doneCount: number;
   /** Speeds of runs that are done, in percent per millisecond. */
   readonly doneRates: number[];
+  /** Monotonic time since when its tasks find no worker, in milliseconds; undefined if they do. */
+  unplacedSinceMs: number | undefined;
 }
 
 /** One time that the steps of a job run. */
@@ -135,6 +154,8 @@
   readonly acceptedMs: number;
   /** Monotonic time at which this owner heard of it, in milliseconds. */
   readonly learnedMs: number;
+  /** What another share, its home, has handed to this one; undefined for a job of this share. */
+  readonly delegation?: Delegation;
 }
 
 /** A job. */
@@ -183,6 +204,16 @@
     return this.accepted.id;
   }
 
+  /** @returns what its home has handed to this share; undefined for a job of this share */
+  get delegation(): Delegation | undefined {
+    return this.options.delegation;
+  }
+
+  /** @returns true if another share is its home */
+  get isGuest(): boolean {
+    return this.options.delegation !== undefined;
+  }
+
   /** @returns true if tasks of the job may be started */
   get isOpen(): boolean {
     return !this.cancelled && this.final === undefined;
@@ -190,6 +221,7 @@
 
   /** @returns true once every task of every occurrence is done */
   get isDone(): boolean {
+    if (this.isGuest) return false;
     return [...this.occurrences.values()].every(({ steps }) =>
       steps.every(({ spec, doneCount }) => !spec.longRunning && doneCount === spec.count),
     );
@@ -227,6 +259,12 @@
     this.occurrences.set(index, occurrence);
   }
 
+  private handedTasks(occurrence: number, step: number): readonly DelegatedTask[] {
+    const { delegation } = this.options;
+    const isHanded = delegation?.occurrence === occurrence && delegation.step === step;
+    return isHanded ? delegation.tasks : [];
+  }
+
   private makeStep(
     occurrence: OwnedOccurrence,
     spec: StepSpec,
@@ -235,26 +273,37 @@
   ): OwnedStep {
     const progress = known?.[at];
     const step: OwnedStep = {
+      id: stepIdOf(this.id, occurrence.index, at),
       occurrence,
       index: at,
       spec,
       tasks: [],
       doneCount: progress?.done.size ?? 0,
       doneRates: [],
+      unplacedSinceMs: undefined,
     };
+    const handed = new Map(
+      this.handedTasks(occurrence.index, at).map((task) => [task.index, task]),
+    );
     for (let index = 0; index < spec.count; index += 1) {
       const failedRuns = progress?.failedRuns.get(index) ?? [];
+      const task = handed.get(index);
       step.tasks.push({
         step,
         index,
         id: taskIdOf(this.id, occurrence.index, at, index),
         done: progress?.done.has(index) ?? false,
         failedRuns: [...failedRuns],
-        nextRun: Math.max(this.options.firstRun, ...failedRuns.map((run) => run + 1)),
-        checkpoint: '',
+        nextRun: Math.max(
+          this.options.firstRun,
+          task?.nextRun ?? 0,
+          ...failedRuns.map((run) => run + 1),
+        ),
+        checkpoint: task?.checkpoint ?? '',
         runs: [],
         notBeforeMs: 0,
         failedOn: new Set(),
+        away: this.isGuest && !task,
       });
     }
     return step;
@@ -262,17 +311,36 @@
 }
 
 /**
- * Tells whether all steps that a step comes after are done.
+ * Tells whether a task is neither done nor in progress, and this share has it.
+ *
+ * @param task - the task
+ * @returns true if it may have to be started here
+ */
+export const isUnstarted = ({ done, runs, away }: OwnedTask): boolean =>
+  !done && !away && runs.length === 0;
+
+/**
+ * Tells whether all steps that a step comes after are done; the home of a guest has seen to that.
  *
  * @param step - the step
  * @returns true if its tasks may start as far as order goes
  */
 export const isStepOpen = ({ spec, occurrence }: OwnedStep): boolean =>
+  occurrence.job.isGuest ||
   spec.after.every((earlier) => {
     const step = occurrence.steps[earlier];
     return step !== undefined && step.doneCount === step.spec.count;
   });
 
+/**
+ * Tells whether some task of a step is neither done nor in progress, and this share has it.
+ *
+ * @param step - the step
+ * @returns true if one may have to be started
+ */
+export const hasWaiting = ({ spec, doneCount, tasks }: OwnedStep): boolean =>
+  (doneCount < spec.count || spec.longRunning) && tasks.some(isUnstarted);
+
 /**
  * Tells which room each task of a step takes: a filler takes no processors.
  *
--- /dev/null
+++ b/packages/samphirenotch/src/jobs/model/shareRoom.ts
@@ -0,0 +1,63 @@
+/**
+ * What room a share has, as its owner tells others.
+ */
+import { z } from 'zod';
+
+/** Room of a share, in thousandths of a core. */
+export interface ShareRoom {
+  /** Of workers that take work. */
+  readonly capacity: number;
+  /** Of it, what nothing but fillers has taken. */
+  readonly free: number;
+  /** Of it, what nothing in progress is expected to use. */
+  readonly unused: number;
+  /** What tasks ask for that could start if there were room. */
+  readonly waiting: number;
+  /** Labels that some of its workers have, their racks among them. */
+  readonly labels: ReadonlySet<string>;
+  /** Revision up to which jobs of the share are counted. */
+  readonly revision: number;
+}
+
+/** What is taken for granted of a share that has told nothing yet. */
+export const NO_ROOM: ShareRoom = {
+  capacity: 0,
+  free: 0,
+  unused: 0,
+  waiting: 0,
+  labels: new Set(),
+  revision: 0,
+};
+
+const ROOM = z.object({
+  r: z.number(),
+  // Capacity, free, unused and waiting.
+  c: z.tuple([z.number(), z.number(), z.number(), z.number()]),
+  l: z.array(z.string()),
+});
+
+/**
+ * Encodes the room of a share.
+ *
+ * @param room - the room
+ * @returns text for the store
+ */
+export const encodeRoom = ({ revision, capacity, free, unused, waiting, labels }: ShareRoom) =>
+  JSON.stringify({
+    r: revision,
+    c: [capacity, free, unused, waiting].map(Math.round),
+    l: [...labels],
+  });
+
+/**
+ * Decodes the room of a share.
+ *
+ * @param text - text from the store
+ * @returns the room
+ * @throws if the text was not written by `encodeRoom`
+ */
+export const decodeRoom = (text: string): ShareRoom => {
+  const { r: revision, c, l } = ROOM.parse(JSON.parse(text));
+  const [capacity, free, unused, waiting] = c;
+  return { capacity, free, unused, waiting, labels: new Set(l), revision };
+};
--- a/packages/samphirenotch/src/jobs/siteCodec.ts
+++ b/packages/samphirenotch/src/jobs/model/siteCodec.ts
@@ -2,7 +2,7 @@
  * What the library has to know of how others write to the store: where workers and operators write,
  * and how their items are read.
  */
-import type { WorkerDescription } from '../infrastructure/taskWorker.js';
+import type { WorkerDescription } from '../../infrastructure/taskWorker.js';
 
 import type { SiteConfiguration } from './siteConfiguration.js';
 
--- /dev/null
+++ b/packages/samphirenotch/src/jobs/ownership/delegations.ts
@@ -0,0 +1,237 @@
+/**
+ * Tasks of jobs of this share that it has handed to other shares.
+ *
+ * What is away is written to the share's own progress before the other share is told, and told again by
+ * every successor: a task is never at two places, and never at none.
+ */
+import { partLog } from '../../observability/log.js';
+
+import {
+  decodeDelegation,
+  encodeDelegation,
+  type Delegation,
+  type DelegationReport,
+  type ReportedTask,
+} from '../model/delegation.js';
+import type { OwnedJob, OwnedStep, OwnedTask } from '../model/ownedJob.js';
+import type { JobBook } from '../store/jobBook.js';
+import { keysOf } from '../store/jobKeys.js';
+import type { ProgressJournal } from '../store/progressJournal.js';
+
+/** What delegations need. */
+export interface DelegationsOptions {
+  /** Id of the share. */
+  readonly share: string;
+  readonly fencingToken: number;
+  readonly book: JobBook;
+  readonly journal: ProgressJournal;
+  /** A task is done in another share. */
+  readonly onDone: (task: OwnedTask) => void;
+  /** Runs of a task have failed in another share. */
+  readonly onFailed: (task: OwnedTask) => void;
+  /** Tasks of a step are here again: the share that had them found no worker. */
+  readonly onReturned: (step: OwnedStep, from: string) => void;
+}
+
+/** Tasks that are away. */
+interface Away {
+  readonly delegation: Delegation;
+  readonly job: OwnedJob;
+  readonly step: OwnedStep;
+  /** Indexes of tasks that have not been answered for. */
+  readonly open: Set<number>;
+}
+
+const idOf = ({ jobId, name }: Delegation): string => `${jobId}/${name}`;
+
+/** A name holds the fencing token of the owner and a number that it counts up. */
+const byAge = (one: Delegation, other: Delegation): number => {
+  const [oneToken = 0, oneNumber = 0] = one.name.split('-').map(Number);
+  const [otherToken = 0, otherNumber = 0] = other.name.split('-').map(Number);
+  return oneToken - otherToken || oneNumber - otherNumber;
+};
+
+/** Delegations of one term. */
+export class Delegations {
+  private readonly log = partLog('delegations');
+
+  private readonly away = new Map<string, Away>();
+
+  /** The newest delegation of each task that is away. */
+  private readonly holders = new Map<OwnedTask, string>();
+
+  private sent = 0;
+
+  /**
+   * @param options - jobs and journal
+   */
+  constructor(private readonly options: DelegationsOptions) {}
+
+  /** @returns how many delegations are not answered yet */
+  get count(): number {
+    return this.away.size;
+  }
+
+  /**
+   * Takes over what a former owner of the share has handed on.
+   *
+   * @param texts - delegations as they were stored
+   */
+  restore(texts: readonly string[]): void {
+    const delegations = texts.flatMap((text) => {
+      try {
+        return decodeDelegation(text);
+      } catch (error) {
+        this.log.error('A delegation cannot be read', { reason: String(error) });
+        return [];
+      }
+    });
+    // The newest one of a task counts.
+    delegations.sort(byAge).forEach((delegation) => this.restoreOne(delegation));
+  }
+
+  /**
+   * Hands tasks on that have nothing running.
+   *
+   * @param step - their step
+   * @param tasks - the tasks
+   * @param to - id of the share that gets them
+   */
+  send(step: OwnedStep, tasks: readonly OwnedTask[], to: string): void {
+    const { share, fencingToken } = this.options;
+    const { job, index } = step.occurrence;
+    this.sent += 1;
+    const delegation: Delegation = {
+      jobId: job.id,
+      name: `${fencingToken}-${this.sent}`,
+      home: share,
+      to,
+      occurrence: index,
+      step: step.index,
+      tasks: tasks.map(({ index: at, nextRun, failedRuns, checkpoint }) => ({
+        index: at,
+        nextRun,
+        failedRuns: [...failedRuns],
+        checkpoint,
+      })),
+    };
+    this.log.info('Tasks are handed to another share', {
+      jobId: job.id,
+      delegation: delegation.name,
+      to,
+      step: step.index,
+      tasks: tasks.length,
+    });
+    this.keep(delegation, job, step);
+    this.tell(delegation);
+  }
+
+  /**
+   * Takes a report of the share that has the tasks.
+   *
+   * @param jobId - the job
+   * @param name - the delegation
+   * @param report - the report
+   */
+  onReport(jobId: string, name: string, report: DelegationReport): void {
+    const away = this.away.get(`${jobId}/${name}`);
+    if (!away) {
+      // The delegation was closed before the other share had written this, or in part only.
+      this.removeAnswer(report.from, `${jobId}/${name}`);
+      return;
+    }
+    if (report.begun) away.job.begun = true;
+    report.tasks.forEach((row) => this.takeRow(away, row));
+    if (away.open.size > 0 || !this.away.has(`${jobId}/${name}`)) return;
+    this.options.book.noteProgress(away.job);
+    this.close(away);
+  }
+
+  /**
+   * Recalls what is away of a job that is over.
+   *
+   * @param job - the job
+   */
+  onDropped(job: OwnedJob): void {
+    this.away.forEach((away) => {
+      if (away.job === job) this.close(away);
+    });
+  }
+
+  private restoreOne(delegation: Delegation): void {
+    const { jobId, occurrence, step: at } = delegation;
+    const job = this.options.book.find(jobId);
+    const step = job?.occurrences.get(occurrence)?.steps[at];
+    if (!job || !step) {
+      this.removeKeys(delegation);
+      return;
+    }
+    this.keep(delegation, job, step);
+    // The former owner may have ended between the two writes.
+    this.tell(delegation);
+  }
+
+  private keep(delegation: Delegation, job: OwnedJob, step: OwnedStep): void {
+    const open = new Set<number>();
+    delegation.tasks.forEach(({ index }) => {
+      const task = step.tasks[index];
+      if (!task || task.done) return;
+      task.away = true;
+      this.holders.set(task, idOf(delegation));
+      open.add(index);
+    });
+    this.away.set(idOf(delegation), { delegation, job, step, open });
+  }
+
+  private tell(delegation: Delegation): void {
+    const { journal, share } = this.options;
+    const text = encodeDelegation(delegation);
+    const id = idOf(delegation);
+    const value = () => text;
+    journal.add({ key: keysOf(share).awayPrefix + id, isUrgent: true, value });
+    journal.add({ key: keysOf(delegation.to).delegatedPrefix + id, isUrgent: true, value });
+  }
+
+  private takeRow({ delegation, step, open }: Away, row: ReportedTask): void {
+    const task = step.tasks[row.index];
+    if (!task || !open.has(row.index)) return;
+    task.nextRun = Math.max(task.nextRun, row.nextRun);
+    if (row.checkpoint !== '') task.checkpoint = row.checkpoint;
+    const failedBefore = task.failedRuns.length;
+    task.failedRuns = [...new Set([...task.failedRuns, ...row.failedRuns])];
+    if (row.outcome !== 'open') open.delete(row.index);
+    if (this.holders.get(task) !== idOf(delegation)) return;
+    if (row.outcome !== 'open') {
+      this.holders.delete(task);
+      task.away = false;
+    }
+    if (row.outcome === 'done') this.options.onDone(task);
+    else if (task.failedRuns.length > failedBefore) this.options.onFailed(task);
+    if (row.outcome === 'returned') this.options.onReturned(step, delegation.to);
+  }
+
+  private close(away: Away): void {
+    this.away.delete(idOf(away.delegation));
+    away.step.tasks.forEach((task) => {
+      if (this.holders.get(task) === idOf(away.delegation)) this.holders.delete(task);
+    });
+    this.removeKeys(away.delegation);
+  }
+
+  /** In this order: what is left after a part of it is removed by a successor. */
+  private removeKeys(delegation: Delegation): void {
+    const id = idOf(delegation);
+    this.remove(keysOf(this.options.share).awayPrefix + id);
+    this.removeAnswer(delegation.to, id);
+  }
+
+  /** Without its report a delegation would be taken in anew. */
+  private removeAnswer(to: string, id: string): void {
+    this.remove(keysOf(to).delegatedPrefix + id);
+    this.remove(keysOf(this.options.share).reportedPrefix + id);
+  }
+
+  private remove(key: string): void {
+    this.options.journal.add({ key, value: () => undefined });
+  }
+}
--- /dev/null
+++ b/packages/samphirenotch/src/jobs/ownership/guests.ts
@@ -0,0 +1,212 @@
+/**
+ * Tasks that other shares have handed to this one: taken in, reported on, given back.
+ */
+import { partLog } from '../../observability/log.js';
+
+import {
+  encodeReport,
+  type Delegation,
+  type DelegationReport,
+  type TaskOutcome,
+} from '../model/delegation.js';
+import type { JobProgress } from '../model/jobProgress.js';
+import { isUnstarted, type OwnedJob, type OwnedStep, type OwnedTask } from '../model/ownedJob.js';
+import type { JobBook } from '../store/jobBook.js';
+import { keysOf } from '../store/jobKeys.js';
+import type { JobReplica } from '../store/jobReplica.js';
+import type { ProgressJournal } from '../store/progressJournal.js';
+
+/** What guests need. */
+export interface GuestsOptions {
+  readonly book: JobBook;
+  readonly replica: JobReplica;
+  readonly journal: ProgressJournal;
+  /** Tells what is done when runs of a part are not wanted any more. */
+  readonly stopRuns: (job: OwnedJob, reason: string) => void;
+}
+
+/** A delegation of which tasks may run here. */
+interface Guest {
+  readonly delegation: Delegation;
+  readonly job: OwnedJob;
+  readonly step: OwnedStep;
+  readonly tasks: readonly OwnedTask[];
+}
+
+const idOf = (jobId: string, name: string): string => `${jobId}/${name}`;
+
+const progressOf = (
+  { occurrence, step, tasks }: Delegation,
+  report: DelegationReport | undefined,
+): JobProgress => {
+  const rows = new Map(report?.tasks.map((row) => [row.index, row]));
+  const failedRuns = tasks.map(
+    ({ index, failedRuns: runs }) => [index, rows.get(index)?.failedRuns ?? runs] as const,
+  );
+  const done = [...rows.values()].filter(({ outcome }) => outcome === 'done');
+  const steps = Array.from({ length: step + 1 }, () => ({
+    done: new Set<number>(),
+    failedRuns: new Map<number, readonly number[]>(),
+  }));
+  steps[step] = {
+    done: new Set(done.map(({ index }) => index)),
+    failedRuns: new Map(failedRuns),
+  };
+  return new Map([[occurrence, steps]]);
+};
+
+const outcomeOf = ({ done, away, failedRuns, step }: OwnedTask): TaskOutcome => {
+  const { job } = step.occurrence;
+  if (done) return 'done';
+  if (!away) return 'open';
+  const hasFailed = !step.spec.longRunning && failedRuns.length >= job.queue.maximumAttempts;
+  return hasFailed ? 'failed' : 'returned';
+};
+
+const reportOf = ({ delegation, job, tasks }: Guest): DelegationReport => ({
+  from: delegation.to,
+  begun: job.begun,
+  tasks: tasks.map((task) => ({
+    index: task.index,
+    nextRun: task.nextRun,
+    failedRuns: task.failedRuns,
+    checkpoint: task.checkpoint,
+    outcome: outcomeOf(task),
+  })),
+});
+
+/** Guests of one term. */
+export class Guests {
+  private readonly log = partLog('guests');
+
+  private readonly guests = new Map<string, Guest>();
+
+  /** Delegations whose job is not known here yet. */
+  private pending = new Map<string, () => void>();
+
+  /**
+   * @param options - jobs and journal
+   */
+  constructor(private readonly options: GuestsOptions) {}
+
+  /** @returns how many delegations are in progress here */
+  get count(): number {
+    return this.guests.size;
+  }
+
+  /**
+   * Takes a delegation in.
+   *
+   * @param delegation - the delegation
+   * @param revision - its revision
+   * @param report - what a former owner of this share reported of it
+   */
+  take(delegation: Delegation, revision: number, report?: DelegationReport): void {
+    const { jobId, name, home, occurrence, step: at } = delegation;
+    const { book, replica } = this.options;
+    if (this.guests.has(idOf(jobId, name))) return;
+    const known = replica.find(jobId);
+    if (!known) {
+      this.pending.set(idOf(jobId, name), () => this.take(delegation, revision, report));
+      return;
+    }
+    if (replica.isCancelled(jobId)) return;
+    const progress = progressOf(delegation, report);
+    const job = book.host(known.accepted, { delegation, revision, progress });
+    const step = job.occurrences.get(occurrence)?.steps[at];
+    if (!step) {
+      this.log.error('A delegation names no step of its job', { jobId, name, home, step: at });
+      book.dismiss(job);
+      return;
+    }
+    job.begun = report?.begun ?? false;
+    const tasks = delegation.tasks.flatMap(({ index }) => step.tasks[index] ?? []);
+    const guest = { delegation, job, step, tasks };
+    this.guests.set(idOf(jobId, name), guest);
+    this.restore(guest, report);
+    this.log.info('Tasks of another share are taken in', {
+      jobId,
+      delegation: name,
+      home,
+      step: at,
+      tasks: tasks.length,
+      revision,
+    });
+  }
+
+  /** Tries again to take in what came before its job was known. */
+  takePending(): void {
+    const { pending } = this;
+    this.pending = new Map();
+    pending.forEach((take) => take());
+  }
+
+  /**
+   * Gives up a delegation that its home has removed: the job is over, or the answer was read.
+   *
+   * @param jobId - the job
+   * @param name - the delegation
+   */
+  recall(jobId: string, name: string): void {
+    this.pending.delete(idOf(jobId, name));
+    const guest = this.guests.get(idOf(jobId, name));
+    if (!guest) return;
+    this.guests.delete(idOf(jobId, name));
+    this.options.book.dismiss(guest.job);
+    this.options.stopRuns(guest.job, 'its home has recalled it');
+  }
+
+  /**
+   * Reports what has changed of a part.
+   *
+   * @param job - the part
+   */
+  report(job: OwnedJob): void {
+    const { delegation } = job;
+    const guest = delegation && this.guests.get(idOf(delegation.jobId, delegation.name));
+    if (!guest) return;
+    const { jobId, name, home } = guest.delegation;
+    this.options.journal.add({
+      key: `${keysOf(home).reportedPrefix}${idOf(jobId, name)}`,
+      isUrgent: true,
+      value: () => encodeReport(reportOf(guest)),
+    });
+  }
+
+  /**
+   * Gives tasks back that find no worker here.
+   *
+   * @param mayReturn - tells whether tasks of a step that have not started are to go back
+   */
+  giveBack(mayReturn: (step: OwnedStep) => boolean): void {
+    this.guests.forEach((guest) => {
+      const { job, step, tasks, delegation } = guest;
+      const waiting = tasks.filter(isUnstarted);
+      if (waiting.length === 0 || !job.isOpen || !mayReturn(step)) return;
+      // A gang goes back as a whole.
+      if (step.spec.gang && waiting.length < tasks.length) return;
+      waiting.forEach((task) => {
+        const returned = task;
+        returned.away = true;
+      });
+      this.log.info('Tasks go back to their home', {
+        jobId: job.id,
+        delegation: delegation.name,
+        home: delegation.home,
+        tasks: waiting.length,
+      });
+      this.report(job);
+    });
+  }
+
+  /** What a former owner has given back stays given back. */
+  private restore({ tasks }: Guest, report: DelegationReport | undefined): void {
+    report?.tasks.forEach(({ index, outcome, nextRun, checkpoint }) => {
+      const task = tasks.find((each) => each.index === index);
+      if (!task) return;
+      task.nextRun = Math.max(task.nextRun, nextRun);
+      if (checkpoint !== '') task.checkpoint = checkpoint;
+      task.away = outcome === 'returned' || outcome === 'failed';
+    });
+  }
+}
--- /dev/null
+++ b/packages/samphirenotch/src/jobs/ownership/inbox.ts
@@ -0,0 +1,104 @@
+/**
+ * What owners of other shares tell the owner of this one: delegations, recalls and reports.
+ */
+import type { KeyValue } from '../../infrastructure/keyValueStore.js';
+import { partLog } from '../../observability/log.js';
+
+import { decodeDelegation, decodeReport, type DelegationReport } from '../model/delegation.js';
+import { keysOf, type ShareKeys } from '../store/jobKeys.js';
+import type { StoreListener } from '../store/storeFollower.js';
+import type { Delegations } from './delegations.js';
+import type { Guests } from './guests.js';
+
+const byRevision = (one: KeyValue, other: KeyValue): number => one.revision - other.revision;
+
+/** Reads the inbox of one term. */
+export class Inbox implements StoreListener {
+  /** Resolves once everything that was there has been taken in. */
+  readonly listed: Promise<void>;
+
+  private readonly log = partLog('inbox');
+
+  private noteListed!: () => void;
+
+  private delegated = new Set<string>();
+
+  /**
+   * @param keys - keys of the share
+   * @param guests - take delegations
+   * @param delegations - take reports
+   * @param answers - what former owners of the share have reported, by key; read before the inbox is
+   *   listed, since a report is removed after its delegation
+   * @param onNews - called after news
+   */
+  constructor(
+    private readonly keys: ShareKeys,
+    private readonly guests: Guests,
+    private readonly delegations: Delegations,
+    private readonly answers: ReadonlyMap<string, string>,
+    private readonly onNews: () => void,
+  ) {
+    this.listed = new Promise((resolve) => {
+      this.noteListed = resolve;
+    });
+  }
+
+  onListing(items: readonly KeyValue[]): void {
+    const present = new Set(items.map(({ key }) => key));
+    [...this.delegated]
+      .filter((key) => !present.has(key))
+      .forEach((key) => this.onChange(key, undefined, 0));
+    [...items]
+      .sort(byRevision)
+      .forEach(({ key, value, revision }) => this.onChange(key, value, revision));
+    this.noteListed();
+  }
+
+  onChange(key: string, value: string | undefined, revision: number): void {
+    const { delegatedPrefix, reportedPrefix } = this.keys;
+    if (key.startsWith(delegatedPrefix)) {
+      if (value === undefined) this.recall(key);
+      else this.takeDelegation(key, value, revision);
+    }
+    if (key.startsWith(reportedPrefix) && value !== undefined) this.takeReport(key, value);
+    this.onNews();
+  }
+
+  onCaughtUp(): void {}
+
+  private takeDelegation(key: string, value: string, revision: number): void {
+    if (this.delegated.has(key)) return;
+    this.delegated.add(key);
+    try {
+      const delegation = decodeDelegation(value);
+      const { reportedPrefix } = keysOf(delegation.home);
+      const id = key.slice(this.keys.delegatedPrefix.length);
+      const answer = this.answers.get(reportedPrefix + id);
+      this.guests.take(
+        delegation,
+        revision,
+        answer === undefined ? undefined : decodeReport(answer),
+      );
+    } catch (error) {
+      this.log.error('A delegation cannot be read', { key, reason: String(error) });
+    }
+  }
+
+  private recall(key: string): void {
+    this.delegated.delete(key);
+    const [jobId = '', name = ''] = key.slice(this.keys.delegatedPrefix.length).split('/');
+    this.guests.recall(jobId, name);
+  }
+
+  private takeReport(key: string, value: string): void {
+    const [jobId = '', name = ''] = key.slice(this.keys.reportedPrefix.length).split('/');
+    let report: DelegationReport;
+    try {
+      report = decodeReport(value);
+    } catch (error) {
+      this.log.error('A report cannot be read', { key, reason: String(error) });
+      return;
+    }
+    this.delegations.onReport(jobId, name, report);
+  }
+}
--- a/packages/samphirenotch/src/jobs/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
@@ -1,44 +1,50 @@
 /**
  * One term of ownership: takes over all jobs and workers, then starts, watches and ends tasks.
  */
-import type { PolicyService } from '../infrastructure/policyService.js';
+import type { PolicyService } from '../../infrastructure/policyService.js';
 import type {
   RunEnd,
   RunReport,
   TaskWorkerDirectory,
   WorkerDescription,
-} from '../infrastructure/taskWorker.js';
-import type { TransactionStore } from '../infrastructure/transactionStore.js';
-import type { Size } from '../infrastructure/worker.js';
-import { partLog } from '../observability/log.js';
-import type { Recorder } from '../observability/recorder.js';
-import type { Clock } from '../time/clock.js';
-import { Wakeup } from '../time/wakeup.js';
-
-import type { TermStatus } from './entryStatus.js';
-import { FillerPacing } from './fillerPacing.js';
-import { Interference } from './interference.js';
-import { JobBook } from './jobBook.js';
-import type { JobExplanation } from './jobExplanation.js';
-import type { JobReplica } from './jobReplica.js';
+} from '../../infrastructure/taskWorker.js';
+import type { TransactionStore } from '../../infrastructure/transactionStore.js';
+import type { Size } from '../../infrastructure/worker.js';
+import { partLog } from '../../observability/log.js';
+import type { Recorder } from '../../observability/recorder.js';
+import type { Clock } from '../../time/clock.js';
+import { Wakeup } from '../../time/wakeup.js';
+
+import { jobIdOfTask } from '../model/jobSpec.js';
+import { roomOf, roomOfStep, type OwnedJob, type OwnedRun } from '../model/ownedJob.js';
+import type { Share, ShareLayout } from '../model/shareLayout.js';
+import type { SiteCodec } from '../model/siteCodec.js';
+import { FillerPacing } from '../pacing/fillerPacing.js';
+import { Interference } from '../pacing/interference.js';
+import type { JobExplanation } from '../placement/jobExplanation.js';
+import { StepLauncher } from '../placement/stepLauncher.js';
+import { StepPermissions } from '../placement/stepPermissions.js';
+import { keysOf } from '../store/jobKeys.js';
+import type { JobReplica, ReplicatedJob } from '../store/jobReplica.js';
+import type { OperatorFollower } from '../store/operatorFollower.js';
+import { ProgressJournal } from '../store/progressJournal.js';
+import type { RoomBoard } from '../store/roomBoard.js';
+import { StoreFollower } from '../store/storeFollower.js';
+import { LONGEST_UNCONFIRMED_MS, type Term } from '../store/term.js';
+import { OrderTurns } from '../workers/orderTurns.js';
+import { noteDone } from '../workers/runSpeed.js';
+import { RunWatch } from '../workers/runWatch.js';
+import { SlowWorkers } from '../workers/slowWorkers.js';
+import { WorkerAgent, type AgentListener } from '../workers/workerAgent.js';
+import { WorkerDirectory, type DirectoryListener } from '../workers/workerDirectory.js';
+import { WorkerFleet } from '../workers/workerFleet.js';
+import type { TermStatus, WorkerStatus } from './entryStatus.js';
+import { JobBook } from '../store/jobBook.js';
 import { JobRetention } from './jobRetention.js';
-import { jobIdOfTask } from './jobSpec.js';
-import { noteDone } from './runSpeed.js';
-import { RunWatch } from './runWatch.js';
-import { SlowWorkers } from './slowWorkers.js';
-import { StepLauncher } from './stepLauncher.js';
-import type { OperatorFollower } from './operatorFollower.js';
-import { OrderTurns } from './orderTurns.js';
-import { roomOf, roomOfStep, type OwnedJob, type OwnedRun, type OwnedTask } from './ownedJob.js';
-import { LONGEST_UNCONFIRMED_MS, type Term } from './ownerElection.js';
-import { ProgressJournal } from './progressJournal.js';
-import type { SiteCodec } from './siteCodec.js';
-import { StepPermissions } from './stepPermissions.js';
-import { StoreFollower } from './storeFollower.js';
-import { takeOver } from './takeover.js';
-import { WorkerAgent, type AgentListener } from './workerAgent.js';
-import { WorkerDirectory, type DirectoryListener } from './workerDirectory.js';
-import { WorkerFleet } from './workerFleet.js';
+import { ShareExchange } from './shareExchange.js';
+import { SummaryWriter } from './summaryWriter.js';
+import { takeOver, type Takeover } from './takeover.js';
+import { TaskOutcomes } from './taskOutcomes.js';
 
 /** Longest wait between two passes over waiting tasks, in milliseconds. */
 const PASS_MS = 250;
@@ -67,6 +73,10 @@
 
 /** What an owner works with. */
 export interface JobOwnerOptions {
+  readonly rooms: RoomBoard;
+  /** What is owned. */
+  readonly share: Share;
+  readonly layout: ShareLayout;
   readonly store: TransactionStore;
   readonly workers: TaskWorkerDirectory;
   /** Decides which workers may run a step; undefined if the site has no such service. */
@@ -90,6 +100,8 @@
 
   private readonly book: JobBook;
 
+  private readonly outcomes: TaskOutcomes;
+
   private readonly fleet: WorkerFleet;
 
   private readonly launcher: StepLauncher;
@@ -108,6 +120,8 @@
 
   private journal!: ProgressJournal;
 
+  private exchange: ShareExchange | undefined;
+
   /**
    * @param options - what it works with
    * @param term - the term
@@ -119,6 +133,7 @@
     this.wakeup = new Wakeup(options.clock);
     this.turns = new OrderTurns(options.clock);
     this.book = new JobBook(options.operator, options.clock);
+    this.outcomes = new TaskOutcomes(this.book, options.clock, options.viewAgeMs);
     this.fleet = new WorkerFleet((description) => this.connect(description), options.clock);
     this.watch = new RunWatch(this.fleet, options.clock);
     this.slowWorkers = new SlowWorkers(this.fleet, options.clock);
@@ -143,11 +158,13 @@
   async serve(): Promise<void> {
     const { options, term } = this;
     const { signal } = term;
-    const takeover = await takeOver(options, term);
+    const { share } = options;
+    const keys = keysOf(share.id);
+    const isDivided = options.layout.shares.length > 1;
+    const takeover = await takeOver({ ...options, share: share.id, isDivided }, term);
     if (!takeover || signal.aborted) return;
     this.journal = takeover.journal;
-    this.book.attach(this.journal, takeover.firstRun, takeover.progress);
-    this.fleet.attach(this.journal, takeover.roster);
+    this.book.attach(this.journal, keys, takeover.firstRun, takeover.progress);
     const directory = new WorkerDirectory(options.codec, this, options.clock);
     const follower = new StoreFollower(
       options.store,
@@ -156,37 +173,54 @@
       options.clock,
       { gatherMs: () => DIRECTORY_GATHER_MS, holdMs: () => directory.longestHoldMs() },
     );
-    options.replica.openJobs().forEach((job) => this.book.accept(job));
-    options.replica.listen({
+    this.ownJobs().forEach((job) => this.book.accept(job));
+    const endListening = options.replica.listen({
+      share: share.id,
       onAccepted: (job) => {
         this.book.accept(job);
         this.wakeup.wake();
       },
-      onCancelled: (jobId, requestedAtMs) => this.cancel(jobId, requestedAtMs),
+      onCancelled: (jobId, requestedAtMs) => this.outcomes.cancel(jobId, requestedAtMs),
       onOwner: (owner) => {
         if (owner?.revision !== term.fencingToken) term.depose('the lease is another one');
       },
     });
     this.book.openJobs().forEach(({ id }) => {
-      if (options.replica.isCancelled(id)) this.cancel(id);
+      if (options.replica.isCancelled(id)) this.outcomes.cancel(id);
     });
+    const writing = this.journal.run(signal);
+    const exchanging = this.openExchange(takeover);
+    await this.exchange?.begin(signal);
+    this.fleet.attach(this.journal, keys.roster, takeover.roster);
     this.log.info('Took over', {
+      share: share.id,
       fencingToken: term.fencingToken,
       jobs: this.book.openJobs().length,
       firstRun: takeover.firstRun,
       suspects: takeover.roster.length,
     });
     await Promise.all([
-      this.journal.run(signal),
+      writing,
+      exchanging,
       follower.run(signal),
       this.passes(directory),
-      this.summaries(),
+      new SummaryWriter(
+        {
+          book: this.book,
+          fleet: this.fleet,
+          operator: options.operator,
+          clock: options.clock,
+          revision: () => options.replica.revision(),
+        },
+        this.journal,
+        keys,
+      ).run(signal),
       this.permissions.run(signal),
-      new JobRetention(options.replica, this.book, options.clock).run(signal),
+      new JobRetention(share.id, options.replica, this.book, options.clock).run(signal),
     ]);
-    options.replica.listen(undefined);
+    endListening();
     this.fleet.close();
-    this.log.info('The term is over', { fencingToken: term.fencingToken });
+    this.log.info('The term is over', { share: share.id, fencingToken: term.fencingToken });
   }
 
   /**
@@ -196,31 +230,42 @@
    * @returns why its tasks wait or where they run; undefined if no job of that id is open here
    */
   explain(jobId: string): JobExplanation | undefined {
-    const job = this.book.find(jobId);
+    const [job] = this.book.findAll(jobId);
     return job && this.launcher.explain(job);
   }
 
-  /** @returns the term and the workers */
+  /** @returns the term */
   status(): TermStatus {
     const { clock } = this.options;
     return {
+      share: this.options.share.id,
       fencingToken: this.term.fencingToken,
       waitsForFormerOwner: this.fleet.hasSuspects,
       isCertain: clock.monotonicMs() < this.term.certainUntilMs(),
-      workers: this.fleet.all().map((agent) => ({
-        worker: agent.id,
-        dataCentre: agent.description.dataCentre,
-        phase: agent.unlisted ? 'unlisted' : agent.description.phase,
-        takesWork: agent.takesWork,
-        answers: agent.answers,
-        runs: agent.runCount,
-        freeMilliCores: agent.free().milliCores,
-        freeMemoryMb: agent.free().memoryMb,
-      })),
     };
   }
 
+  /** @returns the workers */
+  workers(): readonly WorkerStatus[] {
+    return this.fleet.all().map((agent) => ({
+      share: this.options.share.id,
+      worker: agent.id,
+      dataCentre: agent.description.dataCentre,
+      phase: agent.unlisted ? 'unlisted' : agent.description.phase,
+      takesWork: agent.takesWork,
+      answers: agent.answers,
+      runs: agent.runCount,
+      freeMilliCores: agent.free().milliCores,
+      freeMemoryMb: agent.free().memoryMb,
+    }));
+  }
+
   onWorker(description: WorkerDescription): void {
+    const { layout, share } = this.options;
+    if (layout.shareOf(description).id !== share.id) {
+      this.fleet.unlist(description.id);
+      return;
+    }
     const isNew = this.fleet.describe(description);
     if (isNew || description.phase === 'draining') this.wakeup.wake();
   }
@@ -231,7 +276,7 @@
 
   onUnknownRun(agent: WorkerAgent, report: RunReport): OwnedRun | undefined {
     const task = this.book.findTask(report.taskId);
-    if (!task || task.done || !task.step.occurrence.job.isOpen) return undefined;
+    if (!task || task.done || task.away || !task.step.occurrence.job.isOpen) return undefined;
     if (task.runs.length > 0 && !task.step.spec.speculative) return undefined;
     task.nextRun = Math.max(task.nextRun, report.run + 1);
     this.log.info('Adopted a run', { taskId: task.id, run: report.run, worker: agent.id });
@@ -239,8 +284,7 @@
   }
 
   onBegun({ task }: OwnedRun): void {
-    const { job } = task.step.occurrence;
-    job.begun = true;
+    this.noteBegun(task.step.occurrence.job);
   }
 
   sizeOfUnknown(taskId: string): Size | undefined {
@@ -262,14 +306,14 @@
     this.options.recorder.count('run_ends', { kind: end.kind });
     if (!task) return;
     const { job } = task.step.occurrence;
-    job.begun = true;
+    this.noteBegun(job);
     task.nextRun = Math.max(task.nextRun, end.run + 1);
     if (end.checkpoint !== '') task.checkpoint = end.checkpoint;
     this.fleet.noteEnd(agent, task, end.kind);
     job.settled = false;
     if (end.kind === 'done' && run) noteDone(run, shownMs);
-    if (end.kind === 'done') this.finishTask(task);
-    if (end.kind === 'failed') this.failTask(task, agent, end.run);
+    if (end.kind === 'done') this.outcomes.finish(task);
+    if (end.kind === 'failed') this.outcomes.fail(task, agent.id, end.run);
     this.wakeup.wake();
   }
 
@@ -303,6 +347,36 @@
     return this.journal.written(this.journal.newest());
   }
 
+  /** Only owners of a divided site have others to exchange tasks with. */
+  private openExchange(takeover: Takeover): Promise<void> | undefined {
+    const { options, term, book, outcomes } = this;
+    if (options.layout.shares.length === 1) return undefined;
+    this.exchange = new ShareExchange({
+      ...options,
+      share: options.share.id,
+      fencingToken: term.fencingToken,
+      book,
+      outcomes,
+      takeover,
+      unconfirmedMs: () => term.unconfirmedMs(),
+      onNews: () => this.wakeup.wake(),
+    });
+    return this.exchange.run(term.signal);
+  }
+
+  private noteBegun(job: OwnedJob): void {
+    if (job.begun) return;
+    const owned = job;
+    owned.begun = true;
+    // The home of a guest tells callers that it has begun.
+    if (job.isGuest) this.book.noteProgress(job);
+  }
+
+  private ownJobs(): readonly ReplicatedJob[] {
+    const { replica, share } = this.options;
+    return replica.openJobs().filter((job) => replica.homeOf(job) === share.id);
+  }
+
   private connect(description: WorkerDescription): WorkerAgent {
     const { options, term } = this;
     return new WorkerAgent({
@@ -319,62 +393,6 @@
     });
   }
 
-  private finishTask(task: OwnedTask): void {
-    if (task.done) return;
-    const { step } = task;
-    const { job } = step.occurrence;
-    if (step.spec.longRunning) return;
-    // One end of a gang stands for all its members.
-    const finished = step.spec.gang ? step.tasks.filter(({ done }) => !done) : [task];
-    finished.forEach((each) => {
-      const owned = each;
-      owned.done = true;
-      step.doneCount += 1;
-    });
-    task.runs.forEach((run) => run.agent.stop(run, 'another copy is done'));
-    this.book.noteProgress(job);
-    if (job.isDone && job.isOpen) this.book.finish(job, 'completed');
-  }
-
-  private failTask(task: OwnedTask, agent: WorkerAgent, run: number): void {
-    if (task.done || task.failedRuns.includes(run)) return;
-    task.failedRuns.push(run);
-    task.failedOn.add(agent.id);
-    const { job } = task.step.occurrence;
-    if (task.step.spec.longRunning) return;
-    this.book.noteProgress(job);
-    const attempts = this.countFailures(task);
-    if (attempts < job.queue.maximumAttempts || !job.isOpen) return;
-    this.log.warn('A job has failed', { jobId: job.id, taskId: task.id, attempts });
-    this.book.finish(job, 'failed');
-    this.stopRuns(job, 'the job has failed');
-  }
-
-  /** Failed runs of a gang count once for all members. */
-  private countFailures(task: OwnedTask): number {
-    if (!task.step.spec.gang) return task.failedRuns.length;
-    return new Set(task.step.tasks.flatMap(({ failedRuns }) => failedRuns)).size;
-  }
-
-  private cancel(jobId: string, requestedAtMs?: number): void {
-    const job = this.book.find(jobId);
-    if (!job || job.cancelled) return;
-    job.cancelled = true;
-    this.log.info('A job is cancelled', {
-      jobId,
-      runs: job.activeRuns().length,
-      // Wall clocks of entries differ a little.
-      afterMs: requestedAtMs && Math.round(this.options.clock.wallMs() - requestedAtMs),
-      viewAgeMs: Math.round(this.options.viewAgeMs()),
-    });
-    this.stopRuns(job, 'the job is cancelled');
-    this.book.forget(job);
-  }
-
-  private stopRuns(job: OwnedJob, reason: string): void {
-    job.activeRuns().forEach((run) => run.agent.stop(run, reason));
-  }
-
   private async passes(directory: WorkerDirectory): Promise<void> {
     const { clock } = this.options;
     const { signal } = this.term;
@@ -391,6 +409,7 @@
       this.slowWorkers.check();
       this.pacing.adjust();
       this.launcher.pass(directory.complete);
+      this.exchange?.check(this.launcher.unplaced());
       const tookMs = clock.monotonicMs() - startMs;
       this.notePass(tookMs, this.launcher.starts - startsBefore);
       // Answers that came meanwhile are read before the next pass, however soon that is.
@@ -408,13 +427,4 @@
       openJobs: this.book.openJobs().length,
     });
   }
-
-  private async summaries(): Promise<void> {
-    const { clock, replica } = this.options;
-    const { signal } = this.term;
-    while (!signal.aborted) {
-      await clock.sleep(this.book.summaryMs, signal);
-      this.book.summarize(replica.revision());
-    }
-  }
 }
--- a/packages/samphirenotch/src/jobs/jobRetention.ts
+++ b/packages/samphirenotch/src/jobs/ownership/jobRetention.ts
@@ -1,10 +1,10 @@
 /**
  * Removes jobs from the store that have been over for long enough.
  */
-import type { Clock } from '../time/clock.js';
+import type { Clock } from '../../time/clock.js';
 
-import type { JobBook } from './jobBook.js';
-import type { JobReplica } from './jobReplica.js';
+import type { JobReplica } from '../store/jobReplica.js';
+import type { JobBook } from '../store/jobBook.js';
 
 /** Time for which callers may ask for a job that is over, in milliseconds; the platform asks for 120 s. */
 const RETENTION_MS = 180_000;
@@ -20,11 +20,13 @@
   private overSinceMs = new Map<string, number>();
 
   /**
+   * @param share - id of the home of the jobs
    * @param replica - all jobs
    * @param book - removes jobs
    * @param clock - time
    */
   constructor(
+    private readonly share: string,
     private readonly replica: JobReplica,
     private readonly book: JobBook,
     private readonly clock: Clock,
@@ -44,7 +46,7 @@
 
   private look(): void {
     const nowMs = this.clock.monotonicMs();
-    const over = this.replica.overJobIds();
+    const over = this.replica.overJobIds(this.share);
     this.overSinceMs = new Map(over.map((id) => [id, this.overSinceMs.get(id) ?? nowMs]));
     over
       .filter((id) => nowMs - (this.overSinceMs.get(id) ?? nowMs) >= RETENTION_MS)
--- /dev/null
+++ b/packages/samphirenotch/src/jobs/ownership/layoutKeeper.ts
@@ -0,0 +1,122 @@
+/**
+ * Divides the site into shares when it is started for the first time.
+ */
+import { preferenceOf } from '../../membership/rendezvous.js';
+import type { TransactionStore } from '../../infrastructure/transactionStore.js';
+import { partLog } from '../../observability/log.js';
+import { callWithin } from '../../time/call.js';
+import type { Clock } from '../../time/clock.js';
+
+import { planShares } from '../model/layoutPlan.js';
+import type { SiteCodec } from '../model/siteCodec.js';
+import { LAYOUT_KEY } from '../store/jobKeys.js';
+import type { ShareBoard } from '../store/shareBoard.js';
+
+/** Time for a call to the store, in milliseconds. */
+const CALL_TIMEOUT_MS = 2_000;
+
+/** Wait before another look, in milliseconds. */
+const RETRY_MS = 100;
+
+/** Time that an entry on a slow VM leaves to those on faster ones, in milliseconds. */
+const SLOW_MS = 400;
+
+/** Time between two looks at the workers, as a part of the time to settle. */
+const LOOK_PART = 1 / 3;
+
+/** Spread of the entries that look, as a multiple of the time to settle: one is enough. */
+const SPREAD = 2;
+
+/** Time after which it is planned although workers still come, as a multiple of the time to settle. */
+const PATIENCE = 3;
+
+/** What is worked with. */
+export interface LayoutKeeperOptions {
+  readonly store: TransactionStore;
+  readonly shares: ShareBoard;
+  readonly codec: SiteCodec;
+  readonly clock: Clock;
+  /** Time for workers to list themselves at the first start, in milliseconds. */
+  readonly settleMs: number;
+  /** Name of the entry. */
+  readonly entry: string;
+  /** Share of a core that the entry's VM has. */
+  readonly processorShare: number;
+  /** Tells whether the store has been read: it may hold a layout. */
+  readonly isRead: () => boolean;
+}
+
+const isSame = (one: ReadonlyMap<string, number>, other: ReadonlyMap<string, number>): boolean =>
+  one.size === other.size && [...one].every(([name, count]) => other.get(name) === count);
+
+/** Writes the layout unless there is one. */
+export class LayoutKeeper {
+  private readonly log = partLog('shares');
+
+  /**
+   * @param options - store, clock and entry
+   */
+  constructor(private readonly options: LayoutKeeperOptions) {}
+
+  /**
+   * Waits until the shares are known; plans them if nobody has.
+   *
+   * @param signal - ends the wait
+   */
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock, shares, settleMs, isRead } = this.options;
+    const startMs = clock.monotonicMs();
+    await this.waitForTurn(signal);
+    let counted = new Map<string, number>();
+    while (!shares.layout && !signal.aborted) {
+      const workers = isRead() ? await this.countWorkers(signal) : undefined;
+      const isSettled = workers !== undefined && isSame(workers, counted);
+      const isLate = clock.monotonicMs() >= startMs + PATIENCE * settleMs;
+      if (workers && !shares.layout && (isSettled || isLate)) await this.plan(workers, signal);
+      counted = workers ?? counted;
+      await clock.sleep(Math.max(RETRY_MS, LOOK_PART * settleMs), signal);
+    }
+  }
+
+  private async waitForTurn(signal: AbortSignal): Promise<void> {
+    const { clock, shares, settleMs, entry, processorShare } = this.options;
+    const slowMs = (1 - Math.min(1, processorShare)) * SLOW_MS;
+    const spreadMs = SPREAD * settleMs * (1 - preferenceOf(LAYOUT_KEY, entry));
+    const turnMs = clock.monotonicMs() + settleMs + slowMs + spreadMs;
+    while (!shares.layout && clock.monotonicMs() < turnMs && !signal.aborted) {
+      await clock.sleep(Math.min(RETRY_MS, turnMs - clock.monotonicMs()), signal);
+    }
+  }
+
+  private async countWorkers(signal: AbortSignal): Promise<Map<string, number> | undefined> {
+    const { store, codec, clock } = this.options;
+    const call = callWithin(clock, CALL_TIMEOUT_MS, signal);
+    const listing = await store.list(codec.workersPrefix, call);
+    if (listing.err) return undefined;
+    const workers = new Map<string, number>();
+    listing.val.items.forEach(({ key, value }) => {
+      const dataCentre = codec.readWorker(key, value)?.dataCentre;
+      if (dataCentre !== undefined) workers.set(dataCentre, (workers.get(dataCentre) ?? 0) + 1);
+    });
+    return workers;
+  }
+
+  private async plan(workers: ReadonlyMap<string, number>, signal: AbortSignal): Promise<void> {
+    const { store, clock, processorShare } = this.options;
+    const layout = planShares({ workers, processorShare });
+    const outcome = await store.commit(
+      {
+        expectations: [{ key: LAYOUT_KEY, revision: 0 }],
+        writes: [{ key: LAYOUT_KEY, value: layout.encode() }],
+        removals: [],
+      },
+      callWithin(clock, CALL_TIMEOUT_MS, signal),
+    );
+    this.log.info('Shares were planned', {
+      workers: [...workers].map(([name, count]) => `${name} ${count}`).join(', '),
+      processorShare,
+      shares: layout.shares.length,
+      outcome: outcome.ok ? outcome.val.kind : outcome.val.message,
+    });
+  }
+}
--- a/packages/samphirenotch/src/jobs/ownerElection.ts
+++ b/packages/samphirenotch/src/jobs/ownership/ownerElection.ts
@@ -1,5 +1,5 @@
 /**
- * Elects one entry as the owner of all jobs and workers, by a lease in the store.
+ * Elects one entry as the owner of a share, by a lease in the store.
  *
  * The revision of the write that takes the lease is the owner's fencing token: workers refuse orders
  * with a lower one. An owner that cannot renew goes on for a while, since an outage of the store
@@ -7,14 +7,17 @@
  */
 import { setMaxListeners } from 'node:events';
 
-import type { TransactionStore } from '../infrastructure/transactionStore.js';
-import { partLog } from '../observability/log.js';
-import { callWithin } from '../time/call.js';
-import type { Clock } from '../time/clock.js';
-import { Wakeup } from '../time/wakeup.js';
+import type { TransactionStore } from '../../infrastructure/transactionStore.js';
+import { partLog } from '../../observability/log.js';
+import { offAbort, onAbort } from '../../time/abortListeners.js';
+import { callWithin } from '../../time/call.js';
+import type { Clock } from '../../time/clock.js';
+import { Wakeup } from '../../time/wakeup.js';
 
-import { OWNER_KEY } from './jobKeys.js';
-import type { JobReplica } from './jobReplica.js';
+import { keysOf } from '../store/jobKeys.js';
+import type { JobReplica } from '../store/jobReplica.js';
+import { encodeOwner } from '../store/shareBoard.js';
+import { LONGEST_UNCONFIRMED_MS, type Term } from '../store/term.js';
 
 /** Time to live of the owner's lease, in milliseconds: how long a dead owner goes unnoticed. */
 const LEASE_MS = 2_500;
@@ -28,9 +31,6 @@
 /** Time for one call to the store, in milliseconds. */
 const CALL_TIMEOUT_MS = 600;
 
-/** How long an owner goes on without a confirmed lease, in milliseconds; longer than most outages. */
-export const LONGEST_UNCONFIRMED_MS = 12_000;
-
 /** Longest wait for a change of owner, in milliseconds. */
 const CHECK_MS = 500;
 
@@ -43,34 +43,16 @@
  */
 const CANDIDATE_SPREAD_MS = 320;
 
-/** One term of ownership. */
-export interface Term {
+/** What an election is won with. */
+export interface Victory {
   readonly fencingToken: number;
-  /** Ends the term. */
-  readonly signal: AbortSignal;
-  /**
-   * Tells until when the lease is certain. What is learned after that may belong to a successor.
-   *
-   * @returns monotonic time in milliseconds
-   */
-  certainUntilMs(): number;
-  /**
-   * Tells for how long the store has not confirmed the lease. Beyond `LONGEST_UNCONFIRMED_MS` a
-   * successor may count every lease of this owner as over.
-   *
-   * @returns milliseconds
-   */
-  unconfirmedMs(): number;
-  /**
-   * Ends the term from within.
-   *
-   * @param reason - what showed that another owner has taken over
-   */
-  depose(reason: string): void;
+  readonly leaseId: string;
 }
 
 /** What an election needs. */
 export interface ElectionOptions {
+  /** Id of the share. */
+  readonly share: string;
   readonly store: TransactionStore;
   readonly replica: JobReplica;
   readonly clock: Clock;
@@ -78,6 +60,13 @@
   readonly entry: string;
   /** Name of this process, another one after each start. */
   readonly process: string;
+  readonly dataCentre: string;
+  /** Tells how much later than others this entry stands, in milliseconds, for what it does already. */
+  readonly reluctanceMs: () => number;
+  /** Lets one attempt of the entry at a time be made. */
+  readonly turns: (attempt: () => Promise<Victory | undefined>) => Promise<Victory | undefined>;
+  /** Called as soon as the entry is elected. */
+  readonly onElected: () => void;
   /** What the entry's VM has of a core of the usual speed: faster entries stand for election earlier. */
   readonly processorShare: number;
   /** How long a stopping owner goes on while the store does not take its lease back. */
@@ -94,6 +83,9 @@
 
   private confirmedMs = 0;
 
+  /** Hands over the term in progress. */
+  private endTerm: (() => void) | undefined;
+
   /**
    * @param options - what it works with
    */
@@ -101,11 +93,28 @@
     this.wakeup = new Wakeup(options.clock);
   }
 
+  /** @returns id of the share */
+  get share(): string {
+    return this.options.share;
+  }
+
   /** Looks at the replica anew. */
   notify(): void {
     this.wakeup.wake();
   }
 
+  /**
+   * Hands the term in progress over, as a planned stop does; stands for election again afterwards.
+   *
+   * @param reason - for the log
+   */
+  yieldTerm(reason: string): void {
+    if (!this.endTerm) return;
+    this.log.info('The term is handed over', { share: this.options.share, reason });
+    this.endTerm();
+    this.endTerm = undefined;
+  }
+
   /**
    * Stands for election until told to stop; gives the lease back at the end.
    *
@@ -118,60 +127,77 @@
         await this.wakeup.wait(CHECK_MS, signal);
         continue;
       }
-      await clock.sleep((1 - this.eagerness()) * CANDIDATE_SPREAD_MS, signal);
-      if (!signal.aborted && this.isVacant()) await this.stand(signal);
+      const spreadMs = (1 - this.eagerness()) * CANDIDATE_SPREAD_MS;
+      const reluctanceMs = this.options.reluctanceMs();
+      await clock.sleep(spreadMs + reluctanceMs, signal);
+      const won = await this.options.turns(() => this.standIfStillWanted(reluctanceMs, signal));
+      if (won) await this.serveTerm(won, signal);
     }
   }
 
+  /** An entry that stands for several shares stands for one at a time. */
+  private async standIfStillWanted(
+    reluctanceMs: number,
+    signal: AbortSignal,
+  ): Promise<Victory | undefined> {
+    if (signal.aborted || !this.isVacant()) return undefined;
+    // It may have been elected for something else meanwhile.
+    if (this.options.reluctanceMs() > reluctanceMs) return undefined;
+    return this.stand(signal);
+  }
+
   /** From 0 to 1: this entry beside the fastest owner so far, or beside a whole core at first. */
   private eagerness(): number {
     const { replica, processorShare } = this.options;
-    return Math.min(1, processorShare / (replica.largestOwnerShare() || 1));
+    return Math.min(1, processorShare / (replica.shares.largestOwnerShare || 1));
   }
 
   private isVacant(): boolean {
-    const { replica, entry, process } = this.options;
+    const { share, replica, entry, process } = this.options;
     if (replica.revision() === 0) return false;
-    const owner = replica.owner();
+    const owner = replica.shares.owner(share);
     // A lease of this entry's former life protects nothing any more.
     return owner === undefined || (owner.entry === entry && owner.process !== process);
   }
 
-  private async stand(signal: AbortSignal): Promise<void> {
-    const { store, clock, replica, entry, process, processorShare } = this.options;
+  private async stand(signal: AbortSignal): Promise<Victory | undefined> {
+    const { share, store, clock, replica } = this.options;
+    const key = keysOf(share).owner;
+    // The store counts the lease from when the call arrives.
+    const askedMs = clock.monotonicMs();
     const lease = await store.grantLease(LEASE_MS, callWithin(clock, CALL_TIMEOUT_MS, signal));
     if (lease.err) {
       await clock.sleep(CALL_TIMEOUT_MS / 2, signal);
-      return;
+      return undefined;
     }
-    const sentMs = clock.monotonicMs();
-    const expected = replica.owner()?.revision ?? 0;
-    const value = `${entry} ${process} ${processorShare}`;
+    const expected = replica.shares.owner(share)?.revision ?? 0;
+    const value = encodeOwner(this.options);
     const outcome = await store.commit(
       {
-        expectations: [{ key: OWNER_KEY, revision: expected }],
-        writes: [{ key: OWNER_KEY, value, leaseId: lease.val }],
+        expectations: [{ key, revision: expected }],
+        writes: [{ key, value, leaseId: lease.val }],
         removals: [],
       },
       callWithin(clock, CALL_TIMEOUT_MS, signal),
     );
     if (outcome.ok && outcome.val.kind === 'committed') {
-      this.confirmedMs = sentMs;
-      await this.serveTerm(outcome.val.revision, lease.val, signal);
-      return;
+      this.confirmedMs = askedMs;
+      const { revision: fencingToken } = outcome.val;
+      this.log.info('Elected', { share, fencingToken, leaseId: lease.val });
+      this.options.onElected();
+      return { fencingToken, leaseId: lease.val };
     }
     this.log.info('Another entry was elected, or the store did not answer', {
+      share,
       outcome: outcome.ok ? outcome.val.kind : outcome.val.message,
     });
     await store.revokeLease(lease.val, callWithin(clock, CALL_TIMEOUT_MS));
     await clock.sleep(CALL_TIMEOUT_MS / 2, signal);
+    return undefined;
   }
 
-  private async serveTerm(
-    fencingToken: number,
-    leaseId: string,
-    signal: AbortSignal,
-  ): Promise<void> {
+  private async serveTerm({ fencingToken, leaseId }: Victory, signal: AbortSignal): Promise<void> {
+    const { share } = this.options;
     const ended = new AbortController();
     // Every worker, call and loop of the term listens.
     setMaxListeners(0, ended.signal);
@@ -179,15 +205,15 @@
     const stop = (): void => {
       handover ??= this.handOver(leaseId, ended);
     };
-    signal.addEventListener('abort', stop);
+    this.endTerm = stop;
+    onAbort(signal, stop);
     // A stop may have come while the store was asked.
     if (signal.aborted) stop();
     const depose = (reason: string): void => {
       if (ended.signal.aborted) return;
-      this.log.warn('The term ends', { fencingToken, reason });
+      this.log.warn('The term ends', { share, fencingToken, reason });
       ended.abort();
     };
-    this.log.info('Elected', { fencingToken, leaseId });
     const term: Term = {
       fencingToken,
       signal: ended.signal,
@@ -196,7 +222,8 @@
       depose,
     };
     await Promise.all([this.renew(leaseId, term), this.expire(term), this.options.serve(term)]);
-    signal.removeEventListener('abort', stop);
+    offAbort(signal, stop);
+    this.endTerm = undefined;
     if (handover) await handover;
     else await this.giveBack(leaseId);
   }
@@ -213,16 +240,19 @@
   }
 
   private async giveBack(leaseId: string): Promise<boolean> {
-    const { store, clock } = this.options;
+    const { share, store, clock } = this.options;
     const freed = await store.revokeLease(leaseId, callWithin(clock, CALL_TIMEOUT_MS));
-    this.log.info('The lease was given back', { leaseId, answered: freed.ok });
+    this.log.info('The lease was given back', { share, leaseId, answered: freed.ok });
     return freed.ok;
   }
 
   private async renew(leaseId: string, term: Term): Promise<void> {
     const { store, clock } = this.options;
+    // The election itself may have taken long.
+    let waitMs = Math.max(0, RENEWAL_MS - term.unconfirmedMs());
     while (!term.signal.aborted) {
-      await clock.sleep(RENEWAL_MS, term.signal);
+      await clock.sleep(waitMs, term.signal);
+      waitMs = RENEWAL_MS;
       if (term.signal.aborted) return;
       const sentMs = clock.monotonicMs();
       const call = callWithin(clock, CALL_TIMEOUT_MS, term.signal);
--- /dev/null
+++ b/packages/samphirenotch/src/jobs/ownership/shareClaims.ts
@@ -0,0 +1,119 @@
+/**
+ * Asks for shares of the entry's own data centre that entries elsewhere own.
+ *
+ * An owner in the data centre of its workers goes on when the data centre is cut off. One elsewhere, which
+ * has stood in, hands over to an entry that asks for it and owns nothing yet.
+ */
+import { preferenceOf } from '../../membership/rendezvous.js';
+import type { TransactionStore } from '../../infrastructure/transactionStore.js';
+import { partLog } from '../../observability/log.js';
+import { callWithin } from '../../time/call.js';
+import type { Clock } from '../../time/clock.js';
+
+import type { ShareLayout } from '../model/shareLayout.js';
+import { keysOf } from '../store/jobKeys.js';
+import type { OwnerRecord, ShareBoard } from '../store/shareBoard.js';
+
+/** Time between two looks at who owns what, in milliseconds. */
+const CHECK_MS = 500;
+
+/** How long an owner elsewhere is left alone, in milliseconds: shares are not to move by turns. */
+const SETTLE_MS = 3_000;
+
+/** Spread of entries that could ask at the same time, in milliseconds. */
+const SPREAD_MS = 1_500;
+
+/** How long a claim lasts, in milliseconds. */
+const CLAIM_MS = 4_000;
+
+/** Time for one call to the store, in milliseconds. */
+const CALL_TIMEOUT_MS = 600;
+
+/** What claims need. */
+export interface ShareClaimsOptions {
+  readonly store: TransactionStore;
+  readonly shares: ShareBoard;
+  readonly layout: ShareLayout;
+  readonly clock: Clock;
+  /** Name of the entry. */
+  readonly entry: string;
+  readonly dataCentre: string;
+  /** Share of a core that the entry's VM has. */
+  readonly processorShare: number;
+  /** Tells whether the entry owns something, or has been elected for it. */
+  readonly isBusy: () => boolean;
+}
+
+/** Claims of one entry. */
+export class ShareClaims {
+  private readonly log = partLog('shares');
+
+  /** Since when shares of the own data centre are owned elsewhere, in monotonic milliseconds. */
+  private readonly awaySinceMs = new Map<string, number>();
+
+  /**
+   * @param options - store and entry
+   */
+  constructor(private readonly options: ShareClaimsOptions) {}
+
+  /**
+   * Claims shares until told to stop.
+   *
+   * @param signal - ends it
+   */
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock, layout, dataCentre } = this.options;
+    const own = layout.shares.filter(({ dataCentres }) => dataCentres.includes(dataCentre));
+    while (!signal.aborted && own.length > 0) {
+      await clock.sleep(CHECK_MS, signal);
+      for (const { id } of own) if (!signal.aborted) await this.check(id, signal);
+    }
+  }
+
+  private async check(share: string, signal: AbortSignal): Promise<void> {
+    const { shares, clock, dataCentre, isBusy } = this.options;
+    const owner = shares.owner(share);
+    if (!owner || owner.dataCentre === dataCentre || isBusy()) {
+      this.awaySinceMs.delete(share);
+      return;
+    }
+    const nowMs = clock.monotonicMs();
+    const sinceMs = this.awaySinceMs.get(share) ?? nowMs;
+    this.awaySinceMs.set(share, sinceMs);
+    if (nowMs < sinceMs + SETTLE_MS + this.waitMs(share) || shares.claimant(share)) return;
+    await this.claim(share, owner, signal);
+  }
+
+  /** Entries on fast VMs ask first. */
+  private waitMs(share: string): number {
+    const { entry, processorShare, shares } = this.options;
+    const slowness = 1 - Math.min(1, processorShare / (shares.largestOwnerShare || 1));
+    return (slowness + 1 - preferenceOf(share, entry)) * (SPREAD_MS / 2);
+  }
+
+  private async claim(share: string, owner: OwnerRecord, signal: AbortSignal): Promise<void> {
+    const { store, clock, entry } = this.options;
+    const call = () => callWithin(clock, CALL_TIMEOUT_MS, signal);
+    const lease = await store.grantLease(CLAIM_MS, call());
+    if (lease.err) return;
+    const keys = keysOf(share);
+    const outcome = await store.commit(
+      {
+        expectations: [
+          { key: keys.owner, revision: owner.revision },
+          { key: keys.claim, revision: 0 },
+        ],
+        writes: [{ key: keys.claim, value: entry, leaseId: lease.val }],
+        removals: [],
+      },
+      call(),
+    );
+    this.awaySinceMs.delete(share);
+    this.log.info('A share of this data centre is asked for', {
+      share,
+      owner: owner.entry,
+      ownerDataCentre: owner.dataCentre,
+      outcome: outcome.ok ? outcome.val.kind : outcome.val.message,
+    });
+  }
+}
--- /dev/null
+++ b/packages/samphirenotch/src/jobs/ownership/summaryWriter.ts
@@ -0,0 +1,135 @@
+/**
+ * Tells all entries now and then which jobs of a share wait and what room it has.
+ */
+import type { Clock } from '../../time/clock.js';
+
+import { hasWaiting, isStepOpen, isUnstarted, type OwnedJob } from '../model/ownedJob.js';
+import { encodeRoom, type ShareRoom } from '../model/shareRoom.js';
+import { unusedOf } from '../placement/taskPlacement.js';
+import type { JobBook } from '../store/jobBook.js';
+import type { OperatorFollower } from '../store/operatorFollower.js';
+import type { ShareKeys } from '../store/jobKeys.js';
+import type { ProgressJournal } from '../store/progressJournal.js';
+import type { WorkerFleet } from '../workers/workerFleet.js';
+
+/** Time between two summaries, in milliseconds. */
+const SUMMARY_MS = 500;
+
+/** Least time between two lists of waiting jobs, in milliseconds; callers accept news of 2 s. */
+const WAITING_GAP_MS = 1_000;
+
+/** Change of the room that is told, as a share of all room; smaller ones are not worth a call. */
+const NOTABLE_CHANGE = 0.04;
+
+/** What summaries are made of. */
+export interface SummaryOptions {
+  readonly book: JobBook;
+  readonly fleet: WorkerFleet;
+  readonly operator: OperatorFollower;
+  readonly clock: Clock;
+  /** Tells up to which revision all accepted jobs are known. */
+  readonly revision: () => number;
+}
+
+const waitingMilliCores = ({ occurrences }: OwnedJob, wallMs: number): number => {
+  let sum = 0;
+  occurrences.forEach(({ steps, dueAtMs }) => {
+    if (dueAtMs > wallMs) return;
+    steps
+      .filter((step) => hasWaiting(step) && isStepOpen(step))
+      .forEach(({ tasks, spec }) => {
+        sum += tasks.filter(isUnstarted).length * spec.size.milliCores;
+      });
+  });
+  return sum;
+};
+
+const differ = (one: ShareRoom, other: ShareRoom): boolean => {
+  const notable = NOTABLE_CHANGE * Math.max(one.capacity, other.capacity);
+  return (
+    Math.abs(one.capacity - other.capacity) > notable ||
+    Math.abs(one.free - other.free) > notable ||
+    Math.abs(one.unused - other.unused) > notable ||
+    Math.abs(one.waiting - other.waiting) > notable
+  );
+};
+
+/** Writes the summaries of one term. */
+export class SummaryWriter {
+  private lastIds = '';
+
+  private lastRoom: ShareRoom | undefined;
+
+  /** Revision up to which all jobs were told of. */
+  private toldTo = 0;
+
+  private toldMs = Number.NEGATIVE_INFINITY;
+
+  /**
+   * @param options - jobs and workers
+   * @param journal - where summaries are written
+   * @param keys - keys of the share
+   */
+  constructor(
+    private readonly options: SummaryOptions,
+    private readonly journal: ProgressJournal,
+    private readonly keys: ShareKeys,
+  ) {}
+
+  /**
+   * Writes summaries until told to stop.
+   *
+   * @param signal - ends it
+   */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await this.options.clock.sleep(SUMMARY_MS, signal);
+      if (!signal.aborted) this.summarize();
+    }
+  }
+
+  private summarize(): void {
+    const jobs = this.options.book.openJobs();
+    const revision = this.options.revision();
+    this.writeWaiting(
+      jobs.filter(({ isGuest }) => !isGuest),
+      revision,
+    );
+    const room = this.room(jobs, revision);
+    if (this.lastRoom && !differ(room, this.lastRoom)) return;
+    this.lastRoom = room;
+    this.journal.add({ key: this.keys.room, value: () => encodeRoom(room) });
+  }
+
+  private writeWaiting(jobs: readonly OwnedJob[], revision: number): void {
+    const ids = jobs
+      .filter(({ begun }) => !begun)
+      .map(({ id }) => id)
+      .join(' ');
+    // Jobs that are newer than what was told last count as waiting until they are left out.
+    const hasNewer = jobs.some((job) => job.begun && job.revision > this.toldTo);
+    if (ids === this.lastIds && !hasNewer) return;
+    const nowMs = this.options.clock.monotonicMs();
+    if (nowMs < this.toldMs + WAITING_GAP_MS) return;
+    this.toldMs = nowMs;
+    this.lastIds = ids;
+    this.toldTo = revision;
+    this.journal.add({ key: this.keys.waiting, value: () => `${revision} ${ids}` });
+  }
+
+  private room(jobs: readonly OwnedJob[], revision: number): ShareRoom {
+    const { fleet, operator, clock } = this.options;
+    const agents = fleet.usable(operator.view().evacuated);
+    const wallMs = clock.wallMs();
+    return {
+      capacity: agents.reduce((sum, { description }) => sum + description.capacity.milliCores, 0),
+      free: agents.reduce((sum, agent) => sum + Math.max(0, agent.free().milliCores), 0),
+      unused: agents.reduce((sum, agent) => sum + Math.max(0, unusedOf(agent)), 0),
+      waiting: jobs
+        .filter(({ settled }) => !settled)
+        .reduce((sum, job) => sum + waitingMilliCores(job, wallMs), 0),
+      labels: new Set(agents.flatMap(({ description }) => description.labels)),
+      revision,
+    };
+  }
+}
--- /dev/null
+++ b/packages/samphirenotch/src/jobs/ownership/takeover.ts
@@ -0,0 +1,194 @@
+/**
+ * What a new owner does first: ends the writes of former owners and reads what they left.
+ */
+import { z } from 'zod';
+
+import type { KeyValue } from '../../infrastructure/keyValueStore.js';
+import type { TransactionStore } from '../../infrastructure/transactionStore.js';
+import { partLog } from '../../observability/log.js';
+import { callWithin } from '../../time/call.js';
+import type { Clock } from '../../time/clock.js';
+
+import { decodeProgress, type JobProgress } from '../model/jobProgress.js';
+import { EXCHANGE_PREFIX, keysOf, type ShareKeys } from '../store/jobKeys.js';
+import type { JobReplica } from '../store/jobReplica.js';
+import { ProgressJournal } from '../store/progressJournal.js';
+import type { Term } from '../store/term.js';
+import type { RosterEntry } from '../workers/workerFleet.js';
+
+/**
+ * Numbers of runs that each term may use; above the starts of any task within one. Fencing tokens rise
+ * over all shares, and so do the numbers of a task that moves between them.
+ */
+const RUNS_PER_TERM = 1_000;
+
+/** Time for a call to the store, in milliseconds. */
+const CALL_TIMEOUT_MS = 1_200;
+
+/** Wait before a failed call is made again, in milliseconds. */
+const RETRY_MS = 100;
+
+/** Wait for the replica between two looks at it, in milliseconds. */
+const REPLICA_CHECK_MS = 5;
+
+const ROSTER = z.array(
+  z.object({
+    id: z.string(),
+    address: z.string(),
+    service: z.string(),
+    dataCentre: z.string(),
+    draining: z.boolean(),
+  }),
+);
+
+/** What a takeover works with. */
+export interface TakeoverOptions {
+  /** Id of the share. */
+  readonly share: string;
+  /** The site has other shares. */
+  readonly isDivided: boolean;
+  readonly store: TransactionStore;
+  readonly replica: JobReplica;
+  readonly clock: Clock;
+  /** Name of this process. */
+  readonly process: string;
+}
+
+/** What a term begins with. */
+export interface Takeover {
+  readonly journal: ProgressJournal;
+  readonly firstRun: number;
+  readonly progress: ReadonlyMap<string, JobProgress>;
+  readonly roster: readonly RosterEntry[];
+  /** Delegations of the share's jobs that are not closed, as stored. */
+  readonly away: readonly string[];
+  /** What owners of shares have told each other, by key. */
+  readonly exchange: ReadonlyMap<string, string>;
+}
+
+const log = partLog('takeover');
+
+const openJournal = async (
+  { share, store, clock, process }: TakeoverOptions,
+  term: Term,
+): Promise<{ readonly journal: ProgressJournal; readonly revision: number } | undefined> => {
+  const keys = keysOf(share);
+  const call = () => callWithin(clock, CALL_TIMEOUT_MS, term.signal);
+  while (!term.signal.aborted) {
+    const known = await store.get(keys.journal, call());
+    if (known.err) {
+      await clock.sleep(RETRY_MS, term.signal);
+      continue;
+    }
+    const label = `${process} ${term.fencingToken}`;
+    const outcome = await store.commit(
+      {
+        expectations: [
+          { key: keys.owner, revision: term.fencingToken },
+          { key: keys.journal, revision: known.val?.revision ?? 0 },
+        ],
+        writes: [
+          { key: keys.journal, value: label },
+          { key: keys.opened, value: label },
+        ],
+        removals: [],
+      },
+      call(),
+    );
+    if (outcome.ok && outcome.val.kind === 'committed') {
+      const { revision } = outcome.val;
+      const journal = new ProgressJournal(store, clock, keys.journal, revision, label, term.depose);
+      return { journal, revision };
+    }
+    if (outcome.ok) {
+      const owner = await store.get(keys.owner, call());
+      if (owner.ok && owner.val?.revision !== term.fencingToken) {
+        term.depose('the lease has ended');
+        return undefined;
+      }
+    }
+    log.warn('The journal was not opened', {
+      outcome: outcome.ok ? outcome.val.kind : outcome.val.message,
+    });
+    await clock.sleep(RETRY_MS, term.signal);
+  }
+  return undefined;
+};
+
+const readProgress = (
+  items: readonly KeyValue[],
+  { progressPrefix }: ShareKeys,
+): ReadonlyMap<string, JobProgress> => {
+  const progress = new Map<string, JobProgress>();
+  items
+    .filter(({ key }) => key.startsWith(progressPrefix))
+    .forEach(({ key, value }) => {
+      const jobId = key.slice(progressPrefix.length);
+      try {
+        progress.set(jobId, decodeProgress(value));
+      } catch (error) {
+        log.error('Progress cannot be read', { jobId, reason: String(error) });
+      }
+    });
+  return progress;
+};
+
+const readRoster = (items: readonly KeyValue[], { roster }: ShareKeys): readonly RosterEntry[] => {
+  const item = items.find(({ key }) => key === roster);
+  return item ? ROSTER.parse(JSON.parse(item.value)) : [];
+};
+
+const readExchange = async (
+  { store, clock }: TakeoverOptions,
+  term: Term,
+): Promise<ReadonlyMap<string, string> | undefined> => {
+  while (!term.signal.aborted) {
+    const call = callWithin(clock, CALL_TIMEOUT_MS, term.signal);
+    const listing = await store.list(EXCHANGE_PREFIX, call);
+    if (listing.ok) return new Map(listing.val.items.map(({ key, value }) => [key, value]));
+    await clock.sleep(RETRY_MS, term.signal);
+  }
+  return undefined;
+};
+
+/**
+ * Takes over from former owners.
+ *
+ * @param options - store, replica and clock
+ * @param term - the term that begins
+ * @returns what was left, or undefined if the term ended first
+ */
+export const takeOver = async (
+  options: TakeoverOptions,
+  term: Term,
+): Promise<Takeover | undefined> => {
+  const { share, store, clock, replica } = options;
+  const keys = keysOf(share);
+  const opened = await openJournal(options, term);
+  while (opened && !term.signal.aborted) {
+    const listing = await store.list(
+      keys.ownerPrefix,
+      callWithin(clock, CALL_TIMEOUT_MS, term.signal),
+    );
+    if (listing.err) {
+      await clock.sleep(RETRY_MS, term.signal);
+      continue;
+    }
+    // What former owners have written, and all accepted before the term, must be known first.
+    while (replica.revision() < opened.revision && !term.signal.aborted) {
+      await clock.sleep(REPLICA_CHECK_MS, term.signal);
+    }
+    const { items } = listing.val;
+    const exchange = options.isDivided ? await readExchange(options, term) : new Map();
+    if (!exchange) return undefined;
+    return {
+      journal: opened.journal,
+      firstRun: term.fencingToken * RUNS_PER_TERM,
+      progress: readProgress(items, keys),
+      roster: readRoster(items, keys),
+      away: items.filter(({ key }) => key.startsWith(keys.awayPrefix)).map(({ value }) => value),
+      exchange,
+    };
+  }
+  return undefined;
+};
--- /dev/null
+++ b/packages/samphirenotch/src/jobs/ownership/taskOutcomes.ts
@@ -0,0 +1,131 @@
+/**
+ * What the ends of tasks mean for their jobs.
+ */
+import { partLog } from '../../observability/log.js';
+import type { Clock } from '../../time/clock.js';
+
+import type { OwnedJob, OwnedTask } from '../model/ownedJob.js';
+import type { JobBook } from '../store/jobBook.js';
+
+/** Failed runs of a gang count once for all members. */
+const countFailures = ({ step, failedRuns }: OwnedTask): number => {
+  if (!step.spec.gang) return failedRuns.length;
+  return new Set(step.tasks.flatMap((task) => task.failedRuns)).size;
+};
+
+/** Ends tasks, and jobs with them. */
+export class TaskOutcomes {
+  private readonly log = partLog('owner');
+
+  /**
+   * @param book - the jobs
+   * @param clock - time
+   * @param viewAgeMs - tells how old the newest news of jobs is, in milliseconds
+   */
+  constructor(
+    private readonly book: JobBook,
+    private readonly clock: Clock,
+    private readonly viewAgeMs: () => number,
+  ) {}
+
+  /**
+   * Takes note that a task is done.
+   *
+   * @param task - the task
+   */
+  finish(task: OwnedTask): void {
+    if (task.done) return;
+    const { step } = task;
+    const { job } = step.occurrence;
+    if (step.spec.longRunning) return;
+    // One end of a gang stands for all its members.
+    const finished = step.spec.gang ? step.tasks.filter(({ done }) => !done) : [task];
+    finished.forEach((each) => {
+      const owned = each;
+      owned.done = true;
+      step.doneCount += 1;
+    });
+    task.runs.forEach((run) => run.agent.stop(run, 'another copy is done'));
+    job.settled = false;
+    this.book.noteProgress(job);
+    if (job.isDone && job.isOpen) this.book.finish(job, 'completed');
+  }
+
+  /**
+   * Takes note that a run of a task has failed.
+   *
+   * @param task - the task
+   * @param workerId - the worker
+   * @param run - number of the run
+   */
+  fail(task: OwnedTask, workerId: string, run: number): void {
+    if (task.done || task.failedRuns.includes(run)) return;
+    task.failedRuns.push(run);
+    task.failedOn.add(workerId);
+    this.judge(task);
+  }
+
+  /**
+   * Ends the job of a task that has failed too often.
+   *
+   * @param task - the task
+   */
+  judge(task: OwnedTask): void {
+    const { step } = task;
+    const { job } = step.occurrence;
+    if (step.spec.longRunning) return;
+    this.book.noteProgress(job);
+    const attempts = countFailures(task);
+    if (attempts < job.queue.maximumAttempts || !job.isOpen) return;
+    this.log.warn('A job has failed', {
+      jobId: job.id,
+      taskId: task.id,
+      attempts,
+      isGuest: job.isGuest,
+    });
+    if (job.isGuest) {
+      // Its home decides about the job.
+      const failed = step.spec.gang ? step.tasks : [task];
+      failed.forEach((each) => {
+        const owned = each;
+        owned.away = true;
+      });
+      return;
+    }
+    this.book.finish(job, 'failed');
+    this.stopRuns(job, 'the job has failed');
+  }
+
+  /**
+   * Ends what there is of a cancelled job.
+   *
+   * @param jobId - the job
+   * @param requestedAtMs - wall clock of the entry that took the cancellation, in Unix milliseconds
+   */
+  cancel(jobId: string, requestedAtMs?: number): void {
+    this.book.findAll(jobId).forEach((job) => {
+      if (job.cancelled) return;
+      const owned = job;
+      owned.cancelled = true;
+      this.log.info('A job is cancelled', {
+        jobId,
+        runs: job.activeRuns().length,
+        // Wall clocks of entries differ a little.
+        afterMs: requestedAtMs && Math.round(this.clock.wallMs() - requestedAtMs),
+        viewAgeMs: Math.round(this.viewAgeMs()),
+      });
+      this.stopRuns(job, 'the job is cancelled');
+      this.book.forget(job);
+    });
+  }
+
+  /**
+   * Stops every run of a job.
+   *
+   * @param job - the job
+   * @param reason - for the log
+   */
+  stopRuns(job: OwnedJob, reason: string): void {
+    job.activeRuns().forEach((run) => run.agent.stop(run, reason));
+  }
+}
--- a/packages/samphirenotch/src/jobs/fillerPacing.ts
+++ b/packages/samphirenotch/src/jobs/pacing/fillerPacing.ts
@@ -5,13 +5,13 @@
  * disturb most are slowed first, as far as what was learned of them asks for. A target that is
  * missed all the same stops every filler on the worker until it is met again.
  */
-import type { Clock } from '../time/clock.js';
+import type { Clock } from '../../time/clock.js';
 
+import { FULL_PERCENT, isFiller, isServing, type OwnedRun } from '../model/ownedJob.js';
+import type { WorkerAgent } from '../workers/workerAgent.js';
+import type { WorkerFleet } from '../workers/workerFleet.js';
 import type { Interference } from './interference.js';
-import { FULL_PERCENT, isFiller, isServing, type OwnedRun } from './ownedJob.js';
 import type { FillerUse } from './pairSlopes.js';
-import type { WorkerAgent } from './workerAgent.js';
-import type { WorkerFleet } from './workerFleet.js';
 
 /** Tail over target that is aimed for: below 1, since loads shift between two looks. */
 const AIM = 0.95;
--- a/packages/samphirenotch/src/jobs/fillerRoom.ts
+++ b/packages/samphirenotch/src/jobs/pacing/fillerRoom.ts
@@ -4,8 +4,8 @@
  * A filler may use a share of a worker that its heaviest pair with a serving image there allows, so
  * the images that serve on a worker decide together which fillers it is open to.
  */
+import type { OwnedJob } from '../model/ownedJob.js';
 import type { Interference } from './interference.js';
-import type { OwnedJob } from './ownedJob.js';
 
 /** Share of a worker that fillers find unused at most; serving tasks use about half of what they declare. */
 const MOST_SHARE = 0.6;
--- a/packages/samphirenotch/src/jobs/interference.ts
+++ b/packages/samphirenotch/src/jobs/pacing/interference.ts
@@ -5,7 +5,13 @@
  * beside it, at a slope that differs widely by pair. Tasks of one step share their own load, so the
  * least disturbed of them shows what the tail would be without fillers.
  */
-import { FULL_PERCENT, isFiller, isServing, type OwnedRun, type OwnedStep } from './ownedJob.js';
+import {
+  FULL_PERCENT,
+  isFiller,
+  isServing,
+  type OwnedRun,
+  type OwnedStep,
+} from '../model/ownedJob.js';
 import { PairSlopes, type FillerUse } from './pairSlopes.js';
 import { SwingForecast } from './swingForecast.js';
 import { SwingPeriods } from './swingPeriods.js';
--- a/packages/samphirenotch/src/jobs/firstComeStepOrder.ts
+++ b/packages/samphirenotch/src/jobs/placement/firstComeStepOrder.ts
@@ -1,7 +1,7 @@
 /**
  * Serves steps in the order in which their jobs came: the plain baseline of the order by deadlines.
  */
-import type { OwnedStep } from './ownedJob.js';
+import type { OwnedStep } from '../model/ownedJob.js';
 import type { StepOrder } from './stepOrder.js';
 
 /** First come, first served. */
--- a/packages/samphirenotch/src/jobs/jobExplanation.ts
+++ b/packages/samphirenotch/src/jobs/placement/jobExplanation.ts
@@ -1,13 +1,20 @@
 /**
  * Why the tasks of a job wait.
  */
-import type { Clock } from '../time/clock.js';
+import type { Clock } from '../../time/clock.js';
 
-import { isStepOpen, roomOf, type OwnedJob, type OwnedStep, type OwnedTask } from './ownedJob.js';
-import type { OperatorFollower } from './operatorFollower.js';
+import {
+  isStepOpen,
+  isUnstarted,
+  roomOf,
+  type OwnedJob,
+  type OwnedStep,
+  type OwnedTask,
+} from '../model/ownedJob.js';
+import type { OperatorFollower } from '../store/operatorFollower.js';
+import type { WorkerFleet } from '../workers/workerFleet.js';
 import type { StepPermissions } from './stepPermissions.js';
 import type { TaskPlacement } from './taskPlacement.js';
-import type { WorkerFleet } from './workerFleet.js';
 
 /** What a step of a job does. */
 export interface StepExplanation {
@@ -16,6 +23,8 @@
   readonly tasks: number;
   readonly done: number;
   readonly running: number;
+  /** Tasks that another share has. */
+  readonly away: number;
   /** Workers of its runs, each once. */
   readonly workers: readonly string[];
   /** Why the rest waits; undefined if nothing waits. */
@@ -66,13 +75,14 @@
 
   private explainStep(step: OwnedStep): StepExplanation {
     const runs = step.tasks.flatMap((task) => task.runs);
-    const waiting = step.tasks.find((task) => !task.done && task.runs.length === 0);
+    const waiting = step.tasks.find(isUnstarted);
     return {
       occurrence: step.occurrence.index,
       step: step.index,
       tasks: step.spec.count,
       done: step.doneCount,
       running: runs.length,
+      away: step.tasks.filter(({ away }) => away).length,
       workers: [...new Set(runs.map(({ agent }) => agent.id))],
       ...(waiting ? { waitsFor: this.reason(waiting) } : {}),
     };
--- a/packages/samphirenotch/src/jobs/misfits.ts
+++ b/packages/samphirenotch/src/jobs/placement/misfits.ts
@@ -4,10 +4,10 @@
  * Starts only take room, so what has not fitted once fits nowhere for the rest of the pass, and neither
  * does anything larger of its kind. With many jobs of few kinds waiting, most need not be tried.
  */
-import { fitsIn } from '../infrastructure/sizes.js';
-import type { Size } from '../infrastructure/worker.js';
+import { fitsIn } from '../../infrastructure/sizes.js';
+import type { Size } from '../../infrastructure/worker.js';
 
-import type { OwnedStep } from './ownedJob.js';
+import type { OwnedStep } from '../model/ownedJob.js';
 
 /** Tells which workers and limits count for a step; undefined if it has some of its own. */
 const kindOf = ({ spec, occurrence }: OwnedStep): string | undefined => {
--- a/packages/samphirenotch/src/jobs/preemption.ts
+++ b/packages/samphirenotch/src/jobs/placement/preemption.ts
@@ -5,15 +5,15 @@
  * checkpoints of queues that come later are stopped, as few as possible, and go on elsewhere or later
  * from where they were. Gangs and long-running tasks are left alone.
  */
-import { partLog } from '../observability/log.js';
-import { fitsIn, plusSize } from '../infrastructure/sizes.js';
-import type { Size } from '../infrastructure/worker.js';
-import type { Clock } from '../time/clock.js';
-
-import type { OwnedRun, OwnedTask } from './ownedJob.js';
-import { remainingRunMs } from './runWatch.js';
+import { fitsIn, plusSize } from '../../infrastructure/sizes.js';
+import type { Size } from '../../infrastructure/worker.js';
+import { partLog } from '../../observability/log.js';
+import type { Clock } from '../../time/clock.js';
+
+import type { OwnedRun, OwnedTask } from '../model/ownedJob.js';
+import { remainingRunMs } from '../workers/runWatch.js';
+import type { WorkerAgent } from '../workers/workerAgent.js';
 import type { PlacementInput } from './taskPlacement.js';
-import type { WorkerAgent } from './workerAgent.js';
 
 /** Time that a run must still take to be worth stopping, in milliseconds: a stop and a restart take about as long. */
 const LEAST_REMAINING_MS = 1_000;
--- a/packages/samphirenotch/src/jobs/servingMoves.ts
+++ b/packages/samphirenotch/src/jobs/placement/servingMoves.ts
@@ -6,15 +6,15 @@
  * where their image serves already, as long as a move opens clearly more than the tasks' absence
  * costs.
  */
-import { fitsIn, minusSize } from '../infrastructure/sizes.js';
-import type { Size } from '../infrastructure/worker.js';
-import { partLog } from '../observability/log.js';
-import type { Clock } from '../time/clock.js';
-
-import { distinctImages, type FillerRoom, type ServedImage } from './fillerRoom.js';
-import { FULL_PERCENT, type OwnedRun, type OwnedStep } from './ownedJob.js';
+import { fitsIn, minusSize } from '../../infrastructure/sizes.js';
+import type { Size } from '../../infrastructure/worker.js';
+import { partLog } from '../../observability/log.js';
+import type { Clock } from '../../time/clock.js';
+
+import { FULL_PERCENT, type OwnedRun, type OwnedStep } from '../model/ownedJob.js';
+import { distinctImages, type FillerRoom, type ServedImage } from '../pacing/fillerRoom.js';
+import type { WorkerAgent } from '../workers/workerAgent.js';
 import type { TaskPlacement } from './taskPlacement.js';
-import type { WorkerAgent } from './workerAgent.js';
 
 /** Time between two looks for moves, in milliseconds: a move takes about as long. */
 const CHECK_GAP_MS = 500;
--- a/packages/samphirenotch/src/jobs/starvation.ts
+++ b/packages/samphirenotch/src/jobs/placement/starvation.ts
@@ -5,10 +5,10 @@
  * bear it, so it would wait for as long as anything serves. One of its tasks is started all the same
  * where it disturbs least, and the pacing of fillers keeps it from doing harm.
  */
-import type { Clock } from '../time/clock.js';
+import type { Clock } from '../../time/clock.js';
 
-import type { OwnedJob, OwnedStep } from './ownedJob.js';
-import type { WorkerAgent } from './workerAgent.js';
+import type { OwnedJob, OwnedStep } from '../model/ownedJob.js';
+import type { WorkerAgent } from '../workers/workerAgent.js';
 
 /** Time without a run after which a job counts as starved, in milliseconds: callers are promised less than 3 s where there is room. */
 const STARVED_MS = 1_500;
--- a/packages/samphirenotch/src/jobs/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
@@ -1,28 +1,38 @@
 /**
  * Starts waiting tasks where there is room.
  */
-import { timesSize } from '../infrastructure/sizes.js';
-import { partLog } from '../observability/log.js';
-import type { Clock } from '../time/clock.js';
-
-import { fillerDemand, FillerRoom } from './fillerRoom.js';
-import type { Interference } from './interference.js';
+import { timesSize } from '../../infrastructure/sizes.js';
+import { partLog } from '../../observability/log.js';
+import type { Clock } from '../../time/clock.js';
+
+import {
+  hasWaiting,
+  isStepOpen,
+  isUnstarted,
+  roomOf,
+  type OwnedJob,
+  type OwnedStep,
+  type OwnedTask,
+} from '../model/ownedJob.js';
+import type { JobBook } from '../store/jobBook.js';
+import { fillerDemand, FillerRoom } from '../pacing/fillerRoom.js';
+import type { Interference } from '../pacing/interference.js';
+import type { OperatorFollower } from '../store/operatorFollower.js';
+import type { Term } from '../store/term.js';
+import type { OrderTurns } from '../workers/orderTurns.js';
+import type { SlowWorkers } from '../workers/slowWorkers.js';
+import type { WorkerAgent } from '../workers/workerAgent.js';
+import type { WorkerFleet } from '../workers/workerFleet.js';
 import { JobExplainer, type JobExplanation } from './jobExplanation.js';
-import type { JobBook } from './jobBook.js';
-import type { OperatorFollower } from './operatorFollower.js';
-import type { OrderTurns } from './orderTurns.js';
 import { Misfits } from './misfits.js';
-import { isStepOpen, roomOf, type OwnedJob, type OwnedStep, type OwnedTask } from './ownedJob.js';
-import { LONGEST_UNCONFIRMED_MS, type Term } from './ownerElection.js';
-import type { SlowWorkers } from './slowWorkers.js';
-import type { StepPermissions } from './stepPermissions.js';
 import { Preemption } from './preemption.js';
 import { ServingMoves } from './servingMoves.js';
+import { StartGate } from './startGate.js';
+import type { UnplacedStep } from './spillOver.js';
 import { Starvation } from './starvation.js';
 import { DeadlineStepOrder, type StepOrder } from './stepOrder.js';
+import type { StepPermissions } from './stepPermissions.js';
 import { SpreadPlacement, type PlacementInput, type TaskPlacement } from './taskPlacement.js';
-import type { WorkerAgent } from './workerAgent.js';
-import type { WorkerFleet } from './workerFleet.js';
 
 /** What a launcher works with. */
 export interface StepLauncherOptions {
@@ -42,12 +52,6 @@
 /** Time for which a pass starts tasks, in milliseconds: answers and renewals wait as long. */
 const STARTING_MS = 30;
 
-/**
- * Age of the news of jobs above which nothing starts, in milliseconds: cancellations are to count after
- * three seconds at the earliest.
- */
-const FRESH_NEWS_MS = 2_500;
-
 /**
  * Tasks that a pass starts at most of starved fillers, and of long-running steps behind the point where
  * it was cut short.
@@ -62,11 +66,6 @@
   readonly agent: WorkerAgent;
 }
 
-/** Tells whether some task of a step is neither done nor in progress. */
-const hasWaiting = ({ spec, doneCount, tasks }: OwnedStep): boolean =>
-  (doneCount < spec.count || spec.longRunning) &&
-  tasks.some(({ done, runs }) => !done && runs.length === 0);
-
 /** Starts tasks, pass by pass. */
 export class StepLauncher {
   private readonly log = partLog('starts');
@@ -83,6 +82,8 @@
 
   private readonly moves: ServingMoves;
 
+  private readonly gate: StartGate;
+
   private startCount = 0;
 
   /** Monotonic time at which the pass is cut short. */
@@ -90,10 +91,11 @@
 
   private wasCut = false;
 
-  private wasFresh = true;
-
   private demandMs = Number.NEGATIVE_INFINITY;
 
+  /** Steps of this pass with tasks that found no worker, the most urgent first. */
+  private unplacedSteps: OwnedStep[] = [];
+
   /** What has fitted nowhere in this pass; larger tasks of the kind need not be tried. */
   private readonly misfits = new Misfits();
 
@@ -108,6 +110,7 @@
     this.moves = new ServingMoves(this.room, this.placement, options.clock);
     this.preemption = new Preemption(options.clock);
     this.starvation = new Starvation(options.clock);
+    this.gate = new StartGate(options.term, options.viewAgeMs);
   }
 
   /** @returns how many runs were started so far */
@@ -120,6 +123,20 @@
     return this.wasCut;
   }
 
+  /**
+   * Lists steps with tasks that found no worker in the last pass.
+   *
+   * @returns the steps, the most urgent first
+   */
+  unplaced(): readonly UnplacedStep[] {
+    const nowMs = this.options.clock.monotonicMs();
+    return this.unplacedSteps.map((step) => ({
+      step,
+      waitedMs: nowMs - (step.unplacedSinceMs ?? nowMs),
+      hasWorkers: this.candidates(step).length > 0,
+    }));
+  }
+
   /**
    * Explains why tasks of a job wait.
    *
@@ -138,11 +155,10 @@
    * @param directoryKnown - whether the list of workers has been read
    */
   pass(directoryKnown: boolean): void {
-    const { book, clock, term } = this.options;
+    const { book, clock } = this.options;
     this.wasCut = false;
-    if (!directoryKnown || term.unconfirmedMs() > LONGEST_UNCONFIRMED_MS) return;
-    this.noteFreshness();
-    if (!this.wasFresh) return;
+    this.unplacedSteps = [];
+    if (!directoryKnown || !this.gate.isOpen()) return;
     book.refreshQueues();
     this.placement.refresh();
     this.candidatesOfPass.clear();
@@ -167,21 +183,6 @@
     if (isWhole) this.moveServing();
   }
 
-  /** While the store confirms the lease it also takes cancellations, which the owner has to hear of. */
-  private noteFreshness(): void {
-    const { term, viewAgeMs } = this.options;
-    const ageMs = viewAgeMs();
-    const isFresh = ageMs <= FRESH_NEWS_MS || term.unconfirmedMs() > FRESH_NEWS_MS;
-    if (isFresh === this.wasFresh) return;
-    this.wasFresh = isFresh;
-    const fields = {
-      viewAgeMs: Math.round(ageMs),
-      unconfirmedMs: Math.round(term.unconfirmedMs()),
-    };
-    if (isFresh) this.log.info('Starts go on', fields);
-    else this.log.warn('Starts wait for news of jobs', fields);
-  }
-
   private isTimeUp(): boolean {
     const { clock, turns } = this.options;
     return turns.isBackedUp || clock.monotonicMs() >= this.startUntilMs;
@@ -287,7 +288,7 @@
   }
 
   private isWaiting(task: OwnedTask, nowMs: number): boolean {
-    return !task.done && task.runs.length === 0 && task.notBeforeMs <= nowMs;
+    return isUnstarted(task) && task.notBeforeMs <= nowMs;
   }
 
   /** Returns false if time was up before all its tasks were tried. */
@@ -311,12 +312,16 @@
 
   /** Returns false if time was up before all tasks were tried. */
   private startTasks(step: OwnedStep, workers: readonly WorkerAgent[], nowMs: number): boolean {
-    if (this.misfits.includes(step)) return true;
+    if (this.misfits.includes(step)) {
+      this.noteUnplaced(step, nowMs);
+      return true;
+    }
     for (const task of step.tasks.filter((each) => this.isWaiting(each, nowMs))) {
       const size = roomOf(task);
       const agent = this.placement.choose({ task, size, workers });
       if (!agent) {
         this.misfits.add(step);
+        this.noteUnplaced(step, nowMs);
         this.makeRoom(task, workers);
         // All tasks of a step ask for the same.
         return true;
@@ -324,9 +329,17 @@
       this.start({ task, agent }, task.nextRun);
       if (this.isTimeUp()) return false;
     }
+    const placed = step;
+    placed.unplacedSinceMs = undefined;
     return true;
   }
 
+  private noteUnplaced(step: OwnedStep, nowMs: number): void {
+    const unplaced = step;
+    unplaced.unplacedSinceMs ??= nowMs;
+    this.unplacedSteps.push(step);
+  }
+
   /** What lasts takes no room from work that ends, since it would keep it; fillers take none. */
   private makeRoom(task: OwnedTask, workers: readonly WorkerAgent[]): void {
     const { filler, longRunning } = task.step.spec;
@@ -344,7 +357,10 @@
     const racks = step.spec.sameRack ? this.racksOf(workers) : [];
     const groups = [...racks, workers];
     const found = groups.map((group) => this.placeAll(members, group)).find((starts) => starts);
-    if (!found) return;
+    if (!found) {
+      this.noteUnplaced(step, nowMs);
+      return;
+    }
     found.forEach(({ task, agent }) => {
       const member = task;
       member.checkpoint = checkpoint;
--- a/packages/samphirenotch/src/jobs/stepOrder.ts
+++ b/packages/samphirenotch/src/jobs/placement/stepOrder.ts
@@ -5,7 +5,7 @@
  * still be in time first, urgent queues before others and within them the earliest deadline; then
  * long-running tasks, which keep what they get; then late jobs.
  */
-import type { OwnedJob, OwnedStep } from './ownedJob.js';
+import type { OwnedJob, OwnedStep } from '../model/ownedJob.js';
 
 /** Orders steps that wait for room. */
 export interface StepOrder {
--- a/packages/samphirenotch/src/jobs/stepPermissions.ts
+++ b/packages/samphirenotch/src/jobs/placement/stepPermissions.ts
@@ -5,15 +5,15 @@
  * that are known to be allowed, and for the most urgent step of the last pass first. That a worker
  * may or may not run a step never changes; only its ticket ends.
  */
-import type { PolicyService } from '../infrastructure/policyService.js';
-import { partLog } from '../observability/log.js';
-import { callWithin } from '../time/call.js';
-import type { Clock } from '../time/clock.js';
-import { Wakeup } from '../time/wakeup.js';
-
-import type { OwnedStep } from './ownedJob.js';
-import { stepIdOf } from './jobSpec.js';
-import type { WorkerAgent } from './workerAgent.js';
+import type { PolicyService } from '../../infrastructure/policyService.js';
+import { partLog } from '../../observability/log.js';
+import { callWithin } from '../../time/call.js';
+import type { Clock } from '../../time/clock.js';
+import { Wakeup } from '../../time/wakeup.js';
+
+import { stepIdOf } from '../model/jobSpec.js';
+import type { OwnedStep } from '../model/ownedJob.js';
+import type { WorkerAgent } from '../workers/workerAgent.js';
 
 /** Workers asked about in one call: for so many the allowed time of a job counts the wait. */
 const WORKERS_A_CALL = 30;
--- a/packages/samphirenotch/src/jobs/taskPlacement.ts
+++ b/packages/samphirenotch/src/jobs/placement/taskPlacement.ts
@@ -5,14 +5,14 @@
  * where there is a choice, data is near, the rest goes where most is free, so that the loss of a
  * worker costs least and bursts find room everywhere.
  */
-import type { Size } from '../infrastructure/worker.js';
-import type { Clock } from '../time/clock.js';
-
-import { fullUses } from './fillerPacing.js';
-import { distinctImages, type FillerRoom } from './fillerRoom.js';
-import type { Interference } from './interference.js';
-import type { OwnedRun, OwnedStep, OwnedTask } from './ownedJob.js';
-import type { WorkerAgent } from './workerAgent.js';
+import type { Size } from '../../infrastructure/worker.js';
+import type { Clock } from '../../time/clock.js';
+
+import type { OwnedRun, OwnedStep, OwnedTask } from '../model/ownedJob.js';
+import { fullUses } from '../pacing/fillerPacing.js';
+import { distinctImages, type FillerRoom } from '../pacing/fillerRoom.js';
+import type { Interference } from '../pacing/interference.js';
+import type { WorkerAgent } from '../workers/workerAgent.js';
 import { WorkerCosts } from './workerCosts.js';
 
 /** What a placement may use. */
@@ -83,11 +83,23 @@
 const PLACEMENT_AIM = 0.8;
 
 /** Share of its declared processors that a serving task uses on average. */
-const SERVING_USE = 0.5;
+export const SERVING_USE = 0.5;
 
 const sumMilliCores = (runs: readonly OwnedRun[]): number =>
   runs.reduce((sum, { task }) => sum + task.step.spec.size.milliCores, 0);
 
+/**
+ * Tells what nothing on a worker is expected to use.
+ *
+ * @param agent - the worker
+ * @returns thousandths of a core; below zero where more is asked for than is there
+ */
+export const unusedOf = (agent: WorkerAgent): number => {
+  const idle = (1 - SERVING_USE) * sumMilliCores(agent.servingRuns());
+  const taken = sumMilliCores(agent.activeRuns()) - idle;
+  return agent.description.capacity.milliCores - taken;
+};
+
 const kinds = new WeakMap<OwnedStep, string>();
 
 /** Tells which steps cost a worker the same; a step with a limit of its own stands alone. */
@@ -102,7 +114,7 @@
 };
 
 const countOfStep = (agent: WorkerAgent, task: OwnedTask): number =>
-  agent.activeRuns().filter((run) => run.task.step === task.step).length;
+  agent.activeRuns().filter((run) => run.task.step.id === task.step.id).length;
 
 /** A serving task beside which a filler may be placed. */
 interface PredictedTail {
@@ -306,9 +318,7 @@
   private unusedOf(agent: WorkerAgent): number {
     const known = this.unused.get(agent);
     if (known !== undefined) return known;
-    const idle = (1 - SERVING_USE) * sumMilliCores(agent.servingRuns());
-    const taken = sumMilliCores(agent.activeRuns()) - idle;
-    const unused = agent.description.capacity.milliCores - taken;
+    const unused = unusedOf(agent);
     this.unused.set(agent, unused);
     return unused;
   }
--- a/packages/samphirenotch/src/jobs/workerCosts.ts
+++ b/packages/samphirenotch/src/jobs/placement/workerCosts.ts
@@ -4,7 +4,7 @@
  * Most tasks of a pass are of few kinds, and a start changes what one worker costs: the others need
  * not be looked at again for the next task.
  */
-import type { WorkerAgent } from './workerAgent.js';
+import type { WorkerAgent } from '../workers/workerAgent.js';
 
 /** What costs are made from. */
 export interface WorkerCostsOptions {
--- a/packages/samphirenotch/src/jobs/jobBook.ts
+++ b/packages/samphirenotch/src/jobs/store/jobBook.ts
@@ -1,53 +1,48 @@
 /**
  * The open jobs of an owner, and what it notes of them in the store.
  */
-import { partLog } from '../observability/log.js';
-import type { Clock } from '../time/clock.js';
-
-import {
-  ACCEPTED_PREFIX,
-  CANCELLED_PREFIX,
-  ENDED_PREFIX,
-  PROGRESS_PREFIX,
-  WAITING_KEY,
-} from './jobKeys.js';
-import { encodeProgress, type JobProgress } from './jobProgress.js';
+import { partLog } from '../../observability/log.js';
+import type { Clock } from '../../time/clock.js';
+
+import { encodeProgress, type JobProgress } from '../model/jobProgress.js';
+import type { Delegation } from '../model/delegation.js';
+import { jobIdOfTask, type AcceptedJob } from '../model/jobSpec.js';
+import { OwnedJob, type OwnedTask } from '../model/ownedJob.js';
+import { ACCEPTED_PREFIX, CANCELLED_PREFIX, ENDED_PREFIX, type ShareKeys } from './jobKeys.js';
 import type { ReplicatedJob } from './jobReplica.js';
-import { jobIdOfTask } from './jobSpec.js';
 import type { OperatorFollower } from './operatorFollower.js';
-import { OwnedJob, type OwnedTask } from './ownedJob.js';
 import type { ProgressJournal } from './progressJournal.js';
 
-/** Time between two summaries of waiting jobs, in milliseconds. */
-const SUMMARY_MS = 500;
-
 /** Longest age that an accepted job is taken to have, in milliseconds; wall clocks jump. */
 const LONGEST_AGE_MS = 60_000;
 
 /** Holds open jobs. */
 export class JobBook {
-  readonly summaryMs = SUMMARY_MS;
-
   private readonly log = partLog('jobs');
 
+  /** Jobs of the share. */
   private readonly jobs = new Map<string, OwnedJob>();
 
+  /** Parts of jobs of other shares, by job. */
+  private readonly guests = new Map<string, readonly OwnedJob[]>();
+
   /** Jobs that this term has ended; their final state may not be stored yet. */
   private readonly endedIds = new Set<string>();
 
   private journal!: ProgressJournal;
 
+  private keys!: ShareKeys;
+
   private firstRun = 1;
 
   private progress: ReadonlyMap<string, JobProgress> = new Map();
 
-  /** Version of the configuration that the queues of jobs were taken from. */
-  private queuesVersion = 0;
+  private onGuestProgress: (job: OwnedJob) => void = () => undefined;
 
-  private lastSummary = '';
+  private onDropped: (job: OwnedJob) => void = () => undefined;
 
-  /** Revision up to which the last summary speaks of all jobs. */
-  private summarizedTo = 0;
+  /** Version of the configuration that the queues of jobs were taken from. */
+  private queuesVersion = 0;
 
   /**
    * @param operator - configuration
@@ -62,26 +57,53 @@
    * Sets what the term began with.
    *
    * @param journal - where changes are written
+   * @param keys - keys of the share
    * @param firstRun - smallest number of new runs
    * @param progress - progress by job that former owners stored
    */
   attach(
     journal: ProgressJournal,
+    keys: ShareKeys,
     firstRun: number,
     progress: ReadonlyMap<string, JobProgress>,
   ): void {
     this.journal = journal;
+    this.keys = keys;
     this.firstRun = firstRun;
     this.progress = progress;
   }
 
-  /** @returns all open jobs, oldest first */
+  /**
+   * Sets who hears of what this book does not write itself.
+   *
+   * @param listeners - hear of progress of guests, and of jobs of the share whose end is stored
+   */
+  listen(listeners: {
+    readonly onGuestProgress: (job: OwnedJob) => void;
+    readonly onDropped: (job: OwnedJob) => void;
+  }): void {
+    this.onGuestProgress = listeners.onGuestProgress;
+    this.onDropped = listeners.onDropped;
+  }
+
+  /** @returns all open jobs, and parts of jobs of other shares */
   openJobs(): readonly OwnedJob[] {
-    return [...this.jobs.values()];
+    return [...this.jobs.values(), ...[...this.guests.values()].flat()];
+  }
+
+  /**
+   * Finds what there is of a job here.
+   *
+   * @param jobId - the job
+   * @returns the job, or its parts that other shares have handed to this one
+   */
+  findAll(jobId: string): readonly OwnedJob[] {
+    const own = this.jobs.get(jobId);
+    return own ? [own] : (this.guests.get(jobId) ?? []);
   }
 
   /**
-   * Finds an open job.
+   * Finds an open job of the share.
    *
    * @param jobId - the job
    * @returns the job, or undefined
@@ -97,7 +119,8 @@
    * @returns the task, or undefined
    */
   findTask(taskId: string): OwnedTask | undefined {
-    return this.jobs.get(jobIdOfTask(taskId))?.findTask(taskId);
+    const tasks = this.findAll(jobIdOfTask(taskId)).flatMap((job) => job.findTask(taskId) ?? []);
+    return tasks.find(({ away }) => !away) ?? tasks.at(-1);
   }
 
   /**
@@ -107,16 +130,8 @@
    */
   accept({ accepted, revision }: ReplicatedJob): void {
     if (this.jobs.has(accepted.id) || this.endedIds.has(accepted.id)) return;
-    const ageMs = this.clock.wallMs() - accepted.acceptedAtMs;
-    const job = new OwnedJob({
-      accepted,
-      revision,
-      queue: accepted.queue,
-      progress: this.progress.get(accepted.id),
-      firstRun: this.firstRun,
-      acceptedMs: this.clock.monotonicMs() - Math.min(LONGEST_AGE_MS, Math.max(0, ageMs)),
-      learnedMs: this.clock.monotonicMs(),
-    });
+    const progress = this.progress.get(accepted.id);
+    const job = new OwnedJob({ ...this.basics(accepted), revision, progress });
     this.jobs.set(accepted.id, job);
     this.queuesVersion = 0;
     this.log.info('A job is taken in', {
@@ -129,13 +144,57 @@
     if (job.isDone) this.finish(job, 'completed');
   }
 
+  /**
+   * Takes in what another share has handed to this one.
+   *
+   * @param accepted - the job
+   * @param part - the delegation, its revision, and what was reported of it
+   * @returns the part of the job
+   */
+  host(
+    accepted: AcceptedJob,
+    part: {
+      readonly delegation: Delegation;
+      readonly revision: number;
+      readonly progress: JobProgress;
+    },
+  ): OwnedJob {
+    const job = new OwnedJob({ ...this.basics(accepted), ...part });
+    this.guests.set(job.id, [...(this.guests.get(job.id) ?? []), job]);
+    this.queuesVersion = 0;
+    return job;
+  }
+
+  /**
+   * Drops a part of a job of another share.
+   *
+   * @param job - the part
+   */
+  dismiss(job: OwnedJob): void {
+    const others = (this.guests.get(job.id) ?? []).filter((each) => each !== job);
+    if (others.length > 0) this.guests.set(job.id, others);
+    else this.guests.delete(job.id);
+  }
+
+  private basics(accepted: AcceptedJob) {
+    const nowMs = this.clock.monotonicMs();
+    const ageMs = this.clock.wallMs() - accepted.acceptedAtMs;
+    return {
+      accepted,
+      queue: accepted.queue,
+      firstRun: this.firstRun,
+      acceptedMs: nowMs - Math.min(LONGEST_AGE_MS, Math.max(0, ageMs)),
+      learnedMs: nowMs,
+    };
+  }
+
   /** Takes the newest configuration of each queue. */
   refreshQueues(): void {
     const { configuration } = this.operator.view();
     if (!configuration || configuration.version === this.queuesVersion) return;
     this.queuesVersion = configuration.version;
     const queues = new Map(configuration.queues.map((queue) => [queue.name, queue]));
-    this.jobs.forEach((job) => {
+    this.openJobs().forEach((job) => {
       const owned = job;
       owned.queue = queues.get(job.accepted.queue.name) ?? job.queue;
     });
@@ -148,8 +207,12 @@
    */
   noteProgress(job: OwnedJob): void {
     if (!job.isOpen) return;
+    if (job.isGuest) {
+      this.onGuestProgress(job);
+      return;
+    }
     this.journal.add({
-      key: PROGRESS_PREFIX + job.id,
+      key: this.keys.progressPrefix + job.id,
       value: () => encodeProgress(job),
     });
   }
@@ -168,7 +231,8 @@
       state: final,
       afterMs: Math.round(this.clock.monotonicMs() - job.acceptedMs),
     });
-    this.drop(job, this.journal.add({ key: ENDED_PREFIX + job.id, value: () => final }));
+    const key = ENDED_PREFIX + job.id;
+    this.drop(job, this.journal.add({ key, isUrgent: true, value: () => final }));
   }
 
   /**
@@ -177,7 +241,8 @@
    * @param job - the job
    */
   forget(job: OwnedJob): void {
-    this.drop(job, 0);
+    if (job.isGuest) this.dismiss(job);
+    else this.drop(job, 0);
   }
 
   /** Progress goes only after the final state is stored, or a successor would begin the job anew. */
@@ -186,7 +251,8 @@
     this.endedIds.add(job.id);
     const removeProgress = (stored: boolean): void => {
       if (!stored) return;
-      this.journal.add({ key: PROGRESS_PREFIX + job.id, value: () => undefined });
+      this.journal.add({ key: this.keys.progressPrefix + job.id, value: () => undefined });
+      this.onDropped(job);
     };
     this.journal.written(sequence).then(removeProgress, (error: unknown) => {
       this.log.error('Progress was not removed', { jobId: job.id, reason: String(error) });
@@ -200,27 +266,8 @@
    */
   expire(jobId: string): void {
     this.log.info('A job that is over is removed', { jobId });
-    [ACCEPTED_PREFIX, CANCELLED_PREFIX, ENDED_PREFIX, PROGRESS_PREFIX].forEach((prefix) =>
+    [ACCEPTED_PREFIX, CANCELLED_PREFIX, ENDED_PREFIX, this.keys.progressPrefix].forEach((prefix) =>
       this.journal.add({ key: prefix + jobId, value: () => undefined }),
     );
   }
-
-  /**
-   * Stores which jobs no task was started of.
-   *
-   * @param revision - revision up to which all accepted jobs are known
-   */
-  summarize(revision: number): void {
-    const jobs = [...this.jobs.values()];
-    const known = jobs
-      .filter(({ begun }) => !begun)
-      .map(({ id }) => id)
-      .join(' ');
-    // Jobs that are newer than the last summary count as waiting until one leaves them out.
-    const hasNewer = jobs.some((job) => job.begun && job.revision > this.summarizedTo);
-    if (known === this.lastSummary && !hasNewer) return;
-    this.lastSummary = known;
-    this.summarizedTo = revision;
-    this.journal.add({ key: WAITING_KEY, value: () => `${revision} ${known}` });
-  }
 }
--- a/packages/samphirenotch/src/jobs/jobReplica.ts
+++ b/packages/samphirenotch/src/jobs/store/jobReplica.ts
@@ -1,18 +1,19 @@
 /**
  * The jobs of the site as an entry sees them through its watch.
  */
-import type { KeyValue } from '../infrastructure/keyValueStore.js';
-import { partLog } from '../observability/log.js';
+import type { KeyValue } from '../../infrastructure/keyValueStore.js';
+import { partLog } from '../../observability/log.js';
 
-import { decodeAccepted } from './acceptedJob.js';
+import { decodeAccepted } from '../model/acceptedJob.js';
+import type { AcceptedJob, JobState } from '../model/jobSpec.js';
 import {
   ACCEPTED_PREFIX,
   CANCELLED_PREFIX,
   ENDED_PREFIX,
-  OWNER_KEY,
-  WAITING_KEY,
+  LAYOUT_KEY,
+  SHARES_PREFIX,
 } from './jobKeys.js';
-import type { AcceptedJob, JobState } from './jobSpec.js';
+import { ShareBoard, type OwnerRecord } from './shareBoard.js';
 import type { StoreListener } from './storeFollower.js';
 
 /** An accepted job with the revision of its acceptance. */
@@ -21,36 +22,27 @@
   readonly revision: number;
 }
 
-/** Who owns the jobs. */
-export interface OwnerRecord {
-  readonly entry: string;
-  /** Names the process, so that a restarted entry knows a lease of its former life. */
-  readonly process: string;
-  /** What its VM has of a core of the usual speed. */
-  readonly processorShare: number;
-  readonly revision: number;
-}
-
-/** Hears of changes that the owner of jobs acts on. */
+/** Hears of changes that the owner of a share acts on. */
 export interface ReplicaListener {
+  /** Id of the share. */
+  readonly share: string;
+  /** A job whose home is the share. */
   onAccepted(job: ReplicatedJob): void;
   /**
    * @param jobId - the job
    * @param requestedAtMs - wall clock of the entry that took the cancellation, in Unix milliseconds
    */
   onCancelled(jobId: string, requestedAtMs: number): void;
+  /** The owner of the share has changed. */
   onOwner(owner: OwnerRecord | undefined): void;
 }
 
-interface Waiting {
-  readonly revision: number;
-  readonly ids: ReadonlySet<string>;
-}
-
 const FINAL_STATES: ReadonlySet<string> = new Set(['completed', 'failed']);
 
-/** Holds accepted, cancelled and ended jobs, the owner, and which jobs wait. */
+/** Holds accepted, cancelled and ended jobs. */
 export class JobReplica implements StoreListener {
+  readonly shares = new ShareBoard();
+
   private readonly log = partLog('replica');
 
   private jobs = new Map<string, ReplicatedJob>();
@@ -59,28 +51,13 @@
 
   private ended = new Map<string, JobState>();
 
-  private waiting: Waiting = { revision: 0, ids: new Set() };
-
-  private ownerRecord: OwnerRecord | undefined;
-
-  private largestShare = 0;
-
   private caughtUpTo = 0;
 
-  private listener: ReplicaListener | undefined;
+  /** Owners of this process, by share. */
+  private readonly listeners = new Map<string, ReplicaListener>();
 
   private onProgress: (() => void) | undefined;
 
-  /** @returns the owner's record, or undefined while there is none */
-  owner(): OwnerRecord | undefined {
-    return this.ownerRecord;
-  }
-
-  /** @returns the largest share of a core that an owner had so far; 0 before the first one */
-  largestOwnerShare(): number {
-    return this.largestShare;
-  }
-
   /** @returns the revision up to which the replica is complete */
   revision(): number {
     return this.caughtUpTo;
@@ -91,9 +68,27 @@
     return [...this.jobs.values()].filter(({ accepted }) => !this.ended.has(accepted.id));
   }
 
-  /** @returns ids of accepted jobs that have ended or are cancelled */
-  overJobIds(): readonly string[] {
-    return [...this.jobs.keys()].filter((id) => this.ended.has(id) || this.cancelled.has(id));
+  /**
+   * Lists jobs that are over.
+   *
+   * @param share - id of their home
+   * @returns ids of accepted jobs that have ended or are cancelled
+   */
+  overJobIds(share: string): readonly string[] {
+    return [...this.jobs.values()]
+      .filter(({ accepted }) => this.ended.has(accepted.id) || this.cancelled.has(accepted.id))
+      .filter((job) => this.homeOf(job) === share)
+      .map(({ accepted }) => accepted.id);
+  }
+
+  /**
+   * Tells the home of a job: the share that decides about it.
+   *
+   * @param job - the job
+   * @returns id of the share
+   */
+  homeOf({ accepted }: ReplicatedJob): string {
+    return this.shares.layout?.homeOf(accepted.home, accepted.id).id ?? accepted.home;
   }
 
   /**
@@ -147,12 +142,16 @@
   }
 
   /**
-   * Sends changes of jobs to a listener.
+   * Sends changes of a share's jobs to its owner in this process.
    *
-   * @param listener - the listener; undefined for none
+   * @param listener - the owner
+   * @returns ends it
    */
-  listen(listener: ReplicaListener | undefined): void {
-    this.listener = listener;
+  listen(listener: ReplicaListener): () => void {
+    this.listeners.set(listener.share, listener);
+    return () => {
+      if (this.listeners.get(listener.share) === listener) this.listeners.delete(listener.share);
+    };
   }
 
   /**
@@ -168,24 +167,28 @@
     this.jobs = new Map();
     this.cancelled = new Set();
     this.ended = new Map();
-    this.ownerRecord = undefined;
+    this.shares.clearOwners();
     // A job whose end is listed too must not be taken for a new one.
     const isAccepted = ({ key }: KeyValue): boolean => key.startsWith(ACCEPTED_PREFIX);
     const others = items.filter((item) => !isAccepted(item));
+    // The layout tells the homes of jobs.
+    this.shares.onLayout(items.find(({ key }) => key === LAYOUT_KEY)?.value);
     [...others, ...items.filter(isAccepted)].forEach(({ key, value, revision }) =>
       this.onChange(key, value, revision),
     );
-    if (!this.ownerRecord) this.listener?.onOwner(undefined);
+    this.listeners.forEach((listener, share) => {
+      if (!this.shares.owner(share)) listener.onOwner(undefined);
+    });
   }
 
   onChange(key: string, value: string | undefined, revision: number): void {
-    if (key === OWNER_KEY) {
-      this.ownerRecord = this.readOwner(value, revision);
-      this.listener?.onOwner(this.ownerRecord);
+    if (key === LAYOUT_KEY) {
+      this.shares.onLayout(value);
       return;
     }
-    if (key === WAITING_KEY) {
-      if (value !== undefined) this.waiting = this.readWaiting(value);
+    if (key.startsWith(SHARES_PREFIX)) {
+      const share = this.shares.onShare(key, value, revision);
+      if (share !== undefined) this.listeners.get(share)?.onOwner(this.shares.owner(share));
       return;
     }
     if (key.startsWith(ACCEPTED_PREFIX)) this.onJob(key, value, revision);
@@ -196,7 +199,7 @@
         return;
       }
       this.cancelled.add(id);
-      this.listener?.onCancelled(id, Number(value));
+      this.listeners.forEach((listener) => listener.onCancelled(id, Number(value)));
     }
     if (key.startsWith(ENDED_PREFIX)) {
       const id = key.slice(ENDED_PREFIX.length);
@@ -210,9 +213,10 @@
     this.onProgress?.();
   }
 
-  /** Jobs accepted after the owner's last summary are waiting as far as anybody knows. */
-  private isWaiting({ accepted, revision }: ReplicatedJob): boolean {
-    return revision > this.waiting.revision || this.waiting.ids.has(accepted.id);
+  /** Jobs accepted after their home last told of waiting ones are waiting as far as anybody knows. */
+  private isWaiting(job: ReplicatedJob): boolean {
+    const waiting = this.shares.waiting(this.homeOf(job));
+    return job.revision > waiting.revision || waiting.ids.has(job.accepted.id);
   }
 
   private onJob(key: string, value: string | undefined, revision: number): void {
@@ -224,22 +228,10 @@
     try {
       const job = { accepted: decodeAccepted(value), revision };
       this.jobs.set(id, job);
-      if (!this.ended.has(id) && !this.cancelled.has(id)) this.listener?.onAccepted(job);
+      if (this.ended.has(id) || this.cancelled.has(id)) return;
+      this.listeners.get(this.homeOf(job))?.onAccepted(job);
     } catch (error) {
       this.log.error('An accepted job cannot be read', { jobId: id, reason: String(error) });
     }
   }
-
-  private readOwner(value: string | undefined, revision: number): OwnerRecord | undefined {
-    if (value === undefined) return undefined;
-    const [entry = '', process = '', share = '0'] = value.split(' ');
-    const processorShare = Number(share);
-    this.largestShare = Math.max(this.largestShare, processorShare);
-    return { entry, process, processorShare, revision };
-  }
-
-  private readWaiting(value: string): Waiting {
-    const [revision = '0', ...ids] = value.split(' ');
-    return { revision: Number(revision), ids: new Set(ids.filter((id) => id !== '')) };
-  }
 }
--- a/packages/samphirenotch/src/jobs/operatorFollower.ts
+++ b/packages/samphirenotch/src/jobs/store/operatorFollower.ts
@@ -1,11 +1,11 @@
 /**
  * Keeps up with what operators ask for.
  */
-import type { KeyValue } from '../infrastructure/keyValueStore.js';
-import { partLog } from '../observability/log.js';
+import type { KeyValue } from '../../infrastructure/keyValueStore.js';
+import { partLog } from '../../observability/log.js';
 
-import type { SiteCodec } from './siteCodec.js';
-import type { OperatorView, SiteConfiguration } from './siteConfiguration.js';
+import type { SiteCodec } from '../model/siteCodec.js';
+import type { OperatorView, SiteConfiguration } from '../model/siteConfiguration.js';
 import type { StoreListener } from './storeFollower.js';
 
 /** Holds the newest configuration and the evacuated data centres. */
--- a/packages/samphirenotch/src/jobs/progressJournal.ts
+++ b/packages/samphirenotch/src/jobs/store/progressJournal.ts
@@ -5,14 +5,12 @@
  * that key anew. So a transaction whose answer was lost cannot take effect after a later one, and
  * none of a former owner can once its successor has written the key.
  */
-import type { Failure } from '../failure.js';
-import type { TransactionStore, Write } from '../infrastructure/transactionStore.js';
-import { partLog } from '../observability/log.js';
-import { callWithin } from '../time/call.js';
-import type { Clock } from '../time/clock.js';
-import { Wakeup } from '../time/wakeup.js';
-
-import { JOURNAL_KEY } from './jobKeys.js';
+import type { Failure } from '../../failure.js';
+import type { TransactionStore, Write } from '../../infrastructure/transactionStore.js';
+import { partLog } from '../../observability/log.js';
+import { callWithin } from '../../time/call.js';
+import type { Clock } from '../../time/clock.js';
+import { Wakeup } from '../../time/wakeup.js';
 
 /** Time for one transaction, in milliseconds. */
 const COMMIT_TIMEOUT_MS = 1_200;
@@ -20,9 +18,12 @@
 /** Wait before a failed transaction is tried again, in milliseconds. */
 const RETRY_MS = 200;
 
-/** Time in which changes gather before they are written, in milliseconds; saves store calls. */
+/** Time in which urgent changes gather before they are written, in milliseconds; saves store calls. */
 const GATHER_MS = 12;
 
+/** The same where nobody waits for the change: a call costs the owner as much as a start does. */
+const RELAXED_GATHER_MS = 60;
+
 /** Entries of each transaction that the journal key itself takes: one expectation, one write. */
 const OWN_ENTRIES = 2;
 
@@ -32,6 +33,8 @@
 /** A change to one key; the value is read when it is written. */
 export interface JournalChange {
   readonly key: string;
+  /** A caller or another owner waits for it. */
+  readonly isUrgent?: boolean;
   /** Value to write, or undefined to remove the key. */
   readonly value: () => string | undefined;
 }
@@ -57,6 +60,11 @@
 
   private readonly wakeup: Wakeup;
 
+  /** Ends the time in which changes gather. */
+  private readonly urgent: Wakeup;
+
+  private hasUrgent = false;
+
   private waiters: Waiter[] = [];
 
   private sequence = 0;
@@ -68,6 +76,7 @@
   /**
    * @param store - the store
    * @param clock - time
+   * @param key - the journal key
    * @param revision - revision at which this owner wrote the journal key
    * @param label - value of the journal key
    * @param onDeposed - called when another owner has written the journal
@@ -75,11 +84,13 @@
   constructor(
     private readonly store: TransactionStore,
     private readonly clock: Clock,
+    private readonly key: string,
     private revision: number,
     private readonly label: string,
     private readonly onDeposed: (reason: string) => void,
   ) {
     this.wakeup = new Wakeup(clock);
+    this.urgent = new Wakeup(clock);
   }
 
   /**
@@ -93,6 +104,10 @@
     const since = this.pending.get(change.key)?.since ?? this.sequence;
     this.pending.set(change.key, { change, sequence: this.sequence, since });
     this.wakeup.wake();
+    if (change.isUrgent && !this.hasUrgent) {
+      this.hasUrgent = true;
+      this.urgent.wake();
+    }
     return this.sequence;
   }
 
@@ -124,7 +139,7 @@
     while (!signal.aborted) {
       if (this.pending.size === 0) {
         await this.wakeup.wait(IDLE_MS, signal);
-        if (this.pending.size > 0) await this.clock.sleep(GATHER_MS, signal);
+        if (this.pending.size > 0) await this.gather(signal);
         continue;
       }
       await this.writeSome(signal);
@@ -134,17 +149,28 @@
     this.waiters = [];
   }
 
+  private async gather(signal: AbortSignal): Promise<void> {
+    const { clock } = this;
+    const untilMs = clock.monotonicMs() + RELAXED_GATHER_MS - GATHER_MS;
+    // A wake-up may be left from a change that is stored already.
+    while (!this.hasUrgent && clock.monotonicMs() < untilMs && !signal.aborted) {
+      await this.urgent.wait(untilMs - clock.monotonicMs(), signal);
+    }
+    await clock.sleep(GATHER_MS, signal);
+  }
+
   private async writeSome(signal: AbortSignal): Promise<void> {
     const most = this.store.maximumTransactionEntries - OWN_ENTRIES;
     const batch = [...this.pending.values()].slice(0, most);
+    this.hasUrgent = false;
     if (this.inDoubt && !(await this.settleDoubt(signal))) return;
     const values = batch.map(({ change }) => ({ key: change.key, value: change.value() }));
     const writes = values.filter((each): each is Write => each.value !== undefined);
     const removals = values.filter(({ value }) => value === undefined).map(({ key }) => key);
     const outcome = await this.store.commit(
       {
-        expectations: [{ key: JOURNAL_KEY, revision: this.revision }],
-        writes: [...writes, { key: JOURNAL_KEY, value: this.label }],
+        expectations: [{ key: this.key, revision: this.revision }],
+        writes: [...writes, { key: this.key, value: this.label }],
         removals,
       },
       callWithin(this.clock, COMMIT_TIMEOUT_MS, signal),
@@ -177,7 +203,7 @@
   /** After a lost answer, reads which of the owner's transactions the journal stands at. */
   private async settleDoubt(signal: AbortSignal): Promise<boolean> {
     const call = callWithin(this.clock, COMMIT_TIMEOUT_MS, signal);
-    const item = await this.store.get(JOURNAL_KEY, call);
+    const item = await this.store.get(this.key, call);
     if (item.err) {
       await this.clock.sleep(RETRY_MS, signal);
       return false;
--- /dev/null
+++ b/packages/samphirenotch/src/jobs/store/shareBoard.ts
@@ -0,0 +1,170 @@
+/**
+ * The shares of the site as an entry sees them: who owns each, and which jobs wait.
+ */
+import { partLog } from '../../observability/log.js';
+import { ShareLayout } from '../model/shareLayout.js';
+
+import { LAYOUT_KEY, readShareKey } from './jobKeys.js';
+
+/** Who owns a share. */
+export interface OwnerRecord {
+  readonly entry: string;
+  /** Names the process, so that a restarted entry knows a lease of its former life. */
+  readonly process: string;
+  /** What its VM has of a core of the usual speed. */
+  readonly processorShare: number;
+  readonly dataCentre: string;
+  readonly revision: number;
+}
+
+/** Jobs of a share that no task was started of. */
+export interface WaitingJobs {
+  /** Revision up to which all accepted jobs are told of. */
+  readonly revision: number;
+  readonly ids: ReadonlySet<string>;
+}
+
+const NONE_WAITING: WaitingJobs = { revision: 0, ids: new Set() };
+
+const readWaiting = (value: string): WaitingJobs => {
+  const [revision = '0', ...ids] = value.split(' ');
+  return { revision: Number(revision), ids: new Set(ids.filter((id) => id !== '')) };
+};
+
+const readOwner = (value: string, revision: number): OwnerRecord => {
+  const [entry = '', process = '', share = '0', dataCentre = ''] = value.split(' ');
+  return {
+    entry,
+    process,
+    processorShare: Number(share),
+    dataCentre: decodeURIComponent(dataCentre),
+    revision,
+  };
+};
+
+/**
+ * Writes who owns a share.
+ *
+ * @param owner - the owner
+ * @returns text for the store
+ */
+export const encodeOwner = ({
+  entry,
+  process,
+  processorShare,
+  dataCentre,
+}: Omit<OwnerRecord, 'revision'>): string =>
+  `${entry} ${process} ${processorShare} ${encodeURIComponent(dataCentre)}`;
+
+/** Holds layout, owners and waiting jobs. */
+export class ShareBoard {
+  private readonly log = partLog('shares');
+
+  private known: ShareLayout | undefined;
+
+  private readonly owners = new Map<string, OwnerRecord>();
+
+  private readonly waitingJobs = new Map<string, WaitingJobs>();
+
+  private readonly claimants = new Map<string, string>();
+
+  private largestShare = 0;
+
+  /** @returns the shares of the site; undefined until they are known */
+  get layout(): ShareLayout | undefined {
+    return this.known;
+  }
+
+  /** @returns the largest share of a core that an owner had so far; 0 before the first one */
+  get largestOwnerShare(): number {
+    return this.largestShare;
+  }
+
+  /**
+   * Tells who owns a share.
+   *
+   * @param share - id of the share
+   * @returns the owner's record, or undefined while there is none
+   */
+  owner(share: string): OwnerRecord | undefined {
+    return this.owners.get(share);
+  }
+
+  /**
+   * Tells which jobs of a share wait, as its owner told last.
+   *
+   * @param share - id of the share
+   * @returns the jobs
+   */
+  waiting(share: string): WaitingJobs {
+    return this.waitingJobs.get(share) ?? NONE_WAITING;
+  }
+
+  /**
+   * Tells which entry asks the owner of a share for it.
+   *
+   * @param share - id of the share
+   * @returns name of the entry; undefined if none does
+   */
+  claimant(share: string): string | undefined {
+    return this.claimants.get(share);
+  }
+
+  /** Forgets owners and claims: a listing follows. */
+  clearOwners(): void {
+    this.owners.clear();
+    this.claimants.clear();
+  }
+
+  /**
+   * Takes a change of the layout.
+   *
+   * @param value - text from the store; undefined if it was removed, which changes nothing
+   */
+  onLayout(value: string | undefined): void {
+    if (value === undefined || this.known?.encode() === value) return;
+    if (this.known) {
+      this.log.error('The layout of shares has changed; the former one stays', { key: LAYOUT_KEY });
+      return;
+    }
+    try {
+      this.known = ShareLayout.decode(value);
+      this.log.info('The shares are known', {
+        shares: this.known.shares.map(({ id }) => id).join(' '),
+      });
+    } catch (error) {
+      this.log.error('The layout of shares cannot be read', { reason: String(error) });
+    }
+  }
+
+  /**
+   * Takes a change of a key of a share.
+   *
+   * @param key - the key
+   * @param value - its text; undefined if it was removed
+   * @param revision - revision of the change
+   * @returns the share whose owner has changed; undefined if none has
+   */
+  onShare(key: string, value: string | undefined, revision: number): string | undefined {
+    const read = readShareKey(key);
+    if (!read) return undefined;
+    const { share, kind } = read;
+    if (kind === 'waiting') {
+      if (value !== undefined) this.waitingJobs.set(share, readWaiting(value));
+      return undefined;
+    }
+    if (kind === 'claim') {
+      if (value === undefined) this.claimants.delete(share);
+      else this.claimants.set(share, value);
+      return undefined;
+    }
+    if (value === undefined) this.owners.delete(share);
+    else this.takeOwner(share, readOwner(value, revision));
+    return share;
+  }
+
+  private takeOwner(share: string, owner: OwnerRecord): void {
+    this.owners.set(share, owner);
+    this.largestShare = Math.max(this.largestShare, owner.processorShare);
+  }
+}
--- a/packages/samphirenotch/src/jobs/storeFollower.ts
+++ b/packages/samphirenotch/src/jobs/store/storeFollower.ts
@@ -1,11 +1,11 @@
 /**
  * Keeps up with all keys under a prefix of the store: lists once, then watches.
  */
-import type { KeyValue } from '../infrastructure/keyValueStore.js';
-import type { TransactionStore } from '../infrastructure/transactionStore.js';
-import { partLog } from '../observability/log.js';
-import { callWithin } from '../time/call.js';
-import type { Clock } from '../time/clock.js';
+import type { KeyValue } from '../../infrastructure/keyValueStore.js';
+import type { TransactionStore } from '../../infrastructure/transactionStore.js';
+import { partLog } from '../../observability/log.js';
+import { callWithin } from '../../time/call.js';
+import type { Clock } from '../../time/clock.js';
 
 /** How long the store may hold a watch open, in milliseconds; bounds how long silence goes unseen. */
 const WATCH_HOLD_MS = 1_000;
--- a/packages/samphirenotch/src/jobs/orderTurns.ts
+++ b/packages/samphirenotch/src/jobs/workers/orderTurns.ts
@@ -4,8 +4,8 @@
  * Orders come in bursts: starts of what arrived at once, stops of cancelled jobs, looks at all workers
  * after an election. Only so many are sent before the event loop turns.
  */
-import type { Clock } from '../time/clock.js';
-import { partLog } from '../observability/log.js';
+import { partLog } from '../../observability/log.js';
+import type { Clock } from '../../time/clock.js';
 
 /** Orders that are sent in one turn of the event loop. */
 const ORDERS_A_TURN = 32;
--- a/packages/samphirenotch/src/jobs/runSpeed.ts
+++ b/packages/samphirenotch/src/jobs/workers/runSpeed.ts
@@ -4,7 +4,7 @@
  * The tasks of a step do about the same work, while estimates are rough: what a run makes of its
  * work in a second is compared with the median of its step, on other workers too.
  */
-import { FULL_PERCENT, type OwnedRun, type OwnedStep } from './ownedJob.js';
+import { FULL_PERCENT, type OwnedRun, type OwnedStep } from '../model/ownedJob.js';
 
 /** Least time over which a rate is read, in milliseconds: workers report whole percents. */
 const LEAST_SPAN_MS = 500;
--- a/packages/samphirenotch/src/jobs/runWatch.ts
+++ b/packages/samphirenotch/src/jobs/workers/runWatch.ts
@@ -5,9 +5,9 @@
  * long-running tasks and its checkpoints to others while it still can, and a run without progress is
  * tried elsewhere long before its lease lapses.
  */
-import type { Clock } from '../time/clock.js';
+import type { Clock } from '../../time/clock.js';
 
-import { FULL_PERCENT, losesLittle, type OwnedRun } from './ownedJob.js';
+import { FULL_PERCENT, losesLittle, type OwnedRun } from '../model/ownedJob.js';
 import type { WorkerAgent } from './workerAgent.js';
 import type { WorkerFleet } from './workerFleet.js';
 
--- a/packages/samphirenotch/src/jobs/slowWorkers.ts
+++ b/packages/samphirenotch/src/jobs/workers/slowWorkers.ts
@@ -5,10 +5,10 @@
  * worker whose runs lag far behind their siblings gets nothing new for a while, and what would take
  * longer there than from the start elsewhere moves; where copies are allowed, one is started instead.
  */
-import { partLog } from '../observability/log.js';
-import type { Clock } from '../time/clock.js';
+import { partLog } from '../../observability/log.js';
+import type { Clock } from '../../time/clock.js';
 
-import { losesLittle, type OwnedStep, type OwnedTask } from './ownedJob.js';
+import { losesLittle, type OwnedStep, type OwnedTask } from '../model/ownedJob.js';
 import { expectedRate, speedOf, type RunSpeed } from './runSpeed.js';
 import type { WorkerAgent } from './workerAgent.js';
 import type { WorkerFleet } from './workerFleet.js';
--- a/packages/samphirenotch/src/jobs/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerAgent.ts
@@ -3,6 +3,7 @@
  */
 import { setMaxListeners } from 'node:events';
 
+import type { Failure } from '../../failure.js';
 import type {
   Holding,
   HoldOutcome,
@@ -10,17 +11,17 @@
   RunReport,
   TaskWorker,
   WorkerDescription,
-} from '../infrastructure/taskWorker.js';
-import type { Size } from '../infrastructure/worker.js';
-import type { Failure } from '../failure.js';
-import { partLog } from '../observability/log.js';
-import type { Result } from '../results.js';
-import { callWithin } from '../time/call.js';
-import type { Clock } from '../time/clock.js';
-import { Wakeup } from '../time/wakeup.js';
-
+} from '../../infrastructure/taskWorker.js';
+import type { Size } from '../../infrastructure/worker.js';
+import { partLog } from '../../observability/log.js';
+import type { Result } from '../../results.js';
+import { onAbort } from '../../time/abortListeners.js';
+import { callWithin } from '../../time/call.js';
+import type { Clock } from '../../time/clock.js';
+import { Wakeup } from '../../time/wakeup.js';
+
+import type { OwnedRun, OwnedTask, RunHost } from '../model/ownedJob.js';
 import type { OrderTurns } from './orderTurns.js';
-import type { OwnedRun, OwnedTask } from './ownedJob.js';
 import { WorkerClock } from './workerClock.js';
 import { ORDER_TIMEOUT_MS, WorkerOrders, type OrderContext } from './workerOrders.js';
 import { markConfirmed, WorkerRuns } from './workerRuns.js';
@@ -95,7 +96,7 @@
 }
 
 /** One worker of an owner. */
-export class WorkerAgent {
+export class WorkerAgent implements RunHost {
   description: WorkerDescription;
 
   /** The worker is gone from the directory. */
@@ -151,7 +152,7 @@
     this.orders = new WorkerOrders(this.orderContext());
     // Every order in progress listens.
     setMaxListeners(0, this.closed.signal);
-    options.signal.addEventListener('abort', () => this.closed.abort());
+    onAbort(options.signal, () => this.closed.abort());
   }
 
   /** @returns the worker's id */
--- a/packages/samphirenotch/src/jobs/workerClock.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerClock.ts
@@ -1,7 +1,7 @@
 /**
  * What is known of the steady clock of a worker in another place.
  */
-import type { Clock } from '../time/clock.js';
+import type { Clock } from '../../time/clock.js';
 
 /** A worker's clock may be this much slow. */
 const SLOWEST_RATE = 0.98;
--- a/packages/samphirenotch/src/jobs/workerDirectory.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerDirectory.ts
@@ -1,12 +1,12 @@
 /**
  * Keeps up with the workers that describe themselves in the store.
  */
-import type { KeyValue } from '../infrastructure/keyValueStore.js';
-import type { WorkerDescription } from '../infrastructure/taskWorker.js';
-import type { Clock } from '../time/clock.js';
+import type { KeyValue } from '../../infrastructure/keyValueStore.js';
+import type { WorkerDescription } from '../../infrastructure/taskWorker.js';
+import type { Clock } from '../../time/clock.js';
 
-import type { SiteCodec } from './siteCodec.js';
-import type { StoreListener } from './storeFollower.js';
+import type { SiteCodec } from '../model/siteCodec.js';
+import type { StoreListener } from '../store/storeFollower.js';
 
 /** Time that an entry may be missing before it counts as gone, in milliseconds. */
 const MISSING_MS = 2_500;
--- a/packages/samphirenotch/src/jobs/workerFleet.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerFleet.ts
@@ -1,15 +1,14 @@
 /**
  * All workers of an owner.
  */
-import { NO_SIZE } from '../infrastructure/sizes.js';
-import type { RunEndKind, WorkerDescription } from '../infrastructure/taskWorker.js';
-import { partLog } from '../observability/log.js';
-import type { Clock } from '../time/clock.js';
-
-import { ROSTER_KEY } from './jobKeys.js';
-import type { OwnedTask } from './ownedJob.js';
-import { LONGEST_UNCONFIRMED_MS } from './ownerElection.js';
-import type { ProgressJournal } from './progressJournal.js';
+import { NO_SIZE } from '../../infrastructure/sizes.js';
+import type { RunEndKind, WorkerDescription } from '../../infrastructure/taskWorker.js';
+import { partLog } from '../../observability/log.js';
+import type { Clock } from '../../time/clock.js';
+
+import type { OwnedTask } from '../model/ownedJob.js';
+import type { ProgressJournal } from '../store/progressJournal.js';
+import { LONGEST_UNCONFIRMED_MS } from '../store/term.js';
 import type { WorkerAgent } from './workerAgent.js';
 import { WorkerHealth } from './workerHealth.js';
 
@@ -63,6 +62,8 @@
 
   private journal!: ProgressJournal;
 
+  private rosterKey = '';
+
   private lastRoster = '';
 
   /** The directory has been read: a worker that is not listed has left. */
@@ -97,10 +98,12 @@
    * Sets what the term began with.
    *
    * @param journal - where the roster is written
+   * @param rosterKey - its key
    * @param roster - workers of former owners
    */
-  attach(journal: ProgressJournal, roster: readonly RosterEntry[]): void {
+  attach(journal: ProgressJournal, rosterKey: string, roster: readonly RosterEntry[]): void {
     this.journal = journal;
+    this.rosterKey = rosterKey;
     this.rosteredIds = new Set(roster.map(({ id }) => id));
     const leasesMs = this.clock.monotonicMs() + FORMER_LEASE_MS;
     roster.forEach((entry) => {
@@ -294,7 +297,11 @@
     const text = JSON.stringify(roster);
     if (text === this.lastRoster) return;
     this.lastRoster = text;
-    const sequence = this.journal.add({ key: ROSTER_KEY, value: () => text });
+    const sequence = this.journal.add({
+      key: this.rosterKey,
+      isUrgent: true,
+      value: () => text,
+    });
     const ids = new Set(roster.map(({ id }) => id));
     this.journal.written(sequence).then(
       (stored) => {
--- a/packages/samphirenotch/src/jobs/workerOrders.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerOrders.ts
@@ -1,21 +1,21 @@
 /**
  * The orders to one worker: starts, stops and paces, and what their answers mean.
  */
+import type { Failure } from '../../failure.js';
 import type {
   OrderAnswer,
   OrderOutcome,
   RunName,
   RunReport,
   TaskWorker,
-} from '../infrastructure/taskWorker.js';
-import type { Failure } from '../failure.js';
-import { partLog } from '../observability/log.js';
-import type { Result } from '../results.js';
-import { callWithin, type Call } from '../time/call.js';
-import type { Clock } from '../time/clock.js';
+} from '../../infrastructure/taskWorker.js';
+import { partLog } from '../../observability/log.js';
+import type { Result } from '../../results.js';
+import { callWithin, type Call } from '../../time/call.js';
+import type { Clock } from '../../time/clock.js';
 
+import type { OwnedRun } from '../model/ownedJob.js';
 import type { OrderTurns } from './orderTurns.js';
-import type { OwnedRun } from './ownedJob.js';
 import { markConfirmed, type WorkerRuns } from './workerRuns.js';
 
 /** Time for an order, in milliseconds; a round trip takes a few. */
--- a/packages/samphirenotch/src/jobs/workerRoom.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerRoom.ts
@@ -1,8 +1,8 @@
 /**
  * The account of one worker's room: nothing else keeps the worker from taking more than it holds.
  */
-import { fitsIn, minusSize, NO_SIZE, plusSize, sumSizes } from '../infrastructure/sizes.js';
-import type { Size } from '../infrastructure/worker.js';
+import { fitsIn, minusSize, NO_SIZE, plusSize, sumSizes } from '../../infrastructure/sizes.js';
+import type { Size } from '../../infrastructure/worker.js';
 
 /** What is taken of a worker. */
 export class WorkerRoom {
--- a/packages/samphirenotch/src/jobs/workerRuns.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerRuns.ts
@@ -1,12 +1,18 @@
 /**
  * The runs of one worker and the room that they take.
  */
-import type { RunName } from '../infrastructure/taskWorker.js';
-import type { Size } from '../infrastructure/worker.js';
-import type { Clock } from '../time/clock.js';
-
-import { FULL_PERCENT, isFiller, isServing, type OwnedRun, type OwnedTask } from './ownedJob.js';
-import type { WorkerAgent } from './workerAgent.js';
+import type { RunName } from '../../infrastructure/taskWorker.js';
+import type { Size } from '../../infrastructure/worker.js';
+import type { Clock } from '../../time/clock.js';
+
+import {
+  FULL_PERCENT,
+  isFiller,
+  isServing,
+  type OwnedRun,
+  type OwnedTask,
+  type RunHost,
+} from '../model/ownedJob.js';
 import { WorkerRoom } from './workerRoom.js';
 
 const runKey = ({ taskId, run }: RunName): string => `${taskId}#${run}`;
@@ -103,7 +109,7 @@
    * @returns the run
    */
   add(
-    agent: WorkerAgent,
+    agent: RunHost,
     task: OwnedTask,
     run: number,
     size: Size,
--- a/packages/samphirenotch/src/membership/rendezvous.ts
+++ b/packages/samphirenotch/src/membership/rendezvous.ts
@@ -14,6 +14,16 @@
 const score = (resource: string, memberId: string): number =>
   createHash('sha256').update(`${resource}\n${memberId}`).digest().readUIntBE(0, HASH_BYTES);
 
+/**
+ * Tells how much a member is preferred for a resource, alike at every member.
+ *
+ * @param resource - the resource
+ * @param memberId - the member
+ * @returns from 0 to below 1
+ */
+export const preferenceOf = (resource: string, memberId: string): number =>
+  score(resource, memberId) / 2 ** (8 * HASH_BYTES);
+
 /**
  * Reads the data centre out of a resource name.
  *
--- a/packages/samphirenotch/src/time/clock.ts
+++ b/packages/samphirenotch/src/time/clock.ts
@@ -2,6 +2,8 @@
  * Time as the scheduler sees it, behind an interface so that tests can move it by hand.
  */
 
+import { offAbort, onAbort } from './abortListeners.js';
+
 /** A source of time. */
 export interface Clock {
   /**
@@ -44,11 +46,11 @@
       let timer: NodeJS.Timeout | undefined;
       const finish = (): void => {
         clearTimeout(timer);
-        signal?.removeEventListener('abort', finish);
+        if (signal) offAbort(signal, finish);
         resolve();
       };
       timer = setTimeout(finish, durationMs);
-      signal?.addEventListener('abort', finish);
+      if (signal) onAbort(signal, finish);
     });
   }
 }
--- a/packages/samphirenotch/src/time/manualClock.ts
+++ b/packages/samphirenotch/src/time/manualClock.ts
@@ -1,6 +1,7 @@
 /**
  * A clock that moves only when told to, for tests and seeded benchmarks.
  */
+import { offAbort, onAbort } from './abortListeners.js';
 import type { Clock } from './clock.js';
 
 interface Sleeper {
@@ -41,11 +42,11 @@
       const wakeAtMs = this.nowMs + durationMs;
       const wake = (): void => {
         this.sleepers = this.sleepers.filter((each) => each.wake !== wake);
-        signal?.removeEventListener('abort', wake);
+        if (signal) offAbort(signal, wake);
         resolve();
       };
       this.sleepers.push({ wakeAtMs, wake });
-      signal?.addEventListener('abort', wake);
+      if (signal) onAbort(signal, wake);
     });
   }
 
--- a/packages/samphirenotch/src/time/wakeup.ts
+++ b/packages/samphirenotch/src/time/wakeup.ts
@@ -1,6 +1,7 @@
 /**
  * Lets loops wait for a while or until something happens.
  */
+import { offAbort, onAbort } from './abortListeners.js';
 import type { Clock } from './clock.js';
 
 /** One reason for all: making one anew costs more than the rest of a wake-up. */
@@ -37,9 +38,9 @@
     const controller = new AbortController();
     const stop = (): void => controller.abort(WOKEN);
     this.waiting.add(controller);
-    signal.addEventListener('abort', stop);
+    onAbort(signal, stop);
     await this.clock.sleep(longestMs, controller.signal);
-    signal.removeEventListener('abort', stop);
+    offAbort(signal, stop);
     this.waiting.delete(controller);
   }
 }
--- a/tests/jobs/cutPasses.spec.ts
+++ b/tests/jobs/cutPasses.spec.ts
@@ -2,10 +2,11 @@
  * What must not wait for the end of a burst that needs many passes.
  */
 import test from 'ava';
-import { encodeAccepted } from 'samphirenotch/jobs/acceptedJob.js';
-import { ACCEPTED_PREFIX } from 'samphirenotch/jobs/jobKeys.js';
-import type { JobSpec } from 'samphirenotch/jobs/jobSpec.js';
-import type { Queue } from 'samphirenotch/jobs/siteConfiguration.js';
+import { encodeAccepted } from 'samphirenotch/jobs/model/acceptedJob.js';
+import { ACCEPTED_PREFIX } from 'samphirenotch/jobs/store/jobKeys.js';
+import type { JobSpec } from 'samphirenotch/jobs/model/jobSpec.js';
+import { WHOLE_SITE } from 'samphirenotch/jobs/model/shareLayout.js';
+import type { Queue } from 'samphirenotch/jobs/model/siteConfiguration.js';
 
 import {
   makeJob,
@@ -43,7 +44,7 @@
 const put = (site: JobSite, queue: Queue, ids: readonly string[], job: JobSpec): void => {
   const writes = ids.map((id) => ({
     key: ACCEPTED_PREFIX + id,
-    value: encodeAccepted({ id, queue, acceptedAtMs: site.clock.wallMs(), job }),
+    value: encodeAccepted({ id, home: WHOLE_SITE, queue, acceptedAtMs: site.clock.wallMs(), job }),
   }));
   site.data.apply({ expectations: [], writes, removals: [] });
 };
--- a/tests/jobs/decisions.spec.ts
+++ b/tests/jobs/decisions.spec.ts
@@ -2,24 +2,25 @@
  * Decisions on jobs, without a site.
  */
 import test from 'ava';
-import { decodeProgress, encodeProgress } from 'samphirenotch/jobs/jobProgress.js';
-import { JobReplica } from 'samphirenotch/jobs/jobReplica.js';
-import { encodeAccepted } from 'samphirenotch/jobs/acceptedJob.js';
-import { OwnedJob } from 'samphirenotch/jobs/ownedJob.js';
-import { PairSlopes } from 'samphirenotch/jobs/pairSlopes.js';
-import { findQueue } from 'samphirenotch/jobs/siteConfiguration.js';
-import { DeadlineStepOrder } from 'samphirenotch/jobs/stepOrder.js';
-import { WorkerClock } from 'samphirenotch/jobs/workerClock.js';
-import { WorkerHealth } from 'samphirenotch/jobs/workerHealth.js';
+import { decodeProgress, encodeProgress } from 'samphirenotch/jobs/model/jobProgress.js';
+import { JobReplica } from 'samphirenotch/jobs/store/jobReplica.js';
+import { encodeAccepted } from 'samphirenotch/jobs/model/acceptedJob.js';
+import { OwnedJob } from 'samphirenotch/jobs/model/ownedJob.js';
+import { PairSlopes } from 'samphirenotch/jobs/pacing/pairSlopes.js';
+import { WHOLE_SITE } from 'samphirenotch/jobs/model/shareLayout.js';
+import { findQueue } from 'samphirenotch/jobs/model/siteConfiguration.js';
+import { DeadlineStepOrder } from 'samphirenotch/jobs/placement/stepOrder.js';
+import { WorkerClock } from 'samphirenotch/jobs/workers/workerClock.js';
+import { WorkerHealth } from 'samphirenotch/jobs/workers/workerHealth.js';
 import { ManualClock } from 'samphirenotch/time/manualClock.js';
 
-import type { JobSpec } from 'samphirenotch/jobs/jobSpec.js';
-import type { Queue } from 'samphirenotch/jobs/siteConfiguration.js';
+import type { JobSpec } from 'samphirenotch/jobs/model/jobSpec.js';
+import type { Queue } from 'samphirenotch/jobs/model/siteConfiguration.js';
 import { makeJob, makeQueue, makeStep } from '../fixtures/jobSite.js';
 
 const makeOwned = (job: JobSpec, queue: Queue = makeQueue(), id = '00000000000000a1'): OwnedJob =>
   new OwnedJob({
-    accepted: { id, queue, acceptedAtMs: 0, job },
+    accepted: { id, home: WHOLE_SITE, queue, acceptedAtMs: 0, job },
     revision: 5,
     queue,
     progress: undefined,
@@ -52,13 +53,20 @@
   const replica = new JobReplica();
   const heard: string[] = [];
   replica.listen({
+    share: WHOLE_SITE,
     onAccepted: ({ accepted }) => heard.push(accepted.id),
     onCancelled: () => undefined,
     onOwner: () => undefined,
   });
   const accept = (id: string) => ({
     key: `jobs/accepted/${id}`,
-    value: encodeAccepted({ id, queue: makeQueue(), acceptedAtMs: 0, job: makeJob(makeStep()) }),
+    value: encodeAccepted({
+      id,
+      home: WHOLE_SITE,
+      queue: makeQueue(),
+      acceptedAtMs: 0,
+      job: makeJob(makeStep()),
+    }),
     revision: 3,
   });
   replica.onListing([
@@ -77,6 +85,7 @@
   const replica = new JobReplica();
   const owners: unknown[] = [];
   replica.listen({
+    share: WHOLE_SITE,
     onAccepted: () => undefined,
     onCancelled: () => undefined,
     onOwner: (owner) => owners.push(owner),
--- /dev/null
+++ b/tests/jobs/delegations.spec.ts
@@ -0,0 +1,217 @@
+/**
+ * What holds while tasks of a job run in other shares than its home.
+ */
+import test from 'ava';
+import { keysOf } from 'samphirenotch/jobs/store/jobKeys.js';
+
+import {
+  makeDividedSite,
+  makeJob,
+  makeStep,
+  type JobSite,
+  type JobSiteOptions,
+} from '../fixtures/jobSite.js';
+
+const ID = '00000000000000a1';
+const SIZE = { milliCores: 1_000, memoryMb: 1_000, accelerators: 0 };
+
+const behaveFor = (durationMs: number) => () => ({ size: SIZE, durationMs });
+
+/** Tells where runs of the site are or were: the data centre by the worker's number. */
+const placesOf = (site: JobSite): readonly string[] =>
+  site.record.runs.map(({ workerId }) => `dc${Number(workerId.slice(1)) % 2}`);
+
+const countAt = (site: JobSite, dataCentre: string): number =>
+  placesOf(site).filter((place) => place === dataCentre).length;
+
+/** A home whose workers hold four tasks, and another share with room for four more. */
+const makeSpilledSite = async (options: JobSiteOptions = {}, count = 8) => {
+  const made = await makeDividedSite({ workers: 2, behave: behaveFor(4_000), ...options });
+  made.site.putJobs([ID], makeJob(makeStep({ count })), 'dc0');
+  await made.site.run(1_000);
+  return made;
+};
+
+const exchanged = (site: JobSite): readonly string[] =>
+  [...site.data.items.keys()].filter((key) => /^exchange\/|\/away\//u.test(key));
+
+test('should run tasks that find no room at home in a share that has some', async (t) => {
+  const { site, owners } = await makeSpilledSite({ workers: 4 }, 8);
+  // The home has eight places, the job asks for eight more than are left.
+  site.putJobs(['00000000000000a2'], makeJob(makeStep({ count: 4 })), 'dc0');
+  await site.run(600);
+  t.is(countAt(site, 'dc0'), 8);
+  t.is(countAt(site, 'dc1'), 4);
+  await site.run(6_000);
+  t.is(await site.state(owners[0], ID), 'completed');
+  t.is(await site.state(owners[1], '00000000000000a2'), 'completed');
+  t.is(site.record.runs.length, 12);
+  t.deepEqual(site.record.violations, []);
+  t.deepEqual(exchanged(site), []);
+});
+
+test('should run the steps of a job elsewhere once its data centre is evacuated', async (t) => {
+  const { site, owners } = await makeDividedSite({ workers: 4, behave: behaveFor(1_000) });
+  const job = makeJob(makeStep({ count: 2 }), makeStep({ count: 2, after: [0] }));
+  site.putJobs([ID], job, 'dc0');
+  await site.run(500);
+  site.data.put('operator/evacuate/dc0', '');
+  await site.run(3_500);
+  t.is(await site.state(owners[0], ID), 'completed');
+  t.deepEqual(placesOf(site), ['dc0', 'dc0', 'dc1', 'dc1']);
+  t.deepEqual(site.record.violations, []);
+});
+
+test('should accept no job for a share whose data centre is evacuated', async (t) => {
+  const { site, owners } = await makeDividedSite({ workers: 4, behave: behaveFor(500) });
+  site.data.put('operator/evacuate/dc0', '');
+  await site.run(1_500);
+  for (let at = 0; at < 6; at += 1) {
+    await site.submit(owners[0], `00000000000000b${at}`, makeJob(makeStep()));
+  }
+  await site.run(1_000);
+  t.is(countAt(site, 'dc1'), 6);
+  t.is(site.data.changes.filter(({ key }) => key.startsWith('exchange/')).length, 0);
+});
+
+test('should stop the runs of a cancelled job in every share', async (t) => {
+  const { site, owners } = await makeSpilledSite();
+  t.is(await site.cancel(owners[1], ID), 'done');
+  await site.run(1_000);
+  t.true(site.record.runs.every(({ kind }) => kind === 'stopped'));
+  t.is(site.record.runs.length, 8);
+  await site.run(500);
+  t.deepEqual(exchanged(site), []);
+});
+
+test('should count failures of a task over all shares', async (t) => {
+  const { site, owners } = await makeDividedSite({
+    workers: 2,
+    behave: (taskId) => ({ size: SIZE, durationMs: 300, fails: taskId.startsWith(ID) }),
+  });
+  site.data.put('operator/evacuate/dc0', '');
+  await site.run(600);
+  site.putJobs([ID], makeJob(makeStep({ count: 2 })), 'dc0');
+  await site.run(900);
+  site.data.remove('operator/evacuate/dc0');
+  site.data.put('operator/evacuate/dc1', '');
+  await site.run(6_000);
+  t.is(await site.state(owners[0], ID), 'failed');
+  const failures = site.record.of(`${ID}.0.0.0`).length;
+  t.true(failures <= 3, `${failures} runs of a task that may fail three times`);
+  t.deepEqual(exchanged(site), []);
+});
+
+test('should start nothing twice when the home is taken over while tasks are away', async (t) => {
+  const { site, owners } = await makeSpilledSite();
+  const successor = site.start('c', false, 1, 'dc0');
+  await site.run(200);
+  owners[0].kill();
+  await site.run(12_000);
+  t.is(await site.state(successor, ID), 'completed');
+  t.is(site.record.runs.length, 8);
+  t.deepEqual(site.record.violations, []);
+  t.deepEqual(exchanged(site), []);
+});
+
+test('should adopt runs of another share when their owner is replaced', async (t) => {
+  const { site, owners } = await makeSpilledSite();
+  const successor = site.start('c', false, 1, 'dc1');
+  await site.run(200);
+  owners[1].kill();
+  await site.run(12_000);
+  t.is(await site.state(successor, ID), 'completed');
+  t.is(site.record.runs.length, 8);
+  t.deepEqual(site.record.violations, []);
+  t.deepEqual(exchanged(site), []);
+});
+
+test('should finish what was spread over shares when every entry is killed at once', async (t) => {
+  const { site, owners } = await makeSpilledSite();
+  owners.forEach((owner) => owner.kill());
+  await site.run(1_000);
+  const restarted = [site.start('a', false, 1, 'dc0'), site.start('b', false, 1, 'dc1')] as const;
+  await site.run(14_000);
+  t.is(await site.state(restarted[0], ID), 'completed');
+  t.is(site.record.runs.length, 8);
+  t.deepEqual(site.record.violations, []);
+  t.deepEqual(exchanged(site), []);
+});
+
+// Guards against a home that ends between writing that tasks are away and telling the other share.
+test('should tell the other share again if the home ended before it did', async (t) => {
+  const { site, owners } = await makeDividedSite({ workers: 2, behave: behaveFor(1_000) });
+  owners[0].store.failCommitsOf(keysOf('dc1').delegatedPrefix, 'silent', 'silent', 'silent');
+  site.putJobs([ID], makeJob(makeStep({ count: 6 })), 'dc0');
+  await site.run(800);
+  owners[0].kill();
+  const successor = site.start('c', false, 1, 'dc0');
+  await site.run(12_000);
+  t.is(await site.state(successor, ID), 'completed');
+  t.is(site.record.runs.length, 6);
+  t.deepEqual(site.record.violations, []);
+});
+
+test('should take tasks back from a share that finds no worker for them', async (t) => {
+  const { site, owners } = await makeDividedSite({ workers: 2, behave: behaveFor(2_500) });
+  site.putJobs([ID], makeJob(makeStep({ count: 4 })), 'dc0');
+  await site.run(300);
+  // What the other share told of is taken by the time the tasks arrive.
+  site.putJobs(['00000000000000a2'], makeJob(makeStep({ count: 4 })), 'dc1');
+  site.putJobs(['00000000000000a3'], makeJob(makeStep({ count: 1 })), 'dc0');
+  await site.run(8_000);
+  t.is(await site.state(owners[0], '00000000000000a3'), 'completed');
+  t.is(site.record.runs.length, 9);
+  t.deepEqual(site.record.violations, []);
+  t.deepEqual(exchanged(site), []);
+});
+
+test('should keep a long-running task at work when its home has lost all workers', async (t) => {
+  const { site } = await makeDividedSite({
+    workers: 2,
+    behave: () => ({ size: SIZE, durationMs: Infinity }),
+  });
+  site.putJobs([ID], makeJob(makeStep({ count: 2, longRunning: true })), 'dc0');
+  await site.run(500);
+  site.list('w0', { phase: 'draining' });
+  site.workers.get('w0')?.restart();
+  await site.run(4_000);
+  const active = site.record.runs.filter(({ endedMs }) => endedMs === undefined);
+  t.deepEqual(
+    active.map(({ workerId }) => workerId),
+    ['w1', 'w1'],
+  );
+  t.deepEqual(site.record.violations, []);
+});
+
+// Guards against two delegations of a step whose tasks are not counted together on a worker.
+test('should keep the limit of tasks of a step on one worker over all its delegations', async (t) => {
+  const { site, owners } = await makeDividedSite({ workers: 2, behave: behaveFor(7_000) });
+  site.putJobs([ID], makeJob(makeStep({ count: 4, perWorkerLimit: 1 })), 'dc0');
+  for (let at = 0; at < 100; at += 1) {
+    await site.run(200);
+    site.workers.forEach((worker) => t.true(worker.activeRuns().length <= 1));
+  }
+  t.is(await site.state(owners[0], ID), 'completed');
+});
+
+// Guards against tasks of a job that has failed at home and run on elsewhere.
+test('should stop what is away of a job that has failed', async (t) => {
+  const { site, owners } = await makeDividedSite({
+    workers: 2,
+    behave: (taskId) => ({
+      size: SIZE,
+      durationMs: taskId.endsWith('.0') ? 200 : 30_000,
+      fails: taskId.endsWith('.0'),
+    }),
+  });
+  site.putJobs([ID], makeJob(makeStep({ count: 7 })), 'dc0');
+  await site.run(4_000);
+  t.is(await site.state(owners[0], ID), 'failed');
+  t.true(countAt(site, 'dc1') > 0);
+  t.deepEqual(
+    site.record.runs.filter(({ endedMs }) => endedMs === undefined),
+    [],
+  );
+  t.deepEqual(exchanged(site), []);
+});
--- a/tests/jobs/fillerPacing.spec.ts
+++ b/tests/jobs/fillerPacing.spec.ts
@@ -2,11 +2,11 @@
  * Pacing of fillers and what it learns on the way.
  */
 import test from 'ava';
-import { FillerPacing } from 'samphirenotch/jobs/fillerPacing.js';
-import { Interference } from 'samphirenotch/jobs/interference.js';
-import { FULL_PERCENT } from 'samphirenotch/jobs/ownedJob.js';
-import type { WorkerAgent } from 'samphirenotch/jobs/workerAgent.js';
-import type { WorkerFleet } from 'samphirenotch/jobs/workerFleet.js';
+import { FillerPacing } from 'samphirenotch/jobs/pacing/fillerPacing.js';
+import { Interference } from 'samphirenotch/jobs/pacing/interference.js';
+import { FULL_PERCENT } from 'samphirenotch/jobs/model/ownedJob.js';
+import type { WorkerAgent } from 'samphirenotch/jobs/workers/workerAgent.js';
+import type { WorkerFleet } from 'samphirenotch/jobs/workers/workerFleet.js';
 import { ManualClock } from 'samphirenotch/time/manualClock.js';
 import { NO_SIZE } from 'samphirenotch/infrastructure/sizes.js';
 
--- a/tests/jobs/fillerRoom.spec.ts
+++ b/tests/jobs/fillerRoom.spec.ts
@@ -2,18 +2,25 @@
  * Judging which sets of serving images leave room for fillers.
  */
 import test from 'ava';
-import { distinctImages, fillerDemand, FillerRoom } from 'samphirenotch/jobs/fillerRoom.js';
-import { Interference } from 'samphirenotch/jobs/interference.js';
-import { FULL_PERCENT, OwnedJob, type OwnedRun } from 'samphirenotch/jobs/ownedJob.js';
+import { WHOLE_SITE } from 'samphirenotch/jobs/model/shareLayout.js';
+import { distinctImages, fillerDemand, FillerRoom } from 'samphirenotch/jobs/pacing/fillerRoom.js';
+import { Interference } from 'samphirenotch/jobs/pacing/interference.js';
+import { FULL_PERCENT, OwnedJob, type OwnedRun } from 'samphirenotch/jobs/model/ownedJob.js';
 
-import type { StepSpec } from 'samphirenotch/jobs/jobSpec.js';
+import type { StepSpec } from 'samphirenotch/jobs/model/jobSpec.js';
 import { makeJob, makeQueue, makeStep } from '../fixtures/jobSite.js';
 
 const TARGET_MS = 20;
 
 const makeOwned = (...steps: readonly StepSpec[]): OwnedJob =>
   new OwnedJob({
-    accepted: { id: 'j', queue: makeQueue(), acceptedAtMs: 0, job: makeJob(...steps) },
+    accepted: {
+      id: 'j',
+      home: WHOLE_SITE,
+      queue: makeQueue(),
+      acceptedAtMs: 0,
+      job: makeJob(...steps),
+    },
     revision: 1,
     queue: makeQueue(),
     progress: undefined,
--- a/tests/jobs/formerOwner.spec.ts
+++ b/tests/jobs/formerOwner.spec.ts
@@ -2,8 +2,10 @@
  * What an owner has to keep to towards its successor, however late it is.
  */
 import test from 'ava';
-import type { JobReplica } from 'samphirenotch/jobs/jobReplica.js';
-import { LONGEST_UNCONFIRMED_MS, OwnerElection } from 'samphirenotch/jobs/ownerElection.js';
+import { WHOLE_SITE } from 'samphirenotch/jobs/model/shareLayout.js';
+import type { JobReplica } from 'samphirenotch/jobs/store/jobReplica.js';
+import { OwnerElection } from 'samphirenotch/jobs/ownership/ownerElection.js';
+import { LONGEST_UNCONFIRMED_MS } from 'samphirenotch/jobs/store/term.js';
 import type { TransactionStore } from 'samphirenotch/infrastructure/transactionStore.js';
 import { Failure } from 'samphirenotch/failure.js';
 import { Err, Ok } from 'samphirenotch/results.js';
@@ -33,6 +35,24 @@
   } as unknown as TransactionStore;
 };
 
+const electionBasics = (clock: ManualClock, store: TransactionStore) => ({
+  share: WHOLE_SITE,
+  reluctanceMs: () => 0,
+  turns: <T>(attempt: () => Promise<T>) => attempt(),
+  onElected: () => undefined,
+  store,
+  replica: {
+    revision: () => 1,
+    shares: { owner: () => undefined, largestOwnerShare: 0 },
+  } as unknown as JobReplica,
+  clock,
+  entry: 'a',
+  process: 'a-1',
+  dataCentre: 'dc0',
+  processorShare: 1,
+  handoverMs: 4_000,
+});
+
 /** Tells how long after its last confirmed renewal a term ends. */
 const unconfirmedTerm = async (silenceMs: number): Promise<number> => {
   const clock = new ManualClock();
@@ -40,17 +60,7 @@
   let confirmedMs: number | undefined;
   let endedMs: number | undefined;
   const election = new OwnerElection({
-    store: makeSilentStore(clock, silenceMs),
-    replica: {
-      revision: () => 1,
-      owner: () => undefined,
-      largestOwnerShare: () => 0,
-    } as unknown as JobReplica,
-    clock,
-    entry: 'a',
-    process: 'a-1',
-    processorShare: 1,
-    handoverMs: 4_000,
+    ...electionBasics(clock, makeSilentStore(clock, silenceMs)),
     serve: async (term) => {
       confirmedMs ??= clock.monotonicMs() + 700;
       while (!term.signal.aborted) await clock.sleep(50, term.signal);
@@ -71,3 +81,33 @@
   // A call that ends long after its time, as those of a late process may.
   t.true((await unconfirmedTerm(4_620)) <= LONGEST_UNCONFIRMED_MS + LEASE_MS);
 });
+
+// Guards against an owner that counts its lease from a moment after the store did.
+test('should not count its lease as certain for longer than from when it asked for it', async (t) => {
+  const clock = new ManualClock();
+  const stopped = new AbortController();
+  const askedMs: number[] = [];
+  const store = {
+    ...makeSilentStore(clock, 600),
+    grantLease: async () => {
+      askedMs.push(clock.monotonicMs());
+      await clock.sleep(500);
+      return Ok('1');
+    },
+  } as unknown as TransactionStore;
+  const certainUntilMs: number[] = [];
+  const election = new OwnerElection({
+    ...electionBasics(clock, store),
+    serve: async (term) => {
+      certainUntilMs.push(term.certainUntilMs());
+      while (!term.signal.aborted) await clock.sleep(50, term.signal);
+    },
+  });
+  const running = election.run(stopped.signal);
+  await clock.advance(1_000);
+  stopped.abort();
+  await clock.advance(20_000);
+  await running;
+  t.is(certainUntilMs.length, 1);
+  t.true((certainUntilMs[0] ?? Infinity) <= (askedMs[0] ?? 0) + LEASE_MS);
+});
--- /dev/null
+++ b/tests/jobs/homeChoice.spec.ts
@@ -0,0 +1,112 @@
+/**
+ * Which share becomes the home of a job.
+ */
+import test from 'ava';
+import { SeededRandom } from 'samphirenotch/decisions/seededRandom.js';
+import { NO_ROOM, type ShareRoom } from 'samphirenotch/jobs/model/shareRoom.js';
+import {
+  demandOf,
+  RoomiestOfTwo,
+  type HomeCandidate,
+  type HomeChoice,
+} from 'samphirenotch/jobs/placement/homeChoice.js';
+import { LocalHome } from 'samphirenotch/jobs/placement/localHome.js';
+
+import { makeJob, makeStep } from '../fixtures/jobSite.js';
+
+const CAPACITY = 100_000;
+
+const makeRoom = (changes: Partial<ShareRoom> = {}): ShareRoom => ({
+  ...NO_ROOM,
+  capacity: CAPACITY,
+  free: CAPACITY,
+  unused: CAPACITY,
+  ...changes,
+});
+
+const makeCandidate = (share: string, changes: Partial<HomeCandidate> = {}): HomeCandidate => ({
+  share,
+  isOwned: true,
+  isLocal: false,
+  isEvacuated: false,
+  room: makeRoom(),
+  load: 0,
+  ...changes,
+});
+
+const makeChoice = (): RoomiestOfTwo => new RoomiestOfTwo(new SeededRandom(7));
+
+const job = makeJob(makeStep());
+
+const chosen = (candidates: readonly HomeCandidate[], of = job): ReadonlySet<string> => {
+  const choice = makeChoice();
+  return new Set(Array.from({ length: 60 }, () => choice.choose(of, candidates)));
+};
+
+test('should leave out shares that nobody owns, without workers, or evacuated', (t) => {
+  const homes = chosen([
+    makeCandidate('a', { isOwned: false }),
+    makeCandidate('b', { room: makeRoom({ capacity: 0 }) }),
+    makeCandidate('c', { isEvacuated: true }),
+    makeCandidate('d'),
+    makeCandidate('e'),
+  ]);
+  t.deepEqual([...homes].sort(), ['d', 'e']);
+});
+
+test('should take a share that can run every step, near its data if there is one', (t) => {
+  const labelled = makeJob(makeStep({ requiredLabel: 'fast', dataRack: 'r2' }));
+  const fast = makeCandidate('a', { room: makeRoom({ labels: new Set(['fast', 'r1']) }) });
+  const near = makeCandidate('b', { room: makeRoom({ labels: new Set(['fast', 'r2']) }) });
+  const slow = makeCandidate('c', { room: makeRoom({ labels: new Set(['r2']) }) });
+  t.deepEqual([...chosen([fast, near, slow], labelled)], ['b']);
+  t.deepEqual([...chosen([fast, slow], labelled)], ['a']);
+  t.is(chosen([slow, makeCandidate('d')], labelled).size > 0, true);
+});
+
+test('should begin in its own data centre while no share has told of room', (t) => {
+  const unknown = { room: NO_ROOM };
+  const homes = chosen([
+    makeCandidate('a', unknown),
+    makeCandidate('b', { ...unknown, isLocal: true }),
+  ]);
+  t.deepEqual([...homes], ['b']);
+});
+
+test('should count what serves by half, and only the widest step', (t) => {
+  const size = { milliCores: 2_000, memoryMb: 1, accelerators: 0 };
+  t.is(
+    demandOf(makeJob(makeStep({ count: 3, size }), makeStep({ count: 5, size, after: [0] }))),
+    10_000,
+  );
+  t.is(demandOf(makeJob(makeStep({ count: 4, size, longRunning: true, targetMs: 10 }))), 4_000);
+});
+
+/** Many entries accept a job each on the same news; tells the highest load over the mean. */
+const imbalance = (choose: (entry: number) => HomeChoice, jobs: number): number => {
+  const names = ['a', 'b', 'c', 'd', 'e', 'f'];
+  const seen = new Map(names.map((name) => [name, 0]));
+  const loads = new Map(names.map((name) => [name, 0]));
+  const ENTRIES_AT_ONCE = 6;
+  for (let at = 0; at < jobs; at += 1) {
+    if (at % ENTRIES_AT_ONCE === 0) loads.forEach((load, name) => seen.set(name, load));
+    const candidates = names.map((name, index) =>
+      makeCandidate(name, { load: seen.get(name) ?? 0, isLocal: index === at % 2 }),
+    );
+    const home = choose(at).choose(job, candidates);
+    loads.set(home, (loads.get(home) ?? 0) + demandOf(job));
+  }
+  const all = [...loads.values()];
+  return (Math.max(...all) * names.length) / all.reduce((sum, load) => sum + load, 0);
+};
+
+test('should spread what many entries accept on the same news better than local homes', (t) => {
+  const choices = Array.from(
+    { length: 16 },
+    (_, seed) => new RoomiestOfTwo(new SeededRandom(seed + 50)),
+  );
+  const spread = imbalance((entry) => choices[entry % choices.length] ?? makeChoice(), 240);
+  const local = imbalance(() => new LocalHome(), 240);
+  t.true(spread < 1.25, `${spread} of the mean`);
+  t.true(local > 2, `${local} of the mean`);
+});
--- a/tests/jobs/longTurns.spec.ts
+++ b/tests/jobs/longTurns.spec.ts
@@ -2,7 +2,7 @@
  * Orders that are not starts of a burst, and must not keep an owner from listening either.
  */
 import test from 'ava';
-import { CANCELLED_PREFIX } from 'samphirenotch/jobs/jobKeys.js';
+import { CANCELLED_PREFIX } from 'samphirenotch/jobs/store/jobKeys.js';
 
 import { makeJob, makeOwnedSite, makeStep, type JobSite } from '../fixtures/jobSite.js';
 
--- a/tests/jobs/misfits.spec.ts
+++ b/tests/jobs/misfits.spec.ts
@@ -2,16 +2,23 @@
  * Steps that need not be tried again within a pass.
  */
 import test from 'ava';
-import type { StepSpec } from 'samphirenotch/jobs/jobSpec.js';
-import { Misfits } from 'samphirenotch/jobs/misfits.js';
-import { OwnedJob, type OwnedStep } from 'samphirenotch/jobs/ownedJob.js';
+import { WHOLE_SITE } from 'samphirenotch/jobs/model/shareLayout.js';
+import type { StepSpec } from 'samphirenotch/jobs/model/jobSpec.js';
+import { Misfits } from 'samphirenotch/jobs/placement/misfits.js';
+import { OwnedJob, type OwnedStep } from 'samphirenotch/jobs/model/ownedJob.js';
 
 import { makeJob, makeQueue, makeStep } from '../fixtures/jobSite.js';
 
 const makeOwnedStep = (changes: Partial<StepSpec>, service = 'desk'): OwnedStep => {
   const queue = makeQueue({ service });
   const job = new OwnedJob({
-    accepted: { id: 'j', queue, acceptedAtMs: 0, job: makeJob(makeStep(changes)) },
+    accepted: {
+      id: 'j',
+      home: WHOLE_SITE,
+      queue,
+      acceptedAtMs: 0,
+      job: makeJob(makeStep(changes)),
+    },
     revision: 1,
     queue,
     progress: undefined,
