--- a/tests/jobs/owners.spec.ts
+++ b/tests/jobs/owners.spec.ts
@@ -2,8 +2,9 @@
  * What holds while owners die, are cut off and come back.
  */
 import test from 'ava';
-import { ROSTER_KEY } from 'samphirenotch/jobs/jobKeys.js';
-import { LONGEST_UNCONFIRMED_MS } from 'samphirenotch/jobs/ownerElection.js';
+import { WHOLE_SITE } from 'samphirenotch/jobs/model/shareLayout.js';
+import { keysOf } from 'samphirenotch/jobs/store/jobKeys.js';
+import { LONGEST_UNCONFIRMED_MS } from 'samphirenotch/jobs/store/term.js';
 
 import { JobSite, makeJob, makeOwnedSite, makeStep } from '../fixtures/jobSite.js';
 
@@ -246,7 +247,7 @@
   owner.kill();
   await site.run(6_000);
   const rosters = site.data.changes
-    .filter(({ key, revision }) => key === ROSTER_KEY && revision > from)
+    .filter(({ key, revision }) => key === keysOf(WHOLE_SITE).roster && revision > from)
     .map(({ value }) => (JSON.parse(value ?? '[]') as unknown[]).length);
   t.deepEqual(
     rosters.filter((length) => length < 4),
@@ -262,7 +263,7 @@
     behave: () => ({ size: SIZE, durationMs: 20_000 }),
   });
   site.addWorker('w1');
-  owner.store.failCommitsOf(ROSTER_KEY, 'silent', 'silent');
+  owner.store.failCommitsOf(keysOf(WHOLE_SITE).roster, 'silent', 'silent');
   await site.submit(owner, ID, makeJob(makeStep({ count: 2, estimateMs: 60_000 })));
   await site.run(1_000);
   t.deepEqual(
@@ -290,7 +291,7 @@
     }
     first.stop();
     await site.run(1_500);
-    owners.push(fast.entry.status().owner);
+    owners.push(fast.entry.owners()[0]);
   }
   t.deepEqual(new Set(owners), new Set(['fast']));
 });
--- a/tests/jobs/policy.spec.ts
+++ b/tests/jobs/policy.spec.ts
@@ -2,7 +2,7 @@
  * Queues whose workers a policy service decides on.
  */
 import test from 'ava';
-import { StepPermissions } from 'samphirenotch/jobs/stepPermissions.js';
+import { StepPermissions } from 'samphirenotch/jobs/placement/stepPermissions.js';
 import { Ok } from 'samphirenotch/results.js';
 import { ManualClock } from 'samphirenotch/time/manualClock.js';
 
--- a/tests/jobs/preemptionChoice.spec.ts
+++ b/tests/jobs/preemptionChoice.spec.ts
@@ -5,9 +5,9 @@
 import { SeededRandom } from 'samphirenotch/decisions/seededRandom.js';
 import { fitsIn, plusSize } from 'samphirenotch/infrastructure/sizes.js';
 import type { Size } from 'samphirenotch/infrastructure/worker.js';
-import { roomOf, type OwnedRun, type OwnedTask } from 'samphirenotch/jobs/ownedJob.js';
-import { Preemption } from 'samphirenotch/jobs/preemption.js';
-import type { WorkerAgent } from 'samphirenotch/jobs/workerAgent.js';
+import { roomOf, type OwnedRun, type OwnedTask } from 'samphirenotch/jobs/model/ownedJob.js';
+import { Preemption } from 'samphirenotch/jobs/placement/preemption.js';
+import type { WorkerAgent } from 'samphirenotch/jobs/workers/workerAgent.js';
 import { ManualClock } from 'samphirenotch/time/manualClock.js';
 
 import { makeQueue, makeStep } from '../fixtures/jobSite.js';
--- a/tests/jobs/progressJournal.spec.ts
+++ b/tests/jobs/progressJournal.spec.ts
@@ -2,19 +2,20 @@
  * The journal of an owner, under lost and late answers.
  */
 import test from 'ava';
-import { JOURNAL_KEY } from 'samphirenotch/jobs/jobKeys.js';
-import { ProgressJournal } from 'samphirenotch/jobs/progressJournal.js';
+import { ProgressJournal } from 'samphirenotch/jobs/store/progressJournal.js';
 import { ManualClock } from 'samphirenotch/time/manualClock.js';
 
 import { MemoryStoreData, MemoryTransactionStore } from '../fixtures/memoryTransactionStore.js';
 
+const JOURNAL_KEY = 'progress/site/journal';
+
 const makeJournal = () => {
   const clock = new ManualClock();
   const data = new MemoryStoreData(clock);
   const store = new MemoryTransactionStore(data);
   data.put(JOURNAL_KEY, '1 a');
   const deposed: string[] = [];
-  const journal = new ProgressJournal(store, clock, data.revision, '1 a', (reason) =>
+  const journal = new ProgressJournal(store, clock, JOURNAL_KEY, data.revision, '1 a', (reason) =>
     deposed.push(reason),
   );
   const ended = new AbortController();
--- a/tests/jobs/reportTimes.spec.ts
+++ b/tests/jobs/reportTimes.spec.ts
@@ -3,12 +3,12 @@
  */
 import test from 'ava';
 import type { Holding, TaskWorker } from 'samphirenotch/infrastructure/taskWorker.js';
-import { noteDone, rateOf } from 'samphirenotch/jobs/runSpeed.js';
-import { RunWatch } from 'samphirenotch/jobs/runWatch.js';
-import { OrderTurns } from 'samphirenotch/jobs/orderTurns.js';
-import { WorkerAgent, type AgentListener } from 'samphirenotch/jobs/workerAgent.js';
-import { WorkerClock } from 'samphirenotch/jobs/workerClock.js';
-import type { WorkerFleet } from 'samphirenotch/jobs/workerFleet.js';
+import { noteDone, rateOf } from 'samphirenotch/jobs/workers/runSpeed.js';
+import { RunWatch } from 'samphirenotch/jobs/workers/runWatch.js';
+import { OrderTurns } from 'samphirenotch/jobs/workers/orderTurns.js';
+import { WorkerAgent, type AgentListener } from 'samphirenotch/jobs/workers/workerAgent.js';
+import { WorkerClock } from 'samphirenotch/jobs/workers/workerClock.js';
+import type { WorkerFleet } from 'samphirenotch/jobs/workers/workerFleet.js';
 import { Ok } from 'samphirenotch/results.js';
 import { ManualClock } from 'samphirenotch/time/manualClock.js';
 
--- /dev/null
+++ b/tests/jobs/roomBoard.spec.ts
@@ -0,0 +1,60 @@
+/**
+ * How entries learn of the room of shares.
+ */
+import test from 'ava';
+import { encodeRoom, NO_ROOM } from 'samphirenotch/jobs/model/shareRoom.js';
+import { RoomBoard } from 'samphirenotch/jobs/store/roomBoard.js';
+import { ManualClock } from 'samphirenotch/time/manualClock.js';
+
+import { MemoryStoreData, MemoryTransactionStore } from '../fixtures/memoryTransactionStore.js';
+
+const makeBoard = () => {
+  const clock = new ManualClock();
+  const data = new MemoryStoreData(clock);
+  data.put('rooms/a', encodeRoom({ ...NO_ROOM, capacity: 5_000, labels: new Set(['r1']) }));
+  const store = new MemoryTransactionStore(data);
+  return { clock, data, store, board: new RoomBoard(store, clock) };
+};
+
+test('should read rooms when they are asked for, once for all that ask at a time', async (t) => {
+  const { clock, store, board } = makeBoard();
+  t.deepEqual(board.of('a'), NO_ROOM);
+  const reads = Promise.all([board.refresh(300), board.refresh(300), board.refresh(300)]);
+  await clock.advance(50);
+  await reads;
+  t.is(board.of('a').capacity, 5_000);
+  t.true(board.of('a').labels.has('r1'));
+  t.is(store.calls.get('list'), 1);
+});
+
+test('should read anew only what is too old', async (t) => {
+  const { clock, store, board } = makeBoard();
+  const refresh = async (): Promise<void> => {
+    const read = board.refresh(300);
+    await clock.advance(50);
+    await read;
+  };
+  await refresh();
+  await refresh();
+  t.is(store.calls.get('list'), 1);
+  await clock.advance(400);
+  await refresh();
+  t.is(store.calls.get('list'), 2);
+});
+
+test('should keep the former news while the store is away or holds something else', async (t) => {
+  const { clock, data, store, board } = makeBoard();
+  const refresh = async (): Promise<void> => {
+    const read = board.refresh(0);
+    await clock.advance(1_000);
+    await read;
+  };
+  await refresh();
+  store.isCutOff = true;
+  await refresh();
+  t.is(board.of('a').capacity, 5_000);
+  store.isCutOff = false;
+  data.put('rooms/a', 'nonsense');
+  await refresh();
+  t.is(board.of('a').capacity, 5_000);
+});
--- a/tests/jobs/runWatch.spec.ts
+++ b/tests/jobs/runWatch.spec.ts
@@ -2,8 +2,8 @@
  * Runs on workers that leave or hang.
  */
 import test from 'ava';
-import { remainingRunMs, RunWatch } from 'samphirenotch/jobs/runWatch.js';
-import type { WorkerFleet } from 'samphirenotch/jobs/workerFleet.js';
+import { remainingRunMs, RunWatch } from 'samphirenotch/jobs/workers/runWatch.js';
+import type { WorkerFleet } from 'samphirenotch/jobs/workers/workerFleet.js';
 import { ManualClock } from 'samphirenotch/time/manualClock.js';
 
 import type { MemoryTaskWorker } from '../fixtures/memoryTaskWorker.js';
--- /dev/null
+++ b/tests/jobs/spillOver.spec.ts
@@ -0,0 +1,84 @@
+/**
+ * Which waiting tasks go to another share.
+ */
+import test from 'ava';
+import { NO_ROOM, type ShareRoom } from 'samphirenotch/jobs/model/shareRoom.js';
+import type { StepSpec } from 'samphirenotch/jobs/model/jobSpec.js';
+import {
+  RoomiestSpill,
+  type SpillTarget,
+  type UnplacedStep,
+} from 'samphirenotch/jobs/placement/spillOver.js';
+
+import { makeStep } from '../fixtures/jobSite.js';
+import { makeOwnedStep } from '../fixtures/stillFleet.js';
+
+const makeTarget = (share: string, changes: Partial<ShareRoom> = {}): SpillTarget => ({
+  share,
+  room: { ...NO_ROOM, capacity: 100_000, free: 20_000, unused: 20_000, ...changes },
+});
+
+const makeUnplaced = (
+  spec: Partial<StepSpec> = {},
+  changes: Partial<UnplacedStep> = {},
+): UnplacedStep => ({
+  step: makeOwnedStep(makeStep({ count: 6, ...spec })),
+  waitedMs: 10_000,
+  hasWorkers: true,
+  ...changes,
+});
+
+test('should hand tasks to the share with most room, and no more than a part of it', (t) => {
+  const targets = [
+    makeTarget('a'),
+    makeTarget('b', { free: 10_000 }),
+    makeTarget('c', { free: 5_000 }),
+  ];
+  const [spill, ...others] = new RoomiestSpill().choose([makeUnplaced({ count: 30 })], targets, 0);
+  t.is(others.length, 0);
+  t.is(spill?.to, 'a');
+  t.is(spill?.tasks.length, 8);
+});
+
+test('should not take the same room twice on one piece of news', (t) => {
+  const policy = new RoomiestSpill();
+  const targets = [makeTarget('a')];
+  t.is(policy.choose([makeUnplaced({ count: 20 })], targets, 0)[0]?.tasks.length, 20);
+  t.deepEqual(policy.choose([makeUnplaced()], targets, 0), []);
+  t.is(policy.choose([makeUnplaced()], [makeTarget('a')], 0).length, 1);
+});
+
+test('should let tasks wait for room at home first, unless there is nobody who could take them', (t) => {
+  const targets = [makeTarget('a')];
+  const policy = new RoomiestSpill();
+  t.deepEqual(policy.choose([makeUnplaced({}, { waitedMs: 20 })], targets, 0), []);
+  t.deepEqual(policy.choose([makeUnplaced({ filler: true }, { waitedMs: 200 })], targets, 0), []);
+  t.is(policy.choose([makeUnplaced({}, { waitedMs: 0, hasWorkers: false })], targets, 0).length, 1);
+});
+
+test('should judge fillers by what is unused and others by what is free', (t) => {
+  const targets = [makeTarget('a', { free: 0 }), makeTarget('b', { unused: 0 })];
+  const policy = new RoomiestSpill();
+  t.is(policy.choose([makeUnplaced({ filler: true })], targets, 0)[0]?.to, 'a');
+  t.is(policy.choose([makeUnplaced()], targets, 0)[0]?.to, 'b');
+});
+
+test('should hand a gang on as a whole or not at all', (t) => {
+  const policy = new RoomiestSpill();
+  t.deepEqual(policy.choose([makeUnplaced({ gang: true, count: 25 })], [makeTarget('a')], 0), []);
+  t.is(
+    policy.choose([makeUnplaced({ gang: true, count: 20 })], [makeTarget('a')], 0)[0]?.tasks.length,
+    20,
+  );
+});
+
+test('should leave out shares without the label, and for a while those that gave tasks back', (t) => {
+  const policy = new RoomiestSpill();
+  const unplaced = makeUnplaced({ requiredLabel: 'fast' });
+  const fast = makeTarget('b', { free: 4_000, labels: new Set(['fast']) });
+  t.is(policy.choose([unplaced], [makeTarget('a'), fast], 0)[0]?.to, 'b');
+  policy.noteRefusal(unplaced.step, 'b', 1_000);
+  const again = () => [makeTarget('a'), makeTarget('b', { labels: new Set(['fast']) })];
+  t.deepEqual(policy.choose([unplaced], again(), 2_000), []);
+  t.is(policy.choose([unplaced], again(), 5_000).length, 1);
+});
--- a/tests/jobs/status.spec.ts
+++ b/tests/jobs/status.spec.ts
@@ -16,16 +16,21 @@
   const other = site.start('b');
   await site.submit(owner, ID, makeJob(makeStep({ count: 3 })));
   await site.run(2_000);
-  const { term, ...status } = owner.entry.status();
-  t.like(status, { entry: 'a', isReady: true, owner: 'a', configurationVersion: 1, jobsOpen: 1 });
+  owner.entry.status();
+  await site.run(100);
+  const { terms, workers, ...status } = owner.entry.status();
+  t.like(status, { entry: 'a', isReady: true, configurationVersion: 1, jobsOpen: 1 });
+  t.like(status.shares[0], { share: 'site', owner: 'a', jobsOpen: 1, capacityMilliCores: 8_000 });
   t.deepEqual(status.queues, [{ queue: 'runs', waiting: 0 }]);
   t.true((status.storeAgeMs ?? Infinity) < 2_000);
-  t.is(term?.workers.length, 2);
+  t.like(terms[0], { share: 'site', isCertain: true });
+  t.is(workers.length, 2);
   t.is(
-    term?.workers.reduce((sum, { runs }) => sum + runs, 0),
+    workers.reduce((sum, { runs }) => sum + runs, 0),
     3,
   );
-  t.like(other.entry.status(), { entry: 'b', owner: 'a', term: undefined });
+  t.like(other.entry.status(), { entry: 'b', terms: [] });
+  t.deepEqual(other.entry.owners(), ['a']);
 });
 
 test('should explain where tasks run and what the others wait for', async (t) => {
--- a/tests/jobs/storeAges.spec.ts
+++ b/tests/jobs/storeAges.spec.ts
@@ -3,7 +3,7 @@
  * not take the one for the other.
  */
 import test from 'ava';
-import { StoreFollower, type StoreListener } from 'samphirenotch/jobs/storeFollower.js';
+import { StoreFollower, type StoreListener } from 'samphirenotch/jobs/store/storeFollower.js';
 import { ManualClock } from 'samphirenotch/time/manualClock.js';
 
 import { makeJob, makeOwnedSite, makeStep } from '../fixtures/jobSite.js';
--- a/tests/jobs/swingForecast.spec.ts
+++ b/tests/jobs/swingForecast.spec.ts
@@ -3,8 +3,8 @@
  */
 import test from 'ava';
 import { SeededRandom } from 'samphirenotch/decisions/seededRandom.js';
-import { SwingForecast } from 'samphirenotch/jobs/swingForecast.js';
-import { SwingPeriods } from 'samphirenotch/jobs/swingPeriods.js';
+import { SwingForecast } from 'samphirenotch/jobs/pacing/swingForecast.js';
+import { SwingPeriods } from 'samphirenotch/jobs/pacing/swingPeriods.js';
 
 const READING_GAP_MS = 250;
 const AHEAD_MS = 700;
--- a/tests/jobs/taskPlacement.spec.ts
+++ b/tests/jobs/taskPlacement.spec.ts
@@ -3,13 +3,16 @@
  */
 import test from 'ava';
 import { SeededRandom } from 'samphirenotch/decisions/seededRandom.js';
-import { FillerRoom } from 'samphirenotch/jobs/fillerRoom.js';
-import { Interference } from 'samphirenotch/jobs/interference.js';
-import type { StepSpec } from 'samphirenotch/jobs/jobSpec.js';
-import { FULL_PERCENT, roomOf, type OwnedStep } from 'samphirenotch/jobs/ownedJob.js';
-import { SpreadPlacement, type PlacementInput } from 'samphirenotch/jobs/taskPlacement.js';
-import type { WorkerAgent } from 'samphirenotch/jobs/workerAgent.js';
-import { WorkerCosts } from 'samphirenotch/jobs/workerCosts.js';
+import { FillerRoom } from 'samphirenotch/jobs/pacing/fillerRoom.js';
+import { Interference } from 'samphirenotch/jobs/pacing/interference.js';
+import type { StepSpec } from 'samphirenotch/jobs/model/jobSpec.js';
+import { FULL_PERCENT, roomOf, type OwnedStep } from 'samphirenotch/jobs/model/ownedJob.js';
+import {
+  SpreadPlacement,
+  type PlacementInput,
+} from 'samphirenotch/jobs/placement/taskPlacement.js';
+import type { WorkerAgent } from 'samphirenotch/jobs/workers/workerAgent.js';
+import { WorkerCosts } from 'samphirenotch/jobs/placement/workerCosts.js';
 import { ManualClock } from 'samphirenotch/time/manualClock.js';
 
 import { makeStep } from '../fixtures/jobSite.js';
--- a/tests/jobs/workerDirectory.spec.ts
+++ b/tests/jobs/workerDirectory.spec.ts
@@ -2,7 +2,7 @@
  * Workers that go missing from the directory.
  */
 import test from 'ava';
-import { WorkerDirectory } from 'samphirenotch/jobs/workerDirectory.js';
+import { WorkerDirectory } from 'samphirenotch/jobs/workers/workerDirectory.js';
 import { ManualClock } from 'samphirenotch/time/manualClock.js';
 
 import { makeStillAgent } from '../fixtures/stillFleet.js';
--- a/tests/platform/ingress.spec.ts
+++ b/tests/platform/ingress.spec.ts
@@ -4,7 +4,7 @@
 import { connect, createServer } from 'node:net';
 
 import test from 'ava';
-import { JobEntry } from 'samphirenotch/jobs/jobEntry.js';
+import { JobEntry } from 'samphirenotch/jobs/entry/jobEntry.js';
 import { SilentRecorder } from 'samphirenotch/observability/recorder.js';
 import { SystemClock } from 'samphirenotch/time/clock.js';
 import { request } from 'undici';
@@ -48,6 +48,8 @@
     recorder,
     entry: 'a',
     process: 'a-1',
+    dataCentre: 'dc0',
+    layoutSettleMs: 0,
     holdLimitMs: 6_000,
     handoverMs: 4_000,
     processorShare: 1,
--- a/tests/platform/operatorPages.spec.ts
+++ b/tests/platform/operatorPages.spec.ts
@@ -22,8 +22,8 @@
 
 test('should serve metrics, status and explanations, and nothing else', async (t) => {
   const { page } = await makePages();
-  t.true(page('/metrics')?.text.includes('samphirenotch_is_owner'));
-  t.like(JSON.parse(page('/status')?.text ?? ''), { entry: 'a', owner: 'a' });
+  t.true(page('/metrics')?.text.includes('samphirenotch_shares_owned'));
+  t.like(JSON.parse(page('/status')?.text ?? ''), { entry: 'a', shares: [{ owner: 'a' }] });
   t.like(JSON.parse(page(`/tasks/${ID}/explain`)?.text ?? ''), { jobId: ID });
   t.is(page('/tasks/00000000000000ff/explain')?.status, 404);
   t.is(page('/tasks/nonsense/explain'), undefined);
@@ -38,7 +38,7 @@
   const env = { SAMPHIRENOTCH_ENTRY: `http://127.0.0.1:${port}` };
   const status = await runCli(['status'], env);
   t.is(status.exitCode, 0, status.err);
-  t.regex(status.out, /owner: a/u);
+  t.regex(status.out, /site +a /u);
   t.regex(status.out, /w0/u);
   const explained = await runCli(['task', 'explain', ID], env);
   t.is(explained.exitCode, 0, explained.err);
--- a/tests/platform/unsentOrders.spec.ts
+++ b/tests/platform/unsentOrders.spec.ts
@@ -5,9 +5,9 @@
 import type { AddressInfo } from 'node:net';
 
 import test from 'ava';
-import { OrderTurns } from 'samphirenotch/jobs/orderTurns.js';
-import { WorkerOrders } from 'samphirenotch/jobs/workerOrders.js';
-import { WorkerRuns } from 'samphirenotch/jobs/workerRuns.js';
+import { OrderTurns } from 'samphirenotch/jobs/workers/orderTurns.js';
+import { WorkerOrders } from 'samphirenotch/jobs/workers/workerOrders.js';
+import { WorkerRuns } from 'samphirenotch/jobs/workers/workerRuns.js';
 import { SystemClock } from 'samphirenotch/time/clock.js';
 
 import { PlatformWorkers } from '../../platform/platformWorkers.js';
--- /dev/null
+++ b/tests/profile/ownerProfileMain.ts
@@ -0,0 +1,175 @@
+/**
+ * Profiles one entry that owns a whole site: where the processor time of a run goes.
+ *
+ * Workers and store are the soak's stand-ins, without faults. The entry runs as a process of its own
+ * under the sampling profiler of the runtime.
+ */
+import { mkdirSync, readdirSync, readFileSync } from 'node:fs';
+import { request } from 'node:http';
+import path from 'node:path';
+
+import { Cli, Command, Option } from 'clipanion';
+
+import { CALLER_PORT } from '../soak/entryProcess.js';
+import { PromiseChecker } from '../soak/promiseChecker.js';
+import { QUEUES, type SoakJob, type SoakQueue, type SoakStep } from '../soak/soakJob.js';
+import { makeRandom } from '../soak/soakRun.js';
+import { SoakSite } from '../soak/soakSite.js';
+import { summarizeProfile, type CpuProfile } from './cpuProfile.js';
+
+/** Time for the entry to start and learn of workers, in milliseconds. */
+const START_MS = 4_000;
+
+const sleep = (ms: number): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+
+const [QUICK, BATCH, WATCH] = QUEUES as readonly [SoakQueue, SoakQueue, SoakQueue];
+
+const makeStep = (changes: Partial<SoakStep>): SoakStep => ({
+  count: 1,
+  cpu: 1_000,
+  memMb: 500,
+  durationMs: 500,
+  failEvery: 0,
+  after: [],
+  perWorker: 0,
+  checkpointing: false,
+  longRunning: false,
+  filler: false,
+  ...changes,
+});
+
+/** Images of fillers and of serving tasks. */
+const FILLER_IMAGES = 20;
+const SERVING_IMAGES = 12;
+
+const TARGET_MS = 20;
+
+const bodyOf = ({ id, steps }: SoakJob): unknown => {
+  const image = Number(`0x${id.slice(0, 4)}`);
+  return {
+    Spec: JSON.stringify(steps),
+    Steps: steps.map((step) => ({
+      Count: step.count,
+      Cpu: step.cpu,
+      MemMb: step.memMb,
+      EstimateMs: step.longRunning ? 0 : step.durationMs,
+      ...(step.after.length > 0 ? { After: step.after } : {}),
+      ...(step.checkpointing ? { Checkpointing: true } : {}),
+      ...(step.longRunning
+        ? { LongRunning: true, Image: `s${image % SERVING_IMAGES}`, TargetMs: TARGET_MS }
+        : {}),
+      ...(step.filler ? { Fills: true, Image: `f${image % FILLER_IMAGES}` } : {}),
+    })),
+  };
+};
+
+/** Shapes of jobs: quick ones, wide ones of two steps, and serving ones that last. */
+const SHAPES: readonly { readonly queue: SoakQueue; readonly steps: readonly SoakStep[] }[] = [
+  { queue: QUICK, steps: [makeStep({ count: 9, cpu: 3_100, durationMs: 640 })] },
+  {
+    queue: BATCH,
+    steps: [
+      makeStep({ count: 20, cpu: 1_800, durationMs: 1_700, checkpointing: true, filler: true }),
+      makeStep({
+        count: 20,
+        cpu: 1_800,
+        durationMs: 1_700,
+        checkpointing: true,
+        filler: true,
+        after: [0],
+      }),
+    ],
+  },
+  { queue: WATCH, steps: [makeStep({ count: 8, cpu: 1_500, longRunning: true })] },
+];
+
+/** Every so many jobs is one that lasts. */
+const LASTING_EVERY = 20;
+
+class ProfileCommand extends Command {
+  static override paths = [Command.Default];
+
+  workers = Option.String('--workers', '32');
+
+  seconds = Option.String('--seconds', '20');
+
+  jobGap = Option.String('--job-gap', '100', { description: 'milliseconds between two jobs' });
+
+  program = Option.String('--program', 'target/entry.cjs');
+
+  folder = Option.String('--folder', '.build/profile');
+
+  network = Option.String('--network', '77', { description: 'third part of the address' });
+
+  override async execute(): Promise<number> {
+    const folder = path.resolve(this.folder);
+    mkdirSync(folder, { recursive: true });
+    const startMs = performance.now();
+    const checker = new PromiseChecker(() => performance.now() - startMs);
+    const site = new SoakSite({
+      entries: 1,
+      workers: Number(this.workers),
+      workerCpu: 16_000,
+      program: this.program,
+      folder,
+      network: Number(this.network),
+      checker,
+      runtimeWords: ['--cpu-prof', `--cpu-prof-dir=${folder}`, '--cpu-prof-interval=500'],
+    });
+    await site.start();
+    await sleep(START_MS);
+    const host = site.entries[0]?.entry.options.host ?? '';
+    await this.drive(host);
+    const starts = site.workers.reduce((sum, { end }) => sum + end.startCount, 0);
+    await site.stop();
+    const newest = readdirSync(folder)
+      .filter((name) => name.endsWith('.cpuprofile'))
+      .sort()
+      .at(-1);
+    if (!newest) return 1;
+    const profile = JSON.parse(readFileSync(path.join(folder, newest), 'utf8')) as CpuProfile;
+    this.context.stdout.write(
+      `${this.workers} workers, ${starts} starts, ${this.seconds} s\n${summarizeProfile(profile, starts)}\n`,
+    );
+    return 0;
+  }
+
+  private async drive(host: string): Promise<void> {
+    const random = makeRandom(1);
+    const untilMs = performance.now() + 1_000 * Number(this.seconds);
+    let at = 0;
+    while (performance.now() < untilMs) {
+      await sleep(random.exponential(Number(this.jobGap)));
+      at += 1;
+      const shape = SHAPES[at % LASTING_EVERY === 0 ? 2 : at % 2];
+      if (!shape) return;
+      const id = Array.from({ length: 16 }, () => random.below(16).toString(16)).join('');
+      this.submit(host, { id, ...shape });
+    }
+  }
+
+  private submit(host: string, job: SoakJob): void {
+    const text = JSON.stringify(bodyOf(job));
+    const sent = request({
+      host,
+      port: CALLER_PORT,
+      method: 'POST',
+      path: job.queue.prefix + job.id,
+      headers: {
+        Host: job.queue.host,
+        'Content-Type': 'application/json',
+        'Content-Length': Buffer.byteLength(text),
+      },
+    });
+    sent.on('response', (response) => response.resume());
+    sent.on('error', (error) => this.context.stderr.write(`${error.message}\n`));
+    sent.end(text);
+  }
+}
+
+const cli = new Cli({ binaryName: 'ownerProfile' });
+cli.register(ProfileCommand);
+process.exitCode = await cli.run(process.argv.slice(2), Cli.defaultContext);
--- a/tests/soak/workerStandIn.ts
+++ b/tests/soak/workerStandIn.ts
@@ -74,7 +74,7 @@
 
   private sequence = 0;
 
-  private starts = 0;
+  startCount = 0;
 
   private readonly highest = new Map<string, number>();
 
@@ -182,7 +182,7 @@
     const step = readSteps(String(body['Spec']))[readTask(task).step];
     if (!step) return this.answer(400);
     const { checker, id } = this.options;
-    this.starts += 1;
+    this.startCount += 1;
     const savedMs = Number(String(body['Checkpoint'] ?? '0'));
     const started: Running = {
       task,
@@ -194,7 +194,7 @@
       workedMs: savedMs,
       pace: HUNDRED,
       stopAtMs: undefined,
-      fails: step.failEvery > 0 && this.starts % step.failEvery === 0,
+      fails: step.failEvery > 0 && this.startCount % step.failEvery === 0,
     };
     checker.started(started, {
       id,
