Read which parts a site asks for, and check jobs at the door by rules

A file of settings with a section for each part; a part without a section is off. Rules of admission are asked before anything is stored; there is none yet.

--- a/packages/samphirenotch/src/jobs/entry/jobCommands.ts
+++ b/packages/samphirenotch/src/jobs/entry/jobCommands.ts
@@ -7,6 +7,7 @@
 import { callWithin, remainingMs, type Call } from '../../time/call.js';
 import type { Clock } from '../../time/clock.js';
 
+import type { AdmissionRule, Refusal, SubmittedJob } from '../admission/admissionRule.js';
 import { encodeAccepted } from '../model/acceptedJob.js';
 import type { JobSpec } from '../model/jobSpec.js';
 import type { Queue } from '../model/siteConfiguration.js';
@@ -45,6 +46,8 @@
   /** Follows the replica's prefix; tells how long the store has been silent. */
   readonly follower: StoreFollower;
   readonly clock: Clock;
+  /** What jobs are turned away for, the first that applies counts. */
+  readonly rules: readonly AdmissionRule[];
   /** Chooses the share that is to decide about a job. */
   readonly chooseHome: (job: JobSpec) => Promise<string>;
 }
@@ -70,6 +73,12 @@
   async submit(jobId: string, queue: Queue, job: JobSpec, call: Call): Promise<CommandOutcome> {
     const { replica, clock, chooseHome } = this.options;
     if (replica.find(jobId)) return { kind: 'done' };
+    const refusal = this.refusalOf({ jobId, queue, job });
+    if (refusal) {
+      const refused = { kind: 'refused', ...refusal } as const;
+      this.report('submit', jobId, queue.name, refused);
+      return refused;
+    }
     const home = await chooseHome(job);
     const accepted = { id: jobId, home, queue, acceptedAtMs: clock.wallMs(), job };
     const key = ACCEPTED_PREFIX + jobId;
@@ -98,6 +107,14 @@
     return outcome;
   }
 
+  private refusalOf(submitted: SubmittedJob): Refusal | undefined {
+    for (const rule of this.options.rules) {
+      const refusal = rule.check(submitted);
+      if (refusal) return refusal;
+    }
+    return undefined;
+  }
+
   private async cancelKnown(jobId: string, call: Call): Promise<CommandOutcome> {
     const { replica, store, clock } = this.options;
     if (replica.isCancelled(jobId)) return { kind: 'done' };
--- a/packages/samphirenotch/src/jobs/entry/jobEntry.ts
+++ b/packages/samphirenotch/src/jobs/entry/jobEntry.ts
@@ -9,6 +9,7 @@
 import type { Recorder } from '../../observability/recorder.js';
 import type { Clock } from '../../time/clock.js';
 
+import type { JobSettings } from '../model/jobSettings.js';
 import type { SiteCodec } from '../model/siteCodec.js';
 import type { JobSpec } from '../model/jobSpec.js';
 import type { EntryStatus, ShareStatus } from '../ownership/entryStatus.js';
@@ -60,6 +61,8 @@
   readonly dataCentre: string;
   /** Time for workers to list themselves before the site is divided for the first time. */
   readonly layoutSettleMs: number;
+  /** Which parts the site asks for. */
+  readonly settings: JobSettings;
 }
 
 /** What the server of callers is given. */
@@ -112,7 +115,14 @@
     const homes = new Homes({ ...options, replica, rooms, operator });
     const chooseHome = (job: JobSpec): Promise<string> => homes.choose(job);
     this.parts = {
-      commands: new JobCommands({ store, replica, follower: jobsFollower, clock, chooseHome }),
+      commands: new JobCommands({
+        store,
+        replica,
+        follower: jobsFollower,
+        clock,
+        rules: [],
+        chooseHome,
+      }),
       queries: new JobQueries({ store, replica, follower: this.jobsFollower, clock }),
       operator: this.operator,
     };
--- a/packages/samphirenotch/src/settings/entrySettings.ts
+++ b/packages/samphirenotch/src/settings/entrySettings.ts
@@ -3,12 +3,11 @@
  */
 import { randomUUID } from 'node:crypto';
 import type { ConfigurationProblem } from '../config/configurationProblem.js';
-import { readIni, type IniSection } from '../config/iniText.js';
-import { nearestName } from '../config/nearestName.js';
-import { SectionReader } from '../config/sectionReader.js';
+import type { SectionReader } from '../config/sectionReader.js';
 import { ADDRESS, listOf, OBJECT_NAME, oneOf } from '../config/valueFormat.js';
 import type { LogSettings } from '../observability/log.js';
 import { Err, Ok, type Result } from '../results.js';
+import { SettingsSections } from './settingsSections.js';
 
 /** Which protocol the platform speaks. */
 export type PlatformKind = 'http';
@@ -41,39 +40,6 @@
 const LOG_LEVELS: readonly LogSettings['level'][] = ['debug', 'info', 'warn', 'error'];
 const SECTIONS = ['entry', 'platform', 'log'] as const;
 
-type SectionName = (typeof SECTIONS)[number];
-
-const emptySection = (file: string, heading: string): IniSection => ({
-  file,
-  heading,
-  line: 1,
-  lastLine: 1,
-  values: new Map(),
-});
-
-const unknownSection = (section: IniSection): ConfigurationProblem => {
-  const nearest = nearestName(section.heading, SECTIONS);
-  const hint = nearest === undefined ? '' : `, did you mean [${nearest}]?`;
-  const { file, heading, line } = section;
-  const accepted = SECTIONS.map((name) => `[${name}]`).join(', ');
-  return { file, line, section: heading, message: `unknown section${hint}`, accepted };
-};
-
-const repeatedSection = ({ file, heading, line }: IniSection): ConfigurationProblem => ({
-  file,
-  line,
-  section: heading,
-  message: 'section written twice',
-  accepted: 'each section once',
-});
-
-const checkSections = (sections: readonly IniSection[]): readonly ConfigurationProblem[] =>
-  sections.flatMap((section, index) => {
-    if (!SECTIONS.some((name) => name === section.heading)) return [unknownSection(section)];
-    const first = sections.findIndex(({ heading }) => heading === section.heading);
-    return first === index ? [] : [repeatedSection(section)];
-  });
-
 const readEntry = (reader: SectionReader): Omit<EntrySettings, 'platform' | 'log'> => {
   const grpcAddress = reader.required('grpcAddress', ADDRESS, '');
   return {
@@ -108,23 +74,12 @@
   file: string,
   text: string,
 ): Result<EntrySettings, readonly ConfigurationProblem[]> => {
-  const { sections, problems: malformed } = readIni(file, text);
-  const problems = [...malformed, ...checkSections(sections)];
-  const readerOf = (name: SectionName): SectionReader =>
-    new SectionReader(
-      sections.find(({ heading }) => heading === name) ?? emptySection(file, name),
-      problems,
-    );
-  const readers = {
-    entry: readerOf('entry'),
-    platform: readerOf('platform'),
-    log: readerOf('log'),
-  };
+  const sections = new SettingsSections(file, text, SECTIONS);
   const settings: EntrySettings = {
-    ...readEntry(readers.entry),
-    platform: readPlatform(readers.platform),
-    log: readLog(readers.log),
+    ...readEntry(sections.open('entry')),
+    platform: readPlatform(sections.open('platform')),
+    log: readLog(sections.open('log')),
   };
-  Object.values(readers).forEach((reader) => reader.reportUnknownKeys());
+  const problems = sections.finish();
   return problems.length === 0 ? Ok(settings) : Err(problems);
 };
--- a/tests/platform/ingress.spec.ts
+++ b/tests/platform/ingress.spec.ts
@@ -5,6 +5,7 @@
 
 import test from 'ava';
 import { JobEntry } from 'samphirenotch/jobs/entry/jobEntry.js';
+import { PLAIN_SETTINGS } from 'samphirenotch/jobs/model/jobSettings.js';
 import { SilentRecorder } from 'samphirenotch/observability/recorder.js';
 import { SystemClock } from 'samphirenotch/time/clock.js';
 import { request } from 'undici';
@@ -50,6 +51,7 @@
     process: 'a-1',
     dataCentre: 'dc0',
     layoutSettleMs: 0,
+    settings: PLAIN_SETTINGS,
     holdLimitMs: 6_000,
     handoverMs: 4_000,
     processorShare: 1,
