--- a/packages/samphirenotch/src/jobs/ownership/layoutKeeper.ts
+++ b/packages/samphirenotch/src/jobs/ownership/layoutKeeper.ts
@@ -18,14 +18,17 @@
 /** Wait before another look, in milliseconds. */
 const RETRY_MS = 100;
 
-/** Time that an entry on a slow VM leaves to those on faster ones, in milliseconds. */
-const SLOW_MS = 400;
+/**
+ * Time that an entry on a slow VM leaves to those on faster ones, as a multiple of the time to settle: the
+ * plan counts on what the fastest entries can carry.
+ */
+const SLOWNESS = 1.5;
 
 /** Time between two looks at the workers, as a part of the time to settle. */
 const LOOK_PART = 1 / 3;
 
 /** Spread of the entries that look, as a multiple of the time to settle: one is enough. */
-const SPREAD = 2;
+const SPREAD = 0.25;
 
 /** Time after which it is planned although workers still come, as a multiple of the time to settle. */
 const PATIENCE = 3;
@@ -80,7 +83,7 @@
 
   private async waitForTurn(signal: AbortSignal): Promise<void> {
     const { clock, shares, settleMs, entry, processorShare } = this.options;
-    const slowMs = (1 - Math.min(1, processorShare)) * SLOW_MS;
+    const slowMs = SLOWNESS * settleMs * (1 - Math.min(1, processorShare));
     const spreadMs = SPREAD * settleMs * (1 - preferenceOf(LAYOUT_KEY, entry));
     const turnMs = clock.monotonicMs() + settleMs + slowMs + spreadMs;
     while (!shares.layout && clock.monotonicMs() < turnMs && !signal.aborted) {
--- a/tests/jobs/shares.spec.ts
+++ b/tests/jobs/shares.spec.ts
@@ -97,6 +97,15 @@
   t.is(layout.shares.length, 4);
 });
 
+// Guards against a site that is divided for the slow VM of the entry that happened to look first.
+test('should plan a site by what its fastest entry carries', async (t) => {
+  const site = new JobSite({ workers: 60, dataCentres: 4, layoutSettleMs: 1_500 });
+  for (let at = 0; at < 12; at += 1) site.start(`slow-${at}`, false, 0.1);
+  site.start('fast', false, 1);
+  await site.run(8_000);
+  t.is(site.data.items.get(LAYOUT_KEY)?.value, ShareLayout.whole().encode());
+});
+
 test('should give each share to an entry of its own data centre', async (t) => {
   const { owners } = await makeDividedSite({ workers: 4 });
   t.deepEqual(owners.map(ownedBy), [['dc0'], ['dc1']]);
