Wait for what a former owner may have started of a delegation told again

What could be seen: a task that was delegated ran twice at the same time. Its share's owner was replaced, the new one could not reach the worker that ran it, and the home of the job was replaced at the same moment.

Cause: a new owner starts only what was stored after its election before it has heard from all workers of its predecessor, and told the age of a delegation by the revision of its key. A new owner of the home writes the keys of open delegations again, so that an old one looked new.

Change: what was in the inbox when the term began counts as old, whatever its revision.

Test: "should wait for what a former owner may have started of a delegation that is told again" failed before ("run 24000 started beside another run").

--- a/packages/samphirenotch/src/jobs/ownership/guests.ts
+++ b/packages/samphirenotch/src/jobs/ownership/guests.ts
@@ -98,7 +98,7 @@
    * Takes a delegation in.
    *
    * @param delegation - the delegation
-   * @param revision - its revision
+   * @param revision - its revision; 0 if a former owner may have taken it in
    * @param report - what a former owner of this share reported of it
    */
   take(delegation: Delegation, revision: number, report?: DelegationReport): void {
--- a/packages/samphirenotch/src/jobs/ownership/inbox.ts
+++ b/packages/samphirenotch/src/jobs/ownership/inbox.ts
@@ -27,15 +27,15 @@
    * @param keys - keys of the share
    * @param guests - take delegations
    * @param delegations - take reports
-   * @param answers - what former owners of the share have reported, by key; read before the inbox is
-   *   listed, since a report is removed after its delegation
+   * @param exchange - what owners of shares had told each other when the term began, by key; read before
+   *   the inbox is listed, since a report is removed after its delegation
    * @param onNews - called after news
    */
   constructor(
     private readonly keys: ShareKeys,
     private readonly guests: Guests,
     private readonly delegations: Delegations,
-    private readonly answers: ReadonlyMap<string, string>,
+    private readonly exchange: ReadonlyMap<string, string>,
     private readonly onNews: () => void,
   ) {
     this.listed = new Promise((resolve) => {
@@ -73,10 +73,11 @@
       const delegation = decodeDelegation(value);
       const { reportedPrefix } = keysOf(delegation.home);
       const id = key.slice(this.keys.delegatedPrefix.length);
-      const answer = this.answers.get(reportedPrefix + id);
+      const answer = this.exchange.get(reportedPrefix + id);
       this.guests.take(
         delegation,
-        revision,
+        // Its home may have told it again since: the revision does not tell whether it is new.
+        this.exchange.has(key) ? 0 : revision,
         answer === undefined ? undefined : decodeReport(answer),
       );
     } catch (error) {
