Take the lease for uncertain as soon as it may have been given back

What could be seen: a delegated task was started by two owners of a share. The first one was handing over on a planned stop; the store had taken its lease back, but the answer was lost, as were the answers to its renewals, and its watch of jobs was silent, while it still heard of delegations.

Cause: the owner took its lease for certain until the last confirmed renewal ran out, also after it had asked the store to end it. The successor rightly starts at once what is newer than its election.

Change: a term is certain no longer than until its hand-over begins.

Test: "should start nothing that is delegated after the lease may have been given back" failed before (two runs for one). The store of the tests can leave single watches and calls of leases unanswered.

--- a/packages/samphirenotch/src/jobs/ownership/ownerElection.ts
+++ b/packages/samphirenotch/src/jobs/ownership/ownerElection.ts
@@ -202,7 +202,9 @@
     // Every worker, call and loop of the term listens.
     setMaxListeners(0, ended.signal);
     let handover: Promise<void> | undefined;
+    let givenBackMs = Number.POSITIVE_INFINITY;
     const stop = (): void => {
+      givenBackMs = Math.min(givenBackMs, this.options.clock.monotonicMs());
       handover ??= this.handOver(leaseId, ended);
     };
     this.endTerm = stop;
@@ -217,7 +219,8 @@
     const term: Term = {
       fencingToken,
       signal: ended.signal,
-      certainUntilMs: () => this.confirmedMs + LEASE_MS - LEASE_MARGIN_MS,
+      // The store may have taken the lease back although its answer was lost.
+      certainUntilMs: () => Math.min(this.confirmedMs + LEASE_MS - LEASE_MARGIN_MS, givenBackMs),
       unconfirmedMs: () => this.options.clock.monotonicMs() - this.confirmedMs,
       depose,
     };
--- a/tests/jobs/sharesTransitions.spec.ts
+++ b/tests/jobs/sharesTransitions.spec.ts
@@ -2,15 +2,27 @@
  * What holds while shares, homes and delegations change hands, one forced interleaving a test.
  */
 import test from 'ava';
-import { keysOf } from 'samphirenotch/jobs/store/jobKeys.js';
+import { keysOf, SHARED_PREFIX } from 'samphirenotch/jobs/store/jobKeys.js';
 
-import { JobSite, makeDividedSite, makeJob, makeStep } from '../fixtures/jobSite.js';
+import {
+  JobSite,
+  makeDividedSite,
+  makeJob,
+  makeStep,
+  type SiteEntry,
+} from '../fixtures/jobSite.js';
 
 const ID = '00000000000000a1';
 const SIZE = { milliCores: 1_000, memoryMb: 1_000, accelerators: 0 };
 
 const behaveFor = (durationMs: number) => () => ({ size: SIZE, durationMs });
 
+const ownedBy = ({ entry }: SiteEntry): readonly string[] =>
+  entry
+    .status()
+    .terms.map(({ share }) => share)
+    .sort();
+
 /** Moves time on until something holds; fails after a while. */
 const runUntil = async (site: JobSite, holds: () => boolean): Promise<void> => {
   const LONGEST_MS = 10_000;
@@ -56,3 +68,22 @@
   t.deepEqual(site.record.violations, []);
   t.is(await site.state(guestSuccessor, ID), 'completed');
 });
+
+test('should start nothing that is delegated after the lease may have been given back', async (t) => {
+  const { site, owners } = await makeDividedSite({ workers: 4, behave: behaveFor(2_000) });
+  const [, former] = owners;
+  const successor = site.start('c', false, 1, 'dc1');
+  site.putJobs([ID], makeJob(makeStep(), makeStep({ after: [0] })), 'dc0');
+  await site.run(1_200);
+  site.data.put('operator/evacuate/dc0', '');
+  // The former owner hears of delegations, and of nothing that tells it of its successor.
+  former.store.unwatched.add(SHARED_PREFIX);
+  former.store.unanswered.add('revokeLease').add('renewLease');
+  site.cutFromWorkers(former.client, ['w3']);
+  site.cutFromWorkers(successor.client, ['w1']);
+  former.stop();
+  await site.run(4_000);
+  t.deepEqual(ownedBy(successor), ['dc1']);
+  t.is(site.record.of(`${ID}.0.1.0`).length, 1);
+  t.deepEqual(site.record.violations, []);
+});
