Plan the shares of a site when it has workers

What could be seen: a site whose entries start before its workers have registered is one share for good, however large it is.

Cause: two looks that find no worker at all count as a site that has settled, and a site whose workers come late is planned for the first one.

Change: looks without workers do not count, and the time after which no more workers are waited for runs from the first ones. Until then jobs are accepted and wait; there is nothing to run them.

Test: "should not plan a site whose workers have not come yet" failed before (a layout was there).

--- a/packages/samphirenotch/src/jobs/ownership/layoutKeeper.ts
+++ b/packages/samphirenotch/src/jobs/ownership/layoutKeeper.ts
@@ -27,7 +27,7 @@
 /** Spread of the entries that look, as a multiple of the time to settle: one is enough. */
 const SPREAD = 2;
 
-/** Time after which it is planned although workers still come, as a multiple of the time to settle. */
+/** Time after the first workers after which it is planned although more come, as such a multiple. */
 const PATIENCE = 3;
 
 /** What is worked with. */
@@ -65,15 +65,18 @@
    */
   async run(signal: AbortSignal): Promise<void> {
     const { clock, shares, settleMs, isRead } = this.options;
-    const startMs = clock.monotonicMs();
     await this.waitForTurn(signal);
+    let firstMs = Number.POSITIVE_INFINITY;
     let counted = new Map<string, number>();
     while (!shares.layout && !signal.aborted) {
       const workers = isRead() ? await this.countWorkers(signal) : undefined;
-      const isSettled = workers !== undefined && isSame(workers, counted);
-      const isLate = clock.monotonicMs() >= startMs + PATIENCE * settleMs;
-      if (workers && !shares.layout && (isSettled || isLate)) await this.plan(workers, signal);
-      counted = workers ?? counted;
+      if (workers && workers.size > 0) {
+        firstMs = Math.min(firstMs, clock.monotonicMs());
+        const isLate = clock.monotonicMs() >= firstMs + PATIENCE * settleMs;
+        const isSettled = isSame(workers, counted);
+        if (!shares.layout && (isSettled || isLate)) await this.plan(workers, signal);
+        counted = workers;
+      }
       await clock.sleep(Math.max(RETRY_MS, LOOK_PART * settleMs), signal);
     }
   }
--- a/tests/jobs/sharesTransitions.spec.ts
+++ b/tests/jobs/sharesTransitions.spec.ts
@@ -2,7 +2,8 @@
  * What holds while shares, homes and delegations change hands, one forced interleaving a test.
  */
 import test from 'ava';
-import { keysOf, SHARED_PREFIX } from 'samphirenotch/jobs/store/jobKeys.js';
+import { ShareLayout } from 'samphirenotch/jobs/model/shareLayout.js';
+import { keysOf, LAYOUT_KEY, SHARED_PREFIX } from 'samphirenotch/jobs/store/jobKeys.js';
 
 import {
   JobSite,
@@ -87,3 +88,17 @@
   t.is(site.record.of(`${ID}.0.1.0`).length, 1);
   t.deepEqual(site.record.violations, []);
 });
+
+test('should not plan a site whose workers have not come yet', async (t) => {
+  const site = new JobSite({ workers: 0, dataCentres: 4, layoutSettleMs: 300 });
+  ['a', 'b', 'c'].forEach((name) => site.start(name, false, 0.1));
+  await site.run(5_000);
+  t.false(site.data.items.has(LAYOUT_KEY));
+  for (let at = 0; at < 40; at += 1) {
+    if (at % 4 === 0) await site.run(50);
+    site.addWorker(`w${at}`);
+  }
+  await site.run(2_000);
+  const layout = ShareLayout.decode(site.data.items.get(LAYOUT_KEY)?.value ?? '');
+  t.is(layout.shares.length, 4);
+});
