Bring shares home that two entries own the wrong way round

What could be seen: with one entry in each of two data centres, each owned the share of the other one and kept it. A data centre that is cut off then loses its owner although it has an entry.

Cause: an entry asks for a share of its data centre only while it owns nothing.

Change: it asks while it owns no share of its data centre.

Test: "should bring shares home that two entries own the wrong way round" failed before.

--- a/packages/samphirenotch/src/jobs/ownership/shareClaims.ts
+++ b/packages/samphirenotch/src/jobs/ownership/shareClaims.ts
@@ -2,7 +2,7 @@
  * Asks for shares of the entry's own data centre that entries elsewhere own.
  *
  * An owner in the data centre of its workers goes on when the data centre is cut off. One elsewhere, which
- * has stood in, hands over to an entry that asks for it and owns nothing yet.
+ * has stood in, hands over to an entry that asks for it and owns none of its own data centre yet.
  */
 import { preferenceOf } from '../../membership/rendezvous.js';
 import type { TransactionStore } from '../../infrastructure/transactionStore.js';
@@ -40,7 +40,7 @@
   readonly dataCentre: string;
   /** Share of a core that the entry's VM has. */
   readonly processorShare: number;
-  /** Tells whether the entry owns something, or has been elected for it. */
+  /** Tells whether the entry owns a share of its data centre, or has been elected for one. */
   readonly isBusy: () => boolean;
 }
 
--- a/packages/samphirenotch/src/jobs/ownership/shareOwners.ts
+++ b/packages/samphirenotch/src/jobs/ownership/shareOwners.ts
@@ -94,7 +94,8 @@
       ...this.options,
       shares,
       layout,
-      isBusy: () => this.heldSinceMs.size > 0,
+      isBusy: () =>
+        layout.shares.some((share) => this.isLocal(share) && this.heldSinceMs.has(share.id)),
     });
     await Promise.all([
       claims.run(signal),
--- a/tests/jobs/sharesTransitions.spec.ts
+++ b/tests/jobs/sharesTransitions.spec.ts
@@ -102,3 +102,17 @@
   const layout = ShareLayout.decode(site.data.items.get(LAYOUT_KEY)?.value ?? '');
   t.is(layout.shares.length, 4);
 });
+
+test('should bring shares home that two entries own the wrong way round', async (t) => {
+  const site = new JobSite({ workers: 4, isDivided: true, behave: behaveFor(300) });
+  const second = site.start('b', false, 1, 'dc1');
+  await site.run(4_000);
+  t.deepEqual(ownedBy(second), ['dc0', 'dc1']);
+  const first = site.start('a', false, 1, 'dc0');
+  await site.run(300);
+  site.data.endLease(site.data.items.get(keysOf('dc1').owner)?.leaseId ?? '');
+  await site.run(1_000);
+  t.deepEqual([ownedBy(first), ownedBy(second)], [['dc1'], ['dc0']]);
+  await site.run(20_000);
+  t.deepEqual([ownedBy(first), ownedBy(second)], [['dc0'], ['dc1']]);
+});
