End jobs at take-over whose last failure was stored before their end

What could be seen: a task that had failed as often as it may was started once more.

Cause: a new owner judged failures only when another one came.

Change: failures are judged when jobs are taken in, by the newest configuration.

Test: "should end a job whose last failure was stored before its end" failed before (completed, after a fourth run).

--- a/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
@@ -185,8 +185,10 @@
         if (owner?.revision !== term.fencingToken) term.depose('the lease is another one');
       },
     });
-    this.book.openJobs().forEach(({ id }) => {
-      if (options.replica.isCancelled(id)) this.outcomes.cancel(id);
+    this.book.refreshQueues();
+    this.book.openJobs().forEach((job) => {
+      if (options.replica.isCancelled(job.id)) this.outcomes.cancel(job.id);
+      else this.outcomes.judgeRestored(job);
     });
     const writing = this.journal.run(signal);
     const exchanging = this.openExchange(takeover);
--- a/packages/samphirenotch/src/jobs/ownership/taskOutcomes.ts
+++ b/packages/samphirenotch/src/jobs/ownership/taskOutcomes.ts
@@ -74,9 +74,10 @@
     const { step } = task;
     const { job } = step.occurrence;
     if (step.spec.longRunning) return;
+    if (!job.isOpen) return;
     this.book.noteProgress(job);
     const attempts = countFailures(task);
-    if (attempts < job.queue.maximumAttempts || !job.isOpen) return;
+    if (attempts < job.queue.maximumAttempts) return;
     this.log.warn('A job has failed', {
       jobId: job.id,
       taskId: task.id,
@@ -96,6 +97,20 @@
     this.stopRuns(job, 'the job has failed');
   }
 
+  /**
+   * Ends a job whose last failure was stored, and its end was not.
+   *
+   * @param job - the job, as a term begins with it
+   */
+  judgeRestored(job: OwnedJob): void {
+    const failed = [...job.occurrences.values()].flatMap(({ steps }) =>
+      steps.flatMap(({ tasks }) =>
+        tasks.filter(({ done, failedRuns }) => !done && failedRuns.length > 0),
+      ),
+    );
+    failed.forEach((task) => this.judge(task));
+  }
+
   /**
    * Ends what there is of a cancelled job.
    *
--- a/tests/jobs/sharesTransitions.spec.ts
+++ b/tests/jobs/sharesTransitions.spec.ts
@@ -116,3 +116,14 @@
   await site.run(20_000);
   t.deepEqual([ownedBy(first), ownedBy(second)], [['dc0'], ['dc1']]);
 });
+
+test('should end a job whose last failure was stored before its end', async (t) => {
+  const site = new JobSite({ workers: 2, behave: behaveFor(300) });
+  site.putJobs([ID], makeJob(makeStep({ count: 2 })));
+  const progress = { o: [{ k: 0, s: [{ d: [], f: { 1: [1, 2, 3] } }] }] };
+  site.data.put(`${keysOf('site').progressPrefix}${ID}`, JSON.stringify(progress));
+  const owner = site.start('a');
+  await site.run(3_000);
+  t.is(await site.state(owner, ID), 'failed');
+  t.deepEqual(site.record.of(`${ID}.0.0.1`), []);
+});
