Keep tasks at home while the policy service is asked about them

What could be seen: on a divided site every step of a queue with a policy went to another share although its home had room, was asked about there again, and sometimes came back.

Cause: no worker may run such a step before the decision, and tasks without a worker go elsewhere after 100 ms; a decision takes longer.

Change: a step counts as without a worker only when the service is not about to be asked for it, or after two seconds: the service of another entry may be less busy.

Test: "should not hand on what only waits for a decision about its workers" failed before (5 changes under the exchange's prefix for one task).

--- a/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
@@ -58,6 +58,9 @@
  */
 const MOST_RESERVED = 4;
 
+/** How long tasks wait for a decision about their workers before they count as unplaced, in milliseconds. */
+const DECISION_MS = 2_000;
+
 /** Time between two looks at what fillers ask for, in milliseconds. */
 const DEMAND_GAP_MS = 500;
 
@@ -129,12 +132,15 @@
    * @returns the steps, the most urgent first
    */
   unplaced(): readonly UnplacedStep[] {
-    const nowMs = this.options.clock.monotonicMs();
-    return this.unplacedSteps.map((step) => ({
-      step,
-      waitedMs: nowMs - (step.unplacedSinceMs ?? nowMs),
-      hasWorkers: this.candidates(step).length > 0,
-    }));
+    const { clock, permissions } = this.options;
+    const nowMs = clock.monotonicMs();
+    return this.unplacedSteps
+      .map((step) => ({
+        step,
+        waitedMs: nowMs - (step.unplacedSinceMs ?? nowMs),
+        hasWorkers: this.candidates(step).length > 0,
+      }))
+      .filter(({ step, waitedMs }) => waitedMs >= DECISION_MS || !permissions.isAskedFor(step));
   }
 
   /**
--- a/packages/samphirenotch/src/jobs/placement/stepPermissions.ts
+++ b/packages/samphirenotch/src/jobs/placement/stepPermissions.ts
@@ -56,6 +56,8 @@
 
   private wishes: Wish[] = [];
 
+  private asked: OwnedStep | undefined;
+
   /**
    * @param policy - the policy service, if the site has one
    * @param clock - time
@@ -117,6 +119,16 @@
     this.wakeup.wake();
   }
 
+  /**
+   * Tells whether the service is about to be asked for a step, or is being asked.
+   *
+   * @param step - the step
+   * @returns true if its tasks may find workers by a decision
+   */
+  isAskedFor(step: OwnedStep): boolean {
+    return this.asked === step || this.wishes.some((wish) => wish.step === step);
+  }
+
   /**
    * Drops a ticket that a worker did not take.
    *
@@ -136,7 +148,9 @@
     while (!signal.aborted) {
       const wish = this.wishes.shift();
       if (wish?.step.occurrence.job.isOpen) {
+        this.asked = wish.step;
         const decided = await this.ask(wish, signal);
+        this.asked = undefined;
         if (!decided) await this.clock.sleep(RETRY_MS, signal);
       } else if (!wish) {
         await this.wakeup.wait(IDLE_MS, signal);
--- a/tests/jobs/sharesTransitions.spec.ts
+++ b/tests/jobs/sharesTransitions.spec.ts
@@ -127,3 +127,16 @@
   t.is(await site.state(owner, ID), 'failed');
   t.deepEqual(site.record.of(`${ID}.0.0.1`), []);
 });
+
+test('should not hand on what only waits for a decision about its workers', async (t) => {
+  const { site, owners } = await makeDividedSite({
+    workers: 4,
+    behave: behaveFor(300),
+    allows: () => true,
+    decisionMs: 600,
+  });
+  site.putJobs([ID], makeJob(makeStep()), 'dc0');
+  await site.run(3_000);
+  t.is(await site.state(owners[0], ID), 'completed');
+  t.is(site.data.changes.filter(({ key }) => key.startsWith('exchange/')).length, 0);
+});
