Keep delegated tasks while a new owner learns about its workers

What could be seen: tasks that a share was handed right after its owner had changed went back to their home at once, which then left that share alone for three seconds.

Cause: a share without any worker that takes work gave tasks back without waiting, and a new owner knows of none until the first one has answered.

Change: tasks wait as long for a worker where none takes work as where none has room.

Test: "should keep what is delegated while a new owner learns about its workers" failed before (8 of 9 tasks started).

--- a/packages/samphirenotch/src/jobs/ownership/shareExchange.ts
+++ b/packages/samphirenotch/src/jobs/ownership/shareExchange.ts
@@ -23,7 +23,10 @@
 /** Time between two looks at what could go elsewhere, in milliseconds. */
 const CHECK_GAP_MS = 50;
 
-/** How long tasks of another share wait for a worker before they go back, in milliseconds. */
+/**
+ * How long tasks of another share wait for a worker before they go back, in milliseconds: a new owner
+ * knows of no workers at first.
+ */
 const RETURN_MS = 1_000;
 
 /** Age up to which news of the room of other shares serve, in milliseconds. */
@@ -137,11 +140,8 @@
     if (nowMs < this.checkedMs + CHECK_GAP_MS) return;
     this.checkedMs = nowMs;
     this.guests.takePending();
-    const unplaced = new Map(steps.map((each) => [each.step, each]));
-    this.guests.giveBack((step) => {
-      const found = unplaced.get(step);
-      return found !== undefined && (!found.hasWorkers || found.waitedMs >= RETURN_MS);
-    });
+    const waitedMs = new Map(steps.map((each) => [each.step, each.waitedMs]));
+    this.guests.giveBack((step) => (waitedMs.get(step) ?? 0) >= RETURN_MS);
     // What is handed on while the store is away would be nowhere until it is back.
     if (this.options.unconfirmedMs() > STORE_AWAY_MS) return;
     if (steps.length === 0 || !this.knowsRooms()) return;
--- a/tests/jobs/sharesTransitions.spec.ts
+++ b/tests/jobs/sharesTransitions.spec.ts
@@ -24,6 +24,9 @@
     .terms.map(({ share }) => share)
     .sort();
 
+const exchanged = (site: JobSite): readonly string[] =>
+  [...site.data.items.keys()].filter((key) => /^exchange\/|\/away\//u.test(key));
+
 /** Moves time on until something holds; fails after a while. */
 const runUntil = async (site: JobSite, holds: () => boolean): Promise<void> => {
   const LONGEST_MS = 10_000;
@@ -140,3 +143,17 @@
   t.is(await site.state(owners[0], ID), 'completed');
   t.is(site.data.changes.filter(({ key }) => key.startsWith('exchange/')).length, 0);
 });
+
+test('should keep what is delegated while a new owner learns about its workers', async (t) => {
+  const { site, owners } = await makeDividedSite({ workers: 4, behave: behaveFor(2_000) });
+  const successor = site.start('c', false, 1, 'dc1');
+  await site.run(500);
+  owners[1].kill();
+  await runUntil(site, () => ownerOf(site, 'dc1') === 'c');
+  site.cutFromWorkers(successor.client, ['w1', 'w3']);
+  site.putJobs([ID], makeJob(makeStep({ count: 9 })), 'dc0');
+  await runUntil(site, () => exchanged(site).length > 0);
+  site.healWorkers();
+  await site.run(1_000);
+  t.is(site.record.runs.length, 9);
+});
