Remove what is left of delegations that their home has closed

What could be seen: tasks of a job that had failed were started in another share, and a delegation of a cancelled job stayed in the store for good. Its home had ended between two transactions that remove the keys of a delegation.

Cause: a new owner of the home looked only at delegations that it still keeps, and the other share took in what belonged to jobs that had ended.

Change: at take-over, delegations of the share that it does not keep any more are removed from the listing that is read anyway, and a share takes in nothing of a job that is over.

Tests: "should remove a delegation that its home does not know any more" and "should start nothing that is delegated of a job that has failed"; both failed before (the first with the keys left).

--- a/packages/samphirenotch/src/jobs/ownership/delegations.ts
+++ b/packages/samphirenotch/src/jobs/ownership/delegations.ts
@@ -15,7 +15,7 @@
 } from '../model/delegation.js';
 import type { OwnedJob, OwnedStep, OwnedTask } from '../model/ownedJob.js';
 import type { JobBook } from '../store/jobBook.js';
-import { keysOf } from '../store/jobKeys.js';
+import { isDelegatedKey, keysOf } from '../store/jobKeys.js';
 import type { ProgressJournal } from '../store/progressJournal.js';
 
 /** What delegations need. */
@@ -76,18 +76,24 @@
    * Takes over what a former owner of the share has handed on.
    *
    * @param texts - delegations as they were stored
+   * @param exchange - what owners of shares have told each other, by key
    */
-  restore(texts: readonly string[]): void {
-    const delegations = texts.flatMap((text) => {
-      try {
-        return decodeDelegation(text);
-      } catch (error) {
-        this.log.error('A delegation cannot be read', { reason: String(error) });
-        return [];
-      }
-    });
+  restore(texts: readonly string[], exchange: ReadonlyMap<string, string>): void {
+    const delegations = texts.flatMap((text) => this.decode(text) ?? []);
     // The newest one of a task counts.
     delegations.sort(byAge).forEach((delegation) => this.restoreOne(delegation));
+    // A former owner may have ended after it had removed a part of what was kept of one.
+    exchange.forEach((text, key) => {
+      if (!isDelegatedKey(key)) return;
+      const delegation = this.decode(text);
+      if (delegation?.home !== this.options.share || this.away.has(idOf(delegation))) return;
+      this.log.info('A delegation that is closed is removed', {
+        jobId: delegation.jobId,
+        delegation: delegation.name,
+        to: delegation.to,
+      });
+      this.removeAnswer(delegation.to, idOf(delegation));
+    });
   }
 
   /**
@@ -158,6 +164,15 @@
     });
   }
 
+  private decode(text: string): Delegation | undefined {
+    try {
+      return decodeDelegation(text);
+    } catch (error) {
+      this.log.error('A delegation cannot be read', { reason: String(error) });
+      return undefined;
+    }
+  }
+
   private restoreOne(delegation: Delegation): void {
     const { jobId, occurrence, step: at } = delegation;
     const job = this.options.book.find(jobId);
--- a/packages/samphirenotch/src/jobs/ownership/guests.ts
+++ b/packages/samphirenotch/src/jobs/ownership/guests.ts
@@ -110,7 +110,8 @@
       this.pending.set(idOf(jobId, name), () => this.take(delegation, revision, report));
       return;
     }
-    if (replica.isCancelled(jobId)) return;
+    // Its home removes what is left of a job that is over.
+    if (replica.isOver(jobId)) return;
     const progress = progressOf(delegation, report);
     const job = book.host(known.accepted, { delegation, revision, progress });
     const step = job.occurrences.get(occurrence)?.steps[at];
--- a/packages/samphirenotch/src/jobs/ownership/shareExchange.ts
+++ b/packages/samphirenotch/src/jobs/ownership/shareExchange.ts
@@ -118,7 +118,7 @@
    */
   async begin(signal: AbortSignal): Promise<void> {
     const { takeover, clock } = this.options;
-    this.delegations.restore(takeover.away);
+    this.delegations.restore(takeover.away, takeover.exchange);
     const ended = new Promise<void>((resolve) => {
       onAbort(signal, resolve);
     });
--- a/packages/samphirenotch/src/jobs/store/jobKeys.ts
+++ b/packages/samphirenotch/src/jobs/store/jobKeys.ts
@@ -92,6 +92,15 @@
   };
 };
 
+/**
+ * Tells delegations from the other keys under `EXCHANGE_PREFIX`.
+ *
+ * @param key - the key
+ * @returns true if it holds a delegation to a share
+ */
+export const isDelegatedKey = (key: string): boolean =>
+  key.slice(EXCHANGE_PREFIX.length).split('/')[1] === DELEGATED.slice(0, -1);
+
 /** A key of a share that entries follow. */
 export interface ShareKey {
   readonly share: string;
--- a/packages/samphirenotch/src/jobs/store/jobReplica.ts
+++ b/packages/samphirenotch/src/jobs/store/jobReplica.ts
@@ -76,7 +76,7 @@
    */
   overJobIds(share: string): readonly string[] {
     return [...this.jobs.values()]
-      .filter(({ accepted }) => this.ended.has(accepted.id) || this.cancelled.has(accepted.id))
+      .filter(({ accepted }) => this.isOver(accepted.id))
       .filter((job) => this.homeOf(job) === share)
       .map(({ accepted }) => accepted.id);
   }
@@ -111,6 +111,16 @@
     return this.cancelled.has(jobId);
   }
 
+  /**
+   * Tells whether a job has ended or was cancelled.
+   *
+   * @param jobId - the job
+   * @returns true once that was stored
+   */
+  isOver(jobId: string): boolean {
+    return this.ended.has(jobId) || this.cancelled.has(jobId);
+  }
+
   /**
    * Tells the state of a job that the replica knows.
    *
@@ -228,7 +238,7 @@
     try {
       const job = { accepted: decodeAccepted(value), revision };
       this.jobs.set(id, job);
-      if (this.ended.has(id) || this.cancelled.has(id)) return;
+      if (this.isOver(id)) return;
       this.listeners.get(this.homeOf(job))?.onAccepted(job);
     } catch (error) {
       this.log.error('An accepted job cannot be read', { jobId: id, reason: String(error) });
--- a/tests/jobs/sharesTransitions.spec.ts
+++ b/tests/jobs/sharesTransitions.spec.ts
@@ -3,7 +3,13 @@
  */
 import test from 'ava';
 import { ShareLayout } from 'samphirenotch/jobs/model/shareLayout.js';
-import { keysOf, LAYOUT_KEY, SHARED_PREFIX } from 'samphirenotch/jobs/store/jobKeys.js';
+import {
+  CANCELLED_PREFIX,
+  ENDED_PREFIX,
+  keysOf,
+  LAYOUT_KEY,
+  SHARED_PREFIX,
+} from 'samphirenotch/jobs/store/jobKeys.js';
 
 import {
   JobSite,
@@ -46,6 +52,12 @@
       .map(({ revision }) => revision),
   );
 
+/** Hands a task of the job from one share to the other; its home does not know of it. */
+const putDelegation = (site: JobSite): void => {
+  const delegation = { j: ID, n: '1-1', h: 'dc0', t: 'dc1', k: 0, s: 0, r: [[1, 1, [], '']] };
+  site.data.put(`${keysOf('dc1').delegatedPrefix}${ID}/1-1`, JSON.stringify(delegation));
+};
+
 const ownerOf = (site: JobSite, share: string): string =>
   site.data.items.get(keysOf(share).owner)?.value.split(' ')[0] ?? '';
 
@@ -120,6 +132,30 @@
   t.deepEqual([ownedBy(first), ownedBy(second)], [['dc0'], ['dc1']]);
 });
 
+// Guards against a home that ended after it had removed a part of what it keeps of a delegation.
+test('should remove a delegation that its home does not know any more', async (t) => {
+  const site = new JobSite({ workers: 4, isDivided: true, behave: behaveFor(60_000) });
+  site.putJobs([ID], makeJob(makeStep({ count: 2 })), 'dc0');
+  site.data.put(CANCELLED_PREFIX + ID, '1');
+  putDelegation(site);
+  site.start('b', false, 1, 'dc1');
+  await site.run(1_000);
+  site.start('a', false, 1, 'dc0');
+  await site.run(8_000);
+  t.deepEqual(exchanged(site), []);
+  t.deepEqual(site.record.runs, []);
+});
+
+test('should start nothing that is delegated of a job that has failed', async (t) => {
+  const site = new JobSite({ workers: 4, isDivided: true, behave: behaveFor(60_000) });
+  site.putJobs([ID], makeJob(makeStep({ count: 2 })), 'dc0');
+  site.data.put(ENDED_PREFIX + ID, 'failed');
+  putDelegation(site);
+  site.start('b', false, 1, 'dc1');
+  await site.run(2_000);
+  t.deepEqual(site.record.runs, []);
+});
+
 test('should end a job whose last failure was stored before its end', async (t) => {
   const site = new JobSite({ workers: 2, behave: behaveFor(300) });
   site.putJobs([ID], makeJob(makeStep({ count: 2 })));
