Acknowledge no ends to a worker after a look without an answer

A look at its worker had no answer; meanwhile the worker started again, took an order, and the run ended.

Cause: the next look acknowledged ends of the former life by their numbers, and the worker, which counts anew, forgot the ends of its new life that had the same numbers.

Change: a look after one without an answer acknowledges nothing; it shows which life the worker is in.

--- a/packages/samphirenotch/src/jobs/workers/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerAgent.ts
@@ -381,9 +381,10 @@
     const waits = this.fenced && this.answers && storedAll && this.runs.count > 0;
     const waitMs = waits ? this.holdWaitMs() : 0;
     const sentMs = clock.monotonicMs();
-    // A number that says nothing new could drop ends of a life that the worker began unseen.
-    const acknowledged =
-      this.storedSequence > this.acknowledgedSequence ? this.storedSequence : NOTHING_NEW;
+    // After a miss, or with a number that says nothing new, ends of a life that the worker began unseen
+    // could be dropped.
+    const isNew = this.misses === 0 && this.storedSequence > this.acknowledgedSequence;
+    const acknowledged = isNew ? this.storedSequence : NOTHING_NEW;
     const leaseUntilMs = this.nextLease();
     const outcome = await worker.hold(
       {
--- a/tests/jobs/workers.spec.ts
+++ b/tests/jobs/workers.spec.ts
@@ -160,3 +160,27 @@
   t.is(await site.state(owner, ID), 'completed');
   t.deepEqual(site.record.violations, []);
 });
+
+// Guards against an end that the worker forgets although nobody has read it.
+test('should acknowledge nothing to a worker that may have started again unseen', async (t) => {
+  const { site, owner } = await makeOwnedSite({
+    workers: 1,
+    behave: (taskId) => ({ size: SIZE, durationMs: taskId.endsWith('.1') ? 10_000 : 300 }),
+  });
+  site.putJobs([ID], makeJob(makeStep({ count: 2 })));
+  await site.run(200);
+  // The first end is seen long before it is stored.
+  owner.store.failCommits('silent');
+  await site.run(1_500);
+  // A look is not answered; meanwhile the worker starts again and takes an order.
+  site.cutFromWorkers(owner.client, ['w0']);
+  await site.run(150);
+  site.workers.get('w0')?.restart();
+  site.healWorkers();
+  const later = '00000000000000a2';
+  site.putJobs([later], makeJob(makeStep()));
+  await site.run(4_000);
+  t.is(site.record.of(`${later}.0.0.0`).length, 1);
+  t.deepEqual(site.record.violations, []);
+  t.is(await site.state(owner, later), 'completed');
+});
