Show operators shares, owners, load and delegations

What operators saw: which entry owns a share, but neither where it is and how large, nor how many tasks are elsewhere; an explanation of a job left out its home, and entries that did not own it named every other owner of the site.

Change: `status` has the owner's data centre, processor share and token for each share, and how long the asked entry has owned what it owns, with its delegations; an explanation has the job's home and its delegations; other entries name the home and its owner. Gauges delegations_away and delegations_taken.

Tests: "should tell where tasks of a job are that its home has handed on", "should tell whom to ask about a job that another entry decides about". Two tests that asked for the names of all owners now read the owner from the status, which replaces them.

--- a/packages/samphirenotch/src/jobs/entry/jobEntry.ts
+++ b/packages/samphirenotch/src/jobs/entry/jobEntry.ts
@@ -12,9 +12,8 @@
 import type { JobSettings } from '../model/jobSettings.js';
 import type { SiteCodec } from '../model/siteCodec.js';
 import type { JobSpec } from '../model/jobSpec.js';
-import type { EntryStatus, ShareStatus } from '../ownership/entryStatus.js';
+import type { EntryStatus, PlacedExplanation, ShareStatus } from '../ownership/entryStatus.js';
 import { ShareOwners } from '../ownership/shareOwners.js';
-import type { JobExplanation } from '../placement/jobExplanation.js';
 import { SHARED_PREFIX } from '../store/jobKeys.js';
 import { JobReplica } from '../store/jobReplica.js';
 import { OperatorFollower } from '../store/operatorFollower.js';
@@ -137,17 +136,6 @@
     );
   }
 
-  /** @returns the entry's name */
-  get name(): string {
-    return this.options.entry;
-  }
-
-  /** @returns names of the entries that own shares, by the last news */
-  owners(): readonly string[] {
-    const names = this.shares().flatMap(({ owner }) => (owner === undefined ? [] : [owner]));
-    return [...new Set(names)];
-  }
-
   /** @returns what this entry knows of itself and the site */
   status(): EntryStatus {
     this.refreshRooms();
@@ -177,18 +165,41 @@
    * @param jobId - the job
    * @returns why its tasks wait or where they run; undefined at entries that do not own it
    */
-  explain(jobId: string): JobExplanation | undefined {
-    return this.shareOwners
-      .all()
-      .map((owner) => owner.explain(jobId))
-      .find((explanation) => explanation !== undefined);
+  explain(jobId: string): PlacedExplanation | undefined {
+    const found = this.shareOwners.all().flatMap((owner) => owner.explain(jobId) ?? []);
+    return found.find(({ share, home }) => share === home) ?? found[0];
+  }
+
+  /**
+   * Tells who decides about a job.
+   *
+   * @param jobId - the job
+   * @returns its home and the entry that owns it, if any; undefined if no job of that id is open
+   */
+  homeOf(
+    jobId: string,
+  ): { readonly share: string; readonly owner: string | undefined } | undefined {
+    const { replica } = this;
+    const job = replica.find(jobId);
+    if (!job || replica.isOver(jobId)) return undefined;
+    const share = replica.homeOf(job);
+    return { share, owner: replica.shares.owner(share)?.entry };
   }
 
   /** @returns values for metrics */
   gauges(): readonly Gauge[] {
     const gauge = (name: string, value: number): Gauge => ({ name, labels: {}, value });
+    const terms = this.shareOwners.all().map((owner) => owner.status());
     return [
-      gauge('shares_owned', this.shareOwners.all().length),
+      gauge('shares_owned', terms.length),
+      gauge(
+        'delegations_away',
+        terms.reduce((sum, { delegationsAway }) => sum + delegationsAway, 0),
+      ),
+      gauge(
+        'delegations_taken',
+        terms.reduce((sum, { delegationsTaken }) => sum + delegationsTaken, 0),
+      ),
       gauge('jobs_open', this.replica.openJobs().length),
       gauge('configuration_version', this.operator.view().configuration?.version ?? 0),
       gauge('store_age_seconds', this.jobsFollower.viewAgeMs() / 1_000),
@@ -225,9 +236,13 @@
     const homes = replica.openJobs().map((job) => replica.homeOf(job));
     return (layout?.shares ?? []).map(({ id }) => {
       const room = rooms.of(id);
+      const owner = replica.shares.owner(id);
       return {
         share: id,
-        owner: replica.shares.owner(id)?.entry,
+        owner: owner?.entry,
+        ownerDataCentre: owner?.dataCentre,
+        ownerProcessorShare: owner?.processorShare,
+        fencingToken: owner?.revision,
         capacityMilliCores: room.capacity,
         unusedMilliCores: room.unused,
         waitingMilliCores: room.waiting,
--- a/packages/samphirenotch/src/jobs/ownership/delegations.ts
+++ b/packages/samphirenotch/src/jobs/ownership/delegations.ts
@@ -17,6 +17,7 @@
 import type { JobBook } from '../store/jobBook.js';
 import { isDelegatedKey, keysOf } from '../store/jobKeys.js';
 import type { ProgressJournal } from '../store/progressJournal.js';
+import type { DelegationStatus } from './entryStatus.js';
 
 /** What delegations need. */
 export interface DelegationsOptions {
@@ -72,6 +73,24 @@
     return this.away.size;
   }
 
+  /**
+   * Lists what is away of a job.
+   *
+   * @param jobId - the job
+   * @returns its delegations
+   */
+  statusOf(jobId: string): readonly DelegationStatus[] {
+    return [...this.away.values()]
+      .filter(({ delegation }) => delegation.jobId === jobId)
+      .map(({ delegation: { name, to, occurrence, step }, open }) => ({
+        delegation: name,
+        to,
+        occurrence,
+        step,
+        tasks: open.size,
+      }));
+  }
+
   /**
    * Takes over what a former owner of the share has handed on.
    *
--- a/packages/samphirenotch/src/jobs/ownership/entryStatus.ts
+++ b/packages/samphirenotch/src/jobs/ownership/entryStatus.ts
@@ -2,6 +2,8 @@
  * What an entry tells operators of itself and of the site.
  */
 
+import type { JobExplanation } from '../placement/jobExplanation.js';
+
 /** A worker as its owner sees it. */
 export interface WorkerStatus {
   /** Id of its share. */
@@ -25,6 +27,31 @@
   readonly waitsForFormerOwner: boolean;
   /** Whether no other owner can exist now. */
   readonly isCertain: boolean;
+  readonly ownedForMs: number;
+  /** How many delegations of its tasks other shares have. */
+  readonly delegationsAway: number;
+  /** How many delegations it has of tasks of other shares. */
+  readonly delegationsTaken: number;
+}
+
+/** A delegation, as the home of the job sees it. */
+export interface DelegationStatus {
+  readonly delegation: string;
+  /** Id of the share that has the tasks. */
+  readonly to: string;
+  readonly occurrence: number;
+  readonly step: number;
+  /** Tasks that were not answered for yet. */
+  readonly tasks: number;
+}
+
+/** A job, or a part of it, and where else it is. */
+export interface PlacedExplanation extends JobExplanation {
+  /** Id of the share whose owner explains. */
+  readonly share: string;
+  /** Id of the share that decides about the job. */
+  readonly home: string;
+  readonly delegations: readonly DelegationStatus[];
 }
 
 /** A share as an entry sees it. */
@@ -32,6 +59,11 @@
   readonly share: string;
   /** Entry that owns it by the last news. */
   readonly owner: string | undefined;
+  readonly ownerDataCentre: string | undefined;
+  /** What the owner's VM has of a core of the usual speed. */
+  readonly ownerProcessorShare: number | undefined;
+  /** The owner's token: the higher one was elected later. */
+  readonly fencingToken: number | undefined;
   readonly capacityMilliCores: number;
   readonly unusedMilliCores: number;
   /** What tasks ask for that wait for room. */
--- a/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
@@ -21,7 +21,6 @@
 import type { SiteCodec } from '../model/siteCodec.js';
 import { FillerPacing } from '../pacing/fillerPacing.js';
 import { Interference } from '../pacing/interference.js';
-import type { JobExplanation } from '../placement/jobExplanation.js';
 import { StepLauncher } from '../placement/stepLauncher.js';
 import { StepPermissions } from '../placement/stepPermissions.js';
 import { keysOf } from '../store/jobKeys.js';
@@ -38,7 +37,7 @@
 import { WorkerAgent, type AgentListener } from '../workers/workerAgent.js';
 import { WorkerDirectory, type DirectoryListener } from '../workers/workerDirectory.js';
 import { WorkerFleet } from '../workers/workerFleet.js';
-import type { TermStatus, WorkerStatus } from './entryStatus.js';
+import type { PlacedExplanation, TermStatus, WorkerStatus } from './entryStatus.js';
 import { JobBook } from '../store/jobBook.js';
 import { JobRetention } from './jobRetention.js';
 import { ShareExchange } from './shareExchange.js';
@@ -122,6 +121,9 @@
 
   private exchange: ShareExchange | undefined;
 
+  /** Monotonic time at which the term began, in milliseconds. */
+  private readonly sinceMs: number;
+
   /**
    * @param options - what it works with
    * @param term - the term
@@ -130,6 +132,7 @@
     private readonly options: JobOwnerOptions,
     private readonly term: Term,
   ) {
+    this.sinceMs = options.clock.monotonicMs();
     this.wakeup = new Wakeup(options.clock);
     this.turns = new OrderTurns(options.clock);
     this.book = new JobBook(options.operator, options.clock);
@@ -231,19 +234,30 @@
    * @param jobId - the job
    * @returns why its tasks wait or where they run; undefined if no job of that id is open here
    */
-  explain(jobId: string): JobExplanation | undefined {
+  explain(jobId: string): PlacedExplanation | undefined {
     const [job] = this.book.findAll(jobId);
-    return job && this.launcher.explain(job);
+    if (!job) return undefined;
+    const { id: share } = this.options.share;
+    return {
+      share,
+      home: job.delegation?.home ?? share,
+      ...this.launcher.explain(job),
+      delegations: this.exchange?.delegationsOf(jobId) ?? [],
+    };
   }
 
   /** @returns the term */
   status(): TermStatus {
-    const { clock } = this.options;
+    const { away = 0, guests = 0 } = this.exchange?.counts() ?? {};
+    const nowMs = this.options.clock.monotonicMs();
     return {
       share: this.options.share.id,
       fencingToken: this.term.fencingToken,
       waitsForFormerOwner: this.fleet.hasSuspects,
-      isCertain: clock.monotonicMs() < this.term.certainUntilMs(),
+      isCertain: nowMs < this.term.certainUntilMs(),
+      ownedForMs: Math.round(nowMs - this.sinceMs),
+      delegationsAway: away,
+      delegationsTaken: guests,
     };
   }
 
--- a/packages/samphirenotch/src/jobs/ownership/shareExchange.ts
+++ b/packages/samphirenotch/src/jobs/ownership/shareExchange.ts
@@ -15,6 +15,7 @@
 import type { RoomBoard } from '../store/roomBoard.js';
 import { StoreFollower } from '../store/storeFollower.js';
 import { Delegations } from './delegations.js';
+import type { DelegationStatus } from './entryStatus.js';
 import { Guests } from './guests.js';
 import { Inbox } from './inbox.js';
 import type { Takeover } from './takeover.js';
@@ -102,6 +103,16 @@
     return { away: this.delegations.count, guests: this.guests.count };
   }
 
+  /**
+   * Lists what other shares have of a job of this one.
+   *
+   * @param jobId - the job
+   * @returns the delegations
+   */
+  delegationsOf(jobId: string): readonly DelegationStatus[] {
+    return this.delegations.statusOf(jobId);
+  }
+
   /**
    * Follows what other shares tell.
    *
--- a/tests/jobs/owners.spec.ts
+++ b/tests/jobs/owners.spec.ts
@@ -291,7 +291,7 @@
     }
     first.stop();
     await site.run(1_500);
-    owners.push(fast.entry.owners()[0]);
+    owners.push(fast.entry.status().shares[0]?.owner);
   }
   t.deepEqual(new Set(owners), new Set(['fast']));
 });
--- a/tests/jobs/status.spec.ts
+++ b/tests/jobs/status.spec.ts
@@ -3,7 +3,7 @@
  */
 import test from 'ava';
 
-import { makeJob, makeOwnedSite, makeStep } from '../fixtures/jobSite.js';
+import { makeDividedSite, makeJob, makeOwnedSite, makeStep } from '../fixtures/jobSite.js';
 
 const ID = '00000000000000a1';
 const OTHER_ID = '00000000000000a2';
@@ -30,7 +30,7 @@
     3,
   );
   t.like(other.entry.status(), { entry: 'b', terms: [] });
-  t.deepEqual(other.entry.owners(), ['a']);
+  t.like(other.entry.status().shares[0], { owner: 'a', ownerDataCentre: 'dc0' });
 });
 
 test('should explain where tasks run and what the others wait for', async (t) => {
@@ -60,6 +60,20 @@
   );
 });
 
+test('should tell where tasks of a job are that its home has handed on', async (t) => {
+  const { site, owners } = await makeDividedSite({ workers: 2, behave: longTasks });
+  site.putJobs([ID], makeJob(makeStep({ count: 6 })), 'dc0');
+  await site.run(1_000);
+  const [home, other] = owners.map(({ entry }) => entry);
+  t.like(home?.status().terms[0], { share: 'dc0', delegationsAway: 1, delegationsTaken: 0 });
+  t.like(other?.status().terms[0], { share: 'dc1', delegationsAway: 0, delegationsTaken: 1 });
+  const explained = home?.explain(ID);
+  t.like(explained, { share: 'dc0', home: 'dc0', steps: [{ running: 4, away: 2 }] });
+  t.like(explained?.delegations, [{ to: 'dc1', step: 0, tasks: 2 }]);
+  t.like(other?.explain(ID), { share: 'dc1', home: 'dc0', delegations: [] });
+  t.deepEqual(other?.homeOf(ID), { share: 'dc0', owner: 'a' });
+});
+
 test('should explain nothing at an entry that does not own the jobs', async (t) => {
   const { site, owner } = await makeOwnedSite({ behave: longTasks });
   const other = site.start('b');
--- a/tests/platform/operatorPages.spec.ts
+++ b/tests/platform/operatorPages.spec.ts
@@ -17,9 +17,21 @@
   await site.submit(owner, ID, makeJob(makeStep({ count: 2 })));
   await site.run(400);
   const recorder = new HistogramRecorder('dc0');
-  return { page: (path: string) => operatorPage(path, owner.entry, recorder) };
+  const other = site.start('b');
+  await site.run(400);
+  return {
+    page: (path: string) => operatorPage(path, owner.entry, recorder),
+    otherPage: (path: string) => operatorPage(path, other.entry, recorder),
+  };
 };
 
+test('should tell whom to ask about a job that another entry decides about', async (t) => {
+  const { otherPage } = await makePages();
+  const page = otherPage(`/tasks/${ID}/explain`);
+  t.is(page?.status, 404);
+  t.regex(page?.text ?? '', /home is share site, which a owns/u);
+});
+
 test('should serve metrics, status and explanations, and nothing else', async (t) => {
   const { page } = await makePages();
   t.true(page('/metrics')?.text.includes('samphirenotch_shares_owned'));
