Count fillers that other shares have in those shares only

What could be seen: what fillers of an image ask for, by which room for them is judged, counted a whole step in its home and once more for each delegation of one of its tasks.

Cause: the demand was the step's count less what was done, also where only some of its tasks are here.

Change: it counts tasks that are here and not done.

Test: "should count what other shares have of a step for nothing" failed before.

--- a/packages/samphirenotch/src/jobs/pacing/fillerRoom.ts
+++ b/packages/samphirenotch/src/jobs/pacing/fillerRoom.ts
@@ -36,9 +36,9 @@
   const work = new Map<string, number>();
   jobs.forEach(({ occurrences }) =>
     occurrences.forEach(({ steps }) =>
-      steps.forEach(({ spec, doneCount }) => {
+      steps.forEach(({ spec, tasks }) => {
         if (!spec.filler) return;
-        const left = (spec.count - doneCount) * spec.size.milliCores;
+        const left = tasks.filter(({ done, away }) => !done && !away).length * spec.size.milliCores;
         const amount = left * (spec.estimateMs || DEFAULT_ESTIMATE_MS);
         work.set(spec.image, (work.get(spec.image) ?? 0) + amount);
       }),
--- a/tests/jobs/fillerRoom.spec.ts
+++ b/tests/jobs/fillerRoom.spec.ts
@@ -106,6 +106,27 @@
   t.deepEqual([...fillerDemand([])], []);
 });
 
+// Guards against tasks that count in each share that has a part of their step.
+test('should count what other shares have of a step for nothing', (t) => {
+  const filler = { filler: true, estimateMs: 1_000 };
+  const job = makeOwned(
+    makeStep({ ...filler, image: 'a', count: 8 }),
+    makeStep({ ...filler, image: 'b', count: 2 }),
+  );
+  const tasks = job.occurrences.get(0)?.steps[0]?.tasks ?? [];
+  tasks.slice(2).forEach((task) => {
+    const handed = task;
+    handed.away = true;
+  });
+  t.deepEqual(
+    [...fillerDemand([job])],
+    [
+      ['a', 0.5],
+      ['b', 0.5],
+    ],
+  );
+});
+
 test('should keep the strictest target of an image', (t) => {
   t.deepEqual(
     distinctImages([
