Build only the step that was handed over of another share's job

What could be seen: a share that was handed one task built all occurrences, steps and tasks of its job, once for each delegation, and passes and summaries went through them every time.

Change: a part of another share's job holds the delegated step and nothing else.

Test: "should hold nothing of a job of another share but the step that was handed to it" failed before (50 occurrences of 504 tasks each).

--- a/packages/samphirenotch/src/jobs/model/ownedJob.ts
+++ b/packages/samphirenotch/src/jobs/model/ownedJob.ts
@@ -3,7 +3,7 @@
  */
 import type { Size } from '../../infrastructure/worker.js';
 
-import type { DelegatedTask, Delegation } from './delegation.js';
+import type { Delegation } from './delegation.js';
 import type { JobProgress, StepProgress } from './jobProgress.js';
 import { stepIdOf, taskIdOf, type AcceptedJob, type StepSpec } from './jobSpec.js';
 import type { Queue } from './siteConfiguration.js';
@@ -194,8 +194,12 @@
     this.acceptedMs = options.acceptedMs;
     this.learnedMs = options.learnedMs;
     this.begun = options.progress !== undefined;
-    const { repeatCount } = options.accepted.job;
-    const count = Math.max(1, repeatCount);
+    const { delegation } = options;
+    if (delegation) {
+      this.addOccurrence(delegation.occurrence);
+      return;
+    }
+    const count = Math.max(1, options.accepted.job.repeatCount);
     for (let index = 0; index < count; index += 1) this.addOccurrence(index);
   }
 
@@ -259,12 +263,6 @@
     this.occurrences.set(index, occurrence);
   }
 
-  private handedTasks(occurrence: number, step: number): readonly DelegatedTask[] {
-    const { delegation } = this.options;
-    const isHanded = delegation?.occurrence === occurrence && delegation.step === step;
-    return isHanded ? delegation.tasks : [];
-  }
-
   private makeStep(
     occurrence: OwnedOccurrence,
     spec: StepSpec,
@@ -282,9 +280,10 @@
       doneRates: [],
       unplacedSinceMs: undefined,
     };
-    const handed = new Map(
-      this.handedTasks(occurrence.index, at).map((task) => [task.index, task]),
-    );
+    const { delegation } = this.options;
+    // Nothing of other steps is here.
+    if (delegation && delegation.step !== at) return step;
+    const handed = new Map(delegation?.tasks.map((task) => [task.index, task]));
     for (let index = 0; index < spec.count; index += 1) {
       const failedRuns = progress?.failedRuns.get(index) ?? [];
       const task = handed.get(index);
--- /dev/null
+++ b/tests/jobs/ownedJob.spec.ts
@@ -0,0 +1,44 @@
+/**
+ * A job in the memory of an owner.
+ */
+import test from 'ava';
+import { WHOLE_SITE } from 'samphirenotch/jobs/model/shareLayout.js';
+import { OwnedJob } from 'samphirenotch/jobs/model/ownedJob.js';
+
+import { makeJob, makeQueue, makeStep } from '../fixtures/jobSite.js';
+
+// Guards against a share that builds a wide job anew for each of its tasks that it is handed.
+test('should hold nothing of a job of another share but the step that was handed to it', (t) => {
+  const queue = makeQueue();
+  const job = {
+    ...makeJob(makeStep({ count: 500 }), makeStep({ count: 4, after: [0] })),
+    repeatCount: 50,
+  };
+  const guest = new OwnedJob({
+    accepted: { id: 'j', home: WHOLE_SITE, queue, acceptedAtMs: 0, job },
+    revision: 1,
+    queue,
+    progress: undefined,
+    firstRun: 1,
+    acceptedMs: 0,
+    learnedMs: 0,
+    delegation: {
+      jobId: 'j',
+      name: '1-1',
+      home: 'dc0',
+      to: 'dc1',
+      occurrence: 7,
+      step: 1,
+      tasks: [{ index: 2, nextRun: 3, failedRuns: [], checkpoint: 'c' }],
+    },
+  });
+  const [first, second] = guest.occurrences.get(7)?.steps ?? [];
+  t.deepEqual([...guest.occurrences.keys()], [7]);
+  t.is(first?.tasks.length, 0);
+  t.deepEqual(
+    second?.tasks.map(({ away }) => away),
+    [true, true, false, true],
+  );
+  t.like(guest.findTask('j.7.1.2'), { nextRun: 3, checkpoint: 'c' });
+  t.is(guest.findTask('j.7.0.2'), undefined);
+});
