--- a/packages/samphirenotch/src/jobs/ownership/shareExchange.ts
+++ b/packages/samphirenotch/src/jobs/ownership/shareExchange.ts
@@ -15,6 +15,7 @@
 import type { RoomBoard } from '../store/roomBoard.js';
 import { StoreFollower } from '../store/storeFollower.js';
 import { Delegations } from './delegations.js';
+import type { DelegationStatus } from './entryStatus.js';
 import { Guests } from './guests.js';
 import { Inbox } from './inbox.js';
 import type { Takeover } from './takeover.js';
@@ -23,7 +24,10 @@
 /** Time between two looks at what could go elsewhere, in milliseconds. */
 const CHECK_GAP_MS = 50;
 
-/** How long tasks of another share wait for a worker before they go back, in milliseconds. */
+/**
+ * How long tasks of another share wait for a worker before they go back, in milliseconds: a new owner
+ * knows of no workers at first.
+ */
 const RETURN_MS = 1_000;
 
 /** Age up to which news of the room of other shares serve, in milliseconds. */
@@ -99,6 +103,16 @@
     return { away: this.delegations.count, guests: this.guests.count };
   }
 
+  /**
+   * Lists what other shares have of a job of this one.
+   *
+   * @param jobId - the job
+   * @returns the delegations
+   */
+  delegationsOf(jobId: string): readonly DelegationStatus[] {
+    return this.delegations.statusOf(jobId);
+  }
+
   /**
    * Follows what other shares tell.
    *
@@ -115,7 +129,7 @@
    */
   async begin(signal: AbortSignal): Promise<void> {
     const { takeover, clock } = this.options;
-    this.delegations.restore(takeover.away);
+    this.delegations.restore(takeover.away, takeover.exchange);
     const ended = new Promise<void>((resolve) => {
       onAbort(signal, resolve);
     });
@@ -137,11 +151,8 @@
     if (nowMs < this.checkedMs + CHECK_GAP_MS) return;
     this.checkedMs = nowMs;
     this.guests.takePending();
-    const unplaced = new Map(steps.map((each) => [each.step, each]));
-    this.guests.giveBack((step) => {
-      const found = unplaced.get(step);
-      return found !== undefined && (!found.hasWorkers || found.waitedMs >= RETURN_MS);
-    });
+    const waitedMs = new Map(steps.map((each) => [each.step, each.waitedMs]));
+    this.guests.giveBack((step) => (waitedMs.get(step) ?? 0) >= RETURN_MS);
     // What is handed on while the store is away would be nowhere until it is back.
     if (this.options.unconfirmedMs() > STORE_AWAY_MS) return;
     if (steps.length === 0 || !this.knowsRooms()) return;
