Let shares be owned by the fastest entries that would serve them

The entry that had planned the shares slept up to a second before it looked at its own plan, a refused lease cost a candidate 300 ms without a line, and nothing moved a share from a slow VM to a fast one afterwards. Planners hear of the plan as fast as others, refused candidates try again soon, and entries on VMs twice as fast ask for a share as those of its own data centre do. A claim names the term that it asks to end. Both tests failed before.

--- a/packages/samphirenotch/src/jobs/ownership/layoutKeeper.ts
+++ b/packages/samphirenotch/src/jobs/ownership/layoutKeeper.ts
@@ -80,17 +80,23 @@
         if (!shares.layout && (isSettled || isLate)) await this.plan(workers, signal);
         counted = workers;
       }
-      await clock.sleep(Math.max(RETRY_MS, LOOK_PART * settleMs), signal);
+      await this.waitForLayout(Math.max(RETRY_MS, LOOK_PART * settleMs), signal);
     }
   }
 
   private async waitForTurn(signal: AbortSignal): Promise<void> {
-    const { clock, shares, settleMs, entry, processorShare } = this.options;
+    const { settleMs, entry, processorShare } = this.options;
     const slowMs = SLOWNESS * settleMs * (1 - Math.min(1, processorShare));
     const spreadMs = SPREAD * settleMs * (1 - preferenceOf(LAYOUT_KEY, entry));
-    const turnMs = clock.monotonicMs() + settleMs + slowMs + spreadMs;
-    while (!shares.layout && clock.monotonicMs() < turnMs && !signal.aborted) {
-      await clock.sleep(Math.min(RETRY_MS, turnMs - clock.monotonicMs()), signal);
+    await this.waitForLayout(settleMs + slowMs + spreadMs, signal);
+  }
+
+  /** Whoever hears of the layout late stands late for election. */
+  private async waitForLayout(mostMs: number, signal: AbortSignal): Promise<void> {
+    const { clock, shares } = this.options;
+    const untilMs = clock.monotonicMs() + mostMs;
+    while (!shares.layout && clock.monotonicMs() < untilMs && !signal.aborted) {
+      await clock.sleep(Math.min(RETRY_MS, untilMs - clock.monotonicMs()), signal);
     }
   }
 
--- a/packages/samphirenotch/src/jobs/ownership/ownerElection.ts
+++ b/packages/samphirenotch/src/jobs/ownership/ownerElection.ts
@@ -31,6 +31,9 @@
 /** Time for one call to the store, in milliseconds. */
 const CALL_TIMEOUT_MS = 600;
 
+/** Wait of a candidate that the store has refused a lease, in milliseconds: others stand meanwhile. */
+const REFUSED_MS = 60;
+
 /** Longest wait for a change of owner, in milliseconds. */
 const CHECK_MS = 500;
 
@@ -167,7 +170,8 @@
     const askedMs = clock.monotonicMs();
     const lease = await store.grantLease(LEASE_MS, callWithin(clock, CALL_TIMEOUT_MS, signal));
     if (lease.err) {
-      await clock.sleep(CALL_TIMEOUT_MS / 2, signal);
+      this.log.warn('The store gave no lease', { share, reason: lease.val.message });
+      await clock.sleep(REFUSED_MS, signal);
       return undefined;
     }
     const expected = replica.shares.owner(share)?.revision ?? 0;
--- a/packages/samphirenotch/src/jobs/ownership/shareClaims.ts
+++ b/packages/samphirenotch/src/jobs/ownership/shareClaims.ts
@@ -1,8 +1,9 @@
 /**
- * Asks for shares of the entry's own data centre that entries elsewhere own.
+ * Asks for shares that this entry serves better than their owner does.
  *
- * An owner in the data centre of its workers goes on when the data centre is cut off. One elsewhere, which
- * has stood in, hands over to an entry that asks for it and owns none of its own data centre yet.
+ * An owner in the data centre of its workers goes on when the data centre is cut off, and one on a faster VM
+ * keeps up with bursts. One that has stood in hands over to an entry that asks for it and owns none of its
+ * own data centre yet.
  */
 import { preferenceOf } from '../../membership/rendezvous.js';
 import type { TransactionStore } from '../../infrastructure/transactionStore.js';
@@ -12,14 +13,17 @@
 
 import type { ShareLayout } from '../model/shareLayout.js';
 import { keysOf } from '../store/jobKeys.js';
-import type { OwnerRecord, ShareBoard } from '../store/shareBoard.js';
+import { encodeClaim, type OwnerRecord, type ShareBoard } from '../store/shareBoard.js';
 
 /** Time between two looks at who owns what, in milliseconds. */
 const CHECK_MS = 500;
 
-/** How long an owner elsewhere is left alone, in milliseconds: shares are not to move by turns. */
+/** How long an owner is left alone, in milliseconds: shares are not to move by turns. */
 const SETTLE_MS = 3_000;
 
+/** How many times as fast as the owner's a VM has to be for a share to move to it: a move costs a takeover. */
+const FASTER = 2;
+
 /** Spread of entries that could ask at the same time, in milliseconds. */
 const SPREAD_MS = 1_500;
 
@@ -48,8 +52,8 @@
 export class ShareClaims {
   private readonly log = partLog('shares');
 
-  /** Since when shares of the own data centre are owned elsewhere, in monotonic milliseconds. */
-  private readonly awaySinceMs = new Map<string, number>();
+  /** Since when shares would be better served here, in monotonic milliseconds. */
+  private readonly betterSinceMs = new Map<string, number>();
 
   /**
    * @param options - store and entry
@@ -63,7 +67,9 @@
    */
   async run(signal: AbortSignal): Promise<void> {
     const { clock, layout, dataCentre } = this.options;
-    const own = layout.shares.filter(({ dataCentres }) => dataCentres.includes(dataCentre));
+    const own = layout.shares.filter(
+      ({ dataCentres }) => dataCentres.length === 0 || dataCentres.includes(dataCentre),
+    );
     while (!signal.aborted && own.length > 0) {
       await clock.sleep(CHECK_MS, signal);
       for (const { id } of own) if (!signal.aborted) await this.check(id, signal);
@@ -71,19 +77,26 @@
   }
 
   private async check(share: string, signal: AbortSignal): Promise<void> {
-    const { shares, clock, dataCentre, isBusy } = this.options;
+    const { shares, clock, isBusy } = this.options;
     const owner = shares.owner(share);
-    if (!owner || owner.dataCentre === dataCentre || isBusy()) {
-      this.awaySinceMs.delete(share);
+    if (!owner || !this.isBetter(share, owner) || isBusy()) {
+      this.betterSinceMs.delete(share);
       return;
     }
     const nowMs = clock.monotonicMs();
-    const sinceMs = this.awaySinceMs.get(share) ?? nowMs;
-    this.awaySinceMs.set(share, sinceMs);
-    if (nowMs < sinceMs + SETTLE_MS + this.waitMs(share) || shares.claimant(share)) return;
+    const sinceMs = this.betterSinceMs.get(share) ?? nowMs;
+    this.betterSinceMs.set(share, sinceMs);
+    if (nowMs < sinceMs + SETTLE_MS + this.waitMs(share) || shares.claim(share)) return;
     await this.claim(share, owner, signal);
   }
 
+  private isBetter(share: string, owner: OwnerRecord): boolean {
+    const { layout, dataCentre, processorShare } = this.options;
+    const isWhole = layout.shares.some(({ id, dataCentres }) => id === share && !dataCentres[0]);
+    if (!isWhole && owner.dataCentre !== dataCentre) return true;
+    return processorShare >= FASTER * owner.processorShare;
+  }
+
   /** Entries on fast VMs ask first. */
   private waitMs(share: string): number {
     const { entry, processorShare, shares } = this.options;
@@ -97,22 +110,24 @@
     const lease = await store.grantLease(CLAIM_MS, call());
     if (lease.err) return;
     const keys = keysOf(share);
+    const claim = { entry, fencingToken: owner.revision };
     const outcome = await store.commit(
       {
         expectations: [
           { key: keys.owner, revision: owner.revision },
           { key: keys.claim, revision: 0 },
         ],
-        writes: [{ key: keys.claim, value: entry, leaseId: lease.val }],
+        writes: [{ key: keys.claim, value: encodeClaim(claim), leaseId: lease.val }],
         removals: [],
       },
       call(),
     );
-    this.awaySinceMs.delete(share);
-    this.log.info('A share of this data centre is asked for', {
+    this.betterSinceMs.delete(share);
+    this.log.info('A share is asked for', {
       share,
       owner: owner.entry,
       ownerDataCentre: owner.dataCentre,
+      ownerProcessorShare: owner.processorShare,
       outcome: outcome.ok ? outcome.val.kind : outcome.val.message,
     });
   }
--- a/packages/samphirenotch/src/jobs/ownership/shareOwners.ts
+++ b/packages/samphirenotch/src/jobs/ownership/shareOwners.ts
@@ -103,17 +103,18 @@
     ]);
   }
 
-  /** An entry elsewhere gives a share to one of the share's own data centre that asks for it. */
+  /** Gives shares to entries that ask for them. */
   private yieldClaimed(): void {
     const { replica, entry, clock } = this.options;
-    replica.shares.layout?.shares.forEach((share) => {
-      const claimant = replica.shares.claimant(share.id);
-      if (claimant === undefined || claimant === entry || this.isLocal(share)) return;
-      const sinceMs = this.heldSinceMs.get(share.id);
+    replica.shares.layout?.shares.forEach(({ id }) => {
+      const claim = replica.shares.claim(id);
+      const owner = replica.shares.owner(id);
+      if (!claim || claim.entry === entry || claim.fencingToken !== owner?.revision) return;
+      const sinceMs = this.heldSinceMs.get(id);
       if (sinceMs === undefined || clock.monotonicMs() < sinceMs + LEAST_TERM_MS) return;
       this.elections
-        .find((election) => election.share === share.id)
-        ?.yieldTerm(`${claimant} asks for it`);
+        .find((election) => election.share === id)
+        ?.yieldTerm(`${claim.entry} asks for it`);
     });
   }
 
@@ -134,9 +135,9 @@
 
   private reluctanceMs(share: Share): number {
     const { entry, replica } = this.options;
-    const claimant = replica.shares.claimant(share.id);
-    if (claimant === entry) return 0;
-    const claimedMs = claimant === undefined ? 0 : CLAIMED_MS;
+    const claim = replica.shares.claim(share.id);
+    if (claim?.entry === entry) return 0;
+    const claimedMs = claim === undefined ? 0 : CLAIMED_MS;
     const busyMs = claimedMs + BUSY_MS * this.heldSinceMs.size;
     if (this.isLocal(share)) return busyMs;
     return busyMs + FOREIGN_MS + (1 - preferenceOf(share.id, entry)) * FOREIGN_SPREAD_MS;
--- a/packages/samphirenotch/src/jobs/store/shareBoard.ts
+++ b/packages/samphirenotch/src/jobs/store/shareBoard.ts
@@ -56,6 +56,27 @@
 }: Omit<OwnerRecord, 'revision'>): string =>
   `${entry} ${process} ${processorShare} ${encodeURIComponent(dataCentre)}`;
 
+/** An entry that asks the owner of a share for it. */
+export interface ShareClaim {
+  readonly entry: string;
+  /** The term that it asks to end. */
+  readonly fencingToken: number;
+}
+
+/**
+ * Encodes a claim.
+ *
+ * @param claim - the claim
+ * @returns text for the store
+ */
+export const encodeClaim = ({ fencingToken, entry }: ShareClaim): string =>
+  `${fencingToken} ${entry}`;
+
+const readClaim = (value: string): ShareClaim => {
+  const [token = '0', entry = ''] = value.split(' ');
+  return { entry, fencingToken: Number(token) };
+};
+
 /** Holds layout, owners and waiting jobs. */
 export class ShareBoard {
   private readonly log = partLog('shares');
@@ -66,7 +87,7 @@
 
   private readonly waitingJobs = new Map<string, WaitingJobs>();
 
-  private readonly claimants = new Map<string, string>();
+  private readonly claims = new Map<string, ShareClaim>();
 
   private largestShare = 0;
 
@@ -104,16 +125,16 @@
    * Tells which entry asks the owner of a share for it.
    *
    * @param share - id of the share
-   * @returns name of the entry; undefined if none does
+   * @returns the claim; undefined if there is none
    */
-  claimant(share: string): string | undefined {
-    return this.claimants.get(share);
+  claim(share: string): ShareClaim | undefined {
+    return this.claims.get(share);
   }
 
   /** Forgets owners and claims: a listing follows. */
   clearOwners(): void {
     this.owners.clear();
-    this.claimants.clear();
+    this.claims.clear();
   }
 
   /**
@@ -154,8 +175,8 @@
       return undefined;
     }
     if (kind === 'claim') {
-      if (value === undefined) this.claimants.delete(share);
-      else this.claimants.set(share, value);
+      if (value === undefined) this.claims.delete(share);
+      else this.claims.set(share, readClaim(value));
       return undefined;
     }
     if (value === undefined) this.owners.delete(share);
--- a/tests/jobs/shares.spec.ts
+++ b/tests/jobs/shares.spec.ts
@@ -101,9 +101,32 @@
 test('should plan a site by what its fastest entry carries', async (t) => {
   const site = new JobSite({ workers: 60, dataCentres: 4, layoutSettleMs: 1_500 });
   for (let at = 0; at < 12; at += 1) site.start(`slow-${at}`, false, 0.1);
-  site.start('fast', false, 1);
-  await site.run(8_000);
+  const fast = site.start('fast', false, 1);
+  while (!site.data.items.has(LAYOUT_KEY)) await site.run(100);
   t.is(site.data.items.get(LAYOUT_KEY)?.value, ShareLayout.whole().encode());
+  // Guards against a planner that hears of its own plan after entries that only wait for it.
+  await site.run(1_000);
+  t.deepEqual(ownedBy(fast), [WHOLE_SITE]);
+});
+
+// Guards against a share that stays with the slow VM that was the only one to reach the store for a moment.
+test('should move a share to an entry on a much faster VM, and only once', async (t) => {
+  const site = new JobSite({ workers: 2 });
+  const slow = site.start('slow', false, 0.1);
+  await site.run(2_000);
+  t.deepEqual(ownedBy(slow), [WHOLE_SITE]);
+  const fast = site.start('fast', false, 1);
+  const other = site.start('other', false, 1);
+  await site.run(10_000);
+  const tokens = (): readonly number[] =>
+    [slow, fast, other].flatMap(({ entry }) =>
+      entry.status().terms.map(({ fencingToken }) => fencingToken),
+    );
+  const moved = tokens();
+  t.deepEqual(ownedBy(slow), []);
+  t.is(moved.length, 1);
+  await site.run(10_000);
+  t.deepEqual(tokens(), moved);
 });
 
 test('should give each share to an entry of its own data centre', async (t) => {
