Hear of ends sooner, and show them as soon as they are stored

The pause counts from the answer now, ends are stored after 30 ms, and an entry that is asked for an open job asks the store first, at most each 20 ms.

--- a/packages/samphirenotch/src/jobs/store/progressJournal.ts
+++ b/packages/samphirenotch/src/jobs/store/progressJournal.ts
@@ -22,7 +22,7 @@
 const GATHER_MS = 12;
 
 /** The same where nobody waits for the change: a call costs the owner as much as a start does. */
-const RELAXED_GATHER_MS = 60;
+const RELAXED_GATHER_MS = 30;
 
 /** Entries of each transaction that the journal key itself takes: one expectation, one write. */
 const OWN_ENTRIES = 2;
--- a/packages/samphirenotch/src/jobs/store/storeFollower.ts
+++ b/packages/samphirenotch/src/jobs/store/storeFollower.ts
@@ -6,6 +6,7 @@
 import { partLog } from '../../observability/log.js';
 import { callWithin } from '../../time/call.js';
 import type { Clock } from '../../time/clock.js';
+import { Wakeup } from '../../time/wakeup.js';
 
 /** How long the store may hold a watch open, in milliseconds; bounds how long silence goes unseen. */
 const WATCH_HOLD_MS = 1_000;
@@ -22,6 +23,9 @@
 /** Longest silence of the store during a listing, in milliseconds. */
 const LIST_SILENCE_MS = 1_500;
 
+/** Least time for which changes gather although callers wait for them, in milliseconds. */
+const LEAST_GATHER_MS = 20;
+
 /** Wait after a failed call, in milliseconds. */
 const RETRY_MS = 150;
 
@@ -64,6 +68,14 @@
 
   private failing = false;
 
+  /** Ends the time in which changes gather. */
+  private readonly eager: Wakeup;
+
+  private isGathering = false;
+
+  /** Callers that wait for the next answer. */
+  private awaiting: (() => void)[] = [];
+
   /**
    * @param store - the store
    * @param prefix - the prefix
@@ -77,7 +89,9 @@
     private readonly listener: StoreListener,
     private readonly clock: Clock,
     private readonly pace: FollowerPace = {},
-  ) {}
+  ) {
+    this.eager = new Wakeup(clock);
+  }
 
   /** @returns how old the view may be, in milliseconds: an answer may be as old as its call */
   viewAgeMs(): number {
@@ -106,10 +120,32 @@
       const ok = this.listed ? await this.watch(signal) : await this.list(signal);
       if (!ok && !signal.aborted) await this.clock.sleep(RETRY_MS, signal);
       const gatherMs = this.pace.gatherMs?.() ?? 0;
-      if (ok && gatherMs > 0) await this.clock.sleep(gatherMs, signal);
+      if (ok && gatherMs > 0) await this.gather(gatherMs, signal);
     }
   }
 
+  /**
+   * Asks for changes that gather, and waits for them. While a watch is held, changes come by themselves.
+   *
+   * @param mostMs - longest wait, in milliseconds
+   */
+  async freshen(mostMs: number): Promise<void> {
+    if (!this.isGathering) return;
+    const answered = new Promise<void>((resolve) => {
+      this.awaiting.push(resolve);
+    });
+    this.eager.wake();
+    await Promise.race([answered, this.clock.sleep(mostMs)]);
+  }
+
+  private async gather(gatherMs: number, signal: AbortSignal): Promise<void> {
+    this.isGathering = true;
+    const leastMs = Math.min(LEAST_GATHER_MS, gatherMs);
+    await this.clock.sleep(leastMs, signal);
+    await this.eager.wait(gatherMs - leastMs, signal);
+    this.isGathering = false;
+  }
+
   private async list(signal: AbortSignal): Promise<boolean> {
     const call = callWithin(this.clock, LIST_SILENCE_MS, signal);
     const sentMs = this.clock.monotonicMs();
@@ -145,6 +181,9 @@
     );
     this.revision = Math.max(this.revision, batch.val.revision);
     this.listener.onCaughtUp(this.revision, sentMs);
+    const { awaiting } = this;
+    this.awaiting = [];
+    awaiting.forEach((resolve) => resolve());
     return true;
   }
 
--- a/packages/samphirenotch/src/jobs/workers/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerAgent.ts
@@ -32,8 +32,8 @@
 /** The same while fillers run beside a task with a target, whose tail is reported by half seconds. */
 const CLOSE_HOLD_WAIT_MS = 500;
 
-/** Least time between two looks at a worker, in milliseconds: ends gather, looks are priced. */
-const LOOK_GAP_MS = 80;
+/** Least time between an answer of a worker and the next look, in milliseconds: ends gather, looks are priced. */
+const LOOK_GAP_MS = 50;
 
 /** Time between looks at a worker whose ends cannot be stored, or that does not answer. */
 const RETRY_MS = 400;
@@ -436,6 +436,7 @@
   /** Waits for ends to be stored, and for more ends to gather. */
   private async rest(signal: AbortSignal): Promise<void> {
     const { clock, listener } = this.options;
+    const answeredMs = clock.monotonicMs();
     if (this.storedSequence < this.seenSequence) {
       const seen = this.seenSequence;
       const born = this.bornMs;
@@ -445,7 +446,7 @@
       await Promise.race([stored, clock.sleep(RETRY_MS, signal)]);
     }
     if (this.runs.count > 0 || this.runs.foreignCount > 0) {
-      await clock.sleep(LOOK_GAP_MS, signal);
+      await clock.sleep(Math.max(0, answeredMs + LOOK_GAP_MS - clock.monotonicMs()), signal);
       return;
     }
     await this.wakeup.wait(ACKNOWLEDGE_MS, signal);
