--- a/packages/samphirenotch/src/jobs/entry/jobEntry.ts
+++ b/packages/samphirenotch/src/jobs/entry/jobEntry.ts
@@ -30,7 +30,7 @@
 const GATHER_MS = 200;
 
 /** The same at an owner, for which every answer is as much work as a start. */
-const OWNER_GATHER_MS = 15;
+const OWNER_GATHER_MS = 30;
 
 /** Age up to which the status tells of rooms, in milliseconds. */
 const STATUS_AGE_MS = 1_000;
