Follow a task that is still in progress when its events are asked for

The test failed once beside many busy processes: its task of 100 ms had ended before the second request arrived, so that the stream held no state but the last. With a wait of 300 ms before that request it failed each time. The task takes 3 s now; what is expected is unchanged.

--- a/tests/tasks/taskHttp.spec.ts
+++ b/tests/tasks/taskHttp.spec.ts
@@ -37,7 +37,7 @@
 
 test('should submit, follow to the end and show a task through a forward', async (t) => {
   const servers = await started(t);
-  const response = await submit(servers, { taskClass: 'plan', payload: { runMs: 100 } });
+  const response = await submit(servers, { taskClass: 'plan', payload: { runMs: 3_000 } });
   t.is(response.status, 201);
   const { id } = await read(response);
   t.is(response.headers.get('location'), `/tasks/${encodeURIComponent(id)}`);
