Log what a job asks for, how urgent a start is, and who has taken the room of a share

Operators asked who waits and for what; the lines told when, but neither how much a task takes, nor by when its job should be complete, nor what room there was.

--- a/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
@@ -206,6 +206,7 @@
       this.passes(directory),
       new SummaryWriter(
         {
+          share: share.id,
           book: this.book,
           fleet: this.fleet,
           operator: options.operator,
@@ -301,6 +302,10 @@
       worker: agent.id,
       kind: end.kind,
       known: run !== undefined,
+      milliCores: task?.step.spec.size.milliCores,
+      isSaved: end.checkpoint !== '',
+      orderMs: run?.begunMs === undefined ? undefined : Math.round(run.begunMs - run.startedMs),
+      workedMs: run?.begunMs === undefined ? undefined : Math.round(shownMs - run.begunMs),
       afterMs: run ? Math.round(this.options.clock.monotonicMs() - run.startedMs) : undefined,
     });
     this.options.recorder.count('run_ends', { kind: end.kind });
--- a/packages/samphirenotch/src/jobs/ownership/summaryWriter.ts
+++ b/packages/samphirenotch/src/jobs/ownership/summaryWriter.ts
@@ -6,6 +6,7 @@
 import { hasWaiting, isStepOpen, isUnstarted, type OwnedJob } from '../model/ownedJob.js';
 import { encodeRoom, type ShareRoom } from '../model/shareRoom.js';
 import { unusedOf } from '../placement/taskPlacement.js';
+import { RoomReport } from './roomReport.js';
 import type { JobBook } from '../store/jobBook.js';
 import type { OperatorFollower } from '../store/operatorFollower.js';
 import type { ShareKeys } from '../store/jobKeys.js';
@@ -23,6 +24,7 @@
 
 /** What summaries are made of. */
 export interface SummaryOptions {
+  readonly share: string;
   readonly book: JobBook;
   readonly fleet: WorkerFleet;
   readonly operator: OperatorFollower;
@@ -56,6 +58,8 @@
 
 /** Writes the summaries of one term. */
 export class SummaryWriter {
+  private readonly roomReport: RoomReport;
+
   private lastIds = '';
 
   private lastRoom: ShareRoom | undefined;
@@ -74,7 +78,9 @@
     private readonly options: SummaryOptions,
     private readonly journal: ProgressJournal,
     private readonly keys: ShareKeys,
-  ) {}
+  ) {
+    this.roomReport = new RoomReport(options);
+  }
 
   /**
    * Writes summaries until told to stop.
@@ -96,6 +102,7 @@
       revision,
     );
     const room = this.room(jobs, revision);
+    this.roomReport.note(room, jobs);
     if (this.lastRoom && !differ(room, this.lastRoom)) return;
     this.lastRoom = room;
     this.journal.add({ key: this.keys.room, value: () => encodeRoom(room) });
--- a/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
@@ -30,7 +30,7 @@
 import { StartGate } from './startGate.js';
 import type { UnplacedStep } from './spillOver.js';
 import { Starvation } from './starvation.js';
-import { DeadlineStepOrder, type StepOrder } from './stepOrder.js';
+import { chainMs, DeadlineStepOrder, objectiveMs, type StepOrder } from './stepOrder.js';
 import type { StepPermissions } from './stepPermissions.js';
 import { SpreadPlacement, type PlacementInput, type TaskPlacement } from './taskPlacement.js';
 
@@ -400,6 +400,22 @@
     return starts;
   }
 
+  private describeStart({ step }: OwnedTask, agent: WorkerAgent) {
+    const { size, dataRack, filler, longRunning } = step.spec;
+    const { job } = step.occurrence;
+    const nowMs = this.options.clock.monotonicMs();
+    return {
+      milliCores: size.milliCores,
+      isFiller: filler,
+      isGuest: job.isGuest,
+      isNear: dataRack === '' ? undefined : agent.description.labels.includes(dataRack),
+      // What the job has left beyond its longest chain of estimates; nothing is owed by what lasts.
+      slackMs: longRunning
+        ? undefined
+        : Math.round(objectiveMs(job) - nowMs - chainMs(job, step.index)),
+    };
+  }
+
   private start({ task, agent }: Start, run: number): void {
     const owned = task;
     owned.nextRun = run + 1;
@@ -410,6 +426,7 @@
       worker: agent.id,
       dataCentre: agent.description.dataCentre,
       freeMilliCores: agent.free().milliCores,
+      ...this.describeStart(task, agent),
       configuration: this.options.operator.view().configuration?.version,
       viewAgeMs: Math.round(this.options.viewAgeMs()),
     });
--- a/packages/samphirenotch/src/jobs/store/jobBook.ts
+++ b/packages/samphirenotch/src/jobs/store/jobBook.ts
@@ -4,6 +4,7 @@
 import { partLog } from '../../observability/log.js';
 import type { Clock } from '../../time/clock.js';
 
+import { describeJob } from '../model/jobDescription.js';
 import { encodeProgress, type JobProgress } from '../model/jobProgress.js';
 import type { Delegation } from '../model/delegation.js';
 import { jobIdOfTask, type AcceptedJob } from '../model/jobSpec.js';
@@ -138,7 +139,7 @@
       jobId: accepted.id,
       queue: accepted.queue.name,
       revision,
-      steps: accepted.job.steps.length,
+      ...describeJob(accepted),
     });
     // Its last end was stored, but not its final state.
     if (job.isDone) this.finish(job, 'completed');
