Add a report on who waited, and for what, from the logs of entries

Operators could follow one job through the lines of all entries, but nothing told which jobs waited, in which phase, who was refused while there was room, what was thrown away and where work went. `samphirenotch report LOG...` reads the lines from files or standard input, splits the time of each job along the tasks that it waited for last, and sums up by queue, second and data centre, as text or JSON.

--- a/packages/samphirenotch-cli/src/commandLine.ts
+++ b/packages/samphirenotch-cli/src/commandLine.ts
@@ -14,6 +14,7 @@
 import { ConfigDiff } from './queries/configDiff.js';
 import { ConfigLog } from './queries/configLog.js';
 import { ConfigShow } from './queries/configShow.js';
+import { LogReportQuery } from './queries/logReportQuery.js';
 import { SiteHistograms } from './queries/siteHistograms.js';
 import { SiteStatus } from './queries/siteStatus.js';
 import { TaskExplain } from './queries/taskExplain.js';
@@ -40,6 +41,7 @@
   RequestSend,
   SiteStatus,
   SiteHistograms,
+  LogReportQuery,
   Builtins.HelpCommand,
   Builtins.VersionCommand,
 ];
