--- a/packages/samphirenotch/src/jobs/ownership/roomReport.ts
+++ b/packages/samphirenotch/src/jobs/ownership/roomReport.ts
@@ -4,15 +4,9 @@
 import { partLog } from '../../observability/log.js';
 import type { Clock } from '../../time/clock.js';
 
-import {
-  hasWaiting,
-  isStepOpen,
-  isUnstarted,
-  type OwnedJob,
-  type OwnedStep,
-} from '../model/ownedJob.js';
+import type { OwnedJob } from '../model/ownedJob.js';
 import type { ShareRoom } from '../model/shareRoom.js';
-import { chainMs, objectiveMs } from '../placement/stepOrder.js';
+import { takenBy, waitedForBy } from '../placement/roomUse.js';
 import type { OperatorFollower } from '../store/operatorFollower.js';
 import type { WorkerFleet } from '../workers/workerFleet.js';
 
@@ -27,25 +21,6 @@
   readonly clock: Clock;
 }
 
-/** Sums of thousandths of a core, by who has taken or wants them. */
-interface RoomUse {
-  /** Jobs that can still be in time by their estimates. */
-  inTime: number;
-  late: number;
-  lasting: number;
-  fillers: number;
-}
-
-const NO_USE: RoomUse = { inTime: 0, late: 0, lasting: 0, fillers: 0 };
-
-const userOf = (step: OwnedStep, nowMs: number): keyof RoomUse => {
-  const { spec, occurrence } = step;
-  if (spec.filler) return 'fillers';
-  if (spec.longRunning) return 'lasting';
-  const isLate = nowMs + chainMs(occurrence.job, step.index) > objectiveMs(occurrence.job);
-  return isLate ? 'late' : 'inTime';
-};
-
 /** Logs the room of one share. */
 export class RoomReport {
   private readonly log = partLog('room');
@@ -64,12 +39,16 @@
    * @param jobs - open jobs of the share
    */
   note(room: ShareRoom, jobs: readonly OwnedJob[]): void {
-    const { share, clock } = this.options;
+    const { share, clock, fleet, operator } = this.options;
     const nowMs = clock.monotonicMs();
     if (nowMs < this.notedMs + REPORT_GAP_MS) return;
     this.notedMs = nowMs;
-    const taken = this.taken(nowMs);
-    const waiting = this.waiting(jobs, nowMs);
+    const agents = fleet.usable(operator.view().evacuated);
+    const taken = takenBy(
+      agents.flatMap((agent) => agent.activeRuns()),
+      nowMs,
+    );
+    const waiting = waitedForBy(jobs, nowMs, clock.wallMs());
     this.log.info('The room of a share', {
       share,
       capacity: room.capacity,
@@ -86,33 +65,4 @@
       openJobs: jobs.length,
     });
   }
-
-  private taken(nowMs: number): RoomUse {
-    const { fleet, operator } = this.options;
-    const use = { ...NO_USE };
-    fleet.usable(operator.view().evacuated).forEach((agent) =>
-      agent.activeRuns().forEach(({ task }) => {
-        use[userOf(task.step, nowMs)] += task.step.spec.size.milliCores;
-      }),
-    );
-    return use;
-  }
-
-  private waiting(jobs: readonly OwnedJob[], nowMs: number): RoomUse {
-    const use = { ...NO_USE };
-    const wallMs = this.options.clock.wallMs();
-    const occurrences = jobs
-      .filter(({ settled }) => !settled)
-      .flatMap((job) => [...job.occurrences.values()])
-      .filter(({ dueAtMs }) => dueAtMs <= wallMs);
-    occurrences.forEach(({ steps }) =>
-      steps
-        .filter((step) => hasWaiting(step) && isStepOpen(step))
-        .forEach((step) => {
-          const { tasks, spec } = step;
-          use[userOf(step, nowMs)] += tasks.filter(isUnstarted).length * spec.size.milliCores;
-        }),
-    );
-    return use;
-  }
 }
--- /dev/null
+++ b/tests/jobs/roomUse.spec.ts
@@ -0,0 +1,65 @@
+/**
+ * What is logged of jobs and rooms, so that waits can be judged afterwards.
+ */
+import test from 'ava';
+import { describeJob } from 'samphirenotch/jobs/model/jobDescription.js';
+import type { StepSpec } from 'samphirenotch/jobs/model/jobSpec.js';
+import { roomOf, type OwnedRun, type OwnedStep } from 'samphirenotch/jobs/model/ownedJob.js';
+import { takenBy, waitedForBy } from 'samphirenotch/jobs/placement/roomUse.js';
+import { ManualClock } from 'samphirenotch/time/manualClock.js';
+
+import { makeJob, makeQueue, makeStep } from '../fixtures/jobSite.js';
+import { makeOwnedStep, makeStillAgent } from '../fixtures/stillFleet.js';
+
+/** Steps of the fixtures are accepted at 0, take 1 s, and should be complete after 3 s. */
+const IN_TIME_MS = 1_000;
+const LATE_MS = 2_500;
+
+const stepOf = (changes: Partial<StepSpec> = {}): OwnedStep =>
+  makeOwnedStep(makeStep({ count: 2, ...changes }));
+
+const runAll = (step: OwnedStep): readonly OwnedRun[] => {
+  const agent = makeStillAgent(new ManualClock());
+  step.tasks.forEach((task) => agent.adopt(task, 1, roomOf(task), 'running'));
+  return agent.activeRuns();
+};
+
+test('should tell who has taken room', (t) => {
+  const inTime = takenBy(runAll(stepOf()), IN_TIME_MS);
+  t.deepEqual(inTime, { inTime: 2_000, late: 0, lasting: 0, fillers: 0 });
+  t.is(takenBy(runAll(stepOf()), LATE_MS).late, 2_000);
+  t.is(takenBy(runAll(stepOf({ longRunning: true })), LATE_MS).lasting, 2_000);
+  t.is(takenBy(runAll(stepOf({ filler: true })), LATE_MS).fillers, 2_000);
+});
+
+test('should tell for whom tasks wait, without those that run or cannot start yet', (t) => {
+  const step = stepOf({ count: 3 });
+  const { job } = step.occurrence;
+  t.is(waitedForBy([job], IN_TIME_MS, 0).inTime, 3_000);
+  t.is(waitedForBy([job], LATE_MS, 0).late, 3_000);
+  const agent = makeStillAgent(new ManualClock());
+  const [task] = step.tasks;
+  if (task) agent.adopt(task, 1, roomOf(task), 'running');
+  t.is(waitedForBy([job], IN_TIME_MS, 0).inTime, 2_000);
+  job.settled = true;
+  t.is(waitedForBy([job], IN_TIME_MS, 0).inTime, 0);
+});
+
+test('should describe a job in a line that does not grow with it', (t) => {
+  const steps = [makeStep({ count: 3, estimateMs: 540.4 }), makeStep({ longRunning: true })];
+  const queue = makeQueue({ priority: 2, stretch: 1.5, targetLatencyMs: 250 });
+  const accepted = { id: 'a', home: 'site', queue, acceptedAtMs: 0, job: makeJob(...steps) };
+  t.deepEqual(describeJob(accepted), {
+    priority: 2,
+    stretch: 1.5,
+    targetLatencyMs: 250,
+    steps: 2,
+    tasks: 4,
+    occurrences: undefined,
+    isLasting: true,
+    hasFillers: false,
+    estimatesMs: '540 1000',
+  });
+  const wide = makeJob(...Array.from({ length: 200 }, () => makeStep()));
+  t.is(describeJob({ ...accepted, job: wide }).estimatesMs.split(' ').length, 16);
+});
