--- a/packages/samphirenotch-cli/src/report/logReport.ts
+++ b/packages/samphirenotch-cli/src/report/logReport.ts
@@ -13,7 +13,7 @@
   readonly dataCentre: string;
   readonly accepted: number;
   readonly refused: number;
-  /** Of them, while more was free in the site than what waited asked for. */
+  /** Of them, while more was free in the site than what jobs that could be in time waited for. */
   readonly refusedWithRoom: number;
   readonly unclear: number;
 }
--- a/packages/samphirenotch-cli/src/report/roomTimeline.ts
+++ b/packages/samphirenotch-cli/src/report/roomTimeline.ts
@@ -58,16 +58,14 @@
   }
 
   /**
-   * Tells whether more was free than what waited asked for.
+   * Tells whether more was free than what jobs that could be in time waited for; late ones always wait.
    *
    * @param atMs - time in milliseconds
    * @returns undefined if nothing was told
    */
   hadRoom(atMs: number): boolean | undefined {
     const { shares, room } = this.at(atMs);
-    if (shares === 0) return undefined;
-    const waiting = (room.waitingInTime ?? 0) + (room.waitingLate ?? 0);
-    return (room.free ?? 0) > waiting;
+    return shares === 0 ? undefined : (room.free ?? 0) > (room.waitingInTime ?? 0);
   }
 
   /** @returns the sums at the end of each second in which something was told */
