--- a/packages/samphirenotch/src/jobs/ownership/ownerElection.ts
+++ b/packages/samphirenotch/src/jobs/ownership/ownerElection.ts
@@ -167,6 +167,7 @@
     const askedMs = clock.monotonicMs();
     const lease = await store.grantLease(LEASE_MS, callWithin(clock, CALL_TIMEOUT_MS, signal));
     if (lease.err) {
+      this.log.warn('No lease was granted', { share, reason: lease.val.message });
       await clock.sleep(CALL_TIMEOUT_MS / 2, signal);
       return undefined;
     }
