Use no new life of a worker while a successor may be there

An owner was cut off from the store and from a worker; its successor took note of the end; the worker crashed and started again, and the former owner, which reached it then, started on it what had run there.

Cause: a worker that starts again has forgotten the successor's token, which alone keeps former owners off it, and an owner may go on for twelve seconds without its lease being confirmed.

Change: an owner whose lease is not certain takes a worker that has started again for silent. It uses it as soon as the store has confirmed the lease.

--- a/packages/samphirenotch/src/jobs/workers/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerAgent.ts
@@ -416,8 +416,12 @@
       await clock.sleep(RETRY_MS, signal);
       return;
     }
-    if (outcome.val.kind === 'other-life') {
-      this.endLife('the address belongs to another worker', false);
+    const isOther = outcome.val.kind === 'other-life';
+    const isNewLife = isOther || this.isNewLife(outcome.val.holding);
+    // A new life has forgotten the token of a successor that this owner may not know of.
+    const mayEnd = isNewLife && this.options.isSoleOwner();
+    if (isOther && mayEnd) this.endLife('the address belongs to another worker', false);
+    if (isOther || (isNewLife && !mayEnd)) {
       this.misses += 1;
       await clock.sleep(RETRY_MS, signal);
       return;
@@ -469,8 +473,12 @@
     }
   }
 
+  private isNewLife({ bornMs }: Holding): boolean {
+    return this.bornMs !== undefined && bornMs > this.bornMs;
+  }
+
   private apply(holding: Holding, sentMs: number, acknowledged: number): void {
-    if (this.bornMs !== undefined && holding.bornMs > this.bornMs) {
+    if (this.isNewLife(holding)) {
       this.endLife('the worker has started again', true);
     }
     this.bornMs = holding.bornMs;
--- a/tests/jobs/owners.spec.ts
+++ b/tests/jobs/owners.spec.ts
@@ -295,3 +295,19 @@
   }
   t.deepEqual(new Set(owners), new Set(['fast']));
 });
+
+// Guards against a worker that has forgotten the successor's token, and takes orders of anybody.
+test('should start nothing on a worker that starts again while a successor may be there', async (t) => {
+  const { site, owner, successor } = await makeSuccession(3_000, 1);
+  await site.submit(owner, ID, makeJob(makeStep()));
+  await site.run(500);
+  owner.store.isCutOff = true;
+  site.cutFromWorkers(owner.client, ['w0']);
+  await site.run(6_000);
+  t.is(await site.state(successor, ID), 'completed');
+  site.workers.get('w0')?.restart();
+  site.healWorkers();
+  await site.run(10_000);
+  t.is(site.record.runs.length, 1);
+  t.deepEqual(site.record.violations, []);
+});
