Stand for election against the owner that was seen before

Cause: a candidate first asks the store for a lease and then reads which owner it is to replace. A rival that was elected meanwhile was taken for the one to replace.

Change: whom it replaces is read before the lease is asked for; the store then refuses.

Test: "should not stand against an owner that was elected while it asked for a lease" failed before (a second term).

--- a/packages/samphirenotch/src/jobs/ownership/ownerElection.ts
+++ b/packages/samphirenotch/src/jobs/ownership/ownerElection.ts
@@ -163,6 +163,8 @@
   private async stand(signal: AbortSignal): Promise<Victory | undefined> {
     const { share, store, clock, replica } = this.options;
     const key = keysOf(share).owner;
+    // A rival may be elected while the store is asked for the lease.
+    const expected = replica.shares.owner(share)?.revision ?? 0;
     // The store counts the lease from when the call arrives.
     const askedMs = clock.monotonicMs();
     const lease = await store.grantLease(LEASE_MS, callWithin(clock, CALL_TIMEOUT_MS, signal));
@@ -170,7 +172,6 @@
       await clock.sleep(CALL_TIMEOUT_MS / 2, signal);
       return undefined;
     }
-    const expected = replica.shares.owner(share)?.revision ?? 0;
     const value = encodeOwner(this.options);
     const outcome = await store.commit(
       {
--- a/tests/jobs/formerOwner.spec.ts
+++ b/tests/jobs/formerOwner.spec.ts
@@ -4,9 +4,13 @@
 import test from 'ava';
 import { WHOLE_SITE } from 'samphirenotch/jobs/model/shareLayout.js';
 import type { JobReplica } from 'samphirenotch/jobs/store/jobReplica.js';
+import type { OwnerRecord } from 'samphirenotch/jobs/store/shareBoard.js';
 import { OwnerElection } from 'samphirenotch/jobs/ownership/ownerElection.js';
 import { LONGEST_UNCONFIRMED_MS } from 'samphirenotch/jobs/store/term.js';
-import type { TransactionStore } from 'samphirenotch/infrastructure/transactionStore.js';
+import type {
+  Transaction,
+  TransactionStore,
+} from 'samphirenotch/infrastructure/transactionStore.js';
 import { Failure } from 'samphirenotch/failure.js';
 import { Err, Ok } from 'samphirenotch/results.js';
 import { ManualClock } from 'samphirenotch/time/manualClock.js';
@@ -111,3 +115,45 @@
   t.is(certainUntilMs.length, 1);
   t.true((certainUntilMs[0] ?? Infinity) <= (askedMs[0] ?? 0) + LEASE_MS);
 });
+
+// Guards against an election that replaces the owner whom a slow answer of the store has let win.
+test('should not stand against an owner that was elected while it asked for a lease', async (t) => {
+  const clock = new ManualClock();
+  let rival: OwnerRecord | undefined;
+  let terms = 0;
+  const store = {
+    ...makeSilentStore(clock, 600),
+    grantLease: async () => {
+      await clock.sleep(100);
+      rival = {
+        entry: 'b',
+        process: 'b-1',
+        processorShare: 1,
+        dataCentre: 'dc0',
+        revision: 7,
+      };
+      return Ok('1');
+    },
+    commit: async ({ expectations }: Transaction) => {
+      const holds = expectations.every(({ revision }) => revision === (rival?.revision ?? 0));
+      return Ok(holds ? { kind: 'committed', revision: 8 } : { kind: 'conflict', current: [] });
+    },
+    revokeLease: async () => Ok(true),
+  } as unknown as TransactionStore;
+  const stopped = new AbortController();
+  const basics = electionBasics(clock, store);
+  const shares = { owner: () => rival, largestOwnerShare: 0 };
+  const election = new OwnerElection({
+    ...basics,
+    replica: { ...basics.replica, shares } as unknown as JobReplica,
+    serve: async () => {
+      terms += 1;
+    },
+  });
+  const running = election.run(stopped.signal);
+  for (let at = 0; at < 20; at += 1) await clock.advance(50);
+  t.is(terms, 0);
+  stopped.abort();
+  await clock.advance(1_000);
+  await running;
+});
