Add up what open jobs ask for once for each piece of news

What callers saw: with many open jobs, accepting one took an entry that much longer.

Cause: the load of every share was added up over all open jobs for each job that was handed in, although entries hear of changes a few times a second.

--- a/packages/samphirenotch/src/jobs/entry/homes.ts
+++ b/packages/samphirenotch/src/jobs/entry/homes.ts
@@ -44,6 +44,11 @@
 
   private readonly choice: HomeChoice;
 
+  /** What open jobs ask for, by home, at a revision of the replica. */
+  private loads: ReadonlyMap<string, number> = new Map();
+
+  private loadsRevision = -1;
+
   /**
    * @param options - the replica and the entry
    */
@@ -64,8 +69,8 @@
     const [only] = layout.shares;
     if (layout.shares.length === 1) return only.id;
     await this.knowRooms();
-    const loads = this.loads();
-    const candidates = layout.shares.map((share) => this.candidate(share, loads));
+    this.refreshLoads();
+    const candidates = layout.shares.map((share) => this.candidate(share));
     return this.choice.choose(job, candidates);
   }
 
@@ -82,7 +87,7 @@
     });
   }
 
-  private candidate(share: Share, loads: ReadonlyMap<string, number>): HomeCandidate {
+  private candidate(share: Share): HomeCandidate {
     const { replica, rooms, operator, dataCentre } = this.options;
     const { evacuated } = operator.view();
     return {
@@ -91,19 +96,21 @@
       isLocal: share.dataCentres.includes(dataCentre),
       room: rooms.of(share.id),
       isEvacuated: share.dataCentres.every((name) => evacuated.has(name)),
-      load: loads.get(share.id) ?? 0,
+      load: this.loads.get(share.id) ?? 0,
     };
   }
 
-  /** What open jobs ask for, by home. */
-  private loads(): ReadonlyMap<string, number> {
+  /** Many jobs are handed in between two pieces of news. */
+  private refreshLoads(): void {
     const { replica } = this.options;
+    if (replica.revision() === this.loadsRevision) return;
+    this.loadsRevision = replica.revision();
     const loads = new Map<string, number>();
     replica.openJobs().forEach((job) => {
       if (replica.isCancelled(job.accepted.id)) return;
       const home = replica.homeOf(job);
       loads.set(home, (loads.get(home) ?? 0) + demandOf(job.accepted.job));
     });
-    return loads;
+    this.loads = loads;
   }
 }
