Tell other shares of new labels although the room is the same

What could be seen: a task that needs a label waited at a home without it although another share had a worker of the kind, which had taken the place of one of the same size.

Cause: an owner tells its room again only when some amount of it has changed.

Change: also when its workers have other labels.

Test: "should hand tasks to a share that has their label only since a moment ago" failed before (queued).

--- a/packages/samphirenotch/src/jobs/ownership/summaryWriter.ts
+++ b/packages/samphirenotch/src/jobs/ownership/summaryWriter.ts
@@ -50,7 +50,9 @@
     Math.abs(one.capacity - other.capacity) > notable ||
     Math.abs(one.free - other.free) > notable ||
     Math.abs(one.unused - other.unused) > notable ||
-    Math.abs(one.waiting - other.waiting) > notable
+    Math.abs(one.waiting - other.waiting) > notable ||
+    one.labels.size !== other.labels.size ||
+    [...one.labels].some((label) => !other.labels.has(label))
   );
 };
 
--- a/tests/jobs/delegations.spec.ts
+++ b/tests/jobs/delegations.spec.ts
@@ -215,3 +215,14 @@
   );
   t.deepEqual(exchanged(site), []);
 });
+
+// Guards against a worker of another kind that takes the place of one of the same size.
+test('should hand tasks to a share that has their label only since a moment ago', async (t) => {
+  const { site, owners } = await makeDividedSite({ workers: 2, behave: behaveFor(300) });
+  site.list('w1', { labels: ['fast'] });
+  await site.run(1_500);
+  site.putJobs([ID], makeJob(makeStep({ requiredLabel: 'fast' })), 'dc0');
+  await site.run(3_000);
+  t.is(await site.state(owners[0], ID), 'completed');
+  t.deepEqual(placesOf(site), ['dc1']);
+});
