--- a/packages/samphirenotch/src/jobs/model/shareRoom.ts
+++ b/packages/samphirenotch/src/jobs/model/shareRoom.ts
@@ -15,8 +15,6 @@
   readonly waiting: number;
   /** Labels that some of its workers have, their racks among them. */
   readonly labels: ReadonlySet<string>;
-  /** Revision up to which jobs of the share are counted. */
-  readonly revision: number;
 }
 
 /** What is taken for granted of a share that has told nothing yet. */
@@ -26,11 +24,9 @@
   unused: 0,
   waiting: 0,
   labels: new Set(),
-  revision: 0,
 };
 
 const ROOM = z.object({
-  r: z.number(),
   // Capacity, free, unused and waiting.
   c: z.tuple([z.number(), z.number(), z.number(), z.number()]),
   l: z.array(z.string()),
@@ -42,9 +38,8 @@
  * @param room - the room
  * @returns text for the store
  */
-export const encodeRoom = ({ revision, capacity, free, unused, waiting, labels }: ShareRoom) =>
+export const encodeRoom = ({ capacity, free, unused, waiting, labels }: ShareRoom) =>
   JSON.stringify({
-    r: revision,
     c: [capacity, free, unused, waiting].map(Math.round),
     l: [...labels],
   });
@@ -57,7 +52,7 @@
  * @throws if the text was not written by `encodeRoom`
  */
 export const decodeRoom = (text: string): ShareRoom => {
-  const { r: revision, c, l } = ROOM.parse(JSON.parse(text));
+  const { c, l } = ROOM.parse(JSON.parse(text));
   const [capacity, free, unused, waiting] = c;
-  return { capacity, free, unused, waiting, labels: new Set(l), revision };
+  return { capacity, free, unused, waiting, labels: new Set(l) };
 };
--- a/packages/samphirenotch/src/jobs/ownership/summaryWriter.ts
+++ b/packages/samphirenotch/src/jobs/ownership/summaryWriter.ts
@@ -97,7 +97,7 @@
       jobs.filter(({ isGuest }) => !isGuest),
       revision,
     );
-    const room = this.room(jobs, revision);
+    const room = this.room(jobs);
     if (this.lastRoom && !differ(room, this.lastRoom)) return;
     this.lastRoom = room;
     this.journal.add({ key: this.keys.room, value: () => encodeRoom(room) });
@@ -119,7 +119,7 @@
     this.journal.add({ key: this.keys.waiting, value: () => `${revision} ${ids}` });
   }
 
-  private room(jobs: readonly OwnedJob[], revision: number): ShareRoom {
+  private room(jobs: readonly OwnedJob[]): ShareRoom {
     const { fleet, operator, clock } = this.options;
     const agents = fleet.usable(operator.view().evacuated);
     const wallMs = clock.wallMs();
@@ -131,7 +131,6 @@
         .filter(({ settled }) => !settled)
         .reduce((sum, job) => sum + waitingMilliCores(job, wallMs), 0),
       labels: new Set(agents.flatMap(({ description }) => description.labels)),
-      revision,
     };
   }
 }
