--- a/packages/samphirenotch/src/jobs/ownership/summaryWriter.ts
+++ b/packages/samphirenotch/src/jobs/ownership/summaryWriter.ts
@@ -52,7 +52,9 @@
     Math.abs(one.capacity - other.capacity) > notable ||
     Math.abs(one.free - other.free) > notable ||
     Math.abs(one.unused - other.unused) > notable ||
-    Math.abs(one.waiting - other.waiting) > notable
+    Math.abs(one.waiting - other.waiting) > notable ||
+    one.labels.size !== other.labels.size ||
+    [...one.labels].some((label) => !other.labels.has(label))
   );
 };
 
@@ -101,7 +103,7 @@
       jobs.filter(({ isGuest }) => !isGuest),
       revision,
     );
-    const room = this.room(jobs, revision);
+    const room = this.room(jobs);
     this.roomReport.note(room, jobs);
     if (this.lastRoom && !differ(room, this.lastRoom)) return;
     this.lastRoom = room;
@@ -124,7 +126,7 @@
     this.journal.add({ key: this.keys.waiting, value: () => `${revision} ${ids}` });
   }
 
-  private room(jobs: readonly OwnedJob[], revision: number): ShareRoom {
+  private room(jobs: readonly OwnedJob[]): ShareRoom {
     const { fleet, operator, clock } = this.options;
     const agents = fleet.usable(operator.view().evacuated);
     const wallMs = clock.wallMs();
@@ -136,7 +138,6 @@
         .filter(({ settled }) => !settled)
         .reduce((sum, job) => sum + waitingMilliCores(job, wallMs), 0),
       labels: new Set(agents.flatMap(({ description }) => description.labels)),
-      revision,
     };
   }
 }
