--- /dev/null
+++ b/tests/observability/processLoad.spec.ts
@@ -0,0 +1,37 @@
+import test from 'ava';
+
+import { CallCounter, ProcessLoad } from 'samphirenotch/observability/processLoad.js';
+import { ManualClock } from 'samphirenotch/time/manualClock.js';
+
+const makeLoad = () => {
+  const clock = new ManualClock();
+  const calls = new CallCounter();
+  const used = { ms: 300 };
+  return { clock, calls, used, load: new ProcessLoad(clock, calls, () => used.ms) };
+};
+
+// Guards against: a site that costs too much, and no log that tells which entries and which calls do.
+test('should tell processor time and calls since the last line', async (t) => {
+  const { clock, calls, used, load } = makeLoad();
+  calls.note('store.watch');
+  await clock.advance(5_000);
+  t.deepEqual(load.take(), { overMs: 5_000, processorMs: 300, 'store.watch': 1 });
+  calls.note('store.watch');
+  calls.note('store.watch');
+  calls.note('worker.hold');
+  used.ms = 420;
+  await clock.advance(2_000);
+  t.deepEqual(load.take(), {
+    overMs: 2_000,
+    processorMs: 120,
+    'store.watch': 2,
+    'worker.hold': 1,
+  });
+});
+
+test('should leave out calls that were not made again', (t) => {
+  const { calls, load } = makeLoad();
+  calls.note('store.list');
+  load.take();
+  t.false('store.list' in load.take());
+});
--- a/tests/profile/ownerProfileMain.ts
+++ b/tests/profile/ownerProfileMain.ts
@@ -1,10 +1,11 @@
 /**
- * Profiles one entry that owns a whole site: where the processor time of a run goes.
+ * Profiles entries: where the processor time of a run goes, and what an entry that owns nothing costs.
  *
- * Workers and store are the soak's stand-ins, without faults. The entry runs as a process of its own
- * under the sampling profiler of the runtime.
+ * Workers and store are the soak's stand-ins, without faults. Each entry runs as a process of its own
+ * under the sampling profiler of the runtime. Callers speak to the first one. Small processors divide the
+ * site into shares, and entries beyond their number own nothing.
  */
-import { mkdirSync, readdirSync, readFileSync } from 'node:fs';
+import { mkdirSync, readdirSync, readFileSync, rmSync } from 'node:fs';
 import { request } from 'node:http';
 import path from 'node:path';
 
@@ -94,6 +95,12 @@
 
   workers = Option.String('--workers', '32');
 
+  entries = Option.String('--entries', '1');
+
+  processorShare = Option.String('--processor-share', '1', {
+    description: 'share of a core that each entry says it has',
+  });
+
   seconds = Option.String('--seconds', '20');
 
   jobGap = Option.String('--job-gap', '100', { description: 'milliseconds between two jobs' });
@@ -106,11 +113,13 @@
 
   override async execute(): Promise<number> {
     const folder = path.resolve(this.folder);
+    rmSync(folder, { recursive: true, force: true });
     mkdirSync(folder, { recursive: true });
     const startMs = performance.now();
     const checker = new PromiseChecker(() => performance.now() - startMs);
     const site = new SoakSite({
-      entries: 1,
+      entries: Number(this.entries),
+      processorShare: Number(this.processorShare),
       workers: Number(this.workers),
       workerCpu: 16_000,
       program: this.program,
@@ -125,16 +134,13 @@
     await this.drive(host);
     const starts = site.workers.reduce((sum, { end }) => sum + end.startCount, 0);
     await site.stop();
-    const newest = readdirSync(folder)
-      .filter((name) => name.endsWith('.cpuprofile'))
-      .sort()
-      .at(-1);
-    if (!newest) return 1;
-    const profile = JSON.parse(readFileSync(path.join(folder, newest), 'utf8')) as CpuProfile;
-    this.context.stdout.write(
-      `${this.workers} workers, ${starts} starts, ${this.seconds} s\n${summarizeProfile(profile, starts)}\n`,
-    );
-    return 0;
+    const profiles = readdirSync(folder).filter((name) => name.endsWith('.cpuprofile'));
+    this.context.stdout.write(`${this.workers} workers, ${starts} starts, ${this.seconds} s\n`);
+    profiles.forEach((name) => {
+      const profile = JSON.parse(readFileSync(path.join(folder, name), 'utf8')) as CpuProfile;
+      this.context.stdout.write(`\n${name}\n${summarizeProfile(profile, starts)}\n`);
+    });
+    return profiles.length === Number(this.entries) ? 0 : 1;
   }
 
   private async drive(host: string): Promise<void> {
--- a/tests/soak/entryProcess.ts
+++ b/tests/soak/entryProcess.ts
@@ -26,15 +26,23 @@
   /** Folder for settings and logs. */
   readonly folder: string;
   readonly program: string;
+  /** Share of a core that it says its VM has; a whole one if left out. */
+  readonly processorShare?: number;
   /** Words before the program, such as options of the runtime. */
   readonly runtimeWords?: readonly string[];
 }
 
-const settingsOf = ({ name, host, zone, storePort }: EntryOptions): unknown => ({
+const settingsOf = ({
+  name,
+  host,
+  zone,
+  storePort,
+  processorShare = 1,
+}: EntryOptions): unknown => ({
   NodeName: name,
   Zone: zone,
   ListenAddrs: { Front: `${host}:${CALLER_PORT}`, ReadyAddress: `${host}:${READY_PORT}` },
-  Limits: { CpuShare: 1 },
+  Limits: { CpuShare: processorShare },
   Bounds: { HoldLimitMs: 6_000, GraceS: GRACE_S, FencingEnforced: true },
   platform: { Address: `127.0.0.1:${storePort}` },
 });
--- a/tests/soak/soakSite.ts
+++ b/tests/soak/soakSite.ts
@@ -32,6 +32,8 @@
   /** Third part of the entries' addresses, so that several soaks run beside each other. */
   readonly network: number;
   readonly checker: PromiseChecker;
+  /** Share of a core that each entry says its VM has; a whole one if left out. */
+  readonly processorShare?: number;
   readonly runtimeWords?: readonly string[];
 }
 
@@ -252,7 +254,7 @@
   }
 
   private async addEntry(index: number): Promise<void> {
-    const { folder, program, network, runtimeWords } = this.options;
+    const { folder, program, network, processorShare, runtimeWords } = this.options;
     const link = new FaultProxy(this.store.port);
     const entry = new EntryProcess({
       name: `entry-${index}`,
@@ -261,6 +263,7 @@
       storePort: await link.listen(),
       folder: path.resolve(folder),
       program,
+      ...(processorShare === undefined ? {} : { processorShare }),
       ...(runtimeWords ? { runtimeWords } : {}),
     });
     this.entries.push({ entry, link });
