--- a/packages/samphirenotch/src/infrastructure/httpCommand.ts
+++ b/packages/samphirenotch/src/infrastructure/httpCommand.ts
@@ -8,6 +8,7 @@
 import { Err, Ok, type Result } from '../results.js';
 import { remainingMs, type Call } from '../time/call.js';
 import type { Clock } from '../time/clock.js';
+import { UNSENT_CODES } from './unsentCodes.js';
 
 const FAILURE_DETAIL = z.object({
   code: z.enum(FAILURE_CODES),
@@ -16,14 +17,6 @@
   retryAfterMs: z.number().optional(),
 });
 
-/** Errors of undici and Node that arise before anything was sent. */
-export const UNSENT_CODES: ReadonlySet<string> = new Set([
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'UND_ERR_CONNECT_TIMEOUT',
-]);
-
 const HTTP_ERROR = 400;
 
 /** Where a command goes. */
--- a/packages/samphirenotch/src/observability/processLoad.ts
+++ b/packages/samphirenotch/src/observability/processLoad.ts
@@ -6,6 +6,7 @@
  */
 import type { Clock } from '../time/clock.js';
 
+import { processCalls, type CallCounter } from './callCounter.js';
 import type { Counter } from './histogramRecorder.js';
 import { partLog, type LogFields } from './log.js';
 
@@ -15,28 +16,6 @@
 const US_PER_MS = 1_000;
 const MS_PER_S = 1_000;
 
-/** Counts calls of this process by step. */
-export class CallCounter {
-  private readonly counts = new Map<string, number>();
-
-  /**
-   * Counts a call.
-   *
-   * @param step - what is called, such as `store.watch`
-   */
-  note(step: string): void {
-    this.counts.set(step, (this.counts.get(step) ?? 0) + 1);
-  }
-
-  /** @returns how many calls were made so far, by step */
-  all(): ReadonlyMap<string, number> {
-    return this.counts;
-  }
-}
-
-/** Calls of this process. */
-export const processCalls = new CallCounter();
-
 /** @returns processor time of this process so far, in milliseconds */
 const processorMs = (): number => {
   const { user, system } = process.cpuUsage();
--- a/tests/observability/processLoad.spec.ts
+++ b/tests/observability/processLoad.spec.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 
-import { CallCounter, ProcessLoad } from 'samphirenotch/observability/processLoad.js';
+import { CallCounter } from 'samphirenotch/observability/callCounter.js';
+import { ProcessLoad } from 'samphirenotch/observability/processLoad.js';
 import { ManualClock } from 'samphirenotch/time/manualClock.js';
 
 const makeLoad = () => {
