--- a/packages/samphirenotch/src/jobs/ownership/ownerElection.ts
+++ b/packages/samphirenotch/src/jobs/ownership/ownerElection.ts
@@ -130,7 +130,8 @@
         await this.wakeup.wait(CHECK_MS, signal);
         continue;
       }
-      const spreadMs = (1 - this.eagerness()) * CANDIDATE_SPREAD_MS;
+      const { replica, processorShare } = this.options;
+      const spreadMs = (1 - replica.shares.speedOf(processorShare)) * CANDIDATE_SPREAD_MS;
       const reluctanceMs = this.options.reluctanceMs();
       await clock.sleep(spreadMs + reluctanceMs, signal);
       const won = await this.options.turns(() => this.standIfStillWanted(reluctanceMs, signal));
@@ -149,12 +150,6 @@
     return this.stand(signal);
   }
 
-  /** From 0 to 1: this entry beside the fastest owner so far, or beside a whole core at first. */
-  private eagerness(): number {
-    const { replica, processorShare } = this.options;
-    return Math.min(1, processorShare / (replica.shares.largestOwnerShare || 1));
-  }
-
   private isVacant(): boolean {
     const { share, replica, entry, process } = this.options;
     if (replica.revision() === 0) return false;
--- a/packages/samphirenotch/src/jobs/ownership/shareClaims.ts
+++ b/packages/samphirenotch/src/jobs/ownership/shareClaims.ts
@@ -100,7 +100,7 @@
   /** Entries on fast VMs ask first. */
   private waitMs(share: string): number {
     const { entry, processorShare, shares } = this.options;
-    const slowness = 1 - Math.min(1, processorShare / (shares.largestOwnerShare || 1));
+    const slowness = 1 - shares.speedOf(processorShare);
     return (slowness + 1 - preferenceOf(share, entry)) * (SPREAD_MS / 2);
   }
 
--- a/packages/samphirenotch/src/jobs/ownership/shareOwners.ts
+++ b/packages/samphirenotch/src/jobs/ownership/shareOwners.ts
@@ -57,6 +57,9 @@
 
   private elections: readonly OwnerElection[] = [];
 
+  /** What was known of owners when elections looked last. */
+  private seenVersion = -1;
+
   /**
    * @param options - store, workers and entry
    */
@@ -69,7 +72,10 @@
 
   /** Looks at the replica anew. */
   notify(): void {
-    this.elections.forEach((election) => election.notify());
+    const { version } = this.options.replica.shares;
+    // News of jobs come all the time, those of owners hardly ever.
+    if (version !== this.seenVersion) this.elections.forEach((election) => election.notify());
+    this.seenVersion = version;
     this.yieldClaimed();
   }
 
--- a/packages/samphirenotch/src/jobs/store/shareBoard.ts
+++ b/packages/samphirenotch/src/jobs/store/shareBoard.ts
@@ -91,14 +91,26 @@
 
   private largestShare = 0;
 
+  private changes = 0;
+
   /** @returns the shares of the site; undefined until they are known */
   get layout(): ShareLayout | undefined {
     return this.known;
   }
 
-  /** @returns the largest share of a core that an owner had so far; 0 before the first one */
-  get largestOwnerShare(): number {
-    return this.largestShare;
+  /** @returns another number whenever the layout, an owner or a claim has changed */
+  get version(): number {
+    return this.changes;
+  }
+
+  /**
+   * Compares a VM with that of the fastest owner so far, or with a whole core before the first one.
+   *
+   * @param processorShare - what the VM has of a core of the usual speed
+   * @returns from 0 to 1, which is as fast or faster
+   */
+  speedOf(processorShare: number): number {
+    return Math.min(1, processorShare / (this.largestShare || 1));
   }
 
   /**
@@ -135,6 +147,7 @@
   clearOwners(): void {
     this.owners.clear();
     this.claims.clear();
+    this.changes += 1;
   }
 
   /**
@@ -150,6 +163,7 @@
     }
     try {
       this.known = ShareLayout.decode(value);
+      this.changes += 1;
       this.log.info('The shares are known', {
         shares: this.known.shares.map(({ id }) => id).join(' '),
       });
@@ -174,6 +188,7 @@
       if (value !== undefined) this.waitingJobs.set(share, readWaiting(value));
       return undefined;
     }
+    this.changes += 1;
     if (kind === 'claim') {
       if (value === undefined) this.claims.delete(share);
       else this.claims.set(share, readClaim(value));
--- a/packages/samphirenotch/src/jobs/store/storeFollower.ts
+++ b/packages/samphirenotch/src/jobs/store/storeFollower.ts
@@ -139,10 +139,12 @@
   }
 
   private async gather(gatherMs: number, signal: AbortSignal): Promise<void> {
-    this.isGathering = true;
     const leastMs = Math.min(LEAST_GATHER_MS, gatherMs);
-    await this.clock.sleep(leastMs, signal);
-    await this.eager.wait(gatherMs - leastMs, signal);
+    const startMs = this.clock.monotonicMs();
+    this.isGathering = true;
+    await this.eager.wait(gatherMs, signal);
+    const leftMs = startMs + leastMs - this.clock.monotonicMs();
+    if (leftMs > 0) await this.clock.sleep(leftMs, signal);
     this.isGathering = false;
   }
 
--- /dev/null
+++ b/tests/jobs/bystanders.spec.ts
@@ -0,0 +1,85 @@
+/**
+ * What entries that own nothing cost: most entries of a large site.
+ */
+import test from 'ava';
+import { ShareLayout } from 'samphirenotch/jobs/model/shareLayout.js';
+import { keysOf } from 'samphirenotch/jobs/store/jobKeys.js';
+import { encodeClaim, encodeOwner, ShareBoard } from 'samphirenotch/jobs/store/shareBoard.js';
+
+import { JobSite, makeJob, makeStep } from '../fixtures/jobSite.js';
+
+const idOf = (at: number): string => at.toString(16).padStart(16, '0');
+
+/** Callers accept counts of jobs that are 2 s old; an entry reads a few times in that. */
+const READS_IN_2_S = 4;
+
+/** The operator's settings are read once a second. */
+const OTHER_READS_IN_2_S = 3;
+
+/** Processors of VMs in one site, as shares of a core. */
+const FAST = 1.35;
+const SLOW = 0.186;
+
+const makeSite = async () => {
+  const site = new JobSite();
+  const owner = site.start('a', false, FAST);
+  await site.run(600);
+  const bystander = site.start('b', false, SLOW);
+  await site.run(400);
+  return { site, owner, bystander };
+};
+
+// Guards against a large site whose many idle entries take more processor time than those that decide.
+test('should read news of jobs seldom on a slow VM that owns nothing', async (t) => {
+  const { site, owner, bystander } = await makeSite();
+  const reads = (): number => bystander.store.calls.get('watch') ?? 0;
+  const before = reads();
+  for (let at = 1; at <= 20; at += 1) {
+    await site.submit(owner, idOf(at), makeJob(makeStep()));
+    await site.run(100);
+  }
+  t.true(reads() - before <= READS_IN_2_S + OTHER_READS_IN_2_S, `${reads() - before} reads`);
+});
+
+// Guards against callers of such an entry that are told of an old state.
+test('should still tell the newest state there', async (t) => {
+  const { site, owner, bystander } = await makeSite();
+  await site.submit(owner, idOf(1), makeJob(makeStep()));
+  await site.run(1_200);
+  await site.submit(owner, idOf(2), makeJob(makeStep()));
+  t.is(await site.state(bystander, idOf(1)), 'completed');
+});
+
+// Guards against a site that waits for its slow entries because they hear of a vacancy late.
+test('should take over in time from there if no faster entry lives', async (t) => {
+  const { site, owner, bystander } = await makeSite();
+  owner.kill();
+  // The lease of 2.5 s, news of its end, and the lateness of slow candidates.
+  await site.run(3_600);
+  t.is(bystander.entry.status().terms.length, 1);
+});
+
+// Guards against elections that every entry looks at anew with every piece of news of jobs.
+test('should tell news of owners from those of waiting jobs', (t) => {
+  const board = new ShareBoard();
+  const keys = keysOf('dc0');
+  const owner = { entry: 'a', process: 'a-1', processorShare: 1, dataCentre: 'dc0' };
+  const changes: readonly (readonly [boolean, () => unknown])[] = [
+    [true, () => board.onLayout(ShareLayout.byDataCentre(new Map([['dc0', 1]])).encode())],
+    [true, () => board.onShare(keys.owner, encodeOwner(owner), 3)],
+    [false, () => board.onShare(keys.waiting, '4 0000000000000001', 4)],
+    [true, () => board.onShare(keys.claim, encodeClaim({ entry: 'b', fencingToken: 3 }), 5)],
+    [true, () => board.onShare(keys.claim, undefined, 6)],
+    [true, () => board.onShare(keys.owner, undefined, 7)],
+    [true, () => board.clearOwners()],
+  ];
+  const told = changes.map(([, change]) => {
+    const before = board.version;
+    change();
+    return board.version !== before;
+  });
+  t.deepEqual(
+    told,
+    changes.map(([isNews]) => isNews),
+  );
+});
--- a/tests/jobs/formerOwner.spec.ts
+++ b/tests/jobs/formerOwner.spec.ts
@@ -47,7 +47,7 @@
   store,
   replica: {
     revision: () => 1,
-    shares: { owner: () => undefined, largestOwnerShare: 0 },
+    shares: { owner: () => undefined, speedOf: () => 1 },
   } as unknown as JobReplica,
   clock,
   entry: 'a',
@@ -142,7 +142,7 @@
   } as unknown as TransactionStore;
   const stopped = new AbortController();
   const basics = electionBasics(clock, store);
-  const shares = { owner: () => rival, largestOwnerShare: 0 };
+  const shares = { owner: () => rival, speedOf: () => 1 };
   const election = new OwnerElection({
     ...basics,
     replica: { ...basics.replica, shares } as unknown as JobReplica,
