Choose the home of a job by the newest news of what others have accepted

Cause: an entry chooses the home of a job by what open jobs ask for as it read that last. Two draws spread jobs only as far as the news tell shares apart: between two reads all that come are drawn to the share that was emptier then. With reads every 200 ms that was so already, every 600 ms it is worse. Change: an entry of a divided site asks for news when a job is handed in, and waits up to 40 ms for the answer. Sites of one share ask nothing. Test: 'should choose homes by what others have accepted just now', 4 of 24 to the other share before, at least two thirds now.

--- a/packages/samphirenotch/src/jobs/entry/homes.ts
+++ b/packages/samphirenotch/src/jobs/entry/homes.ts
@@ -22,6 +22,8 @@
   readonly rooms: RoomBoard;
   readonly operator: OperatorFollower;
   readonly dataCentre: string;
+  /** Asks for the newest news of jobs. */
+  readonly freshen: () => Promise<void>;
   /** Name of this process: others choose otherwise on the same news. */
   readonly process: string;
 }
@@ -68,7 +70,8 @@
     if (!layout) return WHOLE_SITE;
     const [only] = layout.shares;
     if (layout.shares.length === 1) return only.id;
-    await this.knowRooms();
+    // Others have chosen homes since the last news.
+    await Promise.all([this.knowRooms(), this.options.freshen()]);
     this.refreshLoads();
     const candidates = layout.shares.map((share) => this.candidate(share));
     return this.choice.choose(job, candidates);
--- a/packages/samphirenotch/src/jobs/entry/jobEntry.ts
+++ b/packages/samphirenotch/src/jobs/entry/jobEntry.ts
@@ -120,7 +120,8 @@
       viewAgeMs: () => jobsFollower.viewAgeMs(),
     });
     replica.whenCaughtUp(() => this.shareOwners.notify());
-    const homes = new Homes({ ...options, replica, rooms, operator });
+    const freshen = (): Promise<void> => jobsFollower.freshen();
+    const homes = new Homes({ ...options, replica, rooms, operator, freshen });
     const chooseHome = (job: JobSpec): Promise<string> => homes.choose(job);
     this.parts = {
       commands: new JobCommands({
--- a/packages/samphirenotch/src/jobs/entry/jobQueries.ts
+++ b/packages/samphirenotch/src/jobs/entry/jobQueries.ts
@@ -26,9 +26,6 @@
   | { readonly kind: 'not-found' }
   | { readonly kind: 'unavailable'; readonly retryAfterMs: number };
 
-/** Time for newer news of a job than are here, in milliseconds: the store answers in a few. */
-const FRESHEN_MS = 40;
-
 /** What queries work with. */
 export interface JobQueriesOptions {
   readonly store: TransactionStore;
@@ -57,7 +54,7 @@
   async state(jobId: string, call: Call): Promise<StateOutcome> {
     const { replica, store, clock, follower } = this.options;
     // A job that has ended stays so; of others the newest state is asked for.
-    if (!replica.isOver(jobId)) await follower.freshen(FRESHEN_MS);
+    if (!replica.isOver(jobId)) await follower.freshen();
     const state = replica.stateOf(jobId);
     if (state) return { kind: 'known', state };
     const within = callWithin(clock, Math.min(READ_MS, remainingMs(clock, call)), call.signal);
--- a/packages/samphirenotch/src/jobs/store/storeFollower.ts
+++ b/packages/samphirenotch/src/jobs/store/storeFollower.ts
@@ -26,6 +26,9 @@
 /** Least time for which changes gather although callers wait for them, in milliseconds. */
 const LEAST_GATHER_MS = 20;
 
+/** Longest wait for changes that are asked for at once, in milliseconds: the store answers in a few. */
+const FRESHEN_MS = 40;
+
 /** Wait after a failed call, in milliseconds. */
 const RETRY_MS = 150;
 
@@ -124,18 +127,14 @@
     }
   }
 
-  /**
-   * Asks for changes that gather, and waits for them. While a watch is held, changes come by themselves.
-   *
-   * @param mostMs - longest wait, in milliseconds
-   */
-  async freshen(mostMs: number): Promise<void> {
+  /** Asks for changes that gather, and waits for them. While a watch is held, changes come by themselves. */
+  async freshen(): Promise<void> {
     if (!this.isGathering) return;
     const answered = new Promise<void>((resolve) => {
       this.awaiting.push(resolve);
     });
     this.eager.wake();
-    await Promise.race([answered, this.clock.sleep(mostMs)]);
+    await Promise.race([answered, this.clock.sleep(FRESHEN_MS)]);
   }
 
   private async gather(gatherMs: number, signal: AbortSignal): Promise<void> {
--- a/tests/jobs/bystanders.spec.ts
+++ b/tests/jobs/bystanders.spec.ts
@@ -3,10 +3,10 @@
  */
 import test from 'ava';
 import { ShareLayout } from 'samphirenotch/jobs/model/shareLayout.js';
-import { keysOf } from 'samphirenotch/jobs/store/jobKeys.js';
+import { ACCEPTED_PREFIX, keysOf } from 'samphirenotch/jobs/store/jobKeys.js';
 import { encodeClaim, encodeOwner, ShareBoard } from 'samphirenotch/jobs/store/shareBoard.js';
 
-import { JobSite, makeJob, makeStep } from '../fixtures/jobSite.js';
+import { JobSite, makeDividedSite, makeJob, makeStep } from '../fixtures/jobSite.js';
 
 const idOf = (at: number): string => at.toString(16).padStart(16, '0');
 
@@ -20,6 +20,12 @@
 const FAST = 1.35;
 const SLOW = 0.186;
 
+/** Jobs that are handed in at once. */
+const JOBS = 24;
+
+/** Time into a pause between two reads there. */
+const SLOW_NEWS_MS = 50;
+
 const makeSite = async () => {
   const site = new JobSite();
   const owner = site.start('a', false, FAST);
@@ -59,6 +65,23 @@
   t.is(bystander.entry.status().terms.length, 1);
 });
 
+// Guards against jobs that go where others went in the time since the last news.
+test('should choose homes by what others have accepted just now', async (t) => {
+  const { site, owners } = await makeDividedSite({ milliCores: 4_000 });
+  const bystander = site.start('c', false, SLOW);
+  await site.run(1_000);
+  await site.submit(owners[0], idOf(1), makeJob(makeStep()));
+  await site.run(SLOW_NEWS_MS);
+  site.putJobs([idOf(2)], makeJob(makeStep({ count: 40 })), 'dc0');
+  const later = Array.from({ length: JOBS }, (_, at) => idOf(at + 3));
+  for (const id of later) await site.submit(bystander, id, makeJob(makeStep()));
+  const homes = later.map(
+    (id) => JSON.parse(site.data.items.get(ACCEPTED_PREFIX + id)?.value ?? '{}').home,
+  );
+  // Two shares are drawn for each job, which are the full one twice a quarter of the time.
+  t.true(homes.filter((home) => home === 'dc1').length >= (2 / 3) * JOBS, homes.join(' '));
+});
+
 // Guards against elections that every entry looks at anew with every piece of news of jobs.
 test('should tell news of owners from those of waiting jobs', (t) => {
   const board = new ShareBoard();
