Read news of jobs as often as before at entries that own nothing

The cause is not known; states that callers ask for are answered by those entries, and an answer that is not there after 40 ms is not waited for. Change: all entries that own nothing gather for 200 ms again. Elections still look only when owners have changed. With it, the time in which changes gather is one wait instead of two; two callers that ask in its last part are one read ('should read once for callers that ask at the same moment', two reads before).

--- a/packages/samphirenotch/src/jobs/entry/jobEntry.ts
+++ b/packages/samphirenotch/src/jobs/entry/jobEntry.ts
@@ -26,18 +26,9 @@
 /** Silence of the store after which an entry says that it is not ready, in milliseconds. */
 const NOT_READY_MS = 2_000;
 
-/**
- * How long changes of jobs gather at an entry that owns nothing and would be elected first, in
- * milliseconds.
- */
+/** How long changes of jobs gather at an entry that does not own them, in milliseconds. */
 const GATHER_MS = 200;
 
-/**
- * The same at one on a slow VM, which stands for election after others anyway. Callers accept counts of
- * 2 s, and states are asked for anew.
- */
-const SLOW_GATHER_MS = 600;
-
 /** The same at an owner, for which every answer is as much work as a start. */
 const OWNER_GATHER_MS = 30;
 
@@ -107,7 +98,7 @@
     const { store, clock, codec } = options;
     this.operator = new OperatorFollower(codec);
     this.jobsFollower = new StoreFollower(store, SHARED_PREFIX, this.replica, clock, {
-      gatherMs: () => this.gatherMs(),
+      gatherMs: () => (this.shareOwners.all().length > 0 ? OWNER_GATHER_MS : GATHER_MS),
     });
     this.operatorFollower = new StoreFollower(store, codec.operatorPrefix, this.operator, clock);
     this.rooms = new RoomBoard(store, clock);
@@ -233,13 +224,6 @@
     await this.shareOwners.run(signal);
   }
 
-  /** Each answer costs an entry as much as a start; there may be a hundred entries beside the owners. */
-  private gatherMs(): number {
-    if (this.shareOwners.all().length > 0) return OWNER_GATHER_MS;
-    const speed = this.replica.shares.speedOf(this.options.processorShare);
-    return Math.min(SLOW_GATHER_MS, GATHER_MS / speed);
-  }
-
   /** The next status tells of it. */
   private refreshRooms(): void {
     this.rooms.refresh(STATUS_AGE_MS).catch((error: unknown) => {
--- a/packages/samphirenotch/src/jobs/store/storeFollower.ts
+++ b/packages/samphirenotch/src/jobs/store/storeFollower.ts
@@ -76,6 +76,9 @@
 
   private isGathering = false;
 
+  /** Somebody has ended that time early. */
+  private isAskedFor = false;
+
   /** Callers that wait for the next answer. */
   private awaiting: (() => void)[] = [];
 
@@ -133,7 +136,9 @@
     const answered = new Promise<void>((resolve) => {
       this.awaiting.push(resolve);
     });
-    this.eager.wake();
+    // A second wake-up would end the time after the next answer.
+    if (!this.isAskedFor) this.eager.wake();
+    this.isAskedFor = true;
     await Promise.race([answered, this.clock.sleep(FRESHEN_MS)]);
   }
 
@@ -141,6 +146,7 @@
     const leastMs = Math.min(LEAST_GATHER_MS, gatherMs);
     const startMs = this.clock.monotonicMs();
     this.isGathering = true;
+    this.isAskedFor = false;
     await this.eager.wait(gatherMs, signal);
     const leftMs = startMs + leastMs - this.clock.monotonicMs();
     if (leftMs > 0) await this.clock.sleep(leftMs, signal);
--- a/tests/jobs/bystanders.spec.ts
+++ b/tests/jobs/bystanders.spec.ts
@@ -5,8 +5,11 @@
 import { ShareLayout } from 'samphirenotch/jobs/model/shareLayout.js';
 import { ACCEPTED_PREFIX, keysOf } from 'samphirenotch/jobs/store/jobKeys.js';
 import { encodeClaim, encodeOwner, ShareBoard } from 'samphirenotch/jobs/store/shareBoard.js';
+import { StoreFollower } from 'samphirenotch/jobs/store/storeFollower.js';
+import { ManualClock } from 'samphirenotch/time/manualClock.js';
 
 import { JobSite, makeDividedSite, makeJob, makeStep } from '../fixtures/jobSite.js';
+import { MemoryStoreData, MemoryTransactionStore } from '../fixtures/memoryTransactionStore.js';
 
 const idOf = (at: number): string => at.toString(16).padStart(16, '0');
 
@@ -26,6 +29,10 @@
 /** Time into a pause between two reads there. */
 const SLOW_NEWS_MS = 50;
 
+/** Time in which news gather, and between two pieces of them, in milliseconds. */
+const GATHER_MS = 200;
+const NEWS_MS = 5;
+
 const makeSite = async () => {
   const site = new JobSite();
   const owner = site.start('a', false, FAST);
@@ -65,6 +72,39 @@
   t.is(bystander.entry.status().terms.length, 1);
 });
 
+// Guards against entries that read again for callers who have been answered.
+test('should read once for callers that ask at the same moment', async (t) => {
+  const clock = new ManualClock();
+  const data = new MemoryStoreData(clock);
+  const store = new MemoryTransactionStore(data);
+  const ignore = (): void => undefined;
+  const listener = { onListing: ignore, onChange: ignore, onCaughtUp: ignore };
+  const pace = { gatherMs: () => GATHER_MS };
+  const follower = new StoreFollower(store, 'p/', listener, clock, pace);
+  const ended = new AbortController();
+  const running = follower.run(ended.signal);
+  const news = (async () => {
+    while (!ended.signal.aborted) {
+      data.put('p/key', String(clock.monotonicMs()));
+      await clock.sleep(NEWS_MS);
+    }
+  })();
+  await clock.advance(10 * GATHER_MS);
+  const reads = (): number => store.calls.get('watch') ?? 0;
+  const last = reads();
+  while (reads() === last) await clock.advance(1);
+  // The answer comes, and changes gather.
+  await clock.advance(10);
+  const before = reads();
+  const asked = [follower.freshen(), clock.sleep(5).then(() => follower.freshen())];
+  await clock.advance(GATHER_MS / 2);
+  await Promise.all(asked);
+  t.is(reads(), before + 1);
+  ended.abort();
+  await clock.advance(GATHER_MS);
+  await Promise.all([running, news]);
+});
+
 // Guards against jobs that go where others went in the time since the last news.
 test('should choose homes by what others have accepted just now', async (t) => {
   const { site, owners } = await makeDividedSite({ milliCores: 4_000 });
