--- a/utils/cachedProgram.ts
+++ b/utils/cachedProgram.ts
@@ -6,6 +6,12 @@
 import path from 'node:path';
 import { Script } from 'node:vm';
 
+/** The bundle, beside the programs that run it. */
+const PROGRAM_FILE = path.join(__dirname, 'entry.main.cjs');
+
+/** Compiled code of the bundle. */
+export const CACHE_FILE = path.join(__dirname, 'entry.main.cache');
+
 type ModuleFunction = (
   exports: unknown,
   require: NodeJS.Require,
@@ -16,20 +22,14 @@
 
 /** A program in one file, as a module of the runtime. */
 export class CachedProgram {
-  /** The file, beside this module. */
-  readonly file = path.join(__dirname, 'entry.main.cjs');
-
-  /** Compiled code of the file. */
-  readonly cacheFile = path.join(__dirname, 'entry.main.cache');
-
   private readonly script: Script;
 
   /**
    * @param cachedData - compiled code of the file; used only by the same runtime with the same flags
    */
   constructor(cachedData?: Buffer) {
-    this.script = new Script(Module.wrap(readFileSync(this.file, 'utf8')), {
-      filename: this.file,
+    this.script = new Script(Module.wrap(readFileSync(PROGRAM_FILE, 'utf8')), {
+      filename: PROGRAM_FILE,
       ...(cachedData ? { cachedData } : {}),
     });
   }
@@ -43,7 +43,7 @@
   run(): void {
     const run = this.script.runInThisContext() as ModuleFunction;
     const module = { exports: {} };
-    run(module.exports, createRequire(this.file), module, this.file, __dirname);
+    run(module.exports, createRequire(PROGRAM_FILE), module, PROGRAM_FILE, __dirname);
   }
 
   /** @returns compiled code of all that has run so far */
--- a/utils/codeCacheMain.ts
+++ b/utils/codeCacheMain.ts
@@ -3,10 +3,10 @@
  */
 import { writeFileSync } from 'node:fs';
 
-import { CachedProgram } from './cachedProgram.js';
+import { CACHE_FILE, CachedProgram } from './cachedProgram.js';
 
 const program = new CachedProgram();
 program.run();
-writeFileSync(program.cacheFile, program.compiledCode());
-// It has said that it has no settings.
+writeFileSync(CACHE_FILE, program.compiledCode());
+// The daemon has failed for want of settings.
 process.exitCode = 0;
--- a/utils/startMain.ts
+++ b/utils/startMain.ts
@@ -3,14 +3,14 @@
  * second to compile it anew.
  */
 import { readFileSync } from 'node:fs';
-import path from 'node:path';
 
-import { CachedProgram } from './cachedProgram.js';
+import { CACHE_FILE, CachedProgram } from './cachedProgram.js';
 
-const cacheFile = path.join(__dirname, 'entry.main.cache');
-const program = new CachedProgram(readFileSync(cacheFile));
+const program = new CachedProgram(readFileSync(CACHE_FILE));
 if (program.hasStaleCode) {
+  // The log of the daemon is part of what is not running yet.
   const message = 'Compiled code was made by another runtime or with other flags; compiling anew';
-  process.stdout.write(`${JSON.stringify({ level: 'warn', part: 'start', message, cacheFile })}\n`);
+  const line = { time: new Date().toISOString(), level: 'warn', part: 'start', message };
+  process.stdout.write(`${JSON.stringify({ ...line, file: CACHE_FILE })}\n`);
 }
 program.run();
