--- a/tests/profile/ownerProfileMain.ts
+++ b/tests/profile/ownerProfileMain.ts
@@ -90,6 +90,9 @@
 /** Every so many jobs is one that lasts. */
 const LASTING_EVERY = 20;
 
+const profilesIn = (folder: string): readonly string[] =>
+  readdirSync(folder).filter((name) => name.endsWith('.cpuprofile'));
+
 class ProfileCommand extends Command {
   static override paths = [Command.Default];
 
@@ -113,8 +116,8 @@
 
   override async execute(): Promise<number> {
     const folder = path.resolve(this.folder);
-    rmSync(folder, { recursive: true, force: true });
     mkdirSync(folder, { recursive: true });
+    profilesIn(folder).forEach((name) => rmSync(path.join(folder, name)));
     const startMs = performance.now();
     const checker = new PromiseChecker(() => performance.now() - startMs);
     const site = new SoakSite({
@@ -134,7 +137,7 @@
     await this.drive(host);
     const starts = site.workers.reduce((sum, { end }) => sum + end.startCount, 0);
     await site.stop();
-    const profiles = readdirSync(folder).filter((name) => name.endsWith('.cpuprofile'));
+    const profiles = profilesIn(folder);
     this.context.stdout.write(`${this.workers} workers, ${starts} starts, ${this.seconds} s\n`);
     profiles.forEach((name) => {
       const profile = JSON.parse(readFileSync(path.join(folder, name), 'utf8')) as CpuProfile;
