Tell what an owner had no time to look for room for, and profile owners with many tasks that last

Tasks that wait were all taken to wait for room. When a pass is cut short, what it did not come to waits for the owner.

--- a/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
@@ -233,6 +233,7 @@
           operator: options.operator,
           clock: options.clock,
           revision: () => options.replica.revision(),
+          untriedMilliCores: () => this.launcher.untriedMilliCores,
         },
         this.journal,
         keys,
--- a/packages/samphirenotch/src/jobs/ownership/roomReport.ts
+++ b/packages/samphirenotch/src/jobs/ownership/roomReport.ts
@@ -19,6 +19,10 @@
   readonly fleet: WorkerFleet;
   readonly operator: OperatorFollower;
   readonly clock: Clock;
+  /**
+   * Returns the processors of waiting tasks that the owner had no time to try, in thousandths of a core.
+   */
+  readonly untriedMilliCores: () => number;
 }
 
 /** Logs the room of one share at intervals. */
@@ -39,7 +43,7 @@
    * @param jobs - open jobs of the share
    */
   logIfDue(room: ShareCapacity, jobs: readonly OwnedJob[]): void {
-    const { share, clock, fleet, operator } = this.options;
+    const { share, clock, fleet, operator, untriedMilliCores } = this.options;
     const nowMs = clock.monotonicMs();
     if (nowMs < this.loggedMs + MIN_LOG_INTERVAL_MS) return;
     this.loggedMs = nowMs;
@@ -62,6 +66,7 @@
       waitingLate: waiting.late,
       waitingLasting: waiting.lasting,
       waitingFillers: waiting.fillers,
+      untried: untriedMilliCores(),
       openJobs: jobs.length,
     });
   }
--- a/packages/samphirenotch/src/jobs/ownership/summaryWriter.ts
+++ b/packages/samphirenotch/src/jobs/ownership/summaryWriter.ts
@@ -35,6 +35,10 @@
   readonly clock: Clock;
   /** Returns the store revision up to which all accepted jobs are known. */
   readonly revision: () => number;
+  /**
+   * Returns the processors of waiting tasks that the owner had no time to try, in thousandths of a core.
+   */
+  readonly untriedMilliCores: () => number;
 }
 
 const waitingMilliCores = ({ occurrences }: OwnedJob, wallMs: number): number => {
--- a/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
@@ -96,6 +96,9 @@
 
   private wasCutShort = false;
 
+  /** Steps that the last pass did not come to before it was cut short. */
+  private untriedSteps: readonly OwnedStep[] = [];
+
   private demandRefreshedMs = Number.NEGATIVE_INFINITY;
 
   /** Steps with tasks that found no worker in this pass, the most urgent first. */
@@ -130,6 +133,14 @@
     return this.wasCutShort;
   }
 
+  /** @returns processors of tasks that wait in untried steps, in thousandths of a core */
+  get untriedMilliCores(): number {
+    return this.untriedSteps.reduce(
+      (sum, { tasks, spec }) => sum + tasks.filter(isTaskWaiting).length * spec.size.milliCores,
+      0,
+    );
+  }
+
   /**
    * Lists steps with tasks that found no worker in the last pass, without those that still wait for
    * the policy service.
@@ -172,6 +183,7 @@
     const { book, clock } = this.options;
     this.wasCutShort = false;
     this.unplacedSteps = [];
+    this.untriedSteps = [];
     if (!directoryKnown || !this.gate.isOpen()) return;
     book.refreshQueues();
     this.placement.invalidateAll();
@@ -191,7 +203,8 @@
     const areAllTried = cutAt < 0;
     const starved = this.starvation.starved(ordered);
     starved.slice(0, MAXIMUM_RESERVED_STARTS).forEach((step) => this.startStarved(step, nowMs));
-    if (!areAllTried) this.startLongRunning(ordered.slice(cutAt + 1), nowMs);
+    this.untriedSteps = areAllTried ? [] : ordered.slice(cutAt + 1);
+    this.startLongRunning(this.untriedSteps, nowMs);
     const areCopiesTried = areAllTried && this.startSpeculativeCopies();
     this.wasCutShort = !areAllTried || !areCopiesTried || starved.length > MAXIMUM_RESERVED_STARTS;
     if (areAllTried) this.moveServing();
--- a/tests/profile/ownerProfileMain.ts
+++ b/tests/profile/ownerProfileMain.ts
@@ -67,25 +67,34 @@
   };
 };
 
-/** Shapes of jobs: quick ones, wide ones of two steps, and serving ones that last. */
-const SHAPES: readonly { readonly queue: SoakQueue; readonly steps: readonly SoakStep[] }[] = [
-  { queue: QUICK, steps: [makeStep({ count: 9, cpu: 3_100, durationMs: 640 })] },
-  {
-    queue: BATCH,
-    steps: [
-      makeStep({ count: 20, cpu: 1_800, durationMs: 1_700, checkpointing: true, filler: true }),
-      makeStep({
-        count: 20,
-        cpu: 1_800,
-        durationMs: 1_700,
-        checkpointing: true,
-        filler: true,
-        after: [0],
-      }),
-    ],
-  },
-  { queue: WATCH, steps: [makeStep({ count: 8, cpu: 1_500, longRunning: true })] },
-];
+/** A kind of job that is handed in again and again. */
+interface Shape {
+  readonly queue: SoakQueue;
+  readonly steps: readonly SoakStep[];
+}
+
+const QUICK_SHAPE: Shape = {
+  queue: QUICK,
+  steps: [makeStep({ count: 9, cpu: 3_100, durationMs: 640 })],
+};
+
+const BATCH_STEP = {
+  count: 20,
+  cpu: 1_800,
+  durationMs: 1_700,
+  checkpointing: true,
+  filler: true,
+} as const;
+
+const BATCH_SHAPE: Shape = {
+  queue: BATCH,
+  steps: [makeStep(BATCH_STEP), makeStep({ ...BATCH_STEP, after: [0] })],
+};
+
+const WATCH_SHAPE: Shape = {
+  queue: WATCH,
+  steps: [makeStep({ count: 8, cpu: 1_500, longRunning: true })],
+};
 
 /** Every so many jobs is one that lasts. */
 const LASTING_EVERY = 20;
@@ -108,10 +117,14 @@
 
   jobGap = Option.String('--job-gap', '100', { description: 'milliseconds between two jobs' });
 
+  watches = Option.String('--watches', '0', { description: 'jobs that last, handed in at first' });
+
   program = Option.String('--program', 'target/entry.cjs');
 
   folder = Option.String('--folder', '.build/profile');
 
+  private readonly random = makeRandom(1);
+
   network = Option.String('--network', '77', { description: 'third part of the address' });
 
   override async execute(): Promise<number> {
@@ -147,19 +160,26 @@
   }
 
   private async drive(host: string): Promise<void> {
-    const random = makeRandom(1);
     const untilMs = performance.now() + 1_000 * Number(this.seconds);
+    for (let count = 0; count < Number(this.watches); count += 1) this.submitNew(host, WATCH_SHAPE);
     let at = 0;
     while (performance.now() < untilMs) {
-      await sleep(random.exponential(Number(this.jobGap)));
+      await sleep(this.random.exponential(Number(this.jobGap)));
       at += 1;
-      const shape = SHAPES[at % LASTING_EVERY === 0 ? 2 : at % 2];
-      if (!shape) return;
-      const id = Array.from({ length: 16 }, () => random.below(16).toString(16)).join('');
-      this.submit(host, { id, ...shape });
+      this.submitNew(host, this.shapeOf(at));
     }
   }
 
+  private shapeOf(at: number): Shape {
+    if (at % LASTING_EVERY === 0) return WATCH_SHAPE;
+    return at % 2 === 0 ? QUICK_SHAPE : BATCH_SHAPE;
+  }
+
+  private submitNew(host: string, shape: Shape): void {
+    const id = Array.from({ length: 16 }, () => this.random.below(16).toString(16)).join('');
+    this.submit(host, { id, ...shape });
+  }
+
   private submit(host: string, job: SoakJob): void {
     const text = JSON.stringify(bodyOf(job));
     const sent = request({
