Learn pair slopes in place

An owner learns from every serving task of every poll, and made two new tables for each: with 28 jobs that last, that was 256 ms of 5,078 ms of processor time (profile, 25 s). 200,000 observations take 916 ms instead of 1,789 ms; all predictions are equal to the last digit.

--- a/packages/samphirenotch/src/jobs/pacing/pairSlopes.ts
+++ b/packages/samphirenotch/src/jobs/pacing/pairSlopes.ts
@@ -34,7 +34,7 @@
   private readonly featureIndexes = new Map<string, number>();
 
   /** Weighted sums of products of two features; the first feature is the constant one. */
-  private featureProducts: number[][] = [[PRIOR_WEIGHT_SQUARED_FRACTION]];
+  private readonly featureProducts: number[][] = [[PRIOR_WEIGHT_SQUARED_FRACTION]];
 
   private readonly lossProducts: number[] = [0];
 
@@ -78,16 +78,20 @@
       const index = this.indexOf(image);
       features[index] = (features[index] ?? 0) + used;
     });
-    this.featureProducts = this.featureProducts.map((row, i) =>
-      row.map((value, j) => value * OBSERVATION_DECAY + (features[i] ?? 0) * (features[j] ?? 0)),
-    );
-    features.forEach((feature, i) => {
-      this.lossProducts[i] =
-        (this.lossProducts[i] ?? 0) * OBSERVATION_DECAY + feature * observedLoss;
-    });
+    for (let i = 0; i < features.length; i += 1) this.addObservation(i, features, observedLoss);
     for (let round = 0; round < DESCENT_ROUNDS; round += 1) this.descend();
   }
 
+  // Loops over indexes: an owner learns from every serving task of every poll.
+  private addObservation(i: number, features: readonly number[], observedLoss: number): void {
+    const row = this.featureProducts[i] ?? [];
+    const feature = features[i] ?? 0;
+    for (let j = 0; j < row.length; j += 1) {
+      row[j] = (row[j] ?? 0) * OBSERVATION_DECAY + feature * (features[j] ?? 0);
+    }
+    this.lossProducts[i] = (this.lossProducts[i] ?? 0) * OBSERVATION_DECAY + feature * observedLoss;
+  }
+
   private indexOf(filler: string): number {
     const known = this.featureIndexes.get(filler);
     if (known !== undefined) return known;
@@ -101,16 +105,18 @@
   }
 
   private descend(): void {
-    this.slopes.forEach((slope, i) => {
+    const { slopes } = this;
+    for (let i = 0; i < slopes.length; i += 1) {
       const row = this.featureProducts[i] ?? [];
-      const others = row.reduce((sum, value, j) => sum + value * (this.slopes[j] ?? 0), 0);
       const own = row[i] ?? 0;
+      let others = 0;
+      for (let j = 0; j < row.length; j += 1) others += (row[j] ?? 0) * (slopes[j] ?? 0);
       const prior = i === 0 ? 0 : PRIOR_SLOPE;
-      const remainder = (this.lossProducts[i] ?? 0) - (others - own * slope);
-      this.slopes[i] = Math.max(
+      const remainder = (this.lossProducts[i] ?? 0) - (others - own * (slopes[i] ?? 0));
+      slopes[i] = Math.max(
         0,
         (remainder + PRIOR_WEIGHT_SQUARED_FRACTION * prior) / (own + PRIOR_WEIGHT_SQUARED_FRACTION),
       );
-    });
+    }
   }
 }
