Keep costs of workers from pass to pass while nothing has changed there

A pass computed what each worker costs each kind of task anew, some thirty times a second, from tail latencies that are measured every half second. Costs are kept for 100 ms now; a worker whose runs, resources or description have changed counts at once. Compared with an exhaustive search, also over passes between which workers change.

--- a/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
@@ -66,6 +66,9 @@
 /** Time between two updates of the demand of fillers, in milliseconds. */
 const DEMAND_REFRESH_INTERVAL_MS = 500;
 
+const isSameList = (one: readonly WorkerAgent[], other: readonly WorkerAgent[]): boolean =>
+  one.length === other.length && one.every((agent, index) => agent === other[index]);
+
 interface PlannedStart {
   readonly task: OwnedTask;
   readonly agent: WorkerAgent;
@@ -109,7 +112,10 @@
    */
   private readonly unplaceable = new UnplaceableSizes();
 
-  private readonly candidatesByService = new Map<string, readonly WorkerAgent[]>();
+  /** Workers that accept tasks, by service: those of this pass, and those of the last one that asked. */
+  private readonly candidatesOfPass = new Map<string, readonly WorkerAgent[]>();
+
+  private readonly formerCandidates = new Map<string, readonly WorkerAgent[]>();
 
   /**
    * @param options - jobs, workers and configuration
@@ -186,8 +192,8 @@
     this.untriedSteps = [];
     if (!directoryKnown || !this.gate.isOpen()) return;
     book.refreshQueues();
-    this.placement.invalidateAll();
-    this.candidatesByService.clear();
+    this.placement.beginPass();
+    this.candidatesOfPass.clear();
     this.unplaceable.clear();
     this.preemption.beginPass();
     this.options.permissions.beginPass();
@@ -234,11 +240,15 @@
   private candidates({ occurrence }: OwnedStep): readonly WorkerAgent[] {
     const { fleet, operator } = this.options;
     const { service } = occurrence.job.queue;
-    const known = this.candidatesByService.get(service);
+    const known = this.candidatesOfPass.get(service);
     if (known) return known;
     const found = fleet.candidates(service, operator.view().evacuated);
-    this.candidatesByService.set(service, found);
-    return found;
+    const former = this.formerCandidates.get(service);
+    // Costs are kept by list, so an equal list is not replaced.
+    const candidates = former && isSameList(former, found) ? former : found;
+    this.candidatesOfPass.set(service, candidates);
+    this.formerCandidates.set(service, candidates);
+    return candidates;
   }
 
   private startStarved(step: OwnedStep, nowMs: number): void {
--- a/packages/samphirenotch/src/jobs/placement/taskPlacement.ts
+++ b/packages/samphirenotch/src/jobs/placement/taskPlacement.ts
@@ -26,8 +26,13 @@
 
 /** Chooses workers for tasks. */
 export interface TaskPlacement {
-  /** Discards everything cached about workers. Called at the start of each pass. */
+  /** Discards everything cached about workers. */
   invalidateAll(): void;
+  /**
+   * Begins a pass: discards what is cached about workers that have changed, and everything once it is
+   * old.
+   */
+  beginPass(): void;
   /**
    * Discards what is cached about one worker, after a task was started on it.
    *
@@ -91,6 +96,12 @@
  */
 const MAXIMUM_TAIL_TO_TARGET = 0.8;
 
+/**
+ * Longest time for which costs are kept, in milliseconds. Tail latencies are measured every half second;
+ * what changes the free resources of a worker counts at once.
+ */
+const MAXIMUM_COST_AGE_MS = 100;
+
 /** Fraction of its declared processors that a serving task uses on average. */
 export const SERVING_UTILISATION = 0.5;
 
@@ -136,13 +147,8 @@
   readonly needed: number;
 }
 
-/** Results cached for one list of workers. */
-interface WorkerListCache {
-  /** Workers that had enough free resources, by task size. */
-  readonly fitting: Map<string, readonly WorkerAgent[]>;
-  /** Costs by step or by cache key of the step. */
-  readonly costs: Map<string | OwnedStep, WorkerCosts>;
-}
+/** Costs cached for one list of workers, by step or by cache key of the step. */
+type WorkerListCosts = Map<string | OwnedStep, WorkerCosts>;
 
 /** Spreads tasks by free processors and avoids interference between fillers and serving tasks. */
 export class SpreadPlacement implements TaskPlacement {
@@ -164,7 +170,10 @@
   private changedWorkers: WorkerAgent[] = [];
 
   /** Cached results by list of workers. */
-  private caches = new WeakMap<readonly WorkerAgent[], WorkerListCache>();
+  private caches = new WeakMap<readonly WorkerAgent[], WorkerListCosts>();
+
+  /** Versions of the workers that something is cached about. */
+  private readonly cachedVersions = new Map<WorkerAgent, number>();
 
   /**
    * @param interference - learned effects of fillers on serving tasks
@@ -186,12 +195,24 @@
     this.baselines.clear();
     this.changedWorkers = [];
     this.caches = new WeakMap();
+    this.cachedVersions.clear();
+  }
+
+  beginPass(): void {
+    if (this.clock.monotonicMs() - this.invalidatedMs >= MAXIMUM_COST_AGE_MS) {
+      this.invalidateAll();
+      return;
+    }
+    this.cachedVersions.forEach((version, agent) => {
+      if (agent.version !== version) this.invalidate(agent);
+    });
   }
 
   invalidate(agent: WorkerAgent): void {
     this.unusedByWorker.delete(agent);
     this.tailsByWorker.delete(agent);
     this.changedWorkers.push(agent);
+    this.cachedVersions.set(agent, agent.version);
   }
 
   choose(input: PlacementInput): WorkerAgent | undefined {
@@ -228,37 +249,34 @@
 
   private costsOf({ task, size, workers }: PlacementInput): WorkerCosts {
     const { step } = task;
-    const cache = this.caches.get(workers) ?? { fitting: new Map(), costs: new Map() };
-    this.caches.set(workers, cache);
-    const known = cache.costs.get(step);
+    const cache = this.caches.get(workers) ?? this.startCache(workers);
+    const known = cache.get(step);
     if (known) return known;
     const cacheKey = cacheKeyOf(step);
     const costs =
-      cache.costs.get(cacheKey) ??
+      cache.get(cacheKey) ??
       new WorkerCosts({
-        workers: this.workersWithRoom(cache, workers, size),
+        workers,
         changed: this.changedWorkers,
         costOf: (agent) => this.costIfPossible(agent, task, size, 0),
       });
-    cache.costs.set(cacheKey, costs);
-    cache.costs.set(step, costs);
+    cache.set(cacheKey, costs);
+    cache.set(step, costs);
     return costs;
   }
 
-  /**
-   * Starts only reduce free resources, so a worker that is too full stays so until the next pass.
-   */
-  private workersWithRoom(
-    { fitting }: WorkerListCache,
-    workers: readonly WorkerAgent[],
-    size: Size,
-  ): readonly WorkerAgent[] {
-    const key = `${size.milliCores} ${size.memoryMb} ${size.accelerators}`;
-    const known = fitting.get(key);
-    if (known) return known;
-    const found = workers.filter((agent) => agent.fits(size));
-    fitting.set(key, found);
-    return found;
+  private startCache(workers: readonly WorkerAgent[]): WorkerListCosts {
+    const cache: WorkerListCosts = new Map();
+    this.caches.set(workers, cache);
+    workers.forEach((agent) => this.noteCached(agent));
+    return cache;
+  }
+
+  /** Something is cached about a worker from now on; a change since it was first cached counts now. */
+  private noteCached(agent: WorkerAgent): void {
+    const version = this.cachedVersions.get(agent);
+    if (version === undefined) this.cachedVersions.set(agent, agent.version);
+    else if (version !== agent.version) this.invalidate(agent);
   }
 
   /** Returns the cost of a worker; infinite if it is too full or may not run the task. */
@@ -352,6 +370,7 @@
   private cachedUnusedMilliCores(agent: WorkerAgent): number {
     const known = this.unusedByWorker.get(agent);
     if (known !== undefined) return known;
+    this.noteCached(agent);
     const unused = unusedMilliCores(agent);
     this.unusedByWorker.set(agent, unused);
     return unused;
@@ -360,6 +379,7 @@
   private predictedTails(agent: WorkerAgent): readonly PredictedTail[] {
     const known = this.tailsByWorker.get(agent);
     if (known) return known;
+    this.noteCached(agent);
     const uses = usagesAtFullPace(agent);
     const tails = agent.servingRuns().flatMap(({ task }) => {
       const { image, targetMs } = task.step.spec;
--- a/packages/samphirenotch/src/jobs/workers/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerAgent.ts
@@ -152,6 +152,8 @@
 
   private failedPolls = 0;
 
+  private descriptionChanges = 0;
+
   private bornMs: number | undefined;
 
   /**
@@ -229,6 +231,11 @@
     return this.runs.fillers();
   }
 
+  /** @returns number that differs once the worker's runs, resources or description have changed */
+  get version(): number {
+    return this.runs.changes + this.descriptionChanges;
+  }
+
   /** @returns number of runs that may be in progress on the worker */
   get runCount(): number {
     return this.runs.count;
@@ -260,6 +267,7 @@
       this.worker = this.options.connect(description.address);
     }
     this.description = description;
+    this.descriptionChanges += 1;
     this.isUnlisted = false;
     if (this.hasRestarted) this.wakeup.wake();
   }
--- a/packages/samphirenotch/src/jobs/workers/workerRuns.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerRuns.ts
@@ -38,6 +38,8 @@
 
   private unknownRunCount = 0;
 
+  private changeCount = 0;
+
   /**
    * All runs as a list, cached until one is added or dropped, because decisions read it far more
    * often.
@@ -71,6 +73,11 @@
     return this.cachedFillers;
   }
 
+  /** @returns number of changes of the runs and their resources so far */
+  get changes(): number {
+    return this.changeCount;
+  }
+
   /** @returns number of runs that may be in progress */
   get count(): number {
     return this.runs.size;
@@ -166,6 +173,7 @@
    * @param sizes - one size per run
    */
   setUnknownRuns(sizes: readonly Size[]): void {
+    if (sizes.length > 0 || this.unknownRunCount > 0) this.changeCount += 1;
     this.unknownRunCount = sizes.length;
     this.resources.setUnknownRuns(sizes);
   }
@@ -192,6 +200,7 @@
   }
 
   private clearCaches(): void {
+    this.changeCount += 1;
     this.cachedAll = undefined;
     this.cachedServing = undefined;
     this.cachedFillers = undefined;
--- a/tests/jobs/taskPlacement.spec.ts
+++ b/tests/jobs/taskPlacement.spec.ts
@@ -187,6 +187,73 @@
   });
 });
 
+/** Gives workers more or less room, and starts a task, without telling the placement. */
+const changeWorkers = (scenario: Scenario): void => {
+  const { random, fleet } = scenario;
+  fleet.forEach((agent) => {
+    if (random.fraction() >= 0.3) return;
+    const { capacity } = agent.description;
+    const milliCores = capacity.milliCores + pick(random, [-1_000, 1_000, 2_000]);
+    agent.updateDescription({ ...agent.description, capacity: { ...capacity, milliCores } });
+  });
+  changeSomeWorker(scenario);
+};
+
+/** Places tasks in passes that follow each other too soon for tail latencies to change. */
+const runQuickPasses = (seed: number): readonly (readonly [string, string])[] => {
+  const scenario = makeScenario(seed);
+  const { random, fleet, placement, room } = scenario;
+  room.setDemand(new Map([['noisy', 1]]));
+  const half = fleet.filter((_agent, index) => index % 2 === 0);
+  const steps = Array.from({ length: STEPS_PER_PASS }, () => makeAny(random));
+  return Array.from({ length: PASSES }).flatMap(() => {
+    placement.beginPass();
+    const choices = steps
+      .map((spec) => makeOwnedStep(spec))
+      .flatMap((step) => placeStep(scenario, step, pick(random, [fleet, half])));
+    changeWorkers(scenario);
+    return choices;
+  });
+};
+
+// Guards against costs that are kept from pass to pass although a worker has changed: tasks would wait
+// beside room that has become free, or be sent to a worker that is full.
+test('should choose the same workers as an exhaustive search when workers change between passes', (t) => {
+  SEEDS.forEach((seed) => {
+    const choices = runQuickPasses(seed);
+    t.deepEqual(
+      choices.map(([chosen]) => chosen),
+      choices.map(([, plain]) => plain),
+      `seed ${seed}`,
+    );
+    t.true(choices.some(([, plain]) => plain === 'none'));
+  });
+});
+
+// Guards against tail latencies of another time: costs are not kept for longer than their measurements.
+test('should compute costs anew once they are old', (t) => {
+  const { clock, interference, placement } = makeScenario(1);
+  const capacity = { milliCores: 16_000, memoryMb: 32_000, accelerators: 0 };
+  const large = makeSilentAgent(clock, { id: 'large', capacity });
+  const small = makeSilentAgent(clock, { id: 'small' });
+  addRunningRun(small, makeOwnedStep(makeStep()));
+  const workers = [large, small];
+  const serving = makeStep({ longRunning: true, image: 'sensitive', targetMs: 10 });
+  const disturbed = addRunningRun(large, makeOwnedStep(serving));
+  const [task] = makeOwnedStep(makeStep({ filler: true, image: 'noisy' })).tasks;
+  const choose = (): string | undefined => {
+    placement.beginPass();
+    return task && placement.choose({ task, size: reservedSizeOf(task), workers })?.id;
+  };
+  clock.jump(1_000);
+  t.is(choose(), 'large');
+  disturbed.percent = FULL_PERCENT;
+  disturbed.gauge = 40;
+  interference.learn(large.activeRuns(), capacity.milliCores, clock.monotonicMs());
+  clock.jump(100);
+  t.is(choose(), 'small');
+});
+
 // Guards against a comparison without value, in which workers are empty or full from the start.
 test('should include tasks that fit and tasks that fit on no worker', (t) => {
   SEEDS.forEach((seed) => {
