Count the runs of a job, and look for victims among runs that hold processors

Every pass asked each job of fillers that waits whether any of its tasks has a run, and looked at every filler as a victim for tasks that lack processors, which no filler frees. No decision changes.

--- a/packages/samphirenotch/src/jobs/model/ownedJob.ts
+++ b/packages/samphirenotch/src/jobs/model/ownedJob.ts
@@ -197,6 +197,9 @@
 
   cancelled = false;
 
+  /** Number of runs of the job that may be in progress. */
+  runCount = 0;
+
   /** The final state once it is decided, even if it is not stored yet. */
   final: 'completed' | 'failed' | undefined;
 
@@ -260,9 +263,7 @@
 
   /** @returns true if a run of the job may be in progress */
   get hasRuns(): boolean {
-    return [...this.occurrences.values()].some(({ steps }) =>
-      steps.some(({ tasks }) => tasks.some(({ runs }) => runs.length > 0)),
-    );
+    return this.runCount > 0;
   }
 
   /** @returns every run of the job that may be in progress */
--- a/packages/samphirenotch/src/jobs/placement/preemption.ts
+++ b/packages/samphirenotch/src/jobs/placement/preemption.ts
@@ -132,12 +132,18 @@
   /** Returns the runs to stop on a worker; none if stopping runs would not free enough. */
   private victims(agent: WorkerAgent, size: Size, priority: number): readonly OwnedRun[] {
     const nowMs = this.clock.monotonicMs();
+    let room = Preemption.roomAfterStops(agent);
+    // Most runs are fillers, and stopping one frees no processors.
+    const lacksOnlyProcessors = fitsIn({ ...size, milliCores: 0 }, { ...room, milliCores: 0 });
     const candidates = agent
       .activeRuns()
-      .filter((run) => Preemption.isPreemptible(run, priority, nowMs))
+      .filter(
+        (run) =>
+          (run.size.milliCores > 0 || !lacksOnlyProcessors) &&
+          Preemption.isPreemptible(run, priority, nowMs),
+      )
       .sort((left, right) => right.size.milliCores - left.size.milliCores);
     if (candidates.length === 0) return [];
-    let room = Preemption.roomAfterStops(agent);
     const victims: OwnedRun[] = [];
     for (const run of candidates) {
       if (fitsIn(size, room)) break;
--- a/packages/samphirenotch/src/jobs/workers/workerRuns.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerRuns.ts
@@ -147,6 +147,8 @@
     this.runs.set(runKey(nameOf(owned)), owned);
     this.clearCaches();
     task.runs.push(owned);
+    const { job } = task.step.occurrence;
+    job.runCount += 1;
     this.resources.reserve(size);
     return owned;
   }
@@ -164,6 +166,8 @@
     this.resources.release(run.size);
     const at = run.task.runs.indexOf(run);
     if (at >= 0) run.task.runs.splice(at, 1);
+    const { job } = run.task.step.occurrence;
+    job.runCount -= 1;
     return true;
   }
 
