Start late urgent tasks before fillers, and some of them in every pass that is cut short

Cause: late jobs come last, so that they take no room from those that can be in time. That order decides about the owner's time too. When an owner is slow, urgent jobs are late when it hears of them; it then puts them behind all that can be in time, passes are cut short before they come to them, and what is behind them is ever more. Fillers took part in that order although they take no room from other tasks.

Change: fillers follow all other tasks, in the same order among themselves, and a pass that was cut short starts a task of each of the four most urgent late steps that it did not come to, as it does for tasks that last.

--- a/packages/samphirenotch/src/jobs/placement/roomByKind.ts
+++ b/packages/samphirenotch/src/jobs/placement/roomByKind.ts
@@ -9,7 +9,7 @@
   type OwnedRun,
   type OwnedStep,
 } from '../model/ownedJob.js';
-import { remainingPathMs, objectiveMs } from './stepOrder.js';
+import { isLate } from './stepOrder.js';
 
 /** Sums of requested processors by kind of task, in thousandths of a core. */
 export interface RoomByKind {
@@ -25,11 +25,9 @@
 type MutableRoomByKind = { -readonly [Key in keyof RoomByKind]: number };
 
 const kindOf = (step: OwnedStep, nowMs: number): keyof RoomByKind => {
-  const { spec, occurrence } = step;
-  if (spec.filler) return 'fillers';
-  if (spec.longRunning) return 'lasting';
-  const isLate = nowMs + remainingPathMs(occurrence.job, step.index) > objectiveMs(occurrence.job);
-  return isLate ? 'late' : 'inTime';
+  if (step.spec.filler) return 'fillers';
+  if (step.spec.longRunning) return 'lasting';
+  return isLate(step, nowMs) ? 'late' : 'inTime';
 };
 
 const noRoom = (): MutableRoomByKind => ({ inTime: 0, late: 0, lasting: 0, fillers: 0 });
--- a/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
@@ -30,7 +30,13 @@
 import { StartGate } from './startGate.js';
 import type { UnplacedStep } from './spillOver.js';
 import { Starvation } from './starvation.js';
-import { remainingPathMs, DeadlineStepOrder, objectiveMs, type StepOrder } from './stepOrder.js';
+import {
+  DeadlineStepOrder,
+  isLate,
+  objectiveMs,
+  remainingPathMs,
+  type StepOrder,
+} from './stepOrder.js';
 import type { StepPermissions } from './stepPermissions.js';
 import { SpreadPlacement, type PlacementInput, type TaskPlacement } from './taskPlacement.js';
 
@@ -55,8 +61,8 @@
 const PASS_BUDGET_MS = 30;
 
 /**
- * Highest number of starved filler steps, and of long-running steps that were not reached when the
- * pass was cut short, of which a pass still starts one task each.
+ * Highest number of starved filler steps, and of long-running and of late steps that were not reached
+ * when the pass was cut short, of which a pass still starts one task each.
  */
 const MAXIMUM_RESERVED_STARTS = 4;
 
@@ -210,7 +216,7 @@
     const starved = this.starvation.starved(ordered);
     starved.slice(0, MAXIMUM_RESERVED_STARTS).forEach((step) => this.startStarved(step, nowMs));
     this.untriedSteps = areAllTried ? [] : ordered.slice(cutAt + 1);
-    this.startLongRunning(this.untriedSteps, nowMs);
+    this.startSomeUntried(nowMs);
     const areCopiesTried = areAllTried && this.startSpeculativeCopies();
     this.wasCutShort = !areAllTried || !areCopiesTried || starved.length > MAXIMUM_RESERVED_STARTS;
     if (areAllTried) this.moveServing();
@@ -261,13 +267,15 @@
   }
 
   /**
-   * Long-running tasks come after short ones when capacity is scarce, but must not be left out
-   * because passes run out of time.
+   * Long-running and late tasks come after those that can be in time when capacity is scarce, but must
+   * not be left out because passes run out of time.
    */
-  private startLongRunning(steps: readonly OwnedStep[], nowMs: number): void {
-    steps
-      .filter(({ spec }) => spec.longRunning)
-      .slice(0, MAXIMUM_RESERVED_STARTS)
+  private startSomeUntried(nowMs: number): void {
+    const steps = this.untriedSteps.filter(({ spec }) => !spec.filler);
+    const lasting = steps.filter(({ spec }) => spec.longRunning);
+    const late = steps.filter((step) => isLate(step, nowMs));
+    [lasting, late]
+      .flatMap((each) => each.slice(0, MAXIMUM_RESERVED_STARTS))
       .forEach((step) => this.startOneTask(step, nowMs, (input) => this.placement.choose(input)));
   }
 
--- a/packages/samphirenotch/src/jobs/placement/stepOrder.ts
+++ b/packages/samphirenotch/src/jobs/placement/stepOrder.ts
@@ -4,6 +4,9 @@
  * Jobs that can still meet their objective come first, by priority of their queue and then by
  * earliest objective. Long-running tasks follow, because they keep the capacity that they get and
  * would leave none for bursts. Late jobs come last.
+ *
+ * Fillers take no capacity from other tasks, only time of the owner, so they follow all of these, in
+ * the same order among themselves.
  */
 import type { OwnedJob, OwnedStep } from '../model/ownedJob.js';
 
@@ -81,6 +84,7 @@
 
 interface Rank {
   readonly step: OwnedStep;
+  readonly isFiller: boolean;
   readonly group: number;
   readonly priority: number;
   readonly dueMs: number;
@@ -91,24 +95,44 @@
 const LONG_RUNNING = 1;
 const LATE = 2;
 
-/** Orders steps by group, then by priority, then by objective. */
+/**
+ * Checks whether a job can no longer meet its objective, by its estimates.
+ *
+ * @param step - the step of the job that waits
+ * @param nowMs - monotonic time in milliseconds
+ * @returns true if it is late; never for long-running tasks
+ */
+export const isLate = ({ occurrence, index, spec }: OwnedStep, nowMs: number): boolean =>
+  !spec.longRunning && nowMs + remainingPathMs(occurrence.job, index) > objectiveMs(occurrence.job);
+
+/** Orders steps that are no fillers before those that are, then by group, priority and objective. */
 export class DeadlineStepOrder implements StepOrder {
   sort(steps: readonly OwnedStep[], nowMs: number): readonly OwnedStep[] {
     return steps
       .map((step) => this.rank(step, nowMs))
       .sort(
         (left, right) =>
-          left.group - right.group || left.priority - right.priority || left.dueMs - right.dueMs,
+          Number(left.isFiller) - Number(right.isFiller) ||
+          left.group - right.group ||
+          left.priority - right.priority ||
+          left.dueMs - right.dueMs,
       )
       .map(({ step }) => step);
   }
 
   private rank(step: OwnedStep, nowMs: number): Rank {
     const { job } = step.occurrence;
-    const dueMs = objectiveMs(job);
-    const { priority } = job.queue;
-    if (step.spec.longRunning) return { step, group: LONG_RUNNING, priority, dueMs };
-    const isInTime = nowMs + remainingPathMs(job, step.index) <= dueMs;
-    return { step, group: isInTime ? IN_TIME : LATE, priority, dueMs };
+    return {
+      step,
+      isFiller: step.spec.filler,
+      group: this.groupOf(step, nowMs),
+      priority: job.queue.priority,
+      dueMs: objectiveMs(job),
+    };
+  }
+
+  private groupOf(step: OwnedStep, nowMs: number): number {
+    if (step.spec.longRunning) return LONG_RUNNING;
+    return isLate(step, nowMs) ? LATE : IN_TIME;
   }
 }
--- a/tests/jobs/cutPasses.spec.ts
+++ b/tests/jobs/cutPasses.spec.ts
@@ -4,7 +4,7 @@
 import test from 'ava';
 import { encodeAccepted } from 'samphirenotch/jobs/model/acceptedJob.js';
 import { ACCEPTED_PREFIX } from 'samphirenotch/jobs/store/jobKeys.js';
-import type { JobSpec } from 'samphirenotch/jobs/model/jobSpec.js';
+import type { JobSpec, StepSpec } from 'samphirenotch/jobs/model/jobSpec.js';
 import { WHOLE_SITE_SHARE_ID } from 'samphirenotch/jobs/model/shareLayout.js';
 import type { Queue } from 'samphirenotch/jobs/model/siteConfiguration.js';
 
@@ -41,6 +41,15 @@
 const lessUrgent = makeQueue({ name: 'less', prefix: '/less/', priority: 2 });
 const bulk = makeQueue({ name: 'bulk', prefix: '/bulk/', priority: 3 });
 
+/** Its jobs cannot be in time any more once the owner knows of them. */
+const hopeless = makeQueue({
+  name: 'hopeless',
+  prefix: '/hopeless/',
+  priority: 1,
+  stretch: 0,
+  targetLatencyMs: 0,
+});
+
 const put = (site: JobSite, queue: Queue, ids: readonly string[], job: JobSpec): void => {
   const writes = ids.map((id) => ({
     key: ACCEPTED_PREFIX + id,
@@ -63,16 +72,21 @@
     behave: () => ({ size: SIZE, durationMs: 1_000 }),
     ...options,
   });
-  site.configure([site.queue, urgent, lessUrgent, bulk]);
+  site.configure([site.queue, urgent, lessUrgent, bulk, hopeless]);
   await site.run(200);
   return site;
 };
 
 /** Submits more tasks than can be started, for the length of the burst. */
-const runBurst = async (site: JobSite, durationMs = BURST_MS, first = 0): Promise<void> => {
+const runBurst = async (
+  site: JobSite,
+  durationMs = BURST_MS,
+  first = 0,
+  step: Partial<StepSpec> = {},
+): Promise<void> => {
   for (let at = 0; at < durationMs; at += STEP_MS) {
     const id = (first + at).toString(16).padStart(16, '0');
-    put(site, bulk, [id], makeJob(makeStep({ count: TASKS_PER_STEP })));
+    put(site, bulk, [id], makeJob(makeStep({ count: TASKS_PER_STEP, ...step })));
     await site.run(STEP_MS);
   }
 };
@@ -144,3 +158,20 @@
   const [run] = site.record.runsOf(`${URGENT_ID}.0.0.0`);
   t.true((run?.startedMs ?? Infinity) - putMs <= MAX_START_DELAY_MS);
 });
+
+// Guards against urgent jobs that come late to an owner with too little processor, and then wait beside
+// free room for as long as less urgent ones that can meet their target keep coming (SHORT of price checks).
+[{ filler: true }, {}].forEach((kind) => {
+  test(`should start urgent tasks that are late while ${kind.filler ? 'fillers' : 'tasks'} that can meet their target keep coming`, async (t) => {
+    const site = await makeBulkSite();
+    await runBurst(site, 1_000, 0, kind);
+    put(site, hopeless, [URGENT_ID], makeJob(makeStep({ count: 6 })));
+    const putMs = site.clock.monotonicMs();
+    await runBurst(site, BURST_MS, 1_000, kind);
+    const starts = site.record.runs
+      .filter(({ taskId }) => taskId.startsWith(URGENT_ID))
+      .map(({ startedMs }) => startedMs - putMs);
+    t.is(starts.length, 6);
+    t.true(Math.max(...starts) <= MAX_START_DELAY_MS, `last start after ${Math.max(...starts)} ms`);
+  });
+});
