Try each waiting step in turn when passes are cut short

What callers saw: a long-running or late task that waits beside free workers for as long as passes are cut short, if four steps before it fit nowhere (a label that no worker has, a size that none has room for). On a platform that asks for tasks that last to run where there is room this is LOST.

Cause: of the steps that a pass had no time for, only the first four long-running and the first four late ones are tried, in each pass the same four, whether they fit or not. Gangs among them were skipped and took a place all the same.

Four new tests, twelve steps that fit nowhere before one that fits, with a burst that keeps passes short: all four failed before (the task did not start in 4 s and more), all pass now.

Change: steps whose last try failed come after the others, the oldest failure first, so each is tried within a bounded number of passes. A gang is started whole or not at all.

--- a/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
@@ -26,6 +26,7 @@
 import { JobExplainer, type JobExplanation } from './jobExplanation.js';
 import { UnplaceableSizes } from './unplaceableSizes.js';
 import { Preemption } from './preemption.js';
+import { RetryOrder } from './retryOrder.js';
 import { ServingMoves } from './servingMoves.js';
 import { StartGate } from './startGate.js';
 import type { UnplacedStep } from './spillOver.js';
@@ -98,6 +99,8 @@
 
   private readonly gate: StartGate;
 
+  private readonly retries = new RetryOrder();
+
   private startCount = 0;
 
   /** Monotonic time at which the pass is cut short, in milliseconds. */
@@ -275,8 +278,17 @@
     const lasting = steps.filter(({ spec }) => spec.longRunning);
     const late = steps.filter((step) => isLate(step, nowMs));
     [lasting, late]
-      .flatMap((each) => each.slice(0, MAXIMUM_RESERVED_STARTS))
-      .forEach((step) => this.startOneTask(step, nowMs, (input) => this.placement.choose(input)));
+      .flatMap((each) => this.retries.next(each, MAXIMUM_RESERVED_STARTS))
+      .forEach((step) => {
+        const startsBefore = this.startCount;
+        if (step.spec.gang) this.startGang(step, this.startableWorkers(step), nowMs);
+        else this.startOneTask(step, nowMs, (input) => this.placement.choose(input));
+        this.retries.record(step, this.startCount > startsBefore);
+      });
+  }
+
+  private startableWorkers(step: OwnedStep): readonly WorkerAgent[] {
+    return this.options.permissions.startableWorkers(step, this.candidates(step));
   }
 
   private startOneTask(
@@ -286,7 +298,7 @@
   ): void {
     const task = step.tasks.find((each) => this.isWaiting(each, nowMs));
     if (!task || step.spec.gang) return;
-    const workers = this.options.permissions.startableWorkers(step, this.candidates(step));
+    const workers = this.startableWorkers(step);
     const agent = choose({ task, size: reservedSizeOf(task), workers });
     if (agent) this.start({ task, agent }, task.nextRun);
   }
--- a/tests/jobs/cutPasses.spec.ts
+++ b/tests/jobs/cutPasses.spec.ts
@@ -175,3 +175,25 @@
     t.true(Math.max(...starts) <= MAX_START_DELAY_MS, `last start after ${Math.max(...starts)} ms`);
   });
 });
+
+// Guards against steps that fit nowhere and take the place of others in every pass that is cut short, so
+// that a long-running task doesn't run although there is room for it (LOST).
+[
+  { name: 'that fit nowhere', blocker: { requiredLabel: 'missing' } },
+  { name: 'of gangs that fit nowhere', blocker: { requiredLabel: 'missing', gang: true } },
+].forEach(({ name, blocker }) => {
+  [{ longRunning: true }, {}].forEach((kind) => {
+    test(`should start a ${kind.longRunning ? 'long-running' : 'late'} task behind many ${name} while passes are cut short`, async (t) => {
+      const site = await makeBulkSite();
+      const queue = kind.longRunning ? urgent : hopeless;
+      const blockers = Array.from({ length: 12 }, (_, index) => `bbbbbbbbbbbbbb${10 + index}`);
+      put(site, queue, blockers, makeJob(makeStep({ ...kind, ...blocker })));
+      await runBurst(site, 1_000);
+      put(site, queue, [URGENT_ID], makeJob(makeStep(kind)));
+      const putMs = site.clock.monotonicMs();
+      await runBurst(site, BURST_MS, 1_000);
+      const [run] = site.record.runsOf(`${URGENT_ID}.0.0.0`);
+      t.true((run?.startedMs ?? Infinity) - putMs <= MAX_START_DELAY_MS);
+    });
+  });
+});
