Try a task elsewhere after a worker has not answered its start

What callers saw: a task that lasts does not run for many seconds although workers have room for it (LOST), and short tasks lose a second and more again and again, beside one worker that answers polls but no starts.

Cause: a start that gets no answer costs its task 0.6 s, a stop and the next poll, and nothing of it is remembered for the task: a worker that takes nothing keeps the most free room, so the task is sent there again once the worker's second of avoidance is over. Only runs that ended as failed counted against a worker.

Change: the worker counts for that task like one on which it failed.

--- a/packages/samphirenotch/src/jobs/model/ownedJob.ts
+++ b/packages/samphirenotch/src/jobs/model/ownedJob.ts
@@ -122,7 +122,7 @@
   readonly runs: OwnedRun[];
   /** Monotonic time before which it is not started again, in milliseconds. */
   notBeforeMs: number;
-  /** Ids of the workers on which it failed. */
+  /** Ids of the workers on which it failed, or which did not answer its start. */
   readonly failedWorkerIds: Set<string>;
   /** True if another share holds the task, so that it must not be started here. */
   isElsewhere: boolean;
--- a/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
@@ -369,6 +369,10 @@
     this.wakeup.wake();
   }
 
+  onStartUnanswered({ task, agent }: OwnedRun): void {
+    task.failedWorkerIds.add(agent.id);
+  }
+
   onTicketRefused({ task, agent }: OwnedRun): void {
     this.permissions.dropTicket(task.step, agent.id);
   }
--- a/packages/samphirenotch/src/jobs/workers/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerAgent.ts
@@ -90,6 +90,8 @@
    * A run is over without a reported end: it never ran, its lease expired or its worker restarted.
    */
   onRunLost(run: OwnedRun, reason: string): void;
+  /** The worker did not answer a start in time; whether it carries it out is unknown. */
+  onStartUnanswered(run: OwnedRun): void;
   /** The worker refused the ticket of the policy service that a start carried. */
   onTicketRefused(run: OwnedRun): void;
   /** The worker answers again, or no longer answers. */
@@ -355,6 +357,7 @@
       onClockReading: (clockMs) => this.workerClock.addReading(clockMs),
       toLocalMs: (clockMs) => this.workerClock.toLocalMs(clockMs),
       onRunBegun: (run) => listener.onRunBegun(run),
+      onStartUnanswered: (run) => listener.onStartUnanswered(run),
       onRunLost: (run, reason) => this.dropLostRun(run, reason),
       avoidFor: (durationMs) => {
         this.avoidUntilMs = clock.monotonicMs() + durationMs;
--- a/packages/samphirenotch/src/jobs/workers/workerOrders.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerOrders.ts
@@ -51,6 +51,8 @@
   toLocalMs(clockMs: number): number;
   /** The worker has confirmed that it began a run. */
   onRunBegun(run: OwnedRun): void;
+  /** The worker did not answer a start in time; whether it carries it out is unknown. */
+  onStartUnanswered(run: OwnedRun): void;
   /** A run is over without a reported end. */
   onRunLost(run: OwnedRun, reason: string): void;
   /** Gives the worker no new work for a time in milliseconds. */
@@ -243,6 +245,7 @@
       this.context.onRunLost(run, 'the order was not sent');
       return;
     }
+    this.context.onStartUnanswered(run);
     const owned = run;
     owned.phase = 'in-doubt';
     // The worker may still carry out the start later. An answered stop rules that out.
--- a/tests/jobs/reportTimes.spec.ts
+++ b/tests/jobs/reportTimes.spec.ts
@@ -62,6 +62,7 @@
       onRunBegun: ignore,
       onRunEnd: ignore,
       onRunLost: ignore,
+      onStartUnanswered: ignore,
       onTicketRefused: ignore,
       onChange: ignore,
       onFenced: ignore,
--- a/tests/platform/unsentOrders.spec.ts
+++ b/tests/platform/unsentOrders.spec.ts
@@ -98,6 +98,7 @@
     avoidFor: () => undefined,
     pollSoon: () => undefined,
     onStaleToken: () => undefined,
+    onStartUnanswered: () => undefined,
     onTicketRefused: () => undefined,
   });
   const step = makeOwnedStep(makeStep({ count: AT_ONCE + 1 }));
