Say why a long-running task waits

A long-running task that does not run although there is room for it left no line of its own: whether its owner had no time for it, found no worker, or started it in vain had to be put together from many lines, and the first case left none.

--- a/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
@@ -456,6 +456,7 @@
       this.slowWorkers.check();
       this.pacing.adjust();
       this.launcher.pass(directory.complete);
+      this.launcher.reportLongWaits();
       this.exchange?.check(this.launcher.unplaced());
       const tookMs = clock.monotonicMs() - startMs;
       this.recordPass(tookMs, this.launcher.totalStarts - startsBefore);
--- a/packages/samphirenotch/src/jobs/placement/jobExplanation.ts
+++ b/packages/samphirenotch/src/jobs/placement/jobExplanation.ts
@@ -88,7 +88,13 @@
     };
   }
 
-  private waitReason(task: OwnedTask): string {
+  /**
+   * Tells what a waiting task waits for.
+   *
+   * @param task - the task
+   * @returns the reason, to complete "waits for"
+   */
+  waitReason(task: OwnedTask): string {
     const { step } = task;
     const { occurrence } = step;
     const { job } = occurrence;
--- a/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
@@ -24,6 +24,7 @@
 import type { WorkerAgent } from '../workers/workerAgent.js';
 import type { WorkerFleet } from '../workers/workerFleet.js';
 import { JobExplainer, type JobExplanation } from './jobExplanation.js';
+import { LongWaits } from './longWaits.js';
 import { UnplaceableSizes } from './unplaceableSizes.js';
 import { Preemption } from './preemption.js';
 import { RetryOrder } from './retryOrder.js';
@@ -101,6 +102,10 @@
 
   private readonly retries = new RetryOrder();
 
+  private readonly longWaits = new LongWaits();
+
+  private readonly explainer: JobExplainer;
+
   private startCount = 0;
 
   /** Monotonic time at which the pass is cut short, in milliseconds. */
@@ -136,6 +141,11 @@
     this.preemption = new Preemption(options.clock);
     this.starvation = new Starvation(options.clock);
     this.gate = new StartGate(options.term, options.viewAgeMs);
+    this.explainer = new JobExplainer({
+      ...options,
+      placement: this.placement,
+      isAccountedFor: (job) => this.isAccountedFor(job),
+    });
   }
 
   /** @returns number of runs started so far */
@@ -184,9 +194,24 @@
    * @returns the explanation as of now
    */
   explain(job: OwnedJob): JobExplanation {
-    const { placement } = this;
-    const isAccountedFor = (each: OwnedJob): boolean => this.isAccountedFor(each);
-    return new JobExplainer({ ...this.options, placement, isAccountedFor }).explain(job);
+    return this.explainer.explain(job);
+  }
+
+  /** Logs why long-running tasks wait that have waited for long. */
+  reportLongWaits(): void {
+    const { book, clock } = this.options;
+    this.longWaits.due(book.openJobs(), clock.monotonicMs()).forEach(({ task, waitedMs }) => {
+      const free = this.candidates(task.step).map((agent) => agent.free().milliCores);
+      this.log.warn('A long-running task waits', {
+        taskId: task.id,
+        waitedMs: Math.round(waitedMs),
+        nextRun: task.nextRun,
+        waitsFor: this.explainer.waitReason(task),
+        isUntried: this.untriedSteps.includes(task.step),
+        milliCores: task.step.spec.size.milliCores,
+        mostFreeMilliCores: Math.max(0, ...free),
+      });
+    });
   }
 
   /**
