Hand tasks to another share that a pass cut short found no worker for

What callers saw: a long-running or late task whose share has no worker for it (a label, a size) does not run for as long as the passes of the share's owner are cut short, although another share has room: LOST.

Cause: only steps that a pass came to in their order count as unplaced and are offered to other shares. Of the rest of a pass that is cut short some steps are tried, and a failure left no trace.

Change: a step tried there that finds no worker counts as unplaced, and no longer once a task was started.

--- a/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
@@ -308,7 +308,11 @@
         const startsBefore = this.startCount;
         if (step.spec.gang) this.startGang(step, this.startableWorkers(step), nowMs);
         else this.startOneTask(step, nowMs, (input) => this.placement.choose(input));
-        this.retries.record(step, this.startCount > startsBefore);
+        const isStarted = this.startCount > startsBefore;
+        this.retries.record(step, isStarted);
+        const tried = step;
+        if (isStarted) tried.unplacedSinceMs = undefined;
+        else if (!step.spec.gang) this.noteUnplaced(step, nowMs);
       });
   }
 
--- a/tests/jobs/cutPasses.spec.ts
+++ b/tests/jobs/cutPasses.spec.ts
@@ -9,6 +9,7 @@
 import type { Queue } from 'samphirenotch/jobs/model/siteConfiguration.js';
 
 import {
+  makeDividedSite,
   makeJob,
   makeOwnedSite,
   makeQueue,
@@ -32,6 +33,9 @@
 /** Time within which an urgent task must start where there is room, in milliseconds. */
 const MAX_START_DELAY_MS = 1_000;
 
+/** Time within which a task must start where only another share has room, in milliseconds. */
+const MAX_OTHER_SHARE_DELAY_MS = 3_000;
+
 const urgent = makeQueue({
   name: 'urgent',
   prefix: '/urgent/',
@@ -50,12 +54,18 @@
   targetLatencyMs: 0,
 });
 
-const put = (site: JobSite, queue: Queue, ids: readonly string[], job: JobSpec): void => {
+const put = (
+  site: JobSite,
+  queue: Queue,
+  ids: readonly string[],
+  job: JobSpec,
+  home = WHOLE_SITE_SHARE_ID,
+): void => {
   const writes = ids.map((id) => ({
     key: ACCEPTED_PREFIX + id,
     value: encodeAccepted({
       id,
-      home: WHOLE_SITE_SHARE_ID,
+      home,
       queue,
       acceptedAtMs: site.clock.wallMs(),
       job,
@@ -83,10 +93,11 @@
   durationMs = BURST_MS,
   first = 0,
   step: Partial<StepSpec> = {},
+  home = WHOLE_SITE_SHARE_ID,
 ): Promise<void> => {
   for (let at = 0; at < durationMs; at += STEP_MS) {
     const id = (first + at).toString(16).padStart(16, '0');
-    put(site, bulk, [id], makeJob(makeStep({ count: TASKS_PER_STEP, ...step })));
+    put(site, bulk, [id], makeJob(makeStep({ count: TASKS_PER_STEP, ...step })), home);
     await site.run(STEP_MS);
   }
 };
@@ -197,3 +208,29 @@
     });
   });
 });
+
+// Guards against a long-running task that fits nowhere in its share and never reaches another one, because
+// the passes of its owner are cut short before they come to it (LOST).
+test('should run a long-running task in another share while the passes of its own are cut short', async (t) => {
+  const { site } = await makeDividedSite({
+    workers: 40,
+    milliCores: 64_000,
+    startCostMs: 1,
+    behave: () => ({ size: SIZE, durationMs: 1_000 }),
+  });
+  site.configure([site.queue, urgent, bulk]);
+  site.registerWorker('w1', { labels: ['only'] });
+  await site.run(1_000);
+  await runBurst(site, 1_000, 0, {}, 'dc0');
+  put(
+    site,
+    urgent,
+    [URGENT_ID],
+    makeJob(makeStep({ longRunning: true, requiredLabel: 'only' })),
+    'dc0',
+  );
+  const putMs = site.clock.monotonicMs();
+  await runBurst(site, BURST_MS, 1_000, {}, 'dc0');
+  const [run] = site.record.runsOf(`${URGENT_ID}.0.0.0`);
+  t.true((run?.startedMs ?? Infinity) - putMs <= MAX_OTHER_SHARE_DELAY_MS);
+});
