Count a worker as gone whose entry names no worker any more

Cause: the directory ignored an entry that it could not read and kept the description that it had read before, without a limit. An owner went on with the old address, capacity and state of a worker for as long as another writer's entry lay under its key, while an owner that listed the directory afresh did not know the worker at all.

Change: an entry that names no worker counts like a removed key. The worker's own next write puts it right and nothing happens; after 2.5 s, the time that removed keys have, the worker counts as unlisted. It gets no new tasks, what runs on it is watched to its end, and it is used again once its entry is right.

Evidence: "should count a worker as gone whose entry has named no worker for 2.5 s" failed before and passes now. "should keep a worker whose entry names no worker for a moment" passed before; it guards the grace.

Why it works: all owners now see the same workers, whenever they began to follow the directory.

--- a/packages/samphirenotch/src/jobs/workers/workerDirectory.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerDirectory.ts
@@ -9,18 +9,19 @@
 import type { StoreListener } from '../store/storeFollower.js';
 
 /**
- * Time for which a worker's key may be missing before the worker counts as gone, in milliseconds.
+ * Time for which a worker's key may be missing, or name no worker, before the worker counts as
+ * gone, in milliseconds.
  */
 const MISSING_TIMEOUT_MS = 2_500;
 
-/** Longest wait of a watch while a worker's key is missing, in milliseconds. */
+/** Longest wait of a watch meanwhile, in milliseconds. */
 const MISSING_WATCH_MS = 250;
 
 /** Receives changes of the directory. */
 export interface DirectoryListener {
   /** A worker was added or has changed its description. */
   onWorker(description: WorkerDescription): void;
-  /** A worker has been missing from the directory for too long. */
+  /** A worker has been missing from the directory for too long, or its entry named no worker. */
   onUnlisted(id: string): void;
 }
 
@@ -28,7 +29,10 @@
 export class WorkerDirectory implements StoreListener {
   private readonly workers = new Map<string, WorkerDescription>();
 
-  /** Keys that were removed, with the monotonic time at which this was noticed, in milliseconds. */
+  /**
+   * Keys that were removed or name no worker any more, with the monotonic time at which this was
+   * noticed, in milliseconds.
+   */
   private readonly removedAtMs = new Map<string, number>();
 
   private isComplete = false;
@@ -65,14 +69,15 @@
   }
 
   onChange(key: string, value: string | undefined): void {
-    const known = this.workers.get(key);
-    if (value === undefined) {
-      // Keys whose leases expired during an outage of the store come back soon.
-      if (known && !this.removedAtMs.has(key)) this.removedAtMs.set(key, this.clock.monotonicMs());
+    const description = value === undefined ? undefined : this.codec.readWorker(key, value);
+    if (!description) {
+      // Keys whose leases expired during an outage of the store come back soon, and an entry that
+      // another writer has spoiled is put right by the worker's next write.
+      const isKnown = this.workers.has(key);
+      if (isKnown && !this.removedAtMs.has(key))
+        this.removedAtMs.set(key, this.clock.monotonicMs());
       return;
     }
-    const description = this.codec.readWorker(key, value);
-    if (!description) return;
     this.removedAtMs.delete(key);
     this.workers.set(key, description);
     this.listener.onWorker(description);
--- a/tests/jobs/workerDirectory.spec.ts
+++ b/tests/jobs/workerDirectory.spec.ts
@@ -2,6 +2,7 @@
  * Workers that go missing from the directory.
  */
 import test from 'ava';
+import type { WorkerDescription } from 'samphirenotch/infrastructure/taskWorker.js';
 import { WorkerDirectory } from 'samphirenotch/jobs/workers/workerDirectory.js';
 import { ManualClock } from 'samphirenotch/time/manualClock.js';
 
@@ -9,22 +10,36 @@
 
 const KEY = 'workers/w0';
 
-/** Creates a directory that has just noticed that its only worker was removed. */
-const makeDirectoryMissingWorker = () => {
+/** An entry that names no worker. */
+const ODD = 'odd';
+
+/** Creates a directory with a single worker. */
+const makeDirectory = () => {
   const clock = new ManualClock();
   const gone: string[] = [];
   const codec = {
     workersPrefix: 'workers/',
     operatorPrefix: 'operator/',
-    readWorker: () => makeSilentAgent(clock).description,
+    readWorker: (_key: string, value: string) =>
+      value === ODD ? undefined : makeSilentAgent(clock).description,
     readOperatorItem: () => undefined,
   };
-  const listener = { onWorker: () => undefined, onUnlisted: (id: string) => gone.push(id) };
+  const listed: string[] = [];
+  const listener = {
+    onWorker: ({ id }: WorkerDescription) => listed.push(id),
+    onUnlisted: (id: string) => gone.push(id),
+  };
   const directory = new WorkerDirectory(codec, listener, clock);
   directory.onListing([{ key: KEY, value: '{}', revision: 1 }]);
-  directory.onChange(KEY, undefined);
-  directory.onCaughtUp(2, clock.monotonicMs());
-  return { clock, gone, directory };
+  return { clock, gone, listed, directory };
+};
+
+/** Creates a directory that has just noticed that its only worker was removed. */
+const makeDirectoryMissingWorker = () => {
+  const made = makeDirectory();
+  made.directory.onChange(KEY, undefined);
+  made.directory.onCaughtUp(2, made.clock.monotonicMs());
+  return made;
 };
 
 // Guards against workers that are dropped although an answer that lists them waits to be read.
@@ -51,3 +66,33 @@
   directory.onCaughtUp(2, clock.monotonicMs());
   t.deepEqual(gone, ['w0']);
 });
+
+// Guards against a worker that is used for good although its entry names no worker any more.
+test('should count a worker as gone whose entry has named no worker for 2.5 s', (t) => {
+  const { clock, gone, listed, directory } = makeDirectory();
+  directory.onChange(KEY, ODD);
+  for (let ms = 0; ms < 2_400; ms += 400) {
+    // Another writer repeats the entry.
+    directory.onChange(KEY, ODD);
+    directory.onCaughtUp(2, clock.monotonicMs());
+    clock.jump(400);
+  }
+  t.deepEqual(gone, []);
+  clock.jump(100);
+  directory.onCaughtUp(2, clock.monotonicMs());
+  t.deepEqual(gone, ['w0']);
+  directory.onChange(KEY, '{}');
+  t.deepEqual(listed, ['w0', 'w0']);
+});
+
+// Guards against a worker that is dropped although its own next write put its entry right.
+test('should keep a worker whose entry names no worker for a moment', (t) => {
+  const { clock, gone, directory } = makeDirectory();
+  directory.onListing([{ key: KEY, value: ODD, revision: 2 }]);
+  directory.onCaughtUp(2, clock.monotonicMs());
+  clock.jump(1_500);
+  directory.onChange(KEY, '{}');
+  clock.jump(5_000);
+  directory.onCaughtUp(3, clock.monotonicMs());
+  t.deepEqual(gone, []);
+});
