--- a/tests/platform/clients.spec.ts
+++ b/tests/platform/clients.spec.ts
@@ -142,6 +142,18 @@
   standIn.close();
 });
 
+// Guards against an error that ends the agent of a worker instead of a failed call.
+test('should report a call to an address that is none, or under a bad id, as not sent', async (t) => {
+  const addresses = ['10.0.0.1:65536', '%zz:80', 'a/b:80', 'h?x:80'];
+  const targets = [...addresses.map((address) => ['i-1', address]), ['i\n1', '127.0.0.1:9']];
+  for (const [id = '', address = ''] of targets) {
+    const worker = new PlatformWorkers(clock).connect(id, address);
+    const outcome = await worker.hold({ fencingToken: 4, acknowledged: 0, waitMs: 0 }, call());
+    t.true(outcome.err && outcome.val.effect === 'not-run', `${id} at ${address}`);
+    worker.close();
+  }
+});
+
 test('should tell the outcomes of an order apart', async (t) => {
   const answers: StandInAnswer[] = [
     { status: 200, body: { ClockMs: 1 } },
