Give up a task that crashes the workers that start it

Callers saw a job whose task crashes its workers stay open for ever, and the tasks of other jobs lost again and again with the workers that it took down.

Cause: the end of a run by the crash of its worker counted as nothing. Such a task went back to waiting and was started on the next worker after 100 ms; only runs that end as failed count as attempts.

Change: a run counts as crashed if its worker was found over without draining and the run had not been at work for 3 s. A lapsed lease alone proves nothing: the run is remembered until the worker answers again or another incarnation does. The numbers of crashed runs are stored with the progress of the job, travel with delegations and reports, and are forgotten once a run of the task has been at work for 3 s. From two crashes on a task is tried where it can harm least, and nothing is started beside it. It is given up with its third crash if nothing else on the worker can have been the cause, with its fourth in any case.

Why this works: what runs beside such a task is blamed for a crash once, then runs elsewhere; to be given up it would have to crash a worker on which it was tried alone.

--- a/packages/samphirenotch/src/jobs/model/delegation.ts
+++ b/packages/samphirenotch/src/jobs/model/delegation.ts
@@ -13,6 +13,8 @@
   readonly nextRun: number;
   /** Numbers of the runs that failed. */
   readonly failedRuns: readonly number[];
+  /** Numbers of the runs under which workers crashed. */
+  readonly crashedRuns: readonly number[];
   readonly checkpoint: string;
 }
 
@@ -35,7 +37,7 @@
   /** Waiting or running. */
   | 'open'
   | 'done'
-  /** It has used all its allowed attempts. */
+  /** It has used all its allowed attempts, or workers crashed under it. */
   | 'failed'
   /** Given back to the home share, which may start it again. */
   | 'returned';
@@ -57,6 +59,9 @@
 // Fields: index, nextRun, failedRuns, checkpoint.
 const TASK = z.tuple([z.number(), z.number(), z.array(z.number()), z.string()]);
 
+// Numbers of the runs under which workers crashed, by task index.
+const CRASHES = z.record(z.string(), z.array(z.number())).optional();
+
 const DELEGATION = z.object({
   j: z.string(),
   n: z.string(),
@@ -65,6 +70,7 @@
   k: z.number(),
   s: z.number(),
   r: z.array(TASK),
+  c: CRASHES,
 });
 
 const OUTCOMES = { o: 'open', d: 'done', f: 'failed', r: 'returned' } as const;
@@ -73,11 +79,21 @@
   t: z.string(),
   b: z.boolean(),
   r: z.array(z.tuple([...TASK.def.items, z.enum(['o', 'd', 'f', 'r'])])),
+  c: CRASHES,
 });
 
 const toTuple = ({ index, nextRun, failedRuns, checkpoint }: DelegatedTask) =>
   [index, nextRun, failedRuns, checkpoint] as const;
 
+/** The field with the crashes of all tasks; empty if there are none. */
+const crashField = (tasks: readonly DelegatedTask[]) => {
+  const crashed = tasks.filter(({ crashedRuns }) => crashedRuns.length > 0);
+  if (crashed.length === 0) return {};
+  return {
+    c: Object.fromEntries(crashed.map(({ index, crashedRuns }) => [String(index), crashedRuns])),
+  };
+};
+
 /**
  * Encodes a delegation.
  *
@@ -93,6 +109,7 @@
     k: delegation.occurrence,
     s: delegation.step,
     r: delegation.tasks.map(toTuple),
+    ...crashField(delegation.tasks),
   });
 
 /**
@@ -103,7 +120,7 @@
  * @throws if the text was not written by `encodeDelegation`
  */
 export const decodeDelegation = (text: string): Delegation => {
-  const { j, n, h, t, k, s, r } = DELEGATION.parse(JSON.parse(text));
+  const { j, n, h, t, k, s, r, c } = DELEGATION.parse(JSON.parse(text));
   return {
     jobId: j,
     name: n,
@@ -115,6 +132,7 @@
       index,
       nextRun,
       failedRuns,
+      crashedRuns: c?.[String(index)] ?? [],
       checkpoint,
     })),
   };
@@ -131,6 +149,7 @@
     t: from,
     b: hasStarted,
     r: tasks.map((task) => [...toTuple(task), task.outcome[0]]),
+    ...crashField(tasks),
   });
 
 /**
@@ -141,7 +160,7 @@
  * @throws if the text was not written by `encodeReport`
  */
 export const decodeReport = (text: string): DelegationReport => {
-  const { t: from, b: hasStarted, r } = REPORT.parse(JSON.parse(text));
+  const { t: from, b: hasStarted, r, c } = REPORT.parse(JSON.parse(text));
   return {
     from,
     hasStarted,
@@ -149,6 +168,7 @@
       index,
       nextRun,
       failedRuns,
+      crashedRuns: c?.[String(index)] ?? [],
       checkpoint,
       outcome: OUTCOMES[outcome],
     })),
--- a/packages/samphirenotch/src/jobs/model/jobProgress.ts
+++ b/packages/samphirenotch/src/jobs/model/jobProgress.ts
@@ -1,6 +1,6 @@
 /**
  * Progress of a job that must survive a change of its owner: which tasks are done, which runs
- * failed.
+ * failed, and under which runs workers crashed.
  */
 import { z } from 'zod';
 
@@ -9,14 +9,21 @@
   d: z.array(z.number()),
   /** Numbers of failed runs by task index. */
   f: z.record(z.string(), z.array(z.number())).optional(),
+  /** Numbers of the runs under which workers crashed, by task index. */
+  c: z.record(z.string(), z.array(z.number())).optional(),
 });
 
 const PROGRESS = z.object({ o: z.array(z.object({ k: z.number(), s: z.array(STEP) })) });
 
-/** Indexes of the done tasks of a step, and numbers of failed runs by task index. */
+/** Run numbers by task index. */
+type RunsByTask = ReadonlyMap<number, readonly number[]>;
+
+/** Indexes of the done tasks of a step, and numbers of runs by task index. */
 export interface StepProgress {
   readonly done: ReadonlySet<number>;
-  readonly failedRuns: ReadonlyMap<number, readonly number[]>;
+  readonly failedRuns: RunsByTask;
+  /** Runs under which workers crashed. */
+  readonly crashedRuns: RunsByTask;
 }
 
 /** Progress of the steps by index of the occurrence. */
@@ -27,6 +34,7 @@
   readonly index: number;
   readonly done: boolean;
   readonly failedRuns: readonly number[];
+  readonly crashedRuns: readonly number[];
 }
 
 /** The part of a job that `encodeProgress` reads. */
@@ -66,6 +74,20 @@
   return done;
 };
 
+/** Encodes lists of run numbers by task index, without empty lists; undefined if all are empty. */
+const encodeRuns = (
+  tasks: readonly TaskProgress[],
+  runsOf: (task: TaskProgress) => readonly number[],
+): Readonly<Record<string, readonly number[]>> | undefined => {
+  const rows = tasks
+    .filter((task) => runsOf(task).length > 0)
+    .map((task) => [String(task.index), runsOf(task)] as const);
+  return rows.length > 0 ? Object.fromEntries(rows) : undefined;
+};
+
+const decodeRuns = (runs: Readonly<Record<string, readonly number[]>> | undefined): RunsByTask =>
+  new Map(Object.entries(runs ?? {}).map(([index, list]) => [Number(index), list]));
+
 /**
  * Encodes the progress of a job.
  *
@@ -76,13 +98,9 @@
   const occurrences = [...job.occurrences.values()].map(({ index, steps }) => ({
     k: index,
     s: steps.map(({ tasks }) => {
-      const failed = tasks
-        .filter(({ failedRuns }) => failedRuns.length > 0)
-        .map(({ index: task, failedRuns }) => [String(task), failedRuns]);
-      return {
-        d: toRanges(tasks.map(({ done }) => done)),
-        ...(failed.length > 0 ? { f: Object.fromEntries(failed) } : {}),
-      };
+      const f = encodeRuns(tasks, ({ failedRuns }) => failedRuns);
+      const c = encodeRuns(tasks, ({ crashedRuns }) => crashedRuns);
+      return { d: toRanges(tasks.map(({ done }) => done)), ...(f && { f }), ...(c && { c }) };
     }),
   }));
   return JSON.stringify({ o: occurrences });
@@ -100,9 +118,10 @@
   return new Map(
     occurrences.map(({ k, s }) => [
       k,
-      s.map(({ d, f }) => ({
+      s.map(({ d, f, c }) => ({
         done: fromRanges(d),
-        failedRuns: new Map(Object.entries(f ?? {}).map(([index, runs]) => [Number(index), runs])),
+        failedRuns: decodeRuns(f),
+        crashedRuns: decodeRuns(c),
       })),
     ]),
   );
--- a/packages/samphirenotch/src/jobs/model/ownedJob.ts
+++ b/packages/samphirenotch/src/jobs/model/ownedJob.ts
@@ -69,6 +69,8 @@
    */
   progressedMs: number;
   gauge: number;
+  /** True once it was reported at work for so long that it does not crash its worker. */
+  isProven: boolean;
   /** Processor limit that its worker enforces, in percent of its processors. */
   pace: number;
   /**
@@ -78,6 +80,18 @@
   overTargetSinceMs: number | undefined;
 }
 
+/** Number of crashed workers from which a task is suspected of crashing them. */
+const SUSPICIOUS_CRASHES = 2;
+
+/**
+ * Checks whether a task is suspected of crashing the workers that start it.
+ *
+ * @param task - the task
+ * @returns true until one of its runs is proven
+ */
+export const isSuspect = ({ crashedRuns }: OwnedTask): boolean =>
+  crashedRuns.length >= SUSPICIOUS_CRASHES;
+
 /** Initial pace of a run, and progress of a task that is done, in percent. */
 export const FULL_PERCENT = 100;
 
@@ -117,6 +131,10 @@
   done: boolean;
   /** Numbers of the runs that failed. */
   failedRuns: number[];
+  /** Numbers of the runs under which workers crashed, since a run was proven. */
+  crashedRuns: number[];
+  /** True once it is not started any more because workers crash under it. */
+  isGivenUp: boolean;
   nextRun: number;
   checkpoint: string;
   readonly runs: OwnedRun[];
@@ -124,6 +142,8 @@
   notBeforeMs: number;
   /** Ids of the workers on which it failed, or which did not answer its start. */
   readonly failedWorkerIds: Set<string>;
+  /** Addresses of the workers that crashed under it, as far as this owner knows. */
+  readonly crashedAddresses: Set<string>;
   /** True if another share holds the task, so that it must not be started here. */
   isElsewhere: boolean;
 }
@@ -312,6 +332,7 @@
     const delegatedTasks = new Map(delegation?.tasks.map((task) => [task.index, task]));
     for (let index = 0; index < spec.count; index += 1) {
       const failedRuns = progress?.failedRuns.get(index) ?? [];
+      const crashedRuns = progress?.crashedRuns.get(index) ?? [];
       const task = delegatedTasks.get(index);
       step.tasks.push({
         step,
@@ -319,15 +340,18 @@
         id: taskIdOf(this.id, occurrence.index, stepIndex, index),
         done: progress?.done.has(index) ?? false,
         failedRuns: [...failedRuns],
+        crashedRuns: [...crashedRuns],
+        isGivenUp: false,
         nextRun: Math.max(
           this.options.firstRun,
           task?.nextRun ?? 0,
-          ...failedRuns.map((run) => run + 1),
+          ...[...failedRuns, ...crashedRuns].map((run) => run + 1),
         ),
         checkpoint: task?.checkpoint ?? '',
         runs: [],
         notBeforeMs: 0,
         failedWorkerIds: new Set(),
+        crashedAddresses: new Set(),
         isElsewhere: this.isGuest && !task,
       });
     }
--- a/packages/samphirenotch/src/jobs/ownership/incomingDelegations.ts
+++ b/packages/samphirenotch/src/jobs/ownership/incomingDelegations.ts
@@ -44,23 +44,30 @@
   const failedRuns = tasks.map(
     ({ index, failedRuns: runs }) => [index, rows.get(index)?.failedRuns ?? runs] as const,
   );
+  const crashedRuns = tasks.map(
+    ({ index, crashedRuns: runs }) => [index, rows.get(index)?.crashedRuns ?? runs] as const,
+  );
   const done = [...rows.values()].filter(({ outcome }) => outcome === 'done');
   const steps = Array.from({ length: step + 1 }, () => ({
     done: new Set<number>(),
     failedRuns: new Map<number, readonly number[]>(),
+    crashedRuns: new Map<number, readonly number[]>(),
   }));
   steps[step] = {
     done: new Set(done.map(({ index }) => index)),
     failedRuns: new Map(failedRuns),
+    crashedRuns: new Map(crashedRuns),
   };
   return new Map([[occurrence, steps]]);
 };
 
 /** Outcome to report; a task that is not done and no longer here has failed or goes back. */
-const outcomeOf = ({ done, isElsewhere: away, failedRuns, step }: OwnedTask): TaskOutcome => {
+const outcomeOf = (task: OwnedTask): TaskOutcome => {
+  const { done, isElsewhere: away, failedRuns, step } = task;
   const { job } = step.occurrence;
   if (done) return 'done';
   if (!away) return 'open';
+  if (task.isGivenUp) return 'failed';
   const hasFailed = !step.spec.longRunning && failedRuns.length >= job.queue.maximumAttempts;
   return hasFailed ? 'failed' : 'returned';
 };
@@ -72,6 +79,7 @@
     index: task.index,
     nextRun: task.nextRun,
     failedRuns: task.failedRuns,
+    crashedRuns: task.crashedRuns,
     checkpoint: task.checkpoint,
     outcome: outcomeOf(task),
   })),
@@ -216,6 +224,7 @@
       task.nextRun = Math.max(task.nextRun, nextRun);
       if (checkpoint !== '') task.checkpoint = checkpoint;
       task.isElsewhere = outcome === 'returned' || outcome === 'failed';
+      task.isGivenUp = outcome === 'failed';
     });
   }
 }
--- a/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
@@ -373,6 +373,14 @@
     task.failedWorkerIds.add(agent.id);
   }
 
+  onCrash({ description: { address } }: WorkerAgent, runs: readonly OwnedRun[]): void {
+    runs.forEach((run) => this.outcomes.recordCrash(run, address, runs.length === 1));
+  }
+
+  onRunProven({ task }: OwnedRun): void {
+    this.outcomes.clearCrashes(task);
+  }
+
   onTicketRefused({ task, agent }: OwnedRun): void {
     this.permissions.dropTicket(task.step, agent.id);
   }
--- a/packages/samphirenotch/src/jobs/ownership/outgoingDelegations.ts
+++ b/packages/samphirenotch/src/jobs/ownership/outgoingDelegations.ts
@@ -31,6 +31,8 @@
   readonly onDone: (task: OwnedTask) => void;
   /** Called when runs of a task have failed in another share. */
   readonly onFailed: (task: OwnedTask) => void;
+  /** Called when a task was given up in another share because workers crashed under it. */
+  readonly onGivenUp: (task: OwnedTask) => void;
   /** Called when tasks of a step are back because the share that had them found no worker. */
   readonly onReturned: (step: OwnedStep, from: string) => void;
 }
@@ -134,10 +136,11 @@
       to,
       occurrence: index,
       step: step.index,
-      tasks: tasks.map(({ index: at, nextRun, failedRuns, checkpoint }) => ({
+      tasks: tasks.map(({ index: at, nextRun, failedRuns, crashedRuns, checkpoint }) => ({
         index: at,
         nextRun,
         failedRuns: [...failedRuns],
+        crashedRuns: [...crashedRuns],
         checkpoint,
       })),
     };
@@ -241,12 +244,15 @@
     task.failedRuns = [...new Set([...task.failedRuns, ...row.failedRuns])];
     if (row.outcome !== 'open') open.delete(row.index);
     if (this.latestDelegationIds.get(task) !== idOf(delegation)) return;
+    // The share that has the task also forgets crashes.
+    task.crashedRuns = [...row.crashedRuns];
     if (row.outcome !== 'open') {
       this.latestDelegationIds.delete(task);
       task.isElsewhere = false;
     }
     if (row.outcome === 'done') this.options.onDone(task);
     else if (task.failedRuns.length > failedBefore) this.options.onFailed(task);
+    else if (row.outcome === 'failed') this.options.onGivenUp(task);
     if (row.outcome === 'returned') this.options.onReturned(step, delegation.to);
   }
 
--- a/packages/samphirenotch/src/jobs/ownership/shareExchange.ts
+++ b/packages/samphirenotch/src/jobs/ownership/shareExchange.ts
@@ -83,6 +83,7 @@
       journal,
       onDone: (task) => outcomes.markDone(task),
       onFailed: (task) => outcomes.failJobIfExhausted(task),
+      onGivenUp: (task) => outcomes.giveUp(task),
       onReturned: (step, from) => this.onTasksReturned(step, from),
     });
     this.incoming = new IncomingDelegations({
--- a/packages/samphirenotch/src/jobs/ownership/taskOutcomes.ts
+++ b/packages/samphirenotch/src/jobs/ownership/taskOutcomes.ts
@@ -4,7 +4,7 @@
 import { partLog } from '../../observability/log.js';
 import type { Clock } from '../../time/clock.js';
 
-import type { OwnedJob, OwnedTask } from '../model/ownedJob.js';
+import { isSuspect, type OwnedJob, type OwnedRun, type OwnedTask } from '../model/ownedJob.js';
 import type { JobRegistry } from '../store/jobRegistry.js';
 
 /** Counts failed attempts; the members of a gang fail together, so a run counts once for all. */
@@ -13,6 +13,12 @@
   return new Set(step.tasks.flatMap((task) => task.failedRuns)).size;
 };
 
+/** Number of crashed workers after which a task is given up if its last run was tried alone. */
+const MAXIMUM_CRASHES_ALONE = 3;
+
+/** Number of crashed workers after which a task is given up whatever ran beside it. */
+const MAXIMUM_CRASHES = 4;
+
 /** Records outcomes of tasks, and completes, fails or cancels their jobs. */
 export class TaskOutcomes {
   private readonly log = partLog('owner');
@@ -65,6 +71,70 @@
     this.failJobIfExhausted(task);
   }
 
+  /**
+   * Records that a worker crashed under a run. Gives the task up once it must have been the cause.
+   *
+   * @param run - the run
+   * @param address - address of the worker
+   * @param wasAlone - true if no other run on the worker can have been the cause
+   */
+  recordCrash({ task, run, agent }: OwnedRun, address: string, wasAlone: boolean): void {
+    const { job } = task.step.occurrence;
+    if (task.done || !job.isOpen || task.isElsewhere || task.crashedRuns.includes(run)) return;
+    task.crashedRuns.push(run);
+    task.crashedAddresses.add(address);
+    const crashes = task.crashedRuns.length;
+    this.log.warn('A worker has crashed under a run', {
+      taskId: task.id,
+      run,
+      worker: agent.id,
+      crashes,
+      wasAlone,
+      isSuspect: isSuspect(task),
+    });
+    this.book.saveProgress(job, true);
+    if (crashes >= (wasAlone ? MAXIMUM_CRASHES_ALONE : MAXIMUM_CRASHES)) this.giveUp(task);
+  }
+
+  /**
+   * Forgets the crashes of workers under a task that has shown that it does not cause them.
+   *
+   * @param task - the task
+   */
+  clearCrashes(task: OwnedTask): void {
+    if (task.crashedRuns.length === 0) return;
+    const owned = task;
+    this.log.info('A task has run for long enough after crashes of its workers', {
+      taskId: task.id,
+      crashes: task.crashedRuns.length,
+    });
+    owned.crashedRuns = [];
+    task.crashedAddresses.clear();
+    this.book.saveProgress(task.step.occurrence.job);
+  }
+
+  /**
+   * Gives up a task that crashes its workers: its job fails, or its home share hears of it.
+   *
+   * @param task - the task
+   */
+  giveUp(task: OwnedTask): void {
+    const { step, crashedRuns } = task;
+    const { job } = step.occurrence;
+    if (!job.isOpen) return;
+    const owned = task;
+    owned.isGivenUp = true;
+    this.log.warn('A task is given up: workers crash under it', {
+      jobId: job.id,
+      taskId: task.id,
+      crashes: crashedRuns.length,
+      runs: crashedRuns.join(' '),
+      addresses: [...task.crashedAddresses].join(' '),
+      isGuest: job.isGuest,
+    });
+    this.fail(task);
+  }
+
   /**
    * Fails the job of a task that has used up its attempts.
    *
@@ -84,17 +154,7 @@
       attempts,
       isGuest: job.isGuest,
     });
-    if (job.isGuest) {
-      // The home share decides about the job, so the tasks only go back as failed.
-      const failed = step.spec.gang ? step.tasks : [task];
-      failed.forEach((each) => {
-        const owned = each;
-        owned.isElsewhere = true;
-      });
-      return;
-    }
-    this.book.finish(job, 'failed');
-    this.stopRuns(job, 'the job has failed');
+    this.fail(task);
   }
 
   /**
@@ -105,10 +165,16 @@
   failRestoredIfExhausted(job: OwnedJob): void {
     const failed = [...job.occurrences.values()].flatMap(({ steps }) =>
       steps.flatMap(({ tasks }) =>
-        tasks.filter(({ done, failedRuns }) => !done && failedRuns.length > 0),
+        tasks.filter(
+          ({ done, failedRuns, crashedRuns }) =>
+            !done && failedRuns.length + crashedRuns.length > 0,
+        ),
       ),
     );
-    failed.forEach((task) => this.failJobIfExhausted(task));
+    failed.forEach((task) => {
+      if (task.failedRuns.length > 0) this.failJobIfExhausted(task);
+      if (task.crashedRuns.length >= MAXIMUM_CRASHES) this.giveUp(task);
+    });
   }
 
   /**
@@ -134,6 +200,24 @@
     });
   }
 
+  private fail(task: OwnedTask): void {
+    const { step } = task;
+    const { job } = step.occurrence;
+    if (job.isGuest) {
+      // The home share decides about the job, so the tasks only go back as failed.
+      const failed = step.spec.gang ? step.tasks : [task];
+      failed.forEach((each) => {
+        const owned = each;
+        owned.isElsewhere = true;
+        each.runs.forEach((run) => run.agent.stop(run, 'the task has failed'));
+      });
+      this.book.saveProgress(job);
+      return;
+    }
+    this.book.finish(job, 'failed');
+    this.stopRuns(job, 'the job has failed');
+  }
+
   /**
    * Stops all active runs of a job.
    *
--- a/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
@@ -8,6 +8,7 @@
 import {
   hasWaitingTasks,
   isStepReady,
+  isSuspect,
   isTaskWaiting,
   reservedSizeOf,
   type OwnedJob,
@@ -32,6 +33,7 @@
 import { StartGate } from './startGate.js';
 import type { UnplacedStep } from './spillOver.js';
 import { Starvation } from './starvation.js';
+import { chooseForTrial } from './suspectTrials.js';
 import {
   DeadlineStepOrder,
   isLate,
@@ -327,8 +329,8 @@
   ): void {
     const task = step.tasks.find((each) => this.isWaiting(each, nowMs));
     if (!task || step.spec.gang) return;
-    const workers = this.startableWorkers(step);
-    const agent = choose({ task, size: reservedSizeOf(task), workers });
+    const input = { task, size: reservedSizeOf(task), workers: this.startableWorkers(step) };
+    const agent = isSuspect(task) ? this.chooseWorker(input) : choose(input);
     if (agent) this.start({ task, agent }, task.nextRun);
   }
 
@@ -338,9 +340,9 @@
    */
   private startSpeculativeCopies(): boolean {
     const { permissions, slowWorkers } = this.options;
-    const tasks = slowWorkers.stragglers().filter(({ step }) => {
-      const { job } = step.occurrence;
-      return job.isOpen && this.isAccountedFor(job);
+    const tasks = slowWorkers.stragglers().filter((task) => {
+      const { job } = task.step.occurrence;
+      return job.isOpen && this.isAccountedFor(job) && !isSuspect(task);
     });
     return tasks.every((task) => {
       const { step } = task;
@@ -414,9 +416,14 @@
       this.noteUnplaced(step, nowMs);
       return true;
     }
+    let hasWaitingSuspects = false;
     for (const task of step.tasks.filter((each) => this.isWaiting(each, nowMs))) {
       const size = reservedSizeOf(task);
-      const agent = this.placement.choose({ task, size, workers });
+      const agent = this.chooseWorker({ task, size, workers });
+      if (!agent && isSuspect(task)) {
+        hasWaitingSuspects = true;
+        continue;
+      }
       if (!agent) {
         this.unplaceable.add(step);
         this.noteUnplaced(step, nowMs);
@@ -427,11 +434,20 @@
       this.start({ task, agent }, task.nextRun);
       if (this.isTimeUp()) return false;
     }
+    if (hasWaitingSuspects) {
+      this.noteUnplaced(step, nowMs);
+      return true;
+    }
     const placed = step;
     placed.unplacedSinceMs = undefined;
     return true;
   }
 
+  private chooseWorker(input: PlacementInput): WorkerAgent | undefined {
+    if (!isSuspect(input.task)) return this.placement.choose(input);
+    return chooseForTrial(input.task, this.placement.rank(input), input.workers);
+  }
+
   private noteUnplaced(step: OwnedStep, nowMs: number): void {
     const unplaced = step;
     unplaced.unplacedSinceMs ??= nowMs;
@@ -446,7 +462,10 @@
     const { filler, longRunning } = task.step.spec;
     if (filler || longRunning) return;
     const input = { task, size: reservedSizeOf(task), workers };
-    this.preemption.makeRoom(input, (agent) => this.placement.permits(agent, task));
+    this.preemption.makeRoom(
+      input,
+      (agent) => !agent.hasTrial && this.placement.permits(agent, task),
+    );
   }
 
   /** Starts all tasks of a gang together, or none. */
@@ -488,13 +507,16 @@
       const size = reservedSizeOf(task);
       const countPlanned = (agent: WorkerAgent): number =>
         starts.filter((start) => start.agent === agent).length;
+      const hasPlannedSuspect = (agent: WorkerAgent): boolean =>
+        starts.some((start) => start.agent === agent && isSuspect(start.task));
       const limit = task.step.spec.perWorkerLimit;
       const fitting = workers.filter((agent) => {
         const count = countPlanned(agent) + 1;
+        if (count > 1 && (isSuspect(task) || hasPlannedSuspect(agent))) return false;
         if (limit > 0 && count > limit) return false;
         return agent.fits(timesSize(size, count));
       });
-      const agent = this.placement.choose({ task, size, workers: fitting });
+      const agent = this.chooseWorker({ task, size, workers: fitting });
       if (!agent) return undefined;
       starts.push({ task, agent });
     }
--- a/packages/samphirenotch/src/jobs/store/jobRegistry.ts
+++ b/packages/samphirenotch/src/jobs/store/jobRegistry.ts
@@ -207,8 +207,9 @@
    * Schedules a write of the progress of a job.
    *
    * @param job - the job
+   * @param isUrgent - true if a successor must know it
    */
-  saveProgress(job: OwnedJob): void {
+  saveProgress(job: OwnedJob, isUrgent = false): void {
     if (!job.isOpen) return;
     if (job.isGuest) {
       this.onGuestProgress(job);
@@ -216,6 +217,7 @@
     }
     this.journal.add({
       key: this.keys.progressPrefix + job.id,
+      isUrgent,
       value: () => encodeProgress(job),
     });
   }
--- a/packages/samphirenotch/src/jobs/workers/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerAgent.ts
@@ -51,6 +51,12 @@
 /** Longest time until the end of a worker's last run is acknowledged, in milliseconds. */
 const MAX_ACKNOWLEDGE_DELAY_MS = 1_200;
 
+/**
+ * Time at work after which a run is not the cause of a crash of its worker, in milliseconds: tasks
+ * that crash workers do so soon after their start.
+ */
+const PROVEN_AFTER_MS = 3_000;
+
 /** Sequence number that acknowledges no run end. */
 const ACKNOWLEDGE_NONE = 0;
 
@@ -92,6 +98,14 @@
   onRunLost(run: OwnedRun, reason: string): void;
   /** The worker did not answer a start in time; whether it carries it out is unknown. */
   onStartUnanswered(run: OwnedRun): void;
+  /**
+   * The worker has crashed. Called before its runs are reported as lost.
+   *
+   * @param runs - the runs that may be the cause
+   */
+  onCrash(agent: WorkerAgent, runs: readonly OwnedRun[]): void;
+  /** A run was reported at work for so long that it does not crash its worker. */
+  onRunProven(run: OwnedRun): void;
   /** The worker refused the ticket of the policy service that a start carried. */
   onTicketRefused(run: OwnedRun): void;
   /** The worker answers again, or no longer answers. */
@@ -171,6 +185,12 @@
 
   private storedSequence = 0;
 
+  /**
+   * Runs that were lost while the worker did not answer and may have crashed it. Forgotten if the
+   * same incarnation answers again.
+   */
+  private unexplainedRuns: OwnedRun[] = [];
+
   private acknowledgedSequence = 0;
 
   /**
@@ -243,19 +263,29 @@
     return this.runs.count;
   }
 
+  /** @returns number of its runs that may still crash the worker */
+  get unprovenRunCount(): number {
+    return this.activeRuns().filter(({ isProven }) => !isProven).length;
+  }
+
+  /** @returns true while a task that is suspected of crashing workers is tried alone here */
+  get hasTrial(): boolean {
+    return this.runs.hasTrial;
+  }
+
   /** @returns the worker's free resources */
   free(): Size {
     return this.runs.free(this.description.capacity);
   }
 
   /**
-   * Checks whether a task fits into the free resources.
+   * Checks whether a task fits into the free resources. Nothing fits beside a task on trial.
    *
    * @param size - resources of the task
    * @returns true if it fits
    */
   fits(size: Size): boolean {
-    return this.runs.fits(this.description.capacity, size);
+    return !this.hasTrial && this.runs.fits(this.description.capacity, size);
   }
 
   /**
@@ -359,6 +389,10 @@
       onRunBegun: (run) => listener.onRunBegun(run),
       onStartUnanswered: (run) => listener.onStartUnanswered(run),
       onRunLost: (run, reason) => this.dropLostRun(run, reason),
+      onWorkerGone: (run) => {
+        this.noteUnexplained(run);
+        this.dropLostRun(run, 'its worker is gone');
+      },
       avoidFor: (durationMs) => {
         this.avoidUntilMs = clock.monotonicMs() + durationMs;
       },
@@ -523,7 +557,10 @@
       this.fenced && this.workerClock.hasPassed(this.grantedUntilMs + LEASE_EXPIRY_MARGIN_MS);
     // A successor unknown to this owner may have extended the lease.
     if (hasLapsed && this.options.isSoleOwner()) {
-      this.activeRuns().forEach((run) => this.dropLostRun(run, 'the lease has lapsed'));
+      this.activeRuns().forEach((run) => {
+        this.noteUnexplained(run);
+        this.dropLostRun(run, 'the lease has lapsed');
+      });
     }
   }
 
@@ -535,6 +572,7 @@
     if (this.isNewIncarnation(holding)) {
       this.endIncarnation('the worker has started again', true);
     }
+    this.unexplainedRuns = [];
     this.bornMs = holding.bornMs;
     this.knownBornMs = Math.max(holding.bornMs, this.description.bornMs);
     this.pollCount += 1;
@@ -587,6 +625,10 @@
     // A report made before the last pace order does not show the speed at that pace.
     if (shownMs >= run.progressedMs) run.firstSample ??= { percent, clockMs, atMs: shownMs };
     run.gauge = gauge;
+    if (!run.isProven && shownMs - (run.startAnsweredMs ?? run.startedMs) >= PROVEN_AFTER_MS) {
+      run.isProven = true;
+      this.options.listener.onRunProven(run);
+    }
     if (report.checkpoint !== '') run.task.checkpoint = report.checkpoint;
     return true;
   }
@@ -605,6 +647,26 @@
     });
   }
 
+  private noteUnexplained(run: OwnedRun): void {
+    if (WorkerAgent.mayHaveCrashed(run)) this.unexplainedRuns.push(run);
+  }
+
+  /** The worker cannot have begun a run whose start it may still answer. */
+  private static mayHaveCrashed({ isProven, phase }: OwnedRun): boolean {
+    return !isProven && phase !== 'starting';
+  }
+
+  private reportCrash(): void {
+    const runs = [
+      ...this.unexplainedRuns,
+      ...this.activeRuns().filter((run) => WorkerAgent.mayHaveCrashed(run)),
+    ];
+    this.unexplainedRuns = [];
+    // A worker that drains ends its runs when it leaves.
+    if (runs.length === 0 || this.description.phase === 'draining') return;
+    this.options.listener.onCrash(this, runs);
+  }
+
   /**
    * Handles the end of the worker's former incarnation: all its runs are over.
    *
@@ -617,6 +679,7 @@
       reason,
       runs: this.runs.count,
     });
+    this.reportCrash();
     this.seenSequence = 0;
     this.storedSequence = 0;
     this.acknowledgedSequence = 0;
--- a/packages/samphirenotch/src/jobs/workers/workerOrders.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerOrders.ts
@@ -55,6 +55,8 @@
   onStartUnanswered(run: OwnedRun): void;
   /** A run is over without a reported end. */
   onRunLost(run: OwnedRun, reason: string): void;
+  /** Another incarnation answers at the address of a run that the worker may have begun. */
+  onWorkerGone(run: OwnedRun): void;
   /** Gives the worker no new work for a time in milliseconds. */
   avoidFor(durationMs: number): void;
   /** Makes the next poll come soon. */
@@ -267,7 +269,7 @@
       return true;
     }
     if (outcome === 'other-life') {
-      this.context.onRunLost(run, 'its worker is gone');
+      this.context.onWorkerGone(run);
       return true;
     }
     if (outcome !== 'done') return false;
--- a/packages/samphirenotch/src/jobs/workers/workerRuns.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerRuns.ts
@@ -9,6 +9,7 @@
   FULL_PERCENT,
   isFiller,
   hasLatencyTarget,
+  isSuspect,
   type OwnedRun,
   type OwnedTask,
   type RunAgent,
@@ -50,6 +51,8 @@
 
   private cachedFillers: readonly OwnedRun[] | undefined;
 
+  private cachedSuspects: readonly OwnedRun[] | undefined;
+
   /**
    * @param clock - clock of this process
    */
@@ -73,6 +76,12 @@
     return this.cachedFillers;
   }
 
+  /** @returns true while a task that is suspected of crashing workers is tried */
+  get hasTrial(): boolean {
+    this.cachedSuspects ??= this.all().filter(({ task }) => isSuspect(task));
+    return this.cachedSuspects.some(({ isProven }) => !isProven);
+  }
+
   /** @returns number of changes of the runs and their resources so far */
   get changes(): number {
     return this.changeCount;
@@ -141,6 +150,7 @@
       reportedAtWorkerMs: 0,
       progressedMs: startedMs,
       gauge: 0,
+      isProven: false,
       pace: FULL_PERCENT,
       overTargetSinceMs: undefined,
     };
@@ -208,5 +218,6 @@
     this.cachedAll = undefined;
     this.cachedServing = undefined;
     this.cachedFillers = undefined;
+    this.cachedSuspects = undefined;
   }
 }
--- a/tests/jobs/ownedJob.spec.ts
+++ b/tests/jobs/ownedJob.spec.ts
@@ -30,7 +30,7 @@
       to: 'dc1',
       occurrence: 7,
       step: 1,
-      tasks: [{ index: 2, nextRun: 3, failedRuns: [], checkpoint: 'c' }],
+      tasks: [{ index: 2, nextRun: 3, failedRuns: [], crashedRuns: [5], checkpoint: 'c' }],
     },
   });
   const [first, second] = guest.occurrences.get(7)?.steps ?? [];
--- a/tests/jobs/reportTimes.spec.ts
+++ b/tests/jobs/reportTimes.spec.ts
@@ -63,6 +63,8 @@
       onRunEnd: ignore,
       onRunLost: ignore,
       onStartUnanswered: ignore,
+      onCrash: ignore,
+      onRunProven: ignore,
       onTicketRefused: ignore,
       onChange: ignore,
       onFenced: ignore,
--- a/tests/platform/unsentOrders.spec.ts
+++ b/tests/platform/unsentOrders.spec.ts
@@ -95,6 +95,7 @@
       runs.drop(run);
       server.check();
     },
+    onWorkerGone: () => undefined,
     avoidFor: () => undefined,
     pollSoon: () => undefined,
     onStaleToken: () => undefined,
