Count a call to a worker that throws as a failed call

An error thrown by the client of one worker ended the polls of that worker for good ("The agent of a worker has failed"), and left a start in "starting" and a stop in "stopping" for ever, with the room that they hold. An error while the client was created rejected the follower of the directory, and with it the term and the process.

Cause: only failures that a client returns were handled, at each of five places; an error went past all of them.

Change: the agent speaks to its worker through a guard that creates the client with the first call and turns whatever is thrown into a failure whose effect is unknown. A poll that throws while its answer is applied counts as failed, is logged and is tried again.

Why it works: agent and orders have a way back from every failure, whatever its reason; the guard leaves nothing that is not a failure.

--- a/packages/samphirenotch/src/jobs/workers/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerAgent.ts
@@ -22,6 +22,7 @@
 import { Wakeup } from '../../time/wakeup.js';
 
 import type { OwnedRun, OwnedTask, RunAgent } from '../model/ownedJob.js';
+import { GuardedTaskWorker } from './guardedTaskWorker.js';
 import type { OrderBatcher } from './orderBatcher.js';
 import { WorkerClock } from './workerClock.js';
 import { ORDER_TIMEOUT_MS, WorkerOrders, type OrderContext } from './workerOrders.js';
@@ -198,7 +199,7 @@
    */
   constructor(private readonly options: AgentOptions) {
     this.description = options.description;
-    this.worker = options.connect(options.description.address);
+    this.worker = this.connect(options.description);
     this.workerClock = new WorkerClock(options.clock);
     this.wakeup = new Wakeup(options.clock);
     this.runs = new WorkerRuns(options.clock);
@@ -296,7 +297,7 @@
   updateDescription(description: WorkerDescription): void {
     if (description.address !== this.description.address) {
       this.worker.close();
-      this.worker = this.options.connect(description.address);
+      this.worker = this.connect(description);
     }
     this.description = description;
     this.descriptionChanges += 1;
@@ -319,7 +320,13 @@
         await this.wakeup.wait(POLL_WAIT_MS, signal);
         continue;
       }
-      await this.poll(signal);
+      try {
+        await this.poll(signal);
+      } catch (error) {
+        this.log.error('A poll of a worker has thrown', { worker: this.id, reason: String(error) });
+        this.handleFailedPoll(String(error));
+        await this.options.clock.sleep(RETRY_MS, signal);
+      }
     }
   }
 
@@ -372,6 +379,10 @@
     this.orders.pace(run, percent);
   }
 
+  private connect({ id, address }: WorkerDescription): TaskWorker {
+    return new GuardedTaskWorker(id, () => this.options.connect(address));
+  }
+
   private orderContext(): OrderContext {
     const { options, runs } = this;
     const { clock, fencingToken, listener } = options;
@@ -491,7 +502,7 @@
   ): Promise<void> {
     const { clock, listener } = this.options;
     if (outcome.err) {
-      this.handleFailedPoll(outcome.val);
+      this.handleFailedPoll(outcome.val.message);
       await clock.sleep(RETRY_MS, signal);
       return;
     }
@@ -543,13 +554,13 @@
     await this.wakeup.wait(MAX_ACKNOWLEDGE_DELAY_MS, signal);
   }
 
-  private handleFailedPoll(failure: Failure): void {
+  private handleFailedPoll(reason: string): void {
     this.failedPolls += 1;
     if (this.failedPolls === FAILED_POLLS_UNTIL_UNRESPONSIVE) {
       this.log.warn('A worker does not answer', {
         worker: this.id,
         runs: this.runs.count,
-        reason: failure.message,
+        reason,
       });
       this.options.listener.onChange(this);
     }
