Send no start that its worker has no capacity for any more

A worker takes what it is told to start.

Cause: whether a task fits was decided when the worker was chosen. Orders wait for their turn, up to 32 in one turn of the event loop, and for a connection; a description with less capacity that arrived meanwhile was not looked at again.

Change: before a start is sent, all that is reserved on the worker has to be within its newest known capacity. Otherwise the run is dropped, logged, and its task waits for another worker. What runs over a capacity that has shrunk runs on, and nothing is placed there until enough has ended.

--- a/packages/samphirenotch/src/jobs/workers/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerAgent.ts
@@ -394,6 +394,7 @@
       runs,
       batcher: options.batcher,
       signal: this.closed.signal,
+      isWithinCapacity: () => runs.areWithin(this.description.capacity),
       extendLease: () => this.extendLease(),
       onClockReading: (clockMs) => this.workerClock.addReading(clockMs),
       toLocalMs: (clockMs) => this.workerClock.toLocalMs(clockMs),
--- a/packages/samphirenotch/src/jobs/workers/workerOrders.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerOrders.ts
@@ -40,6 +40,8 @@
   readonly batcher: OrderBatcher;
   /** Cancels all orders. */
   readonly signal: AbortSignal;
+  /** Returns false if the tracked runs exceed the newest known capacity of the worker. */
+  isWithinCapacity(): boolean;
   /**
    * Returns the lease end to send, in milliseconds of the worker's clock; undefined if it may not
    * be extended.
@@ -179,6 +181,10 @@
       context.onRunLost(run, 'it was stopped before the order was sent');
       return;
     }
+    if (!context.isWithinCapacity()) {
+      context.onRunLost(run, 'the worker has less capacity than when it was chosen');
+      return;
+    }
     const leaseUntilMs = context.extendLease();
     if (leaseUntilMs === undefined) {
       context.onRunLost(run, 'the worker went silent before the order was sent');
@@ -193,8 +199,10 @@
       checkpoint: task.checkpoint,
       ...(ticket === undefined ? {} : { ticket }),
     };
-    // The order may wait for a connection; it is not sent if the run is stopped meanwhile.
-    const call = { ...this.call(), isWanted: () => run.phase === 'starting' };
+    // The order may wait for a connection; it is not sent if the run is stopped meanwhile or its
+    // worker shrinks.
+    const isWanted = (): boolean => run.phase === 'starting' && context.isWithinCapacity();
+    const call = { ...this.call(), isWanted };
     this.handleStartAnswer(run, await context.worker().start(order, call));
   }
 
--- a/packages/samphirenotch/src/jobs/workers/workerResources.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerResources.ts
@@ -58,6 +58,16 @@
     return free;
   }
 
+  /**
+   * Checks whether all that is reserved is within a capacity.
+   *
+   * @param capacity - capacity of the worker
+   * @returns false if more is reserved than there is
+   */
+  isWithin(capacity: Size): boolean {
+    return fitsIn(NO_SIZE, this.free(capacity));
+  }
+
   /**
    * Checks whether a run fits into the free resources.
    *
--- a/packages/samphirenotch/src/jobs/workers/workerRuns.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerRuns.ts
@@ -202,6 +202,16 @@
     return this.resources.free(capacity);
   }
 
+  /**
+   * Checks whether the runs are within a capacity.
+   *
+   * @param capacity - capacity of the worker
+   * @returns false if they use more than there is
+   */
+  areWithin(capacity: Size): boolean {
+    return this.resources.isWithin(capacity);
+  }
+
   /**
    * Checks whether a run fits into the free resources.
    *
