Take up a worker's description only when more than its heartbeat has changed

An owner decoded and checked each one, looked up its share, and counted the worker as changed, so that costs kept from pass to pass were computed again although only the count of heartbeats was another one.

The directory compares the text without that count with the last one and stops there. Only the adapter knows which field it is; texts that differ in anything else, a number of another kind included, are decoded as before. A worker that comes back within the time in which it may be missing is noticed, and one that counted as gone is reported again.

--- a/packages/samphirenotch/src/jobs/model/siteCodec.ts
+++ b/packages/samphirenotch/src/jobs/model/siteCodec.ts
@@ -19,6 +19,11 @@
   readonly operatorPrefix: string;
   /** Decodes the description of a worker; undefined if the item describes no usable worker. */
   readWorker(key: string, value: string): WorkerDescription | undefined;
+  /**
+   * Removes from the description of a worker what changes with each heartbeat alone. Descriptions that
+   * are equal without it decode to the same.
+   */
+  withoutHeartbeat(value: string): string;
   /** Decodes an item of operators; undefined if it does not concern the scheduler. */
   readOperatorItem(key: string, value: string): OperatorItem | undefined;
 }
--- a/packages/samphirenotch/src/jobs/workers/workerDirectory.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerDirectory.ts
@@ -25,9 +25,16 @@
   onUnlisted(id: string): void;
 }
 
+/** A worker that is listed. */
+interface ListedWorker {
+  readonly description: WorkerDescription;
+  /** Its text in the store without the heartbeat. */
+  readonly text: string;
+}
+
 /** Workers listed in the store. */
 export class WorkerDirectory implements StoreListener {
-  private readonly workers = new Map<string, WorkerDescription>();
+  private readonly workers = new Map<string, ListedWorker>();
 
   /**
    * Keys that were removed or name no worker any more, with the monotonic time at which this was
@@ -69,17 +76,21 @@
   }
 
   onChange(key: string, value: string | undefined): void {
+    const known = this.workers.get(key);
+    const text = value === undefined ? undefined : this.codec.withoutHeartbeat(value);
+    if (known && known.text === text) {
+      this.removedAtMs.delete(key);
+      return;
+    }
     const description = value === undefined ? undefined : this.codec.readWorker(key, value);
-    if (!description) {
+    if (!description || text === undefined) {
       // Keys whose leases expired during an outage of the store come back soon, and an entry that
       // another writer has spoiled is put right by the worker's next write.
-      const isKnown = this.workers.has(key);
-      if (isKnown && !this.removedAtMs.has(key))
-        this.removedAtMs.set(key, this.clock.monotonicMs());
+      if (known && !this.removedAtMs.has(key)) this.removedAtMs.set(key, this.clock.monotonicMs());
       return;
     }
     this.removedAtMs.delete(key);
-    this.workers.set(key, description);
+    this.workers.set(key, { description, text });
     this.listener.onWorker(description);
   }
 
@@ -90,7 +101,7 @@
       this.removedAtMs.delete(key);
       const known = this.workers.get(key);
       this.workers.delete(key);
-      if (known) this.listener.onUnlisted(known.id);
+      if (known) this.listener.onUnlisted(known.description.id);
     });
   }
 }
--- a/tests/jobs/workerDirectory.spec.ts
+++ b/tests/jobs/workerDirectory.spec.ts
@@ -1,5 +1,5 @@
 /**
- * Workers that go missing from the directory.
+ * Workers that go missing from the directory, and heartbeats of those that do not.
  */
 import test from 'ava';
 import type { WorkerDescription } from 'samphirenotch/infrastructure/taskWorker.js';
@@ -22,6 +22,7 @@
     operatorPrefix: 'operator/',
     readWorker: (_key: string, value: string) =>
       value === ODD ? undefined : makeSilentAgent(clock).description,
+    withoutHeartbeat: (value: string) => value,
     readOperatorItem: () => undefined,
   };
   const listed: string[] = [];
@@ -96,3 +97,63 @@
   directory.onCaughtUp(3, clock.monotonicMs());
   t.deepEqual(gone, []);
 });
+
+/** Creates a directory that counts the descriptions it decodes and passes on. */
+const makeCountingDirectory = () => {
+  const clock = new ManualClock();
+  const { description } = makeSilentAgent(clock);
+  const decoded: string[] = [];
+  const told: WorkerDescription[] = [];
+  const codec = {
+    workersPrefix: 'workers/',
+    operatorPrefix: 'operator/',
+    readWorker: (_key: string, value: string) => {
+      decoded.push(value);
+      const [phase = ''] = value.split(' ');
+      return { ...description, phase: phase as WorkerDescription['phase'] };
+    },
+    withoutHeartbeat: (value: string) => value.split(' ')[0] ?? '',
+    readOperatorItem: () => undefined,
+  };
+  const listener = {
+    onWorker: (worker: WorkerDescription) => told.push(worker),
+    onUnlisted: () => undefined,
+  };
+  const directory = new WorkerDirectory(codec, listener, clock);
+  return { clock, decoded, told, directory };
+};
+
+const HEARTBEATS = 20;
+
+// Guards against owners that decode each heartbeat of each worker of a large site.
+test('should decode a worker only when more than its heartbeat has changed', (t) => {
+  const { decoded, told, directory } = makeCountingDirectory();
+  directory.onListing([{ key: KEY, value: 'ready 1', revision: 1 }]);
+  for (let beat = 2; beat <= HEARTBEATS; beat += 1) directory.onChange(KEY, `ready ${beat}`);
+  t.deepEqual(decoded, ['ready 1']);
+  directory.onChange(KEY, `draining ${HEARTBEATS + 1}`);
+  t.deepEqual(
+    told.map(({ phase }) => phase),
+    ['ready', 'draining'],
+  );
+});
+
+// Guards against workers that count as gone although an unchanged description is back.
+test('should not count a worker as gone that comes back unchanged', (t) => {
+  const { clock, gone, directory } = makeDirectoryMissingWorker();
+  directory.onChange(KEY, '{}');
+  clock.jump(5_000);
+  directory.onCaughtUp(3, clock.monotonicMs());
+  t.deepEqual(gone, []);
+});
+
+// Guards against workers that come back after they counted as gone, and stay unlisted.
+test('should report a worker that comes back unchanged after it was gone', (t) => {
+  const { clock, told, directory } = makeCountingDirectory();
+  directory.onListing([{ key: KEY, value: 'ready 1', revision: 1 }]);
+  directory.onChange(KEY, undefined);
+  clock.jump(5_000);
+  directory.onCaughtUp(2, clock.monotonicMs());
+  directory.onChange(KEY, 'ready 2');
+  t.is(told.length, 2);
+});
--- a/tests/platform/codec.spec.ts
+++ b/tests/platform/codec.spec.ts
@@ -26,6 +26,25 @@
   t.is(read?.bornMs, 7);
 });
 
+// Guards against changes of a worker that are taken for heartbeats, and heartbeats taken for changes.
+test('should tell heartbeats of a worker from changes of its description', (t) => {
+  const codec = new PlatformCodec();
+  const textOf = (changes: object): string =>
+    codec.withoutHeartbeat(JSON.stringify({ ...worker, Sequence: 9, ...changes }));
+  t.is(textOf({ Sequence: 10 }), textOf({}));
+  const changes = [
+    { State: 'draining' },
+    { Address: '10.0.0.1:81' },
+    { Capacity: { ...worker.Capacity, Cpu: 8_000 } },
+    { ColdLeftMs: 100 },
+    { born: 8 },
+    { Labels: ['"Sequence":10'] },
+    { Sequence: 'odd' },
+  ];
+  changes.forEach((change) => t.not(textOf(change), textOf({}), JSON.stringify(change)));
+  t.not(textOf({ Labels: ['"Sequence":10'] }), textOf({ Labels: ['"Sequence":11'] }));
+});
+
 test('should take entries of other writers for no worker', (t) => {
   const codec = new PlatformCodec();
   const broken = [
