Let members of a gang that are suspected of crashing workers share a worker

A gang whose members had lost their workers together twice was never started again on a site with fewer workers than members.

Cause: two suspected tasks were kept apart so that the next crash tells which of them is the cause. The members of a gang only run together, so that on few workers no placement was left.

Test, failing before: should complete a gang whose members have lost their workers together twice.

--- a/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
@@ -507,12 +507,9 @@
       const size = reservedSizeOf(task);
       const countPlanned = (agent: WorkerAgent): number =>
         starts.filter((start) => start.agent === agent).length;
-      const hasPlannedSuspect = (agent: WorkerAgent): boolean =>
-        starts.some((start) => start.agent === agent && isSuspect(start.task));
       const limit = task.step.spec.perWorkerLimit;
       const fitting = workers.filter((agent) => {
         const count = countPlanned(agent) + 1;
-        if (count > 1 && (isSuspect(task) || hasPlannedSuspect(agent))) return false;
         if (limit > 0 && count > limit) return false;
         return agent.fits(timesSize(size, count));
       });
--- a/tests/jobs/crashingTasks.spec.ts
+++ b/tests/jobs/crashingTasks.spec.ts
@@ -173,6 +173,20 @@
   );
 });
 
+// Guards against a gang that never starts again because no two of its suspected members share a
+// worker.
+test('should complete a gang whose members have lost their workers together twice', async (t) => {
+  const { site, owner } = await makeOwnedSite({ workers: 2, behave: behaveFor(2_000) });
+  await site.submit(owner, OTHER, makeJob(makeStep({ count: 6, gang: true })));
+  for (let outage = 0; outage < 2; outage += 1) {
+    while (startsOf(site, OTHER) < 6 * (outage + 1)) await site.run(50);
+    site.workers.forEach((worker) => worker.crash());
+  }
+  await site.run(15_000);
+  t.is(await site.state(owner, OTHER), 'completed');
+  t.deepEqual(site.record.violations, []);
+});
+
 // Guards against a copy of a slow task that crashes one worker after the other.
 test('should count the crashes of workers that started a copy of a task', async (t) => {
   const starts = new Map<string, number>();
