Test that the runs under which workers crashed are stored and exchanged

Round trips of progress, delegations and reports, and text of former versions. A report that a task has failed is taken for a task given up only if workers have crashed under it: a home whose limit of attempts is higher than the one that the other share knew starts the task again.

--- a/packages/samphirenotch/src/jobs/ownership/outgoingDelegations.ts
+++ b/packages/samphirenotch/src/jobs/ownership/outgoingDelegations.ts
@@ -252,7 +252,7 @@
     }
     if (row.outcome === 'done') this.options.onDone(task);
     else if (task.failedRuns.length > failedBefore) this.options.onFailed(task);
-    else if (row.outcome === 'failed') this.options.onGivenUp(task);
+    else if (row.outcome === 'failed' && row.crashedRuns.length > 0) this.options.onGivenUp(task);
     if (row.outcome === 'returned') this.options.onReturned(step, delegation.to);
   }
 
--- a/tests/jobs/decisions.spec.ts
+++ b/tests/jobs/decisions.spec.ts
@@ -2,6 +2,12 @@
  * Tests decisions about jobs without running a site.
  */
 import test from 'ava';
+import {
+  decodeDelegation,
+  decodeReport,
+  encodeDelegation,
+  encodeReport,
+} from 'samphirenotch/jobs/model/delegation.js';
 import { decodeProgress, encodeProgress } from 'samphirenotch/jobs/model/jobProgress.js';
 import { JobReplica } from 'samphirenotch/jobs/store/jobReplica.js';
 import { encodeAccepted } from 'samphirenotch/jobs/model/acceptedJob.js';
@@ -51,6 +57,38 @@
   t.is(progress?.[1]?.done.size, 0);
 });
 
+// Guards against a successor that starts the count of crashes of a task anew.
+test('should keep the runs under which workers crashed when progress is encoded and decoded', (t) => {
+  const job = makeOwned(makeJob(makeStep({ count: 3 })));
+  firstStep(job).tasks[2]?.crashedRuns.push(4, 7);
+  const [step] = decodeProgress(encodeProgress(job)).get(0) ?? [];
+  t.deepEqual([...(step?.crashedRuns ?? [])], [[2, [4, 7]]]);
+});
+
+// Guards against an owner that cannot read what an owner of a former version has stored.
+test('should read progress, delegations and reports without crashes', (t) => {
+  const [step] = decodeProgress('{"o":[{"k":0,"s":[{"d":[0,2],"f":{"3":[1]}}]}]}').get(0) ?? [];
+  t.is(step?.crashedRuns.size, 0);
+  t.deepEqual(step?.failedRuns.get(3), [1]);
+  const delegation = decodeDelegation(
+    '{"j":"a1","n":"1-1","h":"dc0","t":"dc1","k":0,"s":0,"r":[[2,5,[4],"c"]]}',
+  );
+  t.deepEqual(delegation.tasks[0]?.crashedRuns, []);
+  const report = decodeReport('{"t":"dc1","b":true,"r":[[2,5,[4],"c","r"]]}');
+  t.like(report.tasks[0], { outcome: 'returned', crashedRuns: [], failedRuns: [4] });
+});
+
+// Guards against a count of crashes that is lost when a task moves to another share or back.
+test('should keep the runs under which workers crashed in delegations and reports', (t) => {
+  const task = { index: 2, nextRun: 5, failedRuns: [], crashedRuns: [3, 4], checkpoint: '' };
+  const names = { jobId: 'a1', name: '1-1', home: 'dc0', to: 'dc1', occurrence: 0, step: 0 };
+  const delegation = { ...names, tasks: [task] };
+  t.deepEqual(decodeDelegation(encodeDelegation(delegation)), delegation);
+  const tasks = [{ ...task, outcome: 'open' as const }];
+  const report = { from: 'dc1', hasStarted: true, tasks };
+  t.deepEqual(decodeReport(encodeReport(report)), report);
+});
+
 // Guards against an owner that starts jobs which a listing of the store also shows as ended or
 // cancelled.
 test('should not report a listed job as accepted if it has ended or is cancelled', (t) => {
