Offer every task that found no worker to other shares, not only those of the last pass

Cause: steps that a cut pass does not reach are tried in turn, four of each kind a pass, and count as unplaced in that pass only. Other shares are considered every 50 ms, less often than passes take place, so a step that is always tried in the passes between is never considered. The same held for the return of tasks that another share has delegated.

Change: a step that was not reached stays unplaced as long as its last try failed.

--- a/packages/samphirenotch/src/jobs/placement/retryOrder.ts
+++ b/packages/samphirenotch/src/jobs/placement/retryOrder.ts
@@ -42,4 +42,14 @@
     this.failureCount += 1;
     this.failures.set(step, this.failureCount);
   }
+
+  /**
+   * Tells whether the last try of a step failed.
+   *
+   * @param step - the step
+   * @returns true if it found no worker
+   */
+  hasFailed(step: OwnedStep): boolean {
+    return this.failures.has(step);
+  }
 }
--- a/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
@@ -169,15 +169,19 @@
   }
 
   /**
-   * Lists steps with tasks that found no worker in the last pass, without those that still wait for
-   * the policy service.
+   * Lists steps with tasks that found no worker when they were last tried, without those that still
+   * wait for the policy service.
    *
    * @returns the steps, the most urgent first
    */
   unplaced(): readonly UnplacedStep[] {
     const { clock, permissions } = this.options;
     const nowMs = clock.monotonicMs();
-    return this.unplacedSteps
+    // Of the steps that are not reached, each pass tries only some.
+    const untried = this.untriedSteps.filter(
+      (step) => step.unplacedSinceMs !== undefined && this.retries.hasFailed(step),
+    );
+    return [...new Set([...this.unplacedSteps, ...untried])]
       .map((step) => ({
         step,
         waitedMs: nowMs - (step.unplacedSinceMs ?? nowMs),
--- a/tests/jobs/cutPasses.spec.ts
+++ b/tests/jobs/cutPasses.spec.ts
@@ -234,3 +234,29 @@
   const [run] = site.record.runsOf(`${URGENT_ID}.0.0.0`);
   t.true((run?.startedMs ?? Infinity) - putMs <= MAX_OTHER_SHARE_DELAY_MS);
 });
+
+// Guards against tasks that are tried only in passes whose unplaced tasks are not looked at: other shares
+// are considered less often than passes take place.
+test('should offer each long-running task that fits nowhere to another share', async (t) => {
+  const { site } = await makeDividedSite({
+    workers: 40,
+    milliCores: 64_000,
+    startCostMs: 1,
+    behave: () => ({ size: SIZE, durationMs: 1_000 }),
+  });
+  site.configure([site.queue, urgent, bulk]);
+  site.registerWorker('w1', { labels: ['only'] });
+  await site.run(1_000);
+  await runBurst(site, 1_000, 0, {}, 'dc0');
+  const idsOf = (letter: string, count: number) =>
+    Array.from({ length: count }, (_, index) => `${letter.repeat(14)}${10 + index}`);
+  const lasting = { longRunning: true };
+  const blocked = makeJob(makeStep({ ...lasting, requiredLabel: 'missing' }));
+  const others = idsOf('c', 4);
+  put(site, urgent, idsOf('b', 4), blocked, 'dc0');
+  put(site, urgent, others, makeJob(makeStep({ ...lasting, requiredLabel: 'only' })), 'dc0');
+  const putMs = site.clock.monotonicMs();
+  await runBurst(site, BURST_MS, 1_000, {}, 'dc0');
+  const starts = others.map((id) => site.record.runsOf(`${id}.0.0.0`)[0]?.startedMs ?? Infinity);
+  t.true(Math.max(...starts) - putMs <= MAX_OTHER_SHARE_DELAY_MS, starts.join(' '));
+});
