Request tickets for the steps that a pass cut short tries

Cause: tickets are requested only for steps that a pass reaches in their order, so one that is tried among the others never gets a ticket, finds no worker, and counts as unplaced without a decision being pending.

Three new tests failed before: a long-running and a late task were not started within 1 s (the last start of the test was none), and four of four tasks went to another share; all pass now.

Change: tickets are requested there as well, and a step that is not reached counts as waiting for a decision for as long as a pending one would.

--- a/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
@@ -178,19 +178,22 @@
     const { clock, permissions } = this.options;
     const nowMs = clock.monotonicMs();
     // Of the steps that are not reached, each pass tries only some.
-    const untried = this.untriedSteps.filter(
-      (step) => step.unplacedSinceMs !== undefined && this.retries.hasFailed(step),
+    const untried = new Set(
+      this.untriedSteps.filter(
+        (step) => step.unplacedSinceMs !== undefined && this.retries.hasFailed(step),
+      ),
     );
+    // A step that is not reached may get its tickets, and is not tried with them at once.
+    const mayBeAllowed = (step: OwnedStep): boolean =>
+      permissions.isDecisionPending(step) ||
+      (untried.has(step) && step.occurrence.job.queue.policy !== undefined);
     return [...new Set([...this.unplacedSteps, ...untried])]
       .map((step) => ({
         step,
         waitedMs: nowMs - (step.unplacedSinceMs ?? nowMs),
         hasWorkers: this.candidates(step).length > 0,
       }))
-      .filter(
-        ({ step, waitedMs }) =>
-          waitedMs >= MAXIMUM_DECISION_WAIT_MS || !permissions.isDecisionPending(step),
-      );
+      .filter(({ step, waitedMs }) => waitedMs >= MAXIMUM_DECISION_WAIT_MS || !mayBeAllowed(step));
   }
 
   /**
@@ -319,6 +322,8 @@
         const tried = step;
         if (isStarted) tried.unplacedSinceMs = undefined;
         else if (!step.spec.gang) this.noteUnplaced(step, nowMs);
+        if (step.occurrence.job.queue.policy)
+          this.requestTickets(step, this.candidates(step), nowMs);
       });
   }
 
--- a/tests/jobs/cutPasses.spec.ts
+++ b/tests/jobs/cutPasses.spec.ts
@@ -260,3 +260,47 @@
   const starts = others.map((id) => site.record.runsOf(`${id}.0.0.0`)[0]?.startedMs ?? Infinity);
   t.true(Math.max(...starts) - putMs <= MAX_OTHER_SHARE_DELAY_MS, starts.join(' '));
 });
+
+// Guards against long-running and late tasks that no ticket is requested for in passes that are cut short.
+[{ longRunning: true }, {}].forEach((kind) => {
+  test(`should request a ticket for a ${kind.longRunning ? 'long-running' : 'late'} task while passes are cut short`, async (t) => {
+    const site = await makeBulkSite({ allows: () => true });
+    const queue = {
+      ...(kind.longRunning ? urgent : hopeless),
+      policy: { decisionMs: 100, perWorkerMs: 0 },
+    };
+    site.configure([site.queue, queue, bulk]);
+    await site.run(200);
+    await runBurst(site, 1_000);
+    put(site, queue, [URGENT_ID], makeJob(makeStep(kind)));
+    const putMs = site.clock.monotonicMs();
+    await runBurst(site, BURST_MS, 1_000);
+    const [run] = site.record.runsOf(`${URGENT_ID}.0.0.0`);
+    t.true((run?.startedMs ?? Infinity) - putMs <= MAX_START_DELAY_MS);
+  });
+});
+
+// Guards against tasks that are handed to another share although a ticket of their own was requested, and
+// would allow workers there.
+test('should not delegate long-running tasks that wait for a ticket while passes are cut short', async (t) => {
+  const { site } = await makeDividedSite({
+    workers: 40,
+    milliCores: 64_000,
+    startCostMs: 1,
+    allows: () => true,
+    behave: () => ({ size: SIZE, durationMs: 1_000 }),
+  });
+  const queue = { ...urgent, policy: { decisionMs: 100, perWorkerMs: 0 } };
+  site.configure([site.queue, queue, bulk]);
+  await site.run(1_000);
+  await runBurst(site, 1_000, 0, {}, 'dc0');
+  const ids = Array.from({ length: 4 }, (_, index) => `cccccccccccccc${10 + index}`);
+  put(site, queue, ids, makeJob(makeStep({ longRunning: true })), 'dc0');
+  await runBurst(site, BURST_MS, 1_000, {}, 'dc0');
+  const runs = ids.map((id) => site.record.runsOf(`${id}.0.0.0`)[0]);
+  const isHome = (id = ''): boolean => Number(id.slice(1)) % 2 === 0;
+  t.deepEqual(
+    runs.map((run) => isHome(run?.workerId)),
+    ids.map(() => true),
+  );
+});
