Reserve half of the tries of a pass cut short for steps that failed before

What callers saw: a long-running or late task that found no worker once is not tried again for as long as passes are cut short and four other steps a pass have not failed: new ones that arrive, or steps with many tasks that are started one a pass.

Cause: steps whose last try did not fail all came before those whose last try failed, so the promise that each is tried within a bounded number of passes did not hold.

Change: half of the tries go to steps that failed, the oldest failure first, the rest to the others.

--- a/packages/samphirenotch/src/jobs/placement/retryOrder.ts
+++ b/packages/samphirenotch/src/jobs/placement/retryOrder.ts
@@ -1,8 +1,9 @@
 /**
  * Shares a few tries of each pass among many waiting steps, some of which may fit nowhere for long.
  *
- * Steps whose last try did not fail come first, in their given order. The others follow, those whose
- * failure is oldest first, so that every step is tried again after a bounded number of passes.
+ * Half of the tries go to steps whose last try failed, the oldest failure first, so that each of them is
+ * tried again after a bounded number of passes, however many steps come meanwhile. The other half goes to
+ * the other steps in their given order. What one half doesn't need goes to the other.
  */
 import type { OwnedStep } from '../model/ownedJob.js';
 
@@ -21,11 +22,13 @@
    * @returns the chosen steps, in the order in which to try them
    */
   next(steps: readonly OwnedStep[], count: number): readonly OwnedStep[] {
-    return steps
-      .map((step) => ({ step, failure: this.failures.get(step) ?? 0 }))
-      .sort((left, right) => left.failure - right.failure)
-      .slice(0, count)
-      .map(({ step }) => step);
+    const fresh = steps.filter((step) => !this.hasFailed(step));
+    const failed = steps
+      .filter((step) => this.hasFailed(step))
+      .sort((left, right) => this.failureOf(left) - this.failureOf(right));
+    const reserved = Math.min(failed.length, Math.ceil(count / 2));
+    const chosen = fresh.slice(0, count - reserved);
+    return [...chosen, ...failed.slice(0, count - chosen.length)];
   }
 
   /**
@@ -52,4 +55,8 @@
   hasFailed(step: OwnedStep): boolean {
     return this.failures.has(step);
   }
+
+  private failureOf(step: OwnedStep): number {
+    return this.failures.get(step) ?? 0;
+  }
 }
