Preempt runs elsewhere when a worker does not end a stopped run in time

What callers saw: an urgent task waits while less urgent runs that could be stopped fill other workers, for as long as one worker answers polls but no stops.

Cause: the room of a run that is being stopped counts as about to become free without a limit in time, so no other run is stopped for the task.

A test with two full workers, one of which drops stops: the task was not completed in 4 s before, and is now.

Change: the room of a stopped run counts for 1.5 s, the time that a worker may take for a stop plus the timeout of the order. A worker with a stop that is overdue is not chosen for another.

--- a/packages/samphirenotch/src/jobs/model/ownedJob.ts
+++ b/packages/samphirenotch/src/jobs/model/ownedJob.ts
@@ -55,6 +55,8 @@
   startAnsweredMs: number | undefined;
   /** Monotonic time at which the owner learned that the run had started, in milliseconds. */
   confirmedMs: number | undefined;
+  /** Monotonic time at which its stop was ordered, in milliseconds; undefined until then. */
+  stopOrderedMs: number | undefined;
   /** Progress, in percent. */
   percent: number;
   /** First progress report at its current pace, base for its speed; undefined until then. */
--- a/packages/samphirenotch/src/jobs/placement/preemption.ts
+++ b/packages/samphirenotch/src/jobs/placement/preemption.ts
@@ -21,6 +21,12 @@
  */
 const MINIMUM_REMAINING_MS = 1_000;
 
+/** Time within which a run that is stopped is expected to end, in milliseconds. */
+const EXPECTED_STOP_MS = 1_500;
+
+const isStopOverdue = ({ stopOrderedMs }: OwnedRun, nowMs: number): boolean =>
+  stopOrderedMs !== undefined && nowMs - stopOrderedMs > EXPECTED_STOP_MS;
+
 const priorityOf = ({ step }: OwnedTask): number => step.occurrence.job.queue.priority;
 
 /**
@@ -73,13 +79,14 @@
     )
       return;
     const willHaveRoom = (agent: WorkerAgent): boolean =>
-      fitsIn(size, Preemption.roomAfterStops(agent)) && permits(agent);
+      fitsIn(size, this.roomAfterStops(agent)) && permits(agent);
     const known = cacheKey === undefined ? undefined : this.pendingWorkers.get(cacheKey);
     if (known && willHaveRoom(known)) return;
     const pendingWorker = workers.find(willHaveRoom);
     if (pendingWorker && cacheKey !== undefined) this.pendingWorkers.set(cacheKey, pendingWorker);
     if (pendingWorker) return;
-    const agent = this.fewestVictims(workers.filter(permits), size, priorityOf(task));
+    const stoppable = workers.filter((each) => permits(each) && this.endsRunsInTime(each));
+    const agent = this.fewestVictims(stoppable, size, priorityOf(task));
     if (agent) this.stopVictims(agent, task, size);
     else if (cacheKey !== undefined) this.noteImpossible(cacheKey, size);
   }
@@ -120,19 +127,26 @@
     return fewest;
   }
 
-  /** Returns the free resources including those of runs that are being stopped. */
-  private static roomAfterStops(agent: WorkerAgent): Size {
+  /** Returns the free resources including those of runs that are being stopped, unless they are overdue. */
+  private roomAfterStops(agent: WorkerAgent): Size {
+    const nowMs = this.clock.monotonicMs();
     let room = agent.free();
-    for (const { phase, size } of agent.activeRuns()) {
-      if (phase === 'stopping') room = plusSize(room, size);
+    for (const run of agent.activeRuns()) {
+      if (run.phase === 'stopping' && !isStopOverdue(run, nowMs)) room = plusSize(room, run.size);
     }
     return room;
   }
 
+  /** A worker that has not ended a stopped run in time is not given another stop. */
+  private endsRunsInTime(agent: WorkerAgent): boolean {
+    const nowMs = this.clock.monotonicMs();
+    return !agent.activeRuns().some((run) => isStopOverdue(run, nowMs));
+  }
+
   /** Returns the runs to stop on a worker; none if stopping runs would not free enough. */
   private victims(agent: WorkerAgent, size: Size, priority: number): readonly OwnedRun[] {
     const nowMs = this.clock.monotonicMs();
-    let room = Preemption.roomAfterStops(agent);
+    let room = this.roomAfterStops(agent);
     // Most runs are fillers, and stopping one frees no processors.
     const lacksOnlyProcessors = fitsIn({ ...size, milliCores: 0 }, { ...room, milliCores: 0 });
     const candidates = agent
--- a/packages/samphirenotch/src/jobs/workers/workerOrders.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerOrders.ts
@@ -104,6 +104,7 @@
     if (run.phase === 'stopping') return;
     const owned = run;
     owned.phase = 'stopping';
+    owned.stopOrderedMs = this.context.clock.monotonicMs();
     this.log.info('Stopping a run', { ...nameOf(run), worker: this.context.id, reason });
     this.context.batcher.enqueue(() => {
       this.sendStop(owned).catch((error: unknown) => {
--- a/packages/samphirenotch/src/jobs/workers/workerRuns.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerRuns.ts
@@ -144,6 +144,7 @@
       startedMs,
       startAnsweredMs: undefined,
       confirmedMs: phase === 'running' ? startedMs : undefined,
+      stopOrderedMs: undefined,
       percent: 0,
       firstSample: undefined,
       reportedMs: startedMs,
--- a/tests/jobs/preemption.spec.ts
+++ b/tests/jobs/preemption.spec.ts
@@ -68,3 +68,17 @@
   await site.run(3_000);
   t.is(stoppedOf(site).length, 0);
 });
+
+// Guards against urgent tasks that wait for room on a worker that answers polls but no stops, while runs on
+// other workers could make room for them.
+test('should stop a run elsewhere when a worker does not answer a stop', async (t) => {
+  const made = await makeSite();
+  const { site, owner } = made;
+  await site.submit(owner, BATCH, makeJob(makeStep({ count: 4, checkpointing: true })));
+  await site.run(1_000);
+  const muted = site.workers.get('w0');
+  if (muted) muted.dropsStops = true;
+  await submitUrgent(made, 0);
+  await site.run(4_000);
+  t.is(await site.state(owner, URGENT), 'completed');
+});
