Let a successor wait only for workers that accepted an owner's token

One entry that nobody answers for, left in the directory for good, held up every take-over: jobs accepted before it started nothing for 9 s, or for 18.5 s in a data centre where no other worker answered.

Cause: the roster, which tells a successor whose former leases to wait for, named every worker that the directory listed. An owner starts nothing on a worker before the worker has accepted its fencing token, so a worker that never answered cannot hold a run.

Change: the roster names the workers that have accepted this owner's token and those of former owners that are not accounted for yet. It is written when a worker is fenced or given up, and a start still needs a stored roster with the worker. A worker that leaves the newest roster gets nothing from that moment, not only once it is stored. The owner looks for tasks as soon as a roster is stored.

Evidence, in the site in memory: "should start older jobs without waiting for an entry that nobody ever answered for" (nothing had started 4 s after the owner was killed) and "should store no worker for its successor that has not accepted its fencing token" failed before and pass now. That real workers are still waited for: "should wait for a worker that joined and was given work just before a take-over" (21 moments) fails with a task that runs twice if starts do not wait for the stored roster, and "should keep waiting for a worker of the former owner through a second take-over" if the roster leaves out former workers that are not accounted for. Both pass before and after this change.

Why it works: a worker enters the stored roster before its first start, and a worker of a former roster leaves it only once it is fenced and idle or its former leases have lapsed, so the set covers every run that may exist.

--- a/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
@@ -153,7 +153,11 @@
     this.turns = new OrderBatcher(options.clock);
     this.book = new JobRegistry(options.operator, options.clock);
     this.outcomes = new TaskOutcomes(this.book, options.clock, options.viewAgeMs);
-    this.fleet = new WorkerFleet((description) => this.createAgent(description), options.clock);
+    this.fleet = new WorkerFleet(
+      (description) => this.createAgent(description),
+      options.clock,
+      () => this.wakeup.wake(),
+    );
     this.watch = new RunSupervisor(this.fleet, options.clock);
     this.slowWorkers = new SlowWorkerDetector(this.fleet, options.clock);
     const interference = new Interference();
--- a/packages/samphirenotch/src/jobs/workers/workerFleet.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerFleet.ts
@@ -76,21 +76,26 @@
   private isDirectoryKnown = false;
 
   /**
-   * Ids of workers in the stored roster. Only these get tasks, because a successor waits for the
-   * leases of the workers in the roster and of no others.
+   * Ids of workers in the stored roster and in the newest one. Only these get tasks, because a
+   * successor waits for the leases of the workers in the roster and of no others.
    */
   private rosteredIds: ReadonlySet<string> = new Set();
 
+  /** Ids of workers in the newest roster, which may not be stored yet. */
+  private newestRosterIds: ReadonlySet<string> = new Set();
+
   /** True if the roster may differ from the one stored last. */
   private rosterChanged = true;
 
   /**
    * @param makeAgent - creates the agent of a worker
    * @param clock - time
+   * @param onRosterStored - called when workers may have become usable
    */
   constructor(
     private readonly makeAgent: (description: WorkerDescription) => WorkerAgent,
     private readonly clock: Clock,
+    private readonly onRosterStored: () => void,
   ) {}
 
   /** @returns all agents */
@@ -114,6 +119,7 @@
     this.journal = journal;
     this.rosterKey = rosterKey;
     this.rosteredIds = new Set(roster.map(({ id }) => id));
+    this.newestRosterIds = this.rosteredIds;
     const leasesExpireMs = this.clock.monotonicMs() + MAX_FORMER_LEASE_MS;
     roster.forEach((entry) => {
       const agent = this.add(describeRosterEntry(entry));
@@ -179,6 +185,7 @@
    * @param agent - its agent
    */
   markFenced(agent: WorkerAgent): void {
+    this.rosterChanged = true;
     if (!this.unfencedWorkers.delete(agent)) return;
     if (this.unfencedWorkers.size === 0)
       this.log.info('All workers of the former owner are accounted for');
@@ -279,6 +286,7 @@
 
   private giveUp(agent: WorkerAgent, reason: string): void {
     this.unfencedWorkers.delete(agent);
+    this.rosterChanged = true;
     this.log.warn('A worker of the former owner was not reached', { worker: agent.id, reason });
   }
 
@@ -308,16 +316,27 @@
     this.health.delete(agent.id);
   }
 
+  /**
+   * Tells whether a successor has to wait for a worker: this owner starts nothing before the worker
+   * has accepted its fencing token, and former owners may have started something until their leases
+   * have certainly lapsed. An entry of the directory behind which nobody answers is not waited for.
+   */
+  private mayHoldRuns(agent: WorkerAgent): boolean {
+    return agent.isFenced || this.unfencedWorkers.has(agent);
+  }
+
   private storeRoster(): void {
     if (!this.rosterChanged) return;
     this.rosterChanged = false;
-    const roster = this.all().map(({ description }) => ({
-      id: description.id,
-      address: description.address,
-      service: description.service,
-      dataCentre: description.dataCentre,
-      draining: description.phase === 'draining',
-    }));
+    const roster = this.all()
+      .filter((agent) => this.mayHoldRuns(agent))
+      .map(({ description }) => ({
+        id: description.id,
+        address: description.address,
+        service: description.service,
+        dataCentre: description.dataCentre,
+        draining: description.phase === 'draining',
+      }));
     const text = JSON.stringify(roster);
     if (text === this.lastRosterText) return;
     this.lastRosterText = text;
@@ -327,9 +346,15 @@
       value: () => text,
     });
     const ids = new Set(roster.map(({ id }) => id));
+    this.newestRosterIds = ids;
+    // A worker that leaves the roster gets nothing from now on, since the roster may be stored at any
+    // time.
+    this.rosteredIds = new Set([...this.rosteredIds].filter((id) => ids.has(id)));
     this.journal.waitUntilStored(sequence).then(
       (stored) => {
-        if (stored) this.rosteredIds = ids;
+        if (!stored) return;
+        this.rosteredIds = new Set([...ids].filter((id) => this.newestRosterIds.has(id)));
+        this.onRosterStored();
       },
       (error: unknown) => {
         this.log.error('The roster of workers was not stored', { reason: String(error) });
