Go on following the store beside an item that cannot be applied

An item whose reader throws ended the follower: of jobs and operators' items for good, while the process went on without news; of workers together with the term and the process. A restarted process read the same item and ended again.

Cause: what a reader threw went through the follower's loop. Today's codec does not throw on any text that was tried, but an owner's record with a broken escape does, and nothing kept a reader from it.

Change: each item of an answer, and each item of a listing, is applied on its own. One that throws is logged with its key and left out. So are entries that are counted when the site is divided.

Evidence: "should follow the other items beside one that cannot be read" spoils an entry of a worker, an item of operators and an owner's record, before the entry starts and while it follows. The job stayed queued before and completes now.

Why it works: the others hold whatever one item does, in every follower, and the revision still advances, so the item is not read again in a loop.

--- a/packages/samphirenotch/src/jobs/ownership/inbox.ts
+++ b/packages/samphirenotch/src/jobs/ownership/inbox.ts
@@ -6,7 +6,7 @@
 
 import { decodeDelegation, decodeReport, type DelegationReport } from '../model/delegation.js';
 import { keysOfShare, type ShareKeys } from '../store/jobKeys.js';
-import type { StoreListener } from '../store/storeFollower.js';
+import { applyItem, type StoreListener } from '../store/storeFollower.js';
 import type { OutgoingDelegations } from './outgoingDelegations.js';
 import type { IncomingDelegations } from './incomingDelegations.js';
 
@@ -50,7 +50,9 @@
       .forEach((key) => this.onChange(key, undefined, 0));
     [...items]
       .sort(byRevision)
-      .forEach(({ key, value, revision }) => this.onChange(key, value, revision));
+      .forEach(({ key, value, revision }) =>
+        applyItem(key, () => this.onChange(key, value, revision)),
+      );
     this.resolveListed();
   }
 
--- a/packages/samphirenotch/src/jobs/ownership/layoutInitializer.ts
+++ b/packages/samphirenotch/src/jobs/ownership/layoutInitializer.ts
@@ -11,6 +11,7 @@
 import type { SiteCodec } from '../model/siteCodec.js';
 import { LAYOUT_KEY } from '../store/jobKeys.js';
 import type { ShareDirectory } from '../store/shareDirectory.js';
+import { applyItem } from '../store/storeFollower.js';
 
 /** Timeout of one call to the store, in milliseconds. */
 const CALL_TIMEOUT_MS = 2_000;
@@ -112,8 +113,10 @@
     if (listing.err) return undefined;
     const workers = new Map<string, number>();
     listing.val.items.forEach(({ key, value }) => {
-      const dataCentre = codec.readWorker(key, value)?.dataCentre;
-      if (dataCentre !== undefined) workers.set(dataCentre, (workers.get(dataCentre) ?? 0) + 1);
+      applyItem(key, () => {
+        const dataCentre = codec.readWorker(key, value)?.dataCentre;
+        if (dataCentre !== undefined) workers.set(dataCentre, (workers.get(dataCentre) ?? 0) + 1);
+      });
     });
     return workers;
   }
--- a/packages/samphirenotch/src/jobs/store/jobReplica.ts
+++ b/packages/samphirenotch/src/jobs/store/jobReplica.ts
@@ -14,7 +14,7 @@
   SHARES_PREFIX,
 } from './jobKeys.js';
 import { ShareDirectory, type OwnerRecord } from './shareDirectory.js';
-import type { StoreListener } from './storeFollower.js';
+import { applyItem, type StoreListener } from './storeFollower.js';
 
 /** An accepted job with the store revision of its acceptance. */
 export interface ReplicatedJob {
@@ -187,7 +187,7 @@
     // The layout comes first, because it determines the homes of jobs.
     this.shares.applyLayout(items.find(({ key }) => key === LAYOUT_KEY)?.value);
     [...others, ...items.filter(isAccepted)].forEach(({ key, value, revision }) =>
-      this.onChange(key, value, revision),
+      applyItem(key, () => this.onChange(key, value, revision)),
     );
     this.listeners.forEach((listener, share) => {
       if (!this.shares.owner(share)) listener.onOwner(undefined);
--- a/packages/samphirenotch/src/jobs/store/operatorFollower.ts
+++ b/packages/samphirenotch/src/jobs/store/operatorFollower.ts
@@ -6,7 +6,7 @@
 
 import type { SiteCodec } from '../model/siteCodec.js';
 import type { OperatorView, SiteConfiguration } from '../model/siteConfiguration.js';
-import type { StoreListener } from './storeFollower.js';
+import { applyItem, type StoreListener } from './storeFollower.js';
 
 /** Holds the newest configuration and the evacuated data centres. */
 export class OperatorFollower implements StoreListener {
@@ -45,7 +45,7 @@
     [...this.evacuations.keys()]
       .filter((key) => !present.has(key))
       .forEach((key) => this.onChange(key, undefined));
-    items.forEach(({ key, value }) => this.onChange(key, value));
+    items.forEach(({ key, value }) => applyItem(key, () => this.onChange(key, value)));
   }
 
   onChange(key: string, value: string | undefined): void {
--- a/packages/samphirenotch/src/jobs/store/storeFollower.ts
+++ b/packages/samphirenotch/src/jobs/store/storeFollower.ts
@@ -37,7 +37,10 @@
 
 /** Receives the items under the prefix and their changes. */
 export interface StoreListener {
-  /** Called with a full listing, which replaces all earlier items. */
+  /**
+   * Called with a full listing, which replaces all earlier items. Must not throw; `applyItem` guards
+   * against single items.
+   */
   onListing(items: readonly KeyValue[], revision: number): void;
   /** Called for each change; `value` is undefined if the key was removed. */
   onChange(key: string, value: string | undefined, revision: number): void;
@@ -61,6 +64,23 @@
   readonly holdMs?: () => number;
 }
 
+const itemLog = partLog('follower');
+
+/**
+ * Applies an item of the store. If that throws, the item is logged and left out: one item must not
+ * keep others from being followed.
+ *
+ * @param key - key of the item
+ * @param apply - applies it
+ */
+export const applyItem = (key: string, apply: () => void): void => {
+  try {
+    apply();
+  } catch (error) {
+    itemLog.error('An item of the store cannot be applied', { key, reason: String(error) });
+  }
+};
+
 /** Follows one prefix and passes items and changes to a listener. */
 export class StoreFollower {
   private readonly log = partLog('follower');
@@ -195,7 +215,7 @@
     }
     this.viewRequestedMs = sentMs;
     batch.val.changes.forEach(({ key, value, revision }) =>
-      this.listener.onChange(key, value, revision),
+      applyItem(key, () => this.listener.onChange(key, value, revision)),
     );
     this.revision = Math.max(this.revision, batch.val.revision);
     this.listener.onCaughtUp(this.revision, sentMs);
--- a/packages/samphirenotch/src/jobs/workers/workerDirectory.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerDirectory.ts
@@ -6,7 +6,7 @@
 import type { Clock } from '../../time/clock.js';
 
 import type { SiteCodec } from '../model/siteCodec.js';
-import type { StoreListener } from '../store/storeFollower.js';
+import { applyItem, type StoreListener } from '../store/storeFollower.js';
 
 /**
  * Time for which a worker's key may be missing, or name no worker, before the worker counts as
@@ -71,7 +71,7 @@
     [...this.workers.keys()]
       .filter((key) => !present.has(key) && !this.removedAtMs.has(key))
       .forEach((key) => this.removedAtMs.set(key, nowMs));
-    items.forEach(({ key, value }) => this.onChange(key, value));
+    items.forEach(({ key, value }) => applyItem(key, () => this.onChange(key, value)));
     this.isComplete = true;
   }
 
--- a/tests/jobs/oddEntries.spec.ts
+++ b/tests/jobs/oddEntries.spec.ts
@@ -4,15 +4,9 @@
 import test from 'ava';
 
 import { WHOLE_SITE_SHARE_ID } from 'samphirenotch/jobs/model/shareLayout.js';
-import { keysOfShare } from 'samphirenotch/jobs/store/jobKeys.js';
+import { keysOfShare, SHARES_PREFIX } from 'samphirenotch/jobs/store/jobKeys.js';
 
-import {
-  makeJob,
-  makeOwnedSite,
-  makeStep,
-  type JobSite,
-  type SiteEntry,
-} from '../fixtures/jobSite.js';
+import { JobSite, makeJob, makeOwnedSite, makeStep, type SiteEntry } from '../fixtures/jobSite.js';
 
 const ID = '00000000000000a1';
 const SIZE = { milliCores: 1_000, memoryMb: 1_000, accelerators: 0 };
@@ -145,3 +139,29 @@
   t.is(active.length, 6);
   t.true(active.every(({ workerId }) => workerId !== 'w1'));
 });
+
+// Guards against followers and processes that end because a single item cannot be read, before or
+// while they follow.
+test('should follow the other items beside one that cannot be read', async (t) => {
+  // The codec of the fixture throws on text that is not JSON.
+  const site = new JobSite({ workers: 1 });
+  const spoil = (suffix: string): void => {
+    site.data.put(`workers/${suffix}`, 'no JSON');
+    site.data.put(`operator/${suffix}`, 'no JSON');
+    site.data.put(`${SHARES_PREFIX}${suffix}/owner`, 'x x 1 %zz');
+  };
+  spoil('a-before');
+  const owner = site.start('a');
+  await site.run(500);
+  spoil('while');
+  await site.run(500);
+  site.addWorker('w1');
+  site.configure([{ ...site.queue, priority: 2 }]);
+  await site.run(500);
+  t.is(await site.submit(owner, ID, makeJob(makeStep({ count: 6 }))), 'done');
+  await site.run(3_000);
+  t.is(await site.state(owner, ID), 'completed');
+  t.is(new Set(site.record.runs.map(({ workerId }) => workerId)).size, 2);
+  t.is(owner.entry.status().configurationVersion, 2);
+  t.deepEqual(site.record.violations, []);
+});
