Take over beside a roster that cannot be read

A roster in the store that cannot be read ended the candidate that was elected, and each one after it, with the error of the schema; the share had no owner until somebody removed the key.

Cause: the roster was the only item that is read at a take-over without a guard.

Change: the item is logged, and the owner takes over without it.

Evidence: "should take over beside a roster that cannot be read, and start nothing that may still run" failed before (the run of the entry was rejected) and passes now: what runs on a worker out of reach is not started again, and the job completes.

--- a/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
@@ -222,7 +222,7 @@
       fencingToken: term.fencingToken,
       jobs: this.book.openJobs().length,
       firstRun: takeover.firstRun,
-      suspects: takeover.roster.length,
+      suspects: takeover.roster?.length,
     });
     await Promise.all([
       writing,
--- a/packages/samphirenotch/src/jobs/ownership/takeover.ts
+++ b/packages/samphirenotch/src/jobs/ownership/takeover.ts
@@ -33,6 +33,9 @@
 /** Interval at which the revision of the replica is polled, in milliseconds. */
 const REPLICA_POLL_MS = 5;
 
+/** Longest reason in a log line, in characters. */
+const LONGEST_REASON = 200;
+
 const ROSTER = z.array(
   z.object({
     id: z.string(),
@@ -63,8 +66,8 @@
   readonly firstRun: number;
   /** Stored progress by job id. */
   readonly progress: ReadonlyMap<string, JobProgress>;
-  /** Workers on which former owners may have started runs. */
-  readonly roster: readonly RosterEntry[];
+  /** Workers on which former owners may have started runs; undefined if that cannot be read. */
+  readonly roster: readonly RosterEntry[] | undefined;
   /** Delegations of the share's jobs that are not closed yet, as stored text. */
   readonly openDelegations: readonly string[];
   /** Delegations and reports that owners of all shares have exchanged, as stored text by key. */
@@ -145,9 +148,20 @@
   return progress;
 };
 
-const readRoster = (items: readonly KeyValue[], { roster }: ShareKeys): readonly RosterEntry[] => {
+/** Returns undefined if there is a roster that cannot be read. */
+const readRoster = (
+  items: readonly KeyValue[],
+  { roster }: ShareKeys,
+): readonly RosterEntry[] | undefined => {
   const item = items.find(({ key }) => key === roster);
-  return item ? ROSTER.parse(JSON.parse(item.value)) : [];
+  if (!item) return [];
+  try {
+    return ROSTER.parse(JSON.parse(item.value));
+  } catch (error) {
+    const reason = String(error).slice(0, LONGEST_REASON);
+    log.error('The roster of workers cannot be read', { key: roster, reason });
+    return undefined;
+  }
 };
 
 const readExchange = async (
--- a/packages/samphirenotch/src/jobs/workers/workerFleet.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerFleet.ts
@@ -84,6 +84,12 @@
   /** Ids of workers in the newest roster, which may not be stored yet. */
   private newestRosterIds: ReadonlySet<string> = new Set();
 
+  /**
+   * Monotonic time until which any worker may hold leases of a former owner whose roster is not
+   * known, in milliseconds. No roster is stored before, since it would hide that from a successor.
+   */
+  private rosterUnknownUntilMs = Number.NEGATIVE_INFINITY;
+
   /** True if the roster may differ from the one stored last. */
   private rosterChanged = true;
 
@@ -105,7 +111,7 @@
 
   /** @returns true while workers may have runs of a former owner that are not known yet */
   get hasUnfencedWorkers(): boolean {
-    return this.unfencedWorkers.size > 0;
+    return this.unfencedWorkers.size > 0 || this.isFormerRosterUnknown;
   }
 
   /**
@@ -113,11 +119,22 @@
    *
    * @param journal - journal that stores the roster
    * @param rosterKey - key of the roster
-   * @param roster - workers of former owners
+   * @param roster - workers of former owners; undefined if they are not known
    */
-  beginTerm(journal: ProgressJournal, rosterKey: string, roster: readonly RosterEntry[]): void {
+  beginTerm(
+    journal: ProgressJournal,
+    rosterKey: string,
+    roster: readonly RosterEntry[] | undefined,
+  ): void {
     this.journal = journal;
     this.rosterKey = rosterKey;
+    if (roster) this.waitForFormerWorkers(roster);
+    else
+      this.rosterUnknownUntilMs =
+        this.clock.monotonicMs() + MAX_FORMER_LEASE_MS + MAXIMUM_UNCONFIRMED_MS;
+  }
+
+  private waitForFormerWorkers(roster: readonly RosterEntry[]): void {
     this.rosteredIds = new Set(roster.map(({ id }) => id));
     this.newestRosterIds = this.rosteredIds;
     const leasesExpireMs = this.clock.monotonicMs() + MAX_FORMER_LEASE_MS;
@@ -316,6 +333,10 @@
     this.health.delete(agent.id);
   }
 
+  private get isFormerRosterUnknown(): boolean {
+    return this.clock.monotonicMs() < this.rosterUnknownUntilMs;
+  }
+
   /**
    * Tells whether a successor has to wait for a worker: this owner starts nothing before the worker
    * has accepted its fencing token, and former owners may have started something until their leases
@@ -326,7 +347,7 @@
   }
 
   private storeRoster(): void {
-    if (!this.rosterChanged) return;
+    if (!this.rosterChanged || this.isFormerRosterUnknown) return;
     this.rosterChanged = false;
     const roster = this.all()
       .filter((agent) => this.mayHoldRuns(agent))
--- a/tests/jobs/oddEntries.spec.ts
+++ b/tests/jobs/oddEntries.spec.ts
@@ -165,3 +165,22 @@
   t.is(owner.entry.status().configurationVersion, 2);
   t.deepEqual(site.record.violations, []);
 });
+
+// Guards against entries that end at each take-over of a share whose roster cannot be read, and
+// against tasks that run twice because their workers are not known.
+test('should take over beside a roster that cannot be read, and start nothing that may still run', async (t) => {
+  const { site, owner } = await makeOwnedSite({
+    workers: 2,
+    behave: () => ({ size: SIZE, durationMs: 12_000 }),
+  });
+  const successor = site.start('b');
+  await site.run(500);
+  await site.submit(owner, ID, makeJob(makeStep({ count: 4 })));
+  await site.run(500);
+  site.cutFromWorkers(successor.client, ['w1']);
+  owner.kill();
+  site.data.put(keysOfShare(WHOLE_SITE_SHARE_ID).roster, '[{"id":5}]');
+  await site.run(40_000);
+  t.deepEqual(site.record.violations, []);
+  t.is(await site.state(successor, ID), 'completed');
+});
