Plan no share for a data centre that the site does not have

When a site is divided for the first time, one entry of a worker with an unknown data centre got a share of its own. The layout never changes, so each entry would own, watch and exchange tasks with a share without workers for good.

Cause: the data centres were taken from the entries of the workers alone.

Change: the platform's settings name all data centres, and the planner counts only workers of those. Other workers belong to the first share, as those of any data centre that the layout does not name. Without the names in the settings nothing changes.

Evidence: "should plan no share for a data centre that the site does not have" failed before (dc0, dc1, odd) and passes now. Sums of room were never spoilt: they count only workers that accepted the owner's token.

Why it works: what a wrong entry says no longer takes part in the one decision that is never made again.

--- a/packages/samphirenotch/src/jobs/entry/jobEntry.ts
+++ b/packages/samphirenotch/src/jobs/entry/jobEntry.ts
@@ -65,6 +65,8 @@
   /** Processors of the entry's VM, as a fraction of a core. */
   readonly processorShare: number;
   readonly dataCentre: string;
+  /** All data centres of the site; undefined if they are not known. */
+  readonly siteDataCentres?: ReadonlySet<string> | undefined;
   /**
    * Time for workers to register before the site is divided into shares for the first time, in
    * milliseconds.
--- a/packages/samphirenotch/src/jobs/model/layoutPlan.ts
+++ b/packages/samphirenotch/src/jobs/model/layoutPlan.ts
@@ -21,28 +21,32 @@
 export interface SiteSize {
   /** Number of workers by data centre. */
   readonly workers: ReadonlyMap<string, number>;
+  /** All data centres of the site; undefined if they are not known. */
+  readonly dataCentres?: ReadonlySet<string> | undefined;
   /** Processor of an entry's VM, as a fraction of a core of standard speed. */
   readonly processorShare: number;
 }
 
 /**
- * Plans the shares of a site.
+ * Plans the shares of a site. Workers that name a data centre the site does not have get no share of
+ * their own.
  *
- * @param size - number of workers, and speed of an entry's processor
+ * @param size - number of workers, data centres, and speed of an entry's processor
  * @returns the layout: one share, or one or more for each data centre
  */
-export const planShares = ({ workers, processorShare }: SiteSize): ShareLayout => {
+export const planShares = ({ workers, dataCentres, processorShare }: SiteSize): ShareLayout => {
   const maximumWorkers = Math.max(
     1,
     Math.floor((MAXIMUM_OWNER_LOAD * processorShare) / OWNER_CORES_PER_WORKER),
   );
-  const count = [...workers.values()].reduce((sum, each) => sum + each, 0);
+  const counted = [...workers].filter(([name]) => dataCentres?.has(name) ?? true);
+  const count = counted.reduce((sum, [, each]) => sum + each, 0);
   if (count <= maximumWorkers) return ShareLayout.undivided();
   const shareCountOf = (each: number): number =>
     Math.max(
       1,
       Math.min(Math.ceil(each / maximumWorkers), Math.floor(each / MINIMUM_WORKERS_PER_SHARE)),
     );
-  const shareCounts = [...workers].map(([name, each]) => [name, shareCountOf(each)] as const);
+  const shareCounts = counted.map(([name, each]) => [name, shareCountOf(each)] as const);
   return ShareLayout.byDataCentre(new Map(shareCounts));
 };
--- a/packages/samphirenotch/src/jobs/ownership/layoutInitializer.ts
+++ b/packages/samphirenotch/src/jobs/ownership/layoutInitializer.ts
@@ -45,6 +45,8 @@
   readonly clock: Clock;
   /** Settle time: how long workers have to register at the first start, in milliseconds. */
   readonly settleMs: number;
+  /** All data centres of the site; undefined if they are not known. */
+  readonly siteDataCentres?: ReadonlySet<string> | undefined;
   /** Name of this entry. */
   readonly entry: string;
   /** CPU of the entry's VM, as a fraction of a core of usual speed. */
@@ -122,8 +124,8 @@
   }
 
   private async plan(workers: ReadonlyMap<string, number>, signal: AbortSignal): Promise<void> {
-    const { store, clock, processorShare } = this.options;
-    const layout = planShares({ workers, processorShare });
+    const { store, clock, processorShare, siteDataCentres: dataCentres } = this.options;
+    const layout = planShares({ workers, dataCentres, processorShare });
     const outcome = await store.commit(
       {
         expectations: [{ key: LAYOUT_KEY, revision: 0 }],
--- a/packages/samphirenotch/src/jobs/ownership/shareOwners.ts
+++ b/packages/samphirenotch/src/jobs/ownership/shareOwners.ts
@@ -40,6 +40,8 @@
   /** Name of this entry. */
   readonly entry: string;
   readonly dataCentre: string;
+  /** All data centres of the site; undefined if they are not known. */
+  readonly siteDataCentres?: ReadonlySet<string> | undefined;
   /** How long a stopping owner goes on while the store does not confirm the revocation, in ms. */
   readonly handoverMs: number;
   /** CPU of the entry's VM, as a fraction of a core of usual speed. */
--- a/tests/jobs/shares.spec.ts
+++ b/tests/jobs/shares.spec.ts
@@ -49,6 +49,28 @@
   );
 });
 
+// Guards against a share without workers that every entry has to own, and a home of jobs that nobody
+// can run: one wrong entry of a worker when the site is divided.
+test('should plan no share for a data centre that the site does not have', (t) => {
+  const workers = new Map([
+    ['dc1', 60],
+    ['dc0', 63],
+    ['odd', 1],
+  ]);
+  const dataCentres = new Set(['dc0', 'dc1']);
+  const layout = planShares({ workers, dataCentres, processorShare: 0.4 });
+  t.deepEqual(
+    layout.shares.map(({ id }) => id),
+    ['dc0', 'dc1'],
+  );
+  t.is(layout.shareOfWorker({ id: 'w0', dataCentre: 'odd', labels: [] }).id, 'dc0');
+  t.is(
+    planShares({ workers: new Map([['odd', 900]]), dataCentres, processorShare: 0.4 }).shares
+      .length,
+    1,
+  );
+});
+
 // Guards against needless shares: their owners have to exchange through the store what one owner
 // knows.
 test('should not divide a site that its fastest entries can carry', (t) => {
--- a/tests/platform/settings.spec.ts
+++ b/tests/platform/settings.spec.ts
@@ -23,6 +23,13 @@
   t.is(settings.policyAddress, undefined);
 });
 
+// Guards against shares for data centres that only a wrong entry of a worker names.
+test('should read the data centres of the site, if the file names them', (t) => {
+  const read = (changes: object) => parseSettings(JSON.stringify(makeFile({ ...changes })));
+  t.deepEqual(read({ Zones: { z1: 'r', z2: 'r' } }).siteDataCentres, new Set(['z1', 'z2']));
+  t.is(read({}).siteDataCentres, undefined);
+});
+
 test('should name every field that is missing or wrong', (t) => {
   const file = { ...makeFile(), NodeName: undefined, platform: { Address: 'nowhere' } };
   const error = t.throws(() => parseSettings(JSON.stringify(file)), { instanceOf: SettingsError });
