--- a/packages/samphirenotch/src/jobs/placement/longWaits.ts
+++ b/packages/samphirenotch/src/jobs/placement/longWaits.ts
@@ -30,7 +30,7 @@
 
 /** Tracks how long the long-running tasks of open jobs have waited. */
 export class LongWaits {
-  private waits: ReadonlyMap<OwnedTask, Wait> = new Map();
+  private waitByTask: ReadonlyMap<OwnedTask, Wait> = new Map();
 
   private checkedMs = Number.NEGATIVE_INFINITY;
 
@@ -44,17 +44,17 @@
   due(jobs: readonly OwnedJob[], nowMs: number): readonly LongWait[] {
     if (nowMs < this.checkedMs + CHECK_INTERVAL_MS) return [];
     this.checkedMs = nowMs;
-    const before = this.waits;
-    this.waits = new Map(
+    const known = this.waitByTask;
+    this.waitByTask = new Map(
       jobs
         .filter(({ isFullyStarted }) => !isFullyStarted)
         .flatMap((job) => this.waitingTasks(job))
         .map((task) => [
           task,
-          before.get(task) ?? { sinceMs: nowMs, reportedMs: Number.NEGATIVE_INFINITY },
+          known.get(task) ?? { sinceMs: nowMs, reportedMs: Number.NEGATIVE_INFINITY },
         ]),
     );
-    const due = [...this.waits]
+    const due = [...this.waitByTask]
       .filter(
         ([, { sinceMs, reportedMs }]) =>
           nowMs - sinceMs >= REPORTED_AFTER_MS && nowMs - reportedMs >= REPORT_INTERVAL_MS,
--- a/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
@@ -313,18 +313,20 @@
     const late = steps.filter((step) => isLate(step, nowMs));
     [lasting, late]
       .flatMap((each) => this.retries.next(each, MAXIMUM_RESERVED_STARTS))
-      .forEach((step) => {
-        const startsBefore = this.startCount;
-        if (step.spec.gang) this.startGang(step, this.startableWorkers(step), nowMs);
-        else this.startOneTask(step, nowMs, (input) => this.placement.choose(input));
-        const isStarted = this.startCount > startsBefore;
-        this.retries.record(step, isStarted);
-        const tried = step;
-        if (isStarted) tried.unplacedSinceMs = undefined;
-        else if (!step.spec.gang) this.noteUnplaced(step, nowMs);
-        if (step.occurrence.job.queue.policy)
-          this.requestTickets(step, this.candidates(step), nowMs);
-      });
+      .forEach((step) => this.tryUntried(step, nowMs));
+  }
+
+  /** Starts one task of a step that the pass did not reach, or the whole step if it is a gang. */
+  private tryUntried(step: OwnedStep, nowMs: number): void {
+    const startsBefore = this.startCount;
+    if (step.spec.gang) this.startGang(step, this.startableWorkers(step), nowMs);
+    else this.startOneTask(step, nowMs, (input) => this.placement.choose(input));
+    const isStarted = this.startCount > startsBefore;
+    this.retries.record(step, isStarted);
+    const owned = step;
+    if (isStarted) owned.unplacedSinceMs = undefined;
+    else if (!step.spec.gang) this.noteUnplaced(step, nowMs);
+    if (step.occurrence.job.queue.policy) this.requestTickets(step, this.candidates(step), nowMs);
   }
 
   private startableWorkers(step: OwnedStep): readonly WorkerAgent[] {
@@ -402,7 +404,7 @@
     const { job } = step.occurrence;
     if (!job.isOpen) return true;
     const candidates = this.candidates(step);
-    const workers = this.options.permissions.startableWorkers(step, candidates);
+    const workers = this.startableWorkers(step);
     if (step.spec.gang) this.startGang(step, workers, nowMs);
     else if (!this.startTasks(step, workers, nowMs)) return false;
     if (job.queue.policy) this.requestTickets(step, candidates, nowMs);
