Try steps that failed beside the others of a pass cut short, not instead of them

Cause: of the four late and four long-running steps that such a pass tries, half were reserved for steps whose last try failed, and these mostly fail again where room is short.

Change: the steps that did not fail keep all four tries, and two that failed come beside them.

--- a/packages/samphirenotch/src/jobs/placement/retryOrder.ts
+++ b/packages/samphirenotch/src/jobs/placement/retryOrder.ts
@@ -1,9 +1,9 @@
 /**
  * Shares a few tries of each pass among many waiting steps, some of which may fit nowhere for long.
  *
- * Half of the tries go to steps whose last try failed, the oldest failure first, so that each of them is
- * tried again after a bounded number of passes, however many steps come meanwhile. The other half goes to
- * the other steps in their given order. What one half doesn't need goes to the other.
+ * Steps whose last try did not fail are tried in their given order. Beside them come some steps whose
+ * last try failed, the oldest failure first, so that each of them is tried again after a bounded number
+ * of passes, however many steps come meanwhile.
  */
 import type { OwnedStep } from '../model/ownedJob.js';
 
@@ -18,7 +18,8 @@
    * Chooses steps to try.
    *
    * @param steps - waiting steps, the most urgent first
-   * @param count - highest number of steps to choose
+   * @param count - highest number of steps to choose whose last try did not fail; half as many are chosen
+   *   of those whose last try failed, or as many as the former leave
    * @returns the chosen steps, in the order in which to try them
    */
   next(steps: readonly OwnedStep[], count: number): readonly OwnedStep[] {
@@ -26,9 +27,8 @@
     const failed = steps
       .filter((step) => this.hasFailed(step))
       .sort((left, right) => this.failureOf(left) - this.failureOf(right));
-    const reserved = Math.min(failed.length, Math.ceil(count / 2));
-    const chosen = fresh.slice(0, count - reserved);
-    return [...chosen, ...failed.slice(0, count - chosen.length)];
+    const chosen = fresh.slice(0, count);
+    return [...chosen, ...failed.slice(0, Math.max(Math.ceil(count / 2), count - chosen.length))];
   }
 
   /**
--- a/tests/jobs/retryOrder.spec.ts
+++ b/tests/jobs/retryOrder.spec.ts
@@ -55,3 +55,13 @@
   if (!urgent) throw new Error('no step');
   t.true(order.next([...steps, urgent], TRIES).includes(urgent));
 });
+
+// Guards against late tasks that start at half the rate because tries go to steps that fit nowhere.
+test('should not take tries from steps that did not fail', (t) => {
+  const order = new RetryOrder();
+  const failed = makeSteps(100);
+  failed.forEach((step) => order.record(step, false));
+  const startable = makeSteps(TRIES);
+  const tried = order.next([...failed, ...startable], TRIES);
+  t.true(startable.every((step) => tried.includes(step)));
+});
