--- a/tests/jobs/cutPassRetries.spec.ts
+++ b/tests/jobs/cutPassRetries.spec.ts
@@ -13,7 +13,7 @@
   runBurst,
   urgent,
 } from '../fixtures/bulkSite.js';
-import { makeDividedSite, makeJob, makeStep } from '../fixtures/jobSite.js';
+import { makeDividedSite, makeJob, makeStep, type JobSite } from '../fixtures/jobSite.js';
 
 const URGENT_ID = 'ffffffffffffffff';
 
@@ -23,6 +23,21 @@
 /** Time within which a task must start where only another share has room, in milliseconds. */
 const MAX_OTHER_SHARE_DELAY_MS = 3_000;
 
+/** Makes a divided site: the passes of one share are cut short, one worker of the other has a label. */
+const makeBusyHome = async (): Promise<JobSite> => {
+  const { site } = await makeDividedSite({
+    workers: 40,
+    milliCores: 64_000,
+    startCostMs: 1,
+    behave: () => ({ size: SIZE, durationMs: 1_000 }),
+  });
+  site.configure([site.queue, urgent, bulk]);
+  site.registerWorker('w1', { labels: ['only'] });
+  await site.run(1_000);
+  await runBurst(site, 1_000, 0, {}, 'dc0');
+  return site;
+};
+
 // Guards against steps that fit nowhere and take the place of others in every pass that is cut short, so
 // that a long-running task doesn't run although there is room for it (LOST).
 [
@@ -48,16 +63,7 @@
 // Guards against a long-running task that fits nowhere in its share and never reaches another one, because
 // the passes of its owner are cut short before they come to it (LOST).
 test('should run a long-running task in another share while the passes of its own are cut short', async (t) => {
-  const { site } = await makeDividedSite({
-    workers: 40,
-    milliCores: 64_000,
-    startCostMs: 1,
-    behave: () => ({ size: SIZE, durationMs: 1_000 }),
-  });
-  site.configure([site.queue, urgent, bulk]);
-  site.registerWorker('w1', { labels: ['only'] });
-  await site.run(1_000);
-  await runBurst(site, 1_000, 0, {}, 'dc0');
+  const site = await makeBusyHome();
   put(
     site,
     urgent,
@@ -74,16 +80,7 @@
 // Guards against tasks that are tried only in passes whose unplaced tasks are not looked at: other shares
 // are considered less often than passes take place.
 test('should offer each long-running task that fits nowhere to another share', async (t) => {
-  const { site } = await makeDividedSite({
-    workers: 40,
-    milliCores: 64_000,
-    startCostMs: 1,
-    behave: () => ({ size: SIZE, durationMs: 1_000 }),
-  });
-  site.configure([site.queue, urgent, bulk]);
-  site.registerWorker('w1', { labels: ['only'] });
-  await site.run(1_000);
-  await runBurst(site, 1_000, 0, {}, 'dc0');
+  const site = await makeBusyHome();
   const idsOf = (letter: string, count: number) =>
     Array.from({ length: count }, (_, index) => `${letter.repeat(14)}${10 + index}`);
   const lasting = { longRunning: true };
--- a/tests/jobs/longWaits.spec.ts
+++ b/tests/jobs/longWaits.spec.ts
@@ -2,27 +2,15 @@
  * Checks which long waits of long-running tasks are reported.
  */
 import test from 'ava';
-import { OwnedJob } from 'samphirenotch/jobs/model/ownedJob.js';
+import type { OwnedJob } from 'samphirenotch/jobs/model/ownedJob.js';
 import type { StepSpec } from 'samphirenotch/jobs/model/jobSpec.js';
-import { WHOLE_SITE_SHARE_ID } from 'samphirenotch/jobs/model/shareLayout.js';
 import { LongWaits } from 'samphirenotch/jobs/placement/longWaits.js';
 
-import { makeJob, makeQueue, makeStep } from '../fixtures/jobSite.js';
+import { makeStep } from '../fixtures/jobSite.js';
+import { makeOwnedStep } from '../fixtures/silentFleet.js';
 
-const makeOwnedJob = (changes: Partial<StepSpec>): OwnedJob => {
-  const queue = makeQueue();
-  const id = '00000000000000a1';
-  const job = makeJob(makeStep(changes));
-  return new OwnedJob({
-    accepted: { id, home: WHOLE_SITE_SHARE_ID, queue, acceptedAtMs: 0, job },
-    revision: 1,
-    queue,
-    progress: undefined,
-    firstRun: 1,
-    acceptedMs: 0,
-    knownSinceMs: 0,
-  });
-};
+const makeWaitingJob = (changes: Partial<StepSpec>): OwnedJob =>
+  makeOwnedStep(makeStep(changes)).occurrence.job;
 
 const reportedAt = (waits: LongWaits, job: OwnedJob, untilMs: number): readonly number[] =>
   Array.from({ length: untilMs / 1_000 + 1 }, (_, second) => second * 1_000).filter(
@@ -31,14 +19,14 @@
 
 // Guards against a long-running task that doesn't run for long while the log says nothing of it.
 test('should report a long-running task once it has waited for 3 s, and every 10 s after that', (t) => {
-  const job = makeOwnedJob({ longRunning: true });
+  const job = makeWaitingJob({ longRunning: true });
   t.deepEqual(reportedAt(new LongWaits(), job, 25_000), [3_000, 13_000, 23_000]);
 });
 
 // Guards against reports of tasks that are expected to wait, or that run.
 test('should not report tasks that end by themselves, nor those that run', (t) => {
-  t.deepEqual(reportedAt(new LongWaits(), makeOwnedJob({}), 10_000), []);
-  const fullyStarted = makeOwnedJob({ longRunning: true });
+  t.deepEqual(reportedAt(new LongWaits(), makeWaitingJob({}), 10_000), []);
+  const fullyStarted = makeWaitingJob({ longRunning: true });
   fullyStarted.isFullyStarted = true;
   t.deepEqual(reportedAt(new LongWaits(), fullyStarted, 10_000), []);
 });
@@ -46,7 +34,7 @@
 // Guards against a log that grows with the number of tasks that wait.
 test('should report a bounded number of tasks at a time', (t) => {
   const waits = new LongWaits();
-  const job = makeOwnedJob({ longRunning: true, count: 100 });
+  const job = makeWaitingJob({ longRunning: true, count: 100 });
   waits.due([job], 0);
   t.true(waits.due([job], 3_000).length <= 5);
 });
