Count the rate of a tenant on the test's clock

The test is wrong: its rate of two a second earns another request after half a second, and on the real clock three requests can take that long. Shown by a run with a pause of 600 ms before the third request, which fails in just this way.

The clock is the test's now, so that the rate earns nothing meanwhile; the statuses asked for are the same, and the test also asks that half a second earns one more request.

--- a/tests/requests/entries.spec.ts
+++ b/tests/requests/entries.spec.ts
@@ -10,6 +10,7 @@
 import { Failure } from 'samphirenotch/failure.js';
 import { Err, Ok } from 'samphirenotch/results.js';
 import { SystemClock } from 'samphirenotch/time/clock.js';
+import { ManualClock } from 'samphirenotch/time/manualClock.js';
 import { MemoryKeyValueStore } from 'samphirenotch-stand-ins/memoryKeyValueStore.js';
 import { request } from 'undici';
 import {
@@ -336,10 +337,14 @@
   t.is(front.workers[0]?.sent.length, 2);
 });
 
+// Guards against a tenant that gets more than its limit, or less; the clock is the test's, since on a real one
+// a slow machine earns the tenant another request meanwhile.
 test('should keep tenants within their limits and bodies within their size', async (t) => {
   const { enter } = site(t);
   const limit = { requestsPerSecond: 2, bodyBytes: 1_000 };
-  const front = await enter('front', [echo], { limit });
+  // The rate earns nothing while the requests take their time.
+  const clock = new ManualClock();
+  const front = await enter('front', [echo], { limit, clock });
   const url = `${front.url}/services/spot-desk/x`;
   const chunked = Readable.from(largeBody(), { objectMode: false });
   const bodies = [Buffer.alloc(2_000), chunked];
@@ -356,6 +361,10 @@
     await answer.body.dump();
   }
   t.deepEqual(statuses, [200, 200, 429]);
+  await clock.advance(500);
+  const earned = await callerOf(front, SWAP);
+  t.is(earned.statusCode, 200);
+  await earned.body.dump();
 });
 
 test('should take in the rest of a body whose request was refused', async (t) => {
