--- a/review/1/case.js
+++ b/review/1/case.js
@@ -13,8 +13,8 @@
   waitUntil,
 } from '../standins/site.js';
 
-/** As in the site file: `platform_down`, for_s = 4.5, how = "silent". */
-const DOWN_MS = 4_500;
+/** Just inside the site file: `platform_down`, for_s = 4.5, how = "silent lapse"; here leases pause. */
+const DOWN_MS = 4_400;
 
 const SUBMISSIONS = 72;
 const TASKS = 36;
--- a/review/2/case.js
+++ b/review/2/case.js
@@ -5,9 +5,13 @@
 
 import { BOUNDS, HAS_TROUBLE, runCase, Site, sleep, submissionId } from '../standins/site.js';
 
-/** The largest dose of the site file: `platform_lost`, x = 0.35, for_s = 4.5, how = "late". */
+/** Just inside the largest dose of the site file: `platform_lost`, x = 0.35, for_s = 4.5, how = "late". */
 const LOST_SHARE = 0.35;
-const LOST_FOR_MS = 4_500;
+const LOST_FOR_MS = 4_400;
+
+/** Chance of a write to be lost while the share allows it. */
+const DRAW = 0.5;
+
 const LEAST_LATE_MS = 1_000;
 const MOST_LATE_MS = 6_000;
 
@@ -24,6 +28,9 @@
 /** When each submission's cancelling was acknowledged, and what had become of its hand-in. */
 const cancelled = new Map();
 
+let writes = 0;
+let lost = 0;
+
 let seed = Number(process.env.SEED ?? 1);
 
 const fraction = () => {
@@ -61,10 +68,13 @@
   const beginMs = recorder.nowMs();
   if (HAS_TROUBLE) {
     recorder.note('the store begins to lose answers');
-    site.store.lateWriteMs = () =>
-      fraction() < LOST_SHARE
-        ? LEAST_LATE_MS + fraction() * (MOST_LATE_MS - LEAST_LATE_MS)
-        : undefined;
+    site.store.lateWriteMs = () => {
+      writes += 1;
+      // The share is a limit of the whole spell, not only a chance of each write.
+      if (lost + 1 > LOST_SHARE * writes || fraction() >= DRAW) return undefined;
+      lost += 1;
+      return LEAST_LATE_MS + fraction() * (MOST_LATE_MS - LEAST_LATE_MS);
+    };
   }
   const handedIn = [];
   for (let number = 0; number < SUBMISSIONS; number += 1) {
@@ -75,7 +85,7 @@
   }
   await sleep(Math.max(0, beginMs + LOST_FOR_MS - recorder.nowMs()));
   site.store.lateWriteMs = () => undefined;
-  recorder.note('the store answers everything again');
+  recorder.note(`the store answers everything again; ${lost} of ${writes} writes were lost`);
   // Writes that were lost are done up to six seconds later.
   const calmMs = recorder.nowMs() + MOST_LATE_MS + BOUNDS.ContactMs;
   await Promise.all(handedIn);
