Keep runs until their worker has listed all ends

Cause: a worker lists at most 500 ends in one answer. The adapter handed such a page over as if it were all, and the owner took each run that was neither at work nor among these ends for lost and started its task again. A successor took the worker for accounted for after the first page, by the same cause.

Change: an answer says whether more ends may follow. Until one lists all, runs that it leaves out stay, and a worker of the former owner is not accounted for; its leases do not count as lapsed while it answers, since the owner extends them.

Why it works: an end that has not been acknowledged is listed sooner or later as long as the worker lives and its lease holds, so nothing needs to be concluded from its absence before the list is complete.

--- a/packages/samphirenotch/src/infrastructure/taskWorker.ts
+++ b/packages/samphirenotch/src/infrastructure/taskWorker.ts
@@ -87,6 +87,11 @@
   readonly bornMs: number;
   readonly running: readonly RunReport[];
   readonly ends: readonly RunEnd[];
+  /**
+   * True if the worker may have more ends than these: it lists further ones once these are
+   * acknowledged. A run that is in neither list may then have ended.
+   */
+  readonly hasMoreEnds: boolean;
 }
 
 /** A long poll of a worker that can also renew its lease. */
--- a/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
@@ -275,7 +275,7 @@
     return {
       share: this.options.share.id,
       fencingToken: this.term.fencingToken,
-      waitsForFormerOwner: this.fleet.hasUnfencedWorkers,
+      waitsForFormerOwner: this.fleet.hasUnreportedWorkers,
       isCertain: nowMs < this.term.leaseValidUntilMs(),
       ownedForMs: Math.round(nowMs - this.ownedSinceMs),
       delegationsAway: away,
@@ -393,8 +393,13 @@
     this.wakeup.wake();
   }
 
-  onFenced(agent: WorkerAgent): void {
-    this.fleet.markFenced(agent);
+  onFenced(): void {
+    this.fleet.markFenced();
+    this.wakeup.wake();
+  }
+
+  onFullReport(agent: WorkerAgent): void {
+    this.fleet.markReported(agent);
     this.wakeup.wake();
   }
 
--- a/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
@@ -376,7 +376,7 @@
     const { fleet, term } = this.options;
     // A job learned of after the lease may have expired can belong to a successor.
     if (job.knownSinceMs > term.leaseValidUntilMs()) return false;
-    return !fleet.hasUnfencedWorkers || job.revision > term.fencingToken;
+    return !fleet.hasUnreportedWorkers || job.revision > term.fencingToken;
   }
 
   private waitingSteps(job: OwnedJob, nowMs: number): readonly OwnedStep[] {
--- a/packages/samphirenotch/src/jobs/workers/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerAgent.ts
@@ -112,7 +112,9 @@
   /** The worker answers again, or no longer answers. */
   onChange(agent: WorkerAgent): void;
   /** The worker has accepted this owner's fencing token for the first time. */
-  onFenced(agent: WorkerAgent): void;
+  onFenced(): void;
+  /** For the first time, the worker has reported all its runs and all their ends. */
+  onFullReport(agent: WorkerAgent): void;
   /** The worker knows a newer fencing token: another owner has taken over. */
   onStaleToken(agent: WorkerAgent): void;
   /** Resolves to true once all events so far are stored, to false if they cannot be stored. */
@@ -167,6 +169,11 @@
 
   private fenced = false;
 
+  private isReported = false;
+
+  /** True if the worker lists further ends once the seen ones are acknowledged. */
+  private hasMoreEnds = false;
+
   private failedPolls = 0;
 
   private descriptionChanges = 0;
@@ -222,6 +229,14 @@
     return this.fenced;
   }
 
+  /**
+   * @returns true while the worker may hold a lease that this owner has granted; false before the
+   * worker has answered it
+   */
+  get mayHoldLease(): boolean {
+    return this.fenced && !this.workerClock.hasPassed(this.grantedUntilMs + LEASE_EXPIRY_MARGIN_MS);
+  }
+
   /** @returns true while the worker answers polls */
   get isResponsive(): boolean {
     return this.failedPolls < FAILED_POLLS_UNTIL_UNRESPONSIVE;
@@ -230,7 +245,7 @@
   /** @returns true if new tasks may be started on the worker */
   get takesWork(): boolean {
     return (
-      this.fenced &&
+      this.isReported &&
       this.isResponsive &&
       !this.isUnlisted &&
       !this.hasRestarted &&
@@ -548,7 +563,7 @@
       });
       await Promise.race([whenStored, clock.sleep(RETRY_MS, signal)]);
     }
-    if (this.runs.count > 0 || this.runs.unknownCount > 0) {
+    if (this.runs.count > 0 || this.runs.unknownCount > 0 || this.hasMoreEnds) {
       await clock.sleep(Math.max(0, answeredMs + POLL_GAP_MS - clock.monotonicMs()), signal);
       return;
     }
@@ -565,8 +580,7 @@
       });
       this.options.listener.onChange(this);
     }
-    const hasLapsed =
-      this.fenced && this.workerClock.hasPassed(this.grantedUntilMs + LEASE_EXPIRY_MARGIN_MS);
+    const hasLapsed = this.fenced && !this.mayHoldLease;
     // A successor unknown to this owner may have extended the lease.
     if (hasLapsed && this.options.isSoleOwner()) {
       this.activeRuns().forEach((run) => {
@@ -604,11 +618,25 @@
       unknownSizes.push(size ?? this.description.capacity);
     });
     this.runs.setUnknownRuns(unknownSizes);
-    this.dropMissingRuns(listed, sentMs);
+    this.noteMoreEnds(holding);
+    if (!holding.hasMoreEnds) this.dropMissingRuns(listed, sentMs);
     if (!this.fenced) {
       this.fenced = true;
-      this.options.listener.onFenced(this);
+      this.options.listener.onFenced();
     }
+    if (!this.isReported && !holding.hasMoreEnds) {
+      this.isReported = true;
+      this.options.listener.onFullReport(this);
+    }
+  }
+
+  private noteMoreEnds({ hasMoreEnds, ends }: Holding): void {
+    if (hasMoreEnds === this.hasMoreEnds) return;
+    this.hasMoreEnds = hasMoreEnds;
+    this.log.info(
+      hasMoreEnds ? 'A worker does not list all ends' : 'A worker lists all ends again',
+      { worker: this.id, listed: ends.length, runs: this.runs.count },
+    );
   }
 
   private applyEnd(end: RunEnd, clockMs: number): void {
@@ -651,7 +679,10 @@
     markConfirmed(run, this.options.clock.monotonicMs());
   }
 
-  /** Drops confirmed runs that are missing in the answer to a later poll: they are over. */
+  /**
+   * Drops confirmed runs that are missing in the answer to a later poll that lists all ends: they are
+   * over.
+   */
   private dropMissingRuns(listed: ReadonlySet<OwnedRun>, sentMs: number): void {
     this.activeRuns().forEach((run) => {
       if (listed.has(run) || run.confirmedMs === undefined || run.confirmedMs >= sentMs) return;
@@ -696,6 +727,7 @@
     this.storedSequence = 0;
     this.acknowledgedSequence = 0;
     this.grantedUntilMs = 0;
+    this.hasMoreEnds = false;
     this.workerClock.reset();
     this.runs.setUnknownRuns([]);
     this.activeRuns().forEach((run) => {
--- a/packages/samphirenotch/src/jobs/workers/workerFleet.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerFleet.ts
@@ -61,10 +61,10 @@
   private readonly health = new Map<string, WorkerHealth>();
 
   /**
-   * Workers of the former owner that have not accepted this owner's fencing token yet: they may
-   * have runs that this owner does not know.
+   * Workers of the former owner that have not reported all their runs and ends to this owner yet:
+   * they may have runs, or have ended runs, that this owner does not know.
    */
-  private readonly unfencedWorkers = new Map<WorkerAgent, FormerLease>();
+  private readonly unreportedWorkers = new Map<WorkerAgent, FormerLease>();
 
   private journal!: ProgressJournal;
 
@@ -110,8 +110,8 @@
   }
 
   /** @returns true while workers may have runs of a former owner that are not known yet */
-  get hasUnfencedWorkers(): boolean {
-    return this.unfencedWorkers.size > 0 || this.isFormerRosterUnknown;
+  get hasUnreportedWorkers(): boolean {
+    return this.unreportedWorkers.size > 0 || this.isFormerRosterUnknown;
   }
 
   /**
@@ -141,7 +141,7 @@
     roster.forEach((entry) => {
       const agent = this.add(describeRosterEntry(entry));
       agent.isUnlisted = true;
-      this.unfencedWorkers.set(agent, {
+      this.unreportedWorkers.set(agent, {
         expiresAtMs: leasesExpireMs + SUCCESSOR_DISCOVERY_MS,
         latestExpiryMs: leasesExpireMs + MAXIMUM_UNCONFIRMED_MS,
         draining: entry.draining,
@@ -198,13 +198,20 @@
   /**
    * Notes that a worker has accepted this owner's fencing token and refuses orders of former
    * owners.
+   */
+  markFenced(): void {
+    this.rosterChanged = true;
+  }
+
+  /**
+   * Notes that a worker has reported all its runs and ends to this owner.
    *
    * @param agent - its agent
    */
-  markFenced(agent: WorkerAgent): void {
+  markReported(agent: WorkerAgent): void {
+    if (!this.unreportedWorkers.delete(agent)) return;
     this.rosterChanged = true;
-    if (!this.unfencedWorkers.delete(agent)) return;
-    if (this.unfencedWorkers.size === 0)
+    if (this.unreportedWorkers.size === 0)
       this.log.info('All workers of the former owner are accounted for');
   }
 
@@ -263,7 +270,7 @@
     if (this.isDirectoryKnown) {
       this.all()
         .filter(
-          (agent) => agent.isUnlisted && agent.runCount === 0 && !this.unfencedWorkers.has(agent),
+          (agent) => agent.isUnlisted && agent.runCount === 0 && !this.unreportedWorkers.has(agent),
         )
         .forEach((agent) => this.remove(agent));
     }
@@ -277,7 +284,7 @@
   onDirectoryRead(): void {
     this.isDirectoryKnown = true;
     const nowMs = this.clock.monotonicMs();
-    this.unfencedWorkers.forEach(({ draining, expiresAtMs }, agent) => {
+    this.unreportedWorkers.forEach(({ draining, expiresAtMs }, agent) => {
       // Directory entries that expired during an outage of the store are back after this time.
       const isSettled = nowMs >= expiresAtMs - MAX_FORMER_LEASE_MS;
       if (draining && agent.isUnlisted && isSettled) this.giveUp(agent, 'it drained and has left');
@@ -290,11 +297,13 @@
    * former owner knows of its successor and extends no lease.
    */
   private giveUpExpired(): void {
-    if (this.unfencedWorkers.size === 0) return;
+    if (this.unreportedWorkers.size === 0) return;
     const nowMs = this.clock.monotonicMs();
     const fenced = this.all().filter((agent) => agent.isFenced);
     const reached = new Set(fenced.map(({ description }) => description.dataCentre));
-    this.unfencedWorkers.forEach(({ expiresAtMs, latestExpiryMs }, agent) => {
+    this.unreportedWorkers.forEach(({ expiresAtMs, latestExpiryMs }, agent) => {
+      // A worker that answers this owner keeps its ends, and this owner extends its lease.
+      if (agent.mayHoldLease) return;
       const isReached = reached.has(agent.description.dataCentre);
       if (nowMs >= (isReached ? expiresAtMs : latestExpiryMs))
         this.giveUp(agent, 'its leases have lapsed');
@@ -302,7 +311,7 @@
   }
 
   private giveUp(agent: WorkerAgent, reason: string): void {
-    this.unfencedWorkers.delete(agent);
+    this.unreportedWorkers.delete(agent);
     this.rosterChanged = true;
     this.log.warn('A worker of the former owner was not reached', { worker: agent.id, reason });
   }
@@ -343,7 +352,7 @@
    * have certainly lapsed. An entry of the directory behind which nobody answers is not waited for.
    */
   private mayHoldRuns(agent: WorkerAgent): boolean {
-    return agent.isFenced || this.unfencedWorkers.has(agent);
+    return agent.isFenced || this.unreportedWorkers.has(agent);
   }
 
   private storeRoster(): void {
--- a/tests/jobs/reportTimes.spec.ts
+++ b/tests/jobs/reportTimes.spec.ts
@@ -68,6 +68,7 @@
       onTicketRefused: ignore,
       onChange: ignore,
       onFenced: ignore,
+      onFullReport: ignore,
       onStaleToken: ignore,
       whenStored: async () => true,
       ...listener,
@@ -97,6 +98,7 @@
       bornMs: 1,
       running: [{ taskId, run: 1, checkpoint: '', percent, gauge: 0 }],
       ends: [],
+      hasMoreEnds: false,
     };
     if (polls === latePoll) await clock.sleep(lateMs);
     return Ok({ kind: 'held' as const, holding });
@@ -204,7 +206,8 @@
     const end = { sequence: 1, taskId: task.id, run: 1, kind: 'done' as const, checkpoint: '' };
     const ends = endMs === undefined ? [] : [end];
     if (endMs !== undefined) await clock.sleep(lateEndMs);
-    return Ok({ kind: 'held' as const, holding: { clockMs, bornMs: 1, running: [], ends } });
+    const holding = { clockMs, bornMs: 1, running: [], ends, hasMoreEnds: false };
+    return Ok({ kind: 'held' as const, holding });
   };
   const onRunEnd: AgentListener['onRunEnd'] = (_agent, run, _end, shownMs) => {
     if (run) recordDoneRate(run, shownMs);
--- a/tests/jobs/shrinkingWorkers.spec.ts
+++ b/tests/jobs/shrinkingWorkers.spec.ts
@@ -38,7 +38,10 @@
         await clock.sleep(waitMs, call.signal);
         const running = started.map((order) => ({ ...order, percent: 0, gauge: 0 }));
         const clockMs = clock.monotonicMs();
-        return Ok({ kind: 'held', holding: { clockMs, bornMs: 1, running, ends: [] } });
+        return Ok({
+          kind: 'held',
+          holding: { clockMs, bornMs: 1, running, ends: [], hasMoreEnds: false },
+        });
       },
       close: () => undefined,
     }),
