Store the cancellation of a job that is not stored yet

Cause: a cancellation that found no job wrote nothing. A write of the hand-in that got no answer may still take effect, and then nothing stopped the job.

Change: the cancellation is always stored; the answer stays 410. A job is shown only if it is stored itself. The owner of one share removes a cancellation without a job after the retention period.

Why it works: whichever write takes effect last, every entry that learns of the job has read the cancellation before it, since both come by the same watch in the order of their revisions.

--- a/packages/samphirenotch/src/jobs/entry/jobCommands.ts
+++ b/packages/samphirenotch/src/jobs/entry/jobCommands.ts
@@ -33,6 +33,7 @@
 /** Result of a command. */
 export type CommandOutcome =
   | { readonly kind: 'done' }
+  /** No such job is stored. If it is stored later after all, it counts as cancelled. */
   | { readonly kind: 'not-found' }
   /** The command had no effect and will not have one later. */
   | { readonly kind: 'refused'; readonly retryAfterMs: number; readonly reason: string }
@@ -94,7 +95,9 @@
   }
 
   /**
-   * Cancels a job by storing the cancellation durably.
+   * Cancels a job by storing the cancellation durably. A job that is not stored may still be: its
+   * submission may have got no answer. So its cancellation is stored as well, and the job does not
+   * run if it is stored later.
    *
    * @param jobId - the job
    * @param queue - queue through which the caller cancels it
@@ -117,14 +120,15 @@
 
   private async storeCancellation(jobId: string, call: Call): Promise<CommandOutcome> {
     const { replica, store, clock } = this.options;
-    if (replica.isCancelled(jobId)) return { kind: 'done' };
-    if (!replica.find(jobId)) {
+    let isStored = replica.find(jobId) !== undefined;
+    if (replica.isCancelled(jobId)) return { kind: isStored ? 'done' : 'not-found' };
+    if (!isStored) {
       const stored = await store.get(ACCEPTED_PREFIX + jobId, this.storeCall(call));
       if (stored.err)
         return { kind: 'refused', retryAfterMs: STORE_RETRY_AFTER_MS, reason: 'no store' };
-      if (!stored.val) return { kind: 'not-found' };
+      isStored = stored.val !== undefined;
     }
-    return this.commit(
+    const outcome = await this.commit(
       {
         expectations: [],
         writes: [{ key: CANCELLED_PREFIX + jobId, value: String(Math.round(clock.wallMs())) }],
@@ -132,6 +136,7 @@
       },
       call,
     );
+    return outcome.kind === 'done' && !isStored ? { kind: 'not-found' } : outcome;
   }
 
   private storeCall(call: Call): Call {
--- a/packages/samphirenotch/src/jobs/ownership/jobRetention.ts
+++ b/packages/samphirenotch/src/jobs/ownership/jobRetention.ts
@@ -1,12 +1,16 @@
 /**
- * Removes jobs from the store once their retention period has passed.
+ * Removes jobs, and cancellations of jobs that are not stored, once their retention period has
+ * passed.
  */
 import type { Clock } from '../../time/clock.js';
 
 import type { JobReplica } from '../store/jobReplica.js';
 import type { JobRegistry } from '../store/jobRegistry.js';
 
-/** How long callers may query a job after its end, in milliseconds; the platform requires 120 s. */
+/**
+ * How long callers may query a job after its end, in milliseconds; the platform requires 120 s. A
+ * submission without an answer takes effect within seconds, long before its cancellation is removed.
+ */
 const RETENTION_MS = 180_000;
 
 /** Time between two checks, in milliseconds. */
@@ -16,7 +20,7 @@
 const MAX_REMOVALS_PER_CHECK = 50;
 
 /**
- * Removes the ended jobs of one share. The period counts from when this owner first saw the end.
+ * Removes the ended and cancelled jobs of one share. The period counts from when this owner first saw the end.
  */
 export class JobRetention {
   private overSinceMs = new Map<string, number>();
@@ -48,7 +52,10 @@
 
   private removeExpired(): void {
     const nowMs = this.clock.monotonicMs();
-    const over = this.replica.terminalJobIds(this.share);
+    const over = [
+      ...this.replica.terminalJobIds(this.share),
+      ...this.replica.unmatchedCancellations(this.share),
+    ];
     this.overSinceMs = new Map(over.map((id) => [id, this.overSinceMs.get(id) ?? nowMs]));
     over
       .filter((id) => nowMs - (this.overSinceMs.get(id) ?? nowMs) >= RETENTION_MS)
--- a/packages/samphirenotch/src/jobs/store/jobReplica.ts
+++ b/packages/samphirenotch/src/jobs/store/jobReplica.ts
@@ -83,6 +83,19 @@
       .map(({ accepted }) => accepted.id);
   }
 
+  /**
+   * Lists the cancellations of jobs that are not stored. Each belongs to one share, as if that were
+   * the home of the job.
+   *
+   * @param share - id of the share
+   * @returns ids of the jobs
+   */
+  unmatchedCancellations(share: string): readonly string[] {
+    return [...this.cancelled].filter(
+      (id) => !this.jobs.has(id) && this.shares.layout?.homeOf('', id).id === share,
+    );
+  }
+
   /**
    * Finds the home of a job: the share that decides about it.
    *
@@ -132,9 +145,9 @@
   stateOf(jobId: string): JobState | undefined {
     const final = this.ended.get(jobId);
     if (final) return final;
-    if (this.cancelled.has(jobId)) return 'cancelled';
     const job = this.jobs.get(jobId);
     if (!job) return undefined;
+    if (this.cancelled.has(jobId)) return 'cancelled';
     return this.isWaiting(job) ? 'queued' : 'running';
   }
 
