Show a cancelled job as cancelled before its hand-in is read

An entry that had read the cancellation of a job, but not its hand-in that took effect later, read the job from the store and showed it as queued.

Cause: the state that is read from the store left cancellations out.

Evidence: "should show a job as cancelled at an entry that has not read its late hand-in" failed before (queued) and passes now.

Change: a job that is known as cancelled is shown as such unless it has ended.

Why it works: a cancellation is final, so news of it can be too old but not wrong.

--- a/packages/samphirenotch/src/jobs/entry/jobQueries.ts
+++ b/packages/samphirenotch/src/jobs/entry/jobQueries.ts
@@ -75,9 +75,10 @@
     }
     if (!accepted.val) return { kind: 'not-found' };
     const endState = ended.val?.value;
+    const openState = replica.isCancelled(jobId) ? 'cancelled' : 'queued';
     return {
       kind: 'known',
-      state: endState === 'completed' || endState === 'failed' ? endState : 'queued',
+      state: endState === 'completed' || endState === 'failed' ? endState : openState,
     };
   }
 
--- a/tests/jobs/cancellations.spec.ts
+++ b/tests/jobs/cancellations.spec.ts
@@ -103,3 +103,15 @@
   await site.run(REMOVED_AFTER_MS - KEPT_MS);
   t.deepEqual(stored(), []);
 });
+
+// Guards against a cancelled job that is shown as queued by an entry that has read its cancellation
+// but not its hand-in.
+test('should show a job as cancelled at an entry that has not read its late hand-in', async (t) => {
+  const { site, owner, other } = await makeSiteWithHandInInDoubt();
+  t.is(await site.cancel(owner, ID), 'not-found');
+  t.is(await site.state(other, ID), 'not-found');
+  other.store.isDeaf = true;
+  await site.run(4_000);
+  t.true(site.data.items.has(ACCEPTED_PREFIX + ID));
+  t.is(await site.state(other, ID), 'cancelled');
+});
