Start nothing at a new address before the roster names it

What callers saw: nothing yet; found while a successor's proof that a worker is gone was prepared. A worker that had started again at another address got tasks while the stored roster still named its former address. A successor would have looked for it there, and where another worker has that address, would have taken its tasks for ended.

Cause: whether a worker is in the stored roster was decided by its id alone.

Evidence: "should start nothing at a new address before a roster with this address is stored" failed before (one start) and passes now.

Change: workers are compared with the roster by id and address.

Why it works: the stored roster then names every address at which this owner or a former one may have runs.

--- a/packages/samphirenotch/src/jobs/workers/workerFleet.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerFleet.ts
@@ -52,6 +52,10 @@
   bornMs: 0,
 });
 
+/** Names a worker at its address. */
+const rosterNameOf = ({ id, address }: Pick<RosterEntry, 'id' | 'address'>): string =>
+  `${id} ${address}`;
+
 /** Holds a worker agent for each worker. */
 export class WorkerFleet {
   private readonly log = partLog('fleet');
@@ -76,13 +80,14 @@
   private isDirectoryKnown = false;
 
   /**
-   * Ids of workers in the stored roster and in the newest one. Only these get tasks, because a
-   * successor waits for the leases of the workers in the roster and of no others.
+   * Workers in the stored roster and in the newest one, by id and address. Only these get tasks,
+   * because a successor waits for the leases of the workers in the roster, at their addresses there,
+   * and of no others.
    */
-  private rosteredIds: ReadonlySet<string> = new Set();
+  private rostered: ReadonlySet<string> = new Set();
 
-  /** Ids of workers in the newest roster, which may not be stored yet. */
-  private newestRosterIds: ReadonlySet<string> = new Set();
+  /** Workers in the newest roster, which may not be stored yet. */
+  private newestRostered: ReadonlySet<string> = new Set();
 
   /**
    * Monotonic time until which any worker may hold leases of a former owner whose roster is not
@@ -135,8 +140,8 @@
   }
 
   private waitForFormerWorkers(roster: readonly RosterEntry[]): void {
-    this.rosteredIds = new Set(roster.map(({ id }) => id));
-    this.newestRosterIds = this.rosteredIds;
+    this.rostered = new Set(roster.map(rosterNameOf));
+    this.newestRostered = this.rostered;
     const leasesExpireMs = this.clock.monotonicMs() + MAX_FORMER_LEASE_MS;
     roster.forEach((entry) => {
       const agent = this.add(describeRosterEntry(entry));
@@ -256,7 +261,7 @@
     return this.all().filter(
       (agent) =>
         agent.takesWork &&
-        this.rosteredIds.has(agent.id) &&
+        this.rostered.has(rosterNameOf(agent.description)) &&
         !evacuated.has(agent.description.dataCentre),
     );
   }
@@ -375,15 +380,15 @@
       isUrgent: true,
       value: () => text,
     });
-    const ids = new Set(roster.map(({ id }) => id));
-    this.newestRosterIds = ids;
+    const names = new Set(roster.map(rosterNameOf));
+    this.newestRostered = names;
     // A worker that leaves the roster gets nothing from now on, since the roster may be stored at any
     // time.
-    this.rosteredIds = new Set([...this.rosteredIds].filter((id) => ids.has(id)));
+    this.rostered = new Set([...this.rostered].filter((name) => names.has(name)));
     this.journal.waitUntilStored(sequence).then(
       (stored) => {
         if (!stored) return;
-        this.rosteredIds = new Set([...ids].filter((id) => this.newestRosterIds.has(id)));
+        this.rostered = new Set([...names].filter((name) => this.newestRostered.has(name)));
         this.onRosterStored();
       },
       (error: unknown) => {
--- a/tests/jobs/owners.spec.ts
+++ b/tests/jobs/owners.spec.ts
@@ -279,6 +279,24 @@
   t.true(site.record.runs.some(({ workerId }) => workerId === 'w1'));
 });
 
+// Guards against a task that runs twice: a successor takes a worker for gone because another one has
+// its former address, and the worker was given work at its new address.
+test('should start nothing at a new address before a roster with this address is stored', async (t) => {
+  const { site, owner } = await makeOwnedSite({ workers: 1 });
+  const worker = site.workers.get('w0');
+  if (!worker) throw new Error('no worker');
+  worker.restart();
+  worker.address = 'w0:2';
+  owner.store.failCommitsUnder(keysOfShare(WHOLE_SITE_SHARE_ID).roster, 'silent', 'silent');
+  site.registerWorker('w0', { address: worker.address, bornMs: worker.bornMs });
+  await site.run(500);
+  await site.submit(owner, ID, makeJob(makeStep()));
+  await site.run(1_500);
+  t.is(site.record.runs.length, 0);
+  await site.run(6_000);
+  t.is(site.record.runs.length, 1);
+});
+
 // Guards against an owner on a slow VM that was elected because it noticed the vacancy first.
 test('should elect a fast entry although slow ones notice the vacancy earlier', async (t) => {
   const owners: (string | undefined)[] = [];
