End the wait for a worker whose address another one has

What callers saw: tasks that last did not run for 10 to 21 s, with room for them, after workers had crashed and the owner had been killed (LOST).

Cause: when another worker answers at a worker's address, its owner ended the runs it knew itself and nothing else. A successor, which knows none, went on waiting 9 s for leases on that worker, held up all older jobs meanwhile, and polled the address several times a second. The former owner left the worker in the stored roster although it knew.

"should start tasks again once another worker answers at the address of theirs", "should not wait for a worker that the former owner has found replaced" and "should stop polling a worker whose address another worker has" failed before; "should use a worker again that is back after another one had its address" guards the way back.

Change: the fleet hears that a worker is replaced, accounts for it and takes it out of the roster; the agent is idle until the directory has news of the worker. An answer from an address that the worker no longer has is dropped.

Why it works: orders name the worker that they are for, and only another boot answers 421. What ran in the former one has ended with it, whatever its lease.

--- a/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
@@ -398,6 +398,11 @@
     this.wakeup.wake();
   }
 
+  onReplaced(agent: WorkerAgent): void {
+    this.fleet.markReplaced(agent);
+    this.wakeup.wake();
+  }
+
   onFullReport(agent: WorkerAgent): void {
     this.fleet.markReported(agent);
     this.wakeup.wake();
--- a/packages/samphirenotch/src/jobs/workers/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerAgent.ts
@@ -113,6 +113,11 @@
   onChange(agent: WorkerAgent): void;
   /** The worker has accepted this owner's fencing token for the first time. */
   onFenced(): void;
+  /**
+   * Another worker answers at the worker's address: nothing of the worker runs any more. Called after
+   * its runs are reported as lost.
+   */
+  onReplaced(agent: WorkerAgent): void;
   /** For the first time, the worker has reported all its runs and all their ends. */
   onFullReport(agent: WorkerAgent): void;
   /** The worker knows a newer fencing token: another owner has taken over. */
@@ -171,6 +176,12 @@
 
   private isReported = false;
 
+  /**
+   * True from when another worker has answered at the address until the directory has news of the
+   * worker.
+   */
+  private isReplaced = false;
+
   /** True if the worker lists further ends once the seen ones are acknowledged. */
   private hasMoreEnds = false;
 
@@ -317,7 +328,9 @@
     this.description = description;
     this.descriptionChanges += 1;
     this.isUnlisted = false;
-    if (this.hasRestarted) this.wakeup.wake();
+    const mayBeBack = this.isReplaced;
+    this.isReplaced = false;
+    if (this.hasRestarted || mayBeBack) this.wakeup.wake();
   }
 
   /** Closes the agent. The worker's runs go on until their leases expire. */
@@ -437,6 +450,7 @@
   }
 
   private isIdle(): boolean {
+    if (this.isReplaced) return true;
     return (
       this.fenced &&
       this.isResponsive &&
@@ -506,7 +520,8 @@
       },
       callWithin(clock, waitMs + ORDER_TIMEOUT_MS, signal),
     );
-    if (signal.aborted) return;
+    // An answer from a former address says nothing about the present one.
+    if (signal.aborted || worker !== this.worker) return;
     await this.handlePoll(outcome, sentMs, acknowledged, signal);
   }
 
@@ -531,8 +546,7 @@
     const isNewIncarnation = isOtherIncarnation || this.isNewIncarnation(outcome.val.holding);
     // A restarted worker has forgotten the token of a successor that this owner may not know of.
     const mayEndIncarnation = isNewIncarnation && this.options.isSoleOwner();
-    if (isOtherIncarnation && mayEndIncarnation)
-      this.endIncarnation('the address belongs to another worker', false);
+    if (isOtherIncarnation && mayEndIncarnation) this.endReplaced();
     if (isOtherIncarnation || (isNewIncarnation && !mayEndIncarnation)) {
       this.failedPolls += 1;
       await clock.sleep(RETRY_MS, signal);
@@ -710,6 +724,16 @@
     this.options.listener.onCrash(this, runs);
   }
 
+  /** Handles the answer of another worker at the address: the worker is gone, with its runs. */
+  private endReplaced(): void {
+    this.endIncarnation('the address belongs to another worker', false);
+    this.isReplaced = true;
+    // A later incarnation has not seen the fencing token.
+    this.fenced = false;
+    this.isReported = false;
+    this.options.listener.onReplaced(this);
+  }
+
   /**
    * Handles the end of the worker's former incarnation: all its runs are over.
    *
--- a/packages/samphirenotch/src/jobs/workers/workerFleet.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerFleet.ts
@@ -214,6 +214,21 @@
    * @param agent - its agent
    */
   markReported(agent: WorkerAgent): void {
+    this.markAccountedFor(agent);
+  }
+
+  /**
+   * Notes that another worker has answered at the address of a worker. A successor need not wait for
+   * the worker.
+   *
+   * @param agent - its agent
+   */
+  markReplaced(agent: WorkerAgent): void {
+    this.rosterChanged = true;
+    this.markAccountedFor(agent);
+  }
+
+  private markAccountedFor(agent: WorkerAgent): void {
     if (!this.unreportedWorkers.delete(agent)) return;
     this.rosterChanged = true;
     if (this.unreportedWorkers.size === 0)
--- /dev/null
+++ b/tests/jobs/formerWorkers.spec.ts
@@ -0,0 +1,113 @@
+/**
+ * Workers of a former owner that its successor finds gone: what proves that nothing runs there.
+ */
+import test from 'ava';
+
+import {
+  makeJob,
+  makeOwnedSite,
+  makeStep,
+  type JobSite,
+  type JobSiteOptions,
+} from '../fixtures/jobSite.js';
+
+const ID = '00000000000000a1';
+const SIZE = { milliCores: 1_000, memoryMb: 1_000, accelerators: 0 };
+
+/** Tasks of the job, one for each worker. */
+const TASKS = 4;
+
+/**
+ * Time after its last run within which a task that lasts has to run again, as the platform's pages
+ * say, in milliseconds.
+ */
+const LASTING_BOUND_MS = 6_000;
+
+/** Makes a site with two entries whose owner runs one task that lasts on each worker. */
+const makeSiteWithLastingTasks = async (options: JobSiteOptions = {}) => {
+  const { site, owner } = await makeOwnedSite({
+    workers: TASKS,
+    behave: () => ({ size: SIZE, durationMs: 600_000 }),
+    ...options,
+  });
+  const successor = site.start('b');
+  await site.run(500);
+  await site.submit(owner, ID, makeJob(makeStep({ count: TASKS, longRunning: true })));
+  await site.run(500);
+  return { site, owner, successor };
+};
+
+const workerOf = (site: JobSite, id: string) => {
+  const worker = site.workers.get(id);
+  if (!worker) throw new Error(`no worker ${id}`);
+  return worker;
+};
+
+/** Counts the tasks that run now. */
+const countRunning = (site: JobSite): number =>
+  new Set(
+    site.record.runs.filter(({ endedMs }) => endedMs === undefined).map(({ taskId }) => taskId),
+  ).size;
+
+// Guards against tasks that last and wait for many seconds after a change of the owner: the successor
+// waited for leases on crashed workers although other workers answered at their addresses.
+test('should start tasks again once another worker answers at the address of theirs', async (t) => {
+  const { site, owner } = await makeSiteWithLastingTasks({ replacesCrashed: true });
+  workerOf(site, 'w0').crash();
+  await site.run(200);
+  owner.kill();
+  await site.run(LASTING_BOUND_MS);
+  t.is(countRunning(site), TASKS);
+  t.deepEqual(site.record.violations, []);
+});
+
+// Guards against a successor that waits for a worker which the former owner knew to be gone.
+test('should not wait for a worker that the former owner has found replaced', async (t) => {
+  const { site, owner } = await makeSiteWithLastingTasks({ replacesCrashed: true });
+  workerOf(site, 'w0').crash();
+  await site.run(5_000);
+  t.is(countRunning(site), TASKS);
+  // The successor would get no answer at the address.
+  workerOf(site, 'w0').address = 'elsewhere:1';
+  owner.kill();
+  await site.run(500);
+  site.record.runs
+    .filter(({ endedMs }) => endedMs === undefined)
+    .slice(0, 1)
+    .forEach(({ workerId }) => workerOf(site, workerId).endRuns(ID, 'failed'));
+  await site.run(LASTING_BOUND_MS);
+  t.is(countRunning(site), TASKS);
+  t.deepEqual(site.record.violations, []);
+});
+
+// Guards against load and noise in the log: a worker that is gone was asked and reported several times
+// a second.
+test('should stop polling a worker whose address another worker has', async (t) => {
+  const { site } = await makeSiteWithLastingTasks({ replacesCrashed: true });
+  const gone = workerOf(site, 'w0');
+  gone.crash();
+  await site.run(3_500);
+  // The entry of the former worker lies in the directory for longer than the worker is gone.
+  site.registerWorker('w0');
+  await site.run(10_000);
+  t.true(gone.misdirectedPolls <= 3, `${gone.misdirectedPolls} polls`);
+  t.is(countRunning(site), TASKS);
+});
+
+// Guards against the opposite: a worker that was found replaced and is never used again although it is
+// back under its id.
+test('should use a worker again that is back after another one had its address', async (t) => {
+  const { site } = await makeSiteWithLastingTasks({ workers: 1, replacesCrashed: true });
+  const worker = workerOf(site, 'w0');
+  worker.crash();
+  await site.run(4_000);
+  t.is(countRunning(site), TASKS);
+  workerOf(site, 'w200').address = 'elsewhere:1';
+  site.data.remove('workers/w200');
+  worker.isReplaced = false;
+  worker.bornMs = site.clock.wallMs();
+  site.registerWorker('w0', { bornMs: worker.bornMs });
+  await site.run(12_000);
+  t.is(countRunning(site), TASKS);
+  t.true(site.record.runs.some(({ workerId, endedMs }) => workerId === 'w0' && !endedMs));
+});
