Count the wait for a data centre from the first contact with it

Behind a cut that ends late a successor started tasks that a former owner, cut off from the store, still ran (TWICE).

Cause: a successor waits 9 s for workers of a data centre that it has reached, 2.5 s of them for the former owner to meet a worker that refuses its token. The 9 s counted from the take-over, however late the data centre was reached.

Evidence: "should count the wait for a data centre from the first contact with it" failed before (a task started beside another run) and passes now.

Change: the wait counts from the first worker of the data centre that has accepted the owner's token.

Why it works: before that, nothing tells the former owner to stop extending the leases of its other workers there.

--- a/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
@@ -393,8 +393,8 @@
     this.wakeup.wake();
   }
 
-  onFenced(): void {
-    this.fleet.markFenced();
+  onFenced(agent: WorkerAgent): void {
+    this.fleet.markFenced(agent);
     this.wakeup.wake();
   }
 
--- a/packages/samphirenotch/src/jobs/workers/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerAgent.ts
@@ -112,7 +112,7 @@
   /** The worker answers again, or no longer answers. */
   onChange(agent: WorkerAgent): void;
   /** The worker has accepted this owner's fencing token for the first time. */
-  onFenced(): void;
+  onFenced(agent: WorkerAgent): void;
   /**
    * Another worker answers at the worker's address: nothing of the worker runs any more. Called after
    * its runs are reported as lost.
@@ -636,7 +636,7 @@
     if (!holding.hasMoreEnds) this.dropMissingRuns(listed, sentMs);
     if (!this.fenced) {
       this.fenced = true;
-      this.options.listener.onFenced();
+      this.options.listener.onFenced(this);
     }
     if (!this.isReported && !holding.hasMoreEnds) {
       this.isReported = true;
--- a/packages/samphirenotch/src/jobs/workers/workerFleet.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerFleet.ts
@@ -21,6 +21,12 @@
  */
 const SUCCESSOR_DISCOVERY_MS = 2_500;
 
+/**
+ * Time after a take-over in which directory entries that expired during an outage of the store are
+ * back, in milliseconds.
+ */
+const DIRECTORY_SETTLE_MS = 2_500;
+
 /** A worker on which an owner may have started runs, as stored for its successor. */
 export interface RosterEntry {
   readonly id: string;
@@ -31,11 +37,9 @@
   readonly draining: boolean;
 }
 
-/** When the lease of a former owner's worker expires, in milliseconds of monotonic time. */
+/** The lease of a worker that a former owner may have granted. */
 interface FormerLease {
-  /** Expiry if the former owner must have learned of its successor. */
-  readonly expiresAtMs: number;
-  /** Expiry if the former owner may not know of its successor and still extends leases. */
+  /** Latest expiry, whatever former owners do, in milliseconds of monotonic time. */
   readonly latestExpiryMs: number;
   readonly draining: boolean;
 }
@@ -70,6 +74,14 @@
    */
   private readonly unreportedWorkers = new Map<WorkerAgent, FormerLease>();
 
+  /**
+   * Monotonic time at which the first worker of a data centre accepted this owner's fencing token, in
+   * milliseconds. From it on, a former owner that reaches the data centre learns of its successor.
+   */
+  private readonly reachedAtMs = new Map<string, number>();
+
+  private termBeganMs = 0;
+
   private journal!: ProgressJournal;
 
   private rosterKey = '';
@@ -133,22 +145,20 @@
   ): void {
     this.journal = journal;
     this.rosterKey = rosterKey;
+    this.termBeganMs = this.clock.monotonicMs();
     if (roster) this.waitForFormerWorkers(roster);
     else
-      this.rosterUnknownUntilMs =
-        this.clock.monotonicMs() + MAX_FORMER_LEASE_MS + MAXIMUM_UNCONFIRMED_MS;
+      this.rosterUnknownUntilMs = this.termBeganMs + MAX_FORMER_LEASE_MS + MAXIMUM_UNCONFIRMED_MS;
   }
 
   private waitForFormerWorkers(roster: readonly RosterEntry[]): void {
     this.rostered = new Set(roster.map(rosterNameOf));
     this.newestRostered = this.rostered;
-    const leasesExpireMs = this.clock.monotonicMs() + MAX_FORMER_LEASE_MS;
     roster.forEach((entry) => {
       const agent = this.add(describeRosterEntry(entry));
       agent.isUnlisted = true;
       this.unreportedWorkers.set(agent, {
-        expiresAtMs: leasesExpireMs + SUCCESSOR_DISCOVERY_MS,
-        latestExpiryMs: leasesExpireMs + MAXIMUM_UNCONFIRMED_MS,
+        latestExpiryMs: this.termBeganMs + MAX_FORMER_LEASE_MS + MAXIMUM_UNCONFIRMED_MS,
         draining: entry.draining,
       });
     });
@@ -203,9 +213,13 @@
   /**
    * Notes that a worker has accepted this owner's fencing token and refuses orders of former
    * owners.
+   *
+   * @param agent - its agent
    */
-  markFenced(): void {
+  markFenced({ description: { dataCentre } }: WorkerAgent): void {
     this.rosterChanged = true;
+    if (!this.reachedAtMs.has(dataCentre))
+      this.reachedAtMs.set(dataCentre, this.clock.monotonicMs());
   }
 
   /**
@@ -304,32 +318,38 @@
   onDirectoryRead(): void {
     this.isDirectoryKnown = true;
     const nowMs = this.clock.monotonicMs();
-    this.unreportedWorkers.forEach(({ draining, expiresAtMs }, agent) => {
-      // Directory entries that expired during an outage of the store are back after this time.
-      const isSettled = nowMs >= expiresAtMs - MAX_FORMER_LEASE_MS;
+    this.unreportedWorkers.forEach(({ draining }, agent) => {
+      const isSettled = nowMs >= this.termBeganMs + DIRECTORY_SETTLE_MS;
       if (draining && agent.isUnlisted && isSettled) this.giveUp(agent, 'it drained and has left');
     });
   }
 
-  /**
-   * Gives up on workers whose former leases have expired. A former owner that reaches one worker
-   * also reaches the others of its data centre. If one of these refuses its fencing token, the
-   * former owner knows of its successor and extends no lease.
-   */
+  /** Gives up on workers whose former leases have expired. */
   private giveUpExpired(): void {
     if (this.unreportedWorkers.size === 0) return;
     const nowMs = this.clock.monotonicMs();
-    const fenced = this.all().filter((agent) => agent.isFenced);
-    const reached = new Set(fenced.map(({ description }) => description.dataCentre));
-    this.unreportedWorkers.forEach(({ expiresAtMs, latestExpiryMs }, agent) => {
+    this.unreportedWorkers.forEach((_lease, agent) => {
       // A worker that answers this owner keeps its ends, and this owner extends its lease.
       if (agent.mayHoldLease) return;
-      const isReached = reached.has(agent.description.dataCentre);
-      if (nowMs >= (isReached ? expiresAtMs : latestExpiryMs))
-        this.giveUp(agent, 'its leases have lapsed');
+      if (nowMs >= this.formerExpiryMs(agent)) this.giveUp(agent, 'its leases have lapsed');
     });
   }
 
+  /**
+   * Returns when a worker that has not answered can hold no lease of a former owner any more, in
+   * milliseconds of monotonic time. A former owner that reaches one worker also reaches the others of
+   * its data centre. If one of these refuses its fencing token, the former owner learns of its
+   * successor and extends no lease.
+   */
+  private formerExpiryMs(agent: WorkerAgent): number {
+    const lease = this.unreportedWorkers.get(agent);
+    if (!lease) return Number.NEGATIVE_INFINITY;
+    const reachedAtMs = this.reachedAtMs.get(agent.description.dataCentre);
+    if (reachedAtMs === undefined) return lease.latestExpiryMs;
+    const expiresAtMs = reachedAtMs + SUCCESSOR_DISCOVERY_MS + MAX_FORMER_LEASE_MS;
+    return Math.min(lease.latestExpiryMs, expiresAtMs);
+  }
+
   private giveUp(agent: WorkerAgent, reason: string): void {
     this.unreportedWorkers.delete(agent);
     this.rosterChanged = true;
--- a/tests/jobs/formerWorkers.spec.ts
+++ b/tests/jobs/formerWorkers.spec.ts
@@ -111,3 +111,17 @@
   t.is(countRunning(site), TASKS);
   t.true(site.record.runs.some(({ workerId, endedMs }) => workerId === 'w0' && !endedMs));
 });
+
+// Guards against a task that runs twice: a former owner that is cut off from the store learns of its
+// successor only once this one reaches a worker of the data centre, and extends leases until then.
+test('should count the wait for a data centre from the first contact with it', async (t) => {
+  const { site, owner, successor } = await makeSiteWithLastingTasks();
+  owner.store.isCutOff = true;
+  site.cutFromWorkers(owner.client, ['w0', 'w2']);
+  site.cutFromWorkers(successor.client, ['w1', 'w3']);
+  while (successor.entry.status().terms.length === 0) await site.run(50);
+  await site.run(7_500);
+  site.workers.get('w1')?.unreachableFrom.delete(successor.client);
+  await site.run(20_000);
+  t.deepEqual(site.record.violations, []);
+});
