Give no work to a restarted worker before the directory describes it

Cause: where the worker answered a poll before the directory had its new entry, it was usable at once, with the labels of its former life. Starts that waited for their turn were sent to the new life unchecked.

Change: a worker whose answers have a younger born than its description gets no work until the directory has caught up, and a start is dropped if its worker has started again since it was chosen.

Why it works: labels, service and capacity are only used together with the life that they describe.

--- a/packages/samphirenotch/src/jobs/workers/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerAgent.ts
@@ -197,6 +197,15 @@
    */
   private knownBornMs = 0;
 
+  /**
+   * True from when the worker has reported a younger incarnation than its description is of. It may
+   * be a machine of another kind.
+   */
+  private isDescriptionOutdated = false;
+
+  /** Monotonic time at which the newest incarnation was noticed, in milliseconds. */
+  private incarnationSinceMs = Number.NEGATIVE_INFINITY;
+
   /** Latest end that the worker's lease can have, in milliseconds of the worker's clock. */
   private leaseUntilMs = 0;
 
@@ -266,6 +275,7 @@
       this.isResponsive &&
       !this.isUnlisted &&
       !this.hasRestarted &&
+      !this.isDescriptionOutdated &&
       this.description.phase === 'ready' &&
       this.options.clock.monotonicMs() >= this.avoidUntilMs
     );
@@ -333,6 +343,8 @@
     }
     this.description = description;
     this.descriptionChanges += 1;
+    if (this.hasRestarted) this.incarnationSinceMs = this.options.clock.monotonicMs();
+    this.isDescriptionOutdated = WorkerAgent.isOlder(description, this.bornMs);
     this.isUnlisted = false;
     const mayBeBack = this.isReplaced;
     this.isReplaced = false;
@@ -428,7 +440,7 @@
       runs,
       batcher: options.batcher,
       signal: this.closed.signal,
-      isWithinCapacity: () => runs.areWithin(this.description.capacity),
+      obstacleTo: (run) => this.obstacleTo(run),
       extendLease: () => this.extendLease(),
       onClockReading: (clockMs) => this.workerClock.addReading(clockMs),
       toLocalMs: (clockMs) => this.workerClock.toLocalMs(clockMs),
@@ -455,6 +467,19 @@
     return this.bornMs !== undefined && this.description.bornMs > this.knownBornMs;
   }
 
+  /** Tells whether a description is of an older incarnation; false if it does not say of which. */
+  private static isOlder(description: WorkerDescription, bornMs: number | undefined): boolean {
+    return bornMs !== undefined && description.bornMs > 0 && description.bornMs < bornMs;
+  }
+
+  private obstacleTo(run: OwnedRun): string | undefined {
+    if (this.isDescriptionOutdated || run.startedMs <= this.incarnationSinceMs)
+      return 'the worker has started again since it was chosen';
+    if (!this.runs.areWithin(this.description.capacity))
+      return 'the worker has less capacity than when it was chosen';
+    return undefined;
+  }
+
   private isIdle(): boolean {
     if (this.isReplaced) return true;
     return (
@@ -614,9 +639,9 @@
   }
 
   private applyHolding(holding: Holding, sentMs: number, acknowledged: number): void {
-    if (this.isNewIncarnation(holding)) {
-      this.endIncarnation('the worker has started again', true);
-    }
+    const isNew = this.isNewIncarnation(holding);
+    if (isNew) this.endIncarnation('the worker has started again', true);
+    this.noteIncarnation(holding, isNew);
     this.unexplainedRuns = [];
     this.bornMs = holding.bornMs;
     this.knownBornMs = Math.max(holding.bornMs, this.description.bornMs);
@@ -651,6 +676,21 @@
     }
   }
 
+  private noteIncarnation({ bornMs }: Holding, isNew: boolean): void {
+    const { description } = this;
+    if (isNew && description.bornMs !== bornMs)
+      this.incarnationSinceMs = this.options.clock.monotonicMs();
+    const isUndescribed = isNew && description.bornMs === 0;
+    const isOutdated = isUndescribed || WorkerAgent.isOlder(description, bornMs);
+    if (!isOutdated || this.isDescriptionOutdated) return;
+    this.isDescriptionOutdated = true;
+    this.log.info('The description of a worker is of a former incarnation', {
+      worker: this.id,
+      bornMs,
+      describedBornMs: description.bornMs,
+    });
+  }
+
   private noteMoreEnds({ hasMoreEnds, ends }: Holding): void {
     if (hasMoreEnds === this.hasMoreEnds) return;
     this.hasMoreEnds = hasMoreEnds;
--- a/packages/samphirenotch/src/jobs/workers/workerOrders.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerOrders.ts
@@ -40,8 +40,11 @@
   readonly batcher: OrderBatcher;
   /** Cancels all orders. */
   readonly signal: AbortSignal;
-  /** Returns false if the tracked runs exceed the newest known capacity of the worker. */
-  isWithinCapacity(): boolean;
+  /**
+   * Returns why the start of a run must not be sent any more; undefined if the worker is as it was
+   * when it was chosen.
+   */
+  obstacleTo(run: OwnedRun): string | undefined;
   /**
    * Returns the lease end to send, in milliseconds of the worker's clock; undefined if it may not
    * be extended.
@@ -182,8 +185,9 @@
       context.onRunLost(run, 'it was stopped before the order was sent');
       return;
     }
-    if (!context.isWithinCapacity()) {
-      context.onRunLost(run, 'the worker has less capacity than when it was chosen');
+    const obstacle = context.obstacleTo(run);
+    if (obstacle !== undefined) {
+      context.onRunLost(run, obstacle);
       return;
     }
     const leaseUntilMs = context.extendLease();
@@ -200,9 +204,10 @@
       checkpoint: task.checkpoint,
       ...(ticket === undefined ? {} : { ticket }),
     };
-    // The order may wait for a connection; it is not sent if the run is stopped meanwhile or its
-    // worker shrinks.
-    const isWanted = (): boolean => run.phase === 'starting' && context.isWithinCapacity();
+    // The order may wait for a connection; it is not sent if the run is stopped or its worker changes
+    // meanwhile.
+    const isWanted = (): boolean =>
+      run.phase === 'starting' && context.obstacleTo(run) === undefined;
     const call = { ...this.call(), isWanted };
     this.handleStartAnswer(run, await context.worker().start(order, call));
   }
--- a/tests/jobs/shrinkingWorkers.spec.ts
+++ b/tests/jobs/shrinkingWorkers.spec.ts
@@ -79,6 +79,21 @@
   await running;
 });
 
+// Guards against a start that was decided for a worker of one kind and is sent to the machine of another
+// kind that the worker has become meanwhile.
+test('should not send a start that was decided before its worker started again', async (t) => {
+  const { clock, agent, batcher, started, lost, ended, running } = await makeAgent();
+  const { tasks } = makeOwnedStep(makeStep({ count: 3 }));
+  for (let at = 0; at < FULL_TURN; at += 1) batcher.enqueue(() => undefined);
+  tasks.forEach((task) => agent.start(task, 1, SIZE, undefined));
+  agent.updateDescription({ ...agent.description, labels: ['b'], bornMs: 2 });
+  await clock.advance(100);
+  t.is(started.length, 0);
+  t.is(lost.length, 3);
+  ended.abort();
+  await running;
+});
+
 // Guards against tasks that are placed on a worker whose runs exceed its capacity, and against one
 // that stays unused after it has grown again.
 test('should use a worker that has shrunk only within its capacity until it grows', async (t) => {
--- a/tests/platform/unsentOrders.spec.ts
+++ b/tests/platform/unsentOrders.spec.ts
@@ -87,7 +87,7 @@
     runs,
     batcher: new OrderBatcher(clock),
     signal: ended.signal,
-    isWithinCapacity: () => true,
+    obstacleTo: () => undefined,
     extendLease: () => 1_000_000,
     onClockReading: () => undefined,
     toLocalMs: () => clock.monotonicMs(),
