--- a/packages/samphirenotch/src/jobs/ownership/jobRetention.ts
+++ b/packages/samphirenotch/src/jobs/ownership/jobRetention.ts
@@ -20,7 +20,8 @@
 const MAX_REMOVALS_PER_CHECK = 50;
 
 /**
- * Removes the ended and cancelled jobs of one share. The period counts from when this owner first saw the end.
+ * Removes the ended and cancelled jobs of one share. The period counts from when this owner first saw
+ * the end or the cancellation.
  */
 export class JobRetention {
   private overSinceMs = new Map<string, number>();
