--- a/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
@@ -75,12 +75,6 @@
  */
 const DIRECTORY_BATCH_MS = 250;
 
-/**
- * Time since the last confirmation of the owner's lease up to which the store counts as reachable, in
- * milliseconds.
- */
-const MAX_STORE_ANSWER_AGE_MS = 1_000;
-
 /**
  * Wait before a task is started again after a worker refused it or lost its run, in milliseconds.
  */
@@ -163,7 +157,6 @@
       (description) => this.createAgent(description),
       options.clock,
       () => this.wakeup.wake(),
-      () => term.leaseUnconfirmedMs() <= MAX_STORE_ANSWER_AGE_MS,
     );
     this.watch = new RunSupervisor(this.fleet, options.clock);
     this.slowWorkers = new SlowWorkerDetector(this.fleet, options.clock);
@@ -396,8 +389,7 @@
     this.permissions.dropTicket(task.step, agent.id);
   }
 
-  onChange(agent: WorkerAgent): void {
-    this.fleet.markResponsiveness(agent);
+  onChange(): void {
     this.wakeup.wake();
   }
 
@@ -466,9 +458,7 @@
       signal: term.signal,
       batcher: this.turns,
       isSoleOwner: () => options.clock.monotonicMs() < term.leaseValidUntilMs(),
-      mayExtendLease: () =>
-        term.leaseUnconfirmedMs() <= MAXIMUM_UNCONFIRMED_MS &&
-        this.fleet.mayExtendLease(description.id),
+      mayExtendLeases: () => term.leaseUnconfirmedMs() <= MAXIMUM_UNCONFIRMED_MS,
     });
   }
 
--- a/packages/samphirenotch/src/jobs/ownership/takeover.ts
+++ b/packages/samphirenotch/src/jobs/ownership/takeover.ts
@@ -43,7 +43,6 @@
     service: z.string(),
     dataCentre: z.string(),
     draining: z.boolean(),
-    leaseLeftMs: z.number().nonnegative().optional(),
   }),
 );
 
--- a/packages/samphirenotch/src/jobs/workers/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerAgent.ts
@@ -141,8 +141,8 @@
   readonly batcher: OrderBatcher;
   /** Returns true if no other owner can have granted a lease yet. */
   readonly isSoleOwner: () => boolean;
-  /** Returns true if the worker's lease may be extended: no successor can count it as expired yet. */
-  readonly mayExtendLease: () => boolean;
+  /** Returns true if leases may be extended: no successor can have counted them as expired yet. */
+  readonly mayExtendLeases: () => boolean;
 }
 
 /** Represents one worker to its owner: tracks its runs, polls it and sends it orders. */
@@ -206,8 +206,8 @@
   /** Monotonic time at which the newest incarnation was noticed, in milliseconds. */
   private incarnationSinceMs = Number.NEGATIVE_INFINITY;
 
-  /** Latest end that the worker's lease can have, in milliseconds of the worker's clock. */
-  private leaseUntilMs = 0;
+  /** Latest lease end sent, in milliseconds of the worker's clock. */
+  private grantedUntilMs = 0;
 
   private seenSequence = 0;
 
@@ -250,17 +250,11 @@
   }
 
   /**
-   * @returns how long the worker can hold a lease at most unless this owner extends it, in
-   * milliseconds; undefined before the worker has answered it
+   * @returns true while the worker may hold a lease that this owner has granted; false before the
+   * worker has answered it
    */
-  get leaseLeftMs(): number | undefined {
-    if (!this.fenced) return undefined;
-    return this.workerClock.longestUntil(this.leaseUntilMs + LEASE_EXPIRY_MARGIN_MS);
-  }
-
-  /** @returns false if no lease can be left on the worker, or if it has not answered this owner */
   get mayHoldLease(): boolean {
-    return (this.leaseLeftMs ?? 0) > 0;
+    return this.fenced && !this.workerClock.hasPassed(this.grantedUntilMs + LEASE_EXPIRY_MARGIN_MS);
   }
 
   /** @returns true while the worker answers polls */
@@ -509,9 +503,10 @@
    */
   private extendLease(): number | undefined {
     const now = this.workerClock.nowMs();
-    if (now === undefined || !this.isResponsive || !this.options.mayExtendLease()) return undefined;
-    this.leaseUntilMs = Math.max(this.leaseUntilMs, Math.floor(now + this.leaseMs()));
-    return this.leaseUntilMs;
+    if (now === undefined || !this.isResponsive || !this.options.mayExtendLeases())
+      return undefined;
+    this.grantedUntilMs = Math.max(this.grantedUntilMs, Math.floor(now + this.leaseMs()));
+    return this.grantedUntilMs;
   }
 
   private pollWaitMs(): number {
@@ -666,8 +661,6 @@
     if (!holding.hasMoreEnds) this.dropMissingRuns(listed, sentMs);
     if (!this.fenced) {
       this.fenced = true;
-      // A former owner may have extended the lease until just now.
-      this.leaseUntilMs = Math.max(this.leaseUntilMs, holding.clockMs + this.leaseMs());
       this.options.listener.onFenced(this);
     }
     if (!this.isReported && !holding.hasMoreEnds) {
@@ -797,7 +790,7 @@
     this.seenSequence = 0;
     this.storedSequence = 0;
     this.acknowledgedSequence = 0;
-    this.leaseUntilMs = 0;
+    this.grantedUntilMs = 0;
     this.hasMoreEnds = false;
     this.workerClock.reset();
     this.runs.setUnknownRuns([]);
--- a/packages/samphirenotch/src/jobs/workers/workerFleet.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerFleet.ts
@@ -21,12 +21,6 @@
  */
 const SUCCESSOR_DISCOVERY_MS = 2_500;
 
-/** Stands for the roster of the former owner among the sequence numbers of the journal. */
-const FORMER_ROSTER = Number.NEGATIVE_INFINITY;
-
-/** Time between two updates of the roster while workers do not answer, in milliseconds. */
-const ROSTER_REFRESH_MS = 500;
-
 /**
  * Time after a take-over in which directory entries that expired during an outage of the store are
  * back, in milliseconds.
@@ -41,12 +35,6 @@
   readonly dataCentre: string;
   /** True if the worker was draining when the owner last read its description. */
   readonly draining: boolean;
-  /**
-   * How long the worker could hold a lease at most when the roster was stored, in milliseconds. Set
-   * only if the worker did not answer the owner; then the owner does not extend the lease before it
-   * has stored a roster without this time.
-   */
-  readonly leaseLeftMs?: number | undefined;
 }
 
 /** The lease of a worker that a former owner may have granted. */
@@ -92,15 +80,6 @@
    */
   private readonly reachedAtMs = new Map<string, number>();
 
-  /**
-   * Workers for which a roster that is stored, or may be, says how long their leases can last: these
-   * leases are not extended. By id, with the sequence number of the newest such roster in the
-   * journal.
-   */
-  private readonly countedDown = new Map<string, number>();
-
-  private rosterRefreshedMs = Number.NEGATIVE_INFINITY;
-
   private termBeganMs = 0;
 
   private journal!: ProgressJournal;
@@ -135,13 +114,11 @@
    * @param makeAgent - creates the agent of a worker
    * @param clock - time
    * @param onRosterStored - called when workers may have become usable
-   * @param isStoreReachable - returns true if the store has answered lately
    */
   constructor(
     private readonly makeAgent: (description: WorkerDescription) => WorkerAgent,
     private readonly clock: Clock,
     private readonly onRosterStored: () => void,
-    private readonly isStoreReachable: () => boolean,
   ) {}
 
   /** @returns all agents */
@@ -177,44 +154,16 @@
   private waitForFormerWorkers(roster: readonly RosterEntry[]): void {
     this.rostered = new Set(roster.map(rosterNameOf));
     this.newestRostered = this.rostered;
-    this.countDown(roster, FORMER_ROSTER);
     roster.forEach((entry) => {
       const agent = this.add(describeRosterEntry(entry));
       agent.isUnlisted = true;
-      const leftMs = entry.leaseLeftMs ?? MAX_FORMER_LEASE_MS + MAXIMUM_UNCONFIRMED_MS;
       this.unreportedWorkers.set(agent, {
-        latestExpiryMs: this.termBeganMs + leftMs,
+        latestExpiryMs: this.termBeganMs + MAX_FORMER_LEASE_MS + MAXIMUM_UNCONFIRMED_MS,
         draining: entry.draining,
       });
     });
   }
 
-  /**
-   * Checks whether a worker's lease may be extended.
-   *
-   * @param id - id of the worker
-   * @returns false if a successor may count the lease as expired, going by a stored roster
-   */
-  mayExtendLease(id: string): boolean {
-    return !this.countedDown.has(id);
-  }
-
-  /**
-   * Notes that a worker answers again, or no longer answers.
-   *
-   * @param agent - its agent
-   */
-  markResponsiveness(agent: WorkerAgent): void {
-    // Its lease is extended again once a roster without the time left is stored.
-    if (agent.isResponsive && this.countedDown.has(agent.id)) this.rosterChanged = true;
-  }
-
-  private countDown(roster: readonly RosterEntry[], sequence: number): void {
-    roster.forEach(({ id, leaseLeftMs }) => {
-      if (leaseLeftMs !== undefined) this.countedDown.set(id, sequence);
-    });
-  }
-
   /**
    * Adds a worker or updates its description.
    *
@@ -341,7 +290,6 @@
     return this.all().filter(
       (agent) =>
         agent.takesWork &&
-        this.mayExtendLease(agent.id) &&
         this.rostered.has(rosterNameOf(agent.description)) &&
         !evacuated.has(agent.description.dataCentre),
     );
@@ -447,47 +395,18 @@
     return agent.isFenced || this.unreportedWorkers.has(agent);
   }
 
-  /**
-   * Returns how long a worker that does not answer can hold a lease at most, in milliseconds; undefined
-   * if its lease is extended, or may be before this is stored.
-   */
-  private leaseLeftMs(agent: WorkerAgent): number | undefined {
-    const isCountedDown = this.countedDown.has(agent.id);
-    if (agent.isResponsive && (agent.isFenced || !isCountedDown)) return undefined;
-    // In an outage the lease could not be extended again before the roster is stored after it.
-    if (!isCountedDown && !this.isStoreReachable()) return undefined;
-    const leftMs = agent.leaseLeftMs ?? this.formerExpiryMs(agent) - this.clock.monotonicMs();
-    return Number.isFinite(leftMs) ? Math.max(0, Math.ceil(leftMs)) : undefined;
-  }
-
-  private describeForRoster(agent: WorkerAgent): RosterEntry {
-    const { id, address, service, dataCentre, phase } = agent.description;
-    const leaseLeftMs = this.leaseLeftMs(agent);
-    return {
-      id,
-      address,
-      service,
-      dataCentre,
-      draining: phase === 'draining',
-      ...(leaseLeftMs === undefined ? {} : { leaseLeftMs }),
-    };
-  }
-
-  /** The time left of the leases of workers that do not answer changes without an event. */
-  private isRosterAged(nowMs: number): boolean {
-    if (nowMs < this.rosterRefreshedMs + ROSTER_REFRESH_MS) return false;
-    return this.countedDown.size > 0 || this.all().some((agent) => !agent.isResponsive);
-  }
-
   private storeRoster(): void {
-    const nowMs = this.clock.monotonicMs();
-    if (!this.rosterChanged && !this.isRosterAged(nowMs)) return;
-    if (this.isFormerRosterUnknown) return;
+    if (!this.rosterChanged || this.isFormerRosterUnknown) return;
     this.rosterChanged = false;
-    this.rosterRefreshedMs = nowMs;
     const roster = this.all()
       .filter((agent) => this.mayHoldRuns(agent))
-      .map((agent) => this.describeForRoster(agent));
+      .map(({ description }) => ({
+        id: description.id,
+        address: description.address,
+        service: description.service,
+        dataCentre: description.dataCentre,
+        draining: description.phase === 'draining',
+      }));
     const text = JSON.stringify(roster);
     if (text === this.lastRosterText) return;
     this.lastRosterText = text;
@@ -496,7 +415,6 @@
       isUrgent: true,
       value: () => text,
     });
-    this.countDown(roster, sequence);
     const names = new Set(roster.map(rosterNameOf));
     this.newestRostered = names;
     // A worker that leaves the roster gets nothing from now on, since the roster may be stored at any
@@ -506,9 +424,6 @@
       (stored) => {
         if (!stored) return;
         this.rostered = new Set([...names].filter((name) => this.newestRostered.has(name)));
-        this.countedDown.forEach((countedAt, id) => {
-          if (countedAt < sequence) this.countedDown.delete(id);
-        });
         this.onRosterStored();
       },
       (error: unknown) => {
