Count only tasks that workers run now in the tests of former workers

A run whose lease had lapsed unnoticed counted as running, so that a task which nobody had started again could pass.

--- a/tests/jobs/formerWorkers.spec.ts
+++ b/tests/jobs/formerWorkers.spec.ts
@@ -46,7 +46,7 @@
 /** Counts the tasks that run now. */
 const countRunning = (site: JobSite): number =>
   new Set(
-    site.record.runs.filter(({ endedMs }) => endedMs === undefined).map(({ taskId }) => taskId),
+    [...site.workers.values()].flatMap((each) => each.activeRuns().map(({ taskId }) => taskId)),
   ).size;
 
 // Guards against tasks that last and wait for many seconds after a change of the owner: the successor
