Derive the expiry of former leases from the beginning of the term

All workers of a former roster had the same latest expiry, kept once for each, and a branch for workers without one could not be reached. The two ways in which a worker is accounted for now share one method.

--- a/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
@@ -404,7 +404,7 @@
   }
 
   onFullReport(agent: WorkerAgent): void {
-    this.fleet.markReported(agent);
+    this.fleet.markAccountedFor(agent);
     this.wakeup.wake();
   }
 
--- a/packages/samphirenotch/src/jobs/workers/workerFleet.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerFleet.ts
@@ -37,13 +37,6 @@
   readonly draining: boolean;
 }
 
-/** The lease of a worker that a former owner may have granted. */
-interface FormerLease {
-  /** Latest expiry, whatever former owners do, in milliseconds of monotonic time. */
-  readonly latestExpiryMs: number;
-  readonly draining: boolean;
-}
-
 const describeRosterEntry = (entry: RosterEntry): WorkerDescription => ({
   id: entry.id,
   address: entry.address,
@@ -70,9 +63,10 @@
 
   /**
    * Workers of the former owner that have not reported all their runs and ends to this owner yet:
-   * they may have runs, or have ended runs, that this owner does not know.
+   * they may have runs, or have ended runs, that this owner does not know. With their entries in the
+   * roster of the former owner.
    */
-  private readonly unreportedWorkers = new Map<WorkerAgent, FormerLease>();
+  private readonly unreportedWorkers = new Map<WorkerAgent, RosterEntry>();
 
   /**
    * Monotonic time at which the first worker of a data centre accepted this owner's fencing token, in
@@ -157,10 +151,7 @@
     roster.forEach((entry) => {
       const agent = this.add(describeRosterEntry(entry));
       agent.isUnlisted = true;
-      this.unreportedWorkers.set(agent, {
-        latestExpiryMs: this.termBeganMs + MAX_FORMER_LEASE_MS + MAXIMUM_UNCONFIRMED_MS,
-        draining: entry.draining,
-      });
+      this.unreportedWorkers.set(agent, entry);
     });
   }
 
@@ -222,15 +213,6 @@
       this.reachedAtMs.set(dataCentre, this.clock.monotonicMs());
   }
 
-  /**
-   * Notes that a worker has reported all its runs and ends to this owner.
-   *
-   * @param agent - its agent
-   */
-  markReported(agent: WorkerAgent): void {
-    this.markAccountedFor(agent);
-  }
-
   /**
    * Notes that another worker has answered at the address of a worker. A successor need not wait for
    * the worker.
@@ -242,7 +224,12 @@
     this.markAccountedFor(agent);
   }
 
-  private markAccountedFor(agent: WorkerAgent): void {
+  /**
+   * Notes that a worker has reported all its runs and ends to this owner, or that it has none any more.
+   *
+   * @param agent - its agent
+   */
+  markAccountedFor(agent: WorkerAgent): void {
     if (!this.unreportedWorkers.delete(agent)) return;
     this.rosterChanged = true;
     if (this.unreportedWorkers.size === 0)
@@ -328,26 +315,28 @@
   private giveUpExpired(): void {
     if (this.unreportedWorkers.size === 0) return;
     const nowMs = this.clock.monotonicMs();
-    this.unreportedWorkers.forEach((_lease, agent) => {
+    this.unreportedWorkers.forEach((_entry, agent) => {
       // A worker that answers this owner keeps its ends, and this owner extends its lease.
       if (agent.mayHoldLease) return;
-      if (nowMs >= this.formerExpiryMs(agent)) this.giveUp(agent, 'its leases have lapsed');
+      if (nowMs >= this.formerExpiryMs(agent.description))
+        this.giveUp(agent, 'its leases have lapsed');
     });
   }
 
   /**
    * Returns when a worker that has not answered can hold no lease of a former owner any more, in
-   * milliseconds of monotonic time. A former owner that reaches one worker also reaches the others of
+   * milliseconds of monotonic time: at the latest after the longest time for which a former owner goes
+   * on without a confirmed lease. A former owner that reaches one worker also reaches the others of
    * its data centre. If one of these refuses its fencing token, the former owner learns of its
    * successor and extends no lease.
    */
-  private formerExpiryMs(agent: WorkerAgent): number {
-    const lease = this.unreportedWorkers.get(agent);
-    if (!lease) return Number.NEGATIVE_INFINITY;
-    const reachedAtMs = this.reachedAtMs.get(agent.description.dataCentre);
-    if (reachedAtMs === undefined) return lease.latestExpiryMs;
-    const expiresAtMs = reachedAtMs + SUCCESSOR_DISCOVERY_MS + MAX_FORMER_LEASE_MS;
-    return Math.min(lease.latestExpiryMs, expiresAtMs);
+  private formerExpiryMs({ dataCentre }: WorkerDescription): number {
+    const reachedAtMs = this.reachedAtMs.get(dataCentre) ?? Number.POSITIVE_INFINITY;
+    const lastExtensionMs = Math.min(
+      this.termBeganMs + MAXIMUM_UNCONFIRMED_MS,
+      reachedAtMs + SUCCESSOR_DISCOVERY_MS,
+    );
+    return lastExtensionMs + MAX_FORMER_LEASE_MS;
   }
 
   private giveUp(agent: WorkerAgent, reason: string): void {
