--- a/tests/jobs/formerWorkers.spec.ts
+++ b/tests/jobs/formerWorkers.spec.ts
@@ -37,12 +37,31 @@
   return { site, owner, successor };
 };
 
+/** Longest time for which a worker can hold a lease that nobody extends, in milliseconds. */
+const LONGEST_LEASE_MS = 6_500;
+
+/** Time in which planned changes of the owner may delay a start, in milliseconds. */
+const HANDOVER_MS = 1_500;
+
+/** Time from the kill of an owner until its successor starts tasks at the latest, in milliseconds. */
+const ELECTION_MS = 3_500;
+
 const workerOf = (site: JobSite, id: string) => {
   const worker = site.workers.get(id);
   if (!worker) throw new Error(`no worker ${id}`);
   return worker;
 };
 
+/** Cuts a worker off from all entries that have been started so far. */
+const cutFromAll = (site: JobSite, id: string): void =>
+  site.entries.forEach(({ client }) => site.cutFromWorkers(client, [id]));
+
+/** Makes a worker vanish without a trace; what it runs ends with its lease. */
+const loseWorker = (site: JobSite, id: string): void => {
+  cutFromAll(site, id);
+  site.data.remove(`workers/${id}`);
+};
+
 /** Counts the tasks that run now. */
 const countRunning = (site: JobSite): number =>
   new Set(
@@ -112,6 +131,38 @@
   t.true(site.record.runs.some(({ workerId, endedMs }) => workerId === 'w0' && !endedMs));
 });
 
+// Guards against tasks that wait anew with each owner for a worker which none of them has reached: the
+// wait was counted from each take-over.
+test('should count the lease of a lost worker from the last contact through changes of the owner', async (t) => {
+  const { site, owner, successor } = await makeSiteWithLastingTasks();
+  const third = site.start('c');
+  await site.run(500);
+  loseWorker(site, 'w0');
+  await site.run(1_000);
+  owner.stop();
+  await site.run(2_500);
+  successor.stop();
+  await site.run(2_000);
+  third.stop();
+  site.start('d');
+  cutFromAll(site, 'w0');
+  await site.run(LONGEST_LEASE_MS + HANDOVER_MS - 5_500);
+  t.is(countRunning(site), TASKS);
+  t.deepEqual(site.record.violations, []);
+});
+
+// Guards against tasks that wait for the longest lease after a kill of the owner, although that owner had
+// got no answer of their worker for a while.
+test('should count the lease of a lost worker from the last contact of an owner that was killed', async (t) => {
+  const { site, owner } = await makeSiteWithLastingTasks();
+  loseWorker(site, 'w0');
+  await site.run(2_000);
+  owner.kill();
+  await site.run(LONGEST_LEASE_MS + ELECTION_MS - 2_000);
+  t.is(countRunning(site), TASKS);
+  t.deepEqual(site.record.violations, []);
+});
+
 // Guards against a task that runs twice: a former owner that is cut off from the store learns of its
 // successor only once this one reaches a worker of the data centre, and extends leases until then.
 test('should count the wait for a data centre from the first contact with it', async (t) => {
