--- a/packages/samphirenotch/src/jobs/workers/leaseCountdown.ts
+++ b/packages/samphirenotch/src/jobs/workers/leaseCountdown.ts
@@ -76,11 +76,6 @@
     this.key = key;
   }
 
-  /** @returns ids of the workers whose leases are counted down */
-  ids(): Iterable<string> {
-    return this.recorded.keys();
-  }
-
   /**
    * Checks whether a lease is counted down, so that it must not be extended.
    *
