--- a/packages/samphirenotch/src/jobs/workers/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerAgent.ts
@@ -267,6 +267,11 @@
     return (this.leaseLeftMs ?? 0) > 0;
   }
 
+  /** @returns number of polls that have failed since the last answer */
+  get failedPollCount(): number {
+    return this.failedPolls;
+  }
+
   /** @returns time since the last answer in milliseconds; 0 unless the last poll has failed */
   get silentMs(): number {
     return this.isResponsive ? 0 : this.options.clock.monotonicMs() - this.answeredMs;
--- a/packages/samphirenotch/src/jobs/workers/workerFleet.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerFleet.ts
@@ -16,10 +16,13 @@
 
 /**
  * Time without an answer after which the lease of a silent worker is counted down in the store, in
- * milliseconds; longer than until the second poll of a worker that refuses connections.
+ * milliseconds, if more than one poll has failed: single answers get lost.
  */
 const MIN_SILENCE_MS = 600;
 
+/** The same after a single poll, which the worker has not answered in time. */
+const MIN_UNANSWERED_MS = 1_500;
+
 /** Longest lease that a former owner can have granted, including clock drift, in milliseconds. */
 const MAX_FORMER_LEASE_MS = 6_500;
 
@@ -53,6 +56,9 @@
   readonly leases: readonly LeaseLeft[];
 }
 
+const isSilent = ({ silentMs, failedPollCount }: WorkerAgent): boolean =>
+  silentMs >= (failedPollCount > 1 ? MIN_SILENCE_MS : MIN_UNANSWERED_MS);
+
 const describeRosterEntry = (entry: RosterEntry): WorkerDescription => ({
   id: entry.id,
   address: entry.address,
@@ -466,7 +472,7 @@
     // In an outage the lease could not be extended again before a record is stored after it.
     if (!this.isStoreReachable()) return false;
     const isPassedOn = !agent.isFenced && this.formerLeaseEndsMs.has(agent.id);
-    return isPassedOn || agent.silentMs >= MIN_SILENCE_MS;
+    return isPassedOn || isSilent(agent);
   }
 
   private storeRoster(): void {
