--- a/packages/samphirenotch/src/jobs/workers/leaseCountdown.ts
+++ b/packages/samphirenotch/src/jobs/workers/leaseCountdown.ts
@@ -13,6 +13,9 @@
 /** Time between two updates of the times left, in milliseconds. */
 const REFRESH_MS = 500;
 
+/** Shortest time between two records, in milliseconds: many workers may come and go at once. */
+const MIN_INTERVAL_MS = 50;
+
 /** Most workers that are named in one log line. */
 const MAX_LOGGED = 12;
 
@@ -93,10 +96,11 @@
    * @param leases - the leases
    */
   update(leases: readonly LeaseLeft[]): void {
+    const nowMs = this.clock.monotonicMs();
+    if (nowMs < this.recordedAtMs + MIN_INTERVAL_MS) return;
     const ids = leases.map(({ id }) => id);
     const added = ids.filter((id) => !this.newestIds.includes(id));
     const removed = this.newestIds.filter((id) => !ids.includes(id));
-    const nowMs = this.clock.monotonicMs();
     const isAged =
       nowMs >= this.recordedAtMs + REFRESH_MS && leases.some(({ leftMs }) => leftMs > 0);
     if (added.length === 0 && removed.length === 0 && !isAged) return;
