Give up on former workers only as the only owner

An owner that is cut off from the store goes on for up to 12 s. It gave up on workers that it had not reached, by the stored time of their leases or by its own count, and started their tasks, although its successor had reached these workers and extended their leases.

Cause: the count holds for former owners. It says nothing about a later one, and was used by an owner that was no longer certain of its lease.

"should not count down the lease of a worker that fails one poll" guards the commit on single failed polls.

--- a/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
@@ -164,6 +164,7 @@
       options.clock,
       () => this.wakeup.wake(),
       () => term.leaseUnconfirmedMs() <= MAX_STORE_ANSWER_AGE_MS,
+      () => this.isSoleOwner(),
     );
     this.watch = new RunSupervisor(this.fleet, options.clock);
     this.slowWorkers = new SlowWorkerDetector(this.fleet, options.clock);
@@ -284,7 +285,7 @@
       share: this.options.share.id,
       fencingToken: this.term.fencingToken,
       waitsForFormerOwner: this.fleet.hasUnreportedWorkers,
-      isCertain: nowMs < this.term.leaseValidUntilMs(),
+      isCertain: this.isSoleOwner(),
       ownedForMs: Math.round(nowMs - this.ownedSinceMs),
       delegationsAway: away,
       delegationsTaken: guests,
@@ -450,6 +451,11 @@
     if (job.isGuest) this.book.saveProgress(job);
   }
 
+  /** Tells whether no other owner can have granted a lease yet. */
+  private isSoleOwner(): boolean {
+    return this.options.clock.monotonicMs() < this.term.leaseValidUntilMs();
+  }
+
   private homeJobs(): readonly ReplicatedJob[] {
     const { replica, share } = this.options;
     return replica.openJobs().filter((job) => replica.homeOf(job) === share.id);
@@ -466,7 +472,7 @@
       listener: this,
       signal: term.signal,
       batcher: this.turns,
-      isSoleOwner: () => options.clock.monotonicMs() < term.leaseValidUntilMs(),
+      isSoleOwner: () => this.isSoleOwner(),
       mayExtendLease: () =>
         term.leaseUnconfirmedMs() <= MAXIMUM_UNCONFIRMED_MS &&
         this.fleet.mayExtendLease(description.id),
--- a/packages/samphirenotch/src/jobs/workers/workerFleet.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerFleet.ts
@@ -142,12 +142,14 @@
    * @param clock - time
    * @param onUsable - called when workers may have become usable
    * @param isStoreReachable - returns true if the store has answered lately
+   * @param isSoleOwner - returns true if no other owner can have granted a lease yet
    */
   constructor(
     private readonly makeAgent: (description: WorkerDescription) => WorkerAgent,
     private readonly clock: Clock,
     private readonly onUsable: () => void,
     private readonly isStoreReachable: () => boolean,
+    private readonly isSoleOwner: () => boolean,
   ) {
     this.countdown = new LeaseCountdown(clock, onUsable);
   }
@@ -374,7 +376,8 @@
 
   /** Gives up on workers whose former leases have expired. */
   private giveUpExpired(): void {
-    if (this.unreportedWorkers.size === 0) return;
+    // A successor unknown to this owner may have extended the leases.
+    if (this.unreportedWorkers.size === 0 || !this.isSoleOwner()) return;
     const nowMs = this.clock.monotonicMs();
     this.unreportedWorkers.forEach((_entry, agent) => {
       // A worker that answers this owner keeps its ends, and this owner extends its lease.
