Count the silence of a worker from the poll that failed

What callers could have seen: workers without new work for a moment after one lost answer. Found in review.

Cause: silence was counted from the last answer, so that the time for which a long poll was held, or for which an idle worker was not polled, counted as well. A worker that another life had answered for was not counted at all, and workers that the former owner had counted down were recorded before they had been polled.

Change: silence counts from the failure of the first poll, or from the time by which it should have been answered. All workers that do not answer are looked at, and those that a former owner had counted down once a poll has failed. What former owners may have granted is now computed in a class of its own.

"should not count down the lease of a worker that fails one poll" passes without the separate rule on two failed polls, which goes.

--- a/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
@@ -398,8 +398,7 @@
     this.permissions.dropTicket(task.step, agent.id);
   }
 
-  onChange(agent: WorkerAgent): void {
-    this.fleet.markResponsiveness(agent);
+  onChange(): void {
     this.wakeup.wake();
   }
 
--- a/packages/samphirenotch/src/jobs/ownership/takeover.ts
+++ b/packages/samphirenotch/src/jobs/ownership/takeover.ts
@@ -15,7 +15,7 @@
 import type { JobReplica } from '../store/jobReplica.js';
 import { ProgressJournal } from '../store/progressJournal.js';
 import type { Term } from '../store/term.js';
-import type { LeaseLeft } from '../workers/leaseCountdown.js';
+import type { LeaseLeft, LeaseRecord } from '../workers/leaseCountdown.js';
 import type { FormerWorkers, RosterEntry } from '../workers/workerFleet.js';
 
 /**
@@ -47,7 +47,7 @@
   }),
 );
 
-const LEASE_RECORD = z.object({
+const LEASE_RECORD: z.ZodType<LeaseRecord> = z.object({
   journal: z.string(),
   leases: z.array(z.object({ id: z.string(), leftMs: z.number().nonnegative() })),
 });
--- /dev/null
+++ b/packages/samphirenotch/src/jobs/workers/formerLeases.ts
@@ -0,0 +1,96 @@
+/**
+ * Computes when the leases that former owners may have granted have certainly lapsed.
+ */
+import type { WorkerDescription } from '../../infrastructure/taskWorker.js';
+import type { Clock } from '../../time/clock.js';
+
+import { MAXIMUM_UNCONFIRMED_MS } from '../store/term.js';
+import type { LeaseLeft } from './leaseCountdown.js';
+
+/** Longest lease that a former owner can have granted, including clock drift, in milliseconds. */
+const MAX_FORMER_LEASE_MS = 6_500;
+
+/**
+ * Time in which a former owner learns of its successor, in milliseconds: a worker that both reach
+ * refuses its fencing token.
+ */
+const SUCCESSOR_DISCOVERY_MS = 2_500;
+
+/** Leases of former owners on workers that have not answered this owner yet. */
+export class FormerLeases {
+  private termBeganMs = 0;
+
+  /**
+   * Monotonic time at which the first worker of a data centre accepted this owner's fencing token, in
+   * milliseconds. From it on, a former owner that reaches the data centre learns of its successor.
+   */
+  private readonly reachedAtMs = new Map<string, number>();
+
+  /**
+   * Monotonic times at which leases end at the latest that the last owner had counted down, in
+   * milliseconds, by id of the worker.
+   */
+  private readonly countedDownEndsMs = new Map<string, number>();
+
+  /**
+   * @param clock - time
+   */
+  constructor(private readonly clock: Clock) {}
+
+  /** @returns monotonic time at which the last of all former leases ends, in milliseconds */
+  get latestEndMs(): number {
+    return this.termBeganMs + MAXIMUM_UNCONFIRMED_MS + MAX_FORMER_LEASE_MS;
+  }
+
+  /**
+   * Begins a term.
+   *
+   * @param leases - leases that the last owner had counted down
+   */
+  beginTerm(leases: readonly LeaseLeft[]): void {
+    this.termBeganMs = this.clock.monotonicMs();
+    leases.forEach(({ id, leftMs }) => this.countedDownEndsMs.set(id, this.termBeganMs + leftMs));
+  }
+
+  /**
+   * Notes that a worker of a data centre has accepted this owner's fencing token.
+   *
+   * @param dataCentre - the data centre
+   */
+  markReached(dataCentre: string): void {
+    if (!this.reachedAtMs.has(dataCentre))
+      this.reachedAtMs.set(dataCentre, this.clock.monotonicMs());
+  }
+
+  /**
+   * Checks whether the last owner had counted down a lease.
+   *
+   * @param id - id of the worker
+   * @returns true if it had
+   */
+  isCountedDown(id: string): boolean {
+    return this.countedDownEndsMs.has(id);
+  }
+
+  /**
+   * Computes when a worker that has not answered can hold no lease of a former owner any more: at the
+   * latest after the longest time for which a former owner goes on without a confirmed lease. A former
+   * owner that reaches one worker also reaches the others of its data centre. If one of these refuses
+   * its fencing token, the former owner learns of its successor and extends no lease. A lease that it
+   * counted down in the store it extends no more.
+   *
+   * @param worker - the worker
+   * @returns monotonic time in milliseconds
+   */
+  endMs({ id, dataCentre }: Pick<WorkerDescription, 'id' | 'dataCentre'>): number {
+    const reachedAtMs = this.reachedAtMs.get(dataCentre) ?? Number.POSITIVE_INFINITY;
+    const lastExtensionMs = Math.min(
+      this.termBeganMs + MAXIMUM_UNCONFIRMED_MS,
+      reachedAtMs + SUCCESSOR_DISCOVERY_MS,
+    );
+    return Math.min(
+      lastExtensionMs + MAX_FORMER_LEASE_MS,
+      this.countedDownEndsMs.get(id) ?? Number.POSITIVE_INFINITY,
+    );
+  }
+}
--- a/packages/samphirenotch/src/jobs/workers/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerAgent.ts
@@ -187,8 +187,14 @@
 
   private failedPolls = 0;
 
-  /** Monotonic time of the last answer to a poll, or of the beginning, in milliseconds. */
-  private answeredMs: number;
+  /** Monotonic time by which the newest poll should be answered, in milliseconds. */
+  private answerDueMs = 0;
+
+  /**
+   * Monotonic time at which the first of the failed polls failed, or should have been answered, in
+   * milliseconds.
+   */
+  private silentSinceMs = 0;
 
   private descriptionChanges = 0;
 
@@ -230,7 +236,6 @@
   constructor(private readonly options: AgentOptions) {
     this.description = options.description;
     this.worker = this.connect(options.description);
-    this.answeredMs = options.clock.monotonicMs();
     this.workerClock = new WorkerClock(options.clock);
     this.wakeup = new Wakeup(options.clock);
     this.runs = new WorkerRuns(options.clock);
@@ -264,17 +269,12 @@
 
   /** @returns false if no lease can be left on the worker, or if it has not answered this owner */
   get mayHoldLease(): boolean {
-    return (this.leaseLeftMs ?? 0) > 0;
-  }
-
-  /** @returns number of polls that have failed since the last answer */
-  get failedPollCount(): number {
-    return this.failedPolls;
+    return this.fenced && !this.workerClock.hasPassed(this.leaseUntilMs + LEASE_EXPIRY_MARGIN_MS);
   }
 
-  /** @returns time since the last answer in milliseconds; 0 unless the last poll has failed */
+  /** @returns for how long the worker has owed an answer, in milliseconds; 0 while it answers */
   get silentMs(): number {
-    return this.isResponsive ? 0 : this.options.clock.monotonicMs() - this.answeredMs;
+    return this.isResponsive ? 0 : this.options.clock.monotonicMs() - this.silentSinceMs;
   }
 
   /** @returns true while the worker answers polls */
@@ -549,6 +549,7 @@
     const mayWait = this.fenced && this.isResponsive && allStored && this.runs.count > 0;
     const waitMs = mayWait ? this.pollWaitMs() : 0;
     const sentMs = clock.monotonicMs();
+    this.answerDueMs = sentMs + waitMs;
     // The worker may have restarted unnoticed. A sequence number of its former incarnation would
     // make it drop ends that were not read. Only a new number, and not after a failed poll, is
     // therefore sent.
@@ -592,13 +593,12 @@
     const mayEndIncarnation = isNewIncarnation && this.options.isSoleOwner();
     if (isOtherIncarnation && mayEndIncarnation) this.endReplaced();
     if (isOtherIncarnation || (isNewIncarnation && !mayEndIncarnation)) {
-      this.failedPolls += 1;
+      this.countFailedPoll();
       await clock.sleep(RETRY_MS, signal);
       return;
     }
     const wasUnresponsive = !this.isResponsive;
     this.failedPolls = 0;
-    this.answeredMs = clock.monotonicMs();
     if (wasUnresponsive) {
       this.log.info('A worker answers again', { worker: this.id });
       listener.onChange(this);
@@ -629,8 +629,14 @@
     await this.wakeup.wait(MAX_ACKNOWLEDGE_DELAY_MS, signal);
   }
 
-  private handleFailedPoll(reason: string): void {
+  private countFailedPoll(): void {
+    if (this.failedPolls === 0)
+      this.silentSinceMs = Math.min(this.options.clock.monotonicMs(), this.answerDueMs);
     this.failedPolls += 1;
+  }
+
+  private handleFailedPoll(reason: string): void {
+    this.countFailedPoll();
     if (this.failedPolls === FAILED_POLLS_UNTIL_UNRESPONSIVE) {
       this.log.warn('A worker does not answer', {
         worker: this.id,
--- a/packages/samphirenotch/src/jobs/workers/workerFleet.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerFleet.ts
@@ -9,29 +9,17 @@
 import type { OwnedTask } from '../model/ownedJob.js';
 import type { ShareKeys } from '../store/jobKeys.js';
 import type { ProgressJournal } from '../store/progressJournal.js';
-import { MAXIMUM_UNCONFIRMED_MS } from '../store/term.js';
+import { FormerLeases } from './formerLeases.js';
 import { LeaseCountdown, type LeaseLeft } from './leaseCountdown.js';
 import type { WorkerAgent } from './workerAgent.js';
 import { WorkerHealth } from './workerHealth.js';
 
 /**
- * Time without an answer after which the lease of a silent worker is counted down in the store, in
- * milliseconds, if more than one poll has failed: single answers get lost.
+ * Time for which a worker owes an answer until its lease is counted down in the store, in
+ * milliseconds; longer than until the second poll, since single answers get lost.
  */
 const MIN_SILENCE_MS = 600;
 
-/** The same after a single poll, which the worker has not answered in time. */
-const MIN_UNANSWERED_MS = 1_500;
-
-/** Longest lease that a former owner can have granted, including clock drift, in milliseconds. */
-const MAX_FORMER_LEASE_MS = 6_500;
-
-/**
- * Time in which a former owner learns of its successor, in milliseconds: a worker that both reach
- * refuses its fencing token.
- */
-const SUCCESSOR_DISCOVERY_MS = 2_500;
-
 /**
  * Time after a take-over in which directory entries that expired during an outage of the store are
  * back, in milliseconds.
@@ -56,9 +44,6 @@
   readonly leases: readonly LeaseLeft[];
 }
 
-const isSilent = ({ silentMs, failedPollCount }: WorkerAgent): boolean =>
-  silentMs >= (failedPollCount > 1 ? MIN_SILENCE_MS : MIN_UNANSWERED_MS);
-
 const describeRosterEntry = (entry: RosterEntry): WorkerDescription => ({
   id: entry.id,
   address: entry.address,
@@ -90,23 +75,10 @@
    */
   private readonly unreportedWorkers = new Map<WorkerAgent, RosterEntry>();
 
-  /**
-   * Monotonic times at which leases end at the latest that the former owner no longer extended, in
-   * milliseconds, by id of the worker.
-   */
-  private readonly formerLeaseEndsMs = new Map<string, number>();
+  private readonly formerLeases: FormerLeases;
 
   private readonly countdown: LeaseCountdown;
 
-  /** Agents of workers that have stopped answering. */
-  private readonly silentAgents = new Set<WorkerAgent>();
-
-  /**
-   * Monotonic time at which the first worker of a data centre accepted this owner's fencing token, in
-   * milliseconds. From it on, a former owner that reaches the data centre learns of its successor.
-   */
-  private readonly reachedAtMs = new Map<string, number>();
-
   private termBeganMs = 0;
 
   private journal!: ProgressJournal;
@@ -151,6 +123,7 @@
     private readonly isStoreReachable: () => boolean,
     private readonly isSoleOwner: () => boolean,
   ) {
+    this.formerLeases = new FormerLeases(clock);
     this.countdown = new LeaseCountdown(clock, onUsable);
   }
 
@@ -180,10 +153,9 @@
     this.rosterKey = keys.roster;
     this.countdown.beginTerm(journal, keys.leases);
     this.termBeganMs = this.clock.monotonicMs();
-    leases.forEach(({ id, leftMs }) => this.formerLeaseEndsMs.set(id, this.termBeganMs + leftMs));
+    this.formerLeases.beginTerm(leases);
     if (roster) this.waitForFormerWorkers(roster);
-    else
-      this.rosterUnknownUntilMs = this.termBeganMs + MAX_FORMER_LEASE_MS + MAXIMUM_UNCONFIRMED_MS;
+    else this.rosterUnknownUntilMs = this.formerLeases.latestEndMs;
   }
 
   private waitForFormerWorkers(roster: readonly RosterEntry[]): void {
@@ -250,8 +222,7 @@
    */
   markFenced({ description: { dataCentre } }: WorkerAgent): void {
     this.rosterChanged = true;
-    if (!this.reachedAtMs.has(dataCentre))
-      this.reachedAtMs.set(dataCentre, this.clock.monotonicMs());
+    this.formerLeases.markReached(dataCentre);
   }
 
   /**
@@ -277,16 +248,6 @@
       this.log.info('All workers of the former owner are accounted for');
   }
 
-  /**
-   * Notes that a worker answers again, or no longer answers.
-   *
-   * @param agent - its agent
-   */
-  markResponsiveness(agent: WorkerAgent): void {
-    if (agent.isResponsive) this.silentAgents.delete(agent);
-    else this.silentAgents.add(agent);
-  }
-
   /**
    * Checks whether a worker's lease may be extended.
    *
@@ -382,30 +343,11 @@
     this.unreportedWorkers.forEach((_entry, agent) => {
       // A worker that answers this owner keeps its ends, and this owner extends its lease.
       if (agent.mayHoldLease) return;
-      if (nowMs >= this.formerExpiryMs(agent.description))
+      if (nowMs >= this.formerLeases.endMs(agent.description))
         this.giveUp(agent, 'its leases have lapsed');
     });
   }
 
-  /**
-   * Returns when a worker that has not answered can hold no lease of a former owner any more, in
-   * milliseconds of monotonic time: at the latest after the longest time for which a former owner goes
-   * on without a confirmed lease. A former owner that reaches one worker also reaches the others of
-   * its data centre. If one of these refuses its fencing token, the former owner learns of its
-   * successor and extends no lease. A lease that it counted down in the store it extends no more.
-   */
-  private formerExpiryMs({ id, dataCentre }: WorkerDescription): number {
-    const reachedAtMs = this.reachedAtMs.get(dataCentre) ?? Number.POSITIVE_INFINITY;
-    const lastExtensionMs = Math.min(
-      this.termBeganMs + MAXIMUM_UNCONFIRMED_MS,
-      reachedAtMs + SUCCESSOR_DISCOVERY_MS,
-    );
-    return Math.min(
-      lastExtensionMs + MAX_FORMER_LEASE_MS,
-      this.formerLeaseEndsMs.get(id) ?? Number.POSITIVE_INFINITY,
-    );
-  }
-
   private giveUp(agent: WorkerAgent, reason: string): void {
     this.unreportedWorkers.delete(agent);
     this.rosterChanged = true;
@@ -435,7 +377,6 @@
     agent.close();
     this.agents.delete(agent.id);
     this.rosterChanged = true;
-    this.silentAgents.delete(agent);
     this.health.delete(agent.id);
   }
 
@@ -452,30 +393,28 @@
     return agent.isFenced || this.unreportedWorkers.has(agent);
   }
 
-  /** Lists the leases to count down: of workers that are silent, or that only a former owner reached. */
+  /** Lists the leases to count down: of workers that are silent. */
   private leasesLeft(): readonly LeaseLeft[] {
     const nowMs = this.clock.monotonicMs();
-    const agents = new Set(this.silentAgents);
-    this.formerLeaseEndsMs.forEach((_endMs, id) => {
-      const agent = this.agents.get(id);
-      if (agent && !agent.isFenced) agents.add(agent);
-    });
-    return [...agents]
-      .filter((agent) => this.mayHoldRuns(agent) && this.isCountedDown(agent))
+    return this.all()
+      .filter(
+        (agent) =>
+          !agent.isResponsive && this.mayHoldRuns(agent) && this.shouldBeCountedDown(agent),
+      )
       .flatMap((agent) => {
-        const leftMs = agent.leaseLeftMs ?? this.formerExpiryMs(agent.description) - nowMs;
+        const leftMs = agent.leaseLeftMs ?? this.formerLeases.endMs(agent.description) - nowMs;
         return Number.isFinite(leftMs)
           ? [{ id: agent.id, leftMs: Math.max(0, Math.ceil(leftMs)) }]
           : [];
       });
   }
 
-  private isCountedDown(agent: WorkerAgent): boolean {
+  private shouldBeCountedDown(agent: WorkerAgent): boolean {
     if (this.countdown.has(agent.id)) return true;
     // In an outage the lease could not be extended again before a record is stored after it.
     if (!this.isStoreReachable()) return false;
-    const isPassedOn = !agent.isFenced && this.formerLeaseEndsMs.has(agent.id);
-    return isPassedOn || isSilent(agent);
+    const isPassedOn = !agent.isFenced && this.formerLeases.isCountedDown(agent.id);
+    return isPassedOn || agent.silentMs >= MIN_SILENCE_MS;
   }
 
   private storeRoster(): void {
--- a/packages/samphirenotch/src/jobs/workers/workerOrders.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerOrders.ts
@@ -192,7 +192,7 @@
     }
     const leaseUntilMs = context.extendLease();
     if (leaseUntilMs === undefined) {
-      context.onRunLost(run, 'the worker went silent before the order was sent');
+      context.onRunLost(run, 'its lease may not be extended, as the worker went silent');
       return;
     }
     const { task } = run;
