Show that interrupted long-running tasks wait behind urgent ones

Two tests fail: an interrupted task is not started again in 12 s while short tasks ask for 1.5 times the room there is, neither when each of them leaves a hole as large as the task nor when the holes are smaller.

--- /dev/null
+++ b/tests/jobs/interruptedTasks.spec.ts
@@ -0,0 +1,83 @@
+/**
+ * Long-running tasks whose runs end while short tasks ask for more room than there is.
+ */
+import test from 'ava';
+
+import { put } from '../fixtures/bulkSite.js';
+import { makeJob, makeOwnedSite, makeQueue, makeStep, type JobSite } from '../fixtures/jobSite.js';
+
+const LASTING = '00000000000000a1';
+const TASK = `${LASTING}.0.0.0`;
+const WORKERS = 4;
+const WORKER_MILLI_CORES = 4_000;
+const SHORT_RUN_MS = 1_000;
+
+/** Time within which a long-running task must run again if there is room for it, in milliseconds. */
+const MAX_INTERRUPTION_MS = 6_000;
+
+/** Step of the simulated arrivals, in milliseconds. */
+const STEP_MS = 50;
+
+/** Short tasks arrive at this multiple of the rate at which the workers can run them. */
+const OVERLOAD = 1.5;
+
+const urgent = makeQueue({ name: 'urgent', prefix: '/urgent/', priority: 0 });
+
+const sizeOf = (milliCores: number) => ({ milliCores, memoryMb: 1_000, accelerators: 0 });
+
+/** Submits short tasks for some time, more than there is room for. */
+const overload = async (site: JobSite, milliCores: number, durationMs: number): Promise<void> => {
+  const atOnce = WORKERS * Math.floor(WORKER_MILLI_CORES / milliCores);
+  const perStep = (OVERLOAD * atOnce * STEP_MS) / SHORT_RUN_MS;
+  const startMs = site.clock.monotonicMs();
+  let submitted = 0;
+  for (let at = STEP_MS; at <= durationMs; at += STEP_MS) {
+    for (; submitted < (perStep * at) / STEP_MS; submitted += 1) {
+      const id = (startMs * 1_000 + submitted).toString(16).padStart(16, 'b');
+      put(site, urgent, [id], makeJob(makeStep({ size: sizeOf(milliCores) })));
+    }
+    await site.run(STEP_MS);
+  }
+};
+
+const submitLasting = async (milliCores: number, shortMilliCores: number): Promise<JobSite> => {
+  const { site, owner } = await makeOwnedSite({
+    workers: WORKERS,
+    milliCores: WORKER_MILLI_CORES,
+    behave: (taskId) =>
+      taskId.startsWith(LASTING)
+        ? { size: sizeOf(milliCores), durationMs: Infinity }
+        : { size: sizeOf(shortMilliCores), durationMs: SHORT_RUN_MS },
+  });
+  site.configure([site.queue, urgent]);
+  const step = makeStep({ longRunning: true, size: sizeOf(milliCores) });
+  await site.submit(owner, LASTING, makeJob(step));
+  await site.run(1_000);
+  return site;
+};
+
+/** Ends the run of the long-running task under load, and returns how long it stays without one. */
+const interrupt = async (site: JobSite, shortMilliCores: number): Promise<number> => {
+  await overload(site, shortMilliCores, 4_000);
+  site.workers.forEach((worker) => worker.endRuns(LASTING, 'failed'));
+  const interruptedMs = site.clock.monotonicMs();
+  await overload(site, shortMilliCores, 2 * MAX_INTERRUPTION_MS);
+  const [, next] = site.record.runsOf(TASK);
+  return (next?.startedMs ?? Infinity) - interruptedMs;
+};
+
+// Guards against short tasks that take each room that becomes free, so that a long-running task that was
+// interrupted does not run again for as long as they keep coming (LOST).
+test('should run an interrupted task again while urgent ones ask for more room than there is', async (t) => {
+  const site = await submitLasting(3_000, 3_000);
+  t.true((await interrupt(site, 3_000)) <= MAX_INTERRUPTION_MS);
+  t.deepEqual(site.record.violations, []);
+});
+
+// Guards against room that becomes free in pieces: each is too small for the interrupted task, and short
+// tasks take it before the next one is free (LOST).
+test('should run an interrupted task again that needs the room of several urgent ones', async (t) => {
+  const site = await submitLasting(3_000, 1_000);
+  t.true((await interrupt(site, 1_000)) <= MAX_INTERRUPTION_MS);
+  t.deepEqual(site.record.violations, []);
+});
