Place overdue interrupted tasks before urgent ones

Callers of long-running jobs saw tasks that lost their workers wait for 10 to 25 s after the leases had lapsed, with "room on a worker" as the reason.

Cause: a pass placed long-running tasks after all that could be in time. On a full site those take each hole as it comes.

A task that has not run yet keeps its place. A successor cannot tell the two apart, so for tasks of jobs from before its term the time counts from when it learned of them.

What it costs is short work: while long-running tasks ask for as much as there is, urgent ones get only the holes that are too small for them.

Of the new tests, two failed before: an interrupted task was not started again in 12 s, and one whose run was lost between two owners not in 6 s.

--- a/packages/samphirenotch/src/jobs/model/ownedJob.ts
+++ b/packages/samphirenotch/src/jobs/model/ownedJob.ts
@@ -142,6 +142,11 @@
   readonly runs: OwnedRun[];
   /** Monotonic time before which it is not started again, in milliseconds. */
   notBeforeMs: number;
+  /**
+   * Monotonic time at which its last run ended or, if only a former owner may have run it, at which
+   * this owner learned of it, in milliseconds; undefined if it has not run.
+   */
+  interruptedMs: number | undefined;
   /** Ids of the workers on which it failed, or which did not answer its start. */
   readonly failedWorkerIds: Set<string>;
   /** Addresses of the workers that crashed under it, as far as this owner knows. */
@@ -190,6 +195,8 @@
   readonly acceptedMs: number;
   /** Monotonic time at which this owner learned of the job, in milliseconds. */
   readonly knownSinceMs: number;
+  /** True if a former owner may have started its tasks. */
+  readonly isInherited?: boolean;
   /** The delegation by its home to this share; undefined if this share is its home. */
   readonly delegation?: Delegation;
 }
@@ -352,6 +359,7 @@
         checkpoint: task?.checkpoint ?? '',
         runs: [],
         notBeforeMs: 0,
+        interruptedMs: this.options.isInherited ? this.options.knownSinceMs : undefined,
         failedWorkerIds: new Set(),
         crashedAddresses: new Set(),
         isElsewhere: this.isGuest && !task,
--- a/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
@@ -194,7 +194,13 @@
     const takeover = await takeOver({ ...options, share: share.id, isDivided }, term);
     if (!takeover || signal.aborted) return;
     this.journal = takeover.journal;
-    this.book.startTerm(this.journal, keys, takeover.firstRun, takeover.progress);
+    this.book.startTerm(
+      this.journal,
+      keys,
+      term.fencingToken,
+      takeover.firstRun,
+      takeover.progress,
+    );
     const directory = new WorkerDirectory(options.codec, this, options.clock);
     const follower = new StoreFollower(
       options.store,
--- a/packages/samphirenotch/src/jobs/store/jobRegistry.ts
+++ b/packages/samphirenotch/src/jobs/store/jobRegistry.ts
@@ -34,6 +34,8 @@
 
   private keys!: ShareKeys;
 
+  private fencingToken = 0;
+
   private firstRun = 1;
 
   private progress: ReadonlyMap<string, JobProgress> = new Map();
@@ -61,17 +63,20 @@
    *
    * @param journal - writes changes to the store
    * @param keys - keys of the share
+   * @param fencingToken - fencing token of the term
    * @param firstRun - smallest number of new runs
    * @param progress - progress that former owners stored, by id of the job
    */
   startTerm(
     journal: ProgressJournal,
     keys: ShareKeys,
+    fencingToken: number,
     firstRun: number,
     progress: ReadonlyMap<string, JobProgress>,
   ): void {
     this.journal = journal;
     this.keys = keys;
+    this.fencingToken = fencingToken;
     this.firstRun = firstRun;
     this.progress = progress;
   }
@@ -134,7 +139,7 @@
   add({ accepted, revision }: ReplicatedJob): void {
     if (this.jobs.has(accepted.id) || this.endedIds.has(accepted.id)) return;
     const progress = this.progress.get(accepted.id);
-    const job = new OwnedJob({ ...this.commonOptions(accepted), revision, progress });
+    const job = new OwnedJob({ ...this.commonOptions(accepted, revision), progress });
     this.jobs.set(accepted.id, job);
     this.queuesVersion = 0;
     this.log.info('A job is taken in', {
@@ -162,7 +167,7 @@
       readonly progress: JobProgress;
     },
   ): OwnedJob {
-    const job = new OwnedJob({ ...this.commonOptions(accepted), ...part });
+    const job = new OwnedJob({ ...this.commonOptions(accepted, part.revision), ...part });
     this.guests.set(job.id, [...(this.guests.get(job.id) ?? []), job]);
     this.queuesVersion = 0;
     return job;
@@ -179,11 +184,13 @@
     else this.guests.delete(job.id);
   }
 
-  private commonOptions(accepted: AcceptedJob) {
+  private commonOptions(accepted: AcceptedJob, revision: number) {
     const nowMs = this.clock.monotonicMs();
     const ageMs = this.clock.wallMs() - accepted.acceptedAtMs;
     return {
       accepted,
+      revision,
+      isInherited: revision <= this.fencingToken,
       queue: accepted.queue,
       firstRun: this.firstRun,
       acceptedMs: nowMs - Math.min(MAXIMUM_JOB_AGE_MS, Math.max(0, ageMs)),
--- a/packages/samphirenotch/src/jobs/workers/workerRuns.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerRuns.ts
@@ -175,9 +175,11 @@
     this.runs.delete(runKey(nameOf(run)));
     this.clearCaches();
     this.resources.release(run.size);
-    const at = run.task.runs.indexOf(run);
-    if (at >= 0) run.task.runs.splice(at, 1);
-    const { job } = run.task.step.occurrence;
+    const { task } = run;
+    const at = task.runs.indexOf(run);
+    if (at >= 0) task.runs.splice(at, 1);
+    if (run.confirmedMs !== undefined) task.interruptedMs = this.clock.monotonicMs();
+    const { job } = task.step.occurrence;
     job.runCount -= 1;
     return true;
   }
--- a/tests/jobs/interruptedTasks.spec.ts
+++ b/tests/jobs/interruptedTasks.spec.ts
@@ -4,12 +4,21 @@
 import test from 'ava';
 
 import { put } from '../fixtures/bulkSite.js';
-import { makeJob, makeOwnedSite, makeQueue, makeStep, type JobSite } from '../fixtures/jobSite.js';
+import {
+  makeJob,
+  makeOwnedSite,
+  makeQueue,
+  makeStep,
+  type JobSite,
+  type SiteEntry,
+} from '../fixtures/jobSite.js';
 
 const LASTING = '00000000000000a1';
 const TASK = `${LASTING}.0.0.0`;
 const WORKERS = 4;
 const WORKER_MILLI_CORES = 4_000;
+
+/** Mean duration of short runs, in milliseconds. */
 const SHORT_RUN_MS = 1_000;
 
 /** Time within which a long-running task must run again if there is room for it, in milliseconds. */
@@ -40,20 +49,31 @@
   }
 };
 
-const submitLasting = async (milliCores: number, shortMilliCores: number): Promise<JobSite> => {
+/** Spreads the ends of short runs, whose room then becomes free in pieces. */
+const shortRunMs = (taskId: string): number => {
+  const fraction = (Number.parseInt(taskId.slice(8, 16), 16) * 0.618) % 1;
+  return SHORT_RUN_MS * (0.75 + 0.5 * fraction);
+};
+
+interface LastingSite {
+  readonly site: JobSite;
+  readonly owner: SiteEntry;
+}
+
+const submitLasting = async (milliCores: number, shortMilliCores: number): Promise<LastingSite> => {
   const { site, owner } = await makeOwnedSite({
     workers: WORKERS,
     milliCores: WORKER_MILLI_CORES,
     behave: (taskId) =>
       taskId.startsWith(LASTING)
         ? { size: sizeOf(milliCores), durationMs: Infinity }
-        : { size: sizeOf(shortMilliCores), durationMs: SHORT_RUN_MS },
+        : { size: sizeOf(shortMilliCores), durationMs: shortRunMs(taskId) },
   });
   site.configure([site.queue, urgent]);
   const step = makeStep({ longRunning: true, size: sizeOf(milliCores) });
   await site.submit(owner, LASTING, makeJob(step));
   await site.run(1_000);
-  return site;
+  return { site, owner };
 };
 
 /** Ends the run of the long-running task under load, and returns how long it stays without one. */
@@ -69,7 +89,7 @@
 // Guards against short tasks that take each room that becomes free, so that a long-running task that was
 // interrupted does not run again for as long as they keep coming (LOST).
 test('should run an interrupted task again while urgent ones ask for more room than there is', async (t) => {
-  const site = await submitLasting(3_000, 3_000);
+  const { site } = await submitLasting(3_000, 3_000);
   t.true((await interrupt(site, 3_000)) <= MAX_INTERRUPTION_MS);
   t.deepEqual(site.record.violations, []);
 });
@@ -77,7 +97,26 @@
 // Guards against room that becomes free in pieces: each is too small for the interrupted task, and short
 // tasks take it before the next one is free (LOST).
 test('should run an interrupted task again that needs the room of several urgent ones', async (t) => {
-  const site = await submitLasting(3_000, 1_000);
+  const { site } = await submitLasting(3_000, 1_000);
   t.true((await interrupt(site, 1_000)) <= MAX_INTERRUPTION_MS);
   t.deepEqual(site.record.violations, []);
 });
+
+// Guards against a successor that takes a task whose run was lost during the takeover for one that has not
+// run yet, and lets urgent ones go before it (LOST).
+test('should run a task again whose run was lost while no entry owned the site', async (t) => {
+  const { site, owner } = await submitLasting(3_000, 3_000);
+  site.start('b');
+  await overload(site, 3_000, 4_000);
+  owner.kill();
+  await site.run(1_000);
+  site.workers.forEach((worker) => worker.restart());
+  const killedMs = site.clock.monotonicMs();
+  await overload(site, 3_000, 20_000);
+  const firstStart = site.record.runs.find(({ startedMs }) => startedMs > killedMs);
+  const [, next] = site.record.runsOf(TASK);
+  t.true(
+    (next?.startedMs ?? Infinity) - (firstStart?.startedMs ?? Infinity) <= MAX_INTERRUPTION_MS,
+  );
+  t.deepEqual(site.record.violations, []);
+});
