Reserve workers for interrupted tasks that find no room

Callers of long-running jobs saw large tasks wait although small ones kept starting. Cause: room becomes free in pieces. Each piece is too small for the task, and goes to a smaller one before the next is free; nothing kept the room of a worker together, however early the task came in the order of a pass.

Change: for a long-running task whose last run ended 2 s ago and that fits nowhere, the worker on which the runs in its way are expected to end first is reserved. Nothing else starts there until the task has started, the task no longer waits, the worker leaves or 2 s have passed; then the worker is not reserved for 4 s. At most 5 % of a service's workers are reserved at a time.

`roomReservations` tests which worker is reserved, how many, and the end of a reservation.

--- a/packages/samphirenotch/src/jobs/placement/interruptedTasks.ts
+++ b/packages/samphirenotch/src/jobs/placement/interruptedTasks.ts
@@ -26,3 +26,13 @@
  */
 export const isOverdue = ({ spec, tasks }: OwnedStep, nowMs: number): boolean =>
   spec.longRunning && tasks.some((task) => isOverdueTask(task, nowMs));
+
+/**
+ * Lists the interrupted tasks of a step that have waited for too long.
+ *
+ * @param step - the step
+ * @param nowMs - monotonic time in milliseconds
+ * @returns the tasks; none unless the step is long-running
+ */
+export const overdueTasks = ({ spec, tasks }: OwnedStep, nowMs: number): readonly OwnedTask[] =>
+  spec.longRunning ? tasks.filter((task) => isOverdueTask(task, nowMs)) : [];
--- a/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
@@ -27,8 +27,10 @@
 import { JobExplainer, type JobExplanation } from './jobExplanation.js';
 import { LongWaits } from './longWaits.js';
 import { UnplaceableSizes } from './unplaceableSizes.js';
+import { overdueTasks } from './interruptedTasks.js';
 import { Preemption } from './preemption.js';
 import { RetryOrder } from './retryOrder.js';
+import { RoomReservations } from './roomReservations.js';
 import { ServingMoves } from './servingMoves.js';
 import { StartGate } from './startGate.js';
 import type { UnplacedStep } from './spillOver.js';
@@ -70,6 +72,9 @@
  */
 const MAXIMUM_RESERVED_STARTS = 4;
 
+/** Highest number of workers that a pass reserves for overdue tasks. */
+const MAXIMUM_NEW_RESERVATIONS = 4;
+
 /** Time after which tasks that wait for the policy service count as unplaced, in milliseconds. */
 const MAXIMUM_DECISION_WAIT_MS = 2_000;
 
@@ -94,6 +99,8 @@
 
   private readonly preemption: Preemption;
 
+  private readonly reservations: RoomReservations;
+
   private readonly starvation: Starvation;
 
   private readonly fillerRoom: FillerHeadroom;
@@ -128,7 +135,10 @@
    */
   private readonly unplaceable = new UnplaceableSizes();
 
-  /** Workers that accept tasks, by service: those of this pass, and those of the last one that asked. */
+  /** Workers that accept tasks in this pass, by service. */
+  private readonly acceptingOfPass = new Map<string, readonly WorkerAgent[]>();
+
+  /** Those that are not reserved, by service: of this pass, and of the last one that asked. */
   private readonly candidatesOfPass = new Map<string, readonly WorkerAgent[]>();
 
   private readonly formerCandidates = new Map<string, readonly WorkerAgent[]>();
@@ -141,6 +151,7 @@
     this.placement = new SpreadPlacement(options.interference, this.fillerRoom, options.clock);
     this.moves = new ServingMoves(this.fillerRoom, this.placement, options.clock);
     this.preemption = new Preemption(options.clock);
+    this.reservations = new RoomReservations(options.clock);
     this.starvation = new Starvation(options.clock);
     this.gate = new StartGate(options.term, options.viewAgeMs);
     this.explainer = new JobExplainer({
@@ -236,12 +247,14 @@
     if (!directoryKnown || !this.gate.isOpen()) return;
     book.refreshQueues();
     this.placement.beginPass();
+    this.acceptingOfPass.clear();
     this.candidatesOfPass.clear();
     this.unplaceable.clear();
     this.preemption.beginPass();
     this.options.permissions.beginPass();
     const nowMs = clock.monotonicMs();
     this.refreshDemand(nowMs);
+    this.startReserved(nowMs);
     const steps = book
       .openJobs()
       .filter((job) => !job.isFullyStarted && this.isAccountedFor(job))
@@ -254,6 +267,7 @@
     starved.slice(0, MAXIMUM_RESERVED_STARTS).forEach((step) => this.startStarved(step, nowMs));
     this.untriedSteps = areAllTried ? [] : ordered.slice(cutAt + 1);
     this.startSomeUntried(nowMs);
+    this.reserveForOverdue(ordered, nowMs);
     const areCopiesTried = areAllTried && this.startSpeculativeCopies();
     this.wasCutShort = !areAllTried || !areCopiesTried || starved.length > MAXIMUM_RESERVED_STARTS;
     if (areAllTried) this.moveServing();
@@ -279,13 +293,62 @@
     );
   }
 
+  /** Starts tasks on the workers that are reserved for them. */
+  private startReserved(nowMs: number): void {
+    this.reservations.current().forEach(({ agent, task }) => {
+      const size = reservedSizeOf(task);
+      const isAccepting = this.acceptingWorkers(task.step).includes(agent);
+      if (!isAccepting || !this.placement.permits(agent, task)) {
+        this.reservations.release(agent);
+        return;
+      }
+      if (!agent.fits(size) || !this.isWaiting(task, nowMs)) return;
+      const [allowed] = this.options.permissions.startableWorkers(task.step, [agent]);
+      if (!allowed) return;
+      this.reservations.release(agent);
+      this.start({ task, agent }, task.nextRun);
+    });
+  }
+
+  /** Reserves workers for overdue tasks that have found none. */
+  private reserveForOverdue(steps: readonly OwnedStep[], nowMs: number): void {
+    steps
+      .filter(({ spec, unplacedSinceMs }) => unplacedSinceMs !== undefined && !spec.gang)
+      .flatMap((step) => overdueTasks(step, nowMs))
+      .filter((task) => !isSuspect(task) && !this.reservations.hasReservation(task))
+      .slice(0, MAXIMUM_NEW_RESERVATIONS)
+      .forEach((task) => this.reserveFor(task));
+  }
+
+  private reserveFor(task: OwnedTask): void {
+    const workers = this.options.permissions.startableWorkers(
+      task.step,
+      this.acceptingWorkers(task.step),
+    );
+    this.reservations.reserve({ task, size: reservedSizeOf(task), workers }, (agent) =>
+      this.placement.permits(agent, task),
+    );
+  }
+
   /** Cached for the pass, because a pass does not change which workers accept tasks. */
-  private candidates({ occurrence }: OwnedStep): readonly WorkerAgent[] {
+  private acceptingWorkers({ occurrence }: OwnedStep): readonly WorkerAgent[] {
     const { fleet, operator } = this.options;
     const { service } = occurrence.job.queue;
-    const known = this.candidatesOfPass.get(service);
+    const known = this.acceptingOfPass.get(service);
     if (known) return known;
     const found = fleet.candidates(service, operator.view().evacuated);
+    this.acceptingOfPass.set(service, found);
+    return found;
+  }
+
+  /** Cached for the pass: workers that it reserves are left out from the next one on. */
+  private candidates(step: OwnedStep): readonly WorkerAgent[] {
+    const { service } = step.occurrence.job.queue;
+    const known = this.candidatesOfPass.get(service);
+    if (known) return known;
+    const found = this.acceptingWorkers(step).filter(
+      (agent) => !this.reservations.isReserved(agent),
+    );
     const former = this.formerCandidates.get(service);
     // Costs are kept by list, so an equal list is not replaced.
     const candidates = former && isSameList(former, found) ? former : found;
