--- a/tests/jobs/formerWorkers.spec.ts
+++ b/tests/jobs/formerWorkers.spec.ts
@@ -2,23 +2,14 @@
  * Workers of a former owner that its successor finds gone: what proves that nothing runs there.
  */
 import test from 'ava';
-import { WHOLE_SITE_SHARE_ID } from 'samphirenotch/jobs/model/shareLayout.js';
-import { keysOfShare } from 'samphirenotch/jobs/store/jobKeys.js';
 
+import type { JobSite } from '../fixtures/jobSite.js';
 import {
-  makeJob,
-  makeOwnedSite,
-  makeStep,
-  type JobSite,
-  type JobSiteOptions,
-  type SiteEntry,
-} from '../fixtures/jobSite.js';
-
-const ID = '00000000000000a1';
-const SIZE = { milliCores: 1_000, memoryMb: 1_000, accelerators: 0 };
-
-/** Tasks of the job, one for each worker. */
-const TASKS = 4;
+  countRunning,
+  LASTING_JOB_ID as ID,
+  LASTING_TASKS as TASKS,
+  makeSiteWithLastingTasks,
+} from '../fixtures/lastingTasks.js';
 
 /**
  * Time after its last run within which a task that lasts has to run again, as the platform's pages
@@ -26,71 +17,12 @@
  */
 const LASTING_BOUND_MS = 6_000;
 
-/** Makes a site with two entries whose owner runs one task that lasts on each worker. */
-const makeSiteWithLastingTasks = async (options: JobSiteOptions = {}) => {
-  const { site, owner } = await makeOwnedSite({
-    workers: TASKS,
-    behave: () => ({ size: SIZE, durationMs: 600_000 }),
-    ...options,
-  });
-  const successor = site.start('b');
-  await site.run(500);
-  await site.submit(owner, ID, makeJob(makeStep({ count: TASKS, longRunning: true })));
-  await site.run(500);
-  return { site, owner, successor };
-};
-
-/** Longest time for which a worker can hold a lease that nobody extends, in milliseconds. */
-const LONGEST_LEASE_MS = 6_500;
-
-/** Time in which planned changes of the owner may delay a start, in milliseconds. */
-const HANDOVER_MS = 1_500;
-
-/** Time from the kill of an owner until its successor starts tasks at the latest, in milliseconds. */
-const ELECTION_MS = 3_500;
-
 const workerOf = (site: JobSite, id: string) => {
   const worker = site.workers.get(id);
   if (!worker) throw new Error(`no worker ${id}`);
   return worker;
 };
 
-/** Time after which the lease of a silent worker is counted down, with a margin, in milliseconds. */
-const COUNTED_DOWN_AFTER_MS = 2_000;
-
-/** Time without contact after which a lease has almost lapsed, in milliseconds. */
-const LONG_CUT_MS = 5_000;
-
-const { leases: LEASES_KEY, journal: JOURNAL_KEY } = keysOfShare(WHOLE_SITE_SHARE_ID);
-
-/** Cuts a worker off from all entries that have been started so far. */
-const cutFromAll = (site: JobSite, id: string): void =>
-  site.entries.forEach(({ client }) => site.cutFromWorkers(client, [id]));
-
-/** Makes a worker vanish without a trace; what it runs ends with its lease. */
-const loseWorker = (site: JobSite, id: string): void => {
-  cutFromAll(site, id);
-  site.data.remove(`workers/${id}`);
-};
-
-/** Counts the tasks that run now. */
-const countRunning = (site: JobSite): number =>
-  new Set(
-    [...site.workers.values()].flatMap((each) => each.activeRuns().map(({ taskId }) => taskId)),
-  ).size;
-
-/** Waits until an owner gets answers of a worker, or until it gets none any more. */
-const waitForAnswers = async (
-  site: JobSite,
-  { entry }: SiteEntry,
-  id: string,
-  answers: boolean,
-): Promise<void> => {
-  const isDone = (): boolean =>
-    entry.status().workers.some((each) => each.worker === id && each.answers === answers);
-  while (!isDone()) await site.clock.advance(2);
-};
-
 // Guards against tasks that last and wait for many seconds after a change of the owner: the successor
 // waited for leases on crashed workers although other workers answered at their addresses.
 test('should start tasks again once another worker answers at the address of theirs', async (t) => {
@@ -154,179 +86,6 @@
   t.true(site.record.runs.some(({ workerId, endedMs }) => workerId === 'w0' && !endedMs));
 });
 
-// Guards against tasks that wait anew with each owner for a worker which none of them has reached: the
-// wait was counted from each take-over.
-test('should count the lease of a lost worker from the last contact through changes of the owner', async (t) => {
-  const { site, owner, successor } = await makeSiteWithLastingTasks();
-  const third = site.start('c');
-  await site.run(500);
-  loseWorker(site, 'w0');
-  await site.run(1_000);
-  owner.stop();
-  await site.run(2_500);
-  successor.stop();
-  await site.run(2_000);
-  third.stop();
-  site.start('d');
-  cutFromAll(site, 'w0');
-  await site.run(LONGEST_LEASE_MS + HANDOVER_MS - 5_500);
-  t.is(countRunning(site), TASKS);
-  t.deepEqual(site.record.violations, []);
-});
-
-// Guards against tasks that wait for the longest lease after a kill of the owner, although that owner had
-// got no answer of their worker for a while.
-test('should count the lease of a lost worker from the last contact of an owner that was killed', async (t) => {
-  const { site, owner } = await makeSiteWithLastingTasks();
-  loseWorker(site, 'w0');
-  await site.run(2_000);
-  owner.kill();
-  await site.run(LONGEST_LEASE_MS + ELECTION_MS - 2_000);
-  t.is(countRunning(site), TASKS);
-  t.deepEqual(site.record.violations, []);
-});
-
-// Guards against a task that runs twice: a successor adopts its run, loses the worker before it may
-// extend the lease, and takes the lease of the former owner for lapsed at once.
-test('should count the lease of a former owner from the first answer of a worker', async (t) => {
-  for (let delayMs = 0; delayMs < 40; delayMs += 4) {
-    const { site, owner, successor } = await makeSiteWithLastingTasks();
-    site.cutFromWorkers(owner.client, ['w0']);
-    await waitForAnswers(site, owner, 'w0', false);
-    successor.store.failCommitsUnder(LEASES_KEY, 'silent', 'silent', 'silent');
-    owner.stop();
-    while (successor.entry.status().terms.length === 0) await site.clock.advance(2);
-    await waitForAnswers(site, successor, 'w0', true);
-    await site.clock.advance(delayMs);
-    site.cutFromWorkers(successor.client, ['w0']);
-    await site.run(15_000);
-    t.deepEqual(site.record.violations, [], `${delayMs} ms`);
-    t.is(countRunning(site), TASKS, `${delayMs} ms`);
-  }
-});
-
-// Guards against a task that runs twice: a successor goes by the time left of a lease that the former
-// owner has extended since, because the worker answered again.
-test('should wait for the lease of a worker that answered again before its owner was lost', async (t) => {
-  for (let delayMs = 0; delayMs < 80; delayMs += 8) {
-    const { site, owner, successor } = await makeSiteWithLastingTasks();
-    site.cutFromWorkers(owner.client, ['w0']);
-    await site.run(LONG_CUT_MS);
-    site.healWorkers();
-    site.cutFromWorkers(successor.client, ['w0']);
-    await waitForAnswers(site, owner, 'w0', true);
-    await site.clock.advance(delayMs);
-    owner.kill();
-    await site.run(20_000);
-    t.deepEqual(site.record.violations, [], `${delayMs} ms`);
-    t.is(countRunning(site), TASKS, `${delayMs} ms`);
-  }
-});
-
-// Guards against a task that runs twice while the owner cannot store that the worker answers again.
-test('should extend no lease that a stored record counts down', async (t) => {
-  for (let delayMs = 0; delayMs < 2_000; delayMs += 200) {
-    const { site, owner, successor } = await makeSiteWithLastingTasks();
-    site.cutFromWorkers(owner.client, ['w0']);
-    await site.run(LONG_CUT_MS);
-    owner.store.failCommitsUnder(
-      'progress/',
-      ...Array.from({ length: 9 }, () => 'silent' as const),
-    );
-    site.healWorkers();
-    site.cutFromWorkers(successor.client, ['w0']);
-    await waitForAnswers(site, owner, 'w0', true);
-    await site.run(delayMs);
-    owner.kill();
-    await site.run(20_000);
-    t.deepEqual(site.record.violations, [], `${delayMs} ms`);
-    t.is(countRunning(site), TASKS, `${delayMs} ms`);
-  }
-});
-
-// Guards against a worker that is never used again after it did not answer for a while.
-test('should extend the lease of a worker again once the record is stored', async (t) => {
-  const { site, owner } = await makeSiteWithLastingTasks();
-  site.cutFromWorkers(owner.client, ['w0']);
-  await site.run(3_500);
-  t.true(site.data.items.has(LEASES_KEY));
-  site.healWorkers();
-  await site.run(20_000);
-  t.false(site.data.items.has(LEASES_KEY));
-  t.is(site.record.runs.length, TASKS);
-  t.is(countRunning(site), TASKS);
-});
-
-// Guards against runs that end with their lease because the owner cannot store that a worker answers
-// again after it was silent for a moment.
-test('should go on extending leases of workers that were silent during an outage of the store', async (t) => {
-  const { site, owner } = await makeSiteWithLastingTasks();
-  const setCutOff = (isCutOff: boolean): void =>
-    site.entries.forEach(({ store }) => Object.assign(store, { isCutOff }));
-  setCutOff(true);
-  await site.run(2_000);
-  site.cutFromWorkers(owner.client, ['w0']);
-  await waitForAnswers(site, owner, 'w0', false);
-  await site.run(COUNTED_DOWN_AFTER_MS);
-  site.healWorkers();
-  await site.run(5_000);
-  setCutOff(false);
-  await site.run(10_000);
-  t.is(countRunning(site), TASKS);
-  t.is(site.record.runs.length, TASKS);
-});
-
-// Guards against the cost of storing the whole roster again and again while workers are silent: owners
-// with much to do earned a quarter less.
-test('should store a small record twice a second at most while a worker is silent', async (t) => {
-  const SILENCE_MS = 4_000;
-  const WRITES_A_SECOND = 2;
-  const { site, owner } = await makeSiteWithLastingTasks();
-  await site.run(2_000);
-  const { roster } = keysOfShare(WHOLE_SITE_SHARE_ID);
-  const from = site.data.revision;
-  const writesOf = (key: string): number =>
-    site.data.changes.filter((each) => each.key === key && each.revision > from).length;
-  site.cutFromWorkers(owner.client, ['w0']);
-  await site.run(SILENCE_MS);
-  t.true(writesOf(LEASES_KEY) > 0);
-  t.true(writesOf(LEASES_KEY) <= (SILENCE_MS / 1_000) * WRITES_A_SECOND);
-  t.is(writesOf(roster), 0);
-  site.healWorkers();
-  await site.run(2_000);
-  const before = writesOf(LEASES_KEY);
-  await site.run(10_000);
-  t.is(writesOf(LEASES_KEY), before);
-});
-
-// Guards against a task that runs twice: an entry of a version that stores no such records owned the
-// share since, and has extended the lease.
-test('should not go by a record that the last owner has not written', async (t) => {
-  const { site, owner, successor } = await makeSiteWithLastingTasks();
-  const record = {
-    journal: 'before 1',
-    leases: [...site.workers.keys()].map((id) => ({ id, leftMs: 0 })),
-  };
-  site.data.put(LEASES_KEY, JSON.stringify(record));
-  t.not(site.data.items.get(JOURNAL_KEY)?.value, record.journal);
-  site.cutFromWorkers(successor.client, ['w0']);
-  owner.kill();
-  await site.run(20_000);
-  t.deepEqual(site.record.violations, []);
-  t.is(countRunning(site), TASKS);
-});
-
-// Guards against a take-over that fails at a record which cannot be read.
-test('should take over beside a record of leases that cannot be read', async (t) => {
-  const { site, owner } = await makeSiteWithLastingTasks();
-  site.data.put(LEASES_KEY, '{"journal":5}');
-  loseWorker(site, 'w0');
-  owner.kill();
-  await site.run(20_000);
-  t.is(countRunning(site), TASKS);
-  t.deepEqual(site.record.violations, []);
-});
-
 // Guards against a task that runs twice: a former owner that is cut off from the store learns of its
 // successor only once this one reaches a worker of the data centre, and extends leases until then.
 test('should count the wait for a data centre from the first contact with it', async (t) => {
