Place interrupted tasks after urgent ones again

Change: they have their place after urgent tasks again. What finds no room is helped by the reservations alone, which are bounded.

--- a/packages/samphirenotch/src/jobs/placement/interruptedTasks.ts
+++ b/packages/samphirenotch/src/jobs/placement/interruptedTasks.ts
@@ -8,7 +8,7 @@
 
 /**
  * Time for which other tasks go before an interrupted one, in milliseconds. Callers are promised that
- * it runs again within 6 s if there is room, and it may have to wait for room afterwards.
+ * it runs again within 6 s if there is room, and room has to be made on a worker first.
  */
 const OVERDUE_AFTER_MS = 2_000;
 
@@ -17,16 +17,6 @@
   nowMs - task.interruptedMs >= OVERDUE_AFTER_MS &&
   isTaskWaiting(task);
 
-/**
- * Checks whether a long-running step has an interrupted task that has waited for too long.
- *
- * @param step - the step
- * @param nowMs - monotonic time in milliseconds
- * @returns true if such a task waits; never for other steps
- */
-export const isOverdue = ({ spec, tasks }: OwnedStep, nowMs: number): boolean =>
-  spec.longRunning && tasks.some((task) => isOverdueTask(task, nowMs));
-
 /**
  * Lists the interrupted tasks of a step that have waited for too long.
  *
--- a/packages/samphirenotch/src/jobs/placement/stepOrder.ts
+++ b/packages/samphirenotch/src/jobs/placement/stepOrder.ts
@@ -3,14 +3,12 @@
  *
  * Jobs that can still meet their objective come first, by priority of their queue and then by
  * earliest objective. Long-running tasks follow, because they keep the capacity that they get and
- * would leave none for bursts; those whose interruption is overdue come before all others. Late jobs
- * come last.
+ * would leave none for bursts. Late jobs come last.
  *
  * Fillers take no capacity from other tasks, only time of the owner, so they follow all of these, in
  * the same order among themselves.
  */
 import type { OwnedJob, OwnedStep } from '../model/ownedJob.js';
-import { isOverdue } from './interruptedTasks.js';
 
 /** Orders waiting steps for placement. */
 export interface StepOrder {
@@ -93,10 +91,9 @@
 }
 
 /** Groups of steps, in the order in which they are placed. */
-const OVERDUE = 0;
-const IN_TIME = 1;
-const LONG_RUNNING = 2;
-const LATE = 3;
+const IN_TIME = 0;
+const LONG_RUNNING = 1;
+const LATE = 2;
 
 /**
  * Checks whether a job can no longer meet its objective, by its estimates.
@@ -135,7 +132,6 @@
   }
 
   private groupOf(step: OwnedStep, nowMs: number): number {
-    if (isOverdue(step, nowMs)) return OVERDUE;
     if (step.spec.longRunning) return LONG_RUNNING;
     return isLate(step, nowMs) ? LATE : IN_TIME;
   }
