--- a/tests/jobs/countedDownLeases.spec.ts
+++ b/tests/jobs/countedDownLeases.spec.ts
@@ -178,8 +178,7 @@
   t.is(site.record.runs.length, TASKS);
 });
 
-// Guards against the cost of storing the whole roster again and again while workers are silent: owners
-// with much to do earned a quarter less.
+// Guards against the cost of storing the whole roster, or a record at each pass, while a worker is silent.
 test('should store a small record twice a second at most while a worker is silent', async (t) => {
   const SILENCE_MS = 4_000;
   const WRITES_A_SECOND = 2;
