Log what decides whether a task may be started beside another owner

The lines of an owner did not tell the hypotheses apart: a start named neither its term nor its lease nor how many former workers were not accounted for; nothing said how a worker was accounted for; a run that was stopped as belonging to no open task had no reason; and a delegation had no line for what was reported of it and who closed it.

Starts now carry fencing token, revision of the job, time left of the lease and number of former workers that have not reported; each former worker has one line that accounts for it, each run that is not adopted one with the reason, each outcome of a delegated task and each end of a delegation one.

--- a/packages/samphirenotch/src/jobs/ownership/incomingDelegations.ts
+++ b/packages/samphirenotch/src/jobs/ownership/incomingDelegations.ts
@@ -147,6 +147,8 @@
       step: at,
       tasks: tasks.length,
       revision,
+      indexes: tasks.map(({ index }) => index).join(' '),
+      open: tasks.filter(({ done, isElsewhere }) => !done && !isElsewhere).length,
     });
   }
 
@@ -168,6 +170,12 @@
     this.pending.delete(idOf(jobId, name));
     const incoming = this.byId.get(idOf(jobId, name));
     if (!incoming) return;
+    this.log.info('A delegation is recalled', {
+      jobId,
+      delegation: name,
+      home: incoming.delegation.home,
+      runs: incoming.job.activeRuns().length,
+    });
     this.byId.delete(idOf(jobId, name));
     this.options.book.removeGuest(incoming.job);
     this.options.stopRuns(incoming.job, 'its home has recalled it');
@@ -211,6 +219,7 @@
         delegation: delegation.name,
         home: delegation.home,
         tasks: waiting.length,
+        indexes: waiting.map(({ index }) => index).join(' '),
       });
       this.report(job);
     });
--- a/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
@@ -22,6 +22,7 @@
   reservedSizeOfStep,
   type OwnedJob,
   type OwnedRun,
+  type OwnedTask,
 } from '../model/ownedJob.js';
 import type { Share, ShareLayout } from '../model/shareLayout.js';
 import type { SiteCodec } from '../model/siteCodec.js';
@@ -92,6 +93,17 @@
 const restAfter = (tookMs: number): number =>
   Math.max(MIN_PASS_REST_MS, Math.min(MAX_PASS_REST_MS, PASS_REST_FACTOR * tookMs));
 
+/** Returns why a run that a worker reports does not count as one of its task; undefined if it does. */
+const obstacleToAdoption = (task: OwnedTask | undefined): string | undefined => {
+  if (!task) return 'its task is not known';
+  if (task.done) return 'its task is done';
+  if (task.isElsewhere) return 'its task is in another share';
+  if (!task.step.occurrence.job.isOpen) return 'its job is over';
+  const [other] = task.runs;
+  if (!other || task.step.spec.speculative) return undefined;
+  return `its task has run ${other.run} on ${other.agent.id}`;
+};
+
 /** Settings and collaborators of a `JobOwner`. */
 export interface JobOwnerOptions {
   readonly rooms: ShareCapacityCache;
@@ -234,7 +246,9 @@
     this.log.info('Took over', {
       share: share.id,
       fencingToken: term.fencingToken,
+      formerOwner: takeover.formerOwner,
       jobs: this.book.openJobs().length,
+      progress: takeover.progress.size,
       firstRun: takeover.firstRun,
       suspects: takeover.workers.roster?.length,
       countedDown: takeover.workers.leases.length,
@@ -329,9 +343,16 @@
 
   onUnknownRun(agent: WorkerAgent, report: RunReport): OwnedRun | undefined {
     const task = this.book.findTask(report.taskId);
-    if (!task || task.done || task.isElsewhere || !task.step.occurrence.job.isOpen)
+    const obstacle = obstacleToAdoption(task);
+    if (!task || obstacle !== undefined) {
+      this.log.warn('A reported run is not adopted', {
+        taskId: report.taskId,
+        run: report.run,
+        worker: agent.id,
+        reason: obstacle,
+      });
       return undefined;
-    if (task.runs.length > 0 && !task.step.spec.speculative) return undefined;
+    }
     task.nextRun = Math.max(task.nextRun, report.run + 1);
     this.log.info('Adopted a run', { taskId: task.id, run: report.run, worker: agent.id });
     return agent.trackRun(task, report.run, reservedSizeOf(task), 'running');
@@ -419,7 +440,7 @@
   }
 
   onFullReport(agent: WorkerAgent): void {
-    this.fleet.markAccountedFor(agent);
+    this.fleet.markAccountedFor(agent, 'it has reported its runs and ends');
     this.wakeup.wake();
   }
 
--- a/packages/samphirenotch/src/jobs/ownership/outgoingDelegations.ts
+++ b/packages/samphirenotch/src/jobs/ownership/outgoingDelegations.ts
@@ -150,6 +150,7 @@
       to,
       step: step.index,
       tasks: tasks.length,
+      indexes: delegation.tasks.map((task) => task.index).join(' '),
     });
     this.track(delegation, job, step);
     this.write(delegation);
@@ -167,6 +168,11 @@
     if (!away) {
       // The delegation was closed before the other share wrote this, or its keys were only partly
       // removed.
+      this.log.info('A report on a closed delegation is removed', {
+        jobId,
+        delegation: name,
+        from: report.from,
+      });
       this.removeExchanged(report.from, `${jobId}/${name}`);
       return;
     }
@@ -174,7 +180,7 @@
     report.tasks.forEach((row) => this.applyTaskReport(away, row));
     if (away.open.size > 0 || !this.away.has(`${jobId}/${name}`)) return;
     this.options.book.saveProgress(away.job);
-    this.close(away);
+    this.close(away, 'all its tasks are reported');
   }
 
   /**
@@ -184,7 +190,7 @@
    */
   recallAll(job: OwnedJob): void {
     this.away.forEach((away) => {
-      if (away.job === job) this.close(away);
+      if (away.job === job) this.close(away, 'its job is over');
     });
   }
 
@@ -202,9 +208,21 @@
     const job = this.options.book.find(jobId);
     const step = job?.occurrences.get(occurrence)?.steps[at];
     if (!job || !step) {
+      this.log.info('A delegation is removed: its job is not open', {
+        jobId,
+        delegation: delegation.name,
+        to: delegation.to,
+      });
       this.removeKeys(delegation);
       return;
     }
+    this.log.info('A delegation is restored', {
+      jobId,
+      delegation: delegation.name,
+      to: delegation.to,
+      step: at,
+      indexes: delegation.tasks.map(({ index }) => index).join(' '),
+    });
     this.track(delegation, job, step);
     // The former owner may have ended between its two writes.
     this.write(delegation);
@@ -242,8 +260,19 @@
     if (row.checkpoint !== '') task.checkpoint = row.checkpoint;
     const failedBefore = task.failedRuns.length;
     task.failedRuns = [...new Set([...task.failedRuns, ...row.failedRuns])];
-    if (row.outcome !== 'open') open.delete(row.index);
-    if (this.latestDelegationIds.get(task) !== idOf(delegation)) return;
+    const isLatest = this.latestDelegationIds.get(task) === idOf(delegation);
+    if (row.outcome !== 'open') {
+      open.delete(row.index);
+      this.log.info('A delegated task is reported', {
+        taskId: task.id,
+        delegation: delegation.name,
+        from: delegation.to,
+        outcome: row.outcome,
+        nextRun: row.nextRun,
+        isLatest,
+      });
+    }
+    if (!isLatest) return;
     // The share that has the task also forgets crashes.
     task.crashedRuns = [...row.crashedRuns];
     if (row.outcome !== 'open') {
@@ -256,7 +285,15 @@
     if (row.outcome === 'returned') this.options.onReturned(step, delegation.to);
   }
 
-  private close(away: OutgoingDelegation): void {
+  private close(away: OutgoingDelegation, reason: string): void {
+    const { delegation, open } = away;
+    this.log.info('A delegation is closed', {
+      jobId: delegation.jobId,
+      delegation: delegation.name,
+      to: delegation.to,
+      reason,
+      openTasks: open.size,
+    });
     this.away.delete(idOf(away.delegation));
     away.step.tasks.forEach((task) => {
       if (this.latestDelegationIds.get(task) === idOf(away.delegation))
--- a/packages/samphirenotch/src/jobs/ownership/ownerElection.ts
+++ b/packages/samphirenotch/src/jobs/ownership/ownerElection.ts
@@ -228,7 +228,12 @@
     if (signal.aborted) startHandover();
     const depose = (reason: string): void => {
       if (ended.signal.aborted) return;
-      this.log.warn('The term ends', { share, fencingToken, reason });
+      this.log.warn('The term ends', {
+        share,
+        fencingToken,
+        reason,
+        unconfirmedMs: Math.round(this.options.clock.monotonicMs() - this.leaseConfirmedMs),
+      });
       ended.abort();
     };
     const term: Term = {
--- a/packages/samphirenotch/src/jobs/ownership/takeover.ts
+++ b/packages/samphirenotch/src/jobs/ownership/takeover.ts
@@ -73,6 +73,8 @@
   /** Stored progress by job id. */
   readonly progress: ReadonlyMap<string, JobProgress>;
   readonly workers: FormerWorkers;
+  /** Label of the journal of the last owner; undefined if there was none. */
+  readonly formerOwner: string | undefined;
   /** Delegations of the share's jobs that are not closed yet, as stored text. */
   readonly openDelegations: readonly string[];
   /** Delegations and reports that owners of all shares have exchanged, as stored text by key. */
@@ -249,6 +251,7 @@
         roster: readRoster(items, keys),
         leases: readLeases(items, keys, opened.formerLabel),
       },
+      formerOwner: opened.formerLabel,
       openDelegations: items
         .filter(({ key }) => key.startsWith(keys.openDelegationsPrefix))
         .map(({ value }) => value),
--- a/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
@@ -602,6 +602,8 @@
       milliCores: size.milliCores,
       isFiller: filler,
       isGuest: job.isGuest,
+      delegation: job.delegation?.name,
+      jobRevision: job.revision,
       isNear: dataRack === '' ? undefined : agent.description.labels.includes(dataRack),
       // Time until the objective minus the estimated remaining path. Long-running tasks have none.
       slackMs: longRunning
@@ -611,6 +613,7 @@
   }
 
   private start({ task, agent }: PlannedStart, run: number): void {
+    const { term, fleet, clock } = this.options;
     const owned = task;
     owned.nextRun = run + 1;
     this.startCount += 1;
@@ -623,6 +626,9 @@
       ...this.describeStart(task, agent),
       configuration: this.options.operator.view().configuration?.version,
       viewAgeMs: Math.round(this.options.viewAgeMs()),
+      fencingToken: term.fencingToken,
+      leaseLeftMs: Math.round(term.leaseValidUntilMs() - clock.monotonicMs()),
+      unreportedWorkers: fleet.unreportedCount,
     });
     const ticket = this.options.permissions.ticketFor(task.step, agent);
     agent.start(task, run, reservedSizeOf(task), ticket);
--- a/packages/samphirenotch/src/jobs/workers/workerFleet.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerFleet.ts
@@ -137,6 +137,11 @@
     return this.unreportedWorkers.size > 0 || this.isFormerRosterUnknown;
   }
 
+  /** @returns number of workers of the former owner that have not reported all their runs yet */
+  get unreportedCount(): number {
+    return this.unreportedWorkers.size;
+  }
+
   /**
    * Begins a term as owner with the workers of the former owner.
    *
@@ -233,17 +238,26 @@
    */
   markReplaced(agent: WorkerAgent): void {
     this.rosterChanged = true;
-    this.markAccountedFor(agent);
+    this.markAccountedFor(agent, 'another worker answers at its address');
   }
 
   /**
    * Notes that a worker has reported all its runs and ends to this owner, or that it has none any more.
    *
    * @param agent - its agent
+   * @param reason - how this was found out, for the log
    */
-  markAccountedFor(agent: WorkerAgent): void {
+  markAccountedFor(agent: WorkerAgent, reason: string): void {
     if (!this.unreportedWorkers.delete(agent)) return;
     this.rosterChanged = true;
+    this.log.info('A worker of the former owner is accounted for', {
+      worker: agent.id,
+      dataCentre: agent.description.dataCentre,
+      reason,
+      runs: agent.runCount,
+      afterMs: Math.round(this.clock.monotonicMs() - this.termBeganMs),
+      unreportedWorkers: this.unreportedWorkers.size,
+    });
     if (this.unreportedWorkers.size === 0)
       this.log.info('All workers of the former owner are accounted for');
   }
@@ -351,7 +365,13 @@
   private giveUp(agent: WorkerAgent, reason: string): void {
     this.unreportedWorkers.delete(agent);
     this.rosterChanged = true;
-    this.log.warn('A worker of the former owner was not reached', { worker: agent.id, reason });
+    this.log.warn('A worker of the former owner was not reached', {
+      worker: agent.id,
+      dataCentre: agent.description.dataCentre,
+      reason,
+      afterMs: Math.round(this.clock.monotonicMs() - this.termBeganMs),
+      unreportedWorkers: this.unreportedWorkers.size,
+    });
   }
 
   /** Closes all agents. */
