Store no change before an earlier one to another key

Cause: a change took the place of any pending change to the same key. A successor at the home writes each open delegation again; the reports of its first listing close them before these writes are out, and the removals took the old places at the front, while the ends of the tasks stood at the end. An owner that ended between the two transactions left neither the delegation nor the end of the task.

A write takes the place of the last pending write to its key, and a removal that of a removal, since progress, reports and rosters may be newer than their place; a change of the other kind goes to the end. A transaction takes the oldest changes without a gap, and of several to one key the last. A removal is a change without a value, so that its kind is known when it is added.

Why it works: what is stored is at any time what the oldest changes make of the keys, or newer.

--- a/packages/samphirenotch/src/jobs/ownership/outgoingDelegations.ts
+++ b/packages/samphirenotch/src/jobs/ownership/outgoingDelegations.ts
@@ -316,6 +316,6 @@
   }
 
   private remove(key: string): void {
-    this.options.journal.add({ key, value: () => undefined });
+    this.options.journal.add({ key });
   }
 }
--- a/packages/samphirenotch/src/jobs/store/jobRegistry.ts
+++ b/packages/samphirenotch/src/jobs/store/jobRegistry.ts
@@ -266,7 +266,7 @@
     this.endedIds.add(job.id);
     const removeProgress = (stored: boolean): void => {
       if (!stored) return;
-      this.journal.add({ key: this.keys.progressPrefix + job.id, value: () => undefined });
+      this.journal.add({ key: this.keys.progressPrefix + job.id });
       this.onEndStored(job);
     };
     this.journal.waitUntilStored(sequence).then(removeProgress, (error: unknown) => {
@@ -285,7 +285,7 @@
   purge(jobId: string): void {
     this.log.info('Removing a job that has ended', { jobId });
     [ACCEPTED_PREFIX, CANCELLED_PREFIX, ENDED_PREFIX, this.keys.progressPrefix].forEach((prefix) =>
-      this.journal.add({ key: prefix + jobId, value: () => undefined }),
+      this.journal.add({ key: prefix + jobId }),
     );
   }
 }
--- a/packages/samphirenotch/src/jobs/store/progressJournal.ts
+++ b/packages/samphirenotch/src/jobs/store/progressJournal.ts
@@ -1,6 +1,10 @@
 /**
  * Writes an owner's changes to the store in order, several per transaction.
  *
+ * What a transaction leaves in the store is what the oldest changes make of it, without a gap: no
+ * change is stored before an earlier one to another key. A write replaces a pending write of the same
+ * key at its place, and a removal a pending removal; a change of the other kind goes to the end.
+ *
  * Each transaction is conditional on the revision of the journal key that the previous one left,
  * and writes that key again. So a transaction whose answer was lost cannot take effect after a
  * later one, and no transaction of a former owner takes effect once its successor has written the
@@ -39,18 +43,31 @@
   readonly key: string;
   /** True if a caller or another owner waits for the change. */
   readonly isUrgent?: boolean;
-  /** Called when the change is written: the value to write, or undefined to remove the key. */
-  readonly value: () => string | undefined;
+  /**
+   * Returns the value when it is written, which may be newer than the change and must be right at its
+   * place too; removes the key if left out.
+   */
+  readonly value?: () => string;
 }
 
+/** One or several changes of the same kind to a key, at the place of the oldest one. */
 interface PendingChange {
-  readonly change: JournalChange;
-  /** Sequence number of the newest change to the key. */
+  /** The newest of them. */
+  change: JournalChange;
+  /** Sequence number of the newest of them. */
+  sequence: number;
+  /** Sequence number of the oldest of them that is not stored yet. */
+  oldestSequence: number;
+}
+
+/** A pending change as it was when its transaction was sent. */
+interface SentChange {
+  readonly pending: PendingChange;
   readonly sequence: number;
-  /** Sequence number of the oldest change to the key that is not stored yet. */
-  readonly oldestSequence: number;
 }
 
+const isRemoval = ({ value }: JournalChange): boolean => value === undefined;
+
 interface Waiter {
   readonly sequence: number;
   readonly resolve: (waitUntilStored: boolean) => void;
@@ -60,7 +77,11 @@
 export class ProgressJournal {
   private readonly log = partLog('journal');
 
-  private readonly pending = new Map<string, PendingChange>();
+  /** Changes that are not stored yet, in the order in which they take effect. */
+  private pending: PendingChange[] = [];
+
+  /** The last of them for each key. */
+  private readonly lastByKey = new Map<string, PendingChange>();
 
   private readonly wakeup: Wakeup;
 
@@ -98,21 +119,30 @@
   }
 
   /**
-   * Adds a change. It replaces a change to the same key that is not written yet.
+   * Adds a change. It takes the place of the last pending change to the key if that is of the same
+   * kind.
    *
    * @param change - the change
    * @returns sequence number of the change, for `waitUntilStored`
    */
   add(change: JournalChange): number {
     this.sequence += 1;
-    const oldestSequence = this.pending.get(change.key)?.oldestSequence ?? this.sequence;
-    this.pending.set(change.key, { change, sequence: this.sequence, oldestSequence });
+    const { sequence } = this;
+    const last = this.lastByKey.get(change.key);
+    if (last && isRemoval(last.change) === isRemoval(change)) {
+      last.change = change;
+      last.sequence = sequence;
+    } else {
+      const added = { change, sequence, oldestSequence: sequence };
+      this.pending.push(added);
+      this.lastByKey.set(change.key, added);
+    }
     this.wakeup.wake();
     if (change.isUrgent && !this.hasUrgent) {
       this.hasUrgent = true;
       this.urgent.wake();
     }
-    return this.sequence;
+    return sequence;
   }
 
   /**
@@ -141,9 +171,9 @@
    */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      if (this.pending.size === 0) {
+      if (this.pending.length === 0) {
         await this.wakeup.wait(IDLE_MS, signal);
-        if (this.pending.size > 0) await this.collectBatch(signal);
+        if (this.pending.length > 0) await this.collectBatch(signal);
         continue;
       }
       await this.writeBatch(signal);
@@ -164,13 +194,17 @@
   }
 
   private async writeBatch(signal: AbortSignal): Promise<void> {
-    const most = this.store.maximumTransactionEntries - JOURNAL_KEY_ENTRIES;
-    const batch = [...this.pending.values()].slice(0, most);
     this.hasUrgent = false;
     if (this.inDoubt && !(await this.resolveInDoubt(signal))) return;
-    const values = batch.map(({ change }) => ({ key: change.key, value: change.value() }));
-    const writes = values.filter((each): each is Write => each.value !== undefined);
-    const removals = values.filter(({ value }) => value === undefined).map(({ key }) => key);
+    const batch = this.oldestChanges();
+    // A transaction takes effect as a whole, so only the last change to a key counts.
+    const changes = new Map(batch.map(({ pending: { change } }) => [change.key, change]));
+    const writes: Write[] = [];
+    const removals: string[] = [];
+    changes.forEach(({ key, value }) => {
+      if (value) writes.push({ key, value: value() });
+      else removals.push(key);
+    });
     const outcome = await this.store.commit(
       {
         expectations: [{ key: this.key, revision: this.revision }],
@@ -190,18 +224,30 @@
     }
     this.inDoubt = false;
     this.revision = outcome.val.revision;
-    batch.forEach((waitUntilStored) => this.markStored(waitUntilStored));
+    this.markStored(batch);
     this.resolveWaiters();
   }
 
-  /** Changes that were added while the transaction was in flight stay pending. */
-  private markStored({ change, sequence }: PendingChange): void {
-    const newestSequence = this.pending.get(change.key);
-    if (!newestSequence || newestSequence.sequence === sequence) {
-      this.pending.delete(change.key);
-      return;
-    }
-    this.pending.set(change.key, { ...newestSequence, oldestSequence: sequence + 1 });
+  /** Returns the oldest changes that fit into one transaction. */
+  private oldestChanges(): readonly SentChange[] {
+    const maximumKeys = this.store.maximumTransactionEntries - JOURNAL_KEY_ENTRIES;
+    const keys = new Set<string>();
+    const end = this.pending.findIndex(({ change }) => keys.add(change.key).size > maximumKeys);
+    const batch = end < 0 ? this.pending : this.pending.slice(0, end);
+    return batch.map((pending) => ({ pending, sequence: pending.sequence }));
+  }
+
+  /** Changes that were replaced while the transaction was in flight stay pending, at their place. */
+  private markStored(batch: readonly SentChange[]): void {
+    const replaced = batch.flatMap(({ pending, sequence }) => {
+      const isReplaced = pending.sequence !== sequence;
+      if (!isReplaced && this.lastByKey.get(pending.change.key) === pending)
+        this.lastByKey.delete(pending.change.key);
+      const owned = pending;
+      owned.oldestSequence = sequence + 1;
+      return isReplaced ? [pending] : [];
+    });
+    this.pending = [...replaced, ...this.pending.slice(batch.length)];
   }
 
   /** After a lost answer, reads the journal key to learn which transaction took effect last. */
@@ -227,7 +273,7 @@
     this.log.warn('Storing progress failed', {
       reason: failure.message,
       effect: failure.effect,
-      pending: this.pending.size,
+      pending: this.pending.length,
     });
     await this.clock.sleep(RETRY_MS, signal);
   }
--- a/packages/samphirenotch/src/jobs/workers/leaseCountdown.ts
+++ b/packages/samphirenotch/src/jobs/workers/leaseCountdown.ts
@@ -114,10 +114,11 @@
     this.recordedAtMs = nowMs;
     this.newestIds = ids;
     const record: LeaseRecord = { journal: this.journal.ownerLabel, leases };
-    const text = leases.length === 0 ? undefined : JSON.stringify(record);
+    const text = JSON.stringify(record);
     // Workers that answer again get no work before the record is stored.
     const isUrgent = removed.length > 0;
-    const sequence = this.journal.add({ key: this.key, isUrgent, value: () => text });
+    const content = leases.length === 0 ? {} : { value: () => text };
+    const sequence = this.journal.add({ key: this.key, isUrgent, ...content });
     ids.forEach((id) => this.recorded.set(id, sequence));
     this.journal.waitUntilStored(sequence).then(
       (stored) => {
