Count the leases of a data centre from contacts that former owners notice

In a site of one share an owner that is cut off with its data centre goes on there; its successor starts its tasks elsewhere.

Cause: 9 s after a successor has reached a worker of a data centre it gives up on the others there, since a former owner would have met a worker that refuses its token within 2.5 s. But the former owner polled only workers with runs; it does not know workers that were listed after it was cut off; and those that it does not reach tell it nothing. It went on extending leases and starting tasks for up to 12 s.

"... that an owner before the last does not know" fails if every worker of the roster counts as a contact.

Change, on both sides of the same rule. An owner that is not certain to be the only one extends leases and starts tasks in a data centre only while all workers that a successor may find in its roster there have accepted its token within 2 s; for that it polls idle workers too, and holds polls for half a second only. A successor counts as a contact only a worker that every owner that may still act has in its roster; the roster says so of each worker, and is written again once the owners before this one have ended.

Why it works: from 2.4 s after a contact on, no poll of that worker succeeds for a former owner, so that it extends no lease in the data centre; the last one ends 6.2 s later. That is within the 9 s, which stay as they were, whoever reaches whom.

What it costs: in an outage of the store a data centre with a silent worker starts nothing from 2.4 s on, and its runs lapse 8.4 s after the last renewal instead of 18 s.

--- a/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
@@ -489,7 +489,7 @@
 
   private createAgent(description: WorkerDescription): WorkerAgent {
     const { options, term } = this;
-    return new WorkerAgent({
+    const agent: WorkerAgent = new WorkerAgent({
       description,
       connect: (address) => options.workers.connect(description.id, address),
       clock: options.clock,
@@ -500,9 +500,9 @@
       batcher: this.turns,
       isSoleOwner: () => this.isSoleOwner(),
       mayExtendLease: () =>
-        term.leaseUnconfirmedMs() <= MAXIMUM_UNCONFIRMED_MS &&
-        this.fleet.mayExtendLease(description.id),
+        term.leaseUnconfirmedMs() <= MAXIMUM_UNCONFIRMED_MS && this.fleet.mayExtendLease(agent),
     });
+    return agent;
   }
 
   private async runPasses(directory: WorkerDirectory): Promise<void> {
--- a/packages/samphirenotch/src/jobs/ownership/takeover.ts
+++ b/packages/samphirenotch/src/jobs/ownership/takeover.ts
@@ -44,6 +44,8 @@
     service: z.string(),
     dataCentre: z.string(),
     draining: z.boolean(),
+    // Rosters of older versions lack it.
+    isSettled: z.boolean().default(false),
   }),
 );
 
--- a/packages/samphirenotch/src/jobs/workers/formerLeases.ts
+++ b/packages/samphirenotch/src/jobs/workers/formerLeases.ts
@@ -11,18 +11,18 @@
 const MAX_FORMER_LEASE_MS = 6_500;
 
 /**
- * Time in which a former owner learns of its successor, in milliseconds: a worker that both reach
- * refuses its fencing token.
+ * Time in which a former owner learns of its successor, or stops extending leases, once its successor
+ * has reached a worker of its roster in the data centre, in milliseconds.
  */
-const SUCCESSOR_DISCOVERY_MS = 2_500;
+export const SUCCESSOR_DISCOVERY_MS = 2_500;
 
 /** Leases of former owners on workers that have not answered this owner yet. */
 export class FormerLeases {
   private termBeganMs = 0;
 
   /**
-   * Monotonic time at which the first worker of a data centre accepted this owner's fencing token, in
-   * milliseconds. From it on, a former owner that reaches the data centre learns of its successor.
+   * Monotonic time at which the first worker of a data centre that former owners call accepted this
+   * owner's fencing token, in milliseconds. From it on, they cannot rule out a successor there.
    */
   private readonly reachedAtMs = new Map<string, number>();
 
@@ -53,7 +53,8 @@
   }
 
   /**
-   * Notes that a worker of a data centre has accepted this owner's fencing token.
+   * Notes that a worker of a data centre has accepted this owner's fencing token, which every former owner
+   * that may still act has in its roster.
    *
    * @param dataCentre - the data centre
    */
@@ -75,9 +76,9 @@
   /**
    * Computes when a worker that has not answered can hold no lease of a former owner any more: at the
    * latest after the longest time for which a former owner goes on without a confirmed lease. A former
-   * owner that reaches one worker also reaches the others of its data centre. If one of these refuses
-   * its fencing token, the former owner learns of its successor and extends no lease. A lease that it
-   * counted down in the store it extends no more.
+   * owner that is not certain of its lease extends others in a data centre only while all workers of its
+   * roster there accept its fencing token, so that it stops once its successor has reached one of them.
+   * A lease that it counted down in the store it extends no more.
    *
    * @param worker - the worker
    * @returns monotonic time in milliseconds
--- a/packages/samphirenotch/src/jobs/workers/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerAgent.ts
@@ -155,6 +155,12 @@
   /** Number of polls that the worker has answered with its runs. */
   pollCount = 0;
 
+  /**
+   * Monotonic time at which the newest poll was sent by whose answer the worker knew no higher fencing
+   * token, in milliseconds.
+   */
+  answeredMs = Number.NEGATIVE_INFINITY;
+
   /** Monotonic time until which the worker gets no new work. */
   avoidUntilMs = 0;
 
@@ -354,6 +360,7 @@
     if (description.address !== this.description.address) {
       this.worker.close();
       this.worker = this.connect(description);
+      this.answeredMs = Number.NEGATIVE_INFINITY;
     }
     this.description = description;
     this.descriptionChanges += 1;
@@ -494,9 +501,14 @@
     return undefined;
   }
 
+  /**
+   * Tells whether there is no reason to poll. A worker without runs is polled while there may be another
+   * owner: it refuses the fencing token once that has reached it.
+   */
   private isIdle(): boolean {
     if (this.isReplaced) return true;
     return (
+      this.options.isSoleOwner() &&
       this.fenced &&
       this.isResponsive &&
       !this.hasRestarted &&
@@ -530,7 +542,8 @@
 
   private pollWaitMs(): number {
     const isMixed = this.fillerRuns().length > 0 && this.servingRuns().length > 0;
-    return isMixed ? SHORT_POLL_WAIT_MS : POLL_WAIT_MS;
+    // Only the next poll shows whether the worker has heard of another owner.
+    return isMixed || !this.options.isSoleOwner() ? SHORT_POLL_WAIT_MS : POLL_WAIT_MS;
   }
 
   private leaseMs(): number {
@@ -603,6 +616,7 @@
       this.log.info('A worker answers again', { worker: this.id });
       listener.onChange(this);
     }
+    this.answeredMs = sentMs;
     this.applyHolding(outcome.val.holding, sentMs, acknowledged);
     if (wasUnresponsive) return;
     await this.waitBeforeNextPoll(signal);
@@ -799,6 +813,7 @@
     // A later incarnation has not seen the fencing token.
     this.fenced = false;
     this.isReported = false;
+    this.answeredMs = Number.NEGATIVE_INFINITY;
     this.options.listener.onReplaced(this);
   }
 
--- a/packages/samphirenotch/src/jobs/workers/workerFleet.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerFleet.ts
@@ -9,7 +9,8 @@
 import type { OwnedTask } from '../model/ownedJob.js';
 import type { ShareKeys } from '../store/jobKeys.js';
 import type { ProgressJournal } from '../store/progressJournal.js';
-import { FormerLeases } from './formerLeases.js';
+import { MAXIMUM_UNCONFIRMED_MS } from '../store/term.js';
+import { FormerLeases, SUCCESSOR_DISCOVERY_MS } from './formerLeases.js';
 import { LeaseCountdown, type LeaseLeft } from './leaseCountdown.js';
 import type { WorkerAgent } from './workerAgent.js';
 import { WorkerHealth } from './workerHealth.js';
@@ -20,6 +21,12 @@
  */
 const MIN_SILENCE_MS = 600;
 
+/**
+ * Highest age of an answer that shows that a worker knows no successor, in milliseconds; below the time
+ * that a successor allows for it.
+ */
+const MAX_ANSWER_AGE_MS = SUCCESSOR_DISCOVERY_MS - 500;
+
 /**
  * Time after a take-over in which directory entries that expired during an outage of the store are
  * back, in milliseconds.
@@ -34,6 +41,8 @@
   readonly dataCentre: string;
   /** True if the worker was draining when the owner last read its description. */
   readonly draining: boolean;
+  /** True if every owner that may still act has the worker in its roster. */
+  readonly isSettled: boolean;
 }
 
 /** The workers that a former owner leaves to its successor. */
@@ -100,6 +109,15 @@
   /** Workers in the newest roster, which may not be stored yet. */
   private newestRostered: ReadonlySet<string> = new Set();
 
+  /** Workers in any roster that a successor may find stored, with their data centres, by name. */
+  private possiblyRostered = new Map<string, string>();
+
+  /** Names of workers that every owner before this one that may still act has in its roster. */
+  private settledBefore: ReadonlySet<string> = new Set();
+
+  /** False while an owner before this one may still act. */
+  private isOnlySurvivor = false;
+
   /**
    * Monotonic time until which any worker may hold leases of a former owner whose roster is not
    * known, in milliseconds. No roster is stored before, since it would hide that from a successor.
@@ -159,6 +177,7 @@
     this.countdown.beginTerm(journal, keys.leases);
     this.termBeganMs = this.clock.monotonicMs();
     this.formerLeases.beginTerm(leases);
+    this.isOnlySurvivor = roster?.length === 0;
     if (roster) this.waitForFormerWorkers(roster);
     else this.rosterUnknownUntilMs = this.formerLeases.latestEndMs;
   }
@@ -166,7 +185,9 @@
   private waitForFormerWorkers(roster: readonly RosterEntry[]): void {
     this.rostered = new Set(roster.map(rosterNameOf));
     this.newestRostered = this.rostered;
+    this.settledBefore = new Set(roster.filter(({ isSettled }) => isSettled).map(rosterNameOf));
     roster.forEach((entry) => {
+      this.possiblyRostered.set(rosterNameOf(entry), entry.dataCentre);
       const agent = this.add(describeRosterEntry(entry));
       agent.isUnlisted = true;
       this.unreportedWorkers.set(agent, entry);
@@ -225,9 +246,13 @@
    *
    * @param agent - its agent
    */
-  markFenced({ description: { dataCentre } }: WorkerAgent): void {
+  markFenced(agent: WorkerAgent): void {
+    const { description } = agent;
     this.rosterChanged = true;
-    this.formerLeases.markReached(dataCentre);
+    // A former owner learns of its successor only from workers that it calls: those of its roster.
+    const isCalledByAll = this.settledBefore.has(rosterNameOf(description));
+    if (isCalledByAll && this.unreportedWorkers.has(agent))
+      this.formerLeases.markReached(description.dataCentre);
   }
 
   /**
@@ -265,11 +290,25 @@
   /**
    * Checks whether a worker's lease may be extended.
    *
-   * @param id - id of the worker
-   * @returns false if a successor may count the lease as expired, going by a stored record
+   * @param agent - the worker's agent
+   * @returns false if a successor may count the lease as expired: going by a stored record, or since it
+   *   may have reached another worker of the data centre
    */
-  mayExtendLease(id: string): boolean {
-    return !this.countdown.has(id);
+  mayExtendLease({ id, description }: WorkerAgent): boolean {
+    if (this.countdown.has(id)) return false;
+    return this.isSoleOwner() || this.isUncontested(description.dataCentre);
+  }
+
+  /**
+   * Tells whether no successor has reached a worker of a data centre by which it would count the leases
+   * there: all workers of the roster have accepted this owner's fencing token a short time ago.
+   */
+  private isUncontested(dataCentre: string): boolean {
+    const sinceMs = this.clock.monotonicMs() - MAX_ANSWER_AGE_MS;
+    const agents = new Map(this.all().map((agent) => [rosterNameOf(agent.description), agent]));
+    return [...this.possiblyRostered]
+      .filter(([, each]) => each === dataCentre)
+      .every(([name]) => (agents.get(name)?.answeredMs ?? Number.NEGATIVE_INFINITY) >= sinceMs);
   }
 
   /**
@@ -313,7 +352,7 @@
     return this.all().filter(
       (agent) =>
         agent.takesWork &&
-        this.mayExtendLease(agent.id) &&
+        this.mayExtendLease(agent) &&
         this.rostered.has(rosterNameOf(agent.description)) &&
         !evacuated.has(agent.description.dataCentre),
     );
@@ -325,6 +364,7 @@
    */
   maintain(): void {
     this.giveUpExpired();
+    this.checkFormerOwners();
     if (this.isDirectoryKnown) {
       this.all()
         .filter(
@@ -437,6 +477,14 @@
     return isPassedOn || agent.silentMs >= MIN_SILENCE_MS;
   }
 
+  /** Notes when the owners before this one have ended, which settles all workers of the roster. */
+  private checkFormerOwners(): void {
+    const isOver = this.clock.monotonicMs() >= this.termBeganMs + MAXIMUM_UNCONFIRMED_MS;
+    if (this.isOnlySurvivor || !isOver) return;
+    this.isOnlySurvivor = true;
+    this.rosterChanged = true;
+  }
+
   private storeRoster(): void {
     if (!this.rosterChanged || this.isFormerRosterUnknown) return;
     this.rosterChanged = false;
@@ -448,6 +496,7 @@
         service: description.service,
         dataCentre: description.dataCentre,
         draining: description.phase === 'draining',
+        isSettled: this.isOnlySurvivor || this.settledBefore.has(rosterNameOf(description)),
       }));
     const text = JSON.stringify(roster);
     if (text === this.lastRosterText) return;
@@ -459,6 +508,7 @@
     });
     const names = new Set(roster.map(rosterNameOf));
     this.newestRostered = names;
+    roster.forEach((entry) => this.possiblyRostered.set(rosterNameOf(entry), entry.dataCentre));
     // A worker that leaves the roster gets nothing from now on, since the roster may be stored at any
     // time.
     this.rostered = new Set([...this.rostered].filter((name) => names.has(name)));
@@ -466,6 +516,11 @@
       (stored) => {
         if (!stored) return;
         this.rostered = new Set([...names].filter((name) => this.newestRostered.has(name)));
+        this.possiblyRostered = new Map(
+          [...this.possiblyRostered].filter(
+            ([name]) => names.has(name) || this.newestRostered.has(name),
+          ),
+        );
         this.onUsable();
       },
       (error: unknown) => {
--- a/tests/jobs/islandOwners.spec.ts
+++ b/tests/jobs/islandOwners.spec.ts
@@ -4,7 +4,7 @@
  */
 import test from 'ava';
 
-import { cutOff, makeIsland, NEAR } from '../fixtures/ownerIsland.js';
+import { cutOff, FAR, makeIsland, NEAR } from '../fixtures/ownerIsland.js';
 
 // Guards against a task that runs twice: a successor reaches a worker on which the former owner has
 // nothing, so that the former owner does not learn of it and goes on with the others.
@@ -46,3 +46,17 @@
   await site.run(15_000);
   t.deepEqual(site.record.violations, []);
 });
+
+// Guards against the same by a worker that only the owner between the two knows.
+test('should wait for workers beside one that an owner before the last does not know', async (t) => {
+  const island = await makeIsland({});
+  const { site, successor } = island;
+  await cutOff(island, []);
+  site.addWorker('w5');
+  const third = site.start('c', false, 1, 'dc0');
+  site.cutFromWorkers(third.client, FAR);
+  await site.run(1_500);
+  successor.kill();
+  await site.run(25_000);
+  t.deepEqual(site.record.violations, []);
+});
