Wait for the leases of workers that drain and are not listed

Cause: 2.5 s after a take-over a worker that drains in the roster and is missing in the directory was taken to have left. An entry also goes when its worker is cut off from the store, while a former owner that is cut off with it extends its lease.

Evidence: "should wait for the lease of a worker that drains and is no longer listed" failed: its tasks were started beside their runs.

Change: such a worker is waited for like any other, until its leases have lapsed by the record or by the time since the first contact. Why it works: the time of a lease is the only proof that does not depend on who is cut off from whom.

What it costs: a worker that drains and leaves in the moments between two owners is waited for 9 s instead of 2.5 s, unless the former owner had counted its lease down.

--- a/packages/samphirenotch/src/jobs/workers/workerFleet.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerFleet.ts
@@ -27,12 +27,6 @@
  */
 const MAX_ANSWER_AGE_MS = SUCCESSOR_DISCOVERY_MS - 500;
 
-/**
- * Time after a take-over in which directory entries that expired during an outage of the store are
- * back, in milliseconds.
- */
-const DIRECTORY_SETTLE_MS = 2_500;
-
 /** A worker on which an owner may have started runs, as stored for its successor. */
 export interface RosterEntry {
   readonly id: string;
@@ -376,17 +370,9 @@
     this.countdown.update(this.leasesLeft());
   }
 
-  /**
-   * Handles a complete reading of the directory: former workers that drained and are missing have
-   * left.
-   */
+  /** Handles a complete reading of the directory: workers that are missing have left. */
   onDirectoryRead(): void {
     this.isDirectoryKnown = true;
-    const nowMs = this.clock.monotonicMs();
-    this.unreportedWorkers.forEach(({ draining }, agent) => {
-      const isSettled = nowMs >= this.termBeganMs + DIRECTORY_SETTLE_MS;
-      if (draining && agent.isUnlisted && isSettled) this.giveUp(agent, 'it drained and has left');
-    });
   }
 
   /** Gives up on workers whose former leases have expired. */
@@ -397,18 +383,17 @@
     this.unreportedWorkers.forEach((_entry, agent) => {
       // A worker that answers this owner keeps its ends, and this owner extends its lease.
       if (agent.mayHoldLease) return;
-      if (nowMs >= this.formerLeases.endMs(agent.description))
-        this.giveUp(agent, 'its leases have lapsed');
+      if (nowMs >= this.formerLeases.endMs(agent.description)) this.giveUp(agent);
     });
   }
 
-  private giveUp(agent: WorkerAgent, reason: string): void {
+  private giveUp(agent: WorkerAgent): void {
     this.unreportedWorkers.delete(agent);
     this.rosterChanged = true;
     this.log.warn('A worker of the former owner was not reached', {
       worker: agent.id,
       dataCentre: agent.description.dataCentre,
-      reason,
+      reason: 'its leases have lapsed',
       afterMs: Math.round(this.clock.monotonicMs() - this.termBeganMs),
       unreportedWorkers: this.unreportedWorkers.size,
     });
