--- a/packages/samphirenotch/src/jobs/workers/workerFleet.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerFleet.ts
@@ -27,6 +27,8 @@
  */
 const MAX_ANSWER_AGE_MS = SUCCESSOR_DISCOVERY_MS - 500;
 
+const NO_DATA_CENTRES: ReadonlySet<string> = new Set();
+
 /** A worker on which an owner may have started runs, as stored for its successor. */
 export interface RosterEntry {
   readonly id: string;
@@ -121,6 +123,9 @@
   /** True if the roster may differ from the one stored last. */
   private rosterChanged = true;
 
+  /** The contested data centres as they were logged last. */
+  private loggedContested = '';
+
   /**
    * @param makeAgent - creates the agent of a worker
    * @param clock - time
@@ -289,20 +294,36 @@
    *   may have reached another worker of the data centre
    */
   mayExtendLease({ id, description }: WorkerAgent): boolean {
-    if (this.countdown.has(id)) return false;
-    return this.isSoleOwner() || this.isUncontested(description.dataCentre);
+    return !this.countdown.has(id) && !this.contestedDataCentres().has(description.dataCentre);
   }
 
   /**
-   * Tells whether no successor has reached a worker of a data centre by which it would count the leases
-   * there: all workers of the roster have accepted this owner's fencing token a short time ago.
+   * Lists the data centres in which a successor may have reached a worker by which it counts the leases
+   * there: some worker of the roster has not accepted this owner's fencing token for a while.
    */
-  private isUncontested(dataCentre: string): boolean {
+  private contestedDataCentres(): ReadonlySet<string> {
+    if (this.isSoleOwner()) return NO_DATA_CENTRES;
     const sinceMs = this.clock.monotonicMs() - MAX_ANSWER_AGE_MS;
-    const agents = new Map(this.all().map((agent) => [rosterNameOf(agent.description), agent]));
-    return [...this.possiblyRostered]
-      .filter(([, each]) => each === dataCentre)
-      .every(([name]) => (agents.get(name)?.answeredMs ?? Number.NEGATIVE_INFINITY) >= sinceMs);
+    const accepting = new Set(
+      this.all()
+        .filter(({ answeredMs }) => answeredMs >= sinceMs)
+        .map(({ description }) => rosterNameOf(description)),
+    );
+    return new Set(
+      [...this.possiblyRostered].flatMap(([name, dataCentre]) =>
+        accepting.has(name) ? [] : [dataCentre],
+      ),
+    );
+  }
+
+  private logContested(): void {
+    const dataCentres = [...this.contestedDataCentres()].sort().join(' ');
+    if (dataCentres === this.loggedContested) return;
+    this.loggedContested = dataCentres;
+    this.log.warn('The data centres in which leases are not extended have changed', {
+      dataCentres,
+      silent: this.all().filter(({ isResponsive }) => !isResponsive).length,
+    });
   }
 
   /**
@@ -343,10 +364,12 @@
    * @returns their agents
    */
   usable(evacuated: ReadonlySet<string>): readonly WorkerAgent[] {
+    const contested = this.contestedDataCentres();
     return this.all().filter(
       (agent) =>
         agent.takesWork &&
-        this.mayExtendLease(agent) &&
+        !this.countdown.has(agent.id) &&
+        !contested.has(agent.description.dataCentre) &&
         this.rostered.has(rosterNameOf(agent.description)) &&
         !evacuated.has(agent.description.dataCentre),
     );
@@ -359,6 +382,7 @@
   maintain(): void {
     this.giveUpExpired();
     this.checkFormerOwners();
+    this.logContested();
     if (this.isDirectoryKnown) {
       this.all()
         .filter(
