Grant leases by a lower bound of the clocks of workers

Cause: the end of a lease is a time of the worker's clock, and the owner took that clock to have run at the rate of its own since the last reading. It may be 2 % slow, and a worker without runs was not polled, so that its reading was as old as its idle time. The first start granted it 6 s and 2 % of that time: more than the 6.5 s that a successor allows, after 25 s.

Evidence: two tests, after 235 s without runs. "should grant no longer leases on slow clocks that were read long ago" failed, and "should not start a task beside its run on a slow clock that was read long ago" as well: a successor that did not reach the worker started its task beside the run.

Change: the owner grants 6 s from the earliest time that the worker's clock can show, and polls a worker without runs once a minute. Why it works: the lower bound holds at any rate that workers may have, so that no lease is longer than 6 s of the worker's clock, 6.13 s of any other. What the bound is behind shortens the lease: by 1.3 s at most, since no reading is older than the minute and the second until the next poll. Without these polls a start got too little after minutes, which "should grant idle workers leases that last until the polls after a start" shows.

What it costs: one poll a minute of each worker without runs.

--- a/packages/samphirenotch/src/jobs/workers/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerAgent.ts
@@ -58,6 +58,12 @@
  */
 const PROVEN_AFTER_MS = 3_000;
 
+/**
+ * Time between polls of a worker without runs, in milliseconds. Its clock may run faster than the lower
+ * bound meanwhile, which shortens the lease of the next start.
+ */
+const IDLE_POLL_INTERVAL_MS = 60_000;
+
 /** Sequence number that acknowledges no run end. */
 const ACKNOWLEDGE_NONE = 0;
 
@@ -503,7 +509,8 @@
 
   /**
    * Tells whether there is no reason to poll. A worker without runs is polled while there may be another
-   * owner: it refuses the fencing token once that has reached it.
+   * owner: it refuses the fencing token once that has reached it. Otherwise it is polled seldom, for a
+   * reading of its clock.
    */
   private isIdle(): boolean {
     if (this.isReplaced) return true;
@@ -514,7 +521,8 @@
       !this.hasRestarted &&
       this.runs.count === 0 &&
       this.runs.unknownCount === 0 &&
-      this.acknowledgedSequence >= this.seenSequence
+      this.acknowledgedSequence >= this.seenSequence &&
+      this.options.clock.monotonicMs() < this.answeredMs + IDLE_POLL_INTERVAL_MS
     );
   }
 
@@ -531,10 +539,11 @@
 
   /**
    * Returns the new lease end to send. An unresponsive worker gets no extension, so that its lease
-   * expires and its runs can be started elsewhere.
+   * expires and its runs can be started elsewhere. On no clock is the lease longer than successors
+   * expect.
    */
   private extendLease(): number | undefined {
-    const now = this.workerClock.nowMs();
+    const now = this.workerClock.earliestNowMs;
     if (now === undefined || !this.isResponsive || !this.options.mayExtendLease()) return undefined;
     this.leaseUntilMs = Math.max(this.leaseUntilMs, Math.floor(now + this.leaseMs()));
     return this.leaseUntilMs;
--- a/packages/samphirenotch/src/jobs/workers/workerClock.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerClock.ts
@@ -1,12 +1,12 @@
 /**
- * Estimates the monotonic clock of a worker from the readings in its answers.
+ * Bounds the monotonic clock of a worker from below by the readings in its answers.
  */
 import type { Clock } from '../../time/clock.js';
 
 /** Slowest rate of a worker's clock, relative to the clock of this process. */
 const MIN_CLOCK_RATE = 0.98;
 
-/** Estimate of a worker's clock and a lower bound of it, from its last reading. */
+/** A lower bound of a worker's clock, from its last reading. */
 export class WorkerClock {
   private workerMs: number | undefined;
 
@@ -36,13 +36,11 @@
   }
 
   /**
-   * @returns estimated time of the worker's clock in milliseconds; undefined before the first
-   * reading
+   * @returns the earliest time that the worker's clock can show now, in milliseconds; undefined before
+   * the first reading
    */
-  nowMs(): number | undefined {
-    return this.workerMs === undefined
-      ? undefined
-      : this.workerMs + (this.clock.monotonicMs() - this.readAtMs);
+  get earliestNowMs(): number | undefined {
+    return this.workerMs === undefined ? undefined : this.earliestMs(this.clock.monotonicMs());
   }
 
   /**
