End a term whose successor is elected during the takeover

What callers could have seen: an owner that goes on beside its successor for up to 12 s. No record shows it, and no test has made a task run twice by it.

Cause: an owner registers for changes of its share once it has read what the former owner left. A change of the owner that its replica applied before, while the reading took long, was told to nobody. The owner learned of it only by a refused write or a worker, or when its lease was unconfirmed for too long.

Evidence: "should end a term whose share has gone to another entry during the takeover" failed: the owner's listing is answered late, its key is gone and another entry elected meanwhile, its writes are lost; it took over from its own successor and still had its term 2 s later.

Change: once the share is read, the owner compares the owner in its replica with its fencing token and ends the term if it differs.

--- a/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
@@ -35,6 +35,7 @@
 import type { OperatorFollower } from '../store/operatorFollower.js';
 import { ProgressJournal } from '../store/progressJournal.js';
 import type { ShareCapacityCache } from '../store/shareCapacityCache.js';
+import type { OwnerRecord } from '../store/shareDirectory.js';
 import { StoreFollower } from '../store/storeFollower.js';
 import { MAXIMUM_UNCONFIRMED_MS, type Term } from '../store/term.js';
 import { OrderBatcher } from '../workers/orderBatcher.js';
@@ -222,6 +223,12 @@
       options.clock,
       { pollDelayMs: () => DIRECTORY_BATCH_MS, holdMs: () => directory.longestHoldMs() },
     );
+    const endUnlessOwner = (owner: OwnerRecord | undefined): void => {
+      if (owner?.revision !== term.fencingToken) term.stepDown('the lease is another one');
+    };
+    // The replica may have learned of a successor during the takeover.
+    endUnlessOwner(options.replica.shares.owner(share.id));
+    if (signal.aborted) return;
     this.homeJobs().forEach((job) => this.book.add(job));
     const stopListening = options.replica.listen({
       share: share.id,
@@ -230,9 +237,7 @@
         this.wakeup.wake();
       },
       onCancelled: (jobId, requestedAtMs) => this.outcomes.cancel(jobId, requestedAtMs),
-      onOwner: (owner) => {
-        if (owner?.revision !== term.fencingToken) term.stepDown('the lease is another one');
-      },
+      onOwner: endUnlessOwner,
     });
     this.book.refreshQueues();
     this.book.openJobs().forEach((job) => {
