Let the soak run sites of several shares whose owners change in series

The soak had one share wherever it ran, and no fault that waits for a takeover. It now takes data centres, processors of VMs, bursts and wide steps, kills a share's owners one after the other, parts data centres from each other, and loses the store for some entries only.

A broken promise of one run names both runs with their data centres and owners. An end that is forgotten no longer hides a later end of the same task. A failed run counts as an attempt once it has ended, as a job may fail before the last end is acknowledged.

--- a/tests/profile/ownerProfileMain.ts
+++ b/tests/profile/ownerProfileMain.ts
@@ -15,6 +15,7 @@
 import { PromiseChecker } from '../soak/promiseChecker.js';
 import { QUEUES, type SoakJob, type SoakQueue, type SoakStep } from '../soak/soakJob.js';
 import { makeRandom } from '../soak/soakRun.js';
+import { ShareOwners } from '../soak/shareOwners.js';
 import { SoakSite } from '../soak/soakSite.js';
 import { summarizeProfile, type CpuProfile } from './cpuProfile.js';
 
@@ -135,13 +136,15 @@
     const checker = new PromiseChecker(() => performance.now() - startMs);
     const site = new SoakSite({
       entries: Number(this.entries),
-      processorShare: Number(this.processorShare),
+      processorShares: [Number(this.processorShare)],
+      dataCentres: 2,
       workers: Number(this.workers),
       workerCpu: 16_000,
       program: this.program,
       folder,
       network: Number(this.network),
       checker,
+      owners: new ShareOwners(),
       runtimeWords: ['--cpu-prof', `--cpu-prof-dir=${folder}`, '--cpu-prof-interval=500'],
     });
     await site.start();
--- a/tests/soak/entryProcess.ts
+++ b/tests/soak/entryProcess.ts
@@ -4,15 +4,13 @@
 import { spawn, type ChildProcess } from 'node:child_process';
 import { createWriteStream, mkdirSync, writeFileSync, type WriteStream } from 'node:fs';
 import path from 'node:path';
+import { createInterface } from 'node:readline';
 
 /** Port where an entry takes callers. */
 export const CALLER_PORT = 18_161;
 
 const READY_PORT = 18_167;
 
-/** Wait before a process that has ended starts again, in milliseconds. */
-const RESTART_MS = 500;
-
 /** Time between a termination signal and the kill, in seconds. */
 const GRACE_S = 6;
 
@@ -28,6 +26,10 @@
   readonly program: string;
   /** Share of a core that it says its VM has; a whole one if left out. */
   readonly processorShare?: number;
+  /** Wait before the process starts again once it has ended, in milliseconds. */
+  readonly restartMs: number;
+  /** Hears each line of its log. */
+  readonly onLine: (line: string) => void;
   /** Words before the program, such as options of the runtime. */
   readonly runtimeWords?: readonly string[];
 }
@@ -109,6 +111,7 @@
     });
     this.child = child;
     child.stdout.on('data', (piece: Buffer) => this.output.write(piece));
+    createInterface({ input: child.stdout }).on('line', this.options.onLine);
     child.stderr.on('data', (piece: Buffer) => this.output.write(piece));
     child.once('exit', () => {
       this.child = undefined;
@@ -116,7 +119,7 @@
       if (!this.endExpected) this.ownEnds += 1;
       setTimeout(() => {
         if (this.isWanted) this.spawn();
-      }, RESTART_MS);
+      }, this.options.restartMs);
     });
   }
 }
--- a/tests/soak/promiseChecker.spec.ts
+++ b/tests/soak/promiseChecker.spec.ts
@@ -23,7 +23,10 @@
 
 const makeChecker = (...steps: readonly SoakStep[]) => {
   const clock = { nowMs: 0 };
-  const checker = new PromiseChecker(() => clock.nowMs);
+  const checker = new PromiseChecker(
+    () => clock.nowMs,
+    (token) => `entry-${token}`,
+  );
   const [queue] = QUEUES;
   if (!queue) throw new Error('no queue');
   const job: SoakJob = { id: ID, queue, steps: steps.length > 0 ? steps : [STEP] };
@@ -44,7 +47,10 @@
   task: `${ID}.0.0.${index}`,
   run: 1,
   workerId: 'w0',
+  dataCentre: 'north',
+  token: 1,
   step: STEP,
+  orderedMs: 0,
   startedMs: 0,
   ...changes,
 });
@@ -96,7 +102,7 @@
   const first = run(0);
   checker.started(first, worker());
   checker.ended(first, 'done');
-  checker.endForgotten(first.task);
+  checker.endForgotten(first);
   checker.started(run(0, { run: 2 }), worker());
   t.deepEqual(promisesOf(checker), []);
   checker.ended(run(0, { run: 2 }), 'done');
@@ -104,6 +110,49 @@
   t.true(promisesOf(checker).includes('one-run'));
 });
 
+// Guards against a report of two runs that does not tell which owners ordered them, and where.
+test('should name both runs of a task that runs in two data centres', (t) => {
+  const { checker } = makeChecker();
+  checker.started(run(0, { orderedMs: 1_000, startedMs: 1_200 }), worker());
+  const changes = { run: 2, workerId: 'w1', dataCentre: 'south', token: 7, orderedMs: 3_400 };
+  checker.started(run(0, { ...changes, startedMs: 3_500 }), worker({ id: 'w1' }));
+  const [violation] = checker.violations;
+  t.true(violation?.text.includes('run 2 on w1 (south) from entry-7, token 7, ordered 3.400'));
+  t.true(violation?.text.includes('run 1 on w0 (north) from entry-1, token 1, ordered 1.000'));
+});
+
+// Guards against a start that is missed because an older end of the task was forgotten elsewhere.
+test('should catch a start after an acknowledged end although another end was forgotten', (t) => {
+  const { checker, clock } = makeChecker();
+  const first = run(0);
+  checker.started(first, worker());
+  checker.ended(first, 'done');
+  checker.endForgotten(first);
+  const second = run(0, { run: 2, workerId: 'w1' });
+  checker.started(second, worker({ id: 'w1' }));
+  checker.ended(second, 'done');
+  clock.nowMs = 2_500;
+  checker.doneAcknowledged(second);
+  checker.endForgotten(first);
+  checker.endForgotten(second);
+  checker.started(run(0, { run: 3, workerId: 'w2' }), worker({ id: 'w2' }));
+  t.deepEqual(promisesOf(checker), ['one-run']);
+  t.true(checker.violations[0]?.text.includes('noted 2.500'));
+});
+
+// Guards against a job that is called failed without cause: an attempt counts once its run has failed,
+// whether or not a crash of the worker came before the acknowledgement.
+test('should count failed runs whose ends were not acknowledged as attempts', (t) => {
+  const { checker, job } = makeChecker();
+  for (let at = 0; at < job.queue.maxAttempts; at += 1) {
+    const failed = run(0, { run: at + 1 });
+    checker.started(failed, worker());
+    checker.ended(failed, 'failed');
+  }
+  checker.shown(ID, 'failed');
+  t.deepEqual(checker.violations, []);
+});
+
 test('should catch a step that is started before the one it comes after', (t) => {
   const { checker } = makeChecker({ ...STEP, count: 1 }, { ...STEP, after: [0] });
   checker.started(run(0, { task: `${ID}.0.1.0`, step: { ...STEP, after: [0] } }), worker());
--- a/tests/soak/promiseChecker.ts
+++ b/tests/soak/promiseChecker.ts
@@ -38,7 +38,12 @@
   readonly task: string;
   readonly run: number;
   readonly workerId: string;
+  readonly dataCentre: string;
+  /** Fencing token of the order. */
+  readonly token: number;
   readonly step: SoakStep;
+  /** When the order arrived, in milliseconds. */
+  readonly orderedMs: number;
   readonly startedMs: number;
 }
 
@@ -64,14 +69,26 @@
   finalState: string | undefined;
 }
 
+/** An end of a run that did its work. */
+interface DoneRun {
+  readonly run: SoakRun;
+  readonly endedMs: number;
+  /** When the end was acknowledged, in milliseconds. */
+  notedMs: number | undefined;
+  /** The worker crashed, or its lease lapsed, before the end was acknowledged. */
+  isForgotten: boolean;
+}
+
 interface TaskRecord {
-  /** A run has ended well. */
-  hasEnded: boolean;
-  /** Its end was acknowledged, or its worker lives and still lists it. */
-  isListed: boolean;
+  readonly doneRuns: DoneRun[];
+  /** Ends of runs that failed. */
+  failedRuns: number;
+  /** Those among them that were acknowledged. */
   failures: number;
 }
 
+const secondsOf = (ms: number): string => (ms / 1_000).toFixed(3);
+
 /** Keeps what was seen and what was broken. */
 export class PromiseChecker {
   readonly violations: Violation[] = [];
@@ -87,8 +104,12 @@
 
   /**
    * @param nowMs - time since the start of the soak, in milliseconds
+   * @param orderedBy - names who gives orders with a fencing token
    */
-  constructor(readonly nowMs: () => number) {}
+  constructor(
+    readonly nowMs: () => number,
+    private readonly orderedBy: (token: number) => string = () => 'an unknown entry',
+  ) {}
 
   /** @returns jobs that were accepted, each with its last known state */
   accepted(): readonly JobRecord[] {
@@ -165,11 +186,25 @@
 
   /** A run is over. */
   ended(run: SoakRun, kind: EndKind): void {
-    this.runsOf(run.task).delete(run);
-    const task = this.taskOf(run.task);
+    const runs = this.runsOf(run.task);
+    runs.delete(run);
+    if (runs.size === 0) this.running.delete(run.task);
+    if (kind === 'failed') this.taskOf(run.task).failedRuns += 1;
     if (kind !== 'done') return;
-    task.hasEnded = true;
-    task.isListed = true;
+    this.taskOf(run.task).doneRuns.push({
+      run,
+      endedMs: this.nowMs(),
+      notedMs: undefined,
+      isForgotten: false,
+    });
+  }
+
+  /** The end of a run that did its work was acknowledged. */
+  doneAcknowledged(run: SoakRun): void {
+    this.doneRunsOf(run).forEach((done) => {
+      const noted = done;
+      noted.notedMs ??= this.nowMs();
+    });
   }
 
   /** The end of a failed run was acknowledged. */
@@ -178,8 +213,13 @@
   }
 
   /** A worker died before the end of a run was acknowledged: the run may be repeated. */
-  endForgotten(task: string): void {
-    this.taskOf(task).isListed = false;
+  endForgotten(run: SoakRun): void {
+    this.doneRunsOf(run)
+      .filter(({ notedMs }) => notedMs === undefined)
+      .forEach((done) => {
+        const forgotten = done;
+        forgotten.isForgotten = true;
+      });
   }
 
   /** Counts runs in progress. */
@@ -213,16 +253,26 @@
     }
   }
 
-  private checkTask({ task, step }: SoakRun): void {
+  private checkTask(run: SoakRun): void {
+    const { task, step } = run;
     const { jobId } = readTask(task);
-    const others = this.runsOf(task);
-    if (others.size > 0) {
-      const [other] = others;
-      this.break('one-run', `${task} is started beside its run on ${other?.workerId ?? '?'}`);
-    }
+    this.runsOf(task).forEach((other) =>
+      this.break(
+        'one-run',
+        `${task} is started beside its run: ${this.describe(run)} beside ${this.describe(other)}`,
+      ),
+    );
     const known = this.taskOf(task);
-    if (known.isListed && !step.longRunning)
-      this.break('one-run', `${task} is started after its end`);
+    const done = known.doneRuns.find(({ isForgotten }) => !isForgotten);
+    if (done && !step.longRunning) {
+      const noted =
+        done.notedMs === undefined ? 'not taken note of' : `noted ${secondsOf(done.notedMs)}`;
+      this.break(
+        'one-run',
+        `${task} is started after its end: ${this.describe(run)} after ` +
+          `${this.describe(done.run)}, done ${secondsOf(done.endedMs)}, ${noted}`,
+      );
+    }
     const attempts = this.jobs.get(jobId)?.job.queue.maxAttempts ?? Number.POSITIVE_INFINITY;
     if (known.failures >= attempts && !step.longRunning) {
       this.break('attempts', `${task} is started after ${known.failures} failures`);
@@ -232,7 +282,7 @@
       const count = steps[earlier]?.count ?? 0;
       for (let index = 0; index < count; index += 1) {
         const before = `${jobId}.0.${earlier}.${index}`;
-        if (!this.taskOf(before).hasEnded)
+        if (this.taskOf(before).doneRuns.length === 0)
           this.break('order', `${task} is started before ${before}`);
       }
     });
@@ -267,7 +317,7 @@
     job.steps.forEach(({ count }, step) => {
       for (let index = 0; index < count; index += 1) {
         const task = `${job.id}.0.${step}.${index}`;
-        if (!this.taskOf(task).hasEnded) {
+        if (this.taskOf(task).doneRuns.length === 0) {
           this.break('state', `${job.id} is shown as completed, and ${task} is not done`);
         }
       }
@@ -279,7 +329,7 @@
       ...job.steps.flatMap(({ count }, step) =>
         Array.from(
           { length: count },
-          (_each, index) => this.taskOf(`${job.id}.0.${step}.${index}`).failures,
+          (_each, index) => this.taskOf(`${job.id}.0.${step}.${index}`).failedRuns,
         ),
       ),
     );
@@ -288,6 +338,19 @@
     }
   }
 
+  private describe({ run, workerId, dataCentre, token, orderedMs, startedMs }: SoakRun): string {
+    return (
+      `run ${run} on ${workerId} (${dataCentre}) from ${this.orderedBy(token)}, token ${token}, ` +
+      `ordered ${secondsOf(orderedMs)}, started ${secondsOf(startedMs)}`
+    );
+  }
+
+  private doneRunsOf({ task, run, workerId }: SoakRun): readonly DoneRun[] {
+    return this.taskOf(task).doneRuns.filter(
+      ({ run: each }) => each.run === run && each.workerId === workerId,
+    );
+  }
+
   private runsOf(task: string): Set<SoakRun> {
     const known = this.running.get(task);
     if (known) return known;
@@ -299,7 +362,7 @@
   private taskOf(task: string): TaskRecord {
     const known = this.tasks.get(task);
     if (known) return known;
-    const record = { hasEnded: false, isListed: false, failures: 0 };
+    const record = { doneRuns: [], failedRuns: 0, failures: 0 };
     this.tasks.set(task, record);
     return record;
   }
--- a/tests/soak/soakCallers.ts
+++ b/tests/soak/soakCallers.ts
@@ -49,6 +49,16 @@
 
 const isSuccess = ({ status }: Reply): boolean => status >= 200 && status < 300;
 
+/** How much callers hand in. */
+export interface SoakLoad {
+  /** Mean time between two moments with jobs, in milliseconds. */
+  readonly gapMs: number;
+  /** Jobs of a moment. */
+  readonly jobBurst: number;
+  /** Times that a step has its usual tasks. */
+  readonly stepWidth: number;
+}
+
 /** What callers saw, by the second. */
 export interface CallerCounts {
   served: number;
@@ -78,20 +88,15 @@
    * Hands jobs in until told to stop; each is followed to its end.
    *
    * @param random - source of random numbers
-   * @param gapMs - mean time between two jobs, in milliseconds
+   * @param load - how much they hand in
    * @param isOver - tells whether no more jobs are to come
    */
-  async drive(random: SeededRandom, gapMs: number, isOver: () => boolean): Promise<void> {
+  async drive(random: SeededRandom, load: SoakLoad, isOver: () => boolean): Promise<void> {
     while (!isOver()) {
-      await sleep(random.exponential(gapMs));
-      const job = drawJob(random);
-      const cancelAfterMs =
-        job.steps[0]?.longRunning || random.fraction() < CANCEL_SHARE
-          ? (job.steps[0]?.longRunning ? WATCH_MS : 1_500) * random.fraction()
-          : undefined;
-      this.live(job, cancelAfterMs, isOver).catch((error: unknown) => {
-        this.checker.break('state', `the caller of ${job.id} has failed: ${String(error)}`);
-      });
+      await sleep(random.exponential(load.gapMs));
+      for (let count = 0; count < load.jobBurst; count += 1) {
+        this.begin(random, load.stepWidth, isOver);
+      }
     }
   }
 
@@ -116,6 +121,17 @@
     this.agent.destroy();
   }
 
+  private begin(random: SeededRandom, stepWidth: number, isOver: () => boolean): void {
+    const job = drawJob(random, stepWidth);
+    const cancelAfterMs =
+      job.steps[0]?.longRunning || random.fraction() < CANCEL_SHARE
+        ? (job.steps[0]?.longRunning ? WATCH_MS : 1_500) * random.fraction()
+        : undefined;
+    this.live(job, cancelAfterMs, isOver).catch((error: unknown) => {
+      this.checker.break('state', `the caller of ${job.id} has failed: ${String(error)}`);
+    });
+  }
+
   private async live(
     job: SoakJob,
     cancelAfterMs: number | undefined,
--- a/tests/soak/soakFaults.ts
+++ b/tests/soak/soakFaults.ts
@@ -33,8 +33,42 @@
   'evacuation',
 ] as const;
 
+/** Kinds of faults that strike owners while they change; some come more often. */
+export const OWNER_FAULT_KINDS = [
+  'owner-series',
+  'owner-series',
+  'owner-series',
+  'two-owners-kill',
+  'owner-terminate',
+  'all-entries-kill',
+  'some-entries-store-reset',
+  'some-entries-store-cut',
+  'entry-pause',
+  'entry-store-one-way',
+  'entry-store-reset',
+  'store-reset',
+  'store-slow',
+  'store-late',
+  'store-lost',
+  'store-busy',
+  'store-silent',
+  'store-compact',
+  'store-leases-lapse',
+  'zone-cut-from-owner',
+  'zone-cut-from-owner',
+  'zone-cut-from-successor',
+  'zone-unlisted',
+  'zones-part',
+  'takeover-part',
+  'takeover-part',
+  'owner-part',
+  'worker-late-orders',
+  'worker-crash',
+  'worker-cut',
+] as const;
+
 /** A kind of fault. */
-export type FaultKind = (typeof FAULT_KINDS)[number];
+export type FaultKind = (typeof FAULT_KINDS)[number] | (typeof OWNER_FAULT_KINDS)[number];
 
 /** One fault. */
 export interface Fault {
@@ -44,8 +78,38 @@
   readonly forMs: number;
   /** Picks the entry, worker or zone that it strikes. */
   readonly target: number;
+  /** When something more strikes, in milliseconds from the share's next takeover or takeovers. */
+  readonly followUpsMs: readonly number[];
 }
 
+/** Most owners of a share that are killed after the first. */
+const MOST_KILLS = 4;
+
+/** Shortest and longest time between a takeover and the kill, in milliseconds. */
+const SHORTEST_KILL_MS = 50;
+const LONGEST_KILL_MS = 1_000;
+
+/** Longest time between the kill of an owner and the partition of two data centres, in milliseconds. */
+const LONGEST_PART_MS = 400;
+
+/** Shortest and longest time until the new owner then loses the store, in milliseconds. */
+const SHORTEST_STORE_CUT_MS = 5_000;
+const LONGEST_STORE_CUT_MS = 15_000;
+
+/** Longer times of faults that last until an owner gives up on workers, in milliseconds. */
+const LASTING_MS: Partial<Record<FaultKind, readonly [shortest: number, longest: number]>> = {
+  'takeover-part': [24_000, 30_000],
+  'owner-part': [20_000, 26_000],
+  'zones-part': [2_000, 25_000],
+  'zone-cut-from-owner': [500, 20_000],
+  'zone-cut-from-successor': [500, 20_000],
+  'some-entries-store-reset': [500, 14_000],
+  'some-entries-store-cut': [500, 14_000],
+};
+
+/** Time between the last power loss and the end of the load, in milliseconds. */
+const CLOSING_MS = 1_500;
+
 /** Shortest and longest time of a fault, in milliseconds. */
 const SHORTEST_MS = 500;
 const LONGEST_MS = 7_000;
@@ -55,27 +119,73 @@
 
 const MANY = 1_000;
 
+const drawBetween = (random: SeededRandom, shortestMs: number, longestMs: number): number =>
+  shortestMs + random.below(longestMs - shortestMs);
+
+const drawFollowUps = (random: SeededRandom, kind: FaultKind): readonly number[] => {
+  if (kind === 'takeover-part') {
+    return [
+      random.below(LONGEST_PART_MS),
+      drawBetween(random, SHORTEST_STORE_CUT_MS, LONGEST_STORE_CUT_MS),
+    ];
+  }
+  if (kind !== 'owner-series' && kind !== 'two-owners-kill') return [];
+  return Array.from({ length: 1 + random.below(MOST_KILLS) }, () =>
+    drawBetween(random, SHORTEST_KILL_MS, LONGEST_KILL_MS),
+  );
+};
+
 /**
  * Draws the faults of a soak.
  *
  * @param random - source of random numbers
  * @param durationMs - time in which faults strike, in milliseconds
  * @param gapMs - mean time between two faults, in milliseconds
+ * @param kinds - kinds of faults to draw from
  * @returns the faults, by time
  */
 export const drawFaults = (
   random: SeededRandom,
   durationMs: number,
   gapMs: number,
+  kinds: readonly FaultKind[] = FAULT_KINDS,
 ): readonly Fault[] => {
   const faults: Fault[] = [];
   let atMs = QUIET_MS + random.exponential(gapMs);
   while (atMs < durationMs) {
-    const kind = FAULT_KINDS[random.below(FAULT_KINDS.length)] ?? 'entry-kill';
-    const spanMs = SHORTEST_MS + random.below(LONGEST_MS - SHORTEST_MS);
+    const kind = kinds[random.below(kinds.length)] ?? 'entry-kill';
+    const [shortestMs, longestMs] = LASTING_MS[kind] ?? [SHORTEST_MS, LONGEST_MS];
+    const spanMs = drawBetween(random, shortestMs, longestMs);
     const forMs = Math.min(spanMs, Math.max(SHORTEST_MS, durationMs - atMs));
-    faults.push({ kind, atMs: Math.round(atMs), forMs, target: random.below(MANY) });
+    const target = random.below(MANY);
+    const followUpsMs = drawFollowUps(random, kind);
+    faults.push({ kind, atMs: Math.round(atMs), forMs, target, followUpsMs });
     atMs += random.exponential(gapMs);
   }
   return faults;
 };
+
+/**
+ * Draws faults that strike owners in series, and a loss of all entries at the end of the load.
+ *
+ * @param random - source of random numbers
+ * @param durationMs - time in which faults strike, in milliseconds
+ * @param gapMs - mean time between two faults, in milliseconds
+ * @param kinds - kinds of faults to draw from
+ * @returns the faults, by time
+ */
+export const drawOwnerFaults = (
+  random: SeededRandom,
+  durationMs: number,
+  gapMs: number,
+  kinds: readonly FaultKind[] = OWNER_FAULT_KINDS,
+): readonly Fault[] => [
+  ...drawFaults(random, durationMs - CLOSING_MS, gapMs, kinds),
+  {
+    kind: 'all-entries-kill',
+    atMs: durationMs - CLOSING_MS,
+    forMs: SHORTEST_MS,
+    target: 0,
+    followUpsMs: [],
+  },
+];
--- a/tests/soak/soakJob.ts
+++ b/tests/soak/soakJob.ts
@@ -63,17 +63,24 @@
   filler: false,
 };
 
-const draw = (random: SeededRandom): { queue: SoakQueue; steps: readonly SoakStep[] } => {
+const draw = (
+  random: SeededRandom,
+  width: number,
+): { queue: SoakQueue; steps: readonly SoakStep[] } => {
   const share = random.fraction();
   if (share < QUICK_SHARE) {
-    const first = { ...STEP, count: 1 + random.below(6), durationMs: 200 + random.below(800) };
+    const first = {
+      ...STEP,
+      count: width * (1 + random.below(6)),
+      durationMs: 200 + random.below(800),
+    };
     const second = { ...first, after: [0], perWorker: random.below(3) };
     return { queue: QUICK, steps: random.below(2) === 0 ? [first] : [first, second] };
   }
   if (share < QUICK_SHARE + BATCH_SHARE) {
     const first: SoakStep = {
       ...STEP,
-      count: 2 + random.below(6),
+      count: width * (2 + random.below(6)),
       durationMs: 500 + random.below(1_500),
       failEvery: random.below(2) === 0 ? 0 : 7,
       checkpointing: true,
@@ -89,11 +96,12 @@
  * Draws a job.
  *
  * @param random - source of random numbers
+ * @param width - times that a step has its usual tasks
  * @returns the job
  */
-export const drawJob = (random: SeededRandom): SoakJob => {
+export const drawJob = (random: SeededRandom, width: number): SoakJob => {
   const id = Array.from({ length: 16 }, () => random.below(16).toString(16)).join('');
-  return { id, ...draw(random) };
+  return { id, ...draw(random, width) };
 };
 
 /**
--- a/tests/soak/soakMain.ts
+++ b/tests/soak/soakMain.ts
@@ -6,12 +6,20 @@
 
 import { Cli, Command, Option } from 'clipanion';
 
+import { OWNER_FAULT_KINDS, type FaultKind } from './soakFaults.js';
 import { reportPage, summarize, type SoakResult } from './soakReport.js';
 import { runSoak } from './soakRun.js';
 
 /** Settings of a soak that are not given. */
 const DEFAULTS = { seeds: '1', seconds: '30', entries: '3', workers: '6', jobGap: '150' } as const;
 
+const readKinds = (names: readonly string[]): readonly FaultKind[] => {
+  const kinds = OWNER_FAULT_KINDS.filter((kind) => names.includes(kind));
+  const unknown = names.filter((name) => !kinds.some((kind) => kind === name));
+  if (unknown.length > 0) throw new Error(`no such fault: ${unknown.join(', ')}`);
+  return kinds;
+};
+
 class SoakCommand extends Command {
   static override paths = [Command.Default];
 
@@ -41,6 +49,26 @@
 
   network = Option.String('--network', '0', { description: 'third part of addresses' });
 
+  dataCentres = Option.String('--data-centres', '2', { description: 'at most three' });
+
+  processorShares = Option.String('--processor-shares', '1', {
+    description: 'cores of the VMs, in turn, with commas between; small ones divide the site',
+  });
+
+  jobBurst = Option.String('--job-burst', '1', { description: 'jobs at one moment' });
+
+  stepWidth = Option.String('--step-width', '1', {
+    description: 'times the usual tasks of a step',
+  });
+
+  strikesOwners = Option.Boolean('--owner-faults', false, {
+    description: 'faults strike owners while they change, in series',
+  });
+
+  ownerFaultKinds = Option.Array('--owner-fault-kind', {
+    description: 'kind of these faults; the usual ones if left out',
+  });
+
   runtime = Option.Array('--runtime', [], { description: 'words for the runtime' });
 
   override async execute(): Promise<number> {
@@ -56,6 +84,12 @@
         workerCpu: Number(this.workerCpu),
         jobGapMs: Number(this.jobGap),
         faultGapMs: Number(this.faultGap),
+        dataCentres: Number(this.dataCentres),
+        processorShares: this.processorShares.split(',').map(Number),
+        jobBurst: Number(this.jobBurst),
+        stepWidth: Number(this.stepWidth),
+        strikesOwners: this.strikesOwners,
+        ...(this.ownerFaultKinds ? { ownerFaultKinds: readKinds(this.ownerFaultKinds) } : {}),
         program: this.program,
         folder: path.join(this.folder, String(seed)),
         runtimeWords: this.runtime,
--- a/tests/soak/soakReport.ts
+++ b/tests/soak/soakReport.ts
@@ -15,6 +15,11 @@
   readonly accepted: number;
   readonly ended: number;
   readonly cancelled: number;
+  readonly shares: number;
+  readonly takeovers: number;
+  readonly delegations: number;
+  /** Most delegations that one takeover has restored. */
+  readonly mostRestored: number;
   /** How often a process ended that nobody had stopped. */
   readonly ownEnds: number;
 }
@@ -52,6 +57,8 @@
   [
     `seed ${result.seed}: ${result.faults.length} faults in ${result.seconds} s, ` +
       `${result.accepted} jobs accepted, ${result.ended} ended, ${result.cancelled} cancelled, ` +
+      `${result.shares} shares, ${result.takeovers} takeovers, ${result.delegations} delegations, ` +
+      `up to ${result.mostRestored} restored, ` +
       `${result.ownEnds} ends of processes, ${result.violations.length} broken promises`,
     ...result.violations.map(
       ({ promise, text, atMs }) => `  ${(atMs / 1_000).toFixed(1)} s ${promise}: ${text}`,
--- a/tests/soak/soakRun.ts
+++ b/tests/soak/soakRun.ts
@@ -6,7 +6,8 @@
 import { CALLER_PORT } from './entryProcess.js';
 import { PromiseChecker } from './promiseChecker.js';
 import { SoakCallers } from './soakCallers.js';
-import { drawFaults } from './soakFaults.js';
+import { ShareOwners } from './shareOwners.js';
+import { drawFaults, drawOwnerFaults, type FaultKind } from './soakFaults.js';
 import type { SoakResult } from './soakReport.js';
 import { SoakSite } from './soakSite.js';
 
@@ -20,8 +21,20 @@
   readonly workerCpu: number;
   /** Mean time between two jobs, in milliseconds. */
   readonly jobGapMs: number;
+  /** Jobs that are handed in at one moment; one if left out. */
+  readonly jobBurst?: number;
+  /** Times that a step has its usual tasks; once if left out. */
+  readonly stepWidth?: number;
   /** Mean time between two faults, in milliseconds. */
   readonly faultGapMs: number;
+  /** Faults strike owners while they change, in series. */
+  readonly strikesOwners?: boolean;
+  /** Kinds of these faults; the usual ones if left out. */
+  readonly ownerFaultKinds?: readonly FaultKind[];
+  /** Data centres, at most three; two if left out. */
+  readonly dataCentres?: number;
+  /** Shares of a core that the entries say their VMs have, in turn; whole ones if left out. */
+  readonly processorShares?: readonly number[];
   readonly program: string;
   readonly folder: string;
   /** Third part of the entries' addresses. */
@@ -88,9 +101,20 @@
 export const runSoak = async (options: SoakOptions): Promise<SoakResult> => {
   const { seed, seconds, tell } = options;
   const startMs = performance.now();
-  const checker = new PromiseChecker(() => performance.now() - startMs);
+  const owners = new ShareOwners();
+  const checker = new PromiseChecker(
+    () => performance.now() - startMs,
+    (token) => owners.entryOf(token),
+  );
   checker.isCalm = options.judgesTime;
-  const site = new SoakSite({ ...options, checker });
+  const { strikesOwners = false, dataCentres = 2, jobBurst = 1, stepWidth = 1 } = options;
+  const site = new SoakSite({
+    ...options,
+    checker,
+    owners,
+    dataCentres,
+    spreadsRestarts: strikesOwners,
+  });
   await site.start();
   const callers = new SoakCallers(
     site.entries.map(({ entry }) => ({ host: entry.options.host, port: CALLER_PORT })),
@@ -98,7 +122,10 @@
   );
   await sleep(START_MS);
   const durationMs = START_MS + 1_000 * seconds;
-  const faults = drawFaults(makeRandom(seed), durationMs, options.faultGapMs);
+  const { faultGapMs, ownerFaultKinds } = options;
+  const faults = strikesOwners
+    ? drawOwnerFaults(makeRandom(seed), durationMs, faultGapMs, ownerFaultKinds)
+    : drawFaults(makeRandom(seed), durationMs, faultGapMs);
   const timers = faults.map((fault) =>
     setTimeout(
       () => {
@@ -122,7 +149,8 @@
         `${checker.runningCount()} runs, ${checker.violations.length} broken promises`,
     );
   }, TELL_MS);
-  await callers.drive(makeRandom(-seed), options.jobGapMs, () => checker.nowMs() >= durationMs);
+  const load = { gapMs: options.jobGapMs, jobBurst, stepWidth };
+  await callers.drive(makeRandom(-seed), load, () => checker.nowMs() >= durationMs);
   await sleep(CALM_MS);
   await finish(checker, callers);
   clearInterval(calm);
@@ -142,6 +170,10 @@
     accepted: accepted.length,
     ended: endedAs('completed', 'failed'),
     cancelled: endedAs('cancelled'),
+    shares: owners.shares().length,
+    takeovers: owners.takeovers,
+    delegations: owners.delegations,
+    mostRestored: owners.mostRestored,
     ownEnds: site.entries.reduce((sum, { entry }) => sum + entry.ownEnds, 0),
   };
 };
--- a/tests/soak/soakSite.ts
+++ b/tests/soak/soakSite.ts
@@ -6,12 +6,25 @@
 import { EntryProcess } from './entryProcess.js';
 import { FaultProxy, type LinkFault } from './faultProxy.js';
 import type { PromiseChecker } from './promiseChecker.js';
+import type { ShareOwners } from './shareOwners.js';
 import type { Fault } from './soakFaults.js';
 import { QUEUES, SERVICE } from './soakJob.js';
 import { StoreStandIn } from './storeStandIn.js';
 import { WorkerStandIn } from './workerStandIn.js';
 
-const ZONES = ['north', 'south'] as const;
+const ZONES = ['north', 'south', 'east'] as const;
+
+/** Wait before an entry that has ended starts again, in milliseconds. */
+const RESTART_MS = 500;
+
+/** The wait of entries differs by up to this while owners are killed in series, in milliseconds. */
+const RESTART_SPREAD_MS = 3_000;
+
+/** Time in which a worker still answers when its data centre is parted, in milliseconds. */
+const LAST_ANSWER_MS = 50;
+
+/** Share of the entries that lose the store while others are served, as one in so many. */
+const CUT_EVERY = 3;
 
 /** Time between two entries of a worker in the store, in milliseconds. */
 const HEARTBEAT_MS = 500;
@@ -32,8 +45,13 @@
   /** Third part of the entries' addresses, so that several soaks run beside each other. */
   readonly network: number;
   readonly checker: PromiseChecker;
-  /** Share of a core that each entry says its VM has; a whole one if left out. */
-  readonly processorShare?: number;
+  readonly owners: ShareOwners;
+  /** Data centres, at most three. */
+  readonly dataCentres: number;
+  /** Shares of a core that the entries say their VMs have, in turn; whole ones if left out. */
+  readonly processorShares?: readonly number[];
+  /** Entries stay down for unlike times. */
+  readonly spreadsRestarts?: boolean;
   readonly runtimeWords?: readonly string[];
 }
 
@@ -57,12 +75,19 @@
 
   private readonly evacuated = new Set<string>();
 
+  private readonly zones: readonly string[];
+
+  /** Data centres whose workers the store does not list. */
+  private readonly unlisted = new Set<string>();
+
   private heartbeat: NodeJS.Timeout | undefined;
 
   /**
    * @param options - sizes, program and folder
    */
-  constructor(private readonly options: SoakSiteOptions) {}
+  constructor(private readonly options: SoakSiteOptions) {
+    this.zones = ZONES.slice(0, options.dataCentres);
+  }
 
   /** Starts everything. */
   async start(): Promise<void> {
@@ -92,17 +117,25 @@
    * @param fault - the fault
    * @returns what ends it; undefined if it ends by itself
    */
-  strike({ kind, forMs, target }: Fault): (() => void) | undefined {
+  strike({ kind, forMs, target, followUpsMs }: Fault): (() => void) | undefined {
     const entry = this.entries[target % this.entries.length];
     const worker = this.workers[target % this.workers.length];
     if (!entry || !worker) return undefined;
+    if (kind === 'owner-series') this.killOwners(target, 1, followUpsMs);
+    if (kind === 'two-owners-kill') this.killOwners(target, 2, followUpsMs);
+    if (kind === 'takeover-part') return this.partAtTakeover(target, followUpsMs);
+    if (kind === 'owner-part') return this.partFromOwner(target);
+    if (kind === 'zones-part') return this.part(this.zoneAt(target), this.zoneAt(target + 1));
+    if (kind === 'owner-terminate') this.ownerOf(target)?.signal('SIGTERM');
+    if (kind.startsWith('some-entries-')) return this.strikeSomeEntries(kind, target);
+    if (kind.startsWith('zone-')) return this.strikeZone(kind, this.zoneAt(target));
     if (kind.startsWith('store-')) return this.strikeStore(kind);
     if (kind.startsWith('worker-')) return this.strikeWorker(kind, worker);
     if (kind === 'configuration-change') {
       this.configure();
       return undefined;
     }
-    if (kind === 'evacuation') return this.evacuate(ZONES[target % ZONES.length] ?? 'north');
+    if (kind === 'evacuation') return this.evacuate(this.zoneAt(target));
     if (kind === 'all-entries-kill') {
       this.entries.forEach((each) => each.entry.signal('SIGKILL'));
       return undefined;
@@ -110,6 +143,148 @@
     return this.strikeEntry(kind, entry, forMs);
   }
 
+  private zoneAt(index: number): string {
+    return this.zones[index % this.zones.length] ?? 'north';
+  }
+
+  private entryNamed(name: string | undefined): EntryProcess | undefined {
+    return this.entries.find(({ entry }) => entry.options.name === name)?.entry;
+  }
+
+  private ownerOf(target: number): EntryProcess | undefined {
+    const { owners } = this.options;
+    const shares = owners.shares();
+    return this.entryNamed(owners.ownerOf(shares[target % shares.length] ?? ''));
+  }
+
+  /** Kills the owners of shares at the same moment, and then those that take these shares over. */
+  private killOwners(target: number, count: number, followUpsMs: readonly number[]): void {
+    const { owners } = this.options;
+    const known = owners.shares();
+    const struck = new Set(
+      Array.from({ length: count }, (_each, index) => known[(target + index) % known.length] ?? ''),
+    );
+    struck.forEach((share) => {
+      let kills = 0;
+      const stop = owners.listen((taken, name) => {
+        if (taken !== share) return;
+        setTimeout(() => this.entryNamed(name)?.signal('SIGKILL'), followUpsMs[kills]);
+        kills += 1;
+        if (kills >= followUpsMs.length) stop();
+      });
+    });
+    struck.forEach((share) => this.entryNamed(owners.ownerOf(share))?.signal('SIGKILL'));
+  }
+
+  private strikeSomeEntries(kind: Fault['kind'], target: number): () => void {
+    const struck = this.entries.filter((_each, index) => (index + target) % CUT_EVERY === 0);
+    const owner = this.ownerOf(target);
+    const links = this.entries
+      .filter((each) => struck.includes(each) || each.entry === owner)
+      .map(({ link }) => link);
+    const fault = kind === 'some-entries-store-reset' ? 'reset' : 'cut';
+    links.forEach((link) => link.set(fault));
+    return () => links.forEach((link) => link.set('none'));
+  }
+
+  private strikeZone(kind: Fault['kind'], zone: string): () => void {
+    const workers = this.workers
+      .map(({ end }) => end)
+      .filter(({ options }) => options.dataCentre === zone);
+    if (kind === 'zone-unlisted') {
+      this.unlisted.add(zone);
+      workers.forEach(({ options }) => this.store.remove(`servers/${options.id}`));
+      return () => this.unlisted.delete(zone);
+    }
+    const isFormerCut = kind === 'zone-cut-from-owner';
+    const ends = workers.map((worker) => {
+      const { highestToken } = worker;
+      return SoakSite.cut(worker, (token) => token <= highestToken === isFormerCut);
+    });
+    return () => ends.forEach((end) => end());
+  }
+
+  private static cut(worker: WorkerStandIn, isCut: (token: number) => boolean): () => void {
+    worker.cuts.add(isCut);
+    return () => worker.cuts.delete(isCut);
+  }
+
+  /** Owners in either data centre lose the workers in the other; all keep the store. */
+  private part(one: string, other: string): () => void {
+    const zoneOf = (token: number): string | undefined =>
+      this.entryNamed(this.options.owners.entryOf(token))?.options.zone;
+    const ends = this.workers.flatMap(({ end: worker }) => {
+      const { dataCentre } = worker.options;
+      if (dataCentre === one) return SoakSite.cut(worker, (token) => zoneOf(token) === other);
+      if (dataCentre === other) return SoakSite.cut(worker, (token) => zoneOf(token) === one);
+      return [];
+    });
+    return () => ends.forEach((end) => end());
+  }
+
+  /**
+   * Kills an owner and soon parts two data centres. The data centre of its successor loses the store some
+   * time after the takeover.
+   */
+  private partAtTakeover(
+    target: number,
+    [partMs = 0, storeCutMs = 0]: readonly number[],
+  ): () => void {
+    const { owners } = this.options;
+    const owner = this.ownerOf(target);
+    const ends: (() => void)[] = [];
+    const later = (act: () => () => void, delayMs: number): void => {
+      const timer = setTimeout(() => ends.push(act()), delayMs);
+      ends.push(() => clearTimeout(timer));
+    };
+    const stop = owners.listen((_share, name) => {
+      const zone = this.entryNamed(name)?.options.zone;
+      const links = this.entries
+        .filter(({ entry }) => entry.options.zone === zone)
+        .map(({ link }) => link);
+      stop();
+      later(() => {
+        links.forEach((link) => link.set('cut'));
+        return () => links.forEach((link) => link.set('none'));
+      }, storeCutMs);
+    });
+    ends.push(stop);
+    later(() => this.part(this.zoneAt(target), this.zoneAt(target + 1)), partMs);
+    owner?.signal('SIGKILL');
+    return () => ends.forEach((end) => end());
+  }
+
+  /**
+   * The data centre of an owner loses the store and the other ones. The owner's successor reaches just
+   * one of its workers before, on which nothing runs.
+   */
+  private partFromOwner(target: number): () => void {
+    const zone = this.ownerOf(target)?.options.zone ?? this.zoneAt(target);
+    const links = this.entries
+      .filter(({ entry }) => entry.options.zone === zone)
+      .map(({ link }) => link);
+    const isOutside = (token: number): boolean =>
+      this.entryNamed(this.options.owners.entryOf(token))?.options.zone !== zone;
+    const nowMs = (): number => this.options.checker.nowMs();
+    let reached: { readonly worker: WorkerStandIn; readonly untilMs: number } | undefined;
+    const isReached = (worker: WorkerStandIn): boolean => {
+      if (!reached && worker.isIdle) reached = { worker, untilMs: nowMs() + LAST_ANSWER_MS };
+      return reached?.worker === worker && nowMs() < reached.untilMs;
+    };
+    links.forEach((link) => link.set('cut'));
+    const ends = this.workers.map(({ end: worker }) =>
+      SoakSite.cut(worker, (token) =>
+        worker.options.dataCentre === zone
+          ? isOutside(token) && !isReached(worker)
+          : !isOutside(token),
+      ),
+    );
+    return () => {
+      links.forEach((link) => link.set('none'));
+      ends.forEach((end) => end());
+    };
+  }
+
   private strikeEntry(
     kind: Fault['kind'],
     { entry, link }: SoakSite['entries'][number],
@@ -136,6 +311,10 @@
 
   private strikeStore(kind: Fault['kind']): (() => void) | undefined {
     const { store } = this;
+    if (kind === 'store-reset') {
+      this.entries.forEach(({ link }) => link.set('reset'));
+      return () => this.entries.forEach(({ link }) => link.set('none'));
+    }
     if (kind === 'store-compact') store.compact();
     if (kind === 'store-leases-lapse') store.lapseLeases();
     const modes = {
@@ -143,6 +322,7 @@
       'store-silent': 'silent',
       'store-slow': 'slow',
       'store-late': 'late',
+      'store-lost': 'lost',
     } as const;
     const mode = modes[kind as keyof typeof modes];
     if (!mode) return undefined;
@@ -222,11 +402,12 @@
 
   private beat(): void {
     this.sequence += 1;
-    this.workers.forEach(({ end, port }, index) =>
+    this.workers.forEach(({ end, port }, index) => {
+      if (this.unlisted.has(end.options.dataCentre)) return;
       this.store.put(`servers/${end.options.id}`, {
         Service: SERVICE,
         Address: `127.0.0.1:${port}`,
-        Zone: ZONES[index % ZONES.length],
+        Zone: end.options.dataCentre,
         Version: '1',
         State: end.drainingSinceMs === undefined ? 'ready' : 'draining',
         ColdLeftMs: 0,
@@ -235,18 +416,20 @@
         Capacity: { Cpu: end.options.cpu, MemMb: end.options.memMb, Gpu: 0 },
         Labels: ['a', `r${index % 3}`],
         born: end.bornMs,
-      }),
-    );
+      });
+    });
   }
 
   private async addWorker(index: number): Promise<void> {
     const { checker, workerCpu } = this.options;
     const worker = new WorkerStandIn({
       id: `w${index}`,
+      dataCentre: this.zoneAt(index),
       cpu: workerCpu,
       memMb: 64_000,
       clockRate: index % 2 === 0 ? 1 : SLOW_CLOCK,
       checker,
+      settleAll: () => this.workers.forEach(({ end }) => end.tick()),
     });
     await worker.start();
     const link = new FaultProxy(worker.port);
@@ -254,12 +437,17 @@
   }
 
   private async addEntry(index: number): Promise<void> {
-    const { folder, program, network, processorShare, runtimeWords } = this.options;
+    const { folder, program, network, processorShares = [], runtimeWords } = this.options;
+    const processorShare = processorShares[index % processorShares.length];
+    const spreadMs = this.options.spreadsRestarts ? RESTART_SPREAD_MS : 0;
+    const name = `entry-${index}`;
     const link = new FaultProxy(this.store.port);
     const entry = new EntryProcess({
-      name: `entry-${index}`,
+      name,
       host: `127.0.${network}.${index + 2}`,
-      zone: ZONES[index % ZONES.length] ?? 'north',
+      zone: this.zoneAt(index),
+      restartMs: RESTART_MS + (spreadMs * index) / this.options.entries,
+      onLine: (line) => this.options.owners.read(name, line),
       storePort: await link.listen(),
       folder: path.resolve(folder),
       program,
--- a/tests/soak/storeStandIn.ts
+++ b/tests/soak/storeStandIn.ts
@@ -16,13 +16,18 @@
   /** Takes long for every answer. */
   | 'slow'
   /** Does some of the writes late and answers none of these. */
-  | 'late';
+  | 'late'
+  /** Answers some of the writes with nothing. */
+  | 'lost';
 
 const SLOW_MS = 400;
 
-/** Every third write is done late while the store does that. */
+/** Every third write is done late, or loses its answer, while the store does that. */
 const LATE_EVERY = 3;
 
+/** Time in which changes wake the watches once, in milliseconds. */
+const WAKE_MS = 2;
+
 /** Longest delay of a late write, in milliseconds. */
 const LATE_MS = 4_000;
 
@@ -98,6 +103,8 @@
 
   private ticker: NodeJS.Timeout | undefined;
 
+  private waker: NodeJS.Timeout | undefined;
+
   /** Starts serving. */
   async start(): Promise<void> {
     const { server, port } = await startServer((request) => this.handle(request));
@@ -185,9 +192,8 @@
     const untilMs = Date.now() + Number(query.get('WaitMs'));
     for (;;) {
       if (after < this.droppedTo) return { status: 410 };
-      const events = this.events.filter(
-        ({ key, revision }) => revision > after && key.startsWith(prefix),
-      );
+      const last = this.events.findLastIndex(({ revision }) => revision <= after);
+      const events = this.events.slice(last + 1).filter(({ key }) => key.startsWith(prefix));
       if (events.length > 0 || Date.now() >= untilMs) {
         const shown = events.map(({ key, revision, item }) =>
           item ? show(key, item) : { Key: key, Revision: revision, Removed: true },
@@ -208,6 +214,10 @@
       setTimeout(() => this.commit(transaction), delayMs);
       return undefined;
     }
+    if (this.fault === 'lost' && this.writes % LATE_EVERY === 0) {
+      this.commit(transaction);
+      return undefined;
+    }
     return this.commit(transaction);
   }
 
@@ -287,7 +297,10 @@
   }
 
   private wake(): void {
-    this.waiting.forEach((wake) => wake());
+    this.waker ??= setTimeout(() => {
+      this.waker = undefined;
+      this.waiting.forEach((wake) => wake());
+    }, WAKE_MS);
   }
 
   /** Waits for a change. */
--- a/tests/soak/workerStandIn.ts
+++ b/tests/soak/workerStandIn.ts
@@ -27,11 +27,14 @@
 /** What a worker is made of. */
 export interface WorkerOptions {
   readonly id: string;
+  readonly dataCentre: string;
   readonly cpu: number;
   readonly memMb: number;
   /** Its clock runs at this share of real time. */
   readonly clockRate: number;
   readonly checker: PromiseChecker;
+  /** Brings all workers up to date, since a busy process runs timers late. */
+  readonly settleAll: () => void;
 }
 
 interface Running extends SoakRun {
@@ -58,6 +61,9 @@
 
   drainingSinceMs: number | undefined;
 
+  /** Partitions: each tells whether the owner with a fencing token is cut off. */
+  readonly cuts = new Set<(token: number) => boolean>();
+
   bornMs = Date.now();
 
   private startedAt = performance.now();
@@ -106,6 +112,16 @@
     this.server?.close();
   }
 
+  /** @returns the highest fencing token that it has seen in this life */
+  get highestToken(): number {
+    return this.token;
+  }
+
+  /** @returns true while nothing runs */
+  get isIdle(): boolean {
+    return this.running.size === 0;
+  }
+
   /** Crashes and starts again under its id. */
   crash(): void {
     const { checker } = this.options;
@@ -127,7 +143,12 @@
   private forgetEnds(): void {
     this.ends
       .filter(({ sequence, kind }) => kind === 'done' && sequence > this.acknowledged)
-      .forEach(({ run }) => this.options.checker.endForgotten(run.task));
+      .forEach(({ run }) => this.options.checker.endForgotten(run));
+  }
+
+  private isUnreachableFor(body: StandInRequest['body']): boolean {
+    const token = Number(body['FenceToken'] ?? 0);
+    return this.fault === 'silent' || [...this.cuts].some((isCut) => isCut(token));
   }
 
   private clockMs(): number {
@@ -135,17 +156,18 @@
   }
 
   private async handle({ path, headers, body }: StandInRequest): Promise<StandInAnswer> {
-    if (this.fault === 'silent') return undefined;
+    if (this.isUnreachableFor(body)) return undefined;
     const life = headers['samphirenotch-expected-instance'];
     if (life !== undefined && life !== this.options.id) return { status: 421 };
+    const orderedMs = this.options.checker.nowMs();
     if (path === '/v1/run-start' && this.fault === 'late') {
       const { bornMs } = this;
       setTimeout(() => {
-        if (this.bornMs === bornMs) this.startRun(body);
+        if (this.bornMs === bornMs) this.startRun(body, orderedMs);
       }, LATE_MS);
       return undefined;
     }
-    if (path === '/v1/run-start') return this.startRun(body);
+    if (path === '/v1/run-start') return this.startRun(body, orderedMs);
     if (path === '/v1/run-stop') return this.stopRun(body);
     if (path === '/v1/pace') return this.paceRun(body);
     if (path === '/v1/hold') return this.hold(body);
@@ -170,7 +192,7 @@
     this.leaseUntilMs = Math.max(this.leaseUntilMs, Math.min(until, longest));
   }
 
-  private startRun(body: StandInRequest['body']): StandInAnswer {
+  private startRun(body: StandInRequest['body'], orderedMs: number): StandInAnswer {
     const task = String(body['Task']);
     const run = Number(body['RunId']);
     if (!this.takesToken(body)) return this.answer(409, { Reason: 'fence' });
@@ -181,14 +203,17 @@
     if (run <= (this.highest.get(task) ?? 0)) return this.answer(409, { Reason: 'old' });
     const step = readSteps(String(body['Spec']))[readTask(task).step];
     if (!step) return this.answer(400);
-    const { checker, id } = this.options;
+    const { checker, id, dataCentre } = this.options;
     this.startCount += 1;
     const savedMs = Number(String(body['Checkpoint'] ?? '0'));
     const started: Running = {
       task,
       run,
       workerId: id,
+      dataCentre,
+      token: this.token,
       step,
+      orderedMs,
       startedMs: checker.nowMs(),
       savedMs,
       workedMs: savedMs,
@@ -196,6 +221,7 @@
       stopAtMs: undefined,
       fails: step.failEvery > 0 && this.startCount % step.failEvery === 0,
     };
+    this.options.settleAll();
     checker.started(started, {
       id,
       cpu: this.options.cpu,
@@ -231,7 +257,7 @@
     this.acknowledge(Number(body['LastSeen'] ?? 0));
     const waitMs = Number(body['WaitMs'] ?? 0);
     if (this.ends.length === 0 && waitMs > 0) await this.nextEnd(waitMs);
-    if (this.fault === 'silent') return undefined;
+    if (this.isUnreachableFor(body)) return undefined;
     return this.answer(200, {
       Running: [...this.running.values()].map((run) => [
         run.task,
@@ -262,10 +288,14 @@
     taken
       .filter(({ kind }) => kind === 'failed')
       .forEach(({ run }) => this.options.checker.failureAcknowledged(run.task));
+    taken
+      .filter(({ kind }) => kind === 'done')
+      .forEach(({ run }) => this.options.checker.doneAcknowledged(run));
     this.ends = this.ends.filter((end) => end.sequence > this.acknowledged);
   }
 
-  private tick(): void {
+  /** Ends runs whose work is done, and all of them once the lease has lapsed. */
+  tick(): void {
     const now = performance.now();
     const elapsed = now - this.tickedAt;
     this.tickedAt = now;
