--- a/tests/soak/promiseChecker.spec.ts
+++ b/tests/soak/promiseChecker.spec.ts
@@ -140,6 +140,19 @@
   t.true(checker.violations[0]?.text.includes('noted 2.500'));
 });
 
+// Guards against an end that is taken note of only after the task was started again elsewhere.
+test('should catch an end that is acknowledged after the task was started again', (t) => {
+  const { checker } = makeChecker();
+  const first = run(0);
+  checker.started(first, worker());
+  checker.ended(first, 'done');
+  checker.started(run(0, { run: 2, workerId: 'w1' }), worker({ id: 'w1' }));
+  checker.doneAcknowledged(first);
+  checker.doneAcknowledged(first);
+  t.deepEqual(promisesOf(checker), ['one-run', 'one-run']);
+  t.true(checker.violations[1]?.text.includes('taken note of after it was started again'));
+});
+
 // Guards against a job that is called failed without cause: an attempt counts once its run has failed,
 // whether or not a crash of the worker came before the acknowledgement.
 test('should count failed runs whose ends were not acknowledged as attempts', (t) => {
--- a/tests/soak/promiseChecker.ts
+++ b/tests/soak/promiseChecker.ts
@@ -75,6 +75,8 @@
   readonly endedMs: number;
   /** When the end was acknowledged, in milliseconds. */
   notedMs: number | undefined;
+  /** A run that was started before the end was acknowledged. */
+  repetition: SoakRun | undefined;
   /** The worker crashed, or its lease lapsed, before the end was acknowledged. */
   isForgotten: boolean;
 }
@@ -195,6 +197,7 @@
       run,
       endedMs: this.nowMs(),
       notedMs: undefined,
+      repetition: undefined,
       isForgotten: false,
     });
   }
@@ -203,7 +206,14 @@
   doneAcknowledged(run: SoakRun): void {
     this.doneRunsOf(run).forEach((done) => {
       const noted = done;
+      const isFirst = done.notedMs === undefined;
       noted.notedMs ??= this.nowMs();
+      if (!isFirst || done.isForgotten || !done.repetition) return;
+      this.break(
+        'one-run',
+        `the end of ${run.task} is taken note of after it was started again: ` +
+          `${this.describe(done.repetition)} after ${this.describe(run)}`,
+      );
     });
   }
 
@@ -265,6 +275,7 @@
     const known = this.taskOf(task);
     const done = known.doneRuns.find(({ isForgotten }) => !isForgotten);
     if (done && !step.longRunning) {
+      if (done.notedMs === undefined) done.repetition ??= run;
       const noted =
         done.notedMs === undefined ? 'not taken note of' : `noted ${secondsOf(done.notedMs)}`;
       this.break(
--- a/tests/soak/soakMain.ts
+++ b/tests/soak/soakMain.ts
@@ -55,6 +55,10 @@
     description: 'cores of the VMs, in turn, with commas between; small ones divide the site',
   });
 
+  idleWorkers = Option.String('--idle-workers', '0', {
+    description: 'workers of a service that gets no jobs',
+  });
+
   jobBurst = Option.String('--job-burst', '1', { description: 'jobs at one moment' });
 
   stepWidth = Option.String('--step-width', '1', {
@@ -86,6 +90,7 @@
         faultGapMs: Number(this.faultGap),
         dataCentres: Number(this.dataCentres),
         processorShares: this.processorShares.split(',').map(Number),
+        idleWorkers: Number(this.idleWorkers),
         jobBurst: Number(this.jobBurst),
         stepWidth: Number(this.stepWidth),
         strikesOwners: this.strikesOwners,
--- a/tests/soak/soakRun.ts
+++ b/tests/soak/soakRun.ts
@@ -21,6 +21,8 @@
   readonly workerCpu: number;
   /** Mean time between two jobs, in milliseconds. */
   readonly jobGapMs: number;
+  /** Workers of a service that gets no jobs; none if left out. */
+  readonly idleWorkers?: number;
   /** Jobs that are handed in at one moment; one if left out. */
   readonly jobBurst?: number;
   /** Times that a step has its usual tasks; once if left out. */
