Give up on nobody before a renewal that followed the end of the lease

Cause: an owner took itself for the only one for 2.4 s after its last renewal. The store may end a lease earlier, when it turns an entry away, and its successor acts within 0.2 s. In that time the owner took the lease of a silent worker for lapsed, or the lease that its predecessor had counted down, although its successor had reached the worker and extended it.

Change: a lease that ended at a time counts as lapsed only once a renewal is confirmed that was sent after that time. Why it works: the renewal shows that the owner still held the share then, so that nobody else can have extended the lease before it ended; a lease that has ended cannot be extended.

What it costs: up to one renewal, 0.7 s, until such a worker is given up on.

An owner may still take a worker that has started again for a proof that its runs are over while the store has ended its lease early; that is not mended here.

--- a/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
@@ -178,6 +178,7 @@
       () => this.wakeup.wake(),
       () => term.leaseUnconfirmedMs() <= MAX_STORE_ANSWER_AGE_MS,
       () => this.isSoleOwner(),
+      (timeMs) => this.wasSoleOwnerAt(timeMs),
     );
     this.watch = new RunSupervisor(this.fleet, options.clock);
     this.slowWorkers = new SlowWorkerDetector(this.fleet, options.clock);
@@ -487,6 +488,14 @@
     return this.options.clock.monotonicMs() < this.term.leaseValidUntilMs();
   }
 
+  /**
+   * Tells whether no other owner can have granted a lease until a time. The store may end the owner's lease
+   * before its time to live is over, so only a renewal that was sent later proves it.
+   */
+  private wasSoleOwnerAt(timeMs: number): boolean {
+    return this.options.clock.monotonicMs() - this.term.leaseUnconfirmedMs() >= timeMs;
+  }
+
   private homeJobs(): readonly ReplicatedJob[] {
     const { replica, share } = this.options;
     return replica.openJobs().filter((job) => replica.homeOf(job) === share.id);
@@ -504,6 +513,7 @@
       signal: term.signal,
       batcher: this.turns,
       isSoleOwner: () => this.isSoleOwner(),
+      wasSoleOwnerAt: (timeMs) => this.wasSoleOwnerAt(timeMs),
       mayExtendLease: () =>
         term.leaseUnconfirmedMs() <= MAXIMUM_UNCONFIRMED_MS && this.fleet.mayExtendLease(agent),
     });
--- a/packages/samphirenotch/src/jobs/workers/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerAgent.ts
@@ -147,6 +147,8 @@
   readonly batcher: OrderBatcher;
   /** Returns true if no other owner can have granted a lease yet. */
   readonly isSoleOwner: () => boolean;
+  /** Returns true if no other owner can have granted a lease until a monotonic time in milliseconds. */
+  readonly wasSoleOwnerAt: (timeMs: number) => boolean;
   /** Returns true if the worker's lease may be extended: no successor can count it as expired yet. */
   readonly mayExtendLease: () => boolean;
 }
@@ -669,8 +671,9 @@
       this.options.listener.onChange(this);
     }
     const hasLapsed = this.fenced && !this.mayHoldLease;
-    // A successor unknown to this owner may have extended the lease.
-    if (hasLapsed && this.options.isSoleOwner()) {
+    const lapsedAtMs = this.workerClock.latestAt(this.leaseUntilMs + LEASE_EXPIRY_MARGIN_MS);
+    // A successor unknown to this owner may have extended the lease before it lapsed.
+    if (hasLapsed && this.options.wasSoleOwnerAt(lapsedAtMs)) {
       this.activeRuns().forEach((run) => {
         this.noteUnexplained(run);
         this.dropLostRun(run, 'the lease has lapsed');
--- a/packages/samphirenotch/src/jobs/workers/workerClock.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerClock.ts
@@ -77,6 +77,17 @@
     return Math.max(0, (workerMs - this.earliestMs(this.clock.monotonicMs())) / MIN_CLOCK_RATE);
   }
 
+  /**
+   * Computes when the worker's clock has certainly passed a time.
+   *
+   * @param workerMs - time of the worker's clock in milliseconds
+   * @returns monotonic time of this process in milliseconds; infinite before the first reading
+   */
+  latestAt(workerMs: number): number {
+    if (this.workerMs === undefined) return Number.POSITIVE_INFINITY;
+    return this.readAtMs + (workerMs - this.workerMs) / MIN_CLOCK_RATE;
+  }
+
   private earliestMs(nowMs: number): number {
     return (this.workerMs ?? 0) + (nowMs - this.readAtMs) * MIN_CLOCK_RATE;
   }
--- a/packages/samphirenotch/src/jobs/workers/workerFleet.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerFleet.ts
@@ -132,6 +132,8 @@
    * @param onUsable - called when workers may have become usable
    * @param isStoreReachable - returns true if the store has answered lately
    * @param isSoleOwner - returns true if no other owner can have granted a lease yet
+   * @param wasSoleOwnerAt - returns true if no other owner can have granted a lease until a monotonic
+   *   time in milliseconds
    */
   constructor(
     private readonly makeAgent: (description: WorkerDescription) => WorkerAgent,
@@ -139,6 +141,7 @@
     private readonly onUsable: () => void,
     private readonly isStoreReachable: () => boolean,
     private readonly isSoleOwner: () => boolean,
+    private readonly wasSoleOwnerAt: (timeMs: number) => boolean,
   ) {
     this.formerLeases = new FormerLeases(clock);
     this.countdown = new LeaseCountdown(clock, onUsable);
@@ -401,13 +404,14 @@
 
   /** Gives up on workers whose former leases have expired. */
   private giveUpExpired(): void {
-    // A successor unknown to this owner may have extended the leases.
-    if (this.unreportedWorkers.size === 0 || !this.isSoleOwner()) return;
+    if (this.unreportedWorkers.size === 0) return;
     const nowMs = this.clock.monotonicMs();
     this.unreportedWorkers.forEach((_entry, agent) => {
       // A worker that answers this owner keeps its ends, and this owner extends its lease.
       if (agent.mayHoldLease) return;
-      if (nowMs >= this.formerLeases.endMs(agent.description)) this.giveUp(agent);
+      const endMs = this.formerLeases.endMs(agent.description);
+      // A successor unknown to this owner may have extended the lease before it ended.
+      if (nowMs >= endMs && this.wasSoleOwnerAt(endMs)) this.giveUp(agent);
     });
   }
 
--- a/tests/jobs/reportTimes.spec.ts
+++ b/tests/jobs/reportTimes.spec.ts
@@ -77,6 +77,7 @@
     signal: ended.signal,
     batcher: new OrderBatcher(clock),
     isSoleOwner: () => true,
+    wasSoleOwnerAt: () => true,
     mayExtendLease: () => true,
   });
 
--- a/tests/jobs/shrinkingWorkers.spec.ts
+++ b/tests/jobs/shrinkingWorkers.spec.ts
@@ -56,6 +56,7 @@
     signal: ended.signal,
     batcher,
     isSoleOwner: () => true,
+    wasSoleOwnerAt: () => true,
     mayExtendLease: () => true,
   });
   const running = agent.run();
