Rule out no successor by a worker that may have forgotten its token

A worker that starts again has forgotten the highest fencing token. It answered an owner for the first time after that, and counted as one that knows no successor.

Change: an answer counts only if it is of the incarnation that answered last while the owner was certain to be the only one. Why it works: that incarnation remembers the token of any successor that has reached it since.

--- a/packages/samphirenotch/src/jobs/workers/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerAgent.ts
@@ -214,6 +214,9 @@
 
   private bornMs: number | undefined;
 
+  /** The incarnation that answered last while there was no other owner. */
+  private soleBornMs: number | undefined;
+
   /**
    * Newest incarnation known when the worker last reported its own, from the worker or from the
    * directory: its time of birth in Unix milliseconds.
@@ -627,7 +630,7 @@
       this.log.info('A worker answers again', { worker: this.id });
       listener.onChange(this);
     }
-    this.answeredMs = sentMs;
+    this.noteAnswer(outcome.val.holding, sentMs);
     this.applyHolding(outcome.val.holding, sentMs, acknowledged);
     if (wasUnresponsive) return;
     await this.waitBeforeNextPoll(signal);
@@ -681,6 +684,12 @@
     }
   }
 
+  /** Only an incarnation that this owner knew as the only one remembers a successor's fencing token. */
+  private noteAnswer({ bornMs }: Holding, sentMs: number): void {
+    if (this.options.isSoleOwner()) this.soleBornMs = bornMs;
+    if (this.soleBornMs === bornMs) this.answeredMs = sentMs;
+  }
+
   private isNewIncarnation({ bornMs }: Holding): boolean {
     return this.bornMs !== undefined && bornMs > this.bornMs;
   }
