Simulate sites whose owners change many times, with one share and with several

Take-overs are disturbed soon after elections: kills, cuts, lost and late transactions, resets, dropped history, data centres that are cut off.

--- /dev/null
+++ b/tests/jobs/ownerSeriesModel.spec.ts
@@ -0,0 +1,21 @@
+/**
+ * Seeded simulations of sites whose owners change many times, half of them of one share.
+ *
+ * `SEEDS=100,300` runs the seeds from 100 to 300.
+ */
+import test from 'ava';
+
+import { simulateOwnerSeries } from '../fixtures/ownerSeriesModel.js';
+
+const [FIRST = 1, LAST = 6] = (process.env['SEEDS'] ?? '').split(',').filter(Boolean).map(Number);
+
+const seeds = Array.from({ length: LAST - FIRST + 1 }, (_, at) => FIRST + at);
+
+// Guards against tasks that run twice, or again after they are done, while owners follow one another.
+for (const seed of seeds) {
+  test.serial(`should run each task once under the faults of seed ${seed}`, async (t) => {
+    const options = { seed, isDivided: seed % 2 === 1, endsLeasesEarly: false };
+    const { violations } = await simulateOwnerSeries(options);
+    t.deepEqual(violations, []);
+  });
+}
