Address delegations to the owner that is to start them

No record shows it.

Cause: a delegation that was sent after the owner of a share had lost its lease early was started by that owner, whose inbox is followed by another watch than owners are, and at once by its successor, for whom it was newer than its own election.

Change: a delegation names the fencing token of the owner to whom it is sent. An owner with a lower token leaves it alone; one with a higher token treats it as inherited and waits until the workers of the former owner are accounted for. Delegations without a token, of former versions, are treated as before.

Why it works: of all owners of a share, only the one that is named starts the tasks without waiting, whichever watch is late.

--- a/packages/samphirenotch/src/jobs/model/delegation.ts
+++ b/packages/samphirenotch/src/jobs/model/delegation.ts
@@ -27,6 +27,11 @@
   readonly home: string;
   /** Id of the share that is to run the tasks. */
   readonly to: string;
+  /**
+   * Fencing token of the owner of that share to whom it was sent: a successor must not start the tasks
+   * beside that owner. Undefined if it was sent by a version that does not store it.
+   */
+  readonly toToken: number | undefined;
   readonly occurrence: number;
   readonly step: number;
   readonly tasks: readonly DelegatedTask[];
@@ -67,6 +72,7 @@
   n: z.string(),
   h: z.string(),
   t: z.string(),
+  f: z.number().optional(),
   k: z.number(),
   s: z.number(),
   r: z.array(TASK),
@@ -106,6 +112,7 @@
     n: delegation.name,
     h: delegation.home,
     t: delegation.to,
+    f: delegation.toToken,
     k: delegation.occurrence,
     s: delegation.step,
     r: delegation.tasks.map(toTuple),
@@ -120,12 +127,13 @@
  * @throws if the text was not written by `encodeDelegation`
  */
 export const decodeDelegation = (text: string): Delegation => {
-  const { j, n, h, t, k, s, r, c } = DELEGATION.parse(JSON.parse(text));
+  const { j, n, h, t, f, k, s, r, c } = DELEGATION.parse(JSON.parse(text));
   return {
     jobId: j,
     name: n,
     home: h,
     to: t,
+    toToken: f,
     occurrence: k,
     step: s,
     tasks: r.map(([index, nextRun, failedRuns, checkpoint]) => ({
--- a/packages/samphirenotch/src/jobs/ownership/inbox.ts
+++ b/packages/samphirenotch/src/jobs/ownership/inbox.ts
@@ -4,7 +4,12 @@
 import type { KeyValue } from '../../infrastructure/keyValueStore.js';
 import { partLog } from '../../observability/log.js';
 
-import { decodeDelegation, decodeReport, type DelegationReport } from '../model/delegation.js';
+import {
+  decodeDelegation,
+  decodeReport,
+  type Delegation,
+  type DelegationReport,
+} from '../model/delegation.js';
 import { keysOfShare, type ShareKeys } from '../store/jobKeys.js';
 import { applyItem, type StoreListener } from '../store/storeFollower.js';
 import type { OutgoingDelegations } from './outgoingDelegations.js';
@@ -25,6 +30,7 @@
 
   /**
    * @param keys - keys of the share
+   * @param fencingToken - fencing token of the term
    * @param incoming - receives delegations and recalls
    * @param outgoing - receives reports
    * @param initialExchange - delegations and reports of all shares when the term began, as stored
@@ -33,6 +39,7 @@
    */
   constructor(
     private readonly keys: ShareKeys,
+    private readonly fencingToken: number,
     private readonly incoming: IncomingDelegations,
     private readonly outgoing: OutgoingDelegations,
     private readonly initialExchange: ReadonlyMap<string, string>,
@@ -74,13 +81,17 @@
     this.delegationKeys.add(key);
     try {
       const delegation = decodeDelegation(value);
+      const { toToken = this.fencingToken } = delegation;
+      if (toToken > this.fencingToken) {
+        this.log.warn('A delegation belongs to a successor', { key, toToken });
+        return;
+      }
       const { receivedReportsPrefix: reportedPrefix } = keysOfShare(delegation.home);
       const id = key.slice(this.keys.receivedDelegationsPrefix.length);
       const previousReport = this.initialExchange.get(reportedPrefix + id);
       this.incoming.accept(
         delegation,
-        // A successor at the home may have written it again, so its revision may hide its age.
-        this.initialExchange.has(key) ? 0 : revision,
+        this.mayHaveFormerRuns(key, delegation) ? 0 : revision,
         previousReport === undefined ? undefined : decodeReport(previousReport),
       );
     } catch (error) {
@@ -88,6 +99,13 @@
     }
   }
 
+  /** Tells whether a former owner may have started tasks of a delegation. */
+  private mayHaveFormerRuns(key: string, { toToken }: Delegation): boolean {
+    const isOfFormerOwner = toToken !== undefined && toToken < this.fencingToken;
+    // A successor at the home may have written it again, so its revision may hide its age.
+    return isOfFormerOwner || this.initialExchange.has(key);
+  }
+
   private recall(key: string): void {
     this.delegationKeys.delete(key);
     const [jobId = '', name = ''] = key
--- a/packages/samphirenotch/src/jobs/ownership/outgoingDelegations.ts
+++ b/packages/samphirenotch/src/jobs/ownership/outgoingDelegations.ts
@@ -27,6 +27,8 @@
   readonly fencingToken: number;
   readonly book: JobRegistry;
   readonly journal: ProgressJournal;
+  /** Returns the fencing token of the owner of another share; undefined if it has none. */
+  readonly tokenOf: (share: string) => number | undefined;
   /** Called when a task is done in another share. */
   readonly onDone: (task: OwnedTask) => void;
   /** Called when runs of a task have failed in another share. */
@@ -126,7 +128,7 @@
    * @param to - id of the share that receives them
    */
   send(step: OwnedStep, tasks: readonly OwnedTask[], to: string): void {
-    const { share, fencingToken } = this.options;
+    const { share, fencingToken, tokenOf } = this.options;
     const { job, index } = step.occurrence;
     this.sentCount += 1;
     const delegation: Delegation = {
@@ -134,6 +136,7 @@
       name: `${fencingToken}-${this.sentCount}`,
       home: share,
       to,
+      toToken: tokenOf(to),
       occurrence: index,
       step: step.index,
       tasks: tasks.map(({ index: at, nextRun, failedRuns, crashedRuns, checkpoint }) => ({
--- a/packages/samphirenotch/src/jobs/ownership/shareExchange.ts
+++ b/packages/samphirenotch/src/jobs/ownership/shareExchange.ts
@@ -75,12 +75,14 @@
    * @param options - settings and collaborators
    */
   constructor(private readonly options: ShareExchangeOptions) {
-    const { share, takeover, book, outcomes, store, clock, onNews } = options;
+    const { share, fencingToken, takeover, book, outcomes, replica, store, clock, onNews } =
+      options;
     const { journal, exchange } = takeover;
     const keys = keysOfShare(share);
     this.outgoing = new OutgoingDelegations({
       ...options,
       journal,
+      tokenOf: (id) => replica.shares.owner(id)?.revision,
       onDone: (task) => outcomes.markDone(task),
       onFailed: (task) => outcomes.failJobIfExhausted(task),
       onGivenUp: (task) => outcomes.giveUp(task),
@@ -95,7 +97,7 @@
       onGuestProgress: (job) => this.incoming.report(job),
       onEndStored: (job) => this.outgoing.recallAll(job),
     });
-    this.inbox = new Inbox(keys, this.incoming, this.outgoing, exchange, onNews);
+    this.inbox = new Inbox(keys, fencingToken, this.incoming, this.outgoing, exchange, onNews);
     this.follower = new StoreFollower(store, keys.inboxPrefix, this.inbox, clock);
   }
 
--- a/tests/jobs/decisions.spec.ts
+++ b/tests/jobs/decisions.spec.ts
@@ -66,7 +66,7 @@
 });
 
 // Guards against an owner that cannot read what an owner of a former version has stored.
-test('should read progress, delegations and reports without crashes', (t) => {
+test('should read progress, delegations and reports of former versions', (t) => {
   const [step] = decodeProgress('{"o":[{"k":0,"s":[{"d":[0,2],"f":{"3":[1]}}]}]}').get(0) ?? [];
   t.is(step?.crashedRuns.size, 0);
   t.deepEqual(step?.failedRuns.get(3), [1]);
@@ -74,6 +74,7 @@
     '{"j":"a1","n":"1-1","h":"dc0","t":"dc1","k":0,"s":0,"r":[[2,5,[4],"c"]]}',
   );
   t.deepEqual(delegation.tasks[0]?.crashedRuns, []);
+  t.is(delegation.toToken, undefined);
   const report = decodeReport('{"t":"dc1","b":true,"r":[[2,5,[4],"c","r"]]}');
   t.like(report.tasks[0], { outcome: 'returned', crashedRuns: [], failedRuns: [4] });
 });
@@ -82,7 +83,7 @@
 test('should keep the runs under which workers crashed in delegations and reports', (t) => {
   const task = { index: 2, nextRun: 5, failedRuns: [], crashedRuns: [3, 4], checkpoint: '' };
   const names = { jobId: 'a1', name: '1-1', home: 'dc0', to: 'dc1', occurrence: 0, step: 0 };
-  const delegation = { ...names, tasks: [task] };
+  const delegation = { ...names, toToken: 7, tasks: [task] };
   t.deepEqual(decodeDelegation(encodeDelegation(delegation)), delegation);
   const tasks = [{ ...task, outcome: 'open' as const }];
   const report = { from: 'dc1', hasStarted: true, tasks };
--- a/tests/jobs/ownedJob.spec.ts
+++ b/tests/jobs/ownedJob.spec.ts
@@ -28,6 +28,7 @@
       name: '1-1',
       home: 'dc0',
       to: 'dc1',
+      toToken: 1,
       occurrence: 7,
       step: 1,
       tasks: [{ index: 2, nextRun: 3, failedRuns: [], crashedRuns: [5], checkpoint: 'c' }],
