Take no run for lost by a restart before a renewal that followed

Cause: the store may end an owner's lease early. Its successor reads and stores the end of a run, then the worker starts again and has forgotten the successor's token. The former owner, which took itself for the only one for 2.4 s more, took the new incarnation as proof that the run was lost, and started its task on a worker that its successor had not reached.

Evidence: "should not take a run for lost whose end a successor may have read" failed.

Change: the end of an incarnation counts once a renewal is confirmed that was sent after the first answer that showed it. A decision that waits for such a renewal asks for it at once, at most every 100 ms, and the poll is repeated after 150 ms. Why it works: the renewal shows that nobody else owned the share when the worker started again.

What it costs: a worker that has started again is noticed 150 ms later.

--- a/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
@@ -493,7 +493,11 @@
    * before its time to live is over, so only a renewal that was sent later proves it.
    */
   private wasSoleOwnerAt(timeMs: number): boolean {
-    return this.options.clock.monotonicMs() - this.term.leaseUnconfirmedMs() >= timeMs;
+    const { term } = this;
+    const nowMs = this.options.clock.monotonicMs();
+    const isProved = nowMs - term.leaseUnconfirmedMs() >= timeMs;
+    if (!isProved && nowMs >= timeMs) term.confirmSoon();
+    return isProved;
   }
 
   private homeJobs(): readonly ReplicatedJob[] {
--- a/packages/samphirenotch/src/jobs/ownership/ownerElection.ts
+++ b/packages/samphirenotch/src/jobs/ownership/ownerElection.ts
@@ -31,6 +31,9 @@
 /** Time between renewals, in milliseconds: allows three attempts within one lease. */
 const RENEWAL_INTERVAL_MS = 700;
 
+/** Time between renewals while a decision waits for one, in milliseconds. */
+const MIN_RENEWAL_INTERVAL_MS = 100;
+
 /** Timeout of one call to the store, in milliseconds. */
 const CALL_TIMEOUT_MS = 600;
 
@@ -92,6 +95,9 @@
 
   private readonly wakeup: Wakeup;
 
+  /** Ends the wait for the next renewal. */
+  private readonly renewal: Wakeup;
+
   private leaseConfirmedMs = 0;
 
   /** Hands over the term in progress; undefined outside of a term. */
@@ -102,6 +108,7 @@
    */
   constructor(private readonly options: ElectionOptions) {
     this.wakeup = new Wakeup(options.clock);
+    this.renewal = new Wakeup(options.clock);
   }
 
   /** @returns the id of the share */
@@ -243,6 +250,7 @@
       leaseValidUntilMs: () =>
         Math.min(this.leaseConfirmedMs + LEASE_MS - CLOCK_MARGIN_MS, handoverStartedMs),
       leaseUnconfirmedMs: () => this.options.clock.monotonicMs() - this.leaseConfirmedMs,
+      confirmSoon: () => this.renewal.wake(),
       stepDown: depose,
     };
     await Promise.all([
@@ -281,7 +289,9 @@
     // The election itself may have used up a part of the first interval.
     let waitMs = Math.max(0, RENEWAL_INTERVAL_MS - term.leaseUnconfirmedMs());
     while (!term.signal.aborted) {
-      await clock.sleep(waitMs, term.signal);
+      const leastWaitMs = Math.min(MIN_RENEWAL_INTERVAL_MS, waitMs);
+      await clock.sleep(leastWaitMs, term.signal);
+      await this.renewal.wait(waitMs - leastWaitMs, term.signal);
       waitMs = RENEWAL_INTERVAL_MS;
       if (term.signal.aborted) return;
       const sentMs = clock.monotonicMs();
--- a/packages/samphirenotch/src/jobs/store/term.ts
+++ b/packages/samphirenotch/src/jobs/store/term.ts
@@ -26,6 +26,8 @@
    * @returns milliseconds
    */
   leaseUnconfirmedMs(): number;
+  /** Renews the lease soon, because a decision waits for proof that it is held. */
+  confirmSoon(): void;
   /**
    * Ends the term early, e.g. because another owner has taken over or the lease has ended.
    *
--- a/packages/samphirenotch/src/jobs/workers/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerAgent.ts
@@ -49,6 +49,12 @@
  */
 const RETRY_MS = 400;
 
+/**
+ * Time until a poll is repeated whose answer showed the end of the incarnation, in milliseconds: the store
+ * is asked meanwhile whether there may be another owner.
+ */
+const PROOF_MS = 150;
+
 /** Longest time until the end of a worker's last run is acknowledged, in milliseconds. */
 const MAX_ACKNOWLEDGE_DELAY_MS = 1_200;
 
@@ -232,6 +238,12 @@
   /** Monotonic time at which the newest incarnation was noticed, in milliseconds. */
   private incarnationSinceMs = Number.NEGATIVE_INFINITY;
 
+  /**
+   * Monotonic time of the first answer that showed the end of the incarnation, in milliseconds; undefined
+   * before that.
+   */
+  private shownOverMs: number | undefined;
+
   /** Latest end that the worker's lease can have, in milliseconds of the worker's clock. */
   private leaseUntilMs = 0;
 
@@ -617,11 +629,13 @@
     const isOtherIncarnation = outcome.val.kind === 'other-life';
     const isNewIncarnation = isOtherIncarnation || this.isNewIncarnation(outcome.val.holding);
     // A restarted worker has forgotten the token of a successor that this owner may not know of.
-    const mayEndIncarnation = isNewIncarnation && this.options.isSoleOwner();
+    this.shownOverMs = isNewIncarnation ? (this.shownOverMs ?? clock.monotonicMs()) : undefined;
+    const mayEndIncarnation =
+      this.shownOverMs !== undefined && this.options.wasSoleOwnerAt(this.shownOverMs);
     if (isOtherIncarnation && mayEndIncarnation) this.endReplaced();
     if (isOtherIncarnation || (isNewIncarnation && !mayEndIncarnation)) {
       this.countFailedPoll();
-      await clock.sleep(RETRY_MS, signal);
+      await clock.sleep(mayEndIncarnation ? RETRY_MS : PROOF_MS, signal);
       return;
     }
     const wasUnresponsive = !this.isResponsive;
@@ -855,6 +869,7 @@
     this.storedSequence = 0;
     this.acknowledgedSequence = 0;
     this.leaseUntilMs = 0;
+    this.shownOverMs = undefined;
     this.hasMoreEnds = false;
     this.workerClock.reset();
     this.runs.setUnknownRuns([]);
