--- a/packages/samphirenotch/src/jobs/workers/workerFleet.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerFleet.ts
@@ -27,6 +27,9 @@
  */
 const MAX_ANSWER_AGE_MS = SUCCESSOR_DISCOVERY_MS - 500;
 
+/** Time for which the contested data centres are not worked out again, in milliseconds. */
+const CONTESTED_CACHE_MS = 20;
+
 const NO_DATA_CENTRES: ReadonlySet<string> = new Set();
 
 /** A worker on which an owner may have started runs, as stored for its successor. */
@@ -123,6 +126,11 @@
   /** True if the roster may differ from the one stored last. */
   private rosterChanged = true;
 
+  /** The contested data centres, as worked out last. */
+  private contested: ReadonlySet<string> = NO_DATA_CENTRES;
+
+  private contestedAtMs = Number.NEGATIVE_INFINITY;
+
   /** The contested data centres as they were logged last. */
   private loggedContested = '';
 
@@ -306,17 +314,21 @@
    */
   private contestedDataCentres(): ReadonlySet<string> {
     if (this.isSoleOwner()) return NO_DATA_CENTRES;
-    const sinceMs = this.clock.monotonicMs() - MAX_ANSWER_AGE_MS;
+    const nowMs = this.clock.monotonicMs();
+    if (nowMs < this.contestedAtMs + CONTESTED_CACHE_MS) return this.contested;
+    const sinceMs = nowMs - MAX_ANSWER_AGE_MS;
     const accepting = new Set(
       this.all()
         .filter(({ answeredMs }) => answeredMs >= sinceMs)
         .map(({ description }) => rosterNameOf(description)),
     );
-    return new Set(
+    this.contested = new Set(
       [...this.possiblyRostered].flatMap(([name, dataCentre]) =>
         accepting.has(name) ? [] : [dataCentre],
       ),
     );
+    this.contestedAtMs = nowMs;
+    return this.contested;
   }
 
   private logContested(): void {
