--- a/packages/samphirenotch/src/jobs/workers/workerFleet.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerFleet.ts
@@ -114,8 +114,8 @@
   /** Names of workers that every owner before this one that may still act has in its roster. */
   private settledBefore: ReadonlySet<string> = new Set();
 
-  /** False while an owner before this one may still act. */
-  private isOnlySurvivor = false;
+  /** True once no owner before this one can act any more. */
+  private areFormerOwnersOver = false;
 
   /**
    * Monotonic time until which any worker may hold leases of a former owner whose roster is not
@@ -187,7 +187,7 @@
     this.countdown.beginTerm(journal, keys.leases);
     this.termBeganMs = this.clock.monotonicMs();
     this.formerLeases.beginTerm(leases);
-    this.isOnlySurvivor = roster?.length === 0;
+    this.areFormerOwnersOver = roster?.length === 0;
     if (roster) this.waitForFormerWorkers(roster);
     else this.rosterUnknownUntilMs = this.formerLeases.latestEndMs;
   }
@@ -505,8 +505,8 @@
   /** Notes when the owners before this one have ended, which settles all workers of the roster. */
   private checkFormerOwners(): void {
     const isOver = this.clock.monotonicMs() >= this.termBeganMs + MAXIMUM_UNCONFIRMED_MS;
-    if (this.isOnlySurvivor || !isOver) return;
-    this.isOnlySurvivor = true;
+    if (this.areFormerOwnersOver || !isOver) return;
+    this.areFormerOwnersOver = true;
     this.rosterChanged = true;
   }
 
@@ -521,7 +521,7 @@
         service: description.service,
         dataCentre: description.dataCentre,
         draining: description.phase === 'draining',
-        isSettled: this.isOnlySurvivor || this.settledBefore.has(rosterNameOf(description)),
+        isSettled: this.areFormerOwnersOver || this.settledBefore.has(rosterNameOf(description)),
       }));
     const text = JSON.stringify(roster);
     if (text === this.lastRosterText) return;
