--- a/tests/jobs/restartedContacts.spec.ts
+++ b/tests/jobs/restartedContacts.spec.ts
@@ -3,18 +3,12 @@
  */
 import test from 'ava';
 
-import { JobSite, makeJob, makeStep, type SiteEntry } from '../fixtures/jobSite.js';
+import { JobSite, makeJob, makeStep } from '../fixtures/jobSite.js';
+import { isOwner, runUntil } from '../fixtures/ownerIsland.js';
 
 const ID = '00000000000000a1';
 const SIZE = { milliCores: 1_000, memoryMb: 1_000, accelerators: 0 };
 
-const isOwner = (site: JobSite, { client }: SiteEntry): boolean =>
-  site.data.items.get('jobs/shares/site/owner')?.value.split(' ')[1] === client;
-
-const runUntilOwner = async (site: JobSite, entry: SiteEntry): Promise<void> => {
-  while (!isOwner(site, entry)) await site.clock.advance(2);
-};
-
 // Guards against a task that runs twice: a worker that has forgotten the successor's fencing token answers
 // the former owner for the first time, so that this extends leases that the successor counts as expired.
 test('should not rule out a successor by a worker that restarted before its first answer', async (t) => {
@@ -29,7 +23,7 @@
   await site.run(500);
   site.cutFromWorkers(former.client, ['w3']);
   first.kill();
-  await runUntilOwner(site, former);
+  await runUntil(site, () => isOwner(site, former));
   await site.run(500);
   site.putJobs([ID], makeJob(makeStep({ count: 9 })));
   await site.run(500);
@@ -40,7 +34,7 @@
   store.isCutOff = true;
   site.cutFromWorkers(former.client, ['w0', 'w2']);
   site.cutFromWorkers(successor.client, ['w1']);
-  await runUntilOwner(site, successor);
+  await runUntil(site, () => isOwner(site, successor));
   await site.run(200);
   const restarted = site.workers.get('w3');
   restarted?.restart();
--- a/tests/jobs/revokedLeases.spec.ts
+++ b/tests/jobs/revokedLeases.spec.ts
@@ -4,16 +4,11 @@
 import test from 'ava';
 
 import { JobSite, makeJob, makeStep } from '../fixtures/jobSite.js';
+import { revokeLease } from '../fixtures/revokedLease.js';
 
 const ID = '00000000000000a1';
 const SIZE = { milliCores: 1_000, memoryMb: 1_000, accelerators: 0 };
 
-/** Ends the lease of the owner of the site, like a store that drops leases when it starts again. */
-const endOwnerLease = ({ data }: JobSite): void => {
-  const item = data.items.get('jobs/shares/site/owner');
-  if (item?.leaseId !== undefined) data.endLease(item.leaseId);
-};
-
 /**
  * Lets the owner lose its data centre's connection to the worker of the only run, and the store with its
  * lease some time later; the successor reaches the worker.
@@ -40,7 +35,7 @@
   await site.run(untilRevokedMs);
   const { store } = former;
   store.isCutOff = true;
-  endOwnerLease(site);
+  revokeLease(site);
   await site.run(12_000);
   return site;
 };
@@ -81,7 +76,7 @@
   await site.run(untilRevokedMs - 3_000);
   const { store } = former;
   store.isCutOff = true;
-  endOwnerLease(site);
+  revokeLease(site);
   await site.run(12_000);
   return site;
 };
