Name what a fleet asks its owner, and compute each bound once

The fleet took five callbacks by position; they have names now. Which workers are usable repeated the check of mayExtendLease, which is cached anyway. The end of the former owners was worked out in three places, and the time at which a worker's clock has passed a value in three. The comment on answers of incarnations said what the code does, not why.

--- a/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
@@ -172,14 +172,14 @@
     this.turns = new OrderBatcher(options.clock);
     this.book = new JobRegistry(options.operator, options.clock);
     this.outcomes = new TaskOutcomes(this.book, options.clock, options.viewAgeMs);
-    this.fleet = new WorkerFleet(
-      (description) => this.createAgent(description),
-      options.clock,
-      () => this.wakeup.wake(),
-      () => term.leaseUnconfirmedMs() <= MAX_STORE_ANSWER_AGE_MS,
-      () => this.isSoleOwner(),
-      (timeMs) => this.wasSoleOwnerAt(timeMs),
-    );
+    this.fleet = new WorkerFleet({
+      makeAgent: (description) => this.createAgent(description),
+      clock: options.clock,
+      onUsable: () => this.wakeup.wake(),
+      isStoreReachable: () => term.leaseUnconfirmedMs() <= MAX_STORE_ANSWER_AGE_MS,
+      isSoleOwner: () => this.isSoleOwner(),
+      wasSoleOwnerAt: (timeMs) => this.wasSoleOwnerAt(timeMs),
+    });
     this.watch = new RunSupervisor(this.fleet, options.clock);
     this.slowWorkers = new SlowWorkerDetector(this.fleet, options.clock);
     const interference = new Interference();
--- a/packages/samphirenotch/src/jobs/store/progressJournal.ts
+++ b/packages/samphirenotch/src/jobs/store/progressJournal.ts
@@ -70,7 +70,7 @@
 
 interface Waiter {
   readonly sequence: number;
-  readonly resolve: (waitUntilStored: boolean) => void;
+  readonly resolve: (isStored: boolean) => void;
 }
 
 /** The journal of one term of ownership. */
--- a/packages/samphirenotch/src/jobs/workers/formerLeases.ts
+++ b/packages/samphirenotch/src/jobs/workers/formerLeases.ts
@@ -37,9 +37,14 @@
    */
   constructor(private readonly clock: Clock) {}
 
+  /** @returns monotonic time by which every former owner has ended, in milliseconds */
+  get ownersEndMs(): number {
+    return this.termBeganMs + MAXIMUM_UNCONFIRMED_MS;
+  }
+
   /** @returns monotonic time at which the last of all former leases ends, in milliseconds */
   get latestEndMs(): number {
-    return this.termBeganMs + MAXIMUM_UNCONFIRMED_MS + MAX_FORMER_LEASE_MS;
+    return this.ownersEndMs + MAX_FORMER_LEASE_MS;
   }
 
   /**
@@ -85,10 +90,7 @@
    */
   endMs({ id, dataCentre }: Pick<WorkerDescription, 'id' | 'dataCentre'>): number {
     const reachedAtMs = this.reachedAtMs.get(dataCentre) ?? Number.POSITIVE_INFINITY;
-    const lastExtensionMs = Math.min(
-      this.termBeganMs + MAXIMUM_UNCONFIRMED_MS,
-      reachedAtMs + SUCCESSOR_DISCOVERY_MS,
-    );
+    const lastExtensionMs = Math.min(this.ownersEndMs, reachedAtMs + SUCCESSOR_DISCOVERY_MS);
     return Math.min(
       lastExtensionMs + MAX_FORMER_LEASE_MS,
       this.countedDownEndsMs.get(id) ?? Number.POSITIVE_INFINITY,
--- a/packages/samphirenotch/src/jobs/workers/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerAgent.ts
@@ -698,7 +698,10 @@
     }
   }
 
-  /** Only an incarnation that this owner knew as the only one remembers a successor's fencing token. */
+  /**
+   * An incarnation that answered while there was no other owner knows the fencing token of any successor
+   * that has reached it since. One that is younger may have forgotten it.
+   */
   private noteAnswer({ bornMs }: Holding, sentMs: number): void {
     if (this.options.isSoleOwner()) this.soleBornMs = bornMs;
     if (this.soleBornMs === bornMs) this.answeredMs = sentMs;
--- a/packages/samphirenotch/src/jobs/workers/workerClock.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerClock.ts
@@ -63,7 +63,7 @@
    * @returns true only if it has passed even at the slowest rate of the clock
    */
   hasPassed(workerMs: number): boolean {
-    return this.workerMs !== undefined && this.earliestMs(this.clock.monotonicMs()) >= workerMs;
+    return this.clock.monotonicMs() >= this.latestAt(workerMs);
   }
 
   /**
@@ -73,12 +73,11 @@
    * @returns time of this process's clock in milliseconds; infinite before the first reading
    */
   longestUntil(workerMs: number): number {
-    if (this.workerMs === undefined) return Number.POSITIVE_INFINITY;
-    return Math.max(0, (workerMs - this.earliestMs(this.clock.monotonicMs())) / MIN_CLOCK_RATE);
+    return Math.max(0, this.latestAt(workerMs) - this.clock.monotonicMs());
   }
 
   /**
-   * Computes when the worker's clock has certainly passed a time.
+   * Computes from when on the worker's clock has certainly passed a time.
    *
    * @param workerMs - time of the worker's clock in milliseconds
    * @returns monotonic time of this process in milliseconds; infinite before the first reading
--- a/packages/samphirenotch/src/jobs/workers/workerFleet.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerFleet.ts
@@ -9,7 +9,6 @@
 import type { OwnedTask } from '../model/ownedJob.js';
 import type { ShareKeys } from '../store/jobKeys.js';
 import type { ProgressJournal } from '../store/progressJournal.js';
-import { MAXIMUM_UNCONFIRMED_MS } from '../store/term.js';
 import { FormerLeases, SUCCESSOR_DISCOVERY_MS } from './formerLeases.js';
 import { LeaseCountdown, type LeaseLeft } from './leaseCountdown.js';
 import type { WorkerAgent } from './workerAgent.js';
@@ -68,6 +67,21 @@
 const rosterNameOf = ({ id, address }: Pick<RosterEntry, 'id' | 'address'>): string =>
   `${id} ${address}`;
 
+/** Settings and collaborators of a `WorkerFleet`. */
+export interface WorkerFleetOptions {
+  /** Creates the agent of a worker. */
+  readonly makeAgent: (description: WorkerDescription) => WorkerAgent;
+  readonly clock: Clock;
+  /** Called when workers may have become usable. */
+  readonly onUsable: () => void;
+  /** Returns true if the store has answered lately. */
+  readonly isStoreReachable: () => boolean;
+  /** Returns true if no other owner can have granted a lease yet. */
+  readonly isSoleOwner: () => boolean;
+  /** Returns true if no other owner can have granted a lease until a monotonic time in milliseconds. */
+  readonly wasSoleOwnerAt: (timeMs: number) => boolean;
+}
+
 /** Holds a worker agent for each worker. */
 export class WorkerFleet {
   private readonly log = partLog('fleet');
@@ -134,23 +148,14 @@
   /** The contested data centres as they were logged last. */
   private loggedContested = '';
 
+  private readonly clock: Clock;
+
   /**
-   * @param makeAgent - creates the agent of a worker
-   * @param clock - time
-   * @param onUsable - called when workers may have become usable
-   * @param isStoreReachable - returns true if the store has answered lately
-   * @param isSoleOwner - returns true if no other owner can have granted a lease yet
-   * @param wasSoleOwnerAt - returns true if no other owner can have granted a lease until a monotonic
-   *   time in milliseconds
+   * @param options - clock, and what the fleet asks its owner
    */
-  constructor(
-    private readonly makeAgent: (description: WorkerDescription) => WorkerAgent,
-    private readonly clock: Clock,
-    private readonly onUsable: () => void,
-    private readonly isStoreReachable: () => boolean,
-    private readonly isSoleOwner: () => boolean,
-    private readonly wasSoleOwnerAt: (timeMs: number) => boolean,
-  ) {
+  constructor(private readonly options: WorkerFleetOptions) {
+    const { clock, onUsable } = options;
+    this.clock = clock;
     this.formerLeases = new FormerLeases(clock);
     this.countdown = new LeaseCountdown(clock, onUsable);
   }
@@ -313,7 +318,7 @@
    * there: some worker of the roster has not accepted this owner's fencing token for a while.
    */
   private contestedDataCentres(): ReadonlySet<string> {
-    if (this.isSoleOwner()) return NO_DATA_CENTRES;
+    if (this.options.isSoleOwner()) return NO_DATA_CENTRES;
     const nowMs = this.clock.monotonicMs();
     if (nowMs < this.contestedAtMs + CONTESTED_CACHE_MS) return this.contested;
     const sinceMs = nowMs - MAX_ANSWER_AGE_MS;
@@ -379,12 +384,10 @@
    * @returns their agents
    */
   usable(evacuated: ReadonlySet<string>): readonly WorkerAgent[] {
-    const contested = this.contestedDataCentres();
     return this.all().filter(
       (agent) =>
         agent.takesWork &&
-        !this.countdown.has(agent.id) &&
-        !contested.has(agent.description.dataCentre) &&
+        this.mayExtendLease(agent) &&
         this.rostered.has(rosterNameOf(agent.description)) &&
         !evacuated.has(agent.description.dataCentre),
     );
@@ -423,7 +426,7 @@
       if (agent.mayHoldLease) return;
       const endMs = this.formerLeases.endMs(agent.description);
       // A successor unknown to this owner may have extended the lease before it ended.
-      if (nowMs >= endMs && this.wasSoleOwnerAt(endMs)) this.giveUp(agent);
+      if (nowMs >= endMs && this.options.wasSoleOwnerAt(endMs)) this.giveUp(agent);
     });
   }
 
@@ -445,7 +448,7 @@
   }
 
   private add(description: WorkerDescription): WorkerAgent {
-    const agent = this.makeAgent(description);
+    const agent = this.options.makeAgent(description);
     this.agents.set(description.id, agent);
     this.rosterChanged = true;
     agent.run().catch((error: unknown) => {
@@ -497,15 +500,15 @@
   private shouldBeCountedDown(agent: WorkerAgent): boolean {
     if (this.countdown.has(agent.id)) return true;
     // In an outage the lease could not be extended again before a record is stored after it.
-    if (!this.isStoreReachable()) return false;
+    if (!this.options.isStoreReachable()) return false;
     const isPassedOn = !agent.isFenced && this.formerLeases.isCountedDown(agent.id);
     return isPassedOn || agent.silentMs >= MIN_SILENCE_MS;
   }
 
   /** Notes when the owners before this one have ended, which settles all workers of the roster. */
   private checkFormerOwners(): void {
-    const isOver = this.clock.monotonicMs() >= this.termBeganMs + MAXIMUM_UNCONFIRMED_MS;
-    if (this.areFormerOwnersOver || !isOver) return;
+    if (this.areFormerOwnersOver) return;
+    if (this.clock.monotonicMs() < this.formerLeases.ownersEndMs) return;
     this.areFormerOwnersOver = true;
     this.rosterChanged = true;
   }
@@ -546,7 +549,7 @@
             ([name]) => names.has(name) || this.newestRostered.has(name),
           ),
         );
-        this.onUsable();
+        this.options.onUsable();
       },
       (error: unknown) => {
         this.log.error('The roster of workers was not stored', { reason: String(error) });
