--- a/tests/jobs/earlyLeaseEnds.spec.ts
+++ b/tests/jobs/earlyLeaseEnds.spec.ts
@@ -2,13 +2,10 @@
  * An owner that believes itself certain of its lease while the store has ended it early.
  */
 import test from 'ava';
-import { WHOLE_SITE_SHARE_ID } from 'samphirenotch/jobs/model/shareLayout.js';
-import { keysOfShare } from 'samphirenotch/jobs/store/jobKeys.js';
 
 import type { JobSite, SiteEntry } from '../fixtures/jobSite.js';
 import { cutOff, makeIsland } from '../fixtures/ownerIsland.js';
-
-const KEYS = keysOfShare(WHOLE_SITE_SHARE_ID);
+import { revokeLease } from '../fixtures/revokedLease.js';
 
 /** Time between two renewals of an owner's lease, in milliseconds. */
 const RENEWAL_INTERVAL_MS = 700;
@@ -23,10 +20,10 @@
 const MAX_LEASE_MS = 6_000;
 
 /** Cuts an owner off from the store, which ends its lease at once. */
-const endLeaseEarly = ({ data }: JobSite, { store }: SiteEntry): void => {
+const endLeaseEarly = (site: JobSite, { store }: SiteEntry): void => {
   const cut = store;
   cut.isCutOff = true;
-  data.endLease(data.items.get(KEYS.owner)?.leaseId ?? '');
+  revokeLease(site);
 };
 
 /** Returns the latest end of a lease that a worker has during a time, as a time of the clock. */
--- a/tests/jobs/restartedContacts.spec.ts
+++ b/tests/jobs/restartedContacts.spec.ts
@@ -3,8 +3,8 @@
  */
 import test from 'ava';
 
-import { JobSite, makeJob, makeStep } from '../fixtures/jobSite.js';
-import { isOwner, runUntil } from '../fixtures/ownerIsland.js';
+import { JobSite, makeJob, makeStep, runUntil } from '../fixtures/jobSite.js';
+import { isOwner } from '../fixtures/ownerIsland.js';
 
 const ID = '00000000000000a1';
 const SIZE = { milliCores: 1_000, memoryMb: 1_000, accelerators: 0 };
--- a/tests/jobs/sharesTransitions.spec.ts
+++ b/tests/jobs/sharesTransitions.spec.ts
@@ -16,8 +16,11 @@
   makeDividedSite,
   makeJob,
   makeStep,
+  ownerOf,
+  runUntil,
   type SiteEntry,
 } from '../fixtures/jobSite.js';
+import { revokeLease } from '../fixtures/revokedLease.js';
 
 const ID = '00000000000000a1';
 const SIZE = { milliCores: 1_000, memoryMb: 1_000, accelerators: 0 };
@@ -33,16 +36,6 @@
 const exchangeKeys = (site: JobSite): readonly string[] =>
   [...site.data.items.keys()].filter((key) => /^exchange\/|\/away\//u.test(key));
 
-/** Advances the clock until a condition holds; throws after 10 s. */
-const runUntil = async (site: JobSite, holds: () => boolean): Promise<void> => {
-  const LONGEST_MS = 10_000;
-  const untilMs = site.clock.monotonicMs() + LONGEST_MS;
-  while (!holds()) {
-    if (site.clock.monotonicMs() > untilMs) throw new Error('it does not come to that');
-    await site.clock.advance(2);
-  }
-};
-
 /** Returns the revision of the newest item whose key has the prefix; 0 if there is none. */
 const revisionOf = (site: JobSite, prefix: string): number =>
   Math.max(
@@ -61,9 +54,6 @@
   );
 };
 
-const ownerOf = (site: JobSite, share: string): string =>
-  site.data.items.get(keysOfShare(share).owner)?.value.split(' ')[0] ?? '';
-
 // Guards against an old delegation that looks new: a successor of the home writes it again, so that
 // its revision is higher than the election of the other share's owner.
 test('should wait for runs of a former owner when an old delegation is written again', async (t) => {
@@ -130,7 +120,7 @@
   t.deepEqual(ownedBy(second), ['dc0', 'dc1']);
   const first = site.start('a', false, 1, 'dc0');
   await site.run(300);
-  site.data.endLease(site.data.items.get(keysOfShare('dc1').owner)?.leaseId ?? '');
+  revokeLease(site, 'dc1');
   await site.run(1_000);
   t.deepEqual([ownedBy(first), ownedBy(second)], [['dc1'], ['dc0']]);
   await site.run(20_000);
