--- a/tests/jobs/countedDownLeases.spec.ts
+++ b/tests/jobs/countedDownLeases.spec.ts
@@ -5,7 +5,7 @@
 import { WHOLE_SITE_SHARE_ID } from 'samphirenotch/jobs/model/shareLayout.js';
 import { keysOfShare } from 'samphirenotch/jobs/store/jobKeys.js';
 
-import type { JobSite, SiteEntry } from '../fixtures/jobSite.js';
+import { runUntil, type JobSite, type SiteEntry } from '../fixtures/jobSite.js';
 import {
   countRunning,
   LASTING_TASKS as TASKS,
@@ -27,7 +27,9 @@
 /** Time without contact after which a lease has almost lapsed, in milliseconds. */
 const LONG_CUT_MS = 5_000;
 
-const { leases: LEASES_KEY, journal: JOURNAL_KEY } = keysOfShare(WHOLE_SITE_SHARE_ID);
+const KEYS = keysOfShare(WHOLE_SITE_SHARE_ID);
+
+const { leases: LEASES_KEY, journal: JOURNAL_KEY } = KEYS;
 
 /** Cuts a worker off from all entries that have been started so far. */
 const cutFromAll = (site: JobSite, id: string): void =>
@@ -148,6 +150,53 @@
   }
 });
 
+/** Waits until an entry has opened the journal of the share. */
+const waitForJournal = ({ site, by }: { readonly site: JobSite; readonly by: SiteEntry }) =>
+  runUntil(site, () => site.data.items.get(JOURNAL_KEY)?.value.split(' ')[0] === by.client);
+
+// Guards against tasks that wait for the longest lease because an owner died between opening the journal
+// and its first record: what its predecessor had stored counted for nothing.
+test('should go by the stored leases of an owner before one that died during its take-over', async (t) => {
+  for (const faults of [[], ['answer-lost'], ['late']] as const) {
+    const { site, owner, successor } = await makeSiteWithLastingTasks();
+    loseWorker(site, 'w0');
+    await site.run(LONG_CUT_MS);
+    successor.store.unlisted.add(KEYS.ownerPrefix);
+    successor.store.failCommitsUnder(JOURNAL_KEY, ...faults);
+    owner.kill();
+    await waitForJournal({ site, by: successor });
+    const third = site.start('c');
+    site.cutFromWorkers(third.client, ['w0']);
+    await site.run(500);
+    successor.kill();
+    await site.run(ELECTION_MS + LONGEST_LEASE_MS - LONG_CUT_MS);
+    t.is(countRunning(site), TASKS, `${faults.join()}`);
+    t.deepEqual(site.record.violations, [], `${faults.join()}`);
+  }
+});
+
+// Guards against a task that runs twice: an owner extends a lease that it has passed on to its successor
+// as counted down.
+test('should extend no lease that was counted down at the take-over before that is stored', async (t) => {
+  for (let delayMs = 0; delayMs < 2_000; delayMs += 200) {
+    const { site, owner, successor } = await makeSiteWithLastingTasks();
+    site.cutFromWorkers(owner.client, ['w0']);
+    await site.run(LONG_CUT_MS);
+    const isOpened = waitForJournal({ site, by: successor });
+    owner.stop();
+    await isOpened;
+    successor.store.failCommits(...Array.from({ length: 9 }, () => 'silent' as const));
+    const third = site.start('c');
+    site.cutFromWorkers(third.client, ['w0']);
+    await waitForAnswers(site, successor, 'w0', true);
+    await site.run(delayMs);
+    successor.kill();
+    await site.run(20_000);
+    t.deepEqual(site.record.violations, [], `${delayMs} ms`);
+    t.is(countRunning(site), TASKS, `${delayMs} ms`);
+  }
+});
+
 // Guards against a worker that is never used again after it did not answer for a while.
 test('should extend the lease of a worker again once the record is stored', async (t) => {
   const { site, owner } = await makeSiteWithLastingTasks();
