Pass on the leases that are counted down with the first write of an owner

Callers saw: tasks that last are not started again for 9 s and more after a take-over, although their workers were lost long before and an earlier owner had stored how long their leases can last.

The new owner treats the leases in it as counted down from the beginning of its term: it extends none of them before a record without them is stored, and takes none out before its worker has answered.

Why no task can run twice: a record says that its owner extends the leases in it only after a record without them.

--- a/packages/samphirenotch/src/jobs/ownership/takeover.ts
+++ b/packages/samphirenotch/src/jobs/ownership/takeover.ts
@@ -90,8 +90,30 @@
   readonly revision: number;
   /** Label of the journal of the owner before; undefined if there was none. */
   readonly formerLabel: string | undefined;
+  /** Leases that the owner before counted down, in the store as those that this owner counts down. */
+  readonly leases: readonly LeaseLeft[];
 }
 
+/** Returns the leases that an owner counts down; none if the record is of another owner. */
+const parseLeases = (
+  item: KeyValue | undefined,
+  label: string | undefined,
+): readonly LeaseLeft[] => {
+  if (!item) return [];
+  try {
+    const record = LEASE_RECORD.parse(JSON.parse(item.value));
+    return record.journal === label ? record.leases : [];
+  } catch (error) {
+    const reason = String(error).slice(0, LONGEST_REASON);
+    log.error('The leases that are counted down cannot be read', { key: item.key, reason });
+    return [];
+  }
+};
+
+/**
+ * Opens the journal. The same transaction passes on the leases that the owner before counted down, so that
+ * they count for the next owner even if this one stores nothing else.
+ */
 const openJournal = async (
   { share, store, clock, process }: TakeoverOptions,
   term: Term,
@@ -106,17 +128,26 @@
       await clock.sleep(RETRY_MS, term.signal);
       continue;
     }
+    const counted = await store.get(keys.leases, call());
+    if (counted.err) {
+      await clock.sleep(RETRY_MS, term.signal);
+      continue;
+    }
     // A transaction whose answer was lost may have written the label of this owner.
     if (known.val && known.val.value !== label) formerLabel = known.val.value;
+    const leases = parseLeases(counted.val, known.val?.value);
+    const record: LeaseRecord = { journal: label, leases };
     const outcome = await store.commit(
       {
         expectations: [
           { key: keys.owner, revision: term.fencingToken },
           { key: keys.journal, revision: known.val?.revision ?? 0 },
+          { key: keys.leases, revision: counted.val?.revision ?? 0 },
         ],
         writes: [
           { key: keys.journal, value: label },
           { key: keys.opened, value: label },
+          ...(leases.length === 0 ? [] : [{ key: keys.leases, value: JSON.stringify(record) }]),
         ],
         removals: [],
       },
@@ -132,7 +163,7 @@
         label,
         term.stepDown,
       );
-      return { journal, revision, formerLabel };
+      return { journal, revision, formerLabel, leases };
     }
     if (outcome.ok) {
       const owner = await store.get(keys.owner, call());
@@ -183,24 +214,6 @@
   }
 };
 
-/** Returns the leases that the last owner counted down; none if the record is of another owner. */
-const readLeases = (
-  items: readonly KeyValue[],
-  { leases }: ShareKeys,
-  formerLabel: string | undefined,
-): readonly LeaseLeft[] => {
-  const item = items.find(({ key }) => key === leases);
-  if (!item) return [];
-  try {
-    const record = LEASE_RECORD.parse(JSON.parse(item.value));
-    return record.journal === formerLabel ? record.leases : [];
-  } catch (error) {
-    const reason = String(error).slice(0, LONGEST_REASON);
-    log.error('The leases that are counted down cannot be read', { key: leases, reason });
-    return [];
-  }
-};
-
 const readExchange = async (
   { store, clock }: TakeoverOptions,
   term: Term,
@@ -249,10 +262,7 @@
       journal: opened.journal,
       firstRun: term.fencingToken * RUN_NUMBERS_PER_TERM,
       progress: readProgress(items, keys),
-      workers: {
-        roster: readRoster(items, keys),
-        leases: readLeases(items, keys, opened.formerLabel),
-      },
+      workers: { roster: readRoster(items, keys), leases: opened.leases },
       formerOwner: opened.formerLabel,
       openDelegations: items
         .filter(({ key }) => key.startsWith(keys.openDelegationsPrefix))
--- a/packages/samphirenotch/src/jobs/workers/formerLeases.ts
+++ b/packages/samphirenotch/src/jobs/workers/formerLeases.ts
@@ -68,16 +68,6 @@
       this.reachedAtMs.set(dataCentre, this.clock.monotonicMs());
   }
 
-  /**
-   * Checks whether the last owner had counted down a lease.
-   *
-   * @param id - id of the worker
-   * @returns true if it had
-   */
-  isCountedDown(id: string): boolean {
-    return this.countedDownEndsMs.has(id);
-  }
-
   /**
    * Computes when a worker that has not answered can hold no lease of a former owner any more: at the
    * latest after the longest time for which a former owner goes on without a confirmed lease. A former
--- a/packages/samphirenotch/src/jobs/workers/leaseCountdown.ts
+++ b/packages/samphirenotch/src/jobs/workers/leaseCountdown.ts
@@ -16,6 +16,9 @@
 /** Shortest time between two records, in milliseconds: many workers may come and go at once. */
 const MIN_INTERVAL_MS = 50;
 
+/** Sequence number of a record that was stored before the first change of the journal. */
+const STORED_BEFORE = 0;
+
 /** Most workers that are named in one log line. */
 const MAX_LOGGED = 12;
 
@@ -29,7 +32,7 @@
 
 /** What an owner stores of the leases that it does not extend. */
 export interface LeaseRecord {
-  /** Label of the owner's journal: the record says nothing about leases of a later owner. */
+  /** Label of the owner's journal: the record says nothing about leases of another owner. */
   readonly journal: string;
   readonly leases: readonly LeaseLeft[];
 }
@@ -73,10 +76,13 @@
    *
    * @param journal - journal that stores the record
    * @param key - key of the record
+   * @param leases - the record that is stored: leases that the last owner had counted down
    */
-  beginTerm(journal: ProgressJournal, key: string): void {
+  beginTerm(journal: ProgressJournal, key: string, leases: readonly LeaseLeft[]): void {
     this.journal = journal;
     this.key = key;
+    this.newestIds = leases.map(({ id }) => id);
+    this.newestIds.forEach((id) => this.recorded.set(id, STORED_BEFORE));
   }
 
   /**
--- a/packages/samphirenotch/src/jobs/workers/workerFleet.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerFleet.ts
@@ -189,7 +189,7 @@
   ): void {
     this.journal = journal;
     this.rosterKey = keys.roster;
-    this.countdown.beginTerm(journal, keys.leases);
+    this.countdown.beginTerm(journal, keys.leases, leases);
     this.termBeganMs = this.clock.monotonicMs();
     this.formerLeases.beginTerm(leases);
     this.areFormerOwnersOver = roster?.length === 0;
@@ -481,13 +481,21 @@
     return agent.isFenced || this.unreportedWorkers.has(agent);
   }
 
+  /**
+   * Tells whether a worker owes an answer. One whose lease the last owner had counted down does so from the
+   * beginning.
+   */
+  private isSilent(agent: WorkerAgent): boolean {
+    return !agent.isResponsive || (!agent.isFenced && this.countdown.has(agent.id));
+  }
+
   /** Lists the leases to count down: of workers that are silent. */
   private leasesLeft(): readonly LeaseLeft[] {
     const nowMs = this.clock.monotonicMs();
     return this.all()
       .filter(
         (agent) =>
-          !agent.isResponsive && this.mayHoldRuns(agent) && this.shouldBeCountedDown(agent),
+          this.isSilent(agent) && this.mayHoldRuns(agent) && this.shouldBeCountedDown(agent),
       )
       .flatMap((agent) => {
         const leftMs = agent.leaseLeftMs ?? this.formerLeases.endMs(agent.description) - nowMs;
@@ -500,9 +508,7 @@
   private shouldBeCountedDown(agent: WorkerAgent): boolean {
     if (this.countdown.has(agent.id)) return true;
     // In an outage the lease could not be extended again before a record is stored after it.
-    if (!this.options.isStoreReachable()) return false;
-    const isPassedOn = !agent.isFenced && this.formerLeases.isCountedDown(agent.id);
-    return isPassedOn || agent.silentMs >= MIN_SILENCE_MS;
+    return this.options.isStoreReachable() && agent.silentMs >= MIN_SILENCE_MS;
   }
 
   /** Notes when the owners before this one have ended, which settles all workers of the roster. */
