Test that waits for lost workers do not begin anew with each owner

An owner counts the time left of a stored lease from its own take-over, and so the time in which former owners may go on; the time without an owner, and that of owners which ordered nothing, is waited for again.

--- a/tests/jobs/countedDownLeases.spec.ts
+++ b/tests/jobs/countedDownLeases.spec.ts
@@ -11,6 +11,7 @@
   LASTING_TASKS as TASKS,
   makeSiteWithLastingTasks,
 } from '../fixtures/lastingTasks.js';
+import { isOwner } from '../fixtures/ownerIsland.js';
 
 /** Longest time for which a worker can hold a lease that nobody extends, in milliseconds. */
 const LONGEST_LEASE_MS = 6_500;
@@ -175,6 +176,62 @@
   }
 });
 
+// Guards against tasks that wait longer for the time without an owner, which was not taken off.
+test('should count stored leases down while there is no owner', async (t) => {
+  const { site, owner } = await makeSiteWithLastingTasks();
+  loseWorker(site, 'w0');
+  await site.run(2_000);
+  owner.kill();
+  await site.run(LONGEST_LEASE_MS + HANDOVER_MS - 2_000);
+  t.is(countRunning(site), TASKS);
+  t.deepEqual(site.record.violations, []);
+});
+
+// Guards against a wait that begins anew after each owner that died before its first record.
+test('should count stored leases down through owners that die during their take-over', async (t) => {
+  const { site, owner, successor } = await makeSiteWithLastingTasks();
+  loseWorker(site, 'w0');
+  await site.run(2_000);
+  successor.store.unlisted.add(KEYS.ownerPrefix);
+  owner.kill();
+  await waitForJournal({ site, by: successor });
+  const third = site.start('c');
+  site.cutFromWorkers(third.client, ['w0']);
+  await site.run(500);
+  successor.kill();
+  await site.run(ELECTION_MS);
+  t.is(countRunning(site), TASKS);
+  t.deepEqual(site.record.violations, []);
+});
+
+// Guards against a wait for a data centre that is not reached which begins anew with each owner, also after
+// owners that have ordered nothing.
+test('should count the time of former owners from when the last of them lost the share', async (t) => {
+  const LONGEST_UNCONFIRMED_MS = 12_000;
+  const { site, owner, successor } = await makeSiteWithLastingTasks();
+  const third = site.start('c');
+  const fourth = site.start('d');
+  await site.run(500);
+  [successor, third].forEach(({ store }) =>
+    store.failCommitsUnder(JOURNAL_KEY, ...Array.from({ length: 9 }, () => 'silent' as const)),
+  );
+  fourth.store.isCutOff = true;
+  workersOf(site, 1).forEach((id) => loseWorker(site, id));
+  const lostMs = site.clock.monotonicMs();
+  owner.kill();
+  for (let at = 0; at < 2; at += 1) {
+    await runUntil(site, () => [successor, third].some((each) => isOwner(site, each)));
+    if (at === 1) fourth.store.isCutOff = false;
+    await site.run(300);
+    [successor, third].find((each) => isOwner(site, each))?.kill();
+    await site.run(300);
+  }
+  const untilMs = lostMs + ELECTION_MS + LONGEST_UNCONFIRMED_MS + LONGEST_LEASE_MS + HANDOVER_MS;
+  await site.run(untilMs - site.clock.monotonicMs());
+  t.is(countRunning(site), TASKS);
+  t.deepEqual(site.record.violations, []);
+});
+
 // Guards against a task that runs twice: an owner extends a lease that it has passed on to its successor
 // as counted down.
 test('should extend no lease that was counted down at the take-over before that is stored', async (t) => {
