Count leases of former owners from what the store shows of their end

Callers saw: tasks that last wait anew after each change of the owner, although the time that has passed is in the store.

Cause: the time left in a record of leases was counted from the take-over of each owner, and so were the 12 s for which a former owner may go on without a confirmed lease. The 2.5 to 4 s without an owner were waited for twice, those of an owner that ordered nothing as well.

Change: each entry keeps when it first saw which revision of the store. What was written at a revision is not younger than that. The time left of a lease counts from there, and what is passed on is less by it.

Why no task can run twice: both times are only ever taken for later than they were, since a revision is seen after it was written; an entry that has just started takes them for the present. The last renewal that an owner can have sent is before the revision at which it lost the share, and it extends leases for 12 s from that renewal on.

--- a/packages/samphirenotch/src/jobs/entry/jobEntry.ts
+++ b/packages/samphirenotch/src/jobs/entry/jobEntry.ts
@@ -87,7 +87,7 @@
 export class JobEntry {
   readonly callerApi: CallerApi;
 
-  private readonly replica = new JobReplica();
+  private readonly replica: JobReplica;
 
   private readonly operator: OperatorFollower;
 
@@ -108,6 +108,7 @@
    */
   constructor(private readonly options: JobEntryOptions) {
     const { store, clock, codec } = options;
+    this.replica = new JobReplica(clock);
     this.operator = new OperatorFollower(codec);
     this.jobsFollower = new StoreFollower(store, SHARED_PREFIX, this.replica, clock, {
       pollDelayMs: () =>
--- a/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
@@ -258,6 +258,7 @@
       firstRun: takeover.firstRun,
       suspects: takeover.workers.roster?.length,
       countedDown: takeover.workers.leases.length,
+      sinceLossMs: Math.round(options.clock.monotonicMs() - takeover.workers.lastLossMs),
     });
     await Promise.all([
       writing,
--- a/packages/samphirenotch/src/jobs/ownership/takeover.ts
+++ b/packages/samphirenotch/src/jobs/ownership/takeover.ts
@@ -15,7 +15,7 @@
 import type { JobReplica } from '../store/jobReplica.js';
 import { ProgressJournal } from '../store/progressJournal.js';
 import type { Term } from '../store/term.js';
-import type { LeaseLeft, LeaseRecord } from '../workers/leaseCountdown.js';
+import type { LeaseEnd, LeaseRecord } from '../workers/leaseCountdown.js';
 import type { FormerWorkers, RosterEntry } from '../workers/workerFleet.js';
 
 /**
@@ -91,18 +91,24 @@
   /** Label of the journal of the owner before; undefined if there was none. */
   readonly formerLabel: string | undefined;
   /** Leases that the owner before counted down, in the store as those that this owner counts down. */
-  readonly leases: readonly LeaseLeft[];
+  readonly leases: readonly LeaseEnd[];
 }
 
-/** Returns the leases that an owner counts down; none if the record is of another owner. */
+/**
+ * Returns the leases that an owner counts down; none if the record is of another owner. The time left counts
+ * from when this entry knows that the record had been written.
+ */
 const parseLeases = (
   item: KeyValue | undefined,
   label: string | undefined,
-): readonly LeaseLeft[] => {
+  { history }: JobReplica,
+): readonly LeaseEnd[] => {
   if (!item) return [];
   try {
-    const record = LEASE_RECORD.parse(JSON.parse(item.value));
-    return record.journal === label ? record.leases : [];
+    const { journal, leases } = LEASE_RECORD.parse(JSON.parse(item.value));
+    if (journal !== label) return [];
+    const writtenMs = history.writtenByMs(item.revision);
+    return leases.map(({ id, leftMs }) => ({ id, endMs: writtenMs + leftMs }));
   } catch (error) {
     const reason = String(error).slice(0, LONGEST_REASON);
     log.error('The leases that are counted down cannot be read', { key: item.key, reason });
@@ -110,12 +116,34 @@
   }
 };
 
+/** Returns the record of leases that another owner had counted down. */
+const encodeLeases = (journal: string, leases: readonly LeaseEnd[], nowMs: number): string => {
+  const record: LeaseRecord = {
+    journal,
+    leases: leases.map(({ id, endMs }) => ({ id, leftMs: Math.max(0, Math.ceil(endMs - nowMs)) })),
+  };
+  return JSON.stringify(record);
+};
+
+/**
+ * Returns the monotonic time by which the last owner that opened the journal had lost the share, in
+ * milliseconds. Owners that were elected since have ordered nothing.
+ */
+const lossOfOpener = (
+  { share, replica, clock }: TakeoverOptions,
+  formerLabel: string | undefined,
+): number => {
+  const fencingToken = Number(formerLabel?.split(' ').at(-1));
+  const lostAt = replica.shares.lossOf(share, fencingToken);
+  return lostAt === undefined ? clock.monotonicMs() : replica.history.writtenByMs(lostAt);
+};
+
 /**
  * Opens the journal. The same transaction passes on the leases that the owner before counted down, so that
  * they count for the next owner even if this one stores nothing else.
  */
 const openJournal = async (
-  { share, store, clock, process }: TakeoverOptions,
+  { share, store, clock, process, replica }: TakeoverOptions,
   term: Term,
 ): Promise<OpenedJournal | undefined> => {
   const keys = keysOfShare(share);
@@ -135,8 +163,8 @@
     }
     // A transaction whose answer was lost may have written the label of this owner.
     if (known.val && known.val.value !== label) formerLabel = known.val.value;
-    const leases = parseLeases(counted.val, known.val?.value);
-    const record: LeaseRecord = { journal: label, leases };
+    const leases = parseLeases(counted.val, known.val?.value, replica);
+    const record = encodeLeases(label, leases, clock.monotonicMs());
     const outcome = await store.commit(
       {
         expectations: [
@@ -147,7 +175,7 @@
         writes: [
           { key: keys.journal, value: label },
           { key: keys.opened, value: label },
-          ...(leases.length === 0 ? [] : [{ key: keys.leases, value: JSON.stringify(record) }]),
+          ...(leases.length === 0 ? [] : [{ key: keys.leases, value: record }]),
         ],
         removals: [],
       },
@@ -262,7 +290,11 @@
       journal: opened.journal,
       firstRun: term.fencingToken * RUN_NUMBERS_PER_TERM,
       progress: readProgress(items, keys),
-      workers: { roster: readRoster(items, keys), leases: opened.leases },
+      workers: {
+        roster: readRoster(items, keys),
+        leases: opened.leases,
+        lastLossMs: lossOfOpener(options, opened.formerLabel),
+      },
       formerOwner: opened.formerLabel,
       openDelegations: items
         .filter(({ key }) => key.startsWith(keys.openDelegationsPrefix))
--- a/packages/samphirenotch/src/jobs/store/jobReplica.ts
+++ b/packages/samphirenotch/src/jobs/store/jobReplica.ts
@@ -3,6 +3,7 @@
  */
 import type { KeyValue } from '../../infrastructure/keyValueStore.js';
 import { partLog } from '../../observability/log.js';
+import type { Clock } from '../../time/clock.js';
 
 import { decodeAccepted } from '../model/acceptedJob.js';
 import type { AcceptedJob, JobState } from '../model/jobSpec.js';
@@ -13,6 +14,7 @@
   LAYOUT_KEY,
   SHARES_PREFIX,
 } from './jobKeys.js';
+import { RevisionHistory } from './revisionHistory.js';
 import { ShareDirectory, type OwnerRecord } from './shareDirectory.js';
 import { applyItem, type StoreListener } from './storeFollower.js';
 
@@ -45,6 +47,9 @@
 export class JobReplica implements StoreListener {
   readonly shares = new ShareDirectory();
 
+  /** When this entry saw which revision of the store. */
+  readonly history: RevisionHistory;
+
   private readonly log = partLog('replica');
 
   private jobs = new Map<string, ReplicatedJob>();
@@ -60,6 +65,13 @@
 
   private caughtUpCallback: (() => void) | undefined;
 
+  /**
+   * @param clock - time
+   */
+  constructor(clock: Clock) {
+    this.history = new RevisionHistory(clock);
+  }
+
   /** @returns the revision up to which the replica is complete */
   revision(): number {
     return this.syncedRevision;
@@ -236,6 +248,7 @@
 
   onCaughtUp(revision: number): void {
     this.syncedRevision = revision;
+    this.history.add(revision);
     this.caughtUpCallback?.();
   }
 
--- a/packages/samphirenotch/src/jobs/store/shareDirectory.ts
+++ b/packages/samphirenotch/src/jobs/store/shareDirectory.ts
@@ -25,6 +25,9 @@
   readonly ids: ReadonlySet<string>;
 }
 
+/** Most changes of the owner of a share that are remembered. */
+const MAX_OWNER_CHANGES = 32;
+
 const NONE_WAITING: WaitingJobs = { revision: 0, ids: new Set() };
 
 const decodeWaiting = (value: string): WaitingJobs => {
@@ -86,6 +89,9 @@
 
   private readonly owners = new Map<string, OwnerRecord>();
 
+  /** Store revisions at which the owner key of a share has changed, oldest first. */
+  private readonly ownerChanges = new Map<string, readonly number[]>();
+
   private readonly waitingByShare = new Map<string, WaitingJobs>();
 
   private readonly claims = new Map<string, ShareClaim>();
@@ -125,6 +131,17 @@
     return this.owners.get(share);
   }
 
+  /**
+   * Looks up by when an owner had lost a share.
+   *
+   * @param share - id of the share
+   * @param fencingToken - token of the owner's term
+   * @returns store revision at which the share had another owner or none; undefined if that is not known
+   */
+  lossOf(share: string, fencingToken: number): number | undefined {
+    return this.ownerChanges.get(share)?.find((revision) => revision > fencingToken);
+  }
+
   /**
    * Returns the waiting jobs of a share, as last published by its owner.
    *
@@ -198,11 +215,18 @@
       else this.claims.set(share, decodeClaim(value));
       return undefined;
     }
+    this.noteOwnerChange(share, revision);
     if (value === undefined) this.owners.delete(share);
     else this.setOwner(share, decodeOwner(value, revision));
     return share;
   }
 
+  private noteOwnerChange(share: string, revision: number): void {
+    const before = this.ownerChanges.get(share) ?? [];
+    if (revision <= (before.at(-1) ?? 0)) return;
+    this.ownerChanges.set(share, [...before, revision].slice(-MAX_OWNER_CHANGES));
+  }
+
   private setOwner(share: string, owner: OwnerRecord): void {
     this.owners.set(share, owner);
     this.fastestProcessorShare = Math.max(this.fastestProcessorShare, owner.processorShare);
--- a/packages/samphirenotch/src/jobs/workers/formerLeases.ts
+++ b/packages/samphirenotch/src/jobs/workers/formerLeases.ts
@@ -5,7 +5,7 @@
 import type { Clock } from '../../time/clock.js';
 
 import { MAXIMUM_UNCONFIRMED_MS } from '../store/term.js';
-import type { LeaseLeft } from './leaseCountdown.js';
+import type { LeaseEnd } from './leaseCountdown.js';
 
 /** Longest lease that a former owner can have granted, including clock drift, in milliseconds. */
 const MAX_FORMER_LEASE_MS = 6_500;
@@ -18,7 +18,7 @@
 
 /** Leases of former owners on workers that have not answered this owner yet. */
 export class FormerLeases {
-  private termBeganMs = 0;
+  private lastLossMs = 0;
 
   /**
    * Monotonic time at which the first worker of a data centre that former owners call accepted this
@@ -39,7 +39,7 @@
 
   /** @returns monotonic time by which every former owner has ended, in milliseconds */
   get ownersEndMs(): number {
-    return this.termBeganMs + MAXIMUM_UNCONFIRMED_MS;
+    return this.lastLossMs + MAXIMUM_UNCONFIRMED_MS;
   }
 
   /** @returns monotonic time at which the last of all former leases ends, in milliseconds */
@@ -51,10 +51,12 @@
    * Begins a term.
    *
    * @param leases - leases that the last owner had counted down
+   * @param lastLossMs - monotonic time by which the last owner before this one that may have granted
+   *   leases had lost the share, in milliseconds
    */
-  beginTerm(leases: readonly LeaseLeft[]): void {
-    this.termBeganMs = this.clock.monotonicMs();
-    leases.forEach(({ id, leftMs }) => this.countedDownEndsMs.set(id, this.termBeganMs + leftMs));
+  beginTerm(leases: readonly LeaseEnd[], lastLossMs: number): void {
+    this.lastLossMs = lastLossMs;
+    leases.forEach(({ id, endMs }) => this.countedDownEndsMs.set(id, endMs));
   }
 
   /**
--- a/packages/samphirenotch/src/jobs/workers/leaseCountdown.ts
+++ b/packages/samphirenotch/src/jobs/workers/leaseCountdown.ts
@@ -30,6 +30,14 @@
   readonly leftMs: number;
 }
 
+/** When a worker's lease ends at the latest, unless its owner extends it. */
+export interface LeaseEnd {
+  /** Id of the worker. */
+  readonly id: string;
+  /** Monotonic time in milliseconds. */
+  readonly endMs: number;
+}
+
 /** What an owner stores of the leases that it does not extend. */
 export interface LeaseRecord {
   /** Label of the owner's journal: the record says nothing about leases of another owner. */
@@ -78,7 +86,7 @@
    * @param key - key of the record
    * @param leases - the record that is stored: leases that the last owner had counted down
    */
-  beginTerm(journal: ProgressJournal, key: string, leases: readonly LeaseLeft[]): void {
+  beginTerm(journal: ProgressJournal, key: string, leases: readonly LeaseEnd[]): void {
     this.journal = journal;
     this.key = key;
     this.newestIds = leases.map(({ id }) => id);
--- a/packages/samphirenotch/src/jobs/workers/workerFleet.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerFleet.ts
@@ -10,7 +10,7 @@
 import type { ShareKeys } from '../store/jobKeys.js';
 import type { ProgressJournal } from '../store/progressJournal.js';
 import { FormerLeases, SUCCESSOR_DISCOVERY_MS } from './formerLeases.js';
-import { LeaseCountdown, type LeaseLeft } from './leaseCountdown.js';
+import { LeaseCountdown, type LeaseEnd, type LeaseLeft } from './leaseCountdown.js';
 import type { WorkerAgent } from './workerAgent.js';
 import { WorkerHealth } from './workerHealth.js';
 
@@ -47,8 +47,13 @@
 export interface FormerWorkers {
   /** Workers on which former owners may have started runs; undefined if they are not known. */
   readonly roster: readonly RosterEntry[] | undefined;
-  /** Leases that the last owner no longer extended, with the time left at its last record. */
-  readonly leases: readonly LeaseLeft[];
+  /** Leases that the last owner no longer extended. */
+  readonly leases: readonly LeaseEnd[];
+  /**
+   * Monotonic time by which the last owner that may have granted leases had lost the share, in
+   * milliseconds.
+   */
+  readonly lastLossMs: number;
 }
 
 const describeRosterEntry = (entry: RosterEntry): WorkerDescription => ({
@@ -185,13 +190,13 @@
   beginTerm(
     journal: ProgressJournal,
     keys: Pick<ShareKeys, 'roster' | 'leases'>,
-    { roster, leases }: FormerWorkers,
+    { roster, leases, lastLossMs }: FormerWorkers,
   ): void {
     this.journal = journal;
     this.rosterKey = keys.roster;
     this.countdown.beginTerm(journal, keys.leases, leases);
     this.termBeganMs = this.clock.monotonicMs();
-    this.formerLeases.beginTerm(leases);
+    this.formerLeases.beginTerm(leases, lastLossMs);
     this.areFormerOwnersOver = roster?.length === 0;
     if (roster) this.waitForFormerWorkers(roster);
     else this.rosterUnknownUntilMs = this.formerLeases.latestEndMs;
--- a/tests/jobs/decisions.spec.ts
+++ b/tests/jobs/decisions.spec.ts
@@ -93,7 +93,7 @@
 // Guards against an owner that starts jobs which a listing of the store also shows as ended or
 // cancelled.
 test('should not report a listed job as accepted if it has ended or is cancelled', (t) => {
-  const replica = new JobReplica();
+  const replica = new JobReplica(new ManualClock());
   const delivered: string[] = [];
   replica.listen({
     share: WHOLE_SITE_SHARE_ID,
@@ -127,7 +127,7 @@
 // Guards against an owner that keeps its share because a listing without its lease passes
 // unnoticed.
 test('should report that a share has no owner if a listing shows no lease', (t) => {
-  const replica = new JobReplica();
+  const replica = new JobReplica(new ManualClock());
   const owners: unknown[] = [];
   replica.listen({
     share: WHOLE_SITE_SHARE_ID,
