Leave drained workers without runs out of the stored roster

Cause: the stored roster kept each worker that an owner had reached until the directory dropped it. A successor cannot tell one that left from one that vanished.

Change: a worker that drains is left out of the roster once it has reported all its runs and ends to this owner, has no runs, none is being started, stopped or in doubt, and its ends are stored. It is in the stored roster again before it is used, as a worker that is new.

Why no task can run twice: a successor waits for workers on which former owners may have runs. This one has none, as it says itself; it refuses orders of owners before this one, whose token it has accepted; and this one starts nothing there, since the worker drains, and later only with a roster that has it. A roster without a worker is stored after all its ends. A worker with runs, one that has not reported and one that is cut off stay in the roster, so that drainingIslands holds. Contacts count only with workers in the rosters of all owners that may still act, as before.

What remains: a worker that still has runs when its owner is lost is waited for as before. What it announces is the shortest time until it leaves, and it may stay longer.

--- a/packages/samphirenotch/src/jobs/workers/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerAgent.ts
@@ -349,6 +349,21 @@
     return this.runs.count;
   }
 
+  /**
+   * @returns true if the worker has reported all its runs and ends to this owner, has no runs, and all its
+   * ends are stored
+   */
+  get isVacant(): boolean {
+    return (
+      this.fenced &&
+      this.isReported &&
+      !this.hasMoreEnds &&
+      this.runs.count === 0 &&
+      this.runs.unknownCount === 0 &&
+      this.storedSequence >= this.seenSequence
+    );
+  }
+
   /** @returns number of its runs that may still crash the worker */
   get unprovenRunCount(): number {
     return this.activeRuns().filter(({ isProven }) => !isProven).length;
--- a/packages/samphirenotch/src/jobs/workers/workerFleet.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerFleet.ts
@@ -145,6 +145,9 @@
   /** True if the roster may differ from the one stored last. */
   private rosterChanged = true;
 
+  /** Ids of workers that drain and have nothing left, as worked out last. */
+  private drained: ReadonlySet<string> = new Set();
+
   /** The contested data centres, as worked out last. */
   private contested: ReadonlySet<string> = NO_DATA_CENTRES;
 
@@ -413,6 +416,7 @@
         )
         .forEach((agent) => this.remove(agent));
     }
+    this.checkDrained();
     this.storeRoster();
     this.countdown.update(this.leasesLeft());
   }
@@ -479,11 +483,35 @@
 
   /**
    * Tells whether a successor has to wait for a worker: this owner starts nothing before the worker
-   * has accepted its fencing token, and former owners may have started something until their leases
+   * has accepted its fencing token, nor while it drains, and former owners may have started something until their leases
    * have certainly lapsed. An entry of the directory behind which nobody answers is not waited for.
    */
   private mayHoldRuns(agent: WorkerAgent): boolean {
-    return agent.isFenced || this.unreportedWorkers.has(agent);
+    if (this.unreportedWorkers.has(agent)) return true;
+    return agent.isFenced && !this.drained.has(agent.id);
+  }
+
+  /**
+   * Notes which workers drain and have nothing left. Nothing is started there, so a successor need not wait
+   * for them; they are in the stored roster again before they are used.
+   */
+  private checkDrained(): void {
+    const drained = new Set(
+      this.all()
+        .filter((agent) => agent.description.phase === 'draining' && agent.isVacant)
+        .map(({ id }) => id),
+    );
+    const changed = [...drained, ...this.drained].filter(
+      (id) => drained.has(id) !== this.drained.has(id),
+    );
+    if (changed.length === 0) return;
+    this.drained = drained;
+    this.rosterChanged = true;
+    this.log.info('The workers that drain and have nothing left have changed', {
+      workers: drained.size,
+      added: changed.filter((id) => drained.has(id)).join(', '),
+      removed: changed.filter((id) => !drained.has(id)).join(', '),
+    });
   }
 
   /**
