--- a/packages/samphirenotch/src/jobs/workers/workerFleet.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerFleet.ts
@@ -10,7 +10,7 @@
 import type { ShareKeys } from '../store/jobKeys.js';
 import type { ProgressJournal } from '../store/progressJournal.js';
 import { FormerLeases, SUCCESSOR_DISCOVERY_MS } from './formerLeases.js';
-import { LeaseCountdown, type LeaseLeft } from './leaseCountdown.js';
+import { LeaseCountdown, type LeaseEnd, type LeaseLeft } from './leaseCountdown.js';
 import type { WorkerAgent } from './workerAgent.js';
 import { WorkerHealth } from './workerHealth.js';
 
@@ -47,8 +47,13 @@
 export interface FormerWorkers {
   /** Workers on which former owners may have started runs; undefined if they are not known. */
   readonly roster: readonly RosterEntry[] | undefined;
-  /** Leases that the last owner no longer extended, with the time left at its last record. */
-  readonly leases: readonly LeaseLeft[];
+  /** Leases that the last owner no longer extended. */
+  readonly leases: readonly LeaseEnd[];
+  /**
+   * Monotonic time by which the last owner that may have granted leases had lost the share, in
+   * milliseconds.
+   */
+  readonly lastLossMs: number;
 }
 
 const describeRosterEntry = (entry: RosterEntry): WorkerDescription => ({
@@ -140,6 +145,9 @@
   /** True if the roster may differ from the one stored last. */
   private rosterChanged = true;
 
+  /** Ids of workers that drain and have nothing left, as worked out last. */
+  private drained: ReadonlySet<string> = new Set();
+
   /** The contested data centres, as worked out last. */
   private contested: ReadonlySet<string> = NO_DATA_CENTRES;
 
@@ -185,13 +193,13 @@
   beginTerm(
     journal: ProgressJournal,
     keys: Pick<ShareKeys, 'roster' | 'leases'>,
-    { roster, leases }: FormerWorkers,
+    { roster, leases, lastLossMs }: FormerWorkers,
   ): void {
     this.journal = journal;
     this.rosterKey = keys.roster;
-    this.countdown.beginTerm(journal, keys.leases);
+    this.countdown.beginTerm(journal, keys.leases, leases);
     this.termBeganMs = this.clock.monotonicMs();
-    this.formerLeases.beginTerm(leases);
+    this.formerLeases.beginTerm(leases, lastLossMs);
     this.areFormerOwnersOver = roster?.length === 0;
     if (roster) this.waitForFormerWorkers(roster);
     else this.rosterUnknownUntilMs = this.formerLeases.latestEndMs;
@@ -408,6 +416,7 @@
         )
         .forEach((agent) => this.remove(agent));
     }
+    this.checkDrained();
     this.storeRoster();
     this.countdown.update(this.leasesLeft());
   }
@@ -474,11 +483,43 @@
 
   /**
    * Tells whether a successor has to wait for a worker: this owner starts nothing before the worker
-   * has accepted its fencing token, and former owners may have started something until their leases
+   * has accepted its fencing token, nor while it drains, and former owners may have started something until their leases
    * have certainly lapsed. An entry of the directory behind which nobody answers is not waited for.
    */
   private mayHoldRuns(agent: WorkerAgent): boolean {
-    return agent.isFenced || this.unreportedWorkers.has(agent);
+    if (this.unreportedWorkers.has(agent)) return true;
+    return agent.isFenced && !this.drained.has(agent.id);
+  }
+
+  /**
+   * Notes which workers drain and have nothing left. Nothing is started there, so a successor need not wait
+   * for them; they are in the stored roster again before they are used.
+   */
+  private checkDrained(): void {
+    const drained = new Set(
+      this.all()
+        .filter((agent) => agent.description.phase === 'draining' && agent.isVacant)
+        .map(({ id }) => id),
+    );
+    const changed = [...drained, ...this.drained].filter(
+      (id) => drained.has(id) !== this.drained.has(id),
+    );
+    if (changed.length === 0) return;
+    this.drained = drained;
+    this.rosterChanged = true;
+    this.log.info('The workers that drain and have nothing left have changed', {
+      workers: drained.size,
+      added: changed.filter((id) => drained.has(id)).join(', '),
+      removed: changed.filter((id) => !drained.has(id)).join(', '),
+    });
+  }
+
+  /**
+   * Tells whether a worker owes an answer. One whose lease the last owner had counted down does so from the
+   * beginning.
+   */
+  private isSilent(agent: WorkerAgent): boolean {
+    return !agent.isResponsive || (!agent.isFenced && this.countdown.has(agent.id));
   }
 
   /** Lists the leases to count down: of workers that are silent. */
@@ -487,7 +528,7 @@
     return this.all()
       .filter(
         (agent) =>
-          !agent.isResponsive && this.mayHoldRuns(agent) && this.shouldBeCountedDown(agent),
+          this.isSilent(agent) && this.mayHoldRuns(agent) && this.shouldBeCountedDown(agent),
       )
       .flatMap((agent) => {
         const leftMs = agent.leaseLeftMs ?? this.formerLeases.endMs(agent.description) - nowMs;
@@ -500,9 +541,7 @@
   private shouldBeCountedDown(agent: WorkerAgent): boolean {
     if (this.countdown.has(agent.id)) return true;
     // In an outage the lease could not be extended again before a record is stored after it.
-    if (!this.options.isStoreReachable()) return false;
-    const isPassedOn = !agent.isFenced && this.formerLeases.isCountedDown(agent.id);
-    return isPassedOn || agent.silentMs >= MIN_SILENCE_MS;
+    return this.options.isStoreReachable() && agent.silentMs >= MIN_SILENCE_MS;
   }
 
   /** Notes when the owners before this one have ended, which settles all workers of the roster. */
