Count leases from contacts with workers that were listed no later

The third owner waited 18,676 ms for two workers that it could not reach, although others of their data centre had answered it at once.

Cause: a successor counts the lease of a silent worker from its first contact with a worker of the data centre that every owner that may still act calls, and a worker counted as such only if all of these had it in their rosters, whoever the silent worker was. For 12 s after a change of the owner no worker that was listed since counts, so that a data centre whose workers are listed anew has none.

Change: an entry of the roster says since which term all owners have had the worker in their rosters at its address, and which is the first owner that can have runs on it. A contact counts for a silent worker if the reached one has been called since a term no later than the first one that can have used the silent one. Once the owners before the present one are over, both are its own term.

Why it is sound: an owner F extends a lease, or starts something, on the silent worker X only if F is at least the first owner that can have runs on X: X refuses those before the owner that has started the run, and left the rosters in between only once nothing could run there. Each owner reads the stored roster of its predecessors before it acts, and what it has once read or stored counts in its own check until a roster without it is stored, which a successor reads and which ends the entry's term. So each such F still has the reached worker W in its roster, notices that W does not accept its token and stops extending leases in the data centre. The address counts for W, since F calls no other; it does not for X, since F may reach X at an old one. Rosters without these fields, of older versions, count for nobody until their owners are over, and older versions count no contact by the new rosters.

New in islandOwners: a worker that leaves and comes back between two owners, and a silent worker that is listed at a new address.

--- a/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
@@ -175,6 +175,7 @@
     this.fleet = new WorkerFleet({
       makeAgent: (description) => this.createAgent(description),
       clock: options.clock,
+      fencingToken: term.fencingToken,
       onUsable: () => this.wakeup.wake(),
       isStoreReachable: () => term.leaseUnconfirmedMs() <= MAX_STORE_ANSWER_AGE_MS,
       isSoleOwner: () => this.isSoleOwner(),
--- a/packages/samphirenotch/src/jobs/ownership/takeover.ts
+++ b/packages/samphirenotch/src/jobs/ownership/takeover.ts
@@ -44,8 +44,9 @@
     service: z.string(),
     dataCentre: z.string(),
     draining: z.boolean(),
-    // Rosters of older versions lack it.
-    isSettled: z.boolean().default(false),
+    // Rosters of older versions lack both.
+    calledSinceTerm: z.number().optional(),
+    usedSinceTerm: z.number().default(0),
   }),
 );
 
--- a/packages/samphirenotch/src/jobs/workers/formerLeases.ts
+++ b/packages/samphirenotch/src/jobs/workers/formerLeases.ts
@@ -16,15 +16,48 @@
  */
 export const SUCCESSOR_DISCOVERY_MS = 2_500;
 
+/** A worker in the roster that former owners leave. */
+export interface FormerWorker {
+  readonly id: string;
+  readonly address: string;
+  readonly dataCentre: string;
+  /**
+   * Fencing token of an owner: it and all later ones that may still act have the worker in their rosters,
+   * at this address. Rosters of older versions lack it.
+   */
+  readonly calledSinceTerm?: number | undefined;
+  /** Fencing token of the first owner that may still act and have runs on the worker. */
+  readonly usedSinceTerm: number;
+}
+
+/** The first answer of a worker that former owners call. */
+interface Contact {
+  readonly worker: FormerWorker;
+  /** Monotonic time in milliseconds. */
+  readonly atMs: number;
+}
+
+/** Tells whether every former owner that may extend the lease of a worker calls another worker as well. */
+const isCalledBeside = (
+  { dataCentre, calledSinceTerm }: FormerWorker,
+  worker: FormerWorker | undefined,
+): boolean =>
+  dataCentre === worker?.dataCentre &&
+  calledSinceTerm !== undefined &&
+  calledSinceTerm <= worker.usedSinceTerm;
+
 /** Leases of former owners on workers that have not answered this owner yet. */
 export class FormerLeases {
   private termBeganMs = 0;
 
+  /** Workers of the roster that the term began with, by id. */
+  private formerWorkers: ReadonlyMap<string, FormerWorker> = new Map();
+
   /**
-   * Monotonic time at which the first worker of a data centre that former owners call accepted this
-   * owner's fencing token, in milliseconds. From it on, they cannot rule out a successor there.
+   * First answers of workers that accepted this owner's fencing token, in the order of time. From them on,
+   * former owners that call the worker cannot rule out a successor in its data centre.
    */
-  private readonly reachedAtMs = new Map<string, number>();
+  private readonly contacts: Contact[] = [];
 
   /**
    * Monotonic times at which leases end at the latest that the last owner had counted down, in
@@ -51,21 +84,24 @@
    * Begins a term.
    *
    * @param leases - leases that the last owner had counted down
+   * @param roster - workers on which former owners may have started runs
    */
-  beginTerm(leases: readonly LeaseLeft[]): void {
+  beginTerm(leases: readonly LeaseLeft[], roster: readonly FormerWorker[]): void {
     this.termBeganMs = this.clock.monotonicMs();
+    this.formerWorkers = new Map(roster.map((worker) => [worker.id, worker]));
     leases.forEach(({ id, leftMs }) => this.countedDownEndsMs.set(id, this.termBeganMs + leftMs));
   }
 
   /**
-   * Notes that a worker of a data centre has accepted this owner's fencing token, which every former owner
-   * that may still act has in its roster.
+   * Notes that a worker has accepted this owner's fencing token.
    *
-   * @param dataCentre - the data centre
+   * @param description - the worker, at the address at which it answers
    */
-  markReached(dataCentre: string): void {
-    if (!this.reachedAtMs.has(dataCentre))
-      this.reachedAtMs.set(dataCentre, this.clock.monotonicMs());
+  markReached({ id, address }: Pick<WorkerDescription, 'id' | 'address'>): void {
+    const worker = this.formerWorkers.get(id);
+    // Former owners call the worker at no other address.
+    if (worker?.address !== address) return;
+    this.contacts.push({ worker, atMs: this.clock.monotonicMs() });
   }
 
   /**
@@ -83,13 +119,16 @@
    * latest after the longest time for which a former owner goes on without a confirmed lease. A former
    * owner that is not certain of its lease extends others in a data centre only while all workers of its
    * roster there accept its fencing token, so that it stops once its successor has reached one of them.
-   * A lease that it counted down in the store it extends no more.
+   * Owners that do not have the reached worker in their rosters must not have the silent one either. A
+   * lease that an owner counted down in the store it extends no more.
    *
    * @param worker - the worker
    * @returns monotonic time in milliseconds
    */
-  endMs({ id, dataCentre }: Pick<WorkerDescription, 'id' | 'dataCentre'>): number {
-    const reachedAtMs = this.reachedAtMs.get(dataCentre) ?? Number.POSITIVE_INFINITY;
+  endMs({ id }: Pick<WorkerDescription, 'id'>): number {
+    const former = this.formerWorkers.get(id);
+    const contact = this.contacts.find(({ worker }) => isCalledBeside(worker, former));
+    const reachedAtMs = contact?.atMs ?? Number.POSITIVE_INFINITY;
     const lastExtensionMs = Math.min(this.ownersEndMs, reachedAtMs + SUCCESSOR_DISCOVERY_MS);
     return Math.min(
       lastExtensionMs + MAX_FORMER_LEASE_MS,
--- a/packages/samphirenotch/src/jobs/workers/workerFleet.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerFleet.ts
@@ -9,7 +9,7 @@
 import type { OwnedTask } from '../model/ownedJob.js';
 import type { ShareKeys } from '../store/jobKeys.js';
 import type { ProgressJournal } from '../store/progressJournal.js';
-import { FormerLeases, SUCCESSOR_DISCOVERY_MS } from './formerLeases.js';
+import { FormerLeases, SUCCESSOR_DISCOVERY_MS, type FormerWorker } from './formerLeases.js';
 import { LeaseCountdown, type LeaseLeft } from './leaseCountdown.js';
 import type { WorkerAgent } from './workerAgent.js';
 import { WorkerHealth } from './workerHealth.js';
@@ -32,15 +32,10 @@
 const NO_DATA_CENTRES: ReadonlySet<string> = new Set();
 
 /** A worker on which an owner may have started runs, as stored for its successor. */
-export interface RosterEntry {
-  readonly id: string;
-  readonly address: string;
+export interface RosterEntry extends FormerWorker {
   readonly service: string;
-  readonly dataCentre: string;
   /** True if the worker was draining when the owner last read its description. */
   readonly draining: boolean;
-  /** True if every owner that may still act has the worker in its roster. */
-  readonly isSettled: boolean;
 }
 
 /** The workers that a former owner leaves to its successor. */
@@ -72,6 +67,8 @@
   /** Creates the agent of a worker. */
   readonly makeAgent: (description: WorkerDescription) => WorkerAgent;
   readonly clock: Clock;
+  /** Fencing token of the owner. */
+  readonly fencingToken: number;
   /** Called when workers may have become usable. */
   readonly onUsable: () => void;
   /** Returns true if the store has answered lately. */
@@ -125,8 +122,8 @@
   /** Workers in any roster that a successor may find stored, with their data centres, by name. */
   private possiblyRostered = new Map<string, string>();
 
-  /** Names of workers that every owner before this one that may still act has in its roster. */
-  private settledBefore: ReadonlySet<string> = new Set();
+  /** The workers of the newest roster, by id. */
+  private newestEntries: ReadonlyMap<string, RosterEntry> = new Map();
 
   /** True once no owner before this one can act any more. */
   private areFormerOwnersOver = false;
@@ -191,7 +188,7 @@
     this.rosterKey = keys.roster;
     this.countdown.beginTerm(journal, keys.leases);
     this.termBeganMs = this.clock.monotonicMs();
-    this.formerLeases.beginTerm(leases);
+    this.formerLeases.beginTerm(leases, roster ?? []);
     this.areFormerOwnersOver = roster?.length === 0;
     if (roster) this.waitForFormerWorkers(roster);
     else this.rosterUnknownUntilMs = this.formerLeases.latestEndMs;
@@ -200,7 +197,7 @@
   private waitForFormerWorkers(roster: readonly RosterEntry[]): void {
     this.rostered = new Set(roster.map(rosterNameOf));
     this.newestRostered = this.rostered;
-    this.settledBefore = new Set(roster.filter(({ isSettled }) => isSettled).map(rosterNameOf));
+    this.newestEntries = new Map(roster.map((entry) => [entry.id, entry]));
     roster.forEach((entry) => {
       this.possiblyRostered.set(rosterNameOf(entry), entry.dataCentre);
       const agent = this.add(describeRosterEntry(entry));
@@ -262,12 +259,9 @@
    * @param agent - its agent
    */
   markFenced(agent: WorkerAgent): void {
-    const { description } = agent;
     this.rosterChanged = true;
     // A former owner learns of its successor only from workers that it calls: those of its roster.
-    const isCalledByAll = this.settledBefore.has(rosterNameOf(description));
-    if (isCalledByAll && this.unreportedWorkers.has(agent))
-      this.formerLeases.markReached(description.dataCentre);
+    if (this.unreportedWorkers.has(agent)) this.formerLeases.markReached(agent.description);
   }
 
   /**
@@ -505,7 +499,7 @@
     return isPassedOn || agent.silentMs >= MIN_SILENCE_MS;
   }
 
-  /** Notes when the owners before this one have ended, which settles all workers of the roster. */
+  /** Notes when the owners before this one have ended, after whom it is the first that can have the workers. */
   private checkFormerOwners(): void {
     if (this.areFormerOwnersOver) return;
     if (this.clock.monotonicMs() < this.formerLeases.ownersEndMs) return;
@@ -513,19 +507,29 @@
     this.rosterChanged = true;
   }
 
+  private rosterEntryOf({ description }: WorkerAgent): RosterEntry {
+    const { id, address, service, dataCentre, phase } = description;
+    const { fencingToken } = this.options;
+    // An entry is passed on while it stays: in between, every owner has had it.
+    const entry = this.areFormerOwnersOver ? undefined : this.newestEntries.get(id);
+    return {
+      id,
+      address,
+      service,
+      dataCentre,
+      draining: phase === 'draining',
+      calledSinceTerm: entry?.address === address ? entry.calledSinceTerm : fencingToken,
+      usedSinceTerm: entry?.usedSinceTerm ?? fencingToken,
+    };
+  }
+
   private storeRoster(): void {
     if (!this.rosterChanged || this.isFormerRosterUnknown) return;
     this.rosterChanged = false;
     const roster = this.all()
       .filter((agent) => this.mayHoldRuns(agent))
-      .map(({ description }) => ({
-        id: description.id,
-        address: description.address,
-        service: description.service,
-        dataCentre: description.dataCentre,
-        draining: description.phase === 'draining',
-        isSettled: this.areFormerOwnersOver || this.settledBefore.has(rosterNameOf(description)),
-      }));
+      .map((agent) => this.rosterEntryOf(agent));
+    this.newestEntries = new Map(roster.map((entry) => [entry.id, entry]));
     const text = JSON.stringify(roster);
     if (text === this.lastRosterText) return;
     this.lastRosterText = text;
