--- a/tests/jobs/chainedTakeovers.spec.ts
+++ b/tests/jobs/chainedTakeovers.spec.ts
@@ -92,6 +92,14 @@
   if (phase === 'first record') await site.run(300);
 };
 
+/** Runs a site until an owner that goes on has all tasks at work. */
+const waitForAll = async (site: JobSite): Promise<void> => {
+  const LONGEST_MS = ELECTION_MS + LONGEST_UNCONFIRMED_MS + LONGEST_LEASE_MS + DISCOVERY_MS;
+  const untilMs = site.clock.monotonicMs() + LONGEST_MS;
+  while (countRunning(site) < TASKS && site.clock.monotonicMs() < untilMs)
+    await site.clock.advance(50);
+};
+
 /** Plays a chain of owners; `phases` are those at which the successors of the first owner end. */
 const playChain = async (
   t: ExecutionContext,
@@ -122,7 +130,7 @@
     end(site, entry, how);
   }
   const endedMs = site.clock.monotonicMs();
-  await runUntilRunning(site);
+  await waitForAll(site);
   const tookMs = site.clock.monotonicMs();
   const longestMs = Math.max(lostMs + LONGEST_LEASE_MS, endedMs + ELECTION_MS + REPORT_MS);
   t.true(tookMs <= longestMs, `${name}: ${Math.round(tookMs - longestMs)} ms late`);
@@ -131,14 +139,6 @@
   t.is(countRunning(site), TASKS, name);
 };
 
-/** Runs a site until an owner that goes on has all tasks at work. */
-const runUntilRunning = async (site: JobSite): Promise<void> => {
-  const LONGEST_MS = ELECTION_MS + LONGEST_UNCONFIRMED_MS + LONGEST_LEASE_MS + DISCOVERY_MS;
-  const untilMs = site.clock.monotonicMs() + LONGEST_MS;
-  while (countRunning(site) < TASKS && site.clock.monotonicMs() < untilMs)
-    await site.clock.advance(50);
-};
-
 const chains = (length: number): readonly (readonly Phase[])[] =>
   length === 0
     ? [[]]
