Test reservations behind tasks that no worker can take

The first four tasks in order take every try of a pass to reserve a worker. If no worker can take them soon, no other interrupted task gets a reservation for as long as they wait.

--- a/tests/jobs/interruptedTasks.spec.ts
+++ b/tests/jobs/interruptedTasks.spec.ts
@@ -15,6 +15,8 @@
 
 const LASTING = '00000000000000a1';
 const TASK = `${LASTING}.0.0.0`;
+const BLOCKED = '00000000000000a2';
+const BLOCKED_MILLI_CORES = 100;
 const WORKERS = 4;
 const WORKER_MILLI_CORES = 4_000;
 
@@ -64,10 +66,12 @@
   const { site, owner } = await makeOwnedSite({
     workers: WORKERS,
     milliCores: WORKER_MILLI_CORES,
-    behave: (taskId) =>
-      taskId.startsWith(LASTING)
-        ? { size: sizeOf(milliCores), durationMs: Infinity }
-        : { size: sizeOf(shortMilliCores), durationMs: shortRunMs(taskId) },
+    behave: (taskId) => {
+      if (taskId.startsWith(LASTING)) return { size: sizeOf(milliCores), durationMs: Infinity };
+      if (taskId.startsWith(BLOCKED))
+        return { size: sizeOf(BLOCKED_MILLI_CORES), durationMs: Infinity };
+      return { size: sizeOf(shortMilliCores), durationMs: shortRunMs(taskId) };
+    },
   });
   site.configure([site.queue, urgent]);
   const step = makeStep({ longRunning: true, size: sizeOf(milliCores) });
@@ -102,6 +106,23 @@
   t.deepEqual(site.record.violations, []);
 });
 
+// Guards against tasks that no worker can take soon and that come first: no worker was kept for any other
+// task while they waited (LOST).
+test('should run an interrupted task again behind others that no worker can take', async (t) => {
+  const { site } = await submitLasting(3_000, 1_000);
+  site.registerWorker('w0', { labels: ['rare'] });
+  const size = sizeOf(BLOCKED_MILLI_CORES);
+  const blocked = makeStep({ count: 4, longRunning: true, requiredLabel: 'rare', size });
+  put(site, urgent, [BLOCKED], makeJob(blocked));
+  await site.run(1_000);
+  t.is(site.record.runs.filter(({ taskId }) => taskId.startsWith(BLOCKED)).length, 4);
+  site.registerWorker('w0');
+  await site.run(500);
+  site.workers.forEach((worker) => worker.endRuns(BLOCKED, 'failed'));
+  t.true((await interrupt(site, 1_000)) <= MAX_INTERRUPTION_MS);
+  t.deepEqual(site.record.violations, []);
+});
+
 // Guards against a successor that takes a task whose run was lost during the takeover for one that has not
 // run yet, and lets urgent ones go before it (LOST).
 test('should run a task again whose run was lost while no entry owned the site', async (t) => {
