Share reservation tries among the steps of interrupted tasks

A pass tried to reserve workers for the first four overdue tasks in order, also if no worker could take them soon. Those four took each pass's tries, and nothing was reserved for the other tasks however much room became free (LOST).

A pass now tries as many steps as before, but those for which no worker was found take turns, as the steps do that passes don't reach.

--- a/packages/samphirenotch/src/jobs/placement/roomReservations.ts
+++ b/packages/samphirenotch/src/jobs/placement/roomReservations.ts
@@ -100,10 +100,14 @@
    *
    * @param input - the task and the workers of its service that accept tasks
    * @param permits - returns true if a worker may run the task
+   * @returns false if none is expected to have room soon, or if too many are reserved
    */
-  reserve({ task, size, workers }: PlacementInput, permits: (agent: WorkerAgent) => boolean): void {
+  reserve(
+    { task, size, workers }: PlacementInput,
+    permits: (agent: WorkerAgent) => boolean,
+  ): boolean {
     const reserved = workers.filter((agent) => this.isReserved(agent)).length;
-    if (reserved + 1 > Math.max(1, MAXIMUM_RESERVED_FRACTION * workers.length)) return;
+    if (reserved + 1 > Math.max(1, MAXIMUM_RESERVED_FRACTION * workers.length)) return false;
     const nowMs = this.clock.monotonicMs();
     let earliest: WorkerAgent | undefined;
     let leastMs = MAXIMUM_RESERVATION_MS;
@@ -115,8 +119,9 @@
       earliest = agent;
       leastMs = waitMs;
     });
-    if (!earliest) return;
+    if (!earliest) return false;
     this.add(earliest, task, nowMs);
+    return true;
   }
 
   private add(agent: WorkerAgent, task: OwnedTask, nowMs: number): void {
--- a/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
@@ -72,8 +72,11 @@
  */
 const MAXIMUM_RESERVED_STARTS = 4;
 
-/** Highest number of workers that a pass reserves for overdue tasks. */
-const MAXIMUM_NEW_RESERVATIONS = 4;
+/**
+ * Number of steps with overdue tasks for which a pass tries to reserve a worker. Half as many are tried
+ * beside them for which no worker was found before.
+ */
+const MAXIMUM_RESERVATION_TRIES = 4;
 
 /** Time after which tasks that wait for the policy service count as unplaced, in milliseconds. */
 const MAXIMUM_DECISION_WAIT_MS = 2_000;
@@ -111,6 +114,8 @@
 
   private readonly retries = new RetryOrder();
 
+  private readonly reservationTries = new RetryOrder();
+
   private readonly longWaits = new LongWaits();
 
   private readonly explainer: JobExplainer;
@@ -310,22 +315,33 @@
     });
   }
 
-  /** Reserves workers for overdue tasks that have found none. */
+  /**
+   * Reserves workers for overdue tasks that have found none. The tries are shared among the steps, so
+   * that those which no worker can take soon do not keep the others from a reservation.
+   */
   private reserveForOverdue(steps: readonly OwnedStep[], nowMs: number): void {
+    const waiting = new Map<OwnedStep, OwnedTask>();
     steps
       .filter(({ spec, unplacedSinceMs }) => unplacedSinceMs !== undefined && !spec.gang)
-      .flatMap((step) => overdueTasks(step, nowMs))
-      .filter((task) => !isSuspect(task) && !this.reservations.hasReservation(task))
-      .slice(0, MAXIMUM_NEW_RESERVATIONS)
-      .forEach((task) => this.reserveFor(task));
+      .forEach((step) => {
+        const task = overdueTasks(step, nowMs).find(
+          (each) => !isSuspect(each) && !this.reservations.hasReservation(each),
+        );
+        if (task) waiting.set(step, task);
+      });
+    this.reservationTries.next([...waiting.keys()], MAXIMUM_RESERVATION_TRIES).forEach((step) => {
+      const task = waiting.get(step);
+      if (task) this.reservationTries.record(step, this.reserveFor(task));
+    });
   }
 
-  private reserveFor(task: OwnedTask): void {
+  /** Returns false if no worker is reserved. */
+  private reserveFor(task: OwnedTask): boolean {
     const workers = this.options.permissions.startableWorkers(
       task.step,
       this.acceptingWorkers(task.step),
     );
-    this.reservations.reserve({ task, size: reservedSizeOf(task), workers }, (agent) =>
+    return this.reservations.reserve({ task, size: reservedSizeOf(task), workers }, (agent) =>
       this.placement.permits(agent, task),
     );
   }
--- a/tests/jobs/roomReservations.spec.ts
+++ b/tests/jobs/roomReservations.spec.ts
@@ -34,8 +34,10 @@
     makeBusyWorker(clock, `w${index}`, 1_000),
   );
   const reservations = new RoomReservations(clock);
-  const reserve = (task: OwnedTask, permits: (agent: WorkerAgent) => boolean = () => true): void =>
-    reservations.reserve({ task, size: reservedSizeOf(task), workers }, permits);
+  const reserve = (
+    task: OwnedTask,
+    permits: (agent: WorkerAgent) => boolean = () => true,
+  ): boolean => reservations.reserve({ task, size: reservedSizeOf(task), workers }, permits);
   return { clock, workers, reservations, reserve };
 };
 
