Test long-running tasks on a worker that drains while no other has room

All its long-running runs are stopped at once, although it stays for a while: their tasks are away until room becomes free elsewhere.

--- a/tests/jobs/runSupervisor.spec.ts
+++ b/tests/jobs/runSupervisor.spec.ts
@@ -13,6 +13,9 @@
 const SERVING = '00000000000000b1';
 const FILLER = '00000000000000c1';
 const ID = '00000000000000a1';
+/** Longest time for which a task is away when it moves, in milliseconds. */
+const MAX_MOVE_MS = 1_000;
+
 const SIZE = { milliCores: 1_000, memoryMb: 1_000, accelerators: 0 };
 
 test('should move long-running tasks off a worker that drains', async (t) => {
@@ -29,6 +32,47 @@
   t.deepEqual(site.record.violations, []);
 });
 
+/** Creates a site with a long-running task on a worker, and one other worker that is full for 4 s. */
+const makeFullSite = async () => {
+  const { site, owner } = await makeOwnedSite({
+    behave: (taskId) => ({
+      size: taskId.startsWith(SERVING) ? SIZE : { ...SIZE, milliCores: 4_000 },
+      durationMs: taskId.startsWith(SERVING) ? Infinity : 4_000,
+    }),
+  });
+  await site.submit(owner, SERVING, makeJob(makeStep({ longRunning: true })));
+  await site.run(500);
+  const size = { ...SIZE, milliCores: 4_000 };
+  await site.submit(owner, ID, makeJob(makeStep({ size, estimateMs: 4_000 })));
+  await site.run(500);
+  const [lasting] = site.record.runsOf(`${SERVING}.0.0.0`);
+  const drain = (remainingMs: number): void =>
+    site.registerWorker(lasting?.workerId ?? '', { phase: 'draining', remainingMs });
+  return { site, drain };
+};
+
+// Guards against a task that is away for seconds because it left a draining worker, which would have stayed
+// meanwhile, before there was room elsewhere (LOST).
+test('should move a long-running task off a worker that drains once another has room', async (t) => {
+  const { site, drain } = await makeFullSite();
+  drain(8_000);
+  await site.run(7_000);
+  const [first, second] = site.record.runsOf(`${SERVING}.0.0.0`);
+  t.true((second?.startedMs ?? Infinity) - (first?.endedMs ?? 0) <= MAX_MOVE_MS);
+  t.deepEqual(site.record.violations, []);
+});
+
+// Guards against a run that its worker takes along because no other has room: until its lease has lapsed,
+// its task cannot start again.
+test('should stop a long-running task before its worker leaves if no other has room', async (t) => {
+  const { site, drain } = await makeFullSite();
+  drain(2_000);
+  await site.run(1_500);
+  const [first] = site.record.runsOf(`${SERVING}.0.0.0`);
+  t.not(first?.endedMs, undefined);
+  t.is(site.record.runsOf(`${SERVING}.0.0.0`).length, 1);
+});
+
 test('should not stop a task that ends before its draining worker leaves', async (t) => {
   const { site, owner } = await makeOwnedSite({
     behave: () => ({ size: SIZE, durationMs: 1_500 }),
