Move long-running tasks off draining workers once another has room

As soon as a worker said that it drains, all its long-running runs were stopped, whether or not there was room elsewhere. On a full site that turns runs that could go on for seconds into a wave of tasks that wait, longer than callers are promised (LOST).

What is left is stopped 1.5 s before the worker may leave. How old an announcement is that the owner did not see made is not known, so those workers' runs are stopped at once, as before; so are gangs. Checkpointing tasks and fillers are as they were. A worker that leaves earlier than it announced takes its runs along, as a crash does.

--- a/packages/samphirenotch/src/jobs/placement/roomReservations.ts
+++ b/packages/samphirenotch/src/jobs/placement/roomReservations.ts
@@ -1,5 +1,6 @@
 /**
- * Reserves workers for interrupted tasks that no worker has enough room for.
+ * Reserves workers for interrupted tasks that no worker has enough room for, and for tasks that move away
+ * from a worker that leaves.
  *
  * Room becomes free in pieces, and smaller tasks would take each of them. Nothing else starts on a
  * reserved worker, until the task has started, the worker accepts no tasks any more or the reservation
@@ -9,7 +10,7 @@
 import { partLog } from '../../observability/log.js';
 import type { Clock } from '../../time/clock.js';
 
-import { isTaskWaiting, type OwnedTask } from '../model/ownedJob.js';
+import type { OwnedTask } from '../model/ownedJob.js';
 import { remainingRunMs } from '../workers/runSupervisor.js';
 import type { WorkerAgent } from '../workers/workerAgent.js';
 import type { PlacementInput } from './taskPlacement.js';
@@ -30,11 +31,22 @@
 export interface RoomReservation {
   readonly agent: WorkerAgent;
   readonly task: OwnedTask;
+  /** The worker that the task moves away from; undefined if it waits. */
+  readonly from: WorkerAgent | undefined;
   readonly untilMs: number;
 }
 
-const isNeeded = ({ task }: RoomReservation): boolean =>
-  isTaskWaiting(task) && task.step.occurrence.job.isOpen;
+/** What a reservation is for. */
+export interface ReservationInput extends PlacementInput {
+  /** The worker that the task moves away from; undefined if it waits. */
+  readonly from?: WorkerAgent;
+}
+
+const isNeeded = ({ task, from }: RoomReservation): boolean =>
+  !task.done &&
+  !task.isElsewhere &&
+  task.runs.every(({ agent }) => agent === from) &&
+  task.step.occurrence.job.isOpen;
 
 /** Keeps track of reserved workers. */
 export class RoomReservations {
@@ -83,7 +95,17 @@
    * @returns true if there is one
    */
   hasReservation(task: OwnedTask): boolean {
-    return [...this.byWorker.values()].some((reservation) => reservation.task === task);
+    return this.reservedFor(task) !== undefined;
+  }
+
+  /**
+   * Finds the worker that is reserved for a task.
+   *
+   * @param task - the task
+   * @returns the worker, or undefined if there is none
+   */
+  reservedFor(task: OwnedTask): WorkerAgent | undefined {
+    return [...this.byWorker.values()].find((reservation) => reservation.task === task)?.agent;
   }
 
   /**
@@ -102,10 +124,8 @@
    * @param permits - returns true if a worker may run the task
    * @returns false if none is expected to have room soon, or if too many are reserved
    */
-  reserve(
-    { task, size, workers }: PlacementInput,
-    permits: (agent: WorkerAgent) => boolean,
-  ): boolean {
+  reserve(input: ReservationInput, permits: (agent: WorkerAgent) => boolean): boolean {
+    const { size, workers } = input;
     const reserved = workers.filter((agent) => this.isReserved(agent)).length;
     if (reserved + 1 > Math.max(1, MAXIMUM_RESERVED_FRACTION * workers.length)) return false;
     const nowMs = this.clock.monotonicMs();
@@ -120,15 +140,16 @@
       leastMs = waitMs;
     });
     if (!earliest) return false;
-    this.add(earliest, task, nowMs);
+    this.add(earliest, input, nowMs);
     return true;
   }
 
-  private add(agent: WorkerAgent, task: OwnedTask, nowMs: number): void {
-    this.byWorker.set(agent, { agent, task, untilMs: nowMs + MAXIMUM_RESERVATION_MS });
+  private add(agent: WorkerAgent, { task, from }: ReservationInput, nowMs: number): void {
+    this.byWorker.set(agent, { agent, task, from, untilMs: nowMs + MAXIMUM_RESERVATION_MS });
     this.log.info('A worker is reserved for a task', {
       taskId: task.id,
       worker: agent.id,
+      from: from?.id,
       milliCores: task.step.spec.size.milliCores,
       freeMilliCores: agent.free().milliCores,
     });
--- a/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
@@ -28,6 +28,7 @@
 import { LongWaits } from './longWaits.js';
 import { UnplaceableSizes } from './unplaceableSizes.js';
 import { overdueTasks } from './interruptedTasks.js';
+import { DrainMoves } from './drainMoves.js';
 import { Preemption } from './preemption.js';
 import { RetryOrder } from './retryOrder.js';
 import { RoomReservations } from './roomReservations.js';
@@ -104,6 +105,8 @@
 
   private readonly reservations: RoomReservations;
 
+  private readonly drainMoves: DrainMoves;
+
   private readonly starvation: Starvation;
 
   private readonly fillerRoom: FillerHeadroom;
@@ -157,6 +160,11 @@
     this.moves = new ServingMoves(this.fillerRoom, this.placement, options.clock);
     this.preemption = new Preemption(options.clock);
     this.reservations = new RoomReservations(options.clock);
+    this.drainMoves = new DrainMoves({
+      reservations: this.reservations,
+      isStartable: ({ occurrence: { job } }) => job.isOpen && this.isAccountedFor(job),
+      reserve: ({ run, from }) => this.reserveForMove(run.task, from),
+    });
     this.starvation = new Starvation(options.clock);
     this.gate = new StartGate(options.term, options.viewAgeMs);
     this.explainer = new JobExplainer({
@@ -273,6 +281,7 @@
     this.untriedSteps = areAllTried ? [] : ordered.slice(cutAt + 1);
     this.startSomeUntried(nowMs);
     this.reserveForOverdue(ordered, nowMs);
+    this.drainMoves.check(this.options.fleet.all());
     const areCopiesTried = areAllTried && this.startSpeculativeCopies();
     this.wasCutShort = !areAllTried || !areCopiesTried || starved.length > MAXIMUM_RESERVED_STARTS;
     if (areAllTried) this.moveServing();
@@ -336,14 +345,24 @@
   }
 
   /** Returns false if no worker is reserved. */
-  private reserveFor(task: OwnedTask): boolean {
+  private reserveFor(task: OwnedTask, from?: WorkerAgent): boolean {
     const workers = this.options.permissions.startableWorkers(
       task.step,
       this.acceptingWorkers(task.step),
     );
-    return this.reservations.reserve({ task, size: reservedSizeOf(task), workers }, (agent) =>
-      this.placement.permits(agent, task),
-    );
+    const input = { task, size: reservedSizeOf(task), workers, ...(from && { from }) };
+    return this.reservations.reserve(input, (agent) => this.placement.permits(agent, task));
+  }
+
+  /** Reserves the best worker with room, or else one that is about to have room. */
+  private reserveForMove(task: OwnedTask, from: WorkerAgent): boolean {
+    const { step } = task;
+    const size = reservedSizeOf(task);
+    const best = this.placement.choose({ task, size, workers: this.startableWorkers(step) });
+    const permits = (agent: WorkerAgent): boolean => this.placement.permits(agent, task);
+    if (best && this.reservations.reserve({ task, size, workers: [best], from }, permits))
+      return true;
+    return this.reserveFor(task, from);
   }
 
   /** Cached for the pass, because a pass does not change which workers accept tasks. */
--- a/packages/samphirenotch/src/jobs/workers/runSupervisor.ts
+++ b/packages/samphirenotch/src/jobs/workers/runSupervisor.ts
@@ -2,13 +2,13 @@
  * Stops runs that would be lost or make no progress where they are, so that their tasks start
  * elsewhere.
  *
- * Long-running tasks and tasks with checkpoints leave a draining worker before it shuts down. On a
- * hanging worker, a run without progress is stopped long before its lease would expire.
+ * Long-running tasks and tasks with checkpoints leave a draining worker before it shuts down;
+ * `DrainMoves` moves long-running ones earlier if there is room for them. On a hanging worker, a run without progress is stopped long before its lease would expire.
  */
 import type { Clock } from '../../time/clock.js';
 
 import { FULL_PERCENT, isCheapToRestart, type OwnedRun } from '../model/ownedJob.js';
-import type { WorkerAgent } from './workerAgent.js';
+import { DEFAULT_REMAINING_MS, type WorkerAgent } from './workerAgent.js';
 import type { WorkerFleet } from './workerFleet.js';
 
 /** Time between two checks, in milliseconds; workers report every half second at best. */
@@ -33,10 +33,11 @@
 const STOP_MARGIN_MS = 500;
 
 /**
- * Assumed time until a draining worker leaves if its description does not state it, in
- * milliseconds.
+ * Time before a worker may leave at which its long-running runs are stopped at the latest, in
+ * milliseconds. The directory shows its announcement late, and a run that ends with its worker is known
+ * to be over only once its lease has lapsed.
  */
-const DEFAULT_REMAINING_MS = 2_000;
+const LEAVE_MARGIN_MS = 1_500;
 
 /**
  * Longest pause of a filler before it is stopped, in milliseconds; loads fluctuate within seconds.
@@ -94,11 +95,13 @@
 
   private stopOnDraining(agent: WorkerAgent, nowMs: number): void {
     const remainingMs = agent.description.remainingMs ?? DEFAULT_REMAINING_MS;
+    const isLastChance = nowMs >= (agent.leavesAtMs ?? nowMs) - LEAVE_MARGIN_MS;
     agent.activeRuns().forEach((run) => {
       if (run.phase !== 'running') return;
-      const { longRunning, checkpointing } = run.task.step.spec;
+      const { longRunning, checkpointing, gang } = run.task.step.spec;
       const isTooLong = remainingRunMs(run, nowMs) > remainingMs - STOP_MARGIN_MS;
-      if (longRunning || (checkpointing && isTooLong)) agent.stop(run, 'its worker drains');
+      const mustLeave = longRunning ? gang || isLastChance : checkpointing && isTooLong;
+      if (mustLeave) agent.stop(run, 'its worker drains');
     });
   }
 
--- a/packages/samphirenotch/src/jobs/workers/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerAgent.ts
@@ -84,6 +84,12 @@
 /** A worker may begin to count a lease this much later than expected, in milliseconds. */
 const LEASE_EXPIRY_MARGIN_MS = 250;
 
+/**
+ * Assumed time until a draining worker leaves if its description does not state it, in
+ * milliseconds.
+ */
+export const DEFAULT_REMAINING_MS = 2_000;
+
 /** Receives the events of a worker agent. */
 export interface AgentListener {
   /**
@@ -196,6 +202,8 @@
 
   private isReported = false;
 
+  private earliestLeaveMs: number | undefined;
+
   /**
    * True from when another worker has answered at the address until the directory has news of the
    * worker.
@@ -264,6 +272,7 @@
    */
   constructor(private readonly options: AgentOptions) {
     this.description = options.description;
+    this.earliestLeaveMs = this.earliestLeaveOf(options.description, false);
     this.worker = this.connect(options.description);
     this.workerClock = new WorkerClock(options.clock);
     this.wakeup = new Wakeup(options.clock);
@@ -329,6 +338,14 @@
     return this.runs.all();
   }
 
+  /**
+   * @returns monotonic time until which a draining worker stays at least, in milliseconds; undefined while
+   *   it doesn't drain
+   */
+  get leavesAtMs(): number | undefined {
+    return this.earliestLeaveMs;
+  }
+
   /** @returns the runs among them whose step has a latency target */
   servingRuns(): readonly OwnedRun[] {
     return this.runs.serving();
@@ -385,6 +402,8 @@
       this.worker = this.connect(description);
       this.answeredMs = Number.NEGATIVE_INFINITY;
     }
+    const isSeenToChange = this.description.phase === 'ready' && !this.isUnlisted;
+    this.earliestLeaveMs = this.earliestLeaveOf(description, isSeenToChange);
     this.description = description;
     this.descriptionChanges += 1;
     if (this.hasRestarted) this.incarnationSinceMs = this.options.clock.monotonicMs();
@@ -516,6 +535,17 @@
     return bornMs !== undefined && description.bornMs > 0 && description.bornMs < bornMs;
   }
 
+  /** How old a description is that was not seen to change is not known. */
+  private earliestLeaveOf(
+    { phase, remainingMs }: WorkerDescription,
+    isSeenToChange: boolean,
+  ): number | undefined {
+    if (phase !== 'draining') return undefined;
+    const nowMs = this.options.clock.monotonicMs();
+    const leaveMs = nowMs + (remainingMs ?? DEFAULT_REMAINING_MS);
+    return isSeenToChange ? leaveMs : Math.min(this.earliestLeaveMs ?? nowMs, leaveMs);
+  }
+
   private obstacleTo(run: OwnedRun): string | undefined {
     if (this.isDescriptionOutdated || run.startedMs <= this.incarnationSinceMs)
       return 'the worker has started again since it was chosen';
