--- a/packages/samphirenotch/src/jobs/placement/drainMoves.ts
+++ b/packages/samphirenotch/src/jobs/placement/drainMoves.ts
@@ -65,11 +65,12 @@
   }
 
   private isMovable({ phase, task }: OwnedRun): boolean {
-    const { longRunning, gang } = task.step.spec;
+    const { longRunning, gang, filler } = task.step.spec;
     return (
       phase === 'running' &&
       longRunning &&
       !gang &&
+      !filler &&
       task.runs.length === 1 &&
       !isSuspect(task) &&
       this.options.isStartable(task.step)
--- a/packages/samphirenotch/src/jobs/workers/runSupervisor.ts
+++ b/packages/samphirenotch/src/jobs/workers/runSupervisor.ts
@@ -98,9 +98,9 @@
     const isLastChance = nowMs >= (agent.leavesAtMs ?? nowMs) - LEAVE_MARGIN_MS;
     agent.activeRuns().forEach((run) => {
       if (run.phase !== 'running') return;
-      const { longRunning, checkpointing, gang } = run.task.step.spec;
+      const { longRunning, checkpointing, gang, filler } = run.task.step.spec;
       const isTooLong = remainingRunMs(run, nowMs) > remainingMs - STOP_MARGIN_MS;
-      const mustLeave = longRunning ? gang || isLastChance : checkpointing && isTooLong;
+      const mustLeave = longRunning ? gang || filler || isLastChance : checkpointing && isTooLong;
       if (mustLeave) agent.stop(run, 'its worker drains');
     });
   }
--- a/tests/jobs/runSupervisor.spec.ts
+++ b/tests/jobs/runSupervisor.spec.ts
@@ -73,6 +73,26 @@
   t.is(site.record.runsOf(`${SERVING}.0.0.0`).length, 1);
 });
 
+// Guards against an owner that counts on an announcement of unknown age, and loses runs with their worker.
+test('should let long-running tasks stay only where it saw the announcement', (t) => {
+  const clock = new ManualClock();
+  const announced = { phase: 'draining', remainingMs: 8_000 } as const;
+  const found = makeSilentAgent(clock, announced);
+  const seen = makeSilentAgent(clock);
+  seen.updateDescription({ ...seen.description, ...announced });
+  const runs = [found, seen].map((agent) =>
+    addRunningRun(agent, makeOwnedStep(makeStep({ longRunning: true }))),
+  );
+  const fleet = { all: () => [found, seen] } as unknown as WorkerFleet;
+  const supervisor = new RunSupervisor(fleet, clock);
+  const phases = (): readonly string[] => runs.map(({ phase }) => phase);
+  supervisor.check();
+  t.deepEqual(phases(), ['stopping', 'running']);
+  clock.jump(7_500);
+  supervisor.check();
+  t.deepEqual(phases(), ['stopping', 'stopping']);
+});
+
 test('should not stop a task that ends before its draining worker leaves', async (t) => {
   const { site, owner } = await makeOwnedSite({
     behave: () => ({ size: SIZE, durationMs: 1_500 }),
