--- a/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
@@ -28,6 +28,7 @@
 import { LongWaits } from './longWaits.js';
 import { UnplaceableSizes } from './unplaceableSizes.js';
 import { overdueTasks } from './interruptedTasks.js';
+import { DrainMoves } from './drainMoves.js';
 import { Preemption } from './preemption.js';
 import { RetryOrder } from './retryOrder.js';
 import { RoomReservations } from './roomReservations.js';
@@ -72,8 +73,11 @@
  */
 const MAXIMUM_RESERVED_STARTS = 4;
 
-/** Highest number of workers that a pass reserves for overdue tasks. */
-const MAXIMUM_NEW_RESERVATIONS = 4;
+/**
+ * Number of steps with overdue tasks for which a pass tries to reserve a worker. Half as many are tried
+ * beside them for which no worker was found before.
+ */
+const MAXIMUM_RESERVATION_TRIES = 4;
 
 /** Time after which tasks that wait for the policy service count as unplaced, in milliseconds. */
 const MAXIMUM_DECISION_WAIT_MS = 2_000;
@@ -101,6 +105,8 @@
 
   private readonly reservations: RoomReservations;
 
+  private readonly drainMoves: DrainMoves;
+
   private readonly starvation: Starvation;
 
   private readonly fillerRoom: FillerHeadroom;
@@ -111,6 +117,8 @@
 
   private readonly retries = new RetryOrder();
 
+  private readonly reservationTries = new RetryOrder();
+
   private readonly longWaits = new LongWaits();
 
   private readonly explainer: JobExplainer;
@@ -152,6 +160,11 @@
     this.moves = new ServingMoves(this.fillerRoom, this.placement, options.clock);
     this.preemption = new Preemption(options.clock);
     this.reservations = new RoomReservations(options.clock);
+    this.drainMoves = new DrainMoves({
+      reservations: this.reservations,
+      isStartable: ({ occurrence: { job } }) => job.isOpen && this.isAccountedFor(job),
+      reserve: ({ run, from }) => this.reserveForMove(run.task, from),
+    });
     this.starvation = new Starvation(options.clock);
     this.gate = new StartGate(options.term, options.viewAgeMs);
     this.explainer = new JobExplainer({
@@ -268,6 +281,7 @@
     this.untriedSteps = areAllTried ? [] : ordered.slice(cutAt + 1);
     this.startSomeUntried(nowMs);
     this.reserveForOverdue(ordered, nowMs);
+    this.drainMoves.check(this.options.fleet.all());
     const areCopiesTried = areAllTried && this.startSpeculativeCopies();
     this.wasCutShort = !areAllTried || !areCopiesTried || starved.length > MAXIMUM_RESERVED_STARTS;
     if (areAllTried) this.moveServing();
@@ -310,24 +324,45 @@
     });
   }
 
-  /** Reserves workers for overdue tasks that have found none. */
+  /**
+   * Reserves workers for overdue tasks that have found none. The tries are shared among the steps, so
+   * that those which no worker can take soon do not keep the others from a reservation.
+   */
   private reserveForOverdue(steps: readonly OwnedStep[], nowMs: number): void {
+    const waiting = new Map<OwnedStep, OwnedTask>();
     steps
       .filter(({ spec, unplacedSinceMs }) => unplacedSinceMs !== undefined && !spec.gang)
-      .flatMap((step) => overdueTasks(step, nowMs))
-      .filter((task) => !isSuspect(task) && !this.reservations.hasReservation(task))
-      .slice(0, MAXIMUM_NEW_RESERVATIONS)
-      .forEach((task) => this.reserveFor(task));
+      .forEach((step) => {
+        const task = overdueTasks(step, nowMs).find(
+          (each) => !isSuspect(each) && !this.reservations.hasReservation(each),
+        );
+        if (task) waiting.set(step, task);
+      });
+    this.reservationTries.next([...waiting.keys()], MAXIMUM_RESERVATION_TRIES).forEach((step) => {
+      const task = waiting.get(step);
+      if (task) this.reservationTries.record(step, this.reserveFor(task));
+    });
   }
 
-  private reserveFor(task: OwnedTask): void {
+  /** Returns false if no worker is reserved. */
+  private reserveFor(task: OwnedTask, from?: WorkerAgent): boolean {
     const workers = this.options.permissions.startableWorkers(
       task.step,
       this.acceptingWorkers(task.step),
     );
-    this.reservations.reserve({ task, size: reservedSizeOf(task), workers }, (agent) =>
-      this.placement.permits(agent, task),
-    );
+    const input = { task, size: reservedSizeOf(task), workers, ...(from && { from }) };
+    return this.reservations.reserve(input, (agent) => this.placement.permits(agent, task));
+  }
+
+  /** Reserves the best worker with room, or else one that is about to have room. */
+  private reserveForMove(task: OwnedTask, from: WorkerAgent): boolean {
+    const { step } = task;
+    const size = reservedSizeOf(task);
+    const best = this.placement.choose({ task, size, workers: this.startableWorkers(step) });
+    const permits = (agent: WorkerAgent): boolean => this.placement.permits(agent, task);
+    if (best && this.reservations.reserve({ task, size, workers: [best], from }, permits))
+      return true;
+    return this.reserveFor(task, from);
   }
 
   /** Cached for the pass, because a pass does not change which workers accept tasks. */
