Compare no workers for sizes that have found no room in a pass

Long-running tasks and fillers of a size that had found no worker in the pass were skipped; short tasks were not, since each may cause preemption, nor were those with a limit per worker.

The size that found no worker now answers for all tasks of the same kind that are not smaller. Short tasks may still cause preemption as before. Steps with a limit, gangs and steps that need tickets conclude from others, but others conclude nothing from them, as they may lack more than room.

Why it works: starts only take room, so what fits nowhere fits nowhere for the rest of the pass.

--- a/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
@@ -493,7 +493,9 @@
     let hasWaitingSuspects = false;
     for (const task of step.tasks.filter((each) => this.isWaiting(each, nowMs))) {
       const size = reservedSizeOf(task);
-      const agent = this.chooseWorker({ task, size, workers });
+      const agent = this.unplaceable.hasNoRoom(step)
+        ? undefined
+        : this.chooseWorker({ task, size, workers });
       if (!agent && isSuspect(task)) {
         hasWaitingSuspects = true;
         continue;
--- a/packages/samphirenotch/src/jobs/placement/unplaceableSizes.ts
+++ b/packages/samphirenotch/src/jobs/placement/unplaceableSizes.ts
@@ -10,19 +10,20 @@
 
 import type { OwnedStep } from '../model/ownedJob.js';
 
-/**
- * Returns a key shared by steps with the same candidate workers; undefined for steps that must
- * always be tried.
- */
-const cacheKeyOf = ({ spec, occurrence }: OwnedStep): string | undefined => {
+/** Each short task may cause preemption, so it is tried even if the size found no worker before. */
+const mayPreempt = ({ spec }: OwnedStep): boolean => !spec.filler && !spec.longRunning;
+
+/** Returns a key shared by steps with the same candidate workers. */
+const cacheKeyOf = ({ spec, occurrence }: OwnedStep): string => {
   const { queue } = occurrence.job;
-  // Each short task may cause preemption, so it is tried even if the size found no worker before.
-  const mayPreempt = !spec.filler && !spec.longRunning;
-  if (mayPreempt || spec.gang || spec.perWorkerLimit > 0 || queue.policy) return undefined;
   const image = spec.filler ? spec.image : '';
   return `${queue.service} ${spec.filler} ${spec.requiredLabel} ${image}`;
 };
 
+/** Its tasks may find no worker for other reasons than their size. */
+const isRestricted = ({ spec, occurrence }: OwnedStep): boolean =>
+  spec.gang || spec.perWorkerLimit > 0 || occurrence.job.queue.policy !== undefined;
+
 /** Remembers sizes by cache key. */
 export class UnplaceableSizes {
   private readonly sizes = new Map<string, Size[]>();
@@ -38,8 +39,8 @@
    * @param step - the step
    */
   add(step: OwnedStep): void {
+    if (isRestricted(step) || this.hasNoRoom(step)) return;
     const cacheKey = cacheKeyOf(step);
-    if (cacheKey === undefined) return;
     const sizes = this.sizes.get(cacheKey) ?? [];
     sizes.push(step.spec.size);
     this.sizes.set(cacheKey, sizes);
@@ -49,11 +50,19 @@
    * Tells whether a step can be skipped for the rest of the pass.
    *
    * @param step - the step
-   * @returns true if an equal or smaller size of the same kind found no worker
+   * @returns true if it has no room and cannot cause preemption either
    */
   includes(step: OwnedStep): boolean {
-    const cacheKey = cacheKeyOf(step);
-    if (cacheKey === undefined) return false;
-    return this.sizes.get(cacheKey)?.some((size) => fitsIn(size, step.spec.size)) ?? false;
+    return !mayPreempt(step) && this.hasNoRoom(step);
+  }
+
+  /**
+   * Tells whether no worker has room for the tasks of a step for the rest of the pass.
+   *
+   * @param step - the step
+   * @returns true if an equal or smaller size of the same kind found no worker
+   */
+  hasNoRoom(step: OwnedStep): boolean {
+    return this.sizes.get(cacheKeyOf(step))?.some((size) => fitsIn(size, step.spec.size)) ?? false;
   }
 }
--- a/tests/jobs/unplaceableSizes.spec.ts
+++ b/tests/jobs/unplaceableSizes.spec.ts
@@ -70,6 +70,24 @@
   t.false(unplaceable.includes(makeOwnedStep({ size: size(2_000) })));
 });
 
+// Guards against an owner whose time goes into comparing all workers for each of many equal tasks.
+test('should know that tasks have no room where an equal one found none', (t) => {
+  const unplaceable = new UnplaceableSizes();
+  unplaceable.add(makeOwnedStep({ size: size(1_000) }));
+  t.true(unplaceable.hasNoRoom(makeOwnedStep({ size: size(2_000) })));
+  t.true(unplaceable.hasNoRoom(makeOwnedStep({ size: size(2_000), perWorkerLimit: 1 })));
+  t.false(unplaceable.hasNoRoom(makeOwnedStep({ size: size(999) })));
+});
+
+// Guards against tasks that are not placed because others of their size are limited per worker or in a gang.
+test('should draw no conclusions from steps that lack more than room', (t) => {
+  [{ perWorkerLimit: 1 }, { gang: true }].forEach((restriction) => {
+    const unplaceable = new UnplaceableSizes();
+    unplaceable.add(makeOwnedStep({ ...restriction, size: size(1_000) }));
+    t.false(unplaceable.hasNoRoom(makeOwnedStep({ size: size(1_000) })));
+  });
+});
+
 // Guards against tasks that are skipped in all later passes, although capacity has become free.
 test('should forget all sizes at the start of a pass', (t) => {
   const unplaceable = new UnplaceableSizes();
