Look at the runs of full workers once in a pass when making room

What no stop can make possible was remembered for the pass, but neither for nor by steps with a limit per worker.

Each pass now computes once for each worker, by priority, how much room there would be if all runs were stopped that may be. Workers below the size of a task are left out. Tasks with a limit per worker or a policy learn from sizes for which no stop helps; those with a limit also tell of them, where no worker comes near.

Why it works: that room only shrinks during a pass, except by a stop on the worker, which forgets it. The comparison with an exhaustive search, now also with limited steps, finds the same stops.

--- a/packages/samphirenotch/src/jobs/placement/preemption.ts
+++ b/packages/samphirenotch/src/jobs/placement/preemption.ts
@@ -30,16 +30,21 @@
 const priorityOf = ({ step }: OwnedTask): number => step.occurrence.job.queue.priority;
 
 /**
- * Returns a key shared by tasks that have the same candidate workers and preemptible runs;
- * undefined if the step has a limit per worker or a policy.
+ * Returns a key shared by tasks that have the same candidate workers and preemptible runs, unless they are
+ * restricted further.
  */
-const cacheKeyOf = ({ step }: OwnedTask): string | undefined => {
+const cacheKeyOf = ({ step }: OwnedTask): string => {
   const { queue } = step.occurrence.job;
-  const { perWorkerLimit, requiredLabel } = step.spec;
-  if (perWorkerLimit > 0 || queue.policy) return undefined;
-  return `${queue.priority} ${queue.service} ${requiredLabel}`;
+  return `${queue.priority} ${queue.service} ${step.spec.requiredLabel}`;
 };
 
+/** The task is offered only the workers for which it has tickets. */
+const hasPolicy = ({ step }: OwnedTask): boolean => step.occurrence.job.queue.policy !== undefined;
+
+/** Not all candidate workers may run a task whose step has a limit per worker or a policy. */
+const isRestricted = (task: OwnedTask): boolean =>
+  task.step.spec.perWorkerLimit > 0 || hasPolicy(task);
+
 /** Stops runs to free resources for more urgent tasks. */
 export class Preemption {
   private readonly log = partLog('preemption');
@@ -50,6 +55,9 @@
   /** The last worker found, by cache key, where enough was about to become free; checked first. */
   private readonly pendingWorkers = new Map<string, WorkerAgent>();
 
+  /** Most room that stops for tasks of a priority can leave on a worker in this pass. */
+  private readonly reachableRooms = new Map<number, Map<WorkerAgent, Size>>();
+
   /**
    * @param clock - time
    */
@@ -59,6 +67,7 @@
   beginPass(): void {
     this.impossibleSizes.clear();
     this.pendingWorkers.clear();
+    this.reachableRooms.clear();
   }
 
   /**
@@ -73,22 +82,23 @@
   ): void {
     const cacheKey = cacheKeyOf(task);
     // Starts do not increase what stops could free, so the result stays valid until the next stop.
-    if (
-      cacheKey !== undefined &&
-      this.impossibleSizes.get(cacheKey)?.some((each) => fitsIn(each, size))
-    )
-      return;
+    if (this.impossibleSizes.get(cacheKey)?.some((each) => fitsIn(each, size))) return;
+    const isShared = !isRestricted(task);
     const willHaveRoom = (agent: WorkerAgent): boolean =>
       fitsIn(size, this.roomAfterStops(agent)) && permits(agent);
-    const known = cacheKey === undefined ? undefined : this.pendingWorkers.get(cacheKey);
+    const known = isShared ? this.pendingWorkers.get(cacheKey) : undefined;
     if (known && willHaveRoom(known)) return;
-    const pendingWorker = workers.find(willHaveRoom);
-    if (pendingWorker && cacheKey !== undefined) this.pendingWorkers.set(cacheKey, pendingWorker);
+    const reachable = workers.filter((each) =>
+      fitsIn(size, this.reachableRoom(each, priorityOf(task))),
+    );
+    const pendingWorker = reachable.find(willHaveRoom);
+    if (pendingWorker && isShared) this.pendingWorkers.set(cacheKey, pendingWorker);
     if (pendingWorker) return;
-    const stoppable = workers.filter((each) => permits(each) && this.endsRunsInTime(each));
+    const stoppable = reachable.filter((each) => permits(each) && this.endsRunsInTime(each));
     const agent = this.fewestVictims(stoppable, size, priorityOf(task));
     if (agent) this.stopVictims(agent, task, size);
-    else if (cacheKey !== undefined) this.noteImpossible(cacheKey, size);
+    else if (isShared || (reachable.length === 0 && !hasPolicy(task)))
+      this.noteImpossible(cacheKey, size);
   }
 
   private noteImpossible(cacheKey: string, size: Size): void {
@@ -100,6 +110,7 @@
   private stopVictims(agent: WorkerAgent, task: OwnedTask, size: Size): void {
     const victims = this.victims(agent, size, priorityOf(task));
     this.impossibleSizes.clear();
+    this.reachableRooms.forEach((rooms) => rooms.delete(agent));
     this.log.info('Stopping runs to make room for a more urgent task', {
       taskId: task.id,
       worker: agent.id,
@@ -127,6 +138,24 @@
     return fewest;
   }
 
+  /**
+   * Returns the room that would be left if all runs were stopped that may be. Kept until the next stop on
+   * the worker, since starts and time only reduce it.
+   */
+  private reachableRoom(agent: WorkerAgent, priority: number): Size {
+    const rooms = this.reachableRooms.get(priority) ?? new Map<WorkerAgent, Size>();
+    this.reachableRooms.set(priority, rooms);
+    const known = rooms.get(agent);
+    if (known) return known;
+    const nowMs = this.clock.monotonicMs();
+    const room = agent
+      .activeRuns()
+      .filter((run) => Preemption.isPreemptible(run, priority, nowMs))
+      .reduce((sum, run) => plusSize(sum, run.size), this.roomAfterStops(agent));
+    rooms.set(agent, room);
+    return room;
+  }
+
   /** Returns the free resources including those of runs that are being stopped, unless they are overdue. */
   private roomAfterStops(agent: WorkerAgent): Size {
     const nowMs = this.clock.monotonicMs();
--- a/tests/jobs/preemptionChoice.spec.ts
+++ b/tests/jobs/preemptionChoice.spec.ts
@@ -38,6 +38,8 @@
       checkpointing: random.fraction() < 0.8,
       estimateMs: random.fraction() < 0.8 ? PREEMPTIBLE_ESTIMATE_MS : 100,
       requiredLabel: random.fraction() < 0.2 ? 'fast' : '',
+      // What is concluded from a task with a limit per worker differs; the limit itself is not reached.
+      perWorkerLimit: random.fraction() < 0.3 ? RUNS_PER_WORKER : 0,
     }),
     makeQueue({ priority }),
   );
@@ -159,3 +161,30 @@
   t.true(stops.length > SEEDS.length, `${stops.length}`);
   t.true(stops.some(({ stopped }) => stopped.length > 1));
 });
+
+// Guards against an owner whose time goes into looking at all runs of full workers for each waiting task.
+test('should look at the runs of a worker once in a pass if no stop can make room there', (t) => {
+  const clock = new ManualClock();
+  const agent = makeSilentAgent(clock);
+  addRunningRun(agent, makeOwnedStep(makeStep({ size: agent.free() })));
+  const preemption = new Preemption(clock);
+  let looks = 0;
+  const listRuns = agent.activeRuns.bind(agent);
+  agent.activeRuns = () => {
+    looks += 1;
+    return listRuns();
+  };
+  const looksOf = (perWorkerLimit: number): number => {
+    const step = makeOwnedStep(makeStep({ perWorkerLimit }), makeQueue({ priority: 0 }));
+    const before = looks;
+    step.tasks.forEach((task) =>
+      preemption.makeRoom({ task, size: step.spec.size, workers: [agent] }, () => true),
+    );
+    return looks - before;
+  };
+  preemption.beginPass();
+  t.true(looksOf(1) > 0);
+  t.is(looksOf(1), 0);
+  preemption.beginPass();
+  t.true(looksOf(1) > 0);
+});
