--- a/packages/samphirenotch/src/jobs/ownership/takeover.ts
+++ b/packages/samphirenotch/src/jobs/ownership/takeover.ts
@@ -86,6 +86,15 @@
 
 const log = partLog('takeover');
 
+/** The end of the label of a journal whose owner stores places; older versions write none. */
+const PLACES_MARK = / places:(\d+)$/;
+
+/** Returns the lowest fencing token of an owner whose places still hold; undefined if none does. */
+const placesSinceOf = (label: string | undefined): number | undefined => {
+  const token = label === undefined ? undefined : PLACES_MARK.exec(label)?.[1];
+  return token === undefined ? undefined : Number(token);
+};
+
 interface OpenedJournal {
   readonly journal: ProgressJournal;
   readonly revision: number;
@@ -93,6 +102,8 @@
   readonly formerLabel: string | undefined;
   /** Leases that the owner before counted down, in the store as those that this owner counts down. */
   readonly leases: readonly LeaseEnd[];
+  /** Lowest fencing token of an owner whose places still hold. */
+  readonly placesSince: number;
 }
 
 /**
@@ -134,7 +145,7 @@
   { share, replica, clock }: TakeoverOptions,
   formerLabel: string | undefined,
 ): number => {
-  const fencingToken = Number(formerLabel?.split(' ').at(-1));
+  const fencingToken = Number(formerLabel?.split(' ')[1]);
   const lostAt = replica.shares.lossOf(share, fencingToken);
   return lostAt === undefined ? clock.monotonicMs() : replica.history.writtenByMs(lostAt);
 };
@@ -148,7 +159,7 @@
   term: Term,
 ): Promise<OpenedJournal | undefined> => {
   const keys = keysOfShare(share);
-  const label = `${process} ${term.fencingToken}`;
+  const name = `${process} ${term.fencingToken} `;
   let formerLabel: string | undefined;
   const call = () => callWithin(clock, CALL_TIMEOUT_MS, term.signal);
   while (!term.signal.aborted) {
@@ -163,8 +174,11 @@
       continue;
     }
     // A transaction whose answer was lost may have written the label of this owner.
-    if (known.val && known.val.value !== label) formerLabel = known.val.value;
+    if (known.val && !known.val.value.startsWith(name)) formerLabel = known.val.value;
     const leases = parseLeases(counted.val, known.val?.value, replica);
+    // An owner of an older version starts tasks without a change of their places.
+    const placesSince = placesSinceOf(known.val?.value) ?? term.fencingToken;
+    const label = `${name}places:${placesSince}`;
     const record = encodeLeases(label, leases, clock.monotonicMs());
     const outcome = await store.commit(
       {
@@ -192,7 +206,7 @@
         label,
         term.stepDown,
       );
-      return { journal, revision, formerLabel, leases };
+      return { journal, revision, formerLabel, leases, placesSince };
     }
     if (outcome.ok) {
       const owner = await store.get(keys.owner, call());
@@ -212,6 +226,7 @@
 const readProgress = (
   items: readonly KeyValue[],
   { progressPrefix }: ShareKeys,
+  placesSince: number,
 ): ReadonlyMap<string, JobProgress> => {
   const progress = new Map<string, JobProgress>();
   items
@@ -219,7 +234,7 @@
     .forEach(({ key, value }) => {
       const jobId = key.slice(progressPrefix.length);
       try {
-        progress.set(jobId, decodeProgress(value));
+        progress.set(jobId, decodeProgress(value, placesSince));
       } catch (error) {
         log.error('Progress cannot be read', { jobId, reason: String(error) });
       }
@@ -290,7 +305,7 @@
     return {
       journal: opened.journal,
       firstRun: term.fencingToken * RUN_NUMBERS_PER_TERM,
-      progress: readProgress(items, keys),
+      progress: readProgress(items, keys, opened.placesSince),
       workers: {
         roster: readRoster(items, keys),
         leases: opened.leases,
