Let an owner do without a few workers while its lease is not certain

Cause: a successor counts the leases of a data centre from its first contact there, so that an owner that is not certain of its lease may extend leases only while every worker of its roster there accepts its token. One dead worker looks like one that a successor has reached.

Change: the owner does without the answers of one worker of every three of a data centre, two at the most. Each entry of the roster says how many workers a successor has to reach until it counts the lease of this one: one more. Data centres of one or two workers go by the first contact, as before.

Why it is sound: a contact counts only if every former owner F that can have runs on the silent worker has the reached one in its roster. Once a successor has reached the number that the entry names, more of F's roster do not accept F's token than F does without, and F stops within the same 2.5 s as before. For this the entry must name at least the number of each such F plus one: F goes by the lowest number of any roster of its own that can be stored, so that a successor reads no lower one; a successor passes the number on, or a higher one of its own, until the owners before it are over; an owner that has stored no roster yet does without nobody, and rosters without the number are of owners that did without nobody. An owner that is not certain now also extends no lease of a worker, and starts nothing there, that has not shown itself that it knows no successor; before, such a worker held up its whole data centre.

The wait after a kill stays as it is where workers answer: the second or third contact comes with the first. It is 18.5 s instead of 9 s where all workers of a data centre but one, or but two of six and more, are lost together with the owner.

--- a/packages/samphirenotch/src/jobs/ownership/takeover.ts
+++ b/packages/samphirenotch/src/jobs/ownership/takeover.ts
@@ -44,9 +44,10 @@
     service: z.string(),
     dataCentre: z.string(),
     draining: z.boolean(),
-    // Rosters of older versions lack both.
+    // Rosters of older versions lack these.
     calledSinceTerm: z.number().optional(),
     usedSinceTerm: z.number().default(0),
+    contactsNeeded: z.number().int().positive().default(1),
   }),
 );
 
--- a/packages/samphirenotch/src/jobs/workers/formerLeases.ts
+++ b/packages/samphirenotch/src/jobs/workers/formerLeases.ts
@@ -12,7 +12,7 @@
 
 /**
  * Time in which a former owner learns of its successor, or stops extending leases, once its successor
- * has reached a worker of its roster in the data centre, in milliseconds.
+ * has reached enough workers of its roster in the data centre, in milliseconds.
  */
 export const SUCCESSOR_DISCOVERY_MS = 2_500;
 
@@ -28,6 +28,11 @@
   readonly calledSinceTerm?: number | undefined;
   /** Fencing token of the first owner that may still act and have runs on the worker. */
   readonly usedSinceTerm: number;
+  /**
+   * Number of workers of its data centre that must not accept the token of such an owner any more until it
+   * certainly extends no lease here.
+   */
+  readonly contactsNeeded: number;
 }
 
 /** The first answer of a worker that former owners call. */
@@ -40,9 +45,9 @@
 /** Tells whether every former owner that may extend the lease of a worker calls another worker as well. */
 const isCalledBeside = (
   { dataCentre, calledSinceTerm }: FormerWorker,
-  worker: FormerWorker | undefined,
+  worker: FormerWorker,
 ): boolean =>
-  dataCentre === worker?.dataCentre &&
+  dataCentre === worker.dataCentre &&
   calledSinceTerm !== undefined &&
   calledSinceTerm <= worker.usedSinceTerm;
 
@@ -100,7 +105,7 @@
   markReached({ id, address }: Pick<WorkerDescription, 'id' | 'address'>): void {
     const worker = this.formerWorkers.get(id);
     // Former owners call the worker at no other address.
-    if (worker?.address !== address) return;
+    if (worker?.address !== address || this.contacts.some((each) => each.worker === worker)) return;
     this.contacts.push({ worker, atMs: this.clock.monotonicMs() });
   }
 
@@ -118,21 +123,27 @@
    * Computes when a worker that has not answered can hold no lease of a former owner any more: at the
    * latest after the longest time for which a former owner goes on without a confirmed lease. A former
    * owner that is not certain of its lease extends others in a data centre only while all workers of its
-   * roster there accept its fencing token, so that it stops once its successor has reached one of them.
-   * Owners that do not have the reached worker in their rosters must not have the silent one either. A
-   * lease that an owner counted down in the store it extends no more.
+   * roster there, or all but a few, accept its fencing token, so that it stops once its successor has
+   * reached more of them. Owners that do not have the reached workers in their rosters must not have the
+   * silent one either. A lease that an owner counted down in the store it extends no more.
    *
    * @param worker - the worker
    * @returns monotonic time in milliseconds
    */
   endMs({ id }: Pick<WorkerDescription, 'id'>): number {
-    const former = this.formerWorkers.get(id);
-    const contact = this.contacts.find(({ worker }) => isCalledBeside(worker, former));
-    const reachedAtMs = contact?.atMs ?? Number.POSITIVE_INFINITY;
+    const reachedAtMs = this.decisiveContact(id)?.atMs ?? Number.POSITIVE_INFINITY;
     const lastExtensionMs = Math.min(this.ownersEndMs, reachedAtMs + SUCCESSOR_DISCOVERY_MS);
     return Math.min(
       lastExtensionMs + MAX_FORMER_LEASE_MS,
       this.countedDownEndsMs.get(id) ?? Number.POSITIVE_INFINITY,
     );
   }
+
+  /** Returns the contact since which former owners cannot rule out a successor beside a worker. */
+  private decisiveContact(id: string): Contact | undefined {
+    const former = this.formerWorkers.get(id);
+    if (!former) return undefined;
+    const counted = this.contacts.filter(({ worker }) => isCalledBeside(worker, former));
+    return counted[former.contactsNeeded - 1];
+  }
 }
--- a/packages/samphirenotch/src/jobs/workers/workerFleet.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerFleet.ts
@@ -29,6 +29,15 @@
 /** Time for which the contested data centres are not worked out again, in milliseconds. */
 const CONTESTED_CACHE_MS = 20;
 
+/**
+ * Most workers of a data centre whose answers an owner does without while it is not certain of its lease. Its
+ * successor has to reach one more.
+ */
+const MAX_SPARES = 2;
+
+/** Least number of workers of a data centre for each that the owner does without. */
+const WORKERS_PER_SPARE = 3;
+
 const NO_DATA_CENTRES: ReadonlySet<string> = new Set();
 
 /** A worker on which an owner may have started runs, as stored for its successor. */
@@ -62,6 +71,32 @@
 const rosterNameOf = ({ id, address }: Pick<RosterEntry, 'id' | 'address'>): string =>
   `${id} ${address}`;
 
+/** Works out how many workers of each data centre an owner does without. */
+const sparesOf = (
+  workers: readonly Pick<RosterEntry, 'dataCentre'>[],
+): ReadonlyMap<string, number> => {
+  const counts = new Map<string, number>();
+  workers.forEach(({ dataCentre }) => counts.set(dataCentre, (counts.get(dataCentre) ?? 0) + 1));
+  return new Map(
+    [...counts].map(([dataCentre, count]) => [
+      dataCentre,
+      Math.min(MAX_SPARES, Math.floor(count / WORKERS_PER_SPARE)),
+    ]),
+  );
+};
+
+/** Returns the lower one of two numbers for each data centre that has both. */
+const lowerOf = (
+  first: ReadonlyMap<string, number>,
+  second: ReadonlyMap<string, number>,
+): ReadonlyMap<string, number> =>
+  new Map(
+    [...first].map(([dataCentre, count]) => [
+      dataCentre,
+      Math.min(count, second.get(dataCentre) ?? 0),
+    ]),
+  );
+
 /** Settings and collaborators of a `WorkerFleet`. */
 export interface WorkerFleetOptions {
   /** Creates the agent of a worker. */
@@ -122,6 +157,18 @@
   /** Workers in any roster that a successor may find stored, with their data centres, by name. */
   private possiblyRostered = new Map<string, string>();
 
+  /**
+   * Number of workers of each data centre whose answers the owner does without: the lowest one by any roster
+   * that a successor may find stored.
+   */
+  private spares: ReadonlyMap<string, number> = new Map();
+
+  /** The same by the newest roster, which may not be stored yet. */
+  private newestSpares: ReadonlyMap<string, number> = new Map();
+
+  /** Number of contacts that owners before this one make necessary, by id of the worker. */
+  private formerContactsNeeded: ReadonlyMap<string, number> = new Map();
+
   /** The workers of the newest roster, by id. */
   private newestEntries: ReadonlyMap<string, RosterEntry> = new Map();
 
@@ -198,6 +245,9 @@
     this.rostered = new Set(roster.map(rosterNameOf));
     this.newestRostered = this.rostered;
     this.newestEntries = new Map(roster.map((entry) => [entry.id, entry]));
+    this.formerContactsNeeded = new Map(
+      roster.map(({ id, contactsNeeded }) => [id, contactsNeeded]),
+    );
     roster.forEach((entry) => {
       this.possiblyRostered.set(rosterNameOf(entry), entry.dataCentre);
       const agent = this.add(describeRosterEntry(entry));
@@ -301,29 +351,41 @@
    *
    * @param agent - the worker's agent
    * @returns false if a successor may count the lease as expired: going by a stored record, or since it
-   *   may have reached another worker of the data centre
+   *   may have reached the worker itself or others of the data centre
    */
-  mayExtendLease({ id, description }: WorkerAgent): boolean {
-    return !this.countdown.has(id) && !this.contestedDataCentres().has(description.dataCentre);
+  mayExtendLease(agent: WorkerAgent): boolean {
+    if (this.countdown.has(agent.id)) return false;
+    if (this.options.isSoleOwner()) return true;
+    return (
+      this.isAccepting(agent) && !this.contestedDataCentres().has(agent.description.dataCentre)
+    );
+  }
+
+  /** Tells whether a worker has lately shown that it knows no successor. */
+  private isAccepting({ answeredMs }: WorkerAgent): boolean {
+    return answeredMs >= this.clock.monotonicMs() - MAX_ANSWER_AGE_MS;
   }
 
   /**
-   * Lists the data centres in which a successor may have reached a worker by which it counts the leases
-   * there: some worker of the roster has not accepted this owner's fencing token for a while.
+   * Lists the data centres in which a successor may have reached the workers by which it counts the leases
+   * there: too many of the roster have not accepted this owner's fencing token for a while.
    */
   private contestedDataCentres(): ReadonlySet<string> {
     if (this.options.isSoleOwner()) return NO_DATA_CENTRES;
     const nowMs = this.clock.monotonicMs();
     if (nowMs < this.contestedAtMs + CONTESTED_CACHE_MS) return this.contested;
-    const sinceMs = nowMs - MAX_ANSWER_AGE_MS;
     const accepting = new Set(
       this.all()
-        .filter(({ answeredMs }) => answeredMs >= sinceMs)
+        .filter((agent) => this.isAccepting(agent))
         .map(({ description }) => rosterNameOf(description)),
     );
+    const missing = new Map<string, number>();
+    this.possiblyRostered.forEach((dataCentre, name) => {
+      if (!accepting.has(name)) missing.set(dataCentre, (missing.get(dataCentre) ?? 0) + 1);
+    });
     this.contested = new Set(
-      [...this.possiblyRostered].flatMap(([name, dataCentre]) =>
-        accepting.has(name) ? [] : [dataCentre],
+      [...missing.keys()].filter(
+        (dataCentre) => (missing.get(dataCentre) ?? 0) > (this.spares.get(dataCentre) ?? 0),
       ),
     );
     this.contestedAtMs = nowMs;
@@ -507,11 +569,17 @@
     this.rosterChanged = true;
   }
 
-  private rosterEntryOf({ description }: WorkerAgent): RosterEntry {
+  private rosterEntryOf(
+    { description }: WorkerAgent,
+    spares: ReadonlyMap<string, number>,
+  ): RosterEntry {
     const { id, address, service, dataCentre, phase } = description;
     const { fencingToken } = this.options;
     // An entry is passed on while it stays: in between, every owner has had it.
     const entry = this.areFormerOwnersOver ? undefined : this.newestEntries.get(id);
+    const usedSinceTerm = entry?.usedSinceTerm ?? fencingToken;
+    const formerNeeded =
+      usedSinceTerm < fencingToken ? (this.formerContactsNeeded.get(id) ?? 1) : 1;
     return {
       id,
       address,
@@ -519,16 +587,17 @@
       dataCentre,
       draining: phase === 'draining',
       calledSinceTerm: entry?.address === address ? entry.calledSinceTerm : fencingToken,
-      usedSinceTerm: entry?.usedSinceTerm ?? fencingToken,
+      usedSinceTerm,
+      contactsNeeded: Math.max(formerNeeded, 1 + (spares.get(dataCentre) ?? 0)),
     };
   }
 
   private storeRoster(): void {
     if (!this.rosterChanged || this.isFormerRosterUnknown) return;
     this.rosterChanged = false;
-    const roster = this.all()
-      .filter((agent) => this.mayHoldRuns(agent))
-      .map((agent) => this.rosterEntryOf(agent));
+    const agents = this.all().filter((agent) => this.mayHoldRuns(agent));
+    const spares = sparesOf(agents.map(({ description }) => description));
+    const roster = agents.map((agent) => this.rosterEntryOf(agent, spares));
     this.newestEntries = new Map(roster.map((entry) => [entry.id, entry]));
     const text = JSON.stringify(roster);
     if (text === this.lastRosterText) return;
@@ -540,6 +609,8 @@
     });
     const names = new Set(roster.map(rosterNameOf));
     this.newestRostered = names;
+    this.newestSpares = spares;
+    this.spares = lowerOf(this.spares, spares);
     roster.forEach((entry) => this.possiblyRostered.set(rosterNameOf(entry), entry.dataCentre));
     // A worker that leaves the roster gets nothing from now on, since the roster may be stored at any
     // time.
@@ -547,6 +618,7 @@
     this.journal.waitUntilStored(sequence).then(
       (stored) => {
         if (!stored) return;
+        this.spares = lowerOf(spares, this.newestSpares);
         this.rostered = new Set([...names].filter((name) => this.newestRostered.has(name)));
         this.possiblyRostered = new Map(
           [...this.possiblyRostered].filter(
