--- a/packages/samphirenotch/src/jobs/workers/runSupervisor.ts
+++ b/packages/samphirenotch/src/jobs/workers/runSupervisor.ts
@@ -3,7 +3,8 @@
  * elsewhere.
  *
  * Long-running tasks and tasks with checkpoints leave a draining worker before it shuts down;
- * `DrainMoves` moves long-running ones earlier if there is room for them. On a hanging worker, a run without progress is stopped long before its lease would expire.
+ * `DrainMoves` moves long-running ones earlier if there is room for them. On a hanging worker, a run
+ * without progress is stopped long before its lease would expire.
  */
 import type { Clock } from '../../time/clock.js';
 
--- a/packages/samphirenotch/src/jobs/workers/workerFleet.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerFleet.ts
@@ -587,8 +587,9 @@
 
   /**
    * Tells whether a successor has to wait for a worker: this owner starts nothing before the worker
-   * has accepted its fencing token, nor while it drains, and former owners may have started something until their leases
-   * have certainly lapsed. An entry of the directory behind which nobody answers is not waited for.
+   * has accepted its fencing token, nor while it drains, and former owners may have started something
+   * until their leases have certainly lapsed. An entry of the directory behind which nobody answers is
+   * not waited for.
    */
   private mayHoldRuns(agent: WorkerAgent): boolean {
     if (this.unreportedWorkers.has(agent)) return true;
@@ -648,7 +649,7 @@
     return this.options.isStoreReachable() && agent.silentMs >= MIN_SILENCE_MS;
   }
 
-  /** Notes when the owners before this one have ended, after whom it is the first that can have the workers. */
+  /** Notes when the owners before this one have ended: from then on all entries begin with its own term. */
   private checkFormerOwners(): void {
     if (this.areFormerOwnersOver) return;
     if (this.clock.monotonicMs() < this.formerLeases.ownersEndMs) return;
