Wait on for the place of a task that is being stored

A start waited for its place for 600 ms. After that the place was stored as nowhere, and the next try stored it anew, behind that write. While the store takes 700 ms for a transaction, a long-running task that was interrupted never starts again. A place whose order was not sent now stays, and the next start on the same worker waits for the write that is pending.

Two of the tests (700 and 1,000 ms) fail without the change; all hold on.

--- a/packages/samphirenotch/src/jobs/placement/taskPlaces.ts
+++ b/packages/samphirenotch/src/jobs/placement/taskPlaces.ts
@@ -28,8 +28,11 @@
 export class TaskPlaces {
   private readonly log = partLog('places');
 
-  /** Tasks for which the store may still name another worker, each with its newest claim. */
-  private readonly unsettled = new WeakMap<OwnedTask, object>();
+  /**
+   * Tasks for which the store may still name another worker, each with the result of storing its newest
+   * place.
+   */
+  private readonly unsettled = new WeakMap<OwnedTask, Promise<boolean>>();
 
   /**
    * @param book - stores the progress of jobs
@@ -64,7 +67,11 @@
   claim(task: OwnedTask, { id }: WorkerAgent): Promise<boolean> | undefined {
     const { place } = task;
     if (place === undefined || !keepsPlace(task)) return undefined;
-    if (place === id && !this.unsettled.has(task)) return undefined;
+    if (place === id) {
+      // A new write would take the place of the pending one, and wait for as long again.
+      const whenStored = this.unsettled.get(task);
+      return whenStored && this.waitFor(task, whenStored);
+    }
     const owned = task;
     owned.place = id;
     return this.store(task);
@@ -102,6 +109,8 @@
    */
   noteEnd({ task, agent }: OwnedRun): void {
     if (task.place !== agent.id || task.runs.length > 0) return;
+    // The place of a start that was not ordered yet stays, so that the next one need not wait anew.
+    if (this.unsettled.has(task)) return;
     const owned = task;
     owned.place = NOWHERE;
     this.book.saveProgress(task.step.occurrence.job);
@@ -120,15 +129,18 @@
   }
 
   /** Stores the place of a task; resolves to false if that takes too long. */
-  private async store(task: OwnedTask): Promise<boolean> {
-    const claim = {};
-    this.unsettled.set(task, claim);
-    const sentMs = this.clock.monotonicMs();
-    const ended = new AbortController();
+  private store(task: OwnedTask): Promise<boolean> {
     const whenStored = this.book.storeProgress(task.step.occurrence.job).then((isStored) => {
-      if (isStored && this.unsettled.get(task) === claim) this.unsettled.delete(task);
+      if (isStored && this.unsettled.get(task) === whenStored) this.unsettled.delete(task);
       return isStored;
     });
+    this.unsettled.set(task, whenStored);
+    return this.waitFor(task, whenStored);
+  }
+
+  private async waitFor(task: OwnedTask, whenStored: Promise<boolean>): Promise<boolean> {
+    const sentMs = this.clock.monotonicMs();
+    const ended = new AbortController();
     const isStored = await Promise.race([
       whenStored,
       this.clock.sleep(STORE_TIMEOUT_MS, ended.signal).then(() => false),
