Count all workers for how many are reserved for moves

The limit was computed from the one chosen worker, so that each pass of a drain could reserve up to six more. The test failed: 4 of 20 workers were kept from other tasks, 1 is allowed.

--- a/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
@@ -379,9 +379,10 @@
     const { step } = task;
     const size = reservedSizeOf(task);
     const best = this.placement.choose({ task, size, workers: this.startableWorkers(step) });
-    const permits = (agent: WorkerAgent): boolean => this.placement.permits(agent, task);
-    if (best && this.reservations.reserve({ task, size, workers: [best], from }, permits))
-      return true;
+    // All workers count for how many may be reserved.
+    const input = { task, size, workers: this.acceptingWorkers(step), from };
+    const isBest = (agent: WorkerAgent): boolean => agent === best;
+    if (best && this.reservations.reserve(input, isBest)) return true;
     return this.reserveFor(task, from);
   }
 
