List two waits of long-running tasks that remain

A task that is interrupted in an outage of the store waits for its end, where an owner started it at once before: its new place cannot be stored. A successor does not know how old the announcement of a draining worker is, and stops all long-running runs there at once, as before.

--- a/tests/jobs/drainsWithoutStore.spec.ts
+++ b/tests/jobs/drainsWithoutStore.spec.ts
@@ -48,3 +48,19 @@
   t.true((second?.startedMs ?? Infinity) - (first?.endedMs ?? 0) <= MAX_MOVE_MS);
   t.deepEqual(site.record.violations, []);
 });
+
+// Guards against a wave of tasks that are away because the owner which saw the announcement is gone.
+test('should let a task stay on a draining worker until another has room when its owner changes', async (t) => {
+  const { site, owner, drain } = await makeFullSite();
+  site.start('b');
+  await site.run(500);
+  const size = { ...SIZE, milliCores: 4_000 };
+  site.putJobs(['00000000000000a2'], makeJob(makeStep({ size, estimateMs: 4_000 })));
+  drain(20_000);
+  await site.run(1_000);
+  owner.kill();
+  await site.run(14_000);
+  const [first, second] = site.record.runsOf(TASK);
+  t.true((second?.startedMs ?? Infinity) - (first?.endedMs ?? 0) <= MAX_MOVE_MS);
+  t.deepEqual(site.record.violations, []);
+});
--- a/tests/jobs/slowStoreMoves.spec.ts
+++ b/tests/jobs/slowStoreMoves.spec.ts
@@ -33,3 +33,16 @@
     t.deepEqual(site.record.violations, []);
   });
 }
+
+// Guards against a task that waits for the end of an outage of the store although its worker could run it.
+test('should start an interrupted task again in an outage of the store', async (t) => {
+  const { site } = await makeSiteWithLastingTasks({ workers: TASKS + 1 });
+  await site.run(2_000);
+  site.entries.forEach(({ store }) => Object.assign(store, { isCutOff: true }));
+  await site.run(500);
+  const [busy] = [...site.workers.values()].filter((each) => each.activeRuns().length > 0);
+  busy?.endRuns(ID, 'failed');
+  await site.run(LASTING_BOUND_MS);
+  t.is(countRunning(site), TASKS);
+  t.deepEqual(site.record.violations, []);
+});
