--- a/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
@@ -175,12 +175,13 @@
     this.turns = new OrderBatcher(options.clock);
     this.book = new JobRegistry(options.operator, options.clock);
     this.outcomes = new TaskOutcomes(this.book, options.clock, options.viewAgeMs);
+    const isStoreReachable = (): boolean => term.leaseUnconfirmedMs() <= MAX_STORE_ANSWER_AGE_MS;
     this.fleet = new WorkerFleet({
       makeAgent: (description) => this.createAgent(description),
       clock: options.clock,
       fencingToken: term.fencingToken,
       onUsable: () => this.wakeup.wake(),
-      isStoreReachable: () => term.leaseUnconfirmedMs() <= MAX_STORE_ANSWER_AGE_MS,
+      isStoreReachable,
       isSoleOwner: () => this.isSoleOwner(),
       wasSoleOwnerAt: (timeMs) => this.wasSoleOwnerAt(timeMs),
     });
@@ -200,6 +201,7 @@
       slowWorkers: this.slowWorkers,
       viewAgeMs: options.viewAgeMs,
       turns: this.turns,
+      isStoreReachable,
       places: this.places,
     });
     this.pacing = new FillerPacing(this.fleet, interference, options.clock);
--- a/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
@@ -61,6 +61,8 @@
   /** Returns the age of the owner's view of jobs, in milliseconds. */
   readonly viewAgeMs: () => number;
   readonly turns: OrderBatcher;
+  /** Returns true if the store has answered lately. */
+  readonly isStoreReachable: () => boolean;
   readonly places: TaskPlaces;
 }
 
@@ -84,12 +86,6 @@
 /** Time after which tasks that wait for the policy service count as unplaced, in milliseconds. */
 const MAXIMUM_DECISION_WAIT_MS = 2_000;
 
-/**
- * Time since the last confirmation of the owner's lease up to which places of tasks can be stored, in
- * milliseconds.
- */
-const MAX_STORE_ANSWER_AGE_MS = 1_000;
-
 /** Time between two updates of the demand of fillers, in milliseconds. */
 const DEMAND_REFRESH_INTERVAL_MS = 500;
 
@@ -174,7 +170,7 @@
     this.drainMoves = new DrainMoves({
       reservations: this.reservations,
       isStartable: ({ occurrence: { job } }) =>
-        job.isOpen && this.isAccountedFor(job) && this.isStoreReachable(),
+        job.isOpen && this.isAccountedFor(job) && options.isStoreReachable(),
       reserve: ({ run, from }) => this.reserveForMove(run.task, from),
     });
     this.starvation = new Starvation(options.clock);
@@ -498,10 +494,6 @@
     return !fleet.hasUnreportedWorkers || job.revision > term.fencingToken;
   }
 
-  private isStoreReachable(): boolean {
-    return this.options.term.leaseUnconfirmedMs() <= MAX_STORE_ANSWER_AGE_MS;
-  }
-
   private mayHaveStartableTasks(job: OwnedJob): boolean {
     if (this.isAccountedFor(job)) return true;
     const { term } = this.options;
