--- a/packages/samphirenotch/src/jobs/workers/workerFleet.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerFleet.ts
@@ -11,6 +11,7 @@
 import type { ProgressJournal } from '../store/progressJournal.js';
 import { FormerLeases, SUCCESSOR_DISCOVERY_MS, type FormerWorker } from './formerLeases.js';
 import { LeaseCountdown, type LeaseEnd, type LeaseLeft } from './leaseCountdown.js';
+import { lowerOf, sparesOf } from './spareWorkers.js';
 import type { WorkerAgent } from './workerAgent.js';
 import { WorkerHealth } from './workerHealth.js';
 
@@ -29,15 +30,6 @@
 /** Time for which the contested data centres are not worked out again, in milliseconds. */
 const CONTESTED_CACHE_MS = 20;
 
-/**
- * Most workers of a data centre whose answers an owner does without while it is not certain of its lease. Its
- * successor has to reach one more.
- */
-const MAX_SPARES = 2;
-
-/** Least number of workers of a data centre for each that the owner does without. */
-const WORKERS_PER_SPARE = 3;
-
 const NO_DATA_CENTRES: ReadonlySet<string> = new Set();
 
 /** A worker on which an owner may have started runs, as stored for its successor. */
@@ -76,32 +68,6 @@
 const rosterNameOf = ({ id, address }: Pick<RosterEntry, 'id' | 'address'>): string =>
   `${id} ${address}`;
 
-/** Works out how many workers of each data centre an owner does without. */
-const sparesOf = (
-  workers: readonly Pick<RosterEntry, 'dataCentre'>[],
-): ReadonlyMap<string, number> => {
-  const counts = new Map<string, number>();
-  workers.forEach(({ dataCentre }) => counts.set(dataCentre, (counts.get(dataCentre) ?? 0) + 1));
-  return new Map(
-    [...counts].map(([dataCentre, count]) => [
-      dataCentre,
-      Math.min(MAX_SPARES, Math.floor(count / WORKERS_PER_SPARE)),
-    ]),
-  );
-};
-
-/** Returns the lower one of two numbers for each data centre that has both. */
-const lowerOf = (
-  first: ReadonlyMap<string, number>,
-  second: ReadonlyMap<string, number>,
-): ReadonlyMap<string, number> =>
-  new Map(
-    [...first].map(([dataCentre, count]) => [
-      dataCentre,
-      Math.min(count, second.get(dataCentre) ?? 0),
-    ]),
-  );
-
 /** Settings and collaborators of a `WorkerFleet`. */
 export interface WorkerFleetOptions {
   /** Creates the agent of a worker. */
