Handle signals that arrive while an entry starts

What operators saw: an entry that was told to read its settings again (SIGHUP) within its first seconds ended without a line, with code 129. A stop (SIGTERM) at that moment ended it as quietly.

Cause: the listeners were set last, after the servers listened. Until then the signals have their default action.

Change: the loader listens before it compiles the program, and the program sets its own listeners before it waits for anything. A signal that comes meanwhile is delivered once the event loop runs, to those. The start of the runtime itself is not covered.

Test: a signal sent while the compiled code is read; before, the process ended by SIGHUP and SIGTERM, now it reads its settings, or stops with code 0.

--- a/utils/startMain.ts
+++ b/utils/startMain.ts
@@ -6,6 +6,10 @@
 
 import { CACHE_FILE, CachedProgram } from './cachedProgram.js';
 
+// Without a listener these signals end the process. The program handles one that arrives while it loads,
+// since its own listeners are there before the event loop runs.
+['SIGHUP', 'SIGTERM'].forEach((signal) => process.on(signal, () => {}));
+
 const program = new CachedProgram(readFileSync(CACHE_FILE));
 if (program.hasStaleCode) {
   // The log of the daemon is part of what is not running yet.
