Tell the delay of the process from the silence of a worker in calls over HTTP

What callers saw: a request failed with 'no answer in time' although the worker had answered: the process was busy or held up as the answer came, its timer was served first, and the answer lay unread in the socket.

Evidence: a call of 200 ms during which the event loop does nothing else for 600 ms fails, with the answer there, and before it could even connect.

Change: both ask the same function for how long a call whose timer was served late goes on listening, a second at the most; a call with a punctual timer ends as before.

--- a/packages/samphirenotch/src/infrastructure/httpCommand.ts
+++ b/packages/samphirenotch/src/infrastructure/httpCommand.ts
@@ -9,6 +9,7 @@
 import { Err, Ok, type Result } from '../results.js';
 import { remainingMs, type Call } from '../time/call.js';
 import type { Clock } from '../time/clock.js';
+import { listeningMs } from '../time/ownDelay.js';
 import { UNSENT_CODES } from './unsentCodes.js';
 
 const FAILURE_DETAIL = z.object({
@@ -41,7 +42,8 @@
 /**
  * Runs an HTTP exchange and aborts it at the deadline or when the call is cancelled. The deadline
  * applies until the exchange resolves, cancellation also afterwards. If the exchange resolves to
- * the head of an answer, the body may take longer than the deadline.
+ * the head of an answer, the body may take longer than the deadline. A process that was late itself
+ * goes on listening for a while.
  *
  * The deadline is a separate timer, not `AbortSignal.timeout`: a timeout signal that is referenced
  * only by a combined signal can be garbage-collected while the exchange waits, and then a silent
@@ -61,6 +63,7 @@
   const deadlinePassed = new AbortController();
   const abortAtDeadline = async (): Promise<void> => {
     await clock.sleep(remainingMs(clock, call), resolved.signal);
+    await clock.sleep(listeningMs(clock.monotonicMs() - call.deadlineMs), resolved.signal);
     if (resolved.signal.aborted) return;
     deadlinePassed.abort(new DOMException('no answer in time', 'TimeoutError'));
   };
