Reserve the addresses of a soak, and tell how its entries end

The callers of the one reach the entries of the other, whose runs its checker never sees.

Change: a soak reserves its network by a listener, so that none has to be chosen. The log of an entry says how each of its processes ended: entries that ended by themselves within 2 s of a start left no line.

--- a/tests/platform/startSignals.spec.ts
+++ b/tests/platform/startSignals.spec.ts
@@ -8,20 +8,19 @@
 
 import test, { type ExecutionContext } from 'ava';
 
+import { ReservedNetwork } from '../soak/reservedNetwork.js';
+
 /** Nobody listens at this port of this machine. */
 const NO_STORE = '127.0.0.1:1';
 
-/** Addresses that no other test uses. */
-const HOST = '127.0.78.2';
-
-const SETTINGS = {
+const settingsOf = (host: string) => ({
   NodeName: 'front-1',
   Zone: 'north',
-  ListenAddrs: { Front: `${HOST}:18161`, ReadyAddress: `${HOST}:18167` },
+  ListenAddrs: { Front: `${host}:18161`, ReadyAddress: `${host}:18167` },
   Limits: { CpuShare: 1 },
   Bounds: { HoldLimitMs: 6_000, GraceS: 1, FencingEnforced: true },
   platform: { Address: NO_STORE },
-};
+});
 
 /** Sends a signal to the process it is loaded into, as the daemon reads its compiled code. */
 const makeHook = (signal: NodeJS.Signals): string => `
@@ -47,7 +46,9 @@
   const program = path.join(folder, 'entry.cjs');
   execFileSync('npx', ['tsx', 'utils/bundle.ts', program], { stdio: 'pipe' });
   const settings = path.resolve(folder, 'boot.json');
-  writeFileSync(settings, JSON.stringify(SETTINGS));
+  const network = await ReservedNetwork.reserve();
+  t.teardown(() => network.release());
+  writeFileSync(settings, JSON.stringify(settingsOf(network.addressOf(0))));
   const hook = path.resolve(folder, 'hook.cjs');
   writeFileSync(hook, makeHook(signal));
   const daemon = spawn(process.execPath, ['--require', hook, program], {
--- a/tests/profile/ownerProfileMain.ts
+++ b/tests/profile/ownerProfileMain.ts
@@ -126,8 +126,6 @@
 
   private readonly random = makeRandom(1);
 
-  network = Option.String('--network', '77', { description: 'third part of the address' });
-
   override async execute(): Promise<number> {
     const folder = path.resolve(this.folder);
     mkdirSync(folder, { recursive: true });
@@ -142,7 +140,6 @@
       workerCpu: 16_000,
       program: this.program,
       folder,
-      network: Number(this.network),
       checker,
       owners: new ShareOwners(),
       runtimeWords: ['--cpu-prof', `--cpu-prof-dir=${folder}`, '--cpu-prof-interval=500'],
--- a/tests/soak/entryProcess.ts
+++ b/tests/soak/entryProcess.ts
@@ -113,10 +113,15 @@
     child.stdout.on('data', (piece: Buffer) => this.output.write(piece));
     createInterface({ input: child.stdout }).on('line', this.options.onLine);
     child.stderr.on('data', (piece: Buffer) => this.output.write(piece));
-    child.once('exit', () => {
+    const startedMs = performance.now();
+    child.once('exit', (code, signal) => {
       this.child = undefined;
       if (!this.isWanted) return;
-      if (!this.endExpected) this.ownEnds += 1;
+      const afterMs = Math.round(performance.now() - startedMs);
+      const { endExpected } = this;
+      const end = { part: 'soak', message: 'The process has ended', code, signal };
+      this.output.write(`${JSON.stringify({ ...end, afterMs, endExpected })}\n`);
+      if (!endExpected) this.ownEnds += 1;
       setTimeout(() => {
         if (this.isWanted) this.spawn();
       }, this.options.restartMs);
--- a/tests/soak/soak.spec.ts
+++ b/tests/soak/soak.spec.ts
@@ -20,9 +20,6 @@
 /** Inside the repository, so that the program finds its packages. */
 const folder = path.join('.build', 'soak-test');
 
-/** Third part of addresses that no other test uses. */
-const NETWORK = 77;
-
 test('should draw the same faults from the same seed', (t) => {
   t.deepEqual(drawFaults(makeRandom(5), 30_000, 1_000), drawFaults(makeRandom(5), 30_000, 1_000));
   t.notDeepEqual(
@@ -65,7 +62,6 @@
       faultGapMs: 800,
       program,
       folder: path.join(folder, String(seed)),
-      network: NETWORK,
       judgesTime: false,
       tell: (line) => t.log(line),
     });
@@ -93,7 +89,6 @@
     strikesOwners: true,
     program: await bundleEntry(),
     folder: path.join(folder, 'divided'),
-    network: NETWORK,
     judgesTime: false,
     tell: (line) => t.log(line),
   });
--- a/tests/soak/soakMain.ts
+++ b/tests/soak/soakMain.ts
@@ -47,8 +47,6 @@
 
   folder = Option.String('--folder', '.build/soak', { description: 'settings, logs, report' });
 
-  network = Option.String('--network', '0', { description: 'third part of addresses' });
-
   dataCentres = Option.String('--data-centres', '2', { description: 'at most three' });
 
   processorShares = Option.String('--processor-shares', '1', {
@@ -98,7 +96,6 @@
         program: this.program,
         folder: path.join(this.folder, String(seed)),
         runtimeWords: this.runtime,
-        network: Number(this.network),
         judgesTime: true,
         tell: (line) => this.context.stdout.write(`${line}\n`),
       });
--- a/tests/soak/soakRun.ts
+++ b/tests/soak/soakRun.ts
@@ -39,8 +39,6 @@
   readonly processorShares?: readonly number[];
   readonly program: string;
   readonly folder: string;
-  /** Third part of the entries' addresses. */
-  readonly network: number;
   /** Whether bounds in time are checked; not on machines that may be busy. */
   readonly judgesTime: boolean;
   readonly runtimeWords?: readonly string[];
--- a/tests/soak/soakSite.ts
+++ b/tests/soak/soakSite.ts
@@ -6,6 +6,7 @@
 import { EntryProcess } from './entryProcess.js';
 import { FaultProxy, type LinkFault } from './faultProxy.js';
 import type { PromiseChecker } from './promiseChecker.js';
+import { ReservedNetwork } from './reservedNetwork.js';
 import type { ShareOwners } from './shareOwners.js';
 import type { Fault } from './soakFaults.js';
 import { QUEUES, SERVICE } from './soakJob.js';
@@ -45,8 +46,6 @@
   readonly workerCpu: number;
   readonly program: string;
   readonly folder: string;
-  /** Third part of the entries' addresses, so that several soaks run beside each other. */
-  readonly network: number;
   readonly checker: PromiseChecker;
   readonly owners: ShareOwners;
   /** Data centres, at most three. */
@@ -87,6 +86,8 @@
 
   private heartbeat: NodeJS.Timeout | undefined;
 
+  private network: ReservedNetwork | undefined;
+
   /**
    * @param options - sizes, program and folder
    */
@@ -101,7 +102,11 @@
     for (let index = 0; index < this.options.workers; index += 1) await this.addWorker(index);
     this.beat();
     this.heartbeat = setInterval(() => this.beat(), HEARTBEAT_MS);
-    for (let index = 0; index < this.options.entries; index += 1) await this.addEntry(index);
+    const network = await ReservedNetwork.reserve();
+    this.network = network;
+    for (let index = 0; index < this.options.entries; index += 1) {
+      await this.addEntry(index, network);
+    }
   }
 
   /** Ends everything. */
@@ -114,6 +119,7 @@
       end.close();
     });
     this.store.close();
+    this.network?.release();
   }
 
   /**
@@ -441,15 +447,15 @@
     this.workers.push({ end: worker, link, port: await link.listen() });
   }
 
-  private async addEntry(index: number): Promise<void> {
-    const { folder, program, network, processorShares = [], runtimeWords } = this.options;
+  private async addEntry(index: number, network: ReservedNetwork): Promise<void> {
+    const { folder, program, processorShares = [], runtimeWords } = this.options;
     const processorShare = processorShares[index % processorShares.length];
     const spreadMs = this.options.spreadsRestarts ? RESTART_SPREAD_MS : 0;
     const name = `entry-${index}`;
     const link = new FaultProxy(this.store.port);
     const entry = new EntryProcess({
       name,
-      host: `127.0.${network}.${index + 2}`,
+      host: network.addressOf(index),
       zone: this.zoneAt(index),
       restartMs: RESTART_MS + (spreadMs * index) / this.options.entries,
       onLine: (line) => this.options.owners.read(name, line),
