Count the leases that a worker had before its owner noticed its restart

A worker starts again under its id, and is parted from its owner some seconds after that.

Cause: until the owner notices the restart, it sends lease ends on the clock of the former incarnation. The owner took the lease for ended when it noticed the restart, and counted on its own leases of 6 s from then on, up to 4 s less than the worker did.

Change: with the first report of an incarnation, and at the first contact, a lease of the longest duration that workers accept is assumed.

--- a/packages/samphirenotch/src/jobs/workers/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerAgent.ts
@@ -790,10 +790,11 @@
     this.runs.setUnknownRuns(unknownSizes);
     this.noteMoreEnds(holding);
     if (!holding.hasMoreEnds) this.dropMissingRuns(listed, sentMs);
+    // A former owner may have extended the lease until just now. Lease ends on the clock of a former
+    // incarnation last for as long as the worker accepts.
+    if (isNew || !this.fenced) this.leaseUntilMs = holding.clockMs + this.options.maxLeaseMs;
     if (!this.fenced) {
       this.fenced = true;
-      // A former owner may have extended the lease until just now.
-      this.leaseUntilMs = Math.max(this.leaseUntilMs, holding.clockMs + this.leaseMs());
       this.options.listener.onFenced(this);
     }
     if (!this.isReported && !holding.hasMoreEnds) {
