Count the lease of a start that a restarted worker may have carried out

A worker starts again under its id, is told to start a task before its owner has noticed that, and is parted from the owner.

Cause: the lease end of the start is on the clock of the former incarnation. The owner went by the former clock, 6.4 s at the longest, took the run for lapsed and started the task elsewhere; or it stored that time, and its successor did.

Change: a run is counted by the known clock once a report lists it, or once the answer to its start carries a reading that the clock of a later incarnation cannot show. Until then its lease lasts for as long as the worker accepts, from when the order can have arrived at the latest. Runs that are known to be of the incarnation are given up as early as before. Only starts without an answer wait longer: 10.8 s where workers accept 10 s, 6.7 instead of 6.4 s where they accept 6 s.

Tests: unnoticedRestarts, three that failed before. The test of the clock's bound asks for the time from which on it has passed, since nothing else asked whether it has.

--- a/packages/samphirenotch/src/jobs/workers/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerAgent.ts
@@ -24,7 +24,7 @@
 import type { OwnedRun, OwnedTask, RunAgent } from '../model/ownedJob.js';
 import { GuardedTaskWorker } from './guardedTaskWorker.js';
 import type { OrderBatcher } from './orderBatcher.js';
-import { WorkerClock } from './workerClock.js';
+import { MIN_CLOCK_RATE, WorkerClock } from './workerClock.js';
 import { ORDER_TIMEOUT_MS, WorkerOrders, type OrderContext } from './workerOrders.js';
 import { markConfirmed, WorkerRuns } from './workerRuns.js';
 
@@ -255,6 +255,15 @@
   /** Latest end that the worker's lease can have, in milliseconds of the worker's clock. */
   private leaseUntilMs = 0;
 
+  /** Monotonic time at which an order last carried a lease end, in milliseconds. */
+  private grantedMs = Number.NEGATIVE_INFINITY;
+
+  /**
+   * Runs of which the worker has shown that they belong to the incarnation whose clock is known. Others may
+   * be of a later incarnation, whose restart was not noticed.
+   */
+  private readonly attributedRuns = new WeakSet<OwnedRun>();
+
   private seenSequence = 0;
 
   private storedSequence = 0;
@@ -302,12 +311,12 @@
    */
   get leaseLeftMs(): number | undefined {
     if (!this.fenced) return undefined;
-    return this.workerClock.longestUntil(this.leaseUntilMs + LEASE_EXPIRY_MARGIN_MS);
+    return Math.max(0, this.leaseEndMs - this.options.clock.monotonicMs());
   }
 
   /** @returns false if no lease can be left on the worker, or if it has not answered this owner */
   get mayHoldLease(): boolean {
-    return this.fenced && !this.workerClock.hasPassed(this.leaseUntilMs + LEASE_EXPIRY_MARGIN_MS);
+    return this.fenced && this.options.clock.monotonicMs() < this.leaseEndMs;
   }
 
   /** @returns for how long the worker has owed an answer, in milliseconds; 0 while it answers */
@@ -528,7 +537,10 @@
       signal: this.closed.signal,
       obstacleTo: (run) => this.obstacleTo(run),
       extendLease: () => this.extendLease(),
-      onClockReading: (clockMs) => this.workerClock.addReading(clockMs),
+      onClockReading: (run, clockMs) => {
+        // The clock of a later incarnation is behind that of a former one.
+        if (this.workerClock.addReading(clockMs)) this.attributedRuns.add(run);
+      },
       toLocalMs: (clockMs) => this.workerClock.toLocalMs(clockMs),
       onRunBegun: (run) => listener.onRunBegun(run),
       onStartUnanswered: (run) => listener.onStartUnanswered(run),
@@ -616,9 +628,31 @@
     const now = this.workerClock.earliestNowMs;
     if (now === undefined || !this.isResponsive || !this.options.mayExtendLease()) return undefined;
     this.leaseUntilMs = Math.max(this.leaseUntilMs, Math.floor(now + this.leaseMs()));
+    this.grantedMs = this.options.clock.monotonicMs();
     return this.leaseUntilMs;
   }
 
+  /** Monotonic time at which the leases of all runs of the worker have lapsed, in milliseconds. */
+  private get leaseEndMs(): number {
+    const endsMs = this.activeRuns().map((run) => this.leaseEndOf(run));
+    return Math.max(this.knownLeaseEndMs, ...endsMs);
+  }
+
+  /** Monotonic time at which the lease of the incarnation has lapsed whose clock is known, in milliseconds. */
+  private get knownLeaseEndMs(): number {
+    return this.workerClock.latestAt(this.leaseUntilMs + LEASE_EXPIRY_MARGIN_MS);
+  }
+
+  /**
+   * Returns when the lease of a run has lapsed, as monotonic time in milliseconds. An incarnation whose
+   * clock is not known counts from when an order arrives, as long as it accepts.
+   */
+  private leaseEndOf(run: OwnedRun): number {
+    if (this.attributedRuns.has(run)) return this.knownLeaseEndMs;
+    const longestMs = this.options.maxLeaseMs / MIN_CLOCK_RATE;
+    return Math.max(this.knownLeaseEndMs, this.grantedMs + ORDER_TIMEOUT_MS + longestMs);
+  }
+
   private pollWaitMs(): number {
     const isMixed = this.fillerRuns().length > 0 && this.servingRuns().length > 0;
     // Only the next poll shows whether the worker has heard of another owner.
@@ -740,15 +774,18 @@
       });
       this.options.listener.onChange(this);
     }
-    const hasLapsed = this.fenced && !this.mayHoldLease;
-    const lapsedAtMs = this.workerClock.latestAt(this.leaseUntilMs + LEASE_EXPIRY_MARGIN_MS);
-    // A successor unknown to this owner may have extended the lease before it lapsed.
-    if (hasLapsed && this.options.wasSoleOwnerAt(lapsedAtMs)) {
-      this.activeRuns().forEach((run) => {
-        this.noteUnexplained(run);
-        this.dropLostRun(run, 'the lease has lapsed');
-      });
-    }
+    if (this.fenced) this.dropLapsedRuns();
+  }
+
+  /** A successor unknown to this owner may have extended the lease before it lapsed. */
+  private dropLapsedRuns(): void {
+    const nowMs = this.options.clock.monotonicMs();
+    this.activeRuns().forEach((run) => {
+      const endMs = this.leaseEndOf(run);
+      if (nowMs < endMs || !this.options.wasSoleOwnerAt(endMs)) return;
+      this.noteUnexplained(run);
+      this.dropLostRun(run, 'the lease has lapsed');
+    });
   }
 
   /**
@@ -842,6 +879,7 @@
       this.orders.stopUnknownRun(report);
       return false;
     }
+    this.attributedRuns.add(run);
     this.options.listener.onRunBegun(run);
     if (run.phase === 'starting' || run.phase === 'in-doubt') this.confirm(run);
     const { percent, gauge } = report;
--- a/packages/samphirenotch/src/jobs/workers/workerClock.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerClock.ts
@@ -4,7 +4,7 @@
 import type { Clock } from '../../time/clock.js';
 
 /** Slowest rate of a worker's clock, relative to the clock of this process. */
-const MIN_CLOCK_RATE = 0.98;
+export const MIN_CLOCK_RATE = 0.98;
 
 /** A lower bound of a worker's clock, from its last reading. */
 export class WorkerClock {
@@ -22,12 +22,14 @@
    * that was delayed may be.
    *
    * @param workerMs - time of the worker's clock in milliseconds
+   * @returns false if it is below the lower bound
    */
-  addReading(workerMs: number): void {
+  addReading(workerMs: number): boolean {
     const nowMs = this.clock.monotonicMs();
-    if (this.workerMs !== undefined && workerMs < this.earliestMs(nowMs)) return;
+    if (this.workerMs !== undefined && workerMs < this.earliestMs(nowMs)) return false;
     this.workerMs = workerMs;
     this.readAtMs = nowMs;
+    return true;
   }
 
   /** Discards the readings: a new incarnation of the worker has another clock. */
@@ -56,26 +58,6 @@
     return Math.min(nowMs, this.readAtMs + (workerMs - this.workerMs));
   }
 
-  /**
-   * Checks whether the worker's clock has certainly passed a time.
-   *
-   * @param workerMs - time of the worker's clock in milliseconds
-   * @returns true only if it has passed even at the slowest rate of the clock
-   */
-  hasPassed(workerMs: number): boolean {
-    return this.clock.monotonicMs() >= this.latestAt(workerMs);
-  }
-
-  /**
-   * Computes how long it takes at most until the worker's clock has certainly passed a time.
-   *
-   * @param workerMs - time of the worker's clock in milliseconds
-   * @returns time of this process's clock in milliseconds; infinite before the first reading
-   */
-  longestUntil(workerMs: number): number {
-    return Math.max(0, this.latestAt(workerMs) - this.clock.monotonicMs());
-  }
-
   /**
    * Computes from when on the worker's clock has certainly passed a time.
    *
--- a/packages/samphirenotch/src/jobs/workers/workerOrders.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerOrders.ts
@@ -50,8 +50,8 @@
    * be extended.
    */
   extendLease(): number | undefined;
-  /** Receives a reading of the worker's clock, in milliseconds. */
-  onClockReading(clockMs: number): void;
+  /** Receives a reading of the worker's clock from the answer to a start, in milliseconds. */
+  onClockReading(run: OwnedRun, clockMs: number): void;
   /** Converts a time of the worker's clock to monotonic time of this process, in milliseconds. */
   toLocalMs(clockMs: number): number;
   /** The worker has confirmed that it began a run. */
@@ -241,7 +241,7 @@
       return;
     }
     const { clockMs, outcome } = answer.val;
-    if (clockMs !== undefined) this.context.onClockReading(clockMs);
+    if (clockMs !== undefined) this.context.onClockReading(run, clockMs);
     if (outcome === 'done') this.handleStarted(run, clockMs);
     else this.handleRefusal(run, outcome);
   }
--- a/tests/jobs/decisions.spec.ts
+++ b/tests/jobs/decisions.spec.ts
@@ -191,11 +191,13 @@
 test('should allow for a slow worker clock before it reports that a lease has expired', (t) => {
   const clock = new ManualClock();
   const workerClock = new WorkerClock(clock);
-  t.false(workerClock.hasPassed(0));
+  const hasPassed = (workerMs: number): boolean =>
+    clock.monotonicMs() >= workerClock.latestAt(workerMs);
+  t.false(hasPassed(0));
   workerClock.addReading(1_000);
   clock.jump(10_000);
-  t.false(workerClock.hasPassed(11_000));
-  t.true(workerClock.hasPassed(10_800));
+  t.false(hasPassed(11_000));
+  t.true(hasPassed(10_800));
 });
 
 // Guards against a worker that is avoided because the tasks of a single job fail on it.
--- a/tests/jobs/unnoticedRestarts.spec.ts
+++ b/tests/jobs/unnoticedRestarts.spec.ts
@@ -14,6 +14,9 @@
 /** Time in which an owner notices a restart by a poll and proves that it has no successor, in milliseconds. */
 const NOTICED_AFTER_MS = 1_900;
 
+/** Time after which the lease of a silent worker is counted down, in milliseconds. */
+const COUNTED_DOWN_AFTER_MS = 3_000;
+
 /** Time until a restarted worker is in the directory again, in milliseconds. */
 const REGISTRATION_DELAY_MS = 2_000;
 
@@ -47,8 +50,46 @@
   site.addWorker('w1');
 };
 
-// Guards against a task that runs twice: until the owner notices the restart, the worker shortens lease ends
-// on the clock of its former incarnation to the longest lease that it accepts.
+// Guards against a task that runs twice: the worker shortens a lease end on the clock of its former
+// incarnation to the longest lease that it accepts, and its owner counts on a shorter one.
+test('should not start a task again before the lease of a worker that had started again ends', async (t) => {
+  const { site, owner, worker } = await makeSite();
+  worker.restart();
+  await startTask(site);
+  replaceByAnother(site, owner);
+  await site.run(20_000);
+  t.deepEqual(site.record.violations, []);
+  t.is(site.record.runs.length, 2);
+});
+
+// Guards against the same if the owner gets no answer to the start.
+test('should not start a task again before the lease of an unanswered start ends', async (t) => {
+  const { site, owner, worker } = await makeSite();
+  worker.restart();
+  worker.failStarts('answer-lost');
+  await startTask(site);
+  replaceByAnother(site, owner);
+  await site.run(20_000);
+  t.deepEqual(site.record.violations, []);
+  t.is(site.record.runs.length, 2);
+});
+
+// Guards against the same by a successor, which goes by the time left in the store.
+test('should count down the lease of a worker that had started again to its end', async (t) => {
+  const { site, owner, worker } = await makeSite();
+  worker.restart();
+  await startTask(site);
+  replaceByAnother(site, owner);
+  const successor = site.start('b');
+  site.cutFromWorkers(successor.client, ['w0']);
+  await site.run(COUNTED_DOWN_AFTER_MS);
+  owner.kill();
+  await site.run(20_000);
+  t.deepEqual(site.record.violations, []);
+  t.is(site.record.runs.length, 2);
+});
+
+// Guards against the same by a lease that was extended right before the owner noticed the restart.
 test('should count the lease that a restarted worker had before its first report', async (t) => {
   const { site, owner, worker } = await makeSite();
   worker.restart();
