--- /dev/null
+++ b/tests/jobs/unnoticedRestarts.spec.ts
@@ -0,0 +1,117 @@
+/**
+ * Workers that start again under their id, and get orders before their owner has noticed it.
+ */
+import test from 'ava';
+
+import { JobSite, makeJob, makeStep, runUntil, type SiteEntry } from '../fixtures/jobSite.js';
+
+const ID = '00000000000000a1';
+const SIZE = { milliCores: 1_000, memoryMb: 1_000, accelerators: 0 };
+
+/** Longest lease that the workers accept, in milliseconds: longer than an owner grants. */
+const HOLD_LIMIT_MS = 10_000;
+
+/** Time in which an owner notices a restart by a poll and proves that it has no successor, in milliseconds. */
+const NOTICED_AFTER_MS = 1_900;
+
+/** Time after which the lease of a silent worker is counted down, in milliseconds. */
+const COUNTED_DOWN_AFTER_MS = 3_000;
+
+/** Time until a restarted worker is in the directory again, in milliseconds. */
+const REGISTRATION_DELAY_MS = 2_000;
+
+/** Makes a site with an owner and a worker. */
+const makeSite = async () => {
+  const site = new JobSite({
+    workers: 1,
+    dataCentres: 1,
+    milliCores: 8_000,
+    holdLimitMs: HOLD_LIMIT_MS,
+    behave: () => ({ size: SIZE, durationMs: 40_000 }),
+  });
+  site.registrationDelayMs = REGISTRATION_DELAY_MS;
+  const owner = site.start('a');
+  // No lease is left of the time before the owner.
+  await site.run(HOLD_LIMIT_MS + 2_000);
+  const worker = site.workers.get('w0');
+  if (!worker) throw new Error('The site has no worker.');
+  return { site, owner, worker };
+};
+
+/** Starts a job and waits until its task runs. */
+const startTask = async (site: JobSite): Promise<void> => {
+  site.putJobs([ID], makeJob(makeStep({ checkpointing: true })));
+  await runUntil(site, () => site.record.runs.length > 0);
+};
+
+/** Parts a worker from an owner that reaches another one. */
+const replaceByAnother = (site: JobSite, { client }: SiteEntry): void => {
+  site.cutFromWorkers(client, ['w0']);
+  site.addWorker('w1');
+};
+
+// Guards against a task that runs twice: the worker shortens a lease end on the clock of its former
+// incarnation to the longest lease that it accepts, and its owner counts on a shorter one.
+test('should not start a task again before the lease of a worker that had started again ends', async (t) => {
+  const { site, owner, worker } = await makeSite();
+  worker.restart();
+  await startTask(site);
+  replaceByAnother(site, owner);
+  await site.run(20_000);
+  t.deepEqual(site.record.violations, []);
+  t.is(site.record.runs.length, 2);
+});
+
+// Guards against the same if the owner gets no answer to the start.
+test('should not start a task again before the lease of an unanswered start ends', async (t) => {
+  const { site, owner, worker } = await makeSite();
+  worker.restart();
+  worker.failStarts('answer-lost');
+  await startTask(site);
+  replaceByAnother(site, owner);
+  await site.run(20_000);
+  t.deepEqual(site.record.violations, []);
+  t.is(site.record.runs.length, 2);
+});
+
+// Guards against the same by a successor, which goes by the time left in the store.
+test('should count down the lease of a worker that had started again to its end', async (t) => {
+  const { site, owner, worker } = await makeSite();
+  worker.restart();
+  await startTask(site);
+  replaceByAnother(site, owner);
+  const successor = site.start('b');
+  site.cutFromWorkers(successor.client, ['w0']);
+  await site.run(COUNTED_DOWN_AFTER_MS);
+  owner.kill();
+  await site.run(20_000);
+  t.deepEqual(site.record.violations, []);
+  t.is(site.record.runs.length, 2);
+});
+
+// Guards against the same by a lease that was extended right before the owner noticed the restart.
+test('should count the lease that a restarted worker had before its first report', async (t) => {
+  const { site, owner, worker } = await makeSite();
+  worker.restart();
+  await startTask(site);
+  await site.run(NOTICED_AFTER_MS);
+  replaceByAnother(site, owner);
+  await site.run(20_000);
+  t.deepEqual(site.record.violations, []);
+  t.is(site.record.runs.length, 2);
+});
+
+// Guards against the same by a successor that meets the worker while it has such a lease.
+test('should count the lease that a restarted worker has got from a former owner', async (t) => {
+  const { site, owner, worker } = await makeSite();
+  worker.restart();
+  await startTask(site);
+  const successor = site.start('b');
+  owner.stop();
+  await runUntil(site, () => successor.entry.status().terms.length > 0);
+  await runUntil(site, () => successor.entry.status().workers.some(({ runs }) => runs > 0));
+  replaceByAnother(site, successor);
+  await site.run(20_000);
+  t.deepEqual(site.record.violations, []);
+  t.is(site.record.runs.length, 2);
+});
