Count longer leases only where a restart can have gone unnoticed

A worker that is lost takes starts in flight with it almost always, so that its long-running tasks would have waited for longer than the 9 s that are allowed to be away (LOST), for a restart that was not there.

Change: a lease end counts as one on the clock of a former incarnation only if the worker has not answered for 2 s, in which it may have started again; a worker with runs is polled more often than that. A first contact counts the longest lease only with an incarnation that is younger than the longest time for which a restart goes unnoticed: its clock begins with it. The assumption is listed.

--- a/packages/samphirenotch/src/jobs/workers/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerAgent.ts
@@ -70,6 +70,12 @@
  */
 const IDLE_POLL_INTERVAL_MS = 60_000;
 
+/** Longest time for which a restart goes unnoticed, in milliseconds: until the next poll is answered or not. */
+const MAX_UNNOTICED_MS = IDLE_POLL_INTERVAL_MS + POLL_WAIT_MS + ORDER_TIMEOUT_MS;
+
+/** Least time from an answer of a worker to the first one of its next incarnation, in milliseconds. */
+const MIN_RESTART_MS = 2_000;
+
 /** Sequence number that acknowledges no run end. */
 const ACKNOWLEDGE_NONE = 0;
 
@@ -255,8 +261,11 @@
   /** Latest end that the worker's lease can have, in milliseconds of the worker's clock. */
   private leaseUntilMs = 0;
 
-  /** Monotonic time at which an order last carried a lease end, in milliseconds. */
-  private grantedMs = Number.NEGATIVE_INFINITY;
+  /**
+   * Monotonic time at which an order last carried a lease end although the worker may have started again
+   * unnoticed, in milliseconds.
+   */
+  private uncertainGrantMs = Number.NEGATIVE_INFINITY;
 
   /**
    * Runs of which the worker has shown that they belong to the incarnation whose clock is known. Others may
@@ -628,7 +637,8 @@
     const now = this.workerClock.earliestNowMs;
     if (now === undefined || !this.isResponsive || !this.options.mayExtendLease()) return undefined;
     this.leaseUntilMs = Math.max(this.leaseUntilMs, Math.floor(now + this.leaseMs()));
-    this.grantedMs = this.options.clock.monotonicMs();
+    const nowMs = this.options.clock.monotonicMs();
+    if (nowMs > this.answeredMs + MIN_RESTART_MS) this.uncertainGrantMs = nowMs;
     return this.leaseUntilMs;
   }
 
@@ -650,7 +660,7 @@
   private leaseEndOf(run: OwnedRun): number {
     if (this.attributedRuns.has(run)) return this.knownLeaseEndMs;
     const longestMs = this.options.maxLeaseMs / MIN_CLOCK_RATE;
-    return Math.max(this.knownLeaseEndMs, this.grantedMs + ORDER_TIMEOUT_MS + longestMs);
+    return Math.max(this.knownLeaseEndMs, this.uncertainGrantMs + ORDER_TIMEOUT_MS + longestMs);
   }
 
   private pollWaitMs(): number {
@@ -659,6 +669,16 @@
     return isMixed || !this.options.isSoleOwner() ? SHORT_POLL_WAIT_MS : POLL_WAIT_MS;
   }
 
+  /**
+   * Returns the longest lease that a worker may have by its first answer, in milliseconds. Soon after a
+   * restart, former orders may have had lease ends on the clock of the former incarnation: those last for as
+   * long as the worker accepts. The clock of an incarnation begins with it.
+   */
+  private longestLeaseMs({ clockMs }: Holding): number {
+    const { maxLeaseMs } = this.options;
+    return clockMs < MAX_UNNOTICED_MS + maxLeaseMs ? maxLeaseMs : this.leaseMs();
+  }
+
   private leaseMs(): number {
     return Math.min(MAX_LEASE_MS, this.options.maxLeaseMs);
   }
@@ -827,9 +847,8 @@
     this.runs.setUnknownRuns(unknownSizes);
     this.noteMoreEnds(holding);
     if (!holding.hasMoreEnds) this.dropMissingRuns(listed, sentMs);
-    // A former owner may have extended the lease until just now. Lease ends on the clock of a former
-    // incarnation last for as long as the worker accepts.
-    if (isNew || !this.fenced) this.leaseUntilMs = holding.clockMs + this.options.maxLeaseMs;
+    // A former owner may have extended the lease until just now.
+    if (isNew || !this.fenced) this.leaseUntilMs = holding.clockMs + this.longestLeaseMs(holding);
     if (!this.fenced) {
       this.fenced = true;
       this.options.listener.onFenced(this);
