--- a/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
@@ -121,6 +121,8 @@
   readonly operator: OperatorFollower;
   /** Returns the age of this entry's view of the jobs, in milliseconds. */
   readonly viewAgeMs: () => number;
+  /** Asks the store at once for what the replica lacks. */
+  readonly refreshReplica: () => Promise<void>;
   readonly clock: Clock;
   readonly recorder: Recorder;
   /** Name of this process; it differs after each start. */
@@ -214,7 +216,17 @@
     const { share } = options;
     const keys = keysOfShare(share.id);
     const isDivided = options.layout.shares.length > 1;
-    const takeover = await takeOver({ ...options, share: share.id, isDivided }, term);
+    const directory = new WorkerDirectory(options.codec, this, options.clock);
+    const follower = new StoreFollower(
+      options.store,
+      options.codec.workersPrefix,
+      directory,
+      options.clock,
+      { pollDelayMs: () => DIRECTORY_BATCH_MS, holdMs: () => directory.longestHoldMs() },
+    );
+    // Former owners have seen no newer directory than this one, since their rosters are fenced off by then.
+    const onFenced = (): void => follower.listAhead(signal);
+    const takeover = await takeOver({ ...options, share: share.id, isDivided, onFenced }, term);
     if (!takeover || signal.aborted) return;
     this.journal = takeover.journal;
     this.book.startTerm(
@@ -224,14 +236,6 @@
       takeover.firstRun,
       takeover.progress,
     );
-    const directory = new WorkerDirectory(options.codec, this, options.clock);
-    const follower = new StoreFollower(
-      options.store,
-      options.codec.workersPrefix,
-      directory,
-      options.clock,
-      { pollDelayMs: () => DIRECTORY_BATCH_MS, holdMs: () => directory.longestHoldMs() },
-    );
     const endUnlessOwner = (owner: OwnerRecord | undefined): void => {
       if (owner?.revision !== term.fencingToken) term.stepDown('the lease is another one');
     };
