Pass on to successors when a draining worker announced that it leaves

Cause: how old an announcement is was known only to the owner that saw it. A successor took a worker that drains to leave at once.

Change: the roster names, for each draining worker, a revision of the store at which it had not announced that it leaves, and the minimum time that it announced. Each entry knows from the answers of the store at what time the store had not gone beyond a revision, so a successor has a lower bound of the time of the announcement, and of that of leaving.

Why it works: the bound does not depend on when the roster was made, sent or carried out, nor on a clock of another process. Where it is not known (no roster with it, an entry started since) everything is as before.

--- a/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
@@ -177,6 +177,7 @@
     this.outcomes = new TaskOutcomes(this.book, options.clock, options.viewAgeMs);
     const isStoreReachable = (): boolean => term.leaseUnconfirmedMs() <= MAX_STORE_ANSWER_AGE_MS;
     this.fleet = new WorkerFleet({
+      notBeyondMs: (revision) => options.replica.history.notBeyondMs(revision),
       makeAgent: (description) => this.createAgent(description),
       clock: options.clock,
       fencingToken: term.fencingToken,
@@ -343,13 +344,13 @@
     }));
   }
 
-  onWorker(description: WorkerDescription): void {
+  onWorker(description: WorkerDescription, laterThan: number | undefined): void {
     const { layout, share } = this.options;
     if (layout.shareOfWorker(description).id !== share.id) {
       this.fleet.markUnlisted(description.id);
       return;
     }
-    const isNew = this.fleet.updateWorker(description);
+    const isNew = this.fleet.updateWorker(description, laterThan);
     if (isNew || description.phase === 'draining') this.wakeup.wake();
   }
 
--- a/packages/samphirenotch/src/jobs/ownership/takeover.ts
+++ b/packages/samphirenotch/src/jobs/ownership/takeover.ts
@@ -45,6 +45,8 @@
     dataCentre: z.string(),
     draining: z.boolean(),
     // Rosters of older versions lack these.
+    drainsLaterThan: z.number().optional(),
+    remainingMs: z.number().nonnegative().optional(),
     calledSinceTerm: z.number().optional(),
     usedSinceTerm: z.number().default(0),
     contactsNeeded: z.number().int().positive().default(1),
--- a/packages/samphirenotch/src/jobs/store/jobReplica.ts
+++ b/packages/samphirenotch/src/jobs/store/jobReplica.ts
@@ -246,9 +246,9 @@
     }
   }
 
-  onCaughtUp(revision: number): void {
+  onCaughtUp(revision: number, askedMs: number): void {
     this.syncedRevision = revision;
-    this.history.add(revision);
+    this.history.add(revision, askedMs);
     this.caughtUpCallback?.();
   }
 
--- a/packages/samphirenotch/src/jobs/workers/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerAgent.ts
@@ -90,6 +90,14 @@
  */
 export const DEFAULT_REMAINING_MS = 2_000;
 
+/** What is known of when a worker announced that it leaves. */
+export interface DrainAnnouncement {
+  /** Revision of the store at which the worker had not announced it. */
+  readonly laterThan: number;
+  /** Monotonic time at which the store had not gone beyond that revision, in milliseconds. */
+  readonly notBeforeMs: number;
+}
+
 /** Receives the events of a worker agent. */
 export interface AgentListener {
   /**
@@ -204,6 +212,8 @@
 
   private earliestLeaveMs: number | undefined;
 
+  private announcement: DrainAnnouncement | undefined;
+
   /**
    * True from when another worker has answered at the address until the directory has news of the
    * worker.
@@ -346,6 +356,14 @@
     return this.earliestLeaveMs;
   }
 
+  /**
+   * @returns revision of the store at which a draining worker had not announced that it leaves; undefined if
+   *   none is known
+   */
+  get drainsLaterThan(): number | undefined {
+    return this.announcement?.laterThan;
+  }
+
   /** @returns the runs among them whose step has a latency target */
   servingRuns(): readonly OwnedRun[] {
     return this.runs.serving();
@@ -410,14 +428,17 @@
    * Takes over the worker's description from the directory, and its address if that has changed.
    *
    * @param description - the worker's current description
+   * @param change - bounds of when it was written first; undefined if not known
    */
-  updateDescription(description: WorkerDescription): void {
+  updateDescription(description: WorkerDescription, change?: DrainAnnouncement): void {
     if (description.address !== this.description.address) {
       this.worker.close();
       this.worker = this.connect(description);
       this.answeredMs = Number.NEGATIVE_INFINITY;
     }
     const isSeenToChange = this.description.phase === 'ready' && !this.isUnlisted;
+    if (description.phase === 'ready') this.announcement = undefined;
+    else if (isSeenToChange) this.announcement = change;
     this.earliestLeaveMs = this.earliestLeaveOf(description, isSeenToChange);
     this.description = description;
     this.descriptionChanges += 1;
@@ -429,6 +450,17 @@
     if (this.hasRestarted || mayBeBack) this.wakeup.wake();
   }
 
+  /**
+   * Takes over from a former owner when the worker announced that it leaves.
+   *
+   * @param announcement - bounds of that time
+   */
+  noteAnnouncement(announcement: DrainAnnouncement): void {
+    this.announcement = announcement;
+    this.earliestLeaveMs = undefined;
+    this.earliestLeaveMs = this.earliestLeaveOf(this.description, false);
+  }
+
   /** Closes the agent. The worker's runs go on until their leases expire. */
   close(): void {
     this.closed.abort();
@@ -558,15 +590,19 @@
     return bornMs !== undefined && description.bornMs > 0 && description.bornMs < bornMs;
   }
 
-  /** How old a description is that was not seen to change is not known. */
+  /** How old a description is that no owner has seen to change is not known. */
   private earliestLeaveOf(
     { phase, remainingMs }: WorkerDescription,
     isSeenToChange: boolean,
   ): number | undefined {
     if (phase !== 'draining') return undefined;
     const nowMs = this.options.clock.monotonicMs();
-    const leaveMs = nowMs + (remainingMs ?? DEFAULT_REMAINING_MS);
-    return isSeenToChange ? leaveMs : Math.min(this.earliestLeaveMs ?? nowMs, leaveMs);
+    const stayMs = remainingMs ?? DEFAULT_REMAINING_MS;
+    const leaveMs = nowMs + stayMs;
+    if (isSeenToChange) return leaveMs;
+    if (!this.announcement) return Math.min(this.earliestLeaveMs ?? nowMs, leaveMs);
+    const announcedLeaveMs = this.announcement.notBeforeMs + stayMs;
+    return Math.min(this.earliestLeaveMs ?? leaveMs, announcedLeaveMs);
   }
 
   private obstacleTo(run: OwnedRun): string | undefined {
--- a/packages/samphirenotch/src/jobs/workers/workerDirectory.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerDirectory.ts
@@ -19,8 +19,13 @@
 
 /** Receives changes of the directory. */
 export interface DirectoryListener {
-  /** A worker was added or has changed its description. */
-  onWorker(description: WorkerDescription): void;
+  /**
+   * A worker was added or has changed its description.
+   *
+   * @param laterThan - revision of the store at which the worker had another description; undefined if none is
+   *   known
+   */
+  onWorker(description: WorkerDescription, laterThan: number | undefined): void;
   /** A worker has been missing from the directory for too long, or its entry named no worker. */
   onUnlisted(id: string): void;
 }
@@ -44,6 +49,9 @@
 
   private isComplete = false;
 
+  /** Revision of the store up to which the directory is known. */
+  private revision: number | undefined;
+
   /**
    * @param codec - decodes descriptions of workers
    * @param listener - receives changes of the directory
@@ -91,10 +99,12 @@
     }
     this.removedAtMs.delete(key);
     this.workers.set(key, { description, text });
-    this.listener.onWorker(description);
+    // The store may show several changes of a key as one.
+    this.listener.onWorker(description, known && this.revision);
   }
 
-  onCaughtUp(_revision: number, askedMs: number): void {
+  onCaughtUp(revision: number, askedMs: number): void {
+    this.revision = revision;
     this.removedAtMs.forEach((sinceMs, key) => {
       // An answer requested earlier may have been read late; only the time of the request counts.
       if (askedMs - sinceMs < MISSING_TIMEOUT_MS) return;
--- a/packages/samphirenotch/src/jobs/workers/workerFleet.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerFleet.ts
@@ -12,7 +12,7 @@
 import { FormerLeases, SUCCESSOR_DISCOVERY_MS, type FormerWorker } from './formerLeases.js';
 import { LeaseCountdown, type LeaseEnd, type LeaseLeft } from './leaseCountdown.js';
 import { lowerOf, sparesOf } from './spareWorkers.js';
-import type { WorkerAgent } from './workerAgent.js';
+import type { DrainAnnouncement, WorkerAgent } from './workerAgent.js';
 import { WorkerHealth } from './workerHealth.js';
 
 /**
@@ -37,6 +37,10 @@
   readonly service: string;
   /** True if the worker was draining when the owner last read its description. */
   readonly draining: boolean;
+  /** Revision of the store at which it had not announced that yet. Rosters of older versions lack it. */
+  readonly drainsLaterThan?: number | undefined;
+  /** Minimum time from its announcement until it leaves, in milliseconds. */
+  readonly remainingMs?: number | undefined;
 }
 
 /** The workers that a former owner leaves to its successor. */
@@ -60,6 +64,7 @@
   capacity: NO_SIZE,
   labels: [],
   phase: entry.draining ? 'draining' : 'ready',
+  ...(entry.remainingMs === undefined ? {} : { remainingMs: entry.remainingMs }),
   coldMs: 0,
   bornMs: 0,
 });
@@ -79,6 +84,11 @@
   readonly onUsable: () => void;
   /** Returns true if the store has answered lately. */
   readonly isStoreReachable: () => boolean;
+  /**
+   * Returns a monotonic time in milliseconds at which the store had not gone beyond a revision; negative
+   * infinity if none is known.
+   */
+  readonly notBeyondMs: (revision: number) => number;
   /** Returns true if no other owner can have granted a lease yet. */
   readonly isSoleOwner: () => boolean;
   /** Returns true if no other owner can have granted a lease until a monotonic time in milliseconds. */
@@ -254,17 +264,28 @@
       this.possiblyRostered.set(rosterNameOf(entry), entry.dataCentre);
       const agent = this.add(describeRosterEntry(entry));
       agent.isUnlisted = true;
+      const announcement = this.announcementAfter(entry.drainsLaterThan);
+      if (announcement) agent.noteAnnouncement(announcement);
       this.unreportedWorkers.set(agent, entry);
     });
   }
 
+  /** Bounds the time of a description that was written after a revision of the store. */
+  private announcementAfter(laterThan: number | undefined): DrainAnnouncement | undefined {
+    if (laterThan === undefined) return undefined;
+    const notBeforeMs = this.options.notBeyondMs(laterThan);
+    return Number.isFinite(notBeforeMs) ? { laterThan, notBeforeMs } : undefined;
+  }
+
   /**
    * Adds a worker or updates its description.
    *
    * @param description - the worker's current description
+   * @param laterThan - revision of the store at which the worker had another description; undefined if none is
+   *   known
    * @returns true if the worker is new, was not listed or has changed its phase
    */
-  updateWorker(description: WorkerDescription): boolean {
+  updateWorker(description: WorkerDescription, laterThan?: number): boolean {
     const known = this.agents.get(description.id);
     if (!known) {
       this.log.info('A worker is listed', {
@@ -281,7 +302,7 @@
       this.rosterChanged = true;
     }
     const wasUnlisted = known.isUnlisted;
-    known.updateDescription(description);
+    known.updateDescription(description, this.announcementAfter(laterThan));
     if (before.phase !== description.phase) {
       this.log.info('A worker has changed', {
         worker: description.id,
@@ -624,10 +645,10 @@
   }
 
   private rosterEntryOf(
-    { description }: WorkerAgent,
+    { description, drainsLaterThan }: WorkerAgent,
     spares: ReadonlyMap<string, number>,
   ): RosterEntry {
-    const { id, address, service, dataCentre, phase } = description;
+    const { id, address, service, dataCentre, phase, remainingMs } = description;
     const { fencingToken } = this.options;
     // An entry is passed on while it stays: in between, every owner has had it.
     const entry = this.areFormerOwnersOver ? undefined : this.newestEntries.get(id);
@@ -640,6 +661,7 @@
       service,
       dataCentre,
       draining: phase === 'draining',
+      ...(phase === 'draining' && { drainsLaterThan, remainingMs }),
       calledSinceTerm: entry?.address === address ? entry.calledSinceTerm : fencingToken,
       usedSinceTerm,
       contactsNeeded: Math.max(formerNeeded, 1 + (spares.get(dataCentre) ?? 0)),
