Extend leases on draining workers no longer than they are to stay

Cause: the lease of a worker that leaves was extended by 6 s at each poll until the last moment, by its owner and by a successor. What ran there is known to be over only when that lease has lapsed, 6 s and more after the worker left, and 9 s after a take-over that found it gone.

Change: workers that leave within the time of a lease are in the record of leases that are counted down, until 0.5 s after they may leave, or for 3 s at a time if they stay for longer. A lease in the record is extended up to the lowest end in any record that may be stored, no longer not at all. A successor that reaches a worker takes the end in the record for that of the lease which former owners have granted.

Why it works: the end is stored before a lease is extended to it, in the record by which a successor counts already, so no lease outlasts what a successor assumes, whoever is cut off from whom.

What it costs: two small writes a second while workers leave; where the store does not answer, runs on a worker that stays for longer than it announced lapse.

--- a/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
@@ -534,6 +534,7 @@
       wasSoleOwnerAt: (timeMs) => this.wasSoleOwnerAt(timeMs),
       mayExtendLease: () =>
         term.leaseUnconfirmedMs() <= MAXIMUM_UNCONFIRMED_MS && this.fleet.mayExtendLease(agent),
+      leaseLimitMs: () => this.fleet.leaseLimitMs(agent),
     });
     return agent;
   }
--- a/packages/samphirenotch/src/jobs/workers/leaseCountdown.ts
+++ b/packages/samphirenotch/src/jobs/workers/leaseCountdown.ts
@@ -1,9 +1,9 @@
 /**
- * Stores how long workers that do not answer can hold their leases, so that a successor does not wait
- * for them as if their leases had been extended until its take-over.
+ * Stores how long workers that do not answer, and workers that are about to leave, can hold their leases, so
+ * that a successor does not wait for them as if their leases had been extended until its take-over.
  *
- * A lease may be extended again only once a record without it is stored: until then a successor may go
- * by the time left.
+ * A lease may be extended beyond that only once a record with a later end, or without the lease, is stored:
+ * until then a successor may go by the time left.
  */
 import { partLog } from '../../observability/log.js';
 import type { Clock } from '../../time/clock.js';
@@ -45,6 +45,14 @@
   readonly leases: readonly LeaseLeft[];
 }
 
+/** A record that is stored, or may be. */
+interface PossibleRecord {
+  /** Its sequence number in the journal. */
+  readonly sequence: number;
+  /** Monotonic times at which the leases in it end at the latest, in milliseconds, by id of the worker. */
+  readonly endsMs: ReadonlyMap<string, number>;
+}
+
 const describeLeases = (leases: readonly LeaseLeft[]): string =>
   leases
     .slice(0, MAX_LOGGED)
@@ -55,11 +63,8 @@
 export class LeaseCountdown {
   private readonly log = partLog('leases');
 
-  /**
-   * Workers in a record that is stored, or may be. With the sequence number of the newest such record
-   * in the journal.
-   */
-  private readonly recorded = new Map<string, number>();
+  /** Oldest first. */
+  private records: readonly PossibleRecord[] = [];
 
   private journal!: ProgressJournal;
 
@@ -72,7 +77,7 @@
 
   /**
    * @param clock - time
-   * @param onStored - called when leases may be extended again
+   * @param onStored - called when leases may be extended again or for longer
    */
   constructor(
     private readonly clock: Clock,
@@ -90,17 +95,28 @@
     this.journal = journal;
     this.key = key;
     this.newestIds = leases.map(({ id }) => id);
-    this.newestIds.forEach((id) => this.recorded.set(id, STORED_BEFORE));
+    const endsMs = new Map(leases.map(({ id, endMs }) => [id, endMs]));
+    this.records = [{ sequence: STORED_BEFORE, endsMs }];
   }
 
   /**
-   * Checks whether a lease is counted down, so that it must not be extended.
+   * Checks whether a lease is counted down.
    *
    * @param id - id of the worker
    * @returns true if a successor may go by the time left in a record
    */
   has(id: string): boolean {
-    return this.recorded.has(id);
+    return this.records.some(({ endsMs }) => endsMs.has(id));
+  }
+
+  /**
+   * Returns the time beyond which a lease must not be extended: by then a successor may count it as over.
+   *
+   * @param id - id of the worker
+   * @returns monotonic time in milliseconds; infinite if the lease is not counted down
+   */
+  limitMs(id: string): number {
+    return Math.min(...this.records.map(({ endsMs }) => endsMs.get(id) ?? Infinity));
   }
 
   /**
@@ -133,7 +149,8 @@
     const isUrgent = removed.length > 0;
     const content = leases.length === 0 ? {} : { value: () => text };
     const sequence = this.journal.add({ key: this.key, isUrgent, ...content });
-    ids.forEach((id) => this.recorded.set(id, sequence));
+    const endsMs = new Map(leases.map(({ id, leftMs }) => [id, nowMs + leftMs]));
+    this.records = [...this.records, { sequence, endsMs }];
     this.journal.waitUntilStored(sequence).then(
       (stored) => {
         if (stored) this.dropOlderThan(sequence);
@@ -147,9 +164,9 @@
   }
 
   private dropOlderThan(sequence: number): void {
-    const dropped = [...this.recorded].filter(([, recordedIn]) => recordedIn < sequence);
-    if (dropped.length === 0) return;
-    dropped.forEach(([id]) => this.recorded.delete(id));
+    const kept = this.records.filter((record) => record.sequence >= sequence);
+    if (kept.length === this.records.length) return;
+    this.records = kept;
     this.onStored();
   }
 }
--- a/packages/samphirenotch/src/jobs/workers/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerAgent.ts
@@ -171,6 +171,11 @@
   readonly wasSoleOwnerAt: (timeMs: number) => boolean;
   /** Returns true if the worker's lease may be extended: no successor can count it as expired yet. */
   readonly mayExtendLease: () => boolean;
+  /**
+   * Returns the monotonic time in milliseconds by which a successor may count the worker's lease as over;
+   * infinite if it goes by no record.
+   */
+  readonly leaseLimitMs: () => number;
 }
 
 /** Represents one worker to its owner: tracks its runs, polls it and sends it orders. */
@@ -651,14 +656,24 @@
   private extendLease(): number | undefined {
     const now = this.workerClock.earliestNowMs;
     if (now === undefined || !this.isResponsive || !this.options.mayExtendLease()) return undefined;
-    this.leaseUntilMs = Math.max(this.leaseUntilMs, Math.floor(now + this.leaseMs()));
-    return this.leaseUntilMs;
+    const untilMs = this.withinLimit(Math.floor(now + this.leaseMs()));
+    if (untilMs <= now) return undefined;
+    this.leaseUntilMs = Math.max(this.leaseUntilMs, untilMs);
+    return untilMs;
+  }
+
+  /** Shortens a lease so that it is over by when a successor may count it as over. */
+  private withinLimit(leaseUntilMs: number): number {
+    const limitMs = this.workerClock.earliestAt(this.options.leaseLimitMs());
+    return Math.min(leaseUntilMs, Math.floor(limitMs) - LEASE_EXPIRY_MARGIN_MS);
   }
 
   private pollWaitMs(): number {
     const isMixed = this.fillerRuns().length > 0 && this.servingRuns().length > 0;
+    // A lease that ends soon is extended by the next poll.
+    const isLimited = Number.isFinite(this.options.leaseLimitMs());
     // Only the next poll shows whether the worker has heard of another owner.
-    return isMixed || !this.options.isSoleOwner() ? SHORT_POLL_WAIT_MS : POLL_WAIT_MS;
+    return isMixed || isLimited || !this.options.isSoleOwner() ? SHORT_POLL_WAIT_MS : POLL_WAIT_MS;
   }
 
   private leaseMs(): number {
@@ -828,8 +843,9 @@
     if (!holding.hasMoreEnds) this.dropMissingRuns(listed, sentMs);
     if (!this.fenced) {
       this.fenced = true;
-      // A former owner may have extended the lease until just now.
-      this.leaseUntilMs = Math.max(this.leaseUntilMs, holding.clockMs + this.leaseMs());
+      // A former owner may have extended the lease until just now, unless it had counted it down.
+      const formerUntilMs = this.withinLimit(holding.clockMs + this.leaseMs());
+      this.leaseUntilMs = Math.max(this.leaseUntilMs, formerUntilMs);
       this.options.listener.onFenced(this);
     }
     if (!this.isReported && !holding.hasMoreEnds) {
--- a/packages/samphirenotch/src/jobs/workers/workerClock.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerClock.ts
@@ -87,6 +87,17 @@
     return this.readAtMs + (workerMs - this.workerMs) / MIN_CLOCK_RATE;
   }
 
+  /**
+   * Returns the earliest time that the worker's clock can show at a time of this process.
+   *
+   * @param localMs - monotonic time of this process in milliseconds
+   * @returns time of the worker's clock in milliseconds, which it has certainly passed by then; negative
+   *   infinity before the first reading
+   */
+  earliestAt(localMs: number): number {
+    return this.workerMs === undefined ? Number.NEGATIVE_INFINITY : this.earliestMs(localMs);
+  }
+
   private earliestMs(nowMs: number): number {
     return (this.workerMs ?? 0) + (nowMs - this.readAtMs) * MIN_CLOCK_RATE;
   }
--- a/packages/samphirenotch/src/jobs/workers/workerFleet.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerFleet.ts
@@ -27,6 +27,21 @@
  */
 const MAX_ANSWER_AGE_MS = SUCCESSOR_DISCOVERY_MS - 500;
 
+/**
+ * Time from when a draining worker may leave until its lease is over, in milliseconds. Most workers leave
+ * soon after the time that they announced.
+ */
+const LEAVE_SLACK_MS = 500;
+
+/**
+ * Lease of a draining worker that stays for longer than that, in milliseconds: more than the time between two
+ * records and that of storing one.
+ */
+const OVERSTAY_LEASE_MS = 3_000;
+
+/** Longest lease of a worker, with a margin, in milliseconds: no lease lasts beyond a later time of leaving. */
+const LONGEST_LEASE_MS = 6_500;
+
 /** Time for which the contested data centres are not worked out again, in milliseconds. */
 const CONTESTED_CACHE_MS = 20;
 
@@ -370,14 +385,24 @@
   }
 
   /**
-   * Checks whether a worker's lease may be extended.
+   * Returns the time beyond which a worker's lease must not be extended.
    *
    * @param agent - the worker's agent
-   * @returns false if a successor may count the lease as expired: going by a stored record, or since it
-   *   may have reached the worker itself or others of the data centre
+   * @returns monotonic time in milliseconds at which a successor may count the lease as over, going by a stored
+   *   record; infinite if there is none
+   */
+  leaseLimitMs(agent: WorkerAgent): number {
+    return this.countdown.limitMs(agent.id);
+  }
+
+  /**
+   * Checks whether a worker's lease may be extended, within its limit.
+   *
+   * @param agent - the worker's agent
+   * @returns false if a successor may count the lease as expired since it may have reached the worker itself
+   *   or others of the data centre
    */
   mayExtendLease(agent: WorkerAgent): boolean {
-    if (this.countdown.has(agent.id)) return false;
     if (this.options.isSoleOwner()) return true;
     return (
       this.isAccepting(agent) && !this.contestedDataCentres().has(agent.description.dataCentre)
@@ -476,6 +501,7 @@
   isUsable(agent: WorkerAgent, evacuated: ReadonlySet<string>): boolean {
     return (
       agent.takesWork &&
+      !this.countdown.has(agent.id) &&
       this.mayExtendLease(agent) &&
       this.isRostered(agent) &&
       !evacuated.has(agent.description.dataCentre)
@@ -614,16 +640,14 @@
     return !agent.isResponsive || (!agent.isFenced && this.countdown.has(agent.id));
   }
 
-  /** Lists the leases to count down: of workers that are silent. */
+  /** Lists the leases to count down: of workers that are silent, and of those that are about to leave. */
   private leasesLeft(): readonly LeaseLeft[] {
     const nowMs = this.clock.monotonicMs();
     return this.all()
-      .filter(
-        (agent) =>
-          this.isSilent(agent) && this.mayHoldRuns(agent) && this.shouldBeCountedDown(agent),
-      )
+      .filter((agent) => this.mayHoldRuns(agent) && this.shouldBeCountedDown(agent))
       .flatMap((agent) => {
-        const leftMs = agent.leaseLeftMs ?? this.formerLeases.endMs(agent.description) - nowMs;
+        const heldMs = agent.leaseLeftMs ?? this.formerLeases.endMs(agent.description) - nowMs;
+        const leftMs = this.isSilent(agent) ? heldMs : Math.max(heldMs, this.stayMs(agent));
         return Number.isFinite(leftMs)
           ? [{ id: agent.id, leftMs: Math.max(0, Math.ceil(leftMs)) }]
           : [];
@@ -631,9 +655,19 @@
   }
 
   private shouldBeCountedDown(agent: WorkerAgent): boolean {
+    const isSilent = this.isSilent(agent);
+    if (!isSilent && agent.leavesAtMs === undefined) return false;
     if (this.countdown.has(agent.id)) return true;
     // In an outage the lease could not be extended again before a record is stored after it.
-    return this.options.isStoreReachable() && agent.silentMs >= MIN_SILENCE_MS;
+    if (!this.options.isStoreReachable()) return false;
+    if (isSilent) return agent.silentMs >= MIN_SILENCE_MS;
+    return agent.isFenced && this.stayMs(agent) <= LONGEST_LEASE_MS;
+  }
+
+  /** Returns for how long a draining worker's lease is extended, in milliseconds. */
+  private stayMs({ leavesAtMs }: WorkerAgent): number {
+    const leftMs = (leavesAtMs ?? 0) - this.clock.monotonicMs();
+    return Math.max(leftMs + LEAVE_SLACK_MS, OVERSTAY_LEASE_MS);
   }
 
   /** Notes when the owners before this one have ended: from then on all entries begin with its own term. */
--- a/tests/jobs/reportTimes.spec.ts
+++ b/tests/jobs/reportTimes.spec.ts
@@ -79,6 +79,7 @@
     isSoleOwner: () => true,
     wasSoleOwnerAt: () => true,
     mayExtendLease: () => true,
+    leaseLimitMs: () => Infinity,
   });
 
 /**
--- a/tests/jobs/shrinkingWorkers.spec.ts
+++ b/tests/jobs/shrinkingWorkers.spec.ts
@@ -58,6 +58,7 @@
     isSoleOwner: () => true,
     wasSoleOwnerAt: () => true,
     mayExtendLease: () => true,
+    leaseLimitMs: () => Infinity,
   });
   const running = agent.run();
   await clock.advance(200);
