--- a/packages/samphirenotch/src/jobs/workers/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerAgent.ts
@@ -74,7 +74,7 @@
 const MAX_UNNOTICED_MS = IDLE_POLL_INTERVAL_MS + POLL_WAIT_MS + ORDER_TIMEOUT_MS;
 
 /** Least time from an answer of a worker to the first one of its next incarnation, in milliseconds. */
-const MIN_RESTART_MS = 2_000;
+const MIN_RESTART_MS = 2_300;
 
 /** Sequence number that acknowledges no run end. */
 const ACKNOWLEDGE_NONE = 0;
@@ -177,6 +177,11 @@
   readonly wasSoleOwnerAt: (timeMs: number) => boolean;
   /** Returns true if the worker's lease may be extended: no successor can count it as expired yet. */
   readonly mayExtendLease: () => boolean;
+  /**
+   * Returns the monotonic time in milliseconds by which a successor may count the worker's lease as over;
+   * infinite if it goes by no record.
+   */
+  readonly leaseLimitMs: () => number;
 }
 
 /** Represents one worker to its owner: tracks its runs, polls it and sends it orders. */
@@ -672,10 +677,19 @@
   private extendLease(): number | undefined {
     const now = this.workerClock.earliestNowMs;
     if (now === undefined || !this.isResponsive || !this.options.mayExtendLease()) return undefined;
-    this.leaseUntilMs = Math.max(this.leaseUntilMs, Math.floor(now + this.leaseMs()));
+    const untilMs = this.withinLimit(Math.floor(now + this.leaseMs()));
+    if (untilMs <= now) return undefined;
+    this.leaseUntilMs = Math.max(this.leaseUntilMs, untilMs);
     const nowMs = this.options.clock.monotonicMs();
-    if (nowMs > this.answeredMs + MIN_RESTART_MS) this.uncertainGrantMs = nowMs;
-    return this.leaseUntilMs;
+    // The order may arrive until its timeout.
+    if (nowMs + ORDER_TIMEOUT_MS > this.answeredMs + MIN_RESTART_MS) this.uncertainGrantMs = nowMs;
+    return untilMs;
+  }
+
+  /** Shortens a lease so that it is over by when a successor may count it as over. */
+  private withinLimit(leaseUntilMs: number): number {
+    const limitMs = this.workerClock.earliestAt(this.options.leaseLimitMs());
+    return Math.min(leaseUntilMs, Math.floor(limitMs) - LEASE_EXPIRY_MARGIN_MS);
   }
 
   /** Monotonic time at which the leases of all runs of the worker have lapsed, in milliseconds. */
@@ -701,8 +715,10 @@
 
   private pollWaitMs(): number {
     const isMixed = this.fillerRuns().length > 0 && this.servingRuns().length > 0;
+    // A lease that ends soon is extended by the next poll.
+    const isLimited = Number.isFinite(this.options.leaseLimitMs());
     // Only the next poll shows whether the worker has heard of another owner.
-    return isMixed || !this.options.isSoleOwner() ? SHORT_POLL_WAIT_MS : POLL_WAIT_MS;
+    return isMixed || isLimited || !this.options.isSoleOwner() ? SHORT_POLL_WAIT_MS : POLL_WAIT_MS;
   }
 
   /**
@@ -883,10 +899,12 @@
     this.runs.setUnknownRuns(unknownSizes);
     this.noteMoreEnds(holding);
     if (!holding.hasMoreEnds) this.dropMissingRuns(listed, sentMs);
-    // A former owner may have extended the lease until just now.
-    if (isNew || !this.fenced) this.leaseUntilMs = holding.clockMs + this.longestLeaseMs(holding);
+    if (isNew) this.leaseUntilMs = holding.clockMs + this.options.maxLeaseMs;
     if (!this.fenced) {
       this.fenced = true;
+      // A former owner may have extended the lease until just now, unless it had counted it down.
+      const formerUntilMs = this.withinLimit(holding.clockMs + this.longestLeaseMs(holding));
+      this.leaseUntilMs = Math.max(this.leaseUntilMs, formerUntilMs);
       this.options.listener.onFenced(this);
     }
     if (!this.isReported && !holding.hasMoreEnds) {
