Read the list of workers together with the state of the jobs

Callers waited for one more answer of the store after each change of the owner: the list of workers, without which nothing is started, was asked for only after the state that former owners left had been read and taken in.

It is no older than what any former owner has seen as it stored its roster, so that a worker is still waited for at the address at which it may have runs.

Failed before: promptTakeovers, "should read the list of workers together with the state of the jobs".

--- a/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
@@ -214,7 +214,17 @@
     const { share } = options;
     const keys = keysOfShare(share.id);
     const isDivided = options.layout.shares.length > 1;
-    const takeover = await takeOver({ ...options, share: share.id, isDivided }, term);
+    const directory = new WorkerDirectory(options.codec, this, options.clock);
+    const follower = new StoreFollower(
+      options.store,
+      options.codec.workersPrefix,
+      directory,
+      options.clock,
+      { pollDelayMs: () => DIRECTORY_BATCH_MS, holdMs: () => directory.longestHoldMs() },
+    );
+    // Former owners have seen no newer directory than this one, since their rosters are fenced off by then.
+    const onFenced = (): void => follower.listAhead(signal);
+    const takeover = await takeOver({ ...options, share: share.id, isDivided, onFenced }, term);
     if (!takeover || signal.aborted) return;
     this.journal = takeover.journal;
     this.book.startTerm(
@@ -224,14 +234,6 @@
       takeover.firstRun,
       takeover.progress,
     );
-    const directory = new WorkerDirectory(options.codec, this, options.clock);
-    const follower = new StoreFollower(
-      options.store,
-      options.codec.workersPrefix,
-      directory,
-      options.clock,
-      { pollDelayMs: () => DIRECTORY_BATCH_MS, holdMs: () => directory.longestHoldMs() },
-    );
     const endUnlessOwner = (owner: OwnerRecord | undefined): void => {
       if (owner?.revision !== term.fencingToken) term.stepDown('the lease is another one');
     };
--- a/packages/samphirenotch/src/jobs/ownership/takeover.ts
+++ b/packages/samphirenotch/src/jobs/ownership/takeover.ts
@@ -67,6 +67,8 @@
   readonly clock: Clock;
   /** Name of this process; it differs after each start. */
   readonly process: string;
+  /** Called as soon as former owners can store nothing more. */
+  readonly onFenced: () => void;
 }
 
 /** State with which a term begins. */
@@ -286,6 +288,7 @@
   const { share, store, clock, replica } = options;
   const keys = keysOfShare(share);
   const opened = await openJournal(options, term);
+  if (opened) options.onFenced();
   while (opened && !term.signal.aborted) {
     const listing = await store.list(
       keys.ownerPrefix,
--- a/packages/samphirenotch/src/jobs/store/storeFollower.ts
+++ b/packages/samphirenotch/src/jobs/store/storeFollower.ts
@@ -1,9 +1,11 @@
 /**
  * Follows all keys under a prefix of the store: one listing, then watches by long polls.
  */
-import type { KeyValue } from '../../infrastructure/keyValueStore.js';
+import type { Failure } from '../../failure.js';
+import type { KeyValue, Listing } from '../../infrastructure/keyValueStore.js';
 import type { TransactionStore } from '../../infrastructure/transactionStore.js';
 import { partLog } from '../../observability/log.js';
+import type { Result } from '../../results.js';
 import { callWithin } from '../../time/call.js';
 import type { Clock } from '../../time/clock.js';
 import { Wakeup } from '../../time/wakeup.js';
@@ -81,6 +83,13 @@
   }
 };
 
+/** The answer to a listing. */
+interface RequestedListing {
+  readonly listing: Result<Listing, Failure>;
+  /** Monotonic time at which the call was sent, in milliseconds. */
+  readonly sentMs: number;
+}
+
 /** Follows one prefix and passes items and changes to a listener. */
 export class StoreFollower {
   private readonly log = partLog('follower');
@@ -107,6 +116,9 @@
   /** True if a refresh has ended the current delay early. */
   private isRefreshRequested = false;
 
+  /** A listing that is read before the follower runs. */
+  private listedAhead: Promise<RequestedListing> | undefined;
+
   /** Resolve functions of refreshes that wait for the next answer. */
   private refreshWaiters: (() => void)[] = [];
 
@@ -144,6 +156,15 @@
     return this.clock.monotonicMs() - this.lastContactMs;
   }
 
+  /**
+   * Reads the first listing now. It is passed on once the follower runs.
+   *
+   * @param signal - ends following
+   */
+  listAhead(signal: AbortSignal): void {
+    this.listedAhead ??= this.requestListing(signal);
+  }
+
   /**
    * Follows the prefix until it is aborted.
    *
@@ -185,9 +206,9 @@
   }
 
   private async list(signal: AbortSignal): Promise<boolean> {
-    const call = callWithin(this.clock, LIST_SILENCE_MS, signal);
-    const sentMs = this.clock.monotonicMs();
-    const listing = await this.store.list(this.prefix, call);
+    const requested = this.listedAhead ?? this.requestListing(signal);
+    this.listedAhead = undefined;
+    const { listing, sentMs } = await requested;
     if (listing.err) return this.noteFailure(listing.val.message);
     this.revision = listing.val.revision;
     this.isListed = true;
@@ -198,6 +219,12 @@
     return true;
   }
 
+  private async requestListing(signal: AbortSignal): Promise<RequestedListing> {
+    const sentMs = this.clock.monotonicMs();
+    const call = callWithin(this.clock, LIST_SILENCE_MS, signal);
+    return { listing: await this.store.list(this.prefix, call), sentMs };
+  }
+
   private async watch(signal: AbortSignal): Promise<boolean> {
     const holdMs = this.holdMs();
     const call = callWithin(this.clock, holdMs + WATCH_TIMEOUT_MARGIN_MS, signal);
--- /dev/null
+++ b/tests/jobs/promptTakeovers.spec.ts
@@ -0,0 +1,43 @@
+/**
+ * How many calls to the store a takeover waits for, one after the other.
+ */
+import test from 'ava';
+import { WHOLE_SITE_SHARE_ID } from 'samphirenotch/jobs/model/shareLayout.js';
+import { keysOfShare } from 'samphirenotch/jobs/store/jobKeys.js';
+
+import { makeJob, makeOwnedSite, makeStep, runUntil } from '../fixtures/jobSite.js';
+
+const ID = '00000000000000a1';
+const { owner: OWNER_KEY, opened: OPENED_KEY } = keysOfShare(WHOLE_SITE_SHARE_ID);
+
+/** Time that the store takes for an answer, in milliseconds, as on a busy link or a starved machine. */
+const SLOW_MS = 400;
+
+/** Time for workers to answer and for a pass, in milliseconds. */
+const OWN_MS = 200;
+
+/** Makes a site whose owner dies; its successor waits long for each answer of the store. */
+const makeSlowSuccession = async () => {
+  const { site, owner } = await makeOwnedSite({ workers: 2 });
+  const successor = site.start('b');
+  await site.run(500);
+  const revisionOf = (key: string): number => site.data.items.get(key)?.revision ?? 0;
+  owner.kill();
+  await site.submit(successor, ID, makeJob(makeStep()));
+  await runUntil(site, () => !site.data.items.has(OWNER_KEY));
+  const openedBefore = revisionOf(OPENED_KEY);
+  successor.store.latencyMs = () => SLOW_MS;
+  await runUntil(site, () => site.data.items.has(OWNER_KEY));
+  await runUntil(site, () => revisionOf(OPENED_KEY) > openedBefore);
+  return { site, openedMs: site.clock.monotonicMs() };
+};
+
+// Guards against a takeover that reads the list of workers only after it has read the state of the jobs.
+test('should read the list of workers together with the state of the jobs', async (t) => {
+  const { site, openedMs } = await makeSlowSuccession();
+  await runUntil(site, () => site.record.runs.length > 0);
+  const startedMs = site.clock.monotonicMs();
+  t.true(startedMs - openedMs <= SLOW_MS + OWN_MS, `${startedMs - openedMs} ms`);
+  await site.run(4_000);
+  t.deepEqual(site.record.violations, []);
+});
