Ask the store at once for what a successor lacks

Callers waited up to 0.2 s longer than necessary after each change of the owner, on a machine of any size: a takeover waits until the replica holds all that was stored before it, but an entry without shares asks the store only every 200 ms, and the wait did not end that delay.

The takeover now asks for the next answer at once, as submissions do, and waits for it beside the listing of what former owners stored.

Failed before: promptTakeovers, "should start tasks within the time of its calls if the store answers at once".

--- a/packages/samphirenotch/src/jobs/entry/jobEntry.ts
+++ b/packages/samphirenotch/src/jobs/entry/jobEntry.ts
@@ -117,15 +117,16 @@
     this.operatorFollower = new StoreFollower(store, codec.operatorPrefix, this.operator, clock);
     this.rooms = new ShareCapacityCache(store, clock);
     const { replica, rooms, operator, jobsFollower } = this;
+    const refresh = (): Promise<void> => jobsFollower.refresh();
     this.shareOwners = new ShareOwners({
       ...options,
       replica,
       rooms,
       operator,
       viewAgeMs: () => jobsFollower.viewAgeMs(),
+      refreshReplica: refresh,
     });
     replica.whenCaughtUp(() => this.shareOwners.notify());
-    const refresh = (): Promise<void> => jobsFollower.refresh();
     const homeSelector = new HomeSelector({
       ...options,
       replica,
--- a/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
@@ -121,6 +121,8 @@
   readonly operator: OperatorFollower;
   /** Returns the age of this entry's view of the jobs, in milliseconds. */
   readonly viewAgeMs: () => number;
+  /** Asks the store at once for what the replica lacks. */
+  readonly refreshReplica: () => Promise<void>;
   readonly clock: Clock;
   readonly recorder: Recorder;
   /** Name of this process; it differs after each start. */
--- a/packages/samphirenotch/src/jobs/ownership/takeover.ts
+++ b/packages/samphirenotch/src/jobs/ownership/takeover.ts
@@ -67,6 +67,8 @@
   readonly clock: Clock;
   /** Name of this process; it differs after each start. */
   readonly process: string;
+  /** Asks the store at once for what the replica lacks. */
+  readonly refreshReplica: () => Promise<void>;
   /** Called as soon as former owners can store nothing more. */
   readonly onFenced: () => void;
 }
@@ -274,6 +276,19 @@
   return undefined;
 };
 
+/** Waits until the replica is complete up to a revision. */
+const catchUp = async (
+  { replica, clock, refreshReplica }: TakeoverOptions,
+  revision: number,
+  { signal }: Term,
+): Promise<void> => {
+  while (replica.revision() < revision && !signal.aborted) {
+    // An entry that owns nothing asks the store only now and then.
+    await refreshReplica();
+    await clock.sleep(REPLICA_POLL_MS, signal);
+  }
+};
+
 /**
  * Takes a share over from its former owners.
  *
@@ -285,24 +300,20 @@
   options: TakeoverOptions,
   term: Term,
 ): Promise<TakeoverState | undefined> => {
-  const { share, store, clock, replica } = options;
+  const { share, store, clock } = options;
   const keys = keysOfShare(share);
   const opened = await openJournal(options, term);
   if (opened) options.onFenced();
   while (opened && !term.signal.aborted) {
-    const listing = await store.list(
-      keys.ownerPrefix,
-      callWithin(clock, CALL_TIMEOUT_MS, term.signal),
-    );
+    // The replica must hold all that former owners wrote and all jobs accepted before the term.
+    const [listing] = await Promise.all([
+      store.list(keys.ownerPrefix, callWithin(clock, CALL_TIMEOUT_MS, term.signal)),
+      catchUp(options, opened.revision, term),
+    ]);
     if (listing.err) {
       await clock.sleep(RETRY_MS, term.signal);
       continue;
     }
-    // The replica must first hold all that former owners wrote and all jobs accepted before the
-    // term.
-    while (replica.revision() < opened.revision && !term.signal.aborted) {
-      await clock.sleep(REPLICA_POLL_MS, term.signal);
-    }
     const { items } = listing.val;
     const exchange = options.isDivided ? await readExchange(options, term) : new Map();
     if (!exchange) return undefined;
--- a/tests/jobs/promptTakeovers.spec.ts
+++ b/tests/jobs/promptTakeovers.spec.ts
@@ -16,8 +16,11 @@
 /** Time for workers to answer and for a pass, in milliseconds. */
 const OWN_MS = 200;
 
-/** Makes a site whose owner dies; its successor waits long for each answer of the store. */
-const makeSlowSuccession = async () => {
+/** Time for some answers that are not late, for workers and for a pass, in milliseconds. */
+const PROMPT_MS = 100;
+
+/** Makes a site whose owner dies, with a waiting job; the successor has just opened the journal. */
+const makeSuccession = async (latencyMs?: number) => {
   const { site, owner } = await makeOwnedSite({ workers: 2 });
   const successor = site.start('b');
   await site.run(500);
@@ -26,7 +29,7 @@
   await site.submit(successor, ID, makeJob(makeStep()));
   await runUntil(site, () => !site.data.items.has(OWNER_KEY));
   const openedBefore = revisionOf(OPENED_KEY);
-  successor.store.latencyMs = () => SLOW_MS;
+  if (latencyMs !== undefined) successor.store.latencyMs = () => latencyMs;
   await runUntil(site, () => site.data.items.has(OWNER_KEY));
   await runUntil(site, () => revisionOf(OPENED_KEY) > openedBefore);
   return { site, openedMs: site.clock.monotonicMs() };
@@ -34,10 +37,20 @@
 
 // Guards against a takeover that reads the list of workers only after it has read the state of the jobs.
 test('should read the list of workers together with the state of the jobs', async (t) => {
-  const { site, openedMs } = await makeSlowSuccession();
+  const { site, openedMs } = await makeSuccession(SLOW_MS);
   await runUntil(site, () => site.record.runs.length > 0);
   const startedMs = site.clock.monotonicMs();
   t.true(startedMs - openedMs <= SLOW_MS + OWN_MS, `${startedMs - openedMs} ms`);
   await site.run(4_000);
   t.deepEqual(site.record.violations, []);
 });
+
+// Guards against a takeover that waits for the next time at which an entry without shares would ask the store.
+test('should start tasks within the time of its calls if the store answers at once', async (t) => {
+  const { site, openedMs } = await makeSuccession();
+  await runUntil(site, () => site.record.runs.length > 0);
+  const startedMs = site.clock.monotonicMs();
+  t.true(startedMs - openedMs <= PROMPT_MS, `${startedMs - openedMs} ms`);
+  await site.run(4_000);
+  t.deepEqual(site.record.violations, []);
+});
