--- a/packages/samphirenotch/src/jobs/ownership/takeover.ts
+++ b/packages/samphirenotch/src/jobs/ownership/takeover.ts
@@ -168,13 +168,12 @@
   let formerLabel: string | undefined;
   const call = () => callWithin(clock, CALL_TIMEOUT_MS, term.signal);
   while (!term.signal.aborted) {
-    const known = await store.get(keys.journal, call());
-    if (known.err) {
-      await clock.sleep(RETRY_MS, term.signal);
-      continue;
-    }
-    const counted = await store.get(keys.leases, call());
-    if (counted.err) {
+    // The transaction below takes effect only if both are still what was read.
+    const [known, counted] = await Promise.all([
+      store.get(keys.journal, call()),
+      store.get(keys.leases, call()),
+    ]);
+    if (known.err || counted.err) {
       await clock.sleep(RETRY_MS, term.signal);
       continue;
     }
--- a/tests/jobs/promptTakeovers.spec.ts
+++ b/tests/jobs/promptTakeovers.spec.ts
@@ -31,10 +31,19 @@
   const openedBefore = revisionOf(OPENED_KEY);
   if (latencyMs !== undefined) successor.store.latencyMs = () => latencyMs;
   await runUntil(site, () => site.data.items.has(OWNER_KEY));
+  const electedMs = site.clock.monotonicMs();
   await runUntil(site, () => revisionOf(OPENED_KEY) > openedBefore);
-  return { site, openedMs: site.clock.monotonicMs() };
+  return { site, electedMs, openedMs: site.clock.monotonicMs() };
 };
 
+// Guards against reads before the first write of a takeover that wait for each other.
+test('should read what it needs for its first write at once', async (t) => {
+  const { electedMs, openedMs } = await makeSuccession(SLOW_MS);
+  // The reads, and the write.
+  const CALLS = 2;
+  t.true(openedMs - electedMs <= CALLS * SLOW_MS + OWN_MS, `${openedMs - electedMs} ms`);
+});
+
 // Guards against a takeover that reads the list of workers only after it has read the state of the jobs.
 test('should read the list of workers together with the state of the jobs', async (t) => {
   const { site, openedMs } = await makeSuccession(SLOW_MS);
