Renew a lease that is not confirmed without a pause

Callers saw no starts while owners took turns: an owner on a starved VM took over, lost its lease before it had started anything, and its successor did the same.

A renewal that was not answered within 600 ms was followed by a pause of 700 ms, and so was an answer, however long it had taken. Two unanswered renewals in series took 2.6 s, longer than the lease of 2.5 s, which was meant to allow three attempts.

The interval now counts from the sending of the last renewal, and an unanswered one is repeated after 200 ms while the lease may still last. After that an owner asks a store that is away as often as before. The lease is as long as before, and counts from the sending of the call that the store has granted.

On a manual clock: the store away for 2.15 s since a renewal cost the share, and does not any more; with answers that take 500 ms 6 renewals in 7 s before, at least 9 after.

Failed before: lostRenewals, "should renew the lease although two renewals are not answered" and "should renew as often if each answer takes long".

--- a/packages/samphirenotch/src/jobs/ownership/ownerElection.ts
+++ b/packages/samphirenotch/src/jobs/ownership/ownerElection.ts
@@ -28,9 +28,12 @@
 /** Safety margin by which the owner counts its lease as shorter, in milliseconds: clocks drift. */
 const CLOCK_MARGIN_MS = 100;
 
-/** Time between renewals, in milliseconds: allows three attempts within one lease. */
+/** Time from one renewal to the next, in milliseconds: allows three attempts within one lease. */
 const RENEWAL_INTERVAL_MS = 700;
 
+/** Wait before a renewal is tried again that was not answered, in milliseconds. */
+const RENEWAL_RETRY_MS = 200;
+
 /** Time between renewals while a decision waits for one, in milliseconds. */
 const MIN_RENEWAL_INTERVAL_MS = 100;
 
@@ -324,7 +327,6 @@
       const leastWaitMs = Math.min(MIN_RENEWAL_INTERVAL_MS, waitMs);
       await clock.sleep(leastWaitMs, term.signal);
       await this.renewal.wait(waitMs - leastWaitMs, term.signal);
-      waitMs = RENEWAL_INTERVAL_MS;
       if (term.signal.aborted) return;
       const sentMs = clock.monotonicMs();
       const call = callWithin(clock, CALL_TIMEOUT_MS, term.signal);
@@ -334,9 +336,17 @@
         // The owner key was removed with the lease, so a rival may have been elected already.
         term.stepDown('the lease has ended');
       }
+      waitMs = this.waitBeforeRenewalMs(renewed.ok, clock.monotonicMs() - sentMs);
     }
   }
 
+  /** An answer that takes long must not cost attempts, of which few fit into a lease. */
+  private waitBeforeRenewalMs(wasAnswered: boolean, tookMs: number): number {
+    const isLeaseOver = this.options.clock.monotonicMs() >= this.leaseConfirmedMs + LEASE_MS;
+    if (!wasAnswered) return isLeaseOver ? RENEWAL_INTERVAL_MS : RENEWAL_RETRY_MS;
+    return Math.max(MIN_RENEWAL_INTERVAL_MS, RENEWAL_INTERVAL_MS - tookMs);
+  }
+
   /** Ends a term whose lease is unconfirmed for too long, even while a call to the store hangs. */
   private async deposeWhenUnconfirmed(term: Term): Promise<void> {
     while (!term.signal.aborted) {
