--- a/tests/soak/entryProcess.ts
+++ b/tests/soak/entryProcess.ts
@@ -6,6 +6,8 @@
 import path from 'node:path';
 import { createInterface } from 'node:readline';
 
+import { ProcessorLimit } from './processorLimit.js';
+
 /** Port where an entry takes callers. */
 export const CALLER_PORT = 18_161;
 
@@ -26,6 +28,8 @@
   readonly program: string;
   /** Share of a core that it says its VM has; a whole one if left out. */
   readonly processorShare?: number;
+  /** Share of a processor that it is held to; a whole one if left out. */
+  readonly processorLimit?: number;
   /** Wait before the process starts again once it has ended, in milliseconds. */
   readonly restartMs: number;
   /** Hears each line of its log. */
@@ -64,6 +68,13 @@
 
   private endExpected = false;
 
+  /** Its program runs: it has written a line. */
+  private hasSpoken = false;
+
+  private isPaused = false;
+
+  private readonly limit: ProcessorLimit;
+
   /**
    * @param options - name, addresses and folder
    */
@@ -72,6 +83,9 @@
     this.settingsPath = path.join(options.folder, `${options.name}.json`);
     writeFileSync(this.settingsPath, JSON.stringify(settingsOf(options)));
     this.output = createWriteStream(path.join(options.folder, `${options.name}.log`));
+    this.limit = new ProcessorLimit(options.processorLimit ?? 1, (signal) =>
+      this.child?.kill(signal),
+    );
   }
 
   /** Starts it, and again whenever it ends. */
@@ -86,10 +100,25 @@
     this.child?.kill(signal);
   }
 
+  /** Stands still until it goes on or is started again. */
+  pause(): void {
+    this.isPaused = true;
+    this.limit.release();
+    this.child?.kill('SIGSTOP');
+  }
+
+  /** Goes on after a pause. */
+  resume(): void {
+    this.isPaused = false;
+    this.child?.kill('SIGCONT');
+    if (this.hasSpoken) this.limit.hold();
+  }
+
   /** Ends it for good. */
   async stop(): Promise<void> {
     this.isWanted = false;
     const { child } = this;
+    this.limit.release();
     if (!child) return;
     const ended = new Promise<void>((resolve) => {
       child.once('exit', () => resolve());
@@ -105,17 +134,25 @@
   private spawn(): void {
     const { program, runtimeWords = [] } = this.options;
     this.endExpected = false;
+    this.hasSpoken = false;
+    this.isPaused = false;
     const child = spawn(process.execPath, [...runtimeWords, program], {
       env: { PATH: process.env['PATH'], SAMPHIRENOTCH_BOOT: this.settingsPath },
       stdio: ['ignore', 'pipe', 'pipe'],
     });
     this.child = child;
     child.stdout.on('data', (piece: Buffer) => this.output.write(piece));
-    createInterface({ input: child.stdout }).on('line', this.options.onLine);
+    createInterface({ input: child.stdout })
+      .on('line', this.options.onLine)
+      .once('line', () => {
+        this.hasSpoken = true;
+        if (this.child === child && this.isWanted && !this.isPaused) this.limit.hold();
+      });
     child.stderr.on('data', (piece: Buffer) => this.output.write(piece));
     const startedMs = performance.now();
     child.once('exit', (code, signal) => {
       this.child = undefined;
+      this.limit.release();
       if (!this.isWanted) return;
       const afterMs = Math.round(performance.now() - startedMs);
       const { endExpected } = this;
--- a/tests/soak/soakMain.ts
+++ b/tests/soak/soakMain.ts
@@ -53,6 +53,10 @@
     description: 'cores of the VMs, in turn, with commas between; small ones divide the site',
   });
 
+  processorLimit = Option.String('--processor-limit', '1', {
+    description: 'share of a processor that each entry is held to',
+  });
+
   idleWorkers = Option.String('--idle-workers', '0', {
     description: 'workers of a service that gets no jobs',
   });
@@ -88,6 +92,7 @@
         faultGapMs: Number(this.faultGap),
         dataCentres: Number(this.dataCentres),
         processorShares: this.processorShares.split(',').map(Number),
+        processorLimit: Number(this.processorLimit),
         idleWorkers: Number(this.idleWorkers),
         jobBurst: Number(this.jobBurst),
         stepWidth: Number(this.stepWidth),
--- a/tests/soak/soakRun.ts
+++ b/tests/soak/soakRun.ts
@@ -37,6 +37,8 @@
   readonly dataCentres?: number;
   /** Shares of a core that the entries say their VMs have, in turn; whole ones if left out. */
   readonly processorShares?: readonly number[];
+  /** Share of a processor that each entry is held to; a whole one if left out. */
+  readonly processorLimit?: number;
   readonly program: string;
   readonly folder: string;
   /** Whether bounds in time are checked; not on machines that may be busy. */
--- a/tests/soak/soakSite.ts
+++ b/tests/soak/soakSite.ts
@@ -52,6 +52,8 @@
   readonly dataCentres: number;
   /** Shares of a core that the entries say their VMs have, in turn; whole ones if left out. */
   readonly processorShares?: readonly number[];
+  /** Share of a processor that each entry is held to; a whole one if left out. */
+  readonly processorLimit?: number;
   /** Workers of a service that gets no jobs, the first of all; none if left out. */
   readonly idleWorkers?: number;
   /** Entries stay down for unlike times. */
@@ -306,8 +308,8 @@
     if (kind === 'entry-reload') entry.signal('SIGHUP');
     if (kind === 'entry-store-silent') link.silenceOpen();
     if (kind === 'entry-pause') {
-      entry.signal('SIGSTOP');
-      return () => entry.signal('SIGCONT');
+      entry.pause();
+      return () => entry.resume();
     }
     const faults: Partial<Record<Fault['kind'], LinkFault>> = {
       'entry-store-cut': 'cut',
@@ -448,7 +450,7 @@
   }
 
   private async addEntry(index: number, network: ReservedNetwork): Promise<void> {
-    const { folder, program, processorShares = [], runtimeWords } = this.options;
+    const { folder, program, processorShares = [], processorLimit, runtimeWords } = this.options;
     const processorShare = processorShares[index % processorShares.length];
     const spreadMs = this.options.spreadsRestarts ? RESTART_SPREAD_MS : 0;
     const name = `entry-${index}`;
@@ -463,6 +465,7 @@
       folder: path.resolve(folder),
       program,
       ...(processorShare === undefined ? {} : { processorShare }),
+      ...(processorLimit === undefined ? {} : { processorLimit }),
       ...(runtimeWords ? { runtimeWords } : {}),
     });
     this.entries.push({ entry, link });
