Play scenes of faults in a soak, one after the other

Faults that overlap end the state that another one needs, so that mixes of them do not show known faults on landings that have them. A scene is played to its end, with a calm after it in which terms and leases end: `--scenes`, and `--scene` for single kinds.

--- a/tests/soak/faultProxy.ts
+++ b/tests/soak/faultProxy.ts
@@ -37,7 +37,7 @@
   /**
    * @param targetPort - port of the stand-in
    */
-  constructor(private readonly targetPort: number) {}
+  constructor(public targetPort: number) {}
 
   /** Listens on a free port and returns it. */
   async listen(): Promise<number> {
--- a/tests/soak/soak.spec.ts
+++ b/tests/soak/soak.spec.ts
@@ -8,7 +8,7 @@
 import test from 'ava';
 
 import { REGRESSION_SEEDS } from './regressionSeeds.js';
-import { drawFaults, drawOwnerFaults } from './soakFaults.js';
+import { drawFaults, drawOwnerFaults, drawScenes, SCENE_KINDS } from './soakFaults.js';
 import { reportPage } from './soakReport.js';
 import { makeRandom, runSoak } from './soakRun.js';
 
@@ -38,6 +38,19 @@
   t.is(draw(5).at(-1)?.kind, 'all-entries-kill');
 });
 
+// Guards against scenes that end the state that another one needs.
+test('should draw scenes that do not overlap, and all kinds of them', (t) => {
+  const draw = (seed: number) => drawScenes(makeRandom(seed), 1_800_000);
+  t.deepEqual(draw(5), draw(5));
+  t.notDeepEqual(draw(5), draw(6));
+  const scenes = draw(5);
+  SCENE_KINDS.forEach((kind) => t.true(scenes.some((scene) => scene.kind === kind)));
+  scenes.slice(1).forEach(({ atMs }, at) => {
+    const before = scenes[at];
+    t.true(before !== undefined && atMs > before.atMs + before.forMs);
+  });
+});
+
 const bundleEntry = async (): Promise<string> => {
   const program = path.join(folder, 'entry.cjs');
   await promisify(execFile)(process.execPath, [
--- a/tests/soak/soakFaults.ts
+++ b/tests/soak/soakFaults.ts
@@ -67,8 +67,26 @@
   'worker-cut',
 ] as const;
 
+/** Kinds of scenes, in which several faults strike while owners change. */
+export const SCENE_KINDS = [
+  'owner-part',
+  'owner-part-draining',
+  'owner-part-drained',
+  'owner-part-new-worker',
+  'owner-part-replaced-worker',
+  'owner-part-restarted-worker',
+  'owner-part-long',
+  'successor-part',
+  'successor-lapse',
+  'owners-kill-replaced-workers',
+] as const;
+
+/** A kind of scene. */
+export type SceneKind = (typeof SCENE_KINDS)[number];
+
 /** A kind of fault. */
-export type FaultKind = (typeof FAULT_KINDS)[number] | (typeof OWNER_FAULT_KINDS)[number];
+export type FaultKind =
+  (typeof FAULT_KINDS)[number] | (typeof OWNER_FAULT_KINDS)[number] | SceneKind;
 
 /** One fault. */
 export interface Fault {
@@ -107,6 +125,38 @@
   'some-entries-store-cut': [500, 14_000],
 };
 
+/** Shortest and longest time of a scene, in milliseconds. */
+const SCENE_MS: readonly [shortest: number, longest: number] = [13_000, 17_000];
+const SUCCESSOR_SCENE_MS: readonly [shortest: number, longest: number] = [20_000, 23_000];
+
+/** Time until the first owner has begun and workers are busy, in milliseconds. */
+const BEFORE_SCENES_MS = 12_000;
+
+/** Time between two scenes, in which terms and leases of the former one end, in milliseconds. */
+const BETWEEN_SCENES_MS = 9_000;
+
+/** When the further faults of a scene strike, in milliseconds. */
+const SCENE_FOLLOW_UPS_MS: Readonly<
+  Record<SceneKind, readonly (readonly [shortest: number, longest: number])[]>
+> = {
+  'owner-part': [],
+  'owner-part-draining': [[1_000, 2_500]],
+  'owner-part-drained': [[1_000, 2_500]],
+  'owner-part-new-worker': [[500, 7_000]],
+  'owner-part-replaced-worker': [[500, 7_000]],
+  'owner-part-restarted-worker': [],
+  'owner-part-long': [
+    [11_000, 13_000],
+    [200, 1_500],
+  ],
+  'successor-part': [[200, 5_000]],
+  'successor-lapse': [[6_500, 8_800]],
+  'owners-kill-replaced-workers': [
+    [50, 3_000],
+    [200, 2_500],
+  ],
+};
+
 /** Time between the last power loss and the end of the load, in milliseconds. */
 const CLOSING_MS = 1_500;
 
@@ -189,3 +239,32 @@
     followUpsMs: [],
   },
 ];
+
+/**
+ * Draws scenes that follow one another, each with the time that it needs.
+ *
+ * @param random - source of random numbers
+ * @param durationMs - time in which scenes begin and end, in milliseconds
+ * @param kinds - kinds of scenes to draw from
+ * @returns the scenes, by time
+ */
+export const drawScenes = (
+  random: SeededRandom,
+  durationMs: number,
+  kinds: readonly SceneKind[] = SCENE_KINDS,
+): readonly Fault[] => {
+  const scenes: Fault[] = [];
+  let atMs = BEFORE_SCENES_MS + random.below(QUIET_MS);
+  for (;;) {
+    const kind = kinds[random.below(kinds.length)] ?? 'owner-part';
+    const [shortestMs, longestMs] = kind.startsWith('successor-') ? SUCCESSOR_SCENE_MS : SCENE_MS;
+    const forMs = drawBetween(random, shortestMs, longestMs);
+    const target = random.below(MANY);
+    const followUpsMs = SCENE_FOLLOW_UPS_MS[kind].map(([shortest, longest]) =>
+      drawBetween(random, shortest, longest),
+    );
+    if (atMs + forMs > durationMs) return scenes;
+    scenes.push({ kind, atMs, forMs, target, followUpsMs });
+    atMs += forMs + BETWEEN_SCENES_MS;
+  }
+};
--- a/tests/soak/soakMain.ts
+++ b/tests/soak/soakMain.ts
@@ -6,15 +6,18 @@
 
 import { Cli, Command, Option } from 'clipanion';
 
-import { OWNER_FAULT_KINDS, type FaultKind } from './soakFaults.js';
+import { OWNER_FAULT_KINDS, SCENE_KINDS } from './soakFaults.js';
 import { reportPage, summarize, type SoakResult } from './soakReport.js';
 import { runSoak } from './soakRun.js';
 
 /** Settings of a soak that are not given. */
 const DEFAULTS = { seeds: '1', seconds: '30', entries: '3', workers: '6', jobGap: '150' } as const;
 
-const readKinds = (names: readonly string[]): readonly FaultKind[] => {
-  const kinds = OWNER_FAULT_KINDS.filter((kind) => names.includes(kind));
+const readKinds = <Kind extends string>(
+  known: readonly Kind[],
+  names: readonly string[],
+): readonly Kind[] => {
+  const kinds = known.filter((kind) => names.includes(kind));
   const unknown = names.filter((name) => !kinds.some((kind) => kind === name));
   if (unknown.length > 0) throw new Error(`no such fault: ${unknown.join(', ')}`);
   return kinds;
@@ -75,6 +78,14 @@
     description: 'kind of these faults; the usual ones if left out',
   });
 
+  playsScenes = Option.Boolean('--scenes', false, {
+    description: 'scenes strike, one after the other, instead of faults',
+  });
+
+  sceneKinds = Option.Array('--scene', {
+    description: 'kind of these scenes; all if left out',
+  });
+
   runtime = Option.Array('--runtime', [], { description: 'words for the runtime' });
 
   override async execute(): Promise<number> {
@@ -97,7 +108,12 @@
         jobBurst: Number(this.jobBurst),
         stepWidth: Number(this.stepWidth),
         strikesOwners: this.strikesOwners,
-        ...(this.ownerFaultKinds ? { ownerFaultKinds: readKinds(this.ownerFaultKinds) } : {}),
+        ...(this.ownerFaultKinds
+          ? { ownerFaultKinds: readKinds(OWNER_FAULT_KINDS, this.ownerFaultKinds) }
+          : {}),
+        ...(this.playsScenes
+          ? { scenes: readKinds(SCENE_KINDS, this.sceneKinds ?? SCENE_KINDS) }
+          : {}),
         program: this.program,
         folder: path.join(this.folder, String(seed)),
         runtimeWords: this.runtime,
--- a/tests/soak/soakRun.ts
+++ b/tests/soak/soakRun.ts
@@ -7,7 +7,14 @@
 import { PromiseChecker } from './promiseChecker.js';
 import { SoakCallers } from './soakCallers.js';
 import { ShareOwners } from './shareOwners.js';
-import { drawFaults, drawOwnerFaults, type FaultKind } from './soakFaults.js';
+import {
+  drawFaults,
+  drawOwnerFaults,
+  drawScenes,
+  type Fault,
+  type FaultKind,
+  type SceneKind,
+} from './soakFaults.js';
 import type { SoakResult } from './soakReport.js';
 import { SoakSite } from './soakSite.js';
 
@@ -33,6 +40,8 @@
   readonly strikesOwners?: boolean;
   /** Kinds of these faults; the usual ones if left out. */
   readonly ownerFaultKinds?: readonly FaultKind[];
+  /** Scenes strike, one after the other, instead of faults; of these kinds. */
+  readonly scenes?: readonly SceneKind[];
   /** Data centres, at most three; two if left out. */
   readonly dataCentres?: number;
   /** Shares of a core that the entries say their VMs have, in turn; whole ones if left out. */
@@ -74,6 +83,15 @@
   return random;
 };
 
+const draw = (options: SoakOptions, durationMs: number): readonly Fault[] => {
+  const { seed, scenes, strikesOwners = false, faultGapMs, ownerFaultKinds } = options;
+  const random = makeRandom(seed);
+  if (scenes) return drawScenes(random, durationMs, scenes);
+  return strikesOwners
+    ? drawOwnerFaults(random, durationMs, faultGapMs, ownerFaultKinds)
+    : drawFaults(random, durationMs, faultGapMs);
+};
+
 /** Cancels watchers and waits for the rest. */
 const finish = async (checker: PromiseChecker, callers: SoakCallers): Promise<void> => {
   const untilMs = checker.nowMs() + FINISH_MS;
@@ -115,7 +133,7 @@
     checker,
     owners,
     dataCentres,
-    spreadsRestarts: strikesOwners,
+    spreadsRestarts: strikesOwners || options.scenes !== undefined,
   });
   await site.start();
   const callers = new SoakCallers(
@@ -124,10 +142,7 @@
   );
   await sleep(START_MS);
   const durationMs = START_MS + 1_000 * seconds;
-  const { faultGapMs, ownerFaultKinds } = options;
-  const faults = strikesOwners
-    ? drawOwnerFaults(makeRandom(seed), durationMs, faultGapMs, ownerFaultKinds)
-    : drawFaults(makeRandom(seed), durationMs, faultGapMs);
+  const faults = draw(options, durationMs);
   const timers = faults.map((fault) =>
     setTimeout(
       () => {
--- a/tests/soak/soakSite.ts
+++ b/tests/soak/soakSite.ts
@@ -10,6 +10,7 @@
 import type { ShareOwners } from './shareOwners.js';
 import type { Fault } from './soakFaults.js';
 import { QUEUES, SERVICE } from './soakJob.js';
+import { SoakScenes, type SceneSite } from './soakScenes.js';
 import { StoreStandIn } from './storeStandIn.js';
 import { WorkerStandIn } from './workerStandIn.js';
 
@@ -21,9 +22,6 @@
 /** The wait of entries differs by up to this while owners are killed in series, in milliseconds. */
 const RESTART_SPREAD_MS = 3_000;
 
-/** Time in which a worker still answers when its data centre is parted, in milliseconds. */
-const LAST_ANSWER_MS = 50;
-
 /** Share of the entries that lose the store while others are served, as one in so many. */
 const CUT_EVERY = 3;
 
@@ -62,13 +60,13 @@
 }
 
 interface Linked<T> {
-  readonly end: T;
+  end: T;
   readonly link: FaultProxy;
   readonly port: number;
 }
 
 /** The site. */
-export class SoakSite {
+export class SoakSite implements SceneSite {
   readonly store = new StoreStandIn();
 
   readonly entries: { readonly entry: EntryProcess; readonly link: FaultProxy }[] = [];
@@ -90,6 +88,14 @@
 
   private network: ReservedNetwork | undefined;
 
+  private readonly scenes = new SoakScenes(this);
+
+  /** How long workers say that they drain, in milliseconds. */
+  private readonly drainsMs = new Map<string, number>();
+
+  /** Workers that were replaced. */
+  private replacements = 0;
+
   /**
    * @param options - sizes, program and folder
    */
@@ -101,7 +107,7 @@
   async start(): Promise<void> {
     await this.store.start();
     this.configure();
-    for (let index = 0; index < this.options.workers; index += 1) await this.addWorker(index);
+    for (let index = 0; index < this.options.workers; index += 1) await this.addWorker();
     this.beat();
     this.heartbeat = setInterval(() => this.beat(), HEARTBEAT_MS);
     const network = await ReservedNetwork.reserve();
@@ -130,14 +136,16 @@
    * @param fault - the fault
    * @returns what ends it; undefined if it ends by itself
    */
-  strike({ kind, forMs, target, followUpsMs }: Fault): (() => void) | undefined {
+  strike(fault: Fault): (() => void) | undefined {
+    const { kind, forMs, target, followUpsMs } = fault;
     const entry = this.entries[target % this.entries.length];
     const worker = this.workers[target % this.workers.length];
     if (!entry || !worker) return undefined;
+    const endOfScene = this.scenes.strike(fault);
+    if (endOfScene) return endOfScene;
     if (kind === 'owner-series') this.killOwners(target, 1, followUpsMs);
     if (kind === 'two-owners-kill') this.killOwners(target, 2, followUpsMs);
     if (kind === 'takeover-part') return this.partAtTakeover(target, followUpsMs);
-    if (kind === 'owner-part') return this.partFromOwner(target);
     if (kind === 'zones-part') return this.part(this.zoneAt(target), this.zoneAt(target + 1));
     if (kind === 'owner-terminate') this.ownerOf(target)?.signal('SIGTERM');
     if (kind.startsWith('some-entries-')) return this.strikeSomeEntries(kind, target);
@@ -156,16 +164,31 @@
     return this.strikeEntry(kind, entry, forMs);
   }
 
-  private zoneAt(index: number): string {
+  /** @returns the owners of shares */
+  get owners(): ShareOwners {
+    return this.options.owners;
+  }
+
+  /** @returns time since the start, in milliseconds */
+  readonly nowMs = (): number => this.options.checker.nowMs();
+
+  /** @returns a data centre */
+  zoneAt(index: number): string {
     return this.zones[index % this.zones.length] ?? 'north';
   }
 
+  /** @returns the data centre of the owner with a fencing token */
+  zoneOf(token: number): string | undefined {
+    return this.entryNamed(this.owners.entryOf(token))?.options.zone;
+  }
+
   private entryNamed(name: string | undefined): EntryProcess | undefined {
     return this.entries.find(({ entry }) => entry.options.name === name)?.entry;
   }
 
-  private ownerOf(target: number): EntryProcess | undefined {
-    const { owners } = this.options;
+  /** @returns the owner of a share */
+  ownerOf(target: number): EntryProcess | undefined {
+    const { owners } = this;
     const shares = owners.shares();
     return this.entryNamed(owners.ownerOf(shares[target % shares.length] ?? ''));
   }
@@ -200,15 +223,20 @@
     return () => links.forEach((link) => link.set('none'));
   }
 
+  /** The store does not list the workers of a data centre. */
+  unlist(zone: string): () => void {
+    this.unlisted.add(zone);
+    this.workers
+      .filter(({ end }) => end.options.dataCentre === zone)
+      .forEach(({ end }) => this.store.remove(`servers/${end.options.id}`));
+    return () => this.unlisted.delete(zone);
+  }
+
   private strikeZone(kind: Fault['kind'], zone: string): () => void {
+    if (kind === 'zone-unlisted') return this.unlist(zone);
     const workers = this.workers
       .map(({ end }) => end)
       .filter(({ options }) => options.dataCentre === zone);
-    if (kind === 'zone-unlisted') {
-      this.unlisted.add(zone);
-      workers.forEach(({ options }) => this.store.remove(`servers/${options.id}`));
-      return () => this.unlisted.delete(zone);
-    }
     const isFormerCut = kind === 'zone-cut-from-owner';
     const ends = workers.map((worker) => {
       const { highestToken } = worker;
@@ -224,12 +252,10 @@
 
   /** Owners in either data centre lose the workers in the other; all keep the store. */
   private part(one: string, other: string): () => void {
-    const zoneOf = (token: number): string | undefined =>
-      this.entryNamed(this.options.owners.entryOf(token))?.options.zone;
     const ends = this.workers.flatMap(({ end: worker }) => {
       const { dataCentre } = worker.options;
-      if (dataCentre === one) return SoakSite.cut(worker, (token) => zoneOf(token) === other);
-      if (dataCentre === other) return SoakSite.cut(worker, (token) => zoneOf(token) === one);
+      if (dataCentre === one) return SoakSite.cut(worker, (token) => this.zoneOf(token) === other);
+      if (dataCentre === other) return SoakSite.cut(worker, (token) => this.zoneOf(token) === one);
       return [];
     });
     return () => ends.forEach((end) => end());
@@ -267,37 +293,6 @@
     return () => ends.forEach((end) => end());
   }
 
-  /**
-   * The data centre of an owner loses the store and the other ones. The owner's successor reaches just
-   * one of its workers before, on which nothing runs.
-   */
-  private partFromOwner(target: number): () => void {
-    const zone = this.ownerOf(target)?.options.zone ?? this.zoneAt(target);
-    const links = this.entries
-      .filter(({ entry }) => entry.options.zone === zone)
-      .map(({ link }) => link);
-    const isOutside = (token: number): boolean =>
-      this.entryNamed(this.options.owners.entryOf(token))?.options.zone !== zone;
-    const nowMs = (): number => this.options.checker.nowMs();
-    let reached: { readonly worker: WorkerStandIn; readonly untilMs: number } | undefined;
-    const isReached = (worker: WorkerStandIn): boolean => {
-      if (!reached && worker.isIdle) reached = { worker, untilMs: nowMs() + LAST_ANSWER_MS };
-      return reached?.worker === worker && nowMs() < reached.untilMs;
-    };
-    links.forEach((link) => link.set('cut'));
-    const ends = this.workers.map(({ end: worker }) =>
-      SoakSite.cut(worker, (token) =>
-        worker.options.dataCentre === zone
-          ? isOutside(token) && !isReached(worker)
-          : !isOutside(token),
-      ),
-    );
-    return () => {
-      links.forEach((link) => link.set('none'));
-      ends.forEach((end) => end());
-    };
-  }
-
   private strikeEntry(
     kind: Fault['kind'],
     { entry, link }: SoakSite['entries'][number],
@@ -374,15 +369,16 @@
   }
 
   /** A worker says that it leaves, ends all that runs, and comes back. */
-  private drain(worker: WorkerStandIn): void {
+  drain(worker: WorkerStandIn, forMs = DRAIN_MS): void {
     const drained = worker;
     if (worker.drainingSinceMs !== undefined) return;
+    this.drainsMs.set(worker.options.id, forMs);
     drained.drainingSinceMs = this.options.checker.nowMs();
     this.beat();
     setTimeout(() => {
       worker.crash();
       drained.drainingSinceMs = undefined;
-    }, DRAIN_MS);
+    }, forMs);
   }
 
   private evacuate(zone: string): () => void {
@@ -424,7 +420,9 @@
         Version: '1',
         State: end.drainingSinceMs === undefined ? 'ready' : 'draining',
         ColdLeftMs: 0,
-        ...(end.drainingSinceMs === undefined ? {} : { RemainingMs: DRAIN_MS }),
+        ...(end.drainingSinceMs === undefined
+          ? {}
+          : { RemainingMs: this.drainsMs.get(end.options.id) ?? DRAIN_MS }),
         Sequence: this.sequence,
         Capacity: { Cpu: end.options.cpu, MemMb: end.options.memMb, Gpu: 0 },
         Labels: ['a', `r${index % 3}`],
@@ -433,11 +431,33 @@
     });
   }
 
-  private async addWorker(index: number): Promise<void> {
+  /** Adds a worker. */
+  async addWorker(dataCentre = this.zoneAt(this.workers.length)): Promise<void> {
+    const index = this.workers.length;
+    const worker = await this.startWorker(`w${index}`, dataCentre, index);
+    const link = new FaultProxy(worker.port);
+    this.workers.push({ end: worker, link, port: await link.listen() });
+  }
+
+  /** Another worker takes the place of a worker, at its address. */
+  async replaceWorker(worker: WorkerStandIn): Promise<void> {
+    const index = this.workers.findIndex(({ end }) => end === worker);
+    const linked = this.workers[index];
+    if (!linked) return;
+    const { id, dataCentre } = worker.options;
+    this.replacements += 1;
+    worker.crash();
+    worker.close();
+    linked.end = await this.startWorker(`w${index}-${this.replacements}`, dataCentre, index);
+    linked.link.targetPort = linked.end.port;
+    this.store.remove(`servers/${id}`);
+  }
+
+  private async startWorker(id: string, dataCentre: string, index: number): Promise<WorkerStandIn> {
     const { checker, workerCpu } = this.options;
     const worker = new WorkerStandIn({
-      id: `w${index}`,
-      dataCentre: this.zoneAt(index),
+      id,
+      dataCentre,
       cpu: workerCpu,
       memMb: 64_000,
       clockRate: index % 2 === 0 ? 1 : SLOW_CLOCK,
@@ -445,8 +465,7 @@
       settleAll: () => this.workers.forEach(({ end }) => end.tick()),
     });
     await worker.start();
-    const link = new FaultProxy(worker.port);
-    this.workers.push({ end: worker, link, port: await link.listen() });
+    return worker;
   }
 
   private async addEntry(index: number, network: ReservedNetwork): Promise<void> {
