--- a/tests/soak/soakScenes.ts
+++ b/tests/soak/soakScenes.ts
@@ -14,7 +14,7 @@
 /** Time for which a worker says that it drains, longer than a scene, in milliseconds. */
 const LONG_DRAIN_MS = 30_000;
 
-/** A successor that is parted still reaches one worker of so many, until it loses the store. */
+/** A successor that is parted still reaches one worker of so many in a data centre, until it loses the store. */
 const REACHED_EVERY = 3;
 
 /** Workers that are replaced while owners are killed, one after the other. */
@@ -190,11 +190,8 @@
     const formerToken = Math.max(
       ...this.site.workers.map(({ end: worker }) => worker.highestToken),
     );
-    const others = new Set(
-      this.site.workers.flatMap(({ end: worker }, index) =>
-        index % REACHED_EVERY === 0 ? [] : [worker],
-      ),
-    );
+    const isSpared = (worker: WorkerStandIn): boolean =>
+      this.workersOf(worker.options.dataCentre).indexOf(worker) % REACHED_EVERY === 0;
     let successor: string | undefined;
     let isAlone = false;
     end.add(
@@ -203,7 +200,7 @@
         successor ??= zoneOf(token);
         const { dataCentre } = worker.options;
         if (zoneOf(token) !== successor) return isAlone && dataCentre === successor;
-        return dataCentre !== successor && (isAlone || others.has(worker));
+        return dataCentre !== successor && (isAlone || !isSpared(worker));
       }),
     );
     const stop = owners.listen((_share, name) => {
