--- a/tests/soak/soakFaults.ts
+++ b/tests/soak/soakFaults.ts
@@ -149,8 +149,14 @@
     [11_000, 13_000],
     [200, 1_500],
   ],
-  'successor-part': [[200, 5_000]],
-  'successor-lapse': [[6_500, 8_800]],
+  'successor-part': [
+    [10, 600],
+    [10, 2_000],
+  ],
+  'successor-lapse': [
+    [1_000, 1_800],
+    [1_500, 2_800],
+  ],
   'owners-kill-replaced-workers': [
     [50, 3_000],
     [200, 2_500],
--- a/tests/soak/soakScenes.ts
+++ b/tests/soak/soakScenes.ts
@@ -1,11 +1,8 @@
 /**
  * Scenes: faults that strike one after the other while owners change, each of which needs the one before.
  */
-import type { EntryProcess } from './entryProcess.js';
-import type { FaultProxy } from './faultProxy.js';
-import type { ShareOwners } from './shareOwners.js';
 import type { Fault } from './soakFaults.js';
-import type { StoreStandIn } from './storeStandIn.js';
+import type { SoakSite } from './soakSite.js';
 import type { WorkerStandIn } from './workerStandIn.js';
 
 /** Time in which a worker still answers when its data centre is parted, in milliseconds. */
@@ -20,22 +17,6 @@
 /** Workers that are replaced while owners are killed, one after the other. */
 const REPLACED = 4;
 
-/** The site as scenes need it. */
-export interface SceneSite {
-  readonly store: Pick<StoreStandIn, 'lapseLeases'>;
-  readonly entries: readonly { readonly entry: EntryProcess; readonly link: FaultProxy }[];
-  readonly workers: readonly { readonly end: WorkerStandIn }[];
-  readonly owners: ShareOwners;
-  nowMs(): number;
-  zoneAt(index: number): string;
-  ownerOf(target: number): EntryProcess | undefined;
-  zoneOf(token: number): string | undefined;
-  drain(worker: WorkerStandIn, forMs: number): void;
-  unlist(zone: string): () => void;
-  addWorker(zone: string): Promise<void>;
-  replaceWorker(worker: WorkerStandIn): Promise<void>;
-}
-
 /** Tells whether owners in other data centres reach a worker of a data centre that is parted. */
 type Reach = (worker: WorkerStandIn) => boolean;
 
@@ -68,7 +49,7 @@
   /**
    * @param site - what they strike
    */
-  constructor(private readonly site: SceneSite) {}
+  constructor(private readonly site: SoakSite) {}
 
   /**
    * Lets a scene begin.
@@ -87,7 +68,7 @@
       this.drain(zone, 1);
       part(this.reachOnce('draining'), delayMs);
     } else if (kind === 'owner-part-drained') {
-      this.drain(zone, this.workersOf(zone).length / 2);
+      this.drain(zone, this.site.workersOf(zone).length / 2);
       part(reachNone, delayMs);
       end.later(() => this.site.unlist(zone), delayMs);
     } else if (kind === 'owner-part-new-worker') {
@@ -95,25 +76,21 @@
       end.later(() => this.site.addWorker(zone), delayMs);
     } else if (kind === 'owner-part-replaced-worker') {
       part(reachNone);
-      end.later(() => this.replace(this.workersOf(zone), target), delayMs);
+      end.later(() => this.replace(this.site.workersOf(zone), target), delayMs);
     } else if (kind === 'owner-part-restarted-worker') {
       part(this.reachOnce('restarted'));
     } else if (kind === 'owner-part-long') {
       part(this.reachInTurn(zone, delayMs, gapMs));
     } else if (kind === 'successor-part' || kind === 'successor-lapse') {
-      this.partSuccessor(end, target, delayMs, kind === 'successor-lapse');
+      this.partSuccessor(end, target, followUpsMs, kind === 'successor-lapse');
+    } else if (kind === 'takeover-part') {
+      this.partAtTakeover(end, target, followUpsMs);
     } else if (kind === 'owners-kill-replaced-workers') {
       this.killWhileReplaced(end, target, followUpsMs);
     } else return undefined;
     return () => end.run();
   }
 
-  private workersOf(zone: string): readonly WorkerStandIn[] {
-    return this.site.workers
-      .map(({ end }) => end)
-      .filter(({ options }) => options.dataCentre === zone);
-  }
-
   private replace(workers: readonly WorkerStandIn[], target: number): Promise<void> | undefined {
     const worker = workers[target % workers.length];
     return worker && this.site.replaceWorker(worker);
@@ -121,7 +98,7 @@
 
   /** Lets the workers with the least to do drain. */
   private drain(zone: string, count: number): void {
-    [...this.workersOf(zone)]
+    [...this.site.workersOf(zone)]
       .sort((one, other) => Number(other.isIdle) - Number(one.isIdle))
       .slice(0, count)
       .forEach((worker) => this.site.drain(worker, LONG_DRAIN_MS));
@@ -146,33 +123,16 @@
 
   /** Workers answer others one by one. */
   private reachInTurn(zone: string, firstMs: number, gapMs: number): Reach {
-    const workers = this.workersOf(zone);
+    const workers = this.site.workersOf(zone);
     const startMs = this.site.nowMs() + firstMs;
     return (worker) => this.site.nowMs() >= startMs + gapMs * workers.indexOf(worker);
   }
 
-  private cutStore(zone: string): () => void {
-    const links = this.site.entries
-      .filter(({ entry }) => entry.options.zone === zone)
-      .map(({ link }) => link);
-    links.forEach((link) => link.set('cut'));
-    return () => links.forEach((link) => link.set('none'));
-  }
-
-  private cutWorkers(isCut: (worker: WorkerStandIn, token: number) => boolean): () => void {
-    const ends = this.site.workers.map(({ end: worker }) => {
-      const cut = (token: number): boolean => isCut(worker, token);
-      worker.cuts.add(cut);
-      return () => worker.cuts.delete(cut);
-    });
-    return () => ends.forEach((end) => end());
-  }
-
   /** A data centre loses the store and the other ones. */
   private part(zone: string, reach: Reach): () => void {
     const ends = [
-      this.cutStore(zone),
-      this.cutWorkers((worker, token) => {
+      this.site.cutStore(zone),
+      this.site.cutWorkers((worker, token) => {
         const isOutside = this.site.zoneOf(token) !== zone;
         return worker.options.dataCentre === zone ? isOutside && !reach(worker) : !isOutside;
       }),
@@ -181,42 +141,64 @@
   }
 
   /**
-   * Kills an owner. The data centre of its successor is parted from most workers of the others, and loses the
-   * store and the rest of them some time after the takeover.
+   * Kills an owner and soon parts two data centres. The data centre of its successor loses the store some
+   * time after the takeover.
    */
-  private partSuccessor(end: SceneEnd, target: number, delayMs: number, lapses: boolean): void {
-    const { owners, store } = this.site;
-    const zoneOf = (token: number): string | undefined => this.site.zoneOf(token);
-    const formerToken = Math.max(
-      ...this.site.workers.map(({ end: worker }) => worker.highestToken),
-    );
+  private partAtTakeover(
+    end: SceneEnd,
+    target: number,
+    [partMs = 0, storeCutMs = 0]: readonly number[],
+  ): void {
+    const { site } = this;
+    this.atTakeover(end, (zone) => end.later(() => site.cutStore(zone), storeCutMs));
+    end.later(() => site.part(site.zoneAt(target), site.zoneAt(target + 1)), partMs);
+    site.ownerOf(target)?.signal('SIGKILL');
+  }
+
+  private atTakeover(end: SceneEnd, act: (zone: string) => void): void {
+    const { owners } = this.site;
+    const stop = owners.listen((_share, name) => {
+      stop();
+      act(this.site.entryNamed(name)?.options.zone ?? '');
+    });
+    end.add(stop);
+  }
+
+  /**
+   * Most workers are silent while an owner ends and its successor takes over, whose data centre is then alone:
+   * it loses the store, and the rest of the others. The next owner reaches all workers of the others.
+   */
+  private partSuccessor(
+    end: SceneEnd,
+    target: number,
+    [silentMs = 0, delayMs = 0]: readonly number[],
+    lapses: boolean,
+  ): void {
+    const { site } = this;
+    const formerToken = Math.max(...site.workers.map(({ end: worker }) => worker.highestToken));
     const isSpared = (worker: WorkerStandIn): boolean =>
-      this.workersOf(worker.options.dataCentre).indexOf(worker) % REACHED_EVERY === 0;
+      site.workersOf(worker.options.dataCentre).indexOf(worker) % REACHED_EVERY === 0;
     let successor: string | undefined;
     let isAlone = false;
     end.add(
-      this.cutWorkers((worker, token) => {
-        if (token <= formerToken) return false;
-        successor ??= zoneOf(token);
+      site.cutWorkers((worker, token) => {
+        if (token <= formerToken) return !isSpared(worker);
+        const zone = site.zoneOf(token);
+        successor ??= zone;
         const { dataCentre } = worker.options;
-        if (zoneOf(token) !== successor) return isAlone && dataCentre === successor;
+        if (zone !== successor) return isAlone && dataCentre === successor;
         return dataCentre !== successor && (isAlone || !isSpared(worker));
       }),
     );
-    const stop = owners.listen((_share, name) => {
-      stop();
-      const zone = this.site.entries.find(({ entry }) => entry.options.name === name)?.entry.options
-        .zone;
-      successor = zone;
+    this.atTakeover(end, (zone) =>
       end.later(() => {
         isAlone = true;
-        const restore = this.cutStore(zone ?? '');
-        if (lapses) store.lapseLeases();
+        const restore = site.cutStore(zone);
+        if (lapses) site.store.lapseLeases();
         return restore;
-      }, delayMs);
-    });
-    end.add(stop);
-    this.site.ownerOf(target)?.signal('SIGKILL');
+      }, delayMs),
+    );
+    end.later(() => site.ownerOf(target)?.signal('SIGTERM'), silentMs);
   }
 
   /** Kills an owner and its successor, while workers are replaced at their addresses. */
--- a/tests/soak/soakSite.ts
+++ b/tests/soak/soakSite.ts
@@ -10,7 +10,7 @@
 import type { ShareOwners } from './shareOwners.js';
 import type { Fault } from './soakFaults.js';
 import { QUEUES, SERVICE } from './soakJob.js';
-import { SoakScenes, type SceneSite } from './soakScenes.js';
+import { SoakScenes } from './soakScenes.js';
 import { StoreStandIn } from './storeStandIn.js';
 import { WorkerStandIn } from './workerStandIn.js';
 
@@ -66,7 +66,7 @@
 }
 
 /** The site. */
-export class SoakSite implements SceneSite {
+export class SoakSite {
   readonly store = new StoreStandIn();
 
   readonly entries: { readonly entry: EntryProcess; readonly link: FaultProxy }[] = [];
@@ -145,7 +145,6 @@
     if (endOfScene) return endOfScene;
     if (kind === 'owner-series') this.killOwners(target, 1, followUpsMs);
     if (kind === 'two-owners-kill') this.killOwners(target, 2, followUpsMs);
-    if (kind === 'takeover-part') return this.partAtTakeover(target, followUpsMs);
     if (kind === 'zones-part') return this.part(this.zoneAt(target), this.zoneAt(target + 1));
     if (kind === 'owner-terminate') this.ownerOf(target)?.signal('SIGTERM');
     if (kind.startsWith('some-entries-')) return this.strikeSomeEntries(kind, target);
@@ -182,7 +181,13 @@
     return this.entryNamed(this.owners.entryOf(token))?.options.zone;
   }
 
-  private entryNamed(name: string | undefined): EntryProcess | undefined {
+  /** @returns the workers of a data centre */
+  workersOf(zone: string): readonly WorkerStandIn[] {
+    return this.workers.map(({ end }) => end).filter(({ options }) => options.dataCentre === zone);
+  }
+
+  /** @returns the entry with a name */
+  entryNamed(name: string | undefined): EntryProcess | undefined {
     return this.entries.find(({ entry }) => entry.options.name === name)?.entry;
   }
 
@@ -226,71 +231,45 @@
   /** The store does not list the workers of a data centre. */
   unlist(zone: string): () => void {
     this.unlisted.add(zone);
-    this.workers
-      .filter(({ end }) => end.options.dataCentre === zone)
-      .forEach(({ end }) => this.store.remove(`servers/${end.options.id}`));
+    this.workersOf(zone).forEach(({ options }) => this.store.remove(`servers/${options.id}`));
     return () => this.unlisted.delete(zone);
   }
 
   private strikeZone(kind: Fault['kind'], zone: string): () => void {
     if (kind === 'zone-unlisted') return this.unlist(zone);
-    const workers = this.workers
-      .map(({ end }) => end)
-      .filter(({ options }) => options.dataCentre === zone);
     const isFormerCut = kind === 'zone-cut-from-owner';
-    const ends = workers.map((worker) => {
-      const { highestToken } = worker;
-      return SoakSite.cut(worker, (token) => token <= highestToken === isFormerCut);
+    const highest = new Map(this.workersOf(zone).map((worker) => [worker, worker.highestToken]));
+    return this.cutWorkers((worker, token) => {
+      const highestToken = highest.get(worker);
+      return highestToken !== undefined && token <= highestToken === isFormerCut;
     });
-    return () => ends.forEach((end) => end());
-  }
-
-  private static cut(worker: WorkerStandIn, isCut: (token: number) => boolean): () => void {
-    worker.cuts.add(isCut);
-    return () => worker.cuts.delete(isCut);
   }
 
-  /** Owners in either data centre lose the workers in the other; all keep the store. */
-  private part(one: string, other: string): () => void {
-    const ends = this.workers.flatMap(({ end: worker }) => {
-      const { dataCentre } = worker.options;
-      if (dataCentre === one) return SoakSite.cut(worker, (token) => this.zoneOf(token) === other);
-      if (dataCentre === other) return SoakSite.cut(worker, (token) => this.zoneOf(token) === one);
-      return [];
+  /** Workers answer owners with some fencing tokens no more. */
+  cutWorkers(isCut: (worker: WorkerStandIn, token: number) => boolean): () => void {
+    const ends = this.workers.map(({ end: worker }) => {
+      const cut = (token: number): boolean => isCut(worker, token);
+      worker.cuts.add(cut);
+      return () => worker.cuts.delete(cut);
     });
     return () => ends.forEach((end) => end());
   }
 
-  /**
-   * Kills an owner and soon parts two data centres. The data centre of its successor loses the store some
-   * time after the takeover.
-   */
-  private partAtTakeover(
-    target: number,
-    [partMs = 0, storeCutMs = 0]: readonly number[],
-  ): () => void {
-    const { owners } = this.options;
-    const owner = this.ownerOf(target);
-    const ends: (() => void)[] = [];
-    const later = (act: () => () => void, delayMs: number): void => {
-      const timer = setTimeout(() => ends.push(act()), delayMs);
-      ends.push(() => clearTimeout(timer));
-    };
-    const stop = owners.listen((_share, name) => {
-      const zone = this.entryNamed(name)?.options.zone;
-      const links = this.entries
-        .filter(({ entry }) => entry.options.zone === zone)
-        .map(({ link }) => link);
-      stop();
-      later(() => {
-        links.forEach((link) => link.set('cut'));
-        return () => links.forEach((link) => link.set('none'));
-      }, storeCutMs);
+  /** The entries of a data centre lose the store. */
+  cutStore(zone: string): () => void {
+    const links = this.entries
+      .filter(({ entry }) => entry.options.zone === zone)
+      .map(({ link }) => link);
+    links.forEach((link) => link.set('cut'));
+    return () => links.forEach((link) => link.set('none'));
+  }
+
+  /** Owners in either data centre lose the workers in the other; all keep the store. */
+  part(one: string, other: string): () => void {
+    return this.cutWorkers(({ options: { dataCentre } }, token) => {
+      const zone = this.zoneOf(token);
+      return dataCentre === one ? zone === other : dataCentre === other && zone === one;
     });
-    ends.push(stop);
-    later(() => this.part(this.zoneAt(target), this.zoneAt(target + 1)), partMs);
-    owner?.signal('SIGKILL');
-    return () => ends.forEach((end) => end());
   }
 
   private strikeEntry(
