--- a/tests/soak/soakFaults.ts
+++ b/tests/soak/soakFaults.ts
@@ -154,8 +154,8 @@
     [10, 1_500],
   ],
   'successor-lapse': [
-    [1_600, 2_400],
-    [1_000, 2_200],
+    [1_600, 2_000],
+    [2_000, 3_000],
   ],
   'owners-kill-replaced-workers': [
     [50, 3_000],
