--- a/tests/soak/soakSite.ts
+++ b/tests/soak/soakSite.ts
@@ -10,6 +10,7 @@
 import type { ShareOwners } from './shareOwners.js';
 import type { Fault } from './soakFaults.js';
 import { QUEUES, SERVICE } from './soakJob.js';
+import { SoakScenes } from './soakScenes.js';
 import { StoreStandIn } from './storeStandIn.js';
 import { WorkerStandIn } from './workerStandIn.js';
 
@@ -21,9 +22,6 @@
 /** The wait of entries differs by up to this while owners are killed in series, in milliseconds. */
 const RESTART_SPREAD_MS = 3_000;
 
-/** Time in which a worker still answers when its data centre is parted, in milliseconds. */
-const LAST_ANSWER_MS = 50;
-
 /** Share of the entries that lose the store while others are served, as one in so many. */
 const CUT_EVERY = 3;
 
@@ -52,6 +50,8 @@
   readonly dataCentres: number;
   /** Shares of a core that the entries say their VMs have, in turn; whole ones if left out. */
   readonly processorShares?: readonly number[];
+  /** Share of a processor that each entry is held to; a whole one if left out. */
+  readonly processorLimit?: number;
   /** Workers of a service that gets no jobs, the first of all; none if left out. */
   readonly idleWorkers?: number;
   /** Entries stay down for unlike times. */
@@ -60,7 +60,7 @@
 }
 
 interface Linked<T> {
-  readonly end: T;
+  end: T;
   readonly link: FaultProxy;
   readonly port: number;
 }
@@ -88,6 +88,14 @@
 
   private network: ReservedNetwork | undefined;
 
+  private readonly scenes = new SoakScenes(this);
+
+  /** How long workers say that they drain, in milliseconds. */
+  private readonly drainsMs = new Map<string, number>();
+
+  /** Workers that were replaced. */
+  private replacements = 0;
+
   /**
    * @param options - sizes, program and folder
    */
@@ -99,7 +107,7 @@
   async start(): Promise<void> {
     await this.store.start();
     this.configure();
-    for (let index = 0; index < this.options.workers; index += 1) await this.addWorker(index);
+    for (let index = 0; index < this.options.workers; index += 1) await this.addWorker();
     this.beat();
     this.heartbeat = setInterval(() => this.beat(), HEARTBEAT_MS);
     const network = await ReservedNetwork.reserve();
@@ -128,14 +136,15 @@
    * @param fault - the fault
    * @returns what ends it; undefined if it ends by itself
    */
-  strike({ kind, forMs, target, followUpsMs }: Fault): (() => void) | undefined {
+  strike(fault: Fault): (() => void) | undefined {
+    const { kind, forMs, target, followUpsMs } = fault;
     const entry = this.entries[target % this.entries.length];
     const worker = this.workers[target % this.workers.length];
     if (!entry || !worker) return undefined;
+    const endOfScene = this.scenes.strike(fault);
+    if (endOfScene) return endOfScene;
     if (kind === 'owner-series') this.killOwners(target, 1, followUpsMs);
     if (kind === 'two-owners-kill') this.killOwners(target, 2, followUpsMs);
-    if (kind === 'takeover-part') return this.partAtTakeover(target, followUpsMs);
-    if (kind === 'owner-part') return this.partFromOwner(target);
     if (kind === 'zones-part') return this.part(this.zoneAt(target), this.zoneAt(target + 1));
     if (kind === 'owner-terminate') this.ownerOf(target)?.signal('SIGTERM');
     if (kind.startsWith('some-entries-')) return this.strikeSomeEntries(kind, target);
@@ -154,16 +163,37 @@
     return this.strikeEntry(kind, entry, forMs);
   }
 
-  private zoneAt(index: number): string {
+  /** @returns the owners of shares */
+  get owners(): ShareOwners {
+    return this.options.owners;
+  }
+
+  /** @returns time since the start, in milliseconds */
+  readonly nowMs = (): number => this.options.checker.nowMs();
+
+  /** @returns a data centre */
+  zoneAt(index: number): string {
     return this.zones[index % this.zones.length] ?? 'north';
   }
 
-  private entryNamed(name: string | undefined): EntryProcess | undefined {
+  /** @returns the data centre of the owner with a fencing token */
+  zoneOf(token: number): string | undefined {
+    return this.entryNamed(this.owners.entryOf(token))?.options.zone;
+  }
+
+  /** @returns the workers of a data centre */
+  workersOf(zone: string): readonly WorkerStandIn[] {
+    return this.workers.map(({ end }) => end).filter(({ options }) => options.dataCentre === zone);
+  }
+
+  /** @returns the entry with a name */
+  entryNamed(name: string | undefined): EntryProcess | undefined {
     return this.entries.find(({ entry }) => entry.options.name === name)?.entry;
   }
 
-  private ownerOf(target: number): EntryProcess | undefined {
-    const { owners } = this.options;
+  /** @returns the owner of a share */
+  ownerOf(target: number): EntryProcess | undefined {
+    const { owners } = this;
     const shares = owners.shares();
     return this.entryNamed(owners.ownerOf(shares[target % shares.length] ?? ''));
   }
@@ -198,102 +228,48 @@
     return () => links.forEach((link) => link.set('none'));
   }
 
+  /** The store does not list the workers of a data centre. */
+  unlist(zone: string): () => void {
+    this.unlisted.add(zone);
+    this.workersOf(zone).forEach(({ options }) => this.store.remove(`servers/${options.id}`));
+    return () => this.unlisted.delete(zone);
+  }
+
   private strikeZone(kind: Fault['kind'], zone: string): () => void {
-    const workers = this.workers
-      .map(({ end }) => end)
-      .filter(({ options }) => options.dataCentre === zone);
-    if (kind === 'zone-unlisted') {
-      this.unlisted.add(zone);
-      workers.forEach(({ options }) => this.store.remove(`servers/${options.id}`));
-      return () => this.unlisted.delete(zone);
-    }
+    if (kind === 'zone-unlisted') return this.unlist(zone);
     const isFormerCut = kind === 'zone-cut-from-owner';
-    const ends = workers.map((worker) => {
-      const { highestToken } = worker;
-      return SoakSite.cut(worker, (token) => token <= highestToken === isFormerCut);
+    const highest = new Map(this.workersOf(zone).map((worker) => [worker, worker.highestToken]));
+    return this.cutWorkers((worker, token) => {
+      const highestToken = highest.get(worker);
+      return highestToken !== undefined && token <= highestToken === isFormerCut;
     });
-    return () => ends.forEach((end) => end());
-  }
-
-  private static cut(worker: WorkerStandIn, isCut: (token: number) => boolean): () => void {
-    worker.cuts.add(isCut);
-    return () => worker.cuts.delete(isCut);
   }
 
-  /** Owners in either data centre lose the workers in the other; all keep the store. */
-  private part(one: string, other: string): () => void {
-    const zoneOf = (token: number): string | undefined =>
-      this.entryNamed(this.options.owners.entryOf(token))?.options.zone;
-    const ends = this.workers.flatMap(({ end: worker }) => {
-      const { dataCentre } = worker.options;
-      if (dataCentre === one) return SoakSite.cut(worker, (token) => zoneOf(token) === other);
-      if (dataCentre === other) return SoakSite.cut(worker, (token) => zoneOf(token) === one);
-      return [];
+  /** Workers answer owners with some fencing tokens no more. */
+  cutWorkers(isCut: (worker: WorkerStandIn, token: number) => boolean): () => void {
+    const ends = this.workers.map(({ end: worker }) => {
+      const cut = (token: number): boolean => isCut(worker, token);
+      worker.cuts.add(cut);
+      return () => worker.cuts.delete(cut);
     });
     return () => ends.forEach((end) => end());
   }
 
-  /**
-   * Kills an owner and soon parts two data centres. The data centre of its successor loses the store some
-   * time after the takeover.
-   */
-  private partAtTakeover(
-    target: number,
-    [partMs = 0, storeCutMs = 0]: readonly number[],
-  ): () => void {
-    const { owners } = this.options;
-    const owner = this.ownerOf(target);
-    const ends: (() => void)[] = [];
-    const later = (act: () => () => void, delayMs: number): void => {
-      const timer = setTimeout(() => ends.push(act()), delayMs);
-      ends.push(() => clearTimeout(timer));
-    };
-    const stop = owners.listen((_share, name) => {
-      const zone = this.entryNamed(name)?.options.zone;
-      const links = this.entries
-        .filter(({ entry }) => entry.options.zone === zone)
-        .map(({ link }) => link);
-      stop();
-      later(() => {
-        links.forEach((link) => link.set('cut'));
-        return () => links.forEach((link) => link.set('none'));
-      }, storeCutMs);
-    });
-    ends.push(stop);
-    later(() => this.part(this.zoneAt(target), this.zoneAt(target + 1)), partMs);
-    owner?.signal('SIGKILL');
-    return () => ends.forEach((end) => end());
-  }
-
-  /**
-   * The data centre of an owner loses the store and the other ones. The owner's successor reaches just
-   * one of its workers before, on which nothing runs.
-   */
-  private partFromOwner(target: number): () => void {
-    const zone = this.ownerOf(target)?.options.zone ?? this.zoneAt(target);
+  /** The entries of a data centre lose the store. */
+  cutStore(zone: string): () => void {
     const links = this.entries
       .filter(({ entry }) => entry.options.zone === zone)
       .map(({ link }) => link);
-    const isOutside = (token: number): boolean =>
-      this.entryNamed(this.options.owners.entryOf(token))?.options.zone !== zone;
-    const nowMs = (): number => this.options.checker.nowMs();
-    let reached: { readonly worker: WorkerStandIn; readonly untilMs: number } | undefined;
-    const isReached = (worker: WorkerStandIn): boolean => {
-      if (!reached && worker.isIdle) reached = { worker, untilMs: nowMs() + LAST_ANSWER_MS };
-      return reached?.worker === worker && nowMs() < reached.untilMs;
-    };
     links.forEach((link) => link.set('cut'));
-    const ends = this.workers.map(({ end: worker }) =>
-      SoakSite.cut(worker, (token) =>
-        worker.options.dataCentre === zone
-          ? isOutside(token) && !isReached(worker)
-          : !isOutside(token),
-      ),
-    );
-    return () => {
-      links.forEach((link) => link.set('none'));
-      ends.forEach((end) => end());
-    };
+    return () => links.forEach((link) => link.set('none'));
+  }
+
+  /** Owners in either data centre lose the workers in the other; all keep the store. */
+  part(one: string, other: string): () => void {
+    return this.cutWorkers(({ options: { dataCentre } }, token) => {
+      const zone = this.zoneOf(token);
+      return dataCentre === one ? zone === other : dataCentre === other && zone === one;
+    });
   }
 
   private strikeEntry(
@@ -306,8 +282,8 @@
     if (kind === 'entry-reload') entry.signal('SIGHUP');
     if (kind === 'entry-store-silent') link.silenceOpen();
     if (kind === 'entry-pause') {
-      entry.signal('SIGSTOP');
-      return () => entry.signal('SIGCONT');
+      entry.pause();
+      return () => entry.resume();
     }
     const faults: Partial<Record<Fault['kind'], LinkFault>> = {
       'entry-store-cut': 'cut',
@@ -372,15 +348,16 @@
   }
 
   /** A worker says that it leaves, ends all that runs, and comes back. */
-  private drain(worker: WorkerStandIn): void {
+  drain(worker: WorkerStandIn, forMs = DRAIN_MS): void {
     const drained = worker;
     if (worker.drainingSinceMs !== undefined) return;
+    this.drainsMs.set(worker.options.id, forMs);
     drained.drainingSinceMs = this.options.checker.nowMs();
     this.beat();
     setTimeout(() => {
       worker.crash();
       drained.drainingSinceMs = undefined;
-    }, DRAIN_MS);
+    }, forMs);
   }
 
   private evacuate(zone: string): () => void {
@@ -422,7 +399,9 @@
         Version: '1',
         State: end.drainingSinceMs === undefined ? 'ready' : 'draining',
         ColdLeftMs: 0,
-        ...(end.drainingSinceMs === undefined ? {} : { RemainingMs: DRAIN_MS }),
+        ...(end.drainingSinceMs === undefined
+          ? {}
+          : { RemainingMs: this.drainsMs.get(end.options.id) ?? DRAIN_MS }),
         Sequence: this.sequence,
         Capacity: { Cpu: end.options.cpu, MemMb: end.options.memMb, Gpu: 0 },
         Labels: ['a', `r${index % 3}`],
@@ -431,11 +410,33 @@
     });
   }
 
-  private async addWorker(index: number): Promise<void> {
+  /** Adds a worker. */
+  async addWorker(dataCentre = this.zoneAt(this.workers.length)): Promise<void> {
+    const index = this.workers.length;
+    const worker = await this.startWorker(`w${index}`, dataCentre, index);
+    const link = new FaultProxy(worker.port);
+    this.workers.push({ end: worker, link, port: await link.listen() });
+  }
+
+  /** Another worker takes the place of a worker, at its address. */
+  async replaceWorker(worker: WorkerStandIn): Promise<void> {
+    const index = this.workers.findIndex(({ end }) => end === worker);
+    const linked = this.workers[index];
+    if (!linked) return;
+    const { id, dataCentre } = worker.options;
+    this.replacements += 1;
+    worker.crash();
+    worker.close();
+    linked.end = await this.startWorker(`w${index}-${this.replacements}`, dataCentre, index);
+    linked.link.targetPort = linked.end.port;
+    this.store.remove(`servers/${id}`);
+  }
+
+  private async startWorker(id: string, dataCentre: string, index: number): Promise<WorkerStandIn> {
     const { checker, workerCpu } = this.options;
     const worker = new WorkerStandIn({
-      id: `w${index}`,
-      dataCentre: this.zoneAt(index),
+      id,
+      dataCentre,
       cpu: workerCpu,
       memMb: 64_000,
       clockRate: index % 2 === 0 ? 1 : SLOW_CLOCK,
@@ -443,12 +444,11 @@
       settleAll: () => this.workers.forEach(({ end }) => end.tick()),
     });
     await worker.start();
-    const link = new FaultProxy(worker.port);
-    this.workers.push({ end: worker, link, port: await link.listen() });
+    return worker;
   }
 
   private async addEntry(index: number, network: ReservedNetwork): Promise<void> {
-    const { folder, program, processorShares = [], runtimeWords } = this.options;
+    const { folder, program, processorShares = [], processorLimit, runtimeWords } = this.options;
     const processorShare = processorShares[index % processorShares.length];
     const spreadMs = this.options.spreadsRestarts ? RESTART_SPREAD_MS : 0;
     const name = `entry-${index}`;
@@ -463,6 +463,7 @@
       folder: path.resolve(folder),
       program,
       ...(processorShare === undefined ? {} : { processorShare }),
+      ...(processorLimit === undefined ? {} : { processorLimit }),
       ...(runtimeWords ? { runtimeWords } : {}),
     });
     this.entries.push({ entry, link });
