Give the soak gangs, copies, schedules, racks, deadly tasks and workers that come and go

The jobs of the soak had one or two steps of plain tasks, and its workers stayed. A draining worker now says how much time is left.

--- a/tests/profile/ownerProfileMain.ts
+++ b/tests/profile/ownerProfileMain.ts
@@ -13,7 +13,7 @@
 
 import { CALLER_PORT } from '../soak/entryProcess.js';
 import { PromiseChecker } from '../soak/promiseChecker.js';
-import { QUEUES, type SoakJob, type SoakQueue, type SoakStep } from '../soak/soakJob.js';
+import { makeStep, QUEUES, type SoakJob, type SoakQueue, type SoakStep } from '../soak/soakJob.js';
 import { makeRandom } from '../soak/soakRun.js';
 import { ShareOwners } from '../soak/shareOwners.js';
 import { SoakSite } from '../soak/soakSite.js';
@@ -29,19 +29,8 @@
 
 const [QUICK, BATCH, WATCH] = QUEUES as readonly [SoakQueue, SoakQueue, SoakQueue];
 
-const makeStep = (changes: Partial<SoakStep>): SoakStep => ({
-  count: 1,
-  cpu: 1_000,
-  memMb: 500,
-  durationMs: 500,
-  failEvery: 0,
-  after: [],
-  perWorker: 0,
-  checkpointing: false,
-  longRunning: false,
-  filler: false,
-  ...changes,
-});
+const makeSmallStep = (changes: Partial<SoakStep>): SoakStep =>
+  makeStep({ memMb: 500, ...changes });
 
 /** Images of fillers and of serving tasks. */
 const FILLER_IMAGES = 20;
@@ -76,7 +65,7 @@
 
 const QUICK_SHAPE: Shape = {
   queue: QUICK,
-  steps: [makeStep({ count: 9, cpu: 3_100, durationMs: 640 })],
+  steps: [makeSmallStep({ count: 9, cpu: 3_100, durationMs: 640 })],
 };
 
 const BATCH_STEP = {
@@ -89,12 +78,12 @@
 
 const BATCH_SHAPE: Shape = {
   queue: BATCH,
-  steps: [makeStep(BATCH_STEP), makeStep({ ...BATCH_STEP, after: [0] })],
+  steps: [makeSmallStep(BATCH_STEP), makeSmallStep({ ...BATCH_STEP, after: [0] })],
 };
 
 const WATCH_SHAPE: Shape = {
   queue: WATCH,
-  steps: [makeStep({ count: 8, cpu: 1_500, longRunning: true })],
+  steps: [makeSmallStep({ count: 8, cpu: 1_500, longRunning: true })],
 };
 
 /** Every so many jobs is one that lasts. */
--- a/tests/soak/promiseChecker.spec.ts
+++ b/tests/soak/promiseChecker.spec.ts
@@ -4,20 +4,9 @@
 import test from 'ava';
 
 import { PromiseChecker, type CheckedWorker, type SoakRun } from './promiseChecker.js';
-import { QUEUES, type SoakJob, type SoakStep } from './soakJob.js';
-
-const STEP: SoakStep = {
-  count: 2,
-  cpu: 1_000,
-  memMb: 1_000,
-  durationMs: 500,
-  failEvery: 0,
-  after: [],
-  perWorker: 0,
-  checkpointing: false,
-  longRunning: false,
-  filler: false,
-};
+import { makeStep, QUEUES, type SoakJob, type SoakStep } from './soakJob.js';
+
+const STEP = makeStep({ count: 2 });
 
 const ID = '00000000000000a1';
 
@@ -40,6 +29,7 @@
   cpu: 4_000,
   memMb: 8_000,
   drainingSinceMs: undefined,
+  labels: ['a', 'r0'],
   ...changes,
 });
 
@@ -52,6 +42,7 @@
   step: STEP,
   orderedMs: 0,
   startedMs: 0,
+  savedMs: 0,
   ...changes,
 });
 
@@ -232,3 +223,127 @@
   // One for each task that is not done.
   t.deepEqual(promisesOf(third.checker), ['state', 'state']);
 });
+
+test('should let copies run at once and after an end, but not long after its acknowledgement', (t) => {
+  const step = makeStep({ speculative: true });
+  const { checker, clock } = makeChecker(step);
+  const first = run(0, { step });
+  const copy = run(0, { step, run: 2, workerId: 'w1' });
+  checker.started(first, worker());
+  checker.started(copy, worker({ id: 'w1' }));
+  checker.ended(first, 'done');
+  checker.doneAcknowledged(first);
+  checker.ended(copy, 'stopped');
+  clock.nowMs = 900;
+  checker.started(run(0, { step, run: 3, orderedMs: 900 }), worker());
+  t.deepEqual(promisesOf(checker), []);
+  clock.nowMs = 1_100;
+  checker.started(run(0, { step, run: 4, orderedMs: 1_100 }), worker());
+  t.deepEqual(promisesOf(checker), ['one-run']);
+});
+
+test('should count failures of copies only a second after their acknowledgement', (t) => {
+  const step = makeStep({ speculative: true });
+  const { checker, clock, job } = makeChecker(step);
+  for (let at = 0; at < job.queue.maxAttempts; at += 1) checker.failureAcknowledged(run(0).task);
+  checker.started(run(0, { step, orderedMs: 500 }), worker());
+  t.deepEqual(promisesOf(checker), []);
+  clock.nowMs = 1_100;
+  checker.started(run(0, { step, run: 2, orderedMs: 1_100 }), worker());
+  t.deepEqual(promisesOf(checker), ['attempts']);
+});
+
+test('should catch an occurrence that is started before it is due, or twice', (t) => {
+  const { checker, job } = makeChecker();
+  const id = '00000000000000c1';
+  const schedule = { repeatCount: 2, startAtMs: Date.now(), intervalMs: 60_000 };
+  checker.submitting({ ...job, id, schedule });
+  checker.submitted(id, 'accepted');
+  [0, 1].forEach((index) => {
+    const first = run(index, { task: `${id}.0.0.${index}` });
+    checker.started(first, worker());
+    checker.ended(first, 'done');
+  });
+  t.deepEqual(promisesOf(checker), []);
+  checker.started(run(0, { task: `${id}.1.0.0` }), worker());
+  t.deepEqual(promisesOf(checker), ['early']);
+  checker.shown(id, 'completed');
+  t.deepEqual(promisesOf(checker), ['early', 'state', 'state']);
+  checker.started(run(0, { task: `${id}.0.0.0`, run: 2 }), worker());
+  t.true(promisesOf(checker).includes('one-run'));
+});
+
+test('should keep occurrences apart in the order of steps and in the limit per worker', (t) => {
+  const step = makeStep({ perWorker: 1 });
+  const later = makeStep({ after: [0] });
+  const { checker, job } = makeChecker();
+  const id = '00000000000000c1';
+  const schedule = { repeatCount: 2, startAtMs: 0, intervalMs: 0 };
+  checker.submitting({ ...job, id, steps: [step, later], schedule });
+  const first = run(0, { task: `${id}.0.0.0`, step });
+  checker.started(first, worker());
+  checker.started(run(0, { task: `${id}.1.0.0`, step }), worker());
+  checker.ended(first, 'done');
+  checker.started(run(0, { task: `${id}.0.1.0`, step: later }), worker());
+  t.deepEqual(promisesOf(checker), []);
+  checker.started(run(0, { task: `${id}.1.1.0`, step: later }), worker());
+  t.deepEqual(promisesOf(checker), ['order']);
+});
+
+test('should catch a worker without the label that a step needs', (t) => {
+  const step = makeStep({ requirement: 'r1' });
+  const { checker } = makeChecker(step);
+  checker.started(run(0, { step }), worker({ labels: ['a', 'r1'] }));
+  checker.started(run(1, { step }), worker());
+  t.deepEqual(promisesOf(checker), ['label']);
+});
+
+test('should catch members of a gang with unlike checkpoints', (t) => {
+  const step = makeStep({ count: 2, gang: true });
+  const { checker } = makeChecker(step);
+  checker.started(run(0, { step, savedMs: 500 }), worker());
+  checker.started(run(1, { step, savedMs: 0 }), worker());
+  t.deepEqual(promisesOf(checker), ['checkpoint']);
+});
+
+test('should catch a member of a gang that waits in vain in calm', (t) => {
+  const step = makeStep({ count: 2, gang: true });
+  const { checker, clock } = makeChecker(step);
+  const member = run(0, { step });
+  checker.started(member, worker());
+  checker.ended(member, 'alone');
+  t.deepEqual(promisesOf(checker), ['gang']);
+  checker.disturbed();
+  clock.nowMs = 3_000;
+  checker.started(member, worker());
+  checker.ended(member, 'alone');
+  t.is(checker.violations.length, 1);
+});
+
+test('should count the failure of a gang once, whichever member failed', (t) => {
+  const step = makeStep({ count: 2, gang: true });
+  const { checker, job } = makeChecker(step);
+  for (let at = 0; at < job.queue.maxAttempts; at += 1) {
+    if (at === 1) checker.shown(ID, 'failed');
+    const failed = run(at % 2, { step, run: at + 1 });
+    checker.started(failed, worker());
+    checker.ended(failed, 'failed');
+  }
+  t.deepEqual(promisesOf(checker), ['state']);
+  checker.shown(ID, 'failed');
+  t.is(checker.violations.length, 1);
+});
+
+test('should catch a deadly task that is started again and again', (t) => {
+  const step = makeStep({ deadly: true });
+  const { checker } = makeChecker(step);
+  for (let at = 0; at < 6; at += 1) {
+    const deadly = run(0, { step, run: at + 1 });
+    checker.started(deadly, worker());
+    checker.crashedUnder(deadly);
+    checker.ended(deadly, 'lost');
+  }
+  t.deepEqual(promisesOf(checker), []);
+  checker.started(run(0, { step, run: 7 }), worker());
+  t.deepEqual(promisesOf(checker), ['attempts']);
+});
--- a/tests/soak/promiseChecker.ts
+++ b/tests/soak/promiseChecker.ts
@@ -1,16 +1,29 @@
 /**
  * Checks the promises of the scheduler by what callers and workers see.
  */
-import { readTask, type SoakJob, type SoakStep } from './soakJob.js';
+import { occurrencesOf, readTask, type SoakJob, type SoakStep, type TaskName } from './soakJob.js';
 
 /** How a run ended. */
-export type EndKind = 'done' | 'failed' | 'stopped' | 'lapsed' | 'lost';
+export type EndKind =
+  | 'done'
+  | 'failed'
+  | 'stopped'
+  | 'lapsed'
+  | 'lost'
+  /** Another member of its gang has ended. */
+  | 'broken'
+  /** It waited in vain for the others of its gang. */
+  | 'alone';
 
 /** Which promise was broken. */
 export type PromiseName =
   | 'capacity'
   | 'one-run'
   | 'order'
+  | 'early'
+  | 'label'
+  | 'gang'
+  | 'checkpoint'
   | 'per-worker-limit'
   | 'attempts'
   | 'asked-for'
@@ -33,6 +46,19 @@
 /** Time after a worker said that it drains in which tasks may still start, in milliseconds. */
 const DRAIN_MS = 2_000;
 
+/** Time after an end was acknowledged in which a task of which copies may run may start, in milliseconds. */
+const COPY_MS = 1_000;
+
+/** Time by which a task may start before it is due, in milliseconds. */
+const EARLY_MS = 250;
+
+/** Time after a disturbance in which gangs may be incomplete, in milliseconds. */
+const GANG_CALM_MS = 4_000;
+
+/** Crashed workers from which a task counts as deadly, and starts of it from then on. */
+const DEADLY_CRASHES = 3;
+const MOST_DEADLY_STARTS = 3;
+
 /** A run on a worker. */
 export interface SoakRun {
   readonly task: string;
@@ -45,6 +71,8 @@
   /** When the order arrived, in milliseconds. */
   readonly orderedMs: number;
   readonly startedMs: number;
+  /** Work that its checkpoint carries, in milliseconds. */
+  readonly savedMs: number;
 }
 
 /** A worker as the checker needs it. */
@@ -53,6 +81,7 @@
   readonly cpu: number;
   readonly memMb: number;
   readonly drainingSinceMs: number | undefined;
+  readonly labels: readonly string[];
 }
 
 interface JobRecord {
@@ -83,10 +112,14 @@
 
 interface TaskRecord {
   readonly doneRuns: DoneRun[];
-  /** Ends of runs that failed. */
-  failedRuns: number;
-  /** Those among them that were acknowledged. */
+  /** Numbers of the runs that failed. */
+  readonly failedRuns: number[];
+  /** Those ends among them that were acknowledged. */
   failures: number;
+  failureNotedMs: number;
+  /** Workers that it has crashed, and starts since it counts as deadly. */
+  crashes: number;
+  deadlyStarts: number;
 }
 
 const secondsOf = (ms: number): string => (ms / 1_000).toFixed(3);
@@ -104,6 +137,14 @@
 
   private readonly running = new Map<string, Set<SoakRun>>();
 
+  /** Checkpoints of gangs by their step and the number of their run. */
+  private readonly gangCheckpoints = new Map<string, number>();
+
+  /** Runs that were started when nothing disturbed their gangs. */
+  private readonly startedInCalm = new WeakSet<SoakRun>();
+
+  private disturbedMs = Number.NEGATIVE_INFINITY;
+
   /**
    * @param nowMs - time since the start of the soak, in milliseconds
    * @param orderedBy - names who gives orders with a fencing token
@@ -183,15 +224,27 @@
     this.checkJob(run);
     this.checkTask(run);
     this.checkWorker(run, worker);
+    if (run.step.gang) this.checkGang(run);
     this.runsOf(run.task).add(run);
   }
 
+  /** A worker comes, goes or crashes: members of gangs may miss each other. */
+  disturbed(): void {
+    this.disturbedMs = this.nowMs();
+  }
+
+  /** A task crashes the worker that runs it. */
+  crashedUnder({ task }: SoakRun): void {
+    this.taskOf(task).crashes += 1;
+  }
+
   /** A run is over. */
   ended(run: SoakRun, kind: EndKind): void {
     const runs = this.runsOf(run.task);
     runs.delete(run);
     if (runs.size === 0) this.running.delete(run.task);
-    if (kind === 'failed') this.taskOf(run.task).failedRuns += 1;
+    if (kind === 'failed') this.taskOf(run.task).failedRuns.push(run.run);
+    if (kind === 'alone') this.checkAlone(run);
     if (kind !== 'done') return;
     this.taskOf(run.task).doneRuns.push({
       run,
@@ -219,7 +272,9 @@
 
   /** The end of a failed run was acknowledged. */
   failureAcknowledged(task: string): void {
-    this.taskOf(task).failures += 1;
+    const known = this.taskOf(task);
+    known.failures += 1;
+    known.failureNotedMs = this.nowMs();
   }
 
   /** A worker died before the end of a run was acknowledged: the run may be repeated. */
@@ -265,15 +320,20 @@
 
   private checkTask(run: SoakRun): void {
     const { task, step } = run;
-    const { jobId } = readTask(task);
-    this.runsOf(task).forEach((other) =>
-      this.break(
-        'one-run',
-        `${task} is started beside its run: ${this.describe(run)} beside ${this.describe(other)}`,
-      ),
-    );
+    const name = readTask(task);
+    const { jobId } = name;
+    if (!step.speculative) {
+      this.runsOf(task).forEach((other) =>
+        this.break(
+          'one-run',
+          `${task} is started beside its run: ${this.describe(run)} beside ${this.describe(other)}`,
+        ),
+      );
+    }
     const known = this.taskOf(task);
-    const done = known.doneRuns.find(({ isForgotten }) => !isForgotten);
+    const done = known.doneRuns.find(
+      (each) => !each.isForgotten && (!step.speculative || this.isNotedBefore(run, each.notedMs)),
+    );
     if (done && !step.longRunning) {
       if (done.notedMs === undefined) done.repetition ??= run;
       const noted =
@@ -285,20 +345,63 @@
       );
     }
     const attempts = this.jobs.get(jobId)?.job.queue.maxAttempts ?? Number.POSITIVE_INFINITY;
-    if (known.failures >= attempts && !step.longRunning) {
+    const isSpent =
+      known.failures >= attempts &&
+      (!step.speculative || this.isNotedBefore(run, known.failureNotedMs));
+    if (isSpent && !step.longRunning) {
       this.break('attempts', `${task} is started after ${known.failures} failures`);
     }
+    if (known.crashes >= DEADLY_CRASHES) known.deadlyStarts += 1;
+    if (known.deadlyStarts > MOST_DEADLY_STARTS) {
+      this.break('attempts', `${task} is started after it has crashed ${known.crashes} workers`);
+    }
+    this.checkDueTime(task, name);
     const steps = this.jobs.get(jobId)?.job.steps ?? [];
     step.after.forEach((earlier) => {
       const count = steps[earlier]?.count ?? 0;
       for (let index = 0; index < count; index += 1) {
-        const before = `${jobId}.0.${earlier}.${index}`;
+        const before = `${jobId}.${name.occurrence}.${earlier}.${index}`;
         if (this.taskOf(before).doneRuns.length === 0)
           this.break('order', `${task} is started before ${before}`);
       }
     });
   }
 
+  /** Whether an end was acknowledged so long before an order that its sender has to know. */
+  private isNotedBefore({ orderedMs }: SoakRun, notedMs: number | undefined): boolean {
+    return this.isCalm && notedMs !== undefined && orderedMs - notedMs > COPY_MS;
+  }
+
+  private checkDueTime(task: string, { jobId, occurrence }: TaskName): void {
+    const schedule = this.jobs.get(jobId)?.job.schedule;
+    if (!schedule) return;
+    const earlyMs = schedule.startAtMs + occurrence * schedule.intervalMs - Date.now();
+    if (earlyMs > EARLY_MS) {
+      this.break('early', `${task} is started ${Math.round(earlyMs)} ms before it is due`);
+    }
+  }
+
+  private checkGang(run: SoakRun): void {
+    const { jobId, occurrence, step } = readTask(run.task);
+    const gang = `${jobId}.${occurrence}.${step} ${run.run}`;
+    const savedMs = this.gangCheckpoints.get(gang) ?? run.savedMs;
+    this.gangCheckpoints.set(gang, savedMs);
+    if (savedMs !== run.savedMs) {
+      this.break('checkpoint', `${this.describe(run)} of ${run.task}: not that of its gang`);
+    }
+    if (this.isCalmForGangs()) this.startedInCalm.add(run);
+  }
+
+  private isCalmForGangs(): boolean {
+    return this.isCalm && this.nowMs() - this.disturbedMs > GANG_CALM_MS;
+  }
+
+  private checkAlone(run: SoakRun): void {
+    const isCancelled = this.jobs.get(readTask(run.task).jobId)?.cancelSentMs !== undefined;
+    if (isCancelled || !this.isCalmForGangs() || !this.startedInCalm.has(run)) return;
+    this.break('gang', `${run.task} waits in vain for its gang: ${this.describe(run)}`);
+  }
+
   private checkWorker(run: SoakRun, worker: CheckedWorker): void {
     const here = [...this.running.values()]
       .flatMap((runs) => [...runs])
@@ -309,10 +412,14 @@
     if (cpu > worker.cpu || memMb > worker.memMb) {
       this.break('capacity', `${run.task} overloads ${worker.id}: ${cpu} cpu, ${memMb} MB`);
     }
-    const { step, jobId } = readTask(run.task);
+    const { requirement } = run.step;
+    if (requirement !== '' && !worker.labels.includes(requirement)) {
+      this.break('label', `${run.task} is started on ${worker.id}, which is not ${requirement}`);
+    }
+    const { step, jobId, occurrence } = readTask(run.task);
     const siblings = here.filter(({ task }) => {
       const name = readTask(task);
-      return name.jobId === jobId && name.step === step;
+      return name.jobId === jobId && name.occurrence === occurrence && name.step === step;
     });
     const { perWorker } = run.step;
     if (perWorker > 0 && siblings.length >= perWorker) {
@@ -325,30 +432,38 @@
   }
 
   private checkCompleted({ job }: JobRecord): void {
-    job.steps.forEach(({ count }, step) => {
-      for (let index = 0; index < count; index += 1) {
-        const task = `${job.id}.0.${step}.${index}`;
-        if (this.taskOf(task).doneRuns.length === 0) {
-          this.break('state', `${job.id} is shown as completed, and ${task} is not done`);
-        }
-      }
-    });
+    PromiseChecker.tasksOf(job)
+      .flat()
+      .filter((task) => this.taskOf(task).doneRuns.length === 0)
+      .forEach((task) =>
+        this.break('state', `${job.id} is shown as completed, and ${task} is not done`),
+      );
   }
 
   private checkFailed({ job }: JobRecord): void {
-    const worst = Math.max(
-      ...job.steps.flatMap(({ count }, step) =>
-        Array.from(
-          { length: count },
-          (_each, index) => this.taskOf(`${job.id}.0.${step}.${index}`).failedRuns,
-        ),
-      ),
-    );
-    if (worst < job.queue.maxAttempts) {
+    const attempts = PromiseChecker.tasksOf(job).flatMap((tasks, at) => {
+      const failed = tasks.map((task) => this.taskOf(task).failedRuns);
+      const isGang = job.steps[at % job.steps.length]?.gang;
+      return isGang ? [new Set(failed.flat()).size] : failed.map(({ length }) => length);
+    });
+    const isDeadly = PromiseChecker.tasksOf(job)
+      .flat()
+      .some((task) => this.taskOf(task).crashes >= DEADLY_CRASHES);
+    const worst = Math.max(...attempts);
+    if (worst < job.queue.maxAttempts && !isDeadly) {
       this.break('state', `${job.id} is shown as failed after ${worst} failures of a task`);
     }
   }
 
+  /** Returns the tasks of each step of each occurrence. */
+  private static tasksOf(job: SoakJob): readonly (readonly string[])[] {
+    return Array.from({ length: occurrencesOf(job) }, (_each, occurrence) =>
+      job.steps.map(({ count }, step) =>
+        Array.from({ length: count }, (_task, index) => `${job.id}.${occurrence}.${step}.${index}`),
+      ),
+    ).flat();
+  }
+
   private describe({ run, workerId, dataCentre, token, orderedMs, startedMs }: SoakRun): string {
     return (
       `run ${run} on ${workerId} (${dataCentre}) from ${this.orderedBy(token)}, token ${token}, ` +
@@ -373,7 +488,14 @@
   private taskOf(task: string): TaskRecord {
     const known = this.tasks.get(task);
     if (known) return known;
-    const record = { doneRuns: [], failedRuns: 0, failures: 0 };
+    const record = {
+      doneRuns: [],
+      failedRuns: [],
+      failures: 0,
+      failureNotedMs: 0,
+      crashes: 0,
+      deadlyStarts: 0,
+    };
     this.tasks.set(task, record);
     return record;
   }
--- a/tests/soak/soakCallers.ts
+++ b/tests/soak/soakCallers.ts
@@ -7,7 +7,7 @@
 import type { SeededRandom } from 'samphirenotch/decisions/seededRandom.js';
 
 import type { PromiseChecker } from './promiseChecker.js';
-import { drawJob, jobBody, type SoakJob } from './soakJob.js';
+import { drawJob, isEndless, jobBody, type JobKinds, type SoakJob } from './soakJob.js';
 
 /** Time for one call, in milliseconds. */
 const CALL_MS = 3_000;
@@ -57,6 +57,7 @@
   readonly jobBurst: number;
   /** Times that a step has its usual tasks. */
   readonly stepWidth: number;
+  readonly jobKinds: JobKinds;
 }
 
 /** What callers saw, by the second. */
@@ -95,7 +96,7 @@
     while (!isOver()) {
       await sleep(random.exponential(load.gapMs));
       for (let count = 0; count < load.jobBurst; count += 1) {
-        this.begin(random, load.stepWidth, isOver);
+        this.begin(random, load, isOver);
       }
     }
   }
@@ -121,11 +122,15 @@
     this.agent.destroy();
   }
 
-  private begin(random: SeededRandom, stepWidth: number, isOver: () => boolean): void {
-    const job = drawJob(random, stepWidth);
+  private begin(
+    random: SeededRandom,
+    { stepWidth, jobKinds }: SoakLoad,
+    isOver: () => boolean,
+  ): void {
+    const job = drawJob(random, stepWidth, jobKinds);
     const cancelAfterMs =
-      job.steps[0]?.longRunning || random.fraction() < CANCEL_SHARE
-        ? (job.steps[0]?.longRunning ? WATCH_MS : 1_500) * random.fraction()
+      isEndless(job) || random.fraction() < CANCEL_SHARE
+        ? (isEndless(job) ? WATCH_MS : 1_500) * random.fraction()
         : undefined;
     this.live(job, cancelAfterMs, isOver).catch((error: unknown) => {
       this.checker.break('state', `the caller of ${job.id} has failed: ${String(error)}`);
--- a/tests/soak/soakJob.ts
+++ b/tests/soak/soakJob.ts
@@ -16,6 +16,28 @@
   readonly checkpointing: boolean;
   readonly longRunning: boolean;
   readonly filler: boolean;
+  /** Its tasks work only together. */
+  readonly gang: boolean;
+  /** They take longer on more than one rack. */
+  readonly sameRack: boolean;
+  /** Copies of a task may run at once. */
+  readonly speculative: boolean;
+  /** Every so many starts work slowly; 0 for none. */
+  readonly slowEvery: number;
+  /** Label that a worker must have; empty for none. */
+  readonly requirement: string;
+  /** Rack of the data; empty for none. */
+  readonly dataRack: string;
+  /** Its tasks crash the workers that start them. */
+  readonly deadly: boolean;
+}
+
+/** When the steps of a job run again and again. */
+export interface SoakSchedule {
+  readonly repeatCount: number;
+  /** When the first occurrence is due, in Unix milliseconds. */
+  readonly startAtMs: number;
+  readonly intervalMs: number;
 }
 
 /** A job. */
@@ -23,8 +45,12 @@
   readonly id: string;
   readonly queue: SoakQueue;
   readonly steps: readonly SoakStep[];
+  readonly schedule?: SoakSchedule;
 }
 
+/** Which kinds of jobs are drawn. */
+export type JobKinds = 'usual' | 'all';
+
 /** A queue. */
 export interface SoakQueue {
   readonly name: string;
@@ -50,7 +76,13 @@
 const QUICK_SHARE = 0.5;
 const BATCH_SHARE = 0.45;
 
-const STEP: SoakStep = {
+/**
+ * Makes a step: one task of half a second on one core, unless changed.
+ *
+ * @param changes - what is not as usual
+ * @returns the step
+ */
+export const makeStep = (changes: Partial<SoakStep> = {}): SoakStep => ({
   count: 1,
   cpu: 1_000,
   memMb: 1_000,
@@ -61,12 +93,32 @@
   checkpointing: false,
   longRunning: false,
   filler: false,
-};
+  gang: false,
+  sameRack: false,
+  speculative: false,
+  slowEvery: 0,
+  requirement: '',
+  dataRack: '',
+  deadly: false,
+  ...changes,
+});
 
-const draw = (
-  random: SeededRandom,
-  width: number,
-): { queue: SoakQueue; steps: readonly SoakStep[] } => {
+const STEP = makeStep();
+
+/** Racks of the workers. */
+const RACKS = ['r0', 'r1', 'r2'] as const;
+
+/** Share of the jobs of further kinds, if all are drawn, and of the deadly ones among these. */
+const FURTHER_SHARE = 0.5;
+const DEADLY_SHARE = 0.02;
+
+interface Draft {
+  readonly queue: SoakQueue;
+  readonly steps: readonly SoakStep[];
+  readonly schedule?: SoakSchedule;
+}
+
+const draw = (random: SeededRandom, width: number): Draft => {
   const share = random.fraction();
   if (share < QUICK_SHARE) {
     const first = {
@@ -92,25 +144,101 @@
   return { queue: WATCH, steps: [step] };
 };
 
+const drawRack = (random: SeededRandom): string => RACKS[random.below(RACKS.length)] ?? '';
+
+const drawSchedule = (random: SeededRandom): SoakSchedule => ({
+  repeatCount: 2 + random.below(4),
+  startAtMs: Date.now() + random.below(4_000),
+  intervalMs: 300 + random.below(3_000),
+});
+
+const drawFurther = (random: SeededRandom, width: number): Draft => {
+  if (random.fraction() < DEADLY_SHARE) {
+    return { queue: BATCH, steps: [{ ...STEP, durationMs: 2_000, deadly: true }] };
+  }
+  const count = width * (2 + random.below(5));
+  const durationMs = 400 + random.below(1_600);
+  const step = { ...STEP, count, durationMs };
+  const kind = random.below(4);
+  if (kind === 0) {
+    const gang: SoakStep = {
+      ...step,
+      gang: true,
+      sameRack: random.below(3) === 0,
+      failEvery: random.below(3) === 0 ? 19 : 0,
+      checkpointing: random.below(2) === 0,
+      perWorker: random.below(3),
+    };
+    return {
+      queue: BATCH,
+      steps: random.below(2) === 0 ? [gang] : [gang, { ...gang, after: [0] }],
+    };
+  }
+  if (kind === 1) {
+    const copied: SoakStep = { ...step, count: count + 4, speculative: true, slowEvery: 5 };
+    return { queue: QUICK, steps: [copied, { ...step, after: [0] }] };
+  }
+  if (kind === 2) {
+    const first: SoakStep = { ...step, count: 1 + random.below(3), gang: random.below(3) === 0 };
+    return {
+      queue: QUICK,
+      steps: [first, { ...first, after: [0], gang: false }],
+      schedule: drawSchedule(random),
+    };
+  }
+  const near: SoakStep = { ...step, dataRack: drawRack(random), filler: random.below(2) === 0 };
+  return { queue: BATCH, steps: [near, { ...step, after: [0], requirement: drawRack(random) }] };
+};
+
 /**
  * Draws a job.
  *
  * @param random - source of random numbers
  * @param width - times that a step has its usual tasks
+ * @param kinds - which kinds
  * @returns the job
  */
-export const drawJob = (random: SeededRandom, width: number): SoakJob => {
+export const drawJob = (
+  random: SeededRandom,
+  width: number,
+  kinds: JobKinds = 'usual',
+): SoakJob => {
   const id = Array.from({ length: 16 }, () => random.below(16).toString(16)).join('');
-  return { id, ...draw(random, width) };
+  const isFurther = kinds === 'all' && random.fraction() < FURTHER_SHARE;
+  return { id, ...(isFurther ? drawFurther(random, width) : draw(random, width)) };
 };
 
+/**
+ * Counts the occurrences of a job.
+ *
+ * @param job - the job
+ * @returns how often its steps run
+ */
+export const occurrencesOf = ({ schedule }: SoakJob): number => schedule?.repeatCount ?? 1;
+
+/**
+ * Tells whether a job ends only by its cancellation.
+ *
+ * @param job - the job
+ * @returns true if its tasks last, or none of them can be done
+ */
+export const isEndless = ({ steps: [first] }: SoakJob): boolean =>
+  first !== undefined && (first.longRunning || first.deadly);
+
 /**
  * Writes a job as callers send it. The specification carries the steps, for the workers' stand-in.
  *
  * @param job - the job
  * @returns the body
  */
-export const jobBody = ({ steps }: SoakJob): unknown => ({
+export const jobBody = ({ steps, schedule }: SoakJob): unknown => ({
+  ...(schedule
+    ? {
+        RepeatCount: schedule.repeatCount,
+        StartAtMs: schedule.startAtMs,
+        IntervalMs: schedule.intervalMs,
+      }
+    : {}),
   Spec: JSON.stringify(steps),
   Steps: steps.map((step) => ({
     Count: step.count,
@@ -122,6 +250,11 @@
     ...(step.checkpointing ? { Checkpointing: true } : {}),
     ...(step.longRunning ? { LongRunning: true, Image: 'watch', TargetMs: 50 } : {}),
     ...(step.filler ? { Fills: true, Image: 'batch' } : {}),
+    ...(step.gang ? { Gang: true } : {}),
+    ...(step.sameRack ? { SameRack: true } : {}),
+    ...(step.speculative ? { Speculative: true } : {}),
+    ...(step.requirement ? { Requirements: step.requirement } : {}),
+    ...(step.dataRack ? { Affinity: step.dataRack } : {}),
   })),
 });
 
@@ -137,6 +270,7 @@
 /** Parts of a task's name. */
 export interface TaskName {
   readonly jobId: string;
+  readonly occurrence: number;
   readonly step: number;
   readonly index: number;
 }
@@ -148,6 +282,6 @@
  * @returns its parts
  */
 export const readTask = (task: string): TaskName => {
-  const [jobId = '', , step = '', index = ''] = task.split('.');
-  return { jobId, step: Number(step), index: Number(index) };
+  const [jobId = '', occurrence = '', step = '', index = ''] = task.split('.');
+  return { jobId, occurrence: Number(occurrence), step: Number(step), index: Number(index) };
 };
--- a/tests/soak/soakMain.ts
+++ b/tests/soak/soakMain.ts
@@ -63,6 +63,14 @@
     description: 'times the usual tasks of a step',
   });
 
+  jobKinds = Option.String('--job-kinds', 'usual', {
+    description: 'usual, or all: gangs, copies, schedules, racks and deadly tasks as well',
+  });
+
+  workerChangeGap = Option.String('--worker-change-gap', {
+    description: 'milliseconds between releases, scale-ins and replacements; none if left out',
+  });
+
   strikesOwners = Option.Boolean('--owner-faults', false, {
     description: 'faults strike owners while they change, in series',
   });
@@ -91,6 +99,8 @@
         idleWorkers: Number(this.idleWorkers),
         jobBurst: Number(this.jobBurst),
         stepWidth: Number(this.stepWidth),
+        jobKinds: this.jobKinds === 'all' ? 'all' : 'usual',
+        ...(this.workerChangeGap ? { workerChangeGapMs: Number(this.workerChangeGap) } : {}),
         strikesOwners: this.strikesOwners,
         ...(this.ownerFaultKinds ? { ownerFaultKinds: readKinds(this.ownerFaultKinds) } : {}),
         program: this.program,
--- a/tests/soak/soakRun.ts
+++ b/tests/soak/soakRun.ts
@@ -6,10 +6,12 @@
 import { CALLER_PORT } from './entryProcess.js';
 import { PromiseChecker } from './promiseChecker.js';
 import { SoakCallers } from './soakCallers.js';
+import { isEndless, type JobKinds } from './soakJob.js';
 import { ShareOwners } from './shareOwners.js';
 import { drawFaults, drawOwnerFaults, type FaultKind } from './soakFaults.js';
 import type { SoakResult } from './soakReport.js';
 import { SoakSite } from './soakSite.js';
+import { changeWorkers } from './workerChanges.js';
 
 /** What a soak is made of. */
 export interface SoakOptions {
@@ -27,6 +29,10 @@
   readonly jobBurst?: number;
   /** Times that a step has its usual tasks; once if left out. */
   readonly stepWidth?: number;
+  /** Kinds of jobs; the usual ones if left out. */
+  readonly jobKinds?: JobKinds;
+  /** Mean time between two changes of workers, in milliseconds; none if left out. */
+  readonly workerChangeGapMs?: number;
   /** Mean time between two faults, in milliseconds. */
   readonly faultGapMs: number;
   /** Faults strike owners while they change, in series. */
@@ -66,6 +72,9 @@
 /** Draws to leave out: the first ones of small seeds are alike. */
 const SKIPPED_DRAWS = 32;
 
+/** Distance of the seed of changes of workers from the soak's. */
+const CHANGES_SEED = 500_000;
+
 export const makeRandom = (seed: number): SeededRandom => {
   const random = new SeededRandom(seed);
   for (let draw = 0; draw < SKIPPED_DRAWS; draw += 1) random.fraction();
@@ -79,7 +88,7 @@
     const open = checker.accepted().filter(({ finalState }) => finalState === undefined);
     if (open.length === 0) return;
     for (const { job, cancelSentMs } of open) {
-      if (job.steps[0]?.longRunning || cancelSentMs !== undefined) await callers.cancel(job);
+      if (isEndless(job) || cancelSentMs !== undefined) await callers.cancel(job);
       await callers.state(job);
     }
     if (checker.nowMs() > untilMs) {
@@ -149,8 +158,15 @@
         `${checker.runningCount()} runs, ${checker.violations.length} broken promises`,
     );
   }, TELL_MS);
-  const load = { gapMs: options.jobGapMs, jobBurst, stepWidth };
-  await callers.drive(makeRandom(-seed), load, () => checker.nowMs() >= durationMs);
+  const { jobGapMs, jobKinds = 'usual', workerChangeGapMs } = options;
+  const load = { gapMs: jobGapMs, jobBurst, stepWidth, jobKinds };
+  const isOver = (): boolean => checker.nowMs() >= durationMs;
+  const changes =
+    workerChangeGapMs === undefined
+      ? undefined
+      : changeWorkers(site, checker, makeRandom(seed + CHANGES_SEED), workerChangeGapMs, isOver);
+  await callers.drive(makeRandom(-seed), load, isOver);
+  await changes;
   await sleep(CALM_MS);
   await finish(checker, callers);
   clearInterval(calm);
--- a/tests/soak/soakSite.ts
+++ b/tests/soak/soakSite.ts
@@ -11,7 +11,8 @@
 import type { Fault } from './soakFaults.js';
 import { QUEUES, SERVICE } from './soakJob.js';
 import { StoreStandIn } from './storeStandIn.js';
-import { WorkerStandIn } from './workerStandIn.js';
+import { Gangs } from './gangs.js';
+import { labelsOf, WorkerStandIn } from './workerStandIn.js';
 
 const ZONES = ['north', 'south', 'east'] as const;
 
@@ -59,7 +60,8 @@
   readonly runtimeWords?: readonly string[];
 }
 
-interface Linked<T> {
+/** An end behind a harmful link. */
+export interface Linked<T> {
   readonly end: T;
   readonly link: FaultProxy;
   readonly port: number;
@@ -77,6 +79,10 @@
 
   private sequence = 0;
 
+  private readonly gangs = new Gangs();
+
+  private workerCount = 0;
+
   private readonly evacuated = new Set<string>();
 
   private readonly zones: readonly string[];
@@ -411,35 +417,68 @@
     });
   }
 
-  private beat(): void {
+  /** Workers write their entries. */
+  beat(): void {
     this.sequence += 1;
-    this.workers.forEach(({ end, port }, index) => {
+    this.workers.forEach(({ end, port }) => {
       if (this.unlisted.has(end.options.dataCentre)) return;
       this.store.put(`servers/${end.options.id}`, {
-        Service: index < (this.options.idleWorkers ?? 0) ? IDLE_SERVICE : SERVICE,
+        Service: end.options.service,
         Address: `127.0.0.1:${port}`,
         Zone: end.options.dataCentre,
         Version: '1',
         State: end.drainingSinceMs === undefined ? 'ready' : 'draining',
         ColdLeftMs: 0,
-        ...(end.drainingSinceMs === undefined ? {} : { RemainingMs: DRAIN_MS }),
+        ...this.remainingOf(end),
         Sequence: this.sequence,
         Capacity: { Cpu: end.options.cpu, MemMb: end.options.memMb, Gpu: 0 },
-        Labels: ['a', `r${index % 3}`],
+        Labels: labelsOf(end.options),
         born: end.bornMs,
       });
     });
   }
 
-  private async addWorker(index: number): Promise<void> {
-    const { checker, workerCpu } = this.options;
+  private remainingOf({ drainingSinceMs }: WorkerStandIn): { readonly RemainingMs?: number } {
+    if (drainingSinceMs === undefined) return {};
+    const drainedMs = this.options.checker.nowMs() - drainingSinceMs;
+    return { RemainingMs: Math.max(0, Math.round(DRAIN_MS - drainedMs)) };
+  }
+
+  /**
+   * Takes a worker away, with all that runs on it.
+   *
+   * @param worker - the worker
+   */
+  removeWorker(worker: Linked<WorkerStandIn>): void {
+    const at = this.workers.indexOf(worker);
+    if (at < 0) return;
+    this.workers.splice(at, 1);
+    worker.end.crash();
+    worker.link.close();
+    worker.end.close();
+    this.store.remove(`servers/${worker.end.options.id}`);
+  }
+
+  /**
+   * Adds a worker.
+   *
+   * @param index - picks its data centre, service and rack
+   */
+  async addWorker(index: number): Promise<void> {
+    const { checker, workerCpu, idleWorkers = 0 } = this.options;
+    const id = `w${this.workerCount}`;
+    this.workerCount += 1;
     const worker = new WorkerStandIn({
-      id: `w${index}`,
+      id,
+      index,
+      service: index < idleWorkers ? IDLE_SERVICE : SERVICE,
+      rack: `r${index % 3}`,
       dataCentre: this.zoneAt(index),
       cpu: workerCpu,
       memMb: 64_000,
       clockRate: index % 2 === 0 ? 1 : SLOW_CLOCK,
       checker,
+      gangs: this.gangs,
       settleAll: () => this.workers.forEach(({ end }) => end.tick()),
     });
     await worker.start();
--- a/tests/soak/workerStandIn.ts
+++ b/tests/soak/workerStandIn.ts
@@ -3,6 +3,7 @@
  */
 import type { Server } from 'node:http';
 
+import type { GangMember, Gangs } from './gangs.js';
 import { startServer, type StandInAnswer, type StandInRequest } from './httpServer.js';
 import type { EndKind, PromiseChecker, SoakRun } from './promiseChecker.js';
 import { readSteps, readTask } from './soakJob.js';
@@ -24,26 +25,43 @@
 const LATE_MS = 2_500;
 const HUNDRED = 100;
 
+/** Longest wait of a member of a gang for the others, in milliseconds. */
+const GANG_TIMEOUT_MS = 3_000;
+
+/** Longer work away from the data, and of slow starts, as a share of the usual. */
+const REMOTE_FACTOR = 1.5;
+const SLOW_FACTOR = 6;
+
+/** Work of a deadly task before its worker crashes, in milliseconds. */
+const DEADLY_MS = 150;
+
 /** What a worker is made of. */
 export interface WorkerOptions {
   readonly id: string;
+  /** Picks its data centre, service and rack. */
+  readonly index: number;
   readonly dataCentre: string;
+  readonly service: string;
+  readonly rack: string;
   readonly cpu: number;
   readonly memMb: number;
   /** Its clock runs at this share of real time. */
   readonly clockRate: number;
   readonly checker: PromiseChecker;
+  readonly gangs: Gangs;
   /** Brings all workers up to date, since a busy process runs timers late. */
   readonly settleAll: () => void;
 }
 
-interface Running extends SoakRun {
+interface Running extends SoakRun, GangMember {
   /** Work done when it was started, in milliseconds. */
   readonly savedMs: number;
   pace: number;
   workedMs: number;
   stopAtMs: number | undefined;
   readonly fails: boolean;
+  /** Work takes so many times as long, apart from the gang. */
+  readonly slowness: number;
 }
 
 interface Ended {
@@ -53,6 +71,14 @@
   readonly saved: string;
 }
 
+/**
+ * Returns a worker's labels.
+ *
+ * @param options - the worker
+ * @returns its kind and its rack
+ */
+export const labelsOf = ({ rack }: WorkerOptions): readonly string[] => ['a', rack];
+
 /** The worker. */
 export class WorkerStandIn {
   fault: WorkerFault = 'none';
@@ -72,6 +98,7 @@
 
   private leaseUntilMs = 0;
 
+  /** By task and number. */
   private running = new Map<string, Running>();
 
   private ends: Ended[] = [];
@@ -95,7 +122,7 @@
   /**
    * @param options - its id, size and clock
    */
-  constructor(readonly options: WorkerOptions) {}
+  constructor(public options: WorkerOptions) {}
 
   /** Starts serving. */
   async start(): Promise<void> {
@@ -122,10 +149,23 @@
     return this.running.size === 0;
   }
 
+  /**
+   * Crashes, and another worker starts at its address.
+   *
+   * @param id - the other worker's id
+   */
+  replace(id: string): void {
+    this.crash();
+    this.options = { ...this.options, id };
+    this.drainingSinceMs = undefined;
+  }
+
   /** Crashes and starts again under its id. */
   crash(): void {
-    const { checker } = this.options;
-    this.running.forEach((run) => checker.ended(run, 'lost'));
+    const { checker, gangs } = this.options;
+    const lost = [...this.running.values()];
+    lost.forEach((run) => checker.ended(run, 'lost'));
+    checker.disturbed();
     this.forgetEnds();
     this.running = new Map();
     this.ends = [];
@@ -137,6 +177,7 @@
     this.bornMs = Math.max(Date.now(), this.bornMs + 1);
     this.startedAt = performance.now();
     this.server?.closeAllConnections();
+    lost.forEach((run) => gangs.leave(run, 'broken'));
   }
 
   /** What was not acknowledged may be repeated from now on. */
@@ -198,19 +239,21 @@
     if (!this.takesToken(body)) return this.answer(409, { Reason: 'fence' });
     if (Number(body['DeadlineMs']) <= this.clockMs()) return this.answer(409, { Reason: 'late' });
     this.extendLease(body);
-    const known = this.running.get(task);
-    if (known?.run === run) return this.answer(200);
+    if (this.running.has(`${task} ${run}`)) return this.answer(200);
     if (run <= (this.highest.get(task) ?? 0)) return this.answer(409, { Reason: 'old' });
     const step = readSteps(String(body['Spec']))[readTask(task).step];
     if (!step) return this.answer(400);
-    const { checker, id, dataCentre } = this.options;
+    const { checker, id, dataCentre, rack } = this.options;
     this.startCount += 1;
+    const isSlow = step.slowEvery > 0 && this.startCount % step.slowEvery === 0;
+    const isRemote = step.dataRack !== '' && step.dataRack !== rack;
     const savedMs = Number(String(body['Checkpoint'] ?? '0'));
     const started: Running = {
       task,
       run,
       workerId: id,
       dataCentre,
+      rack,
       token: this.token,
       step,
       orderedMs,
@@ -220,6 +263,8 @@
       pace: HUNDRED,
       stopAtMs: undefined,
       fails: step.failEvery > 0 && this.startCount % step.failEvery === 0,
+      slowness: (isSlow ? SLOW_FACTOR : 1) * (isRemote ? REMOTE_FACTOR : 1),
+      end: (kind) => this.endWithGang(started, kind),
     };
     this.options.settleAll();
     checker.started(started, {
@@ -227,9 +272,11 @@
       cpu: this.options.cpu,
       memMb: this.options.memMb,
       drainingSinceMs: this.drainingSinceMs,
+      labels: labelsOf(this.options),
     });
-    this.running.set(task, started);
+    this.running.set(`${task} ${run}`, started);
     this.highest.set(task, run);
+    if (step.gang) this.options.gangs.join(started);
     return this.answer(200);
   }
 
@@ -238,15 +285,19 @@
     const run = Number(body['RunId']);
     if (!this.takesToken(body)) return this.answer(409, { Reason: 'fence' });
     this.highest.set(task, Math.max(run, this.highest.get(task) ?? 0));
-    const known = this.running.get(task);
-    if (known && known.run <= run) known.stopAtMs ??= performance.now() + STOP_MS;
+    [...this.running.values()]
+      .filter((each) => each.task === task && each.run <= run)
+      .forEach((each) => {
+        const stopped = each;
+        stopped.stopAtMs ??= performance.now() + STOP_MS;
+      });
     return this.answer(200);
   }
 
   private paceRun(body: StandInRequest['body']): StandInAnswer {
     if (!this.takesToken(body)) return this.answer(409, { Reason: 'fence' });
-    const known = this.running.get(String(body['Task']));
-    if (!known || known.run !== Number(body['RunId'])) return this.answer(409, { Reason: 'old' });
+    const known = this.running.get(`${String(body['Task'])} ${Number(body['RunId'])}`);
+    if (!known) return this.answer(409, { Reason: 'old' });
     known.pace = Number(body['Percent']);
     return this.answer(200);
   }
@@ -301,24 +352,51 @@
     this.tickedAt = now;
     const hasLapsed = this.clockMs() >= this.leaseUntilMs;
     if (hasLapsed) this.forgetEnds();
+    // An end may break other runs here, or crash the worker.
     [...this.running.values()].forEach((run) => {
-      const worked = run;
-      worked.workedMs += (elapsed * run.pace) / HUNDRED;
-      if (hasLapsed) this.end(run, 'lapsed');
-      else if (run.stopAtMs !== undefined && now >= run.stopAtMs) this.end(run, 'stopped');
-      else if (!run.step.longRunning && run.workedMs >= run.step.durationMs) {
-        this.end(run, run.fails ? 'failed' : 'done');
-      }
+      if (this.isHere(run)) this.advance(run, now, hasLapsed ? undefined : elapsed);
     });
   }
 
+  private isHere(run: Running): boolean {
+    return this.running.get(`${run.task} ${run.run}`) === run;
+  }
+
+  /** Lets a run work for a time; undefined if the lease has lapsed. */
+  private advance(run: Running, now: number, elapsed: number | undefined): void {
+    const { checker, gangs } = this.options;
+    const { step, slowness } = run;
+    const isAtWork = !step.gang || gangs.isAtWork(run);
+    const gangSlowness = step.gang ? gangs.slownessOf(run) : 1;
+    const worked = run;
+    if (isAtWork) {
+      worked.workedMs += ((elapsed ?? 0) * run.pace) / HUNDRED / slowness / gangSlowness;
+    }
+    if (elapsed === undefined) this.end(run, 'lapsed');
+    else if (run.stopAtMs !== undefined && now >= run.stopAtMs) this.end(run, 'stopped');
+    else if (!isAtWork && checker.nowMs() - run.startedMs >= GANG_TIMEOUT_MS) {
+      this.end(run, 'alone');
+    } else if (step.deadly && run.workedMs >= DEADLY_MS) {
+      checker.crashedUnder(run);
+      this.crash();
+    } else if (!step.longRunning && run.workedMs >= step.durationMs) {
+      this.end(run, run.fails ? 'failed' : 'done');
+    }
+  }
+
+  private endWithGang(run: Running, kind: 'done' | 'broken'): void {
+    if (!this.isHere(run)) return;
+    this.end(run, this.clockMs() >= this.leaseUntilMs ? 'lapsed' : kind);
+  }
+
   private end(run: Running, kind: EndKind): void {
-    this.running.delete(run.task);
+    this.running.delete(`${run.task} ${run.run}`);
     this.sequence += 1;
     const saved = run.step.checkpointing ? String(Math.round(run.workedMs)) : '';
     this.ends.push({ sequence: this.sequence, run, kind, saved });
     this.options.checker.ended(run, kind);
     this.waiting.forEach((wake) => wake());
+    if (run.step.gang) this.options.gangs.leave(run, kind === 'done' ? 'done' : 'broken');
   }
 
   private nextEnd(longestMs: number): Promise<void> {
