Let members of the soak's gangs work only together, and take one end for all

A gang whose last end found a lapsed lease on another worker was not counted as done, though one end represents all.

--- a/tests/soak/promiseChecker.spec.ts
+++ b/tests/soak/promiseChecker.spec.ts
@@ -347,3 +347,17 @@
   checker.started(run(0, { step, run: 7 }), worker());
   t.deepEqual(promisesOf(checker), ['attempts']);
 });
+
+test('should take a gang for done with the end of one member, and no sooner', (t) => {
+  const step = makeStep({ count: 2, gang: true });
+  const later = makeStep({ after: [0] });
+  const { checker } = makeChecker(step, later);
+  const [first, second] = [run(0, { step }), run(1, { step })];
+  [first, second].forEach((member) => checker.started(member, worker()));
+  checker.started(run(0, { task: `${ID}.0.1.0`, step: later }), worker());
+  t.deepEqual(promisesOf(checker), ['order', 'order']);
+  checker.ended(first, 'done');
+  checker.ended(second, 'lapsed');
+  checker.started(run(0, { task: `${ID}.0.1.0`, step: later, run: 2 }), worker());
+  t.false(promisesOf(checker).slice(2).includes('order'));
+});
