--- a/tests/jobs/ownerSeriesModel.spec.ts
+++ b/tests/jobs/ownerSeriesModel.spec.ts
@@ -35,3 +35,36 @@
     },
   );
 }
+
+// Guards against members of a gang, or occurrences of a schedule, that a successor takes for waiting.
+for (const seed of seeds) {
+  test.serial(
+    `should run gangs and occurrences once under the faults of seed ${seed}`,
+    async (t) => {
+      const { violations } = await simulateOwnerSeries({
+        seed,
+        isDivided: seed % 3 === 2,
+        endsLeasesEarly: false,
+        hasGangsAndSchedules: true,
+      });
+      t.deepEqual(violations, []);
+    },
+  );
+}
+
+// Guards against tasks that run twice while workers come, leave and replace each other with the owners.
+for (const seed of seeds) {
+  test.serial(
+    `should run each task once on workers that come and go with seed ${seed}`,
+    async (t) => {
+      const { violations } = await simulateOwnerSeries({
+        seed,
+        isDivided: seed % 3 === 2,
+        endsLeasesEarly: false,
+        hasGangsAndSchedules: seed % 2 === 0,
+        changesWorkers: true,
+      });
+      t.deepEqual(violations, []);
+    },
+  );
+}
