Hold the soak's fillers to the targets of the tasks beside them

Fillers of the further jobs raise the tails of serving tasks on their workers; in calm, the scheduler has to pace them within the time allowed.

--- a/tests/soak/promiseChecker.spec.ts
+++ b/tests/soak/promiseChecker.spec.ts
@@ -361,3 +361,24 @@
   checker.started(run(0, { task: `${ID}.0.1.0`, step: later, run: 2 }), worker());
   t.false(promisesOf(checker).slice(2).includes('order'));
 });
+
+test('should catch fillers that hold a serving task over its target in calm', (t) => {
+  const { checker, clock } = makeChecker();
+  const serving = run(0, { step: makeStep({ longRunning: true }) });
+  const see = (atMs: number, tailMs: number): void => {
+    clock.nowMs = atMs;
+    checker.tailSeen(serving, tailMs);
+  };
+  see(0, 70);
+  see(3_900, 70);
+  see(3_950, 20);
+  see(4_000, 70);
+  see(7_900, 70);
+  checker.isCalm = false;
+  see(8_100, 70);
+  checker.isCalm = true;
+  see(8_200, 70);
+  t.deepEqual(promisesOf(checker), []);
+  see(12_200, 70);
+  t.deepEqual(promisesOf(checker), ['harm']);
+});
--- a/tests/soak/promiseChecker.ts
+++ b/tests/soak/promiseChecker.ts
@@ -1,7 +1,14 @@
 /**
  * Checks the promises of the scheduler by what callers and workers see.
  */
-import { occurrencesOf, readTask, type SoakJob, type SoakStep, type TaskName } from './soakJob.js';
+import {
+  occurrencesOf,
+  readTask,
+  type SoakJob,
+  type SoakStep,
+  type TaskName,
+  TARGET_MS,
+} from './soakJob.js';
 
 /** How a run ended. */
 export type EndKind =
@@ -24,6 +31,7 @@
   | 'label'
   | 'gang'
   | 'checkpoint'
+  | 'harm'
   | 'per-worker-limit'
   | 'attempts'
   | 'asked-for'
@@ -52,8 +60,11 @@
 /** Time by which a task may start before it is due, in milliseconds. */
 const EARLY_MS = 250;
 
-/** Time after a disturbance in which gangs may be incomplete, in milliseconds. */
-const GANG_CALM_MS = 4_000;
+/** Time after a disturbance in which gangs may be incomplete and fillers too many, in milliseconds. */
+const UNDISTURBED_MS = 4_000;
+
+/** Longest time for which fillers may hold a serving task over its target, in milliseconds. */
+const IMPACT_MS = 4_000;
 
 /** Crashed workers from which a task counts as deadly, and starts of it from then on. */
 const DEADLY_CRASHES = 3;
@@ -143,6 +154,9 @@
   /** Runs that were started when nothing disturbed their gangs. */
   private readonly startedInCalm = new WeakSet<SoakRun>();
 
+  /** When fillers began to hold serving runs over their targets, in milliseconds. */
+  private readonly harmedSinceMs = new WeakMap<SoakRun, number>();
+
   private disturbedMs = Number.NEGATIVE_INFINITY;
 
   /**
@@ -233,6 +247,19 @@
     this.disturbedMs = this.nowMs();
   }
 
+  /** A serving task has a tail, in milliseconds, which only fillers bring over its target. */
+  tailSeen(run: SoakRun, tailMs: number): void {
+    if (tailMs <= TARGET_MS || !this.isUndisturbed()) {
+      this.harmedSinceMs.delete(run);
+      return;
+    }
+    const sinceMs = this.harmedSinceMs.get(run) ?? this.nowMs();
+    this.harmedSinceMs.set(run, sinceMs);
+    if (this.nowMs() - sinceMs < IMPACT_MS) return;
+    this.harmedSinceMs.delete(run);
+    this.break('harm', `${run.task} on ${run.workerId} stays over its target beside fillers`);
+  }
+
   /** A task crashes the worker that runs it. */
   crashedUnder({ task }: SoakRun): void {
     this.taskOf(task).crashes += 1;
@@ -386,16 +413,17 @@
     if (savedMs !== run.savedMs) {
       this.break('checkpoint', `${this.describe(run)} of ${run.task}: not that of its gang`);
     }
-    if (this.isCalmForGangs()) this.startedInCalm.add(run);
+    if (this.isUndisturbed()) this.startedInCalm.add(run);
   }
 
-  private isCalmForGangs(): boolean {
-    return this.isCalm && this.nowMs() - this.disturbedMs > GANG_CALM_MS;
+  /** @returns true while no fault is near and no worker has come or gone lately */
+  isUndisturbed(): boolean {
+    return this.isCalm && this.nowMs() - this.disturbedMs > UNDISTURBED_MS;
   }
 
   private checkAlone(run: SoakRun): void {
     const isCancelled = this.jobs.get(readTask(run.task).jobId)?.cancelSentMs !== undefined;
-    if (isCancelled || !this.isCalmForGangs() || !this.startedInCalm.has(run)) return;
+    if (isCancelled || !this.isUndisturbed() || !this.startedInCalm.has(run)) return;
     this.break('gang', `${run.task} waits in vain for its gang: ${this.describe(run)}`);
   }
 
--- a/tests/soak/soakJob.ts
+++ b/tests/soak/soakJob.ts
@@ -16,6 +16,8 @@
   readonly checkpointing: boolean;
   readonly longRunning: boolean;
   readonly filler: boolean;
+  /** What each of its tasks adds to the tails of serving tasks on its worker, in milliseconds. */
+  readonly disturbance: number;
   /** Its tasks work only together. */
   readonly gang: boolean;
   /** They take longer on more than one rack. */
@@ -93,6 +95,7 @@
   checkpointing: false,
   longRunning: false,
   filler: false,
+  disturbance: 0,
   gang: false,
   sameRack: false,
   speculative: false,
@@ -105,6 +108,12 @@
 
 const STEP = makeStep();
 
+/** Bound of the tails of serving tasks, in milliseconds. */
+export const TARGET_MS = 50;
+
+/** What a disturbing task adds to them, in milliseconds. */
+const DISTURBANCE_MS = 30;
+
 /** Racks of the workers. */
 const RACKS = ['r0', 'r1', 'r2'] as const;
 
@@ -186,7 +195,8 @@
       schedule: drawSchedule(random),
     };
   }
-  const near: SoakStep = { ...step, dataRack: drawRack(random), filler: random.below(2) === 0 };
+  const filling = random.below(2) === 0 ? { filler: true, disturbance: DISTURBANCE_MS } : {};
+  const near: SoakStep = { ...step, dataRack: drawRack(random), ...filling };
   return { queue: BATCH, steps: [near, { ...step, after: [0], requirement: drawRack(random) }] };
 };
 
@@ -248,8 +258,8 @@
     ...(step.after.length > 0 ? { After: step.after } : {}),
     ...(step.perWorker > 0 ? { AntiAffinity: step.perWorker } : {}),
     ...(step.checkpointing ? { Checkpointing: true } : {}),
-    ...(step.longRunning ? { LongRunning: true, Image: 'watch', TargetMs: 50 } : {}),
-    ...(step.filler ? { Fills: true, Image: 'batch' } : {}),
+    ...(step.longRunning ? { LongRunning: true, Image: 'watch', TargetMs: TARGET_MS } : {}),
+    ...(step.filler ? { Fills: true, Image: `batch${step.disturbance || ''}` } : {}),
     ...(step.gang ? { Gang: true } : {}),
     ...(step.sameRack ? { SameRack: true } : {}),
     ...(step.speculative ? { Speculative: true } : {}),
--- a/tests/soak/workerStandIn.ts
+++ b/tests/soak/workerStandIn.ts
@@ -28,6 +28,9 @@
 /** Longest wait of a member of a gang for the others, in milliseconds. */
 const GANG_TIMEOUT_MS = 3_000;
 
+/** Tail of a serving task that nothing disturbs, in milliseconds. */
+const CALM_TAIL_MS = 10;
+
 /** Longer work away from the data, and of slow starts, as a share of the usual. */
 const REMOTE_FACTOR = 1.5;
 const SLOW_FACTOR = 6;
@@ -315,7 +318,7 @@
         run.run,
         run.step.checkpointing ? String(Math.floor(run.workedMs / 500) * 500) : '',
         this.percentOf(run),
-        run.step.longRunning ? 10 : run.step.cpu,
+        run.step.longRunning ? Math.round(this.tailMs()) : run.step.cpu,
       ]),
       Finished: this.ends.map(({ sequence, run, kind, saved }) => [
         sequence,
@@ -358,6 +361,14 @@
     });
   }
 
+  /** Tail of serving tasks beside the fillers that work here, in milliseconds. */
+  private tailMs(): number {
+    return [...this.running.values()].reduce(
+      (sum, { step, pace }) => sum + (step.disturbance * pace) / HUNDRED,
+      CALM_TAIL_MS,
+    );
+  }
+
   private isHere(run: Running): boolean {
     return this.running.get(`${run.task} ${run.run}`) === run;
   }
@@ -372,6 +383,8 @@
     if (isAtWork) {
       worked.workedMs += ((elapsed ?? 0) * run.pace) / HUNDRED / slowness / gangSlowness;
     }
+    // A worker that answers nothing cannot be paced.
+    if (step.longRunning) checker.tailSeen(run, this.fault === 'none' ? this.tailMs() : 0);
     if (elapsed === undefined) this.end(run, 'lapsed');
     else if (run.stopAtMs !== undefined && now >= run.stopAtMs) this.end(run, 'stopped');
     else if (!isAtWork && checker.nowMs() - run.startedMs >= GANG_TIMEOUT_MS) {
