--- a/tests/soak/faultProxy.ts
+++ b/tests/soak/faultProxy.ts
@@ -37,7 +37,7 @@
   /**
    * @param targetPort - port of the stand-in
    */
-  constructor(public targetPort: number) {}
+  constructor(private readonly targetPort: number) {}
 
   /** Listens on a free port and returns it. */
   async listen(): Promise<number> {
--- a/tests/soak/soakScenes.ts
+++ b/tests/soak/soakScenes.ts
@@ -73,7 +73,7 @@
       end.later(() => this.site.unlist(zone), delayMs);
     } else if (kind === 'owner-part-new-worker') {
       part(reachNone);
-      end.later(() => this.site.addWorker(zone), delayMs);
+      end.later(() => this.site.addWorker(this.site.workers.length, zone), delayMs);
     } else if (kind === 'owner-part-replaced-worker') {
       part(reachNone);
       end.later(() => this.replace(this.site.workersOf(zone), target), delayMs);
@@ -91,9 +91,9 @@
     return () => end.run();
   }
 
-  private replace(workers: readonly WorkerStandIn[], target: number): Promise<void> | undefined {
+  private replace(workers: readonly WorkerStandIn[], target: number): void {
     const worker = workers[target % workers.length];
-    return worker && this.site.replaceWorker(worker);
+    if (worker) this.site.replaceWorker(worker);
   }
 
   /** Lets the workers with the least to do drain. */
--- a/tests/soak/soakSite.ts
+++ b/tests/soak/soakSite.ts
@@ -12,7 +12,8 @@
 import { QUEUES, SERVICE } from './soakJob.js';
 import { SoakScenes } from './soakScenes.js';
 import { StoreStandIn } from './storeStandIn.js';
-import { WorkerStandIn } from './workerStandIn.js';
+import { Gangs } from './gangs.js';
+import { labelsOf, WorkerStandIn } from './workerStandIn.js';
 
 const ZONES = ['north', 'south', 'east'] as const;
 
@@ -59,8 +60,9 @@
   readonly runtimeWords?: readonly string[];
 }
 
-interface Linked<T> {
-  end: T;
+/** An end behind a harmful link. */
+export interface Linked<T> {
+  readonly end: T;
   readonly link: FaultProxy;
   readonly port: number;
 }
@@ -77,6 +79,10 @@
 
   private sequence = 0;
 
+  private readonly gangs = new Gangs();
+
+  private workerCount = 0;
+
   private readonly evacuated = new Set<string>();
 
   private readonly zones: readonly string[];
@@ -107,7 +113,7 @@
   async start(): Promise<void> {
     await this.store.start();
     this.configure();
-    for (let index = 0; index < this.options.workers; index += 1) await this.addWorker();
+    for (let index = 0; index < this.options.workers; index += 1) await this.addWorker(index);
     this.beat();
     this.heartbeat = setInterval(() => this.beat(), HEARTBEAT_MS);
     const network = await ReservedNetwork.reserve();
@@ -388,63 +394,89 @@
     });
   }
 
-  private beat(): void {
+  /** Workers write their entries. */
+  beat(): void {
     this.sequence += 1;
-    this.workers.forEach(({ end, port }, index) => {
+    this.workers.forEach(({ end, port }) => {
       if (this.unlisted.has(end.options.dataCentre)) return;
       this.store.put(`servers/${end.options.id}`, {
-        Service: index < (this.options.idleWorkers ?? 0) ? IDLE_SERVICE : SERVICE,
+        Service: end.options.service,
         Address: `127.0.0.1:${port}`,
         Zone: end.options.dataCentre,
         Version: '1',
         State: end.drainingSinceMs === undefined ? 'ready' : 'draining',
         ColdLeftMs: 0,
-        ...(end.drainingSinceMs === undefined
-          ? {}
-          : { RemainingMs: this.drainsMs.get(end.options.id) ?? DRAIN_MS }),
+        ...this.remainingOf(end),
         Sequence: this.sequence,
         Capacity: { Cpu: end.options.cpu, MemMb: end.options.memMb, Gpu: 0 },
-        Labels: ['a', `r${index % 3}`],
+        Labels: labelsOf(end.options),
         born: end.bornMs,
       });
     });
   }
 
-  /** Adds a worker. */
-  async addWorker(dataCentre = this.zoneAt(this.workers.length)): Promise<void> {
-    const index = this.workers.length;
-    const worker = await this.startWorker(`w${index}`, dataCentre, index);
-    const link = new FaultProxy(worker.port);
-    this.workers.push({ end: worker, link, port: await link.listen() });
+  private remainingOf(worker: WorkerStandIn): { readonly RemainingMs?: number } {
+    const { drainingSinceMs, options } = worker;
+    if (drainingSinceMs === undefined) return {};
+    const drainsMs = this.drainsMs.get(options.id) ?? DRAIN_MS;
+    const leftMs = drainingSinceMs + drainsMs - this.options.checker.nowMs();
+    return { RemainingMs: Math.max(0, Math.round(leftMs)) };
+  }
+
+  /**
+   * Takes a worker away, with all that runs on it.
+   *
+   * @param worker - the worker
+   */
+  removeWorker(worker: Linked<WorkerStandIn>): void {
+    const at = this.workers.indexOf(worker);
+    if (at < 0) return;
+    this.workers.splice(at, 1);
+    worker.end.crash();
+    worker.link.close();
+    worker.end.close();
+    this.store.remove(`servers/${worker.end.options.id}`);
   }
 
-  /** Another worker takes the place of a worker, at its address. */
-  async replaceWorker(worker: WorkerStandIn): Promise<void> {
-    const index = this.workers.findIndex(({ end }) => end === worker);
-    const linked = this.workers[index];
-    if (!linked) return;
-    const { id, dataCentre } = worker.options;
+  /**
+   * Another worker takes the place of a worker, at its address.
+   *
+   * @param worker - the worker
+   * @param listedMs - time for which the former worker stays listed, in milliseconds
+   */
+  replaceWorker(worker: WorkerStandIn, listedMs = 0): void {
+    const { id } = worker.options;
     this.replacements += 1;
-    worker.crash();
-    worker.close();
-    linked.end = await this.startWorker(`w${index}-${this.replacements}`, dataCentre, index);
-    linked.link.targetPort = linked.end.port;
-    this.store.remove(`servers/${id}`);
+    worker.replace(`${id}-${this.replacements}`);
+    setTimeout(() => this.store.remove(`servers/${id}`), listedMs);
   }
 
-  private async startWorker(id: string, dataCentre: string, index: number): Promise<WorkerStandIn> {
-    const { checker, workerCpu } = this.options;
+  /**
+   * Adds a worker.
+   *
+   * @param index - picks its service, rack and clock
+   * @param dataCentre - its data centre; picked by the index if left out
+   */
+  async addWorker(index: number, dataCentre = this.zoneAt(index)): Promise<void> {
+    const { checker, workerCpu, idleWorkers = 0 } = this.options;
+    const id = `w${this.workerCount}`;
+    this.workerCount += 1;
     const worker = new WorkerStandIn({
       id,
+      index,
+      service: index < idleWorkers ? IDLE_SERVICE : SERVICE,
+      rack: `r${index % 3}`,
       dataCentre,
       cpu: workerCpu,
       memMb: 64_000,
       clockRate: index % 2 === 0 ? 1 : SLOW_CLOCK,
       checker,
+      gangs: this.gangs,
       settleAll: () => this.workers.forEach(({ end }) => end.tick()),
     });
     await worker.start();
-    return worker;
+    const link = new FaultProxy(worker.port);
+    this.workers.push({ end: worker, link, port: await link.listen() });
   }
 
   private async addEntry(index: number, network: ReservedNetwork): Promise<void> {
