--- a/tests/jobs/ownerSeriesModel.spec.ts
+++ b/tests/jobs/ownerSeriesModel.spec.ts
@@ -35,3 +35,21 @@
     },
   );
 }
+
+// Guards against the same by what an owner decides before its process stands still and does afterwards.
+for (const seed of seeds) {
+  test.serial(
+    `should run each task once in starved entries under the faults of seed ${seed}`,
+    async (t) => {
+      const { violations } = await simulateOwnerSeries({
+        seed,
+        isDivided: seed % 3 === 1,
+        endsLeasesEarly: false,
+        hasLastingTasks: seed % 2 === 0,
+        isStarved: true,
+        holdLimitMs: seed % 2 === 0 ? 10_000 : 6_000,
+      });
+      t.deepEqual(violations, []);
+    },
+  );
+}
