--- a/tests/jobs/islandDraws.spec.ts
+++ b/tests/jobs/islandDraws.spec.ts
@@ -1,6 +1,7 @@
 /**
  * Owners that are cut off with their data centre, of 3 to 12 workers, beside series of successors: workers
- * drain, are listed late, come back at another address or start again in between. All is drawn by a seed.
+ * drain, are listed late, come back at another address or start again in between. All is drawn by a seed; the
+ * entries of even seeds are starved.
  *
  * `SEEDS=100,300` runs the seeds from 100 to 300.
  */
@@ -9,6 +10,7 @@
 
 import { JobSite, makeJob, makeStep, runUntil, type SiteEntry } from '../fixtures/jobSite.js';
 import { isOwner } from '../fixtures/ownerIsland.js';
+import { StarvedClock } from '../fixtures/starvedClock.js';
 
 const ID = '00000000000000a1';
 const SIZE = { milliCores: 1_000, memoryMb: 1_000, accelerators: 0 };
@@ -46,12 +48,19 @@
       .sort((first, second) => first.at - second.at)
       .slice(0, random.below(most + 1))
       .map(({ id }) => id);
-  const former = site.start('a', false, 1, 'dc1');
+  const isStarved = seed % 2 === 0;
+  const start = (name: string, dataCentre: string): SiteEntry => {
+    const clock = isStarved ? new StarvedClock(site.clock, random.below(1_000_000)) : undefined;
+    const entry = site.start(name, false, 1, dataCentre, clock);
+    entry.store.latencyMs = () => 1 + (clock?.stopLeftMs() ?? 0);
+    return entry;
+  };
+  const former = start('a', 'dc1');
   await site.run(1_300);
   draw(1).forEach((id) => site.registerWorker(id, { phase: 'draining' }));
   site.putJobs([ID], makeJob(makeStep({ count: 3 * count, longRunning })));
   await site.run(1_000 + random.below(13_000));
-  let last = site.start('b', false, 1, 'dc0');
+  let last = start('b', 'dc0');
   await site.run(500);
   let next = 2 * count + 1;
   const changes: readonly (() => void)[] = [
@@ -72,9 +81,11 @@
   const change = (): void => changes[random.below(changes.length)]?.();
   change();
   await site.run(random.below(700));
-  site.cutFromWorkers(former.client, [...draw(2), ...workersOf(0)]);
+  const silent = draw(2);
+  site.cutFromWorkers(former.client, [...silent, ...workersOf(0)]);
+  // A worker that both reach tells the former owner of its successor at once.
   const isolate = (entry: SiteEntry): void => {
-    const reached = draw(4);
+    const reached = random.below(4) === 0 ? draw(4) : silent;
     site.cutFromWorkers(
       entry.client,
       workersOf(1).filter((id) => !reached.includes(id)),
@@ -83,18 +94,19 @@
   isolate(last);
   former.store.isCutOff = true;
   await runUntil(site, () => isOwner(site, last));
-  for (let step = 0; step < 12; step += 1) {
+  const steps = random.below(8);
+  for (let step = 0; step < steps; step += 1) {
     await site.run(50 + random.below(1_500));
     change();
     if (random.below(6) === 0) {
-      const successor = site.start(`c${step}`, false, 1, 'dc0');
+      const successor = start(`c${step}`, 'dc0');
       await site.run(600);
       isolate(successor);
       last.kill();
       last = successor;
     }
   }
-  await site.run(16_000);
+  await site.run(22_000);
   return site.record.violations;
 };
 
