--- a/packages/samphirenotch/src/jobs/workers/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerAgent.ts
@@ -249,6 +249,14 @@
 
   private bornMs: number | undefined;
 
+  /**
+   * Monotonic time at which the incarnation whose clock is known was certainly there, in milliseconds, and
+   * its clock at the newest answer.
+   */
+  private aliveMs = Number.NEGATIVE_INFINITY;
+
+  private aliveClockMs = 0;
+
   /** The incarnation that answered last while there was no other owner. */
   private soleBornMs: number | undefined;
 
@@ -682,7 +690,7 @@
     this.leaseUntilMs = Math.max(this.leaseUntilMs, untilMs);
     const nowMs = this.options.clock.monotonicMs();
     // The order may arrive until its timeout.
-    if (nowMs + ORDER_TIMEOUT_MS > this.answeredMs + MIN_RESTART_MS) this.uncertainGrantMs = nowMs;
+    if (nowMs + ORDER_TIMEOUT_MS > this.aliveMs + MIN_RESTART_MS) this.uncertainGrantMs = nowMs;
     return untilMs;
   }
 
@@ -804,6 +812,7 @@
       listener.onChange(this);
     }
     this.noteAnswer(outcome.val.holding, sentMs);
+    this.noteAlive(outcome.val.holding, sentMs);
     this.applyHolding(outcome.val.holding, sentMs, acknowledged);
     if (wasUnresponsive) return;
     await this.waitBeforeNextPoll(signal);
@@ -869,6 +878,14 @@
     if (this.soleBornMs === bornMs) this.answeredMs = sentMs;
   }
 
+  /** An answer may have waited for an end; no clock of a worker is fast. */
+  private noteAlive(holding: Holding, sentMs: number): void {
+    const isKnown = this.bornMs === holding.bornMs;
+    const advancedMs = isKnown ? holding.clockMs - this.aliveClockMs : Number.NEGATIVE_INFINITY;
+    this.aliveMs = Math.max(sentMs, this.aliveMs + advancedMs);
+    this.aliveClockMs = holding.clockMs;
+  }
+
   private isNewIncarnation({ bornMs }: Holding): boolean {
     return this.bornMs !== undefined && bornMs > this.bornMs;
   }
