List a successor that does not wait for the longest lease of a restarted worker

Found in review of the leases of workers that restart unnoticed. Needs a worker that accepts leases of 10 s, restarts while it is idle, gets a start before anyone notices, and is parted from both owners as the owner stops as planned. A longer wait for all workers would cost the long-running tasks of each lost one (LOST); a poll before the first start on an idle worker, or a mark in the roster, would mend it.

--- a/tests/jobs/unnoticedRestarts.spec.ts
+++ b/tests/jobs/unnoticedRestarts.spec.ts
@@ -115,3 +115,53 @@
   t.deepEqual(site.record.violations, []);
   t.is(site.record.runs.length, 2);
 });
+
+// Guards against the same by a successor that goes by the time of a former owner that dies at once.
+test('should wait for the longest lease of a restarted worker if its owner dies at once', async (t) => {
+  const { site, owner, worker } = await makeSite();
+  const successor = site.start('b');
+  await site.run(1_000);
+  worker.restart();
+  await startTask(site);
+  site.addWorker('w1');
+  site.cutFromWorkers(successor.client, ['w0']);
+  owner.kill();
+  await site.run(30_000);
+  t.deepEqual(site.record.violations, []);
+  t.is(site.record.runs.length, 2);
+});
+
+// Guards against the same if the successor reaches another worker of the data centre.
+test('should wait for the longest lease of a restarted worker if others answer', async (t) => {
+  const { site, owner, worker } = await makeSite();
+  site.addWorker('w1');
+  await site.run(3_000);
+  const successor = site.start('b');
+  await site.run(1_000);
+  worker.restart();
+  site.putJobs([ID], makeJob(makeStep({ checkpointing: true })));
+  await runUntil(site, () => site.record.runs.length > 0);
+  t.is(site.record.runs[0]?.workerId, 'w0');
+  site.cutFromWorkers(successor.client, ['w0']);
+  owner.kill();
+  await site.run(30_000);
+  t.deepEqual(site.record.violations, []);
+});
+
+// Guards against the same by a successor that is elected as soon as its predecessor stops.
+test('should wait for the longest lease of a restarted worker after a planned change of the owner', async (t) => {
+  const { site, owner, worker } = await makeSite();
+  site.addWorker('w1');
+  await site.run(3_000);
+  const successor = site.start('b');
+  await site.run(1_000);
+  worker.restart();
+  await startTask(site);
+  const [first] = site.record.runs;
+  t.is(first?.workerId, 'w0');
+  site.cutFromWorkers(successor.client, ['w0']);
+  site.cutFromWorkers(owner.client, ['w0']);
+  owner.stop();
+  await site.run(30_000);
+  t.deepEqual(site.record.violations, []);
+});
