--- a/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
@@ -425,11 +425,24 @@
     task.notBeforeMs = this.options.clock.monotonicMs() + REFUSED_START_BACKOFF_MS;
     task.step.occurrence.job.isFullyStarted = false;
     this.places.noteEnd(run);
+    this.stopGang(run);
     this.wakeup.wake();
   }
 
-  onStartUnanswered({ task, agent }: OwnedRun): void {
+  onStartUnanswered(run: OwnedRun): void {
+    const { task, agent } = run;
     task.failedWorkerIds.add(agent.id);
+    this.stopGang(run);
+  }
+
+  /** The other members of a gang would wait in vain for one that was lost or may not have started. */
+  private stopGang(member: OwnedRun): void {
+    const { step } = member.task;
+    if (!step.spec.gang) return;
+    step.tasks
+      .flatMap(({ runs }) => runs)
+      .filter((other) => other !== member && other.run === member.run)
+      .forEach((other) => other.agent.stop(other, 'another member of its gang is not there'));
   }
 
   onCrash({ description: { address } }: WorkerAgent, runs: readonly OwnedRun[]): void {
--- a/tests/jobs/jobLife.spec.ts
+++ b/tests/jobs/jobLife.spec.ts
@@ -125,6 +125,23 @@
   t.is(new Set(members.map(({ run }) => run)).size, 1);
 });
 
+// Guards against members of a gang that wait in vain for one whose start was lost.
+test('should stop the members of a gang of which one may not have started', async (t) => {
+  const { site, owner } = await makeOwnedSite({
+    workers: 4,
+    milliCores: 1_000,
+    behave: () => ({ size: SIZE, durationMs: 1_000, gangSize: 4 }),
+  });
+  site.workers.get('w2')?.failStarts('dropped');
+  await site.submit(owner, ID, makeJob(makeStep({ count: 4, gang: true })));
+  await site.run(6_000);
+  const kinds = site.record.runs.map(({ kind }) => kind);
+  t.false(kinds.includes('gang-alone'), kinds.join(' '));
+  t.is(kinds.filter((kind) => kind === 'done').length, 4);
+  t.is(await site.state(owner, ID), 'completed');
+  t.deepEqual(site.record.violations, []);
+});
+
 // Guards against occurrences that start early, late or all at once.
 test('should start each occurrence when it is due', async (t) => {
   const { site, owner } = await makeOwnedSite();
