--- a/packages/samphirenotch/src/jobs/workers/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerAgent.ts
@@ -255,7 +255,7 @@
    */
   private aliveMs = Number.NEGATIVE_INFINITY;
 
-  private aliveClockMs = 0;
+  private aliveAtWorkerMs = 0;
 
   /** The incarnation that answered last while there was no other owner. */
   private soleBornMs: number | undefined;
@@ -881,9 +881,9 @@
   /** An answer may have waited for an end; no clock of a worker is fast. */
   private noteAlive(holding: Holding, sentMs: number): void {
     const isKnown = this.bornMs === holding.bornMs;
-    const advancedMs = isKnown ? holding.clockMs - this.aliveClockMs : Number.NEGATIVE_INFINITY;
+    const advancedMs = isKnown ? holding.clockMs - this.aliveAtWorkerMs : Number.NEGATIVE_INFINITY;
     this.aliveMs = Math.max(sentMs, this.aliveMs + advancedMs);
-    this.aliveClockMs = holding.clockMs;
+    this.aliveAtWorkerMs = holding.clockMs;
   }
 
   private isNewIncarnation({ bornMs }: Holding): boolean {
