--- a/packages/samphirenotch/src/jobs/workers/formerLeases.ts
+++ b/packages/samphirenotch/src/jobs/workers/formerLeases.ts
@@ -8,7 +8,7 @@
 import type { LeaseEnd } from './leaseCountdown.js';
 
 /** Longest lease that a former owner can have granted, including clock drift, in milliseconds. */
-const MAX_FORMER_LEASE_MS = 6_500;
+export const MAX_FORMER_LEASE_MS = 6_500;
 
 /**
  * Time in which a former owner learns of its successor, or stops extending leases, once its successor
--- a/packages/samphirenotch/src/jobs/workers/workerFleet.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerFleet.ts
@@ -9,7 +9,12 @@
 import type { OwnedTask } from '../model/ownedJob.js';
 import type { ShareKeys } from '../store/jobKeys.js';
 import type { ProgressJournal } from '../store/progressJournal.js';
-import { FormerLeases, SUCCESSOR_DISCOVERY_MS, type FormerWorker } from './formerLeases.js';
+import {
+  FormerLeases,
+  MAX_FORMER_LEASE_MS,
+  SUCCESSOR_DISCOVERY_MS,
+  type FormerWorker,
+} from './formerLeases.js';
 import { LeaseCountdown, type LeaseEnd, type LeaseLeft } from './leaseCountdown.js';
 import { lowerOf, sparesOf } from './spareWorkers.js';
 import type { DrainAnnouncement, WorkerAgent } from './workerAgent.js';
@@ -39,9 +44,6 @@
  */
 const OVERSTAY_LEASE_MS = 3_000;
 
-/** Longest lease of a worker, with a margin, in milliseconds: no lease lasts beyond a later time of leaving. */
-const LONGEST_LEASE_MS = 6_500;
-
 /** Time for which the contested data centres are not worked out again, in milliseconds. */
 const CONTESTED_CACHE_MS = 20;
 
@@ -661,7 +663,8 @@
     // In an outage the lease could not be extended again before a record is stored after it.
     if (!this.options.isStoreReachable()) return false;
     if (isSilent) return agent.silentMs >= MIN_SILENCE_MS;
-    return agent.isFenced && this.stayMs(agent) <= LONGEST_LEASE_MS;
+    // No lease of a worker that stays for longer lasts until it leaves.
+    return agent.isFenced && this.stayMs(agent) <= MAX_FORMER_LEASE_MS;
   }
 
   /** Returns for how long a draining worker's lease is extended, in milliseconds. */
