Hold just the room of a task that leaves a draining worker

What callers saw: when many workers drain at once, up to 86 long-running tasks are stopped within a second without a place, 1.5 s before their workers leave, and wait for seconds behind urgent tasks.

Cause: each move kept a whole worker from when it was chosen until the task had started there, while the run was being stopped too, and 5 % of the workers may be kept at once. So a site moved as many tasks as there are such workers in the time that a move takes, 10 to 16 a second, also where workers had the room already.

Change: once a worker has the room, just the room is held: it is taken off the free resources of the worker until the task starts there, and others use the rest. A worker is reserved only while it has no room yet, with the same bound. A pass looks for room for all tasks that may move, those first that must stop first, for 10 ms at most, after urgent and waiting tasks have had their turn. Workers that hold room already go first, so that large tasks find room on the others; that is what the test of reservations for moves asks. What is held ends after 2 s, and when the worker accepts no tasks.

Why it works: what is kept from others is the room that the task takes anyway, a little earlier, so that the number of moves need not be bounded. Held room is not reserved for the check of what a worker runs, so an order that was sent is not held back by it; it counts for the limit of tasks of a step per worker, for reservations as well; no suspect is tried beside it.

New tests fail without the expiry, without the limit per worker or without the deduction.

--- a/packages/samphirenotch/src/jobs/placement/drainMoves.ts
+++ b/packages/samphirenotch/src/jobs/placement/drainMoves.ts
@@ -1,9 +1,11 @@
 /**
  * Moves long-running tasks away from draining workers.
  *
- * A run goes on until another worker is reserved for its task and has room, so that the task is away only
- * as long as it takes to stop and to start it. `RunSupervisor` stops what is left when the time is up.
+ * A run goes on until another worker has room that is kept for its task, so that the task is away only as
+ * long as it takes to stop and to start it. `RunSupervisor` stops what is left when the time is up.
  */
+import type { Clock } from '../../time/clock.js';
+
 import { isSuspect, reservedSizeOf, type OwnedRun, type OwnedStep } from '../model/ownedJob.js';
 import type { WorkerAgent } from '../workers/workerAgent.js';
 import { RetryOrder } from './retryOrder.js';
@@ -12,6 +14,12 @@
 /** Number of steps for whose runs a pass tries to reserve a worker. */
 const MAXIMUM_TRIES = 4;
 
+/** Time limit for finding room in a pass, in milliseconds. */
+const BUDGET_MS = 10;
+
+/** Number of runs for which a pass looks for room even if it has no time left. */
+const MINIMUM_SEARCHES = 4;
+
 /** A run and the worker that it has to leave. */
 export interface LeavingRun {
   readonly run: OwnedRun;
@@ -25,6 +33,11 @@
   readonly isStartable: (step: OwnedStep) => boolean;
   /** Reserves a worker for the task of a run; returns false if none has room or is about to. */
   readonly reserve: (leaving: LeavingRun) => boolean;
+  /** Holds room for the task of a run; returns false if no worker has it now. */
+  readonly hold: (leaving: LeavingRun) => boolean;
+  /** Returns true while too many orders wait to be sent. */
+  readonly hasBacklog: () => boolean;
+  readonly clock: Clock;
 }
 
 /** Moves tasks in passes. */
@@ -37,12 +50,57 @@
   constructor(private readonly options: DrainMovesOptions) {}
 
   /**
-   * Stops the runs whose next worker has room, and reserves workers for some of the others.
+   * Stops the runs for whose tasks other workers have room, and reserves workers for some of the others.
    *
    * @param agents - all workers
    */
   check(agents: readonly WorkerAgent[]): void {
-    const leaving = agents
+    const waiting = new Map<OwnedStep, LeavingRun>();
+    const search = this.beginSearch();
+    this.leavingRuns(agents).forEach((leaving) => {
+      const { run, from } = leaving;
+      const { step } = run.task;
+      if (this.holdReserved(leaving) || search(leaving))
+        from.stop(run, 'its worker drains, another has room');
+      else if (!this.options.reservations.hasReservation(run.task) && !waiting.has(step))
+        waiting.set(step, leaving);
+    });
+    this.tries.next([...waiting.keys()], MAXIMUM_TRIES).forEach((step) => {
+      const leaving = waiting.get(step);
+      if (leaving) this.tries.record(step, this.options.reserve(leaving));
+    });
+  }
+
+  /** Holds room on the reserved worker once it has it, so that another task can reserve a worker. */
+  private holdReserved({ run: { task }, from }: LeavingRun): boolean {
+    const { reservations } = this.options;
+    const to = reservations.reservedFor(task);
+    if (!to?.fits(reservedSizeOf(task))) return false;
+    reservations.hold(to, task, from);
+    return true;
+  }
+
+  /** Returns a function that holds room for one run after the other until the time of the pass is up. */
+  private beginSearch(): (leaving: LeavingRun) => boolean {
+    const { clock, hasBacklog, hold } = this.options;
+    const deadlineMs = clock.monotonicMs() + BUDGET_MS;
+    const stepsWithoutRoom = new Set<OwnedStep>();
+    let searches = 0;
+    return (leaving) => {
+      const { step } = leaving.run.task;
+      if (stepsWithoutRoom.has(step)) return false;
+      const isTimeUp = hasBacklog() || clock.monotonicMs() >= deadlineMs;
+      if (isTimeUp && searches >= MINIMUM_SEARCHES) return false;
+      searches += 1;
+      const isHeld = hold(leaving);
+      if (!isHeld) stepsWithoutRoom.add(step);
+      return isHeld;
+    };
+  }
+
+  /** Lists the runs that may move, those first that have to stop first. */
+  private leavingRuns(agents: readonly WorkerAgent[]): readonly LeavingRun[] {
+    return agents
       .filter(({ isResponsive, description }) => isResponsive && description.phase === 'draining')
       .sort((left, right) => (left.leavesAtMs ?? 0) - (right.leavesAtMs ?? 0))
       .flatMap((from) =>
@@ -51,17 +109,6 @@
           .filter((run) => this.isMovable(run))
           .map((run) => ({ run, from })),
       );
-    const waiting = new Map<OwnedStep, LeavingRun>();
-    leaving.forEach((each) => {
-      const { run, from } = each;
-      const to = this.options.reservations.reservedFor(run.task);
-      if (to?.fits(reservedSizeOf(run.task))) from.stop(run, 'its worker drains, another has room');
-      else if (!to && !waiting.has(run.task.step)) waiting.set(run.task.step, each);
-    });
-    this.tries.next([...waiting.keys()], MAXIMUM_TRIES).forEach((step) => {
-      const each = waiting.get(step);
-      if (each) this.tries.record(step, this.options.reserve(each));
-    });
   }
 
   private isMovable({ phase, task }: OwnedRun): boolean {
--- a/packages/samphirenotch/src/jobs/placement/roomReservations.ts
+++ b/packages/samphirenotch/src/jobs/placement/roomReservations.ts
@@ -1,16 +1,18 @@
 /**
- * Reserves workers for interrupted tasks that no worker has enough room for, and for tasks that move away
- * from a worker that leaves.
+ * Reserves room for interrupted tasks that no worker has enough room for, and for tasks that move away from
+ * a worker that leaves.
  *
- * Room becomes free in pieces, and smaller tasks would take each of them. Nothing else starts on a
- * reserved worker, until the task has started, the worker accepts no tasks any more or the reservation
- * expires.
+ * A worker with enough room holds just the room of the task, and other tasks use the rest. Elsewhere room
+ * becomes free in pieces, and smaller tasks would take each of them: there the worker is reserved, and
+ * nothing else starts on it. Both end when the task has started, the worker accepts no tasks any more or
+ * the time is up.
  */
 import { fitsIn, plusSize } from '../../infrastructure/sizes.js';
+import type { Size } from '../../infrastructure/worker.js';
 import { partLog } from '../../observability/log.js';
 import type { Clock } from '../../time/clock.js';
 
-import type { OwnedTask } from '../model/ownedJob.js';
+import { isSuspect, reservedSizeOf, type OwnedStep, type OwnedTask } from '../model/ownedJob.js';
 import { remainingRunMs } from '../workers/runSupervisor.js';
 import type { WorkerAgent } from '../workers/workerAgent.js';
 import type { PlacementInput } from './taskPlacement.js';
@@ -27,12 +29,14 @@
 /** Time for which a worker is not reserved after a reservation of it has expired, in milliseconds. */
 const EXPIRY_BACKOFF_MS = 4_000;
 
-/** A worker that is kept for a task. */
+/** A worker that is kept for a task, or room on it. */
 export interface RoomReservation {
   readonly agent: WorkerAgent;
   readonly task: OwnedTask;
   /** The worker that the task moves away from; undefined if it waits. */
   readonly from: WorkerAgent | undefined;
+  /** The room that is held; undefined if the worker is reserved. */
+  readonly held: Size | undefined;
   readonly untilMs: number;
 }
 
@@ -45,15 +49,20 @@
 const isNeeded = ({ task, from }: RoomReservation): boolean =>
   !task.done &&
   !task.isElsewhere &&
+  !isSuspect(task) &&
   task.runs.every(({ agent }) => agent === from) &&
   task.step.occurrence.job.isOpen;
 
-/** Keeps track of reserved workers. */
+/** Keeps track of reserved workers and held room. */
 export class RoomReservations {
   private readonly log = partLog('reservations');
 
+  /** Reservations of workers. */
   private readonly byWorker = new Map<WorkerAgent, RoomReservation>();
 
+  /** Held room, by the task that it is for. */
+  private readonly holds = new Map<OwnedTask, RoomReservation>();
+
   /** Monotonic time until which a worker is not reserved, in milliseconds. */
   private readonly backoffUntilMs = new WeakMap<WorkerAgent, number>();
 
@@ -75,7 +84,10 @@
       this.byWorker.delete(agent);
       if (isExpired) this.backoffUntilMs.set(agent, nowMs + EXPIRY_BACKOFF_MS);
     });
-    return [...this.byWorker.values()];
+    this.holds.forEach((hold) => {
+      if (nowMs >= hold.untilMs || !isNeeded(hold)) this.release(hold);
+    });
+    return [...this.holds.values(), ...this.byWorker.values()];
   }
 
   /**
@@ -89,32 +101,79 @@
   }
 
   /**
-   * Checks whether a worker is reserved for a task.
+   * Lists the workers that hold room.
+   *
+   * @returns the workers, in the order in which they began to
+   */
+  holders(): readonly WorkerAgent[] {
+    return [...new Set([...this.holds.values()].map(({ agent }) => agent))];
+  }
+
+  /**
+   * Checks whether a worker holds room for a task of a step.
+   *
+   * @param agent - the worker
+   * @param step - the step
+   * @returns true if it does
+   */
+  holdsFor(agent: WorkerAgent, step: OwnedStep): boolean {
+    return [...this.holds.values()].some((hold) => hold.agent === agent && hold.task.step === step);
+  }
+
+  /**
+   * Checks whether a task has room held or a worker reserved.
    *
    * @param task - the task
-   * @returns true if there is one
+   * @returns true if it has
    */
   hasReservation(task: OwnedTask): boolean {
     return this.reservedFor(task) !== undefined;
   }
 
   /**
-   * Finds the worker that is reserved for a task.
+   * Finds the worker that is reserved for a task or holds room for it.
    *
    * @param task - the task
    * @returns the worker, or undefined if there is none
    */
   reservedFor(task: OwnedTask): WorkerAgent | undefined {
-    return [...this.byWorker.values()].find((reservation) => reservation.task === task)?.agent;
+    return this.holds.get(task)?.agent ?? this.findReservation(task)?.agent;
   }
 
   /**
-   * Ends the reservation of a worker.
+   * Ends a reservation.
    *
-   * @param agent - the worker
+   * @param reservation - the reservation
    */
-  release(agent: WorkerAgent): void {
-    this.byWorker.delete(agent);
+  release({ agent, task, held }: RoomReservation): void {
+    if (!held) {
+      this.byWorker.delete(agent);
+      return;
+    }
+    if (this.holds.delete(task)) agent.unhold(held);
+  }
+
+  /**
+   * Holds room for a task on a worker, in place of the worker that is reserved for it.
+   *
+   * @param agent - the worker, which has the room
+   * @param task - the task
+   * @param from - the worker that the task moves away from
+   */
+  hold(agent: WorkerAgent, task: OwnedTask, from: WorkerAgent): void {
+    const former = this.findReservation(task);
+    if (former) this.release(former);
+    const size = reservedSizeOf(task);
+    const untilMs = this.clock.monotonicMs() + MAXIMUM_RESERVATION_MS;
+    this.log.info('Room is held for a task', {
+      taskId: task.id,
+      worker: agent.id,
+      from: from.id,
+      milliCores: size.milliCores,
+      freeMilliCores: agent.free().milliCores,
+    });
+    this.holds.set(task, { agent, task, from, held: size, untilMs });
+    agent.hold(size);
   }
 
   /**
@@ -145,7 +204,8 @@
   }
 
   private add(agent: WorkerAgent, { task, from }: ReservationInput, nowMs: number): void {
-    this.byWorker.set(agent, { agent, task, from, untilMs: nowMs + MAXIMUM_RESERVATION_MS });
+    const untilMs = nowMs + MAXIMUM_RESERVATION_MS;
+    this.byWorker.set(agent, { agent, task, from, held: undefined, untilMs });
     this.log.info('A worker is reserved for a task', {
       taskId: task.id,
       worker: agent.id,
@@ -155,6 +215,10 @@
     });
   }
 
+  private findReservation(task: OwnedTask): RoomReservation | undefined {
+    return [...this.byWorker.values()].find((reservation) => reservation.task === task);
+  }
+
   /** Estimates when enough runs will have ended; infinite if that is not expected. */
   private static timeUntilRoomMs(
     agent: WorkerAgent,
--- a/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
@@ -1,7 +1,7 @@
 /**
  * Starts waiting tasks on workers with free resources.
  */
-import { timesSize } from '../../infrastructure/sizes.js';
+import { NO_SIZE, timesSize } from '../../infrastructure/sizes.js';
 import { partLog } from '../../observability/log.js';
 import type { Clock } from '../../time/clock.js';
 
@@ -171,7 +171,10 @@
       reservations: this.reservations,
       isStartable: ({ occurrence: { job } }) =>
         job.isOpen && this.isAccountedFor(job) && options.isStoreReachable(),
-      reserve: ({ run, from }) => this.reserveForMove(run.task, from),
+      reserve: ({ run, from }) => this.reserveFor(run.task, from),
+      hold: ({ run, from }) => this.holdForMove(run.task, from),
+      hasBacklog: () => options.turns.hasBacklog,
+      clock: options.clock,
     });
     this.starvation = new Starvation(options.clock);
     this.gate = new StartGate(options.term, options.viewAgeMs);
@@ -322,17 +325,18 @@
 
   /** Starts tasks on the workers that are reserved for them. */
   private startReserved(nowMs: number): void {
-    this.reservations.current().forEach(({ agent, task }) => {
-      const size = reservedSizeOf(task);
+    this.reservations.current().forEach((reservation) => {
+      const { agent, task, held } = reservation;
       const isAccepting = this.acceptingWorkers(task.step).includes(agent);
       if (!isAccepting || !this.placement.permits(agent, task)) {
-        this.reservations.release(agent);
+        this.reservations.release(reservation);
         return;
       }
-      if (!agent.fits(size) || !this.isWaiting(task, nowMs)) return;
+      const needed = held ? NO_SIZE : reservedSizeOf(task);
+      if (!agent.fits(needed) || !this.isWaiting(task, nowMs)) return;
       const [allowed] = this.options.permissions.startableWorkers(task.step, [agent]);
       if (!allowed) return;
-      this.reservations.release(agent);
+      this.reservations.release(reservation);
       this.start({ task, agent }, task.nextRun);
     });
   }
@@ -367,19 +371,47 @@
       this.acceptingWorkers(task.step),
     );
     const input = { task, size: reservedSizeOf(task), workers, ...(from && { from }) };
-    return this.reservations.reserve(input, (agent) => this.placement.permits(agent, task));
+    return this.reservations.reserve(
+      input,
+      (agent) => this.placement.permits(agent, task) && !this.isLimitHeld(agent, task.step),
+    );
   }
 
-  /** Reserves the best worker with room, or else one that is about to have room. */
-  private reserveForMove(task: OwnedTask, from: WorkerAgent): boolean {
+  /** Returns false if no worker has room for the task. */
+  private holdForMove(task: OwnedTask, from: WorkerAgent): boolean {
     const { step } = task;
+    if (this.unplaceable.hasNoRoom(step)) return false;
     const size = reservedSizeOf(task);
-    const best = this.placement.choose({ task, size, workers: this.startableWorkers(step) });
-    // All workers count for how many may be reserved.
-    const input = { task, size, workers: this.acceptingWorkers(step), from };
-    const isBest = (agent: WorkerAgent): boolean => agent === best;
-    if (best && this.reservations.reserve(input, isBest)) return true;
-    return this.reserveFor(task, from);
+    const startable = this.startableWorkers(step);
+    const workers =
+      step.spec.perWorkerLimit > 0
+        ? startable.filter((agent) => !this.isLimitHeld(agent, step))
+        : startable;
+    const agent = this.chooseForHold({ task, size, workers });
+    if (!agent) {
+      this.unplaceable.add(step);
+      return false;
+    }
+    this.reservations.hold(agent, task, from);
+    this.placement.invalidate(agent);
+    return true;
+  }
+
+  /** Tasks that room is held for do not count for the limit per worker until they start. */
+  private isLimitHeld(agent: WorkerAgent, step: OwnedStep): boolean {
+    return step.spec.perWorkerLimit > 0 && this.reservations.holdsFor(agent, step);
+  }
+
+  /** Prefers workers that hold room for others, so that large tasks find room on the rest. */
+  private chooseForHold(input: PlacementInput): WorkerAgent | undefined {
+    const { dataRack, targetMs } = input.task.step.spec;
+    const holders = this.reservations
+      .holders()
+      .filter((agent) => agent.fits(input.size) && input.workers.includes(agent))
+      .filter(({ description }) => dataRack === '' || description.labels.includes(dataRack));
+    const holder =
+      targetMs === 0 ? this.placement.choose({ ...input, workers: holders }) : undefined;
+    return holder ?? this.placement.choose(input);
   }
 
   /** Cached for the pass, because a pass does not change which workers accept tasks. */
@@ -588,7 +620,10 @@
 
   private chooseWorker(input: PlacementInput): WorkerAgent | undefined {
     if (!isSuspect(input.task)) return this.placement.choose(input);
-    return chooseForTrial(input.task, this.placement.rank(input), input.workers);
+    // Nothing starts beside a trial, so what room is held for would have to wait.
+    const holders = new Set(this.reservations.holders());
+    const ranked = this.placement.rank(input).filter((agent) => !holders.has(agent));
+    return chooseForTrial(input.task, ranked, input.workers);
   }
 
   private noteUnplaced(step: OwnedStep, nowMs: number): void {
--- a/packages/samphirenotch/src/jobs/workers/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerAgent.ts
@@ -440,7 +440,7 @@
     return this.runs.hasTrial;
   }
 
-  /** @returns the worker's free resources */
+  /** @returns the worker's free resources, without those that are held */
   free(): Size {
     return this.runs.free(this.description.capacity);
   }
@@ -455,6 +455,24 @@
     return !this.hasTrial && this.runs.fits(this.description.capacity, size);
   }
 
+  /**
+   * Keeps resources for a run that is about to start.
+   *
+   * @param size - the resources
+   */
+  hold(size: Size): void {
+    this.runs.hold(size);
+  }
+
+  /**
+   * Gives resources up that are kept for a run.
+   *
+   * @param size - the resources
+   */
+  unhold(size: Size): void {
+    this.runs.unhold(size);
+  }
+
   /**
    * Takes over the worker's description from the directory, and its address if that has changed.
    *
--- a/packages/samphirenotch/src/jobs/workers/workerResources.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerResources.ts
@@ -12,6 +12,9 @@
   /** Resources of runs that are being stopped because they belong to no open task. */
   private usedByUnknown = NO_SIZE;
 
+  /** Resources that are kept for runs which are about to start. */
+  private held = NO_SIZE;
+
   /** Free resources of a capacity, cached until they change because decisions read them often. */
   private cachedFree: { readonly capacity: Size; readonly free: Size } | undefined;
 
@@ -35,6 +38,26 @@
     this.cachedFree = undefined;
   }
 
+  /**
+   * Keeps resources for a run that is about to start.
+   *
+   * @param size - the resources
+   */
+  hold(size: Size): void {
+    this.held = plusSize(this.held, size);
+    this.cachedFree = undefined;
+  }
+
+  /**
+   * Gives resources up that are kept for a run.
+   *
+   * @param size - the resources
+   */
+  unhold(size: Size): void {
+    this.held = minusSize(this.held, size);
+    this.cachedFree = undefined;
+  }
+
   /**
    * Sets the resources of the runs that belong to no open task.
    *
@@ -49,23 +72,23 @@
    * Computes the free resources.
    *
    * @param capacity - capacity of the worker
-   * @returns the free resources; negative where more is reserved than there is
+   * @returns the resources that are neither reserved nor held; negative where there is too little
    */
   free(capacity: Size): Size {
     if (this.cachedFree?.capacity === capacity) return this.cachedFree.free;
-    const free = minusSize(capacity, plusSize(this.used, this.usedByUnknown));
+    const free = minusSize(this.unreserved(capacity), this.held);
     this.cachedFree = { capacity, free };
     return free;
   }
 
   /**
-   * Checks whether all that is reserved is within a capacity.
+   * Checks whether all that is reserved is within a capacity. What is held is not in use yet.
    *
    * @param capacity - capacity of the worker
    * @returns false if more is reserved than there is
    */
   isWithin(capacity: Size): boolean {
-    return fitsIn(NO_SIZE, this.free(capacity));
+    return fitsIn(NO_SIZE, this.unreserved(capacity));
   }
 
   /**
@@ -78,4 +101,8 @@
   fits(capacity: Size, size: Size): boolean {
     return fitsIn(size, this.free(capacity));
   }
+
+  private unreserved(capacity: Size): Size {
+    return minusSize(capacity, plusSize(this.used, this.usedByUnknown));
+  }
 }
--- a/packages/samphirenotch/src/jobs/workers/workerRuns.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerRuns.ts
@@ -184,6 +184,26 @@
     return true;
   }
 
+  /**
+   * Keeps resources for a run that is about to start.
+   *
+   * @param size - the resources
+   */
+  hold(size: Size): void {
+    this.changeCount += 1;
+    this.resources.hold(size);
+  }
+
+  /**
+   * Gives resources up that are kept for a run.
+   *
+   * @param size - the resources
+   */
+  unhold(size: Size): void {
+    this.changeCount += 1;
+    this.resources.unhold(size);
+  }
+
   /**
    * Sets the resources of the runs that belong to no open task.
    *
@@ -199,7 +219,7 @@
    * Computes the free resources.
    *
    * @param capacity - capacity of the worker
-   * @returns the free resources; negative where more is reserved than there is
+   * @returns the resources that are neither reserved nor held; negative where there is too little
    */
   free(capacity: Size): Size {
     return this.resources.free(capacity);
--- a/tests/jobs/drainWaves.spec.ts
+++ b/tests/jobs/drainWaves.spec.ts
@@ -17,6 +17,10 @@
 
 const MOVED_ID = '00000000000000a1';
 const RESIDENT_ID = '00000000000000a2';
+const SHORT_ID = '00000000000000a3';
+
+/** Longest time for which a task may keep room that it does not use, in milliseconds. */
+const MAX_HOLD_MS = 3_000;
 
 const drainingIds = Array.from({ length: DRAINING }, (_, at) => `w${at}`);
 
@@ -57,3 +61,59 @@
   t.is(countMoved(site), DRAINING * TASKS_EACH);
   t.deepEqual(site.record.violations, []);
 });
+
+// Guards against room that stays held for tasks whose runs do not end.
+test('should give held room back to others if the tasks do not leave', async (t) => {
+  const site = await makeWaveSite();
+  drainingIds.forEach((id) => Object.assign(site.workers.get(id) ?? {}, { dropsStops: true }));
+  drainAll(site);
+  await site.run(500);
+  const free = OTHERS * (TASKS_EACH - 1);
+  site.putJobs([SHORT_ID], makeJob(makeStep({ count: free, size: SIZE })));
+  await site.run(MAX_HOLD_MS);
+  t.is(site.record.runs.filter(({ taskId }) => taskId.startsWith(SHORT_ID)).length, free);
+  t.deepEqual(site.record.violations, []);
+});
+
+// Guards against room that is held on workers which leave as well.
+test('should move tasks whose next workers begin to drain before they start there', async (t) => {
+  for (let delayMs = 50; delayMs <= 300; delayMs += 50) {
+    const site = await makeWaveSite();
+    drainAll(site);
+    await site.run(delayMs);
+    for (let at = 0; at < 5; at += 1)
+      site.registerWorker(`w${DRAINING + at}`, { phase: 'draining', remainingMs: NOTICE_MS });
+    await site.run(NOTICE_MS - LEAVE_MARGIN_MS);
+    const running = [...site.workers.values()].flatMap((worker) => worker.activeRuns());
+    t.is(running.length, DRAINING * TASKS_EACH + OTHERS, `${delayMs} ms`);
+    const left = running.filter(({ workerId }) => Number(workerId.slice(1)) < DRAINING + 5);
+    t.deepEqual(left, [], `${delayMs} ms`);
+    t.deepEqual(site.record.violations, []);
+  }
+});
+
+// Guards against held room that does not count for the limit of tasks of a step per worker: tasks are stopped
+// that can run nowhere else.
+test('should move no more tasks of a step than other workers may run', async (t) => {
+  const { site, owner } = await makeOwnedSite({
+    workers: 4,
+    behave: () => ({ size: SIZE, durationMs: Infinity }),
+  });
+  const step = makeStep({ longRunning: true, size: SIZE, count: 4, perWorkerLimit: 1 });
+  await site.submit(owner, MOVED_ID, makeJob(step));
+  await site.run(1_000);
+  site.addWorker('w4');
+  site.addWorker('w5');
+  await site.run(500);
+  drainingIds
+    .slice(0, 4)
+    .forEach((id) => site.registerWorker(id, { phase: 'draining', remainingMs: NOTICE_MS }));
+  await site.run(2_000);
+  const runs = [...site.workers.values()].map((worker) => worker.activeRuns().length);
+  t.deepEqual(runs.slice(4), [1, 1]);
+  t.is(
+    runs.reduce((sum, count) => sum + count),
+    4,
+  );
+  t.deepEqual(site.record.violations, []);
+});
--- a/tests/jobs/roomReservations.spec.ts
+++ b/tests/jobs/roomReservations.spec.ts
@@ -81,6 +81,33 @@
   t.false(reservations.hasReservation(task));
 });
 
+// Guards against moves that end at the rate at which runs stop: the worker of each stays reserved meanwhile.
+test('should let another task reserve a worker once the room of the first is held', (t) => {
+  const { clock, workers, reservations, reserve } = makeFleet(20);
+  const from = makeSilentAgent(clock, { id: 'from' });
+  const first = makeTask();
+  const second = makeTask();
+  t.true(reserve(first));
+  t.false(reserve(second));
+  const to = reservations.reservedFor(first);
+  if (to) reservations.hold(to, first, from);
+  t.is(reservations.reservedFor(first), to);
+  t.true(reserve(second));
+  t.is(workers.filter((agent) => reservations.isReserved(agent)).length, 1);
+});
+
+// Guards against a worker that gets more tasks than it has room for.
+test('should take held room off the free resources until it is released', (t) => {
+  const { clock, reservations } = makeFleet(0);
+  const to = makeSilentAgent(clock, { id: 'to' });
+  const task = makeTask();
+  reservations.hold(to, task, makeSilentAgent(clock, { id: 'from' }));
+  t.is(to.free().milliCores, 2_000);
+  clock.jump(MAX_RESERVATION_MS);
+  t.deepEqual(reservations.current(), []);
+  t.is(to.free().milliCores, 8_000);
+});
+
 // Guards against a worker that is kept for a task that has started elsewhere.
 test('should drop the reservation of a task that no longer waits', (t) => {
   const { clock, reservations, reserve } = makeFleet(1);
