Test that many interrupted tasks run again within the time that is promised

On a full site of 20 workers with a steady stream of short urgent tasks, 20 long-running tasks are interrupted at the same time.

--- a/tests/jobs/interruptedTasks.spec.ts
+++ b/tests/jobs/interruptedTasks.spec.ts
@@ -38,7 +38,7 @@
 
 /** Submits short tasks for some time, more than there is room for. */
 const overload = async (site: JobSite, milliCores: number, durationMs: number): Promise<void> => {
-  const atOnce = WORKERS * Math.floor(WORKER_MILLI_CORES / milliCores);
+  const atOnce = site.workers.size * Math.floor(WORKER_MILLI_CORES / milliCores);
   const perStep = (OVERLOAD * atOnce * STEP_MS) / SHORT_RUN_MS;
   const startMs = site.clock.monotonicMs();
   let submitted = 0;
@@ -62,9 +62,13 @@
   readonly owner: SiteEntry;
 }
 
-const submitLasting = async (milliCores: number, shortMilliCores: number): Promise<LastingSite> => {
+const submitLasting = async (
+  milliCores: number,
+  shortMilliCores: number,
+  { workers = WORKERS, count = 1 } = {},
+): Promise<LastingSite> => {
   const { site, owner } = await makeOwnedSite({
-    workers: WORKERS,
+    workers,
     milliCores: WORKER_MILLI_CORES,
     behave: (taskId) => {
       if (taskId.startsWith(LASTING)) return { size: sizeOf(milliCores), durationMs: Infinity };
@@ -74,7 +78,7 @@
     },
   });
   site.configure([site.queue, urgent]);
-  const step = makeStep({ longRunning: true, size: sizeOf(milliCores) });
+  const step = makeStep({ count, longRunning: true, size: sizeOf(milliCores) });
   await site.submit(owner, LASTING, makeJob(step));
   await site.run(1_000);
   return { site, owner };
@@ -141,3 +145,45 @@
   );
   t.deepEqual(site.record.violations, []);
 });
+
+/** A large site on which many long-running tasks are interrupted at the same time. */
+const MANY = { workers: 20, count: 20 };
+
+/** Interrupts all of many long-running tasks under load, and returns how long each stays without a run. */
+const interruptMany = async (
+  site: JobSite,
+  shortMilliCores: number,
+): Promise<readonly number[]> => {
+  await overload(site, shortMilliCores, 4_000);
+  site.workers.forEach((worker) => worker.endRuns(LASTING, 'failed'));
+  const interruptedMs = site.clock.monotonicMs();
+  await overload(site, shortMilliCores, 2 * MAX_INTERRUPTION_MS);
+  return Array.from({ length: MANY.count }, (_, index) => {
+    const [, next] = site.record.runsOf(`${LASTING}.0.0.${index}`);
+    return (next?.startedMs ?? Infinity) - interruptedMs;
+  });
+};
+
+// Guards against room for interrupted tasks that is made for a few of them at a time, however many wait, while
+// all other room that becomes free goes to urgent tasks (LOST).
+test('should run many interrupted tasks again that need the room of several urgent ones', async (t) => {
+  const { site } = await submitLasting(3_000, 1_000, MANY);
+  const waits = await interruptMany(site, 1_000);
+  t.true(Math.max(...waits) <= MAX_INTERRUPTION_MS, String(waits));
+  t.deepEqual(site.record.violations, []);
+});
+
+// Guards against urgent tasks for which nothing is left while room is made for many interrupted ones.
+test('should go on starting urgent tasks while many interrupted ones wait', async (t) => {
+  const { site } = await submitLasting(3_000, 1_000, MANY);
+  await interruptMany(site, 1_000);
+  const endMs = site.clock.monotonicMs();
+  const seconds = Array.from({ length: (2 * MAX_INTERRUPTION_MS) / 1_000 }, (_, index) => {
+    const untilMs = endMs - index * 1_000;
+    return site.record.runs.filter(
+      ({ taskId, startedMs }) =>
+        !taskId.startsWith(LASTING) && startedMs <= untilMs && startedMs > untilMs - 1_000,
+    ).length;
+  });
+  t.true(Math.min(...seconds) >= MANY.workers / 2, String(seconds));
+});
