Test that interrupted tasks run again in the order in which they were interrupted

Twelve tasks of a full site are interrupted, one each 0.25 s. One of them is back after all five that were interrupted later, the last of them 1.25 s later.

--- a/tests/jobs/interruptedTasks.spec.ts
+++ b/tests/jobs/interruptedTasks.spec.ts
@@ -15,6 +15,8 @@
 
 const LASTING = '00000000000000a1';
 const TASK = `${LASTING}.0.0.0`;
+/** Start of the ids of several long-running jobs. */
+const SERIES = '00000000000000c';
 const BLOCKED = '00000000000000a2';
 const BLOCKED_MILLI_CORES = 100;
 const WORKERS = 4;
@@ -71,7 +73,8 @@
     workers,
     milliCores: WORKER_MILLI_CORES,
     behave: (taskId) => {
-      if (taskId.startsWith(LASTING)) return { size: sizeOf(milliCores), durationMs: Infinity };
+      if (taskId.startsWith(LASTING) || taskId.startsWith(SERIES))
+        return { size: sizeOf(milliCores), durationMs: Infinity };
       if (taskId.startsWith(BLOCKED))
         return { size: sizeOf(BLOCKED_MILLI_CORES), durationMs: Infinity };
       return { size: sizeOf(shortMilliCores), durationMs: shortRunMs(taskId) };
@@ -187,3 +190,34 @@
   });
   t.true(Math.min(...seconds) >= MANY.workers / 2, String(seconds));
 });
+
+/** Jobs whose tasks are interrupted one after the other, and the time between two interruptions. */
+const SERIES_JOBS = 12;
+const SERIES_GAP_MS = 250;
+
+/** Time between two interruptions from which the order counts, in milliseconds. */
+const ORDERED_FROM_MS = 1_000;
+
+// Guards against interrupted tasks that are overtaken by others that were interrupted later, since each one loses
+// its turn while no more workers may be reserved (LOST).
+test('should run interrupted tasks again in the order in which they were interrupted', async (t) => {
+  const { site, owner } = await submitLasting(3_000, 1_000, { workers: MANY.workers });
+  const ids = Array.from({ length: SERIES_JOBS }, (_, index) => SERIES + index.toString(16));
+  for (const id of ids)
+    await site.submit(owner, id, makeJob(makeStep({ longRunning: true, size: sizeOf(3_000) })));
+  await overload(site, 1_000, 4_000);
+  // Jobs that were accepted first are the first of a pass, so theirs are interrupted last.
+  for (const id of ids.toReversed()) {
+    site.workers.forEach((worker) => worker.endRuns(id, 'failed'));
+    await overload(site, 1_000, SERIES_GAP_MS);
+  }
+  await overload(site, 1_000, 3 * MAX_INTERRUPTION_MS);
+  const restarts = ids
+    .toReversed()
+    .map((id) => site.record.runsOf(`${id}.0.0.0`)[1]?.startedMs ?? Infinity);
+  const overtaken = restarts.filter((startedMs, index) =>
+    restarts.slice(index + ORDERED_FROM_MS / SERIES_GAP_MS).some((later) => later < startedMs),
+  );
+  t.deepEqual(overtaken, [], String(restarts));
+  t.deepEqual(site.record.violations, []);
+});
