Reserve workers for the tasks that were interrupted first

Cause: a try to reserve a worker counted as failed also while no more workers may be reserved (5 %), so each waiting step lost its turn many times a second and the tries went round. Who got the next reservation was a matter of chance, and a step with many tasks had one turn like a step with one.

Overdue tasks are now gone through in the order in which they were interrupted, each task by itself. Reaching the limit is no failed try.

--- a/packages/samphirenotch/src/jobs/placement/interruptedTasks.ts
+++ b/packages/samphirenotch/src/jobs/placement/interruptedTasks.ts
@@ -26,3 +26,12 @@
  */
 export const overdueTasks = ({ spec, tasks }: OwnedStep, nowMs: number): readonly OwnedTask[] =>
   spec.longRunning ? tasks.filter((task) => isOverdueTask(task, nowMs)) : [];
+
+/**
+ * Sorts interrupted tasks.
+ *
+ * @param tasks - the tasks
+ * @returns the tasks, the one that was interrupted first before the others
+ */
+export const byInterruption = (tasks: readonly OwnedTask[]): readonly OwnedTask[] =>
+  [...tasks].sort((left, right) => (left.interruptedMs ?? 0) - (right.interruptedMs ?? 0));
--- a/packages/samphirenotch/src/jobs/placement/roomReservations.ts
+++ b/packages/samphirenotch/src/jobs/placement/roomReservations.ts
@@ -117,6 +117,17 @@
     this.byWorker.delete(agent);
   }
 
+  /**
+   * Checks whether no more workers may be reserved.
+   *
+   * @param workers - the workers of a service that accept tasks
+   * @returns true if as many are reserved as may be
+   */
+  isAtLimit(workers: readonly WorkerAgent[]): boolean {
+    const reserved = workers.filter((agent) => this.isReserved(agent)).length;
+    return reserved + 1 > Math.max(1, MAXIMUM_RESERVED_FRACTION * workers.length);
+  }
+
   /**
    * Reserves the worker that is expected to have room for a task first.
    *
@@ -126,8 +137,7 @@
    */
   reserve(input: ReservationInput, permits: (agent: WorkerAgent) => boolean): boolean {
     const { size, workers } = input;
-    const reserved = workers.filter((agent) => this.isReserved(agent)).length;
-    if (reserved + 1 > Math.max(1, MAXIMUM_RESERVED_FRACTION * workers.length)) return false;
+    if (this.isAtLimit(workers)) return false;
     const nowMs = this.clock.monotonicMs();
     let earliest: WorkerAgent | undefined;
     let leastMs = MAXIMUM_RESERVATION_MS;
--- a/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
@@ -27,8 +27,9 @@
 import { JobExplainer, type JobExplanation } from './jobExplanation.js';
 import { LongWaits } from './longWaits.js';
 import { UnplaceableSizes } from './unplaceableSizes.js';
-import { overdueTasks } from './interruptedTasks.js';
+import { byInterruption, overdueTasks } from './interruptedTasks.js';
 import { DrainMoves } from './drainMoves.js';
+import { OverdueReservations } from './overdueReservations.js';
 import { Preemption } from './preemption.js';
 import { RetryOrder } from './retryOrder.js';
 import { RoomReservations } from './roomReservations.js';
@@ -77,12 +78,6 @@
  */
 const MAXIMUM_RESERVED_STARTS = 4;
 
-/**
- * Number of steps with overdue tasks for which a pass tries to reserve a worker. Half as many are tried
- * beside them for which no worker was found before.
- */
-const MAXIMUM_RESERVATION_TRIES = 4;
-
 /** Time after which tasks that wait for the policy service count as unplaced, in milliseconds. */
 const MAXIMUM_DECISION_WAIT_MS = 2_000;
 
@@ -124,7 +119,7 @@
 
   private readonly retries = new RetryOrder();
 
-  private readonly reservationTries = new RetryOrder();
+  private readonly overdueReservations: OverdueReservations;
 
   private readonly longWaits = new LongWaits();
 
@@ -167,6 +162,11 @@
     this.moves = new ServingMoves(this.fillerRoom, this.placement, options.clock);
     this.preemption = new Preemption(options.clock);
     this.reservations = new RoomReservations(options.clock);
+    this.overdueReservations = new OverdueReservations({
+      clock: options.clock,
+      isAtLimit: (task) => this.reservations.isAtLimit(this.reservableWorkers(task)),
+      reserve: (task) => this.reserveFor(task),
+    });
     this.drainMoves = new DrainMoves({
       reservations: this.reservations,
       isStartable: ({ occurrence: { job } }) =>
@@ -286,6 +286,7 @@
       .filter((job) => !job.isFullyStarted && this.mayHaveStartableTasks(job))
       .flatMap((job) => this.waitingSteps(job, nowMs));
     const ordered = this.order.sort(steps, nowMs);
+    const overdue = this.overdueTasks(ordered, nowMs);
     this.passDeadlineMs = clock.monotonicMs() + PASS_BUDGET_MS;
     const cutAt = ordered.findIndex((step) => !this.startStep(step, nowMs));
     const areAllTried = cutAt < 0;
@@ -293,7 +294,7 @@
     starved.slice(0, MAXIMUM_RESERVED_STARTS).forEach((step) => this.startStarved(step, nowMs));
     this.untriedSteps = areAllTried ? [] : ordered.slice(cutAt + 1);
     this.startSomeUntried(nowMs);
-    this.reserveForOverdue(ordered, nowMs);
+    this.reserveForOverdue(overdue);
     this.drainMoves.check(this.options.fleet.all());
     const areCopiesTried = areAllTried && this.startSpeculativeCopies();
     this.wasCutShort = !areAllTried || !areCopiesTried || starved.length > MAXIMUM_RESERVED_STARTS;
@@ -337,36 +338,40 @@
     });
   }
 
-  /**
-   * Reserves workers for overdue tasks that have found none. The tries are shared among the steps, so
-   * that those which no worker can take soon do not keep the others from a reservation.
-   */
-  private reserveForOverdue(steps: readonly OwnedStep[], nowMs: number): void {
-    const waiting = new Map<OwnedStep, OwnedTask>();
-    steps
-      .filter(({ spec, unplacedSinceMs }) => unplacedSinceMs !== undefined && !spec.gang)
-      .forEach((step) => {
-        const task = overdueTasks(step, nowMs).find(
-          (each) =>
-            this.isTaskAccountedFor(each) &&
-            !isSuspect(each) &&
-            !this.reservations.hasReservation(each),
-        );
-        if (task) waiting.set(step, task);
-      });
-    this.reservationTries.next([...waiting.keys()], MAXIMUM_RESERVATION_TRIES).forEach((step) => {
-      const task = waiting.get(step);
-      if (task) this.reservationTries.record(step, this.reserveFor(task));
-    });
+  /** Lists the overdue tasks that may start alone, in the order in which they were interrupted. */
+  private overdueTasks(steps: readonly OwnedStep[], nowMs: number): readonly OwnedTask[] {
+    const tasks = steps
+      .filter(({ spec }) => !spec.gang)
+      .flatMap((step) => overdueTasks(step, nowMs))
+      .filter((task) => task.notBeforeMs <= nowMs && !isSuspect(task))
+      .filter((task) => this.isTaskAccountedFor(task));
+    return byInterruption(tasks);
+  }
+
+  /** Reserves workers for overdue tasks that have found none. */
+  private reserveForOverdue(overdue: readonly OwnedTask[]): void {
+    this.overdueReservations.check(
+      overdue.filter(
+        (task) =>
+          isTaskWaiting(task) &&
+          task.step.unplacedSinceMs !== undefined &&
+          !this.reservations.hasReservation(task),
+      ),
+    );
+  }
+
+  private reservableWorkers({ step }: OwnedTask): readonly WorkerAgent[] {
+    return this.options.permissions.startableWorkers(step, this.acceptingWorkers(step));
   }
 
   /** Returns false if no worker is reserved. */
   private reserveFor(task: OwnedTask, from?: WorkerAgent): boolean {
-    const workers = this.options.permissions.startableWorkers(
-      task.step,
-      this.acceptingWorkers(task.step),
-    );
-    const input = { task, size: reservedSizeOf(task), workers, ...(from && { from }) };
+    const input = {
+      task,
+      size: reservedSizeOf(task),
+      workers: this.reservableWorkers(task),
+      ...(from && { from }),
+    };
     return this.reservations.reserve(input, (agent) => this.placement.permits(agent, task));
   }
 
