Give interrupted tasks the room that they are owed before urgent ones

Cause: whatever the number of tasks that wait, room was made for them on 5 % of the workers at a time, and each room that became free otherwise, also that of new workers, went to tasks that can be in time first.

An interrupted task that waits for 3 s is now placed before all others where it fits, and up to a quarter of the workers may be reserved for such tasks. What they are owed is bounded by what was interrupted, so urgent tasks wait no longer than it takes to give that room back.

--- a/packages/samphirenotch/src/jobs/placement/interruptedTasks.ts
+++ b/packages/samphirenotch/src/jobs/placement/interruptedTasks.ts
@@ -12,9 +12,15 @@
  */
 const OVERDUE_AFTER_MS = 2_000;
 
-const isOverdueTask = (task: OwnedTask, nowMs: number): boolean =>
+/**
+ * Time after which an interrupted task goes before all others, in milliseconds. The few workers that are
+ * reserved from `OVERDUE_AFTER_MS` on have not been enough by then, and half of the promised time is left.
+ */
+const OWED_AFTER_MS = 3_000;
+
+const waitsFor = (task: OwnedTask, durationMs: number, nowMs: number): boolean =>
   task.interruptedMs !== undefined &&
-  nowMs - task.interruptedMs >= OVERDUE_AFTER_MS &&
+  nowMs - task.interruptedMs >= durationMs &&
   isTaskWaiting(task);
 
 /**
@@ -25,7 +31,17 @@
  * @returns the tasks; none unless the step is long-running
  */
 export const overdueTasks = ({ spec, tasks }: OwnedStep, nowMs: number): readonly OwnedTask[] =>
-  spec.longRunning ? tasks.filter((task) => isOverdueTask(task, nowMs)) : [];
+  spec.longRunning ? tasks.filter((task) => waitsFor(task, OVERDUE_AFTER_MS, nowMs)) : [];
+
+/**
+ * Checks whether an interrupted task has waited for so long that it goes before all others.
+ *
+ * @param task - a long-running task
+ * @param nowMs - monotonic time in milliseconds
+ * @returns true if it waits and is owed the next room that fits it
+ */
+export const isOwedRoom = (task: OwnedTask, nowMs: number): boolean =>
+  waitsFor(task, OWED_AFTER_MS, nowMs);
 
 /**
  * Sorts interrupted tasks.
--- a/packages/samphirenotch/src/jobs/placement/roomReservations.ts
+++ b/packages/samphirenotch/src/jobs/placement/roomReservations.ts
@@ -18,6 +18,9 @@
 /** Highest fraction of the workers of a service that are reserved at the same time; at least one is. */
 const MAXIMUM_RESERVED_FRACTION = 0.05;
 
+/** The same for tasks that are owed room, with the workers that are reserved for others. */
+const MAXIMUM_OWED_FRACTION = 0.25;
+
 /**
  * Time until a reservation expires, in milliseconds; workers that are expected to have room later are
  * not reserved.
@@ -40,6 +43,8 @@
 export interface ReservationInput extends PlacementInput {
   /** The worker that the task moves away from; undefined if it waits. */
   readonly from?: WorkerAgent;
+  /** True if the task goes before all others; false by default. */
+  readonly isOwed?: boolean;
 }
 
 const isNeeded = ({ task, from }: RoomReservation): boolean =>
@@ -121,11 +126,13 @@
    * Checks whether no more workers may be reserved.
    *
    * @param workers - the workers of a service that accept tasks
+   * @param isOwed - true for a task that goes before all others
    * @returns true if as many are reserved as may be
    */
-  isAtLimit(workers: readonly WorkerAgent[]): boolean {
+  isAtLimit(workers: readonly WorkerAgent[], isOwed = false): boolean {
+    const fraction = isOwed ? MAXIMUM_OWED_FRACTION : MAXIMUM_RESERVED_FRACTION;
     const reserved = workers.filter((agent) => this.isReserved(agent)).length;
-    return reserved + 1 > Math.max(1, MAXIMUM_RESERVED_FRACTION * workers.length);
+    return reserved + 1 > Math.max(1, fraction * workers.length);
   }
 
   /**
@@ -136,8 +143,8 @@
    * @returns false if none is expected to have room soon, or if too many are reserved
    */
   reserve(input: ReservationInput, permits: (agent: WorkerAgent) => boolean): boolean {
-    const { size, workers } = input;
-    if (this.isAtLimit(workers)) return false;
+    const { size, workers, isOwed } = input;
+    if (this.isAtLimit(workers, isOwed)) return false;
     const nowMs = this.clock.monotonicMs();
     let earliest: WorkerAgent | undefined;
     let leastMs = MAXIMUM_RESERVATION_MS;
--- a/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
@@ -27,7 +27,7 @@
 import { JobExplainer, type JobExplanation } from './jobExplanation.js';
 import { LongWaits } from './longWaits.js';
 import { UnplaceableSizes } from './unplaceableSizes.js';
-import { byInterruption, overdueTasks } from './interruptedTasks.js';
+import { byInterruption, isOwedRoom, overdueTasks } from './interruptedTasks.js';
 import { DrainMoves } from './drainMoves.js';
 import { OverdueReservations } from './overdueReservations.js';
 import { Preemption } from './preemption.js';
@@ -164,7 +164,8 @@
     this.reservations = new RoomReservations(options.clock);
     this.overdueReservations = new OverdueReservations({
       clock: options.clock,
-      isAtLimit: (task) => this.reservations.isAtLimit(this.reservableWorkers(task)),
+      isAtLimit: (task) =>
+        this.reservations.isAtLimit(this.reservableWorkers(task), this.isOwed(task)),
       reserve: (task) => this.reserveFor(task),
     });
     this.drainMoves = new DrainMoves({
@@ -288,6 +289,7 @@
     const ordered = this.order.sort(steps, nowMs);
     const overdue = this.overdueTasks(ordered, nowMs);
     this.passDeadlineMs = clock.monotonicMs() + PASS_BUDGET_MS;
+    this.startOwed(overdue, nowMs);
     const cutAt = ordered.findIndex((step) => !this.startStep(step, nowMs));
     const areAllTried = cutAt < 0;
     const starved = this.starvation.starved(ordered);
@@ -348,6 +350,26 @@
     return byInterruption(tasks);
   }
 
+  /** Starts overdue tasks that go before all others, on workers that have room. */
+  private startOwed(overdue: readonly OwnedTask[], nowMs: number): void {
+    const full = new Set<OwnedStep>();
+    for (const task of overdue) {
+      const { step } = task;
+      if (step.spec.filler || !isOwedRoom(task, nowMs)) continue;
+      if (full.has(step) || this.unplaceable.hasNoRoom(step)) continue;
+      const workers = this.startableWorkers(step);
+      const agent = this.placement.choose({ task, size: reservedSizeOf(task), workers });
+      if (agent) {
+        this.start({ task, agent }, task.nextRun);
+        if (this.isTimeUp()) return;
+        continue;
+      }
+      full.add(step);
+      this.unplaceable.add(step);
+      step.unplacedSinceMs ??= nowMs;
+    }
+  }
+
   /** Reserves workers for overdue tasks that have found none. */
   private reserveForOverdue(overdue: readonly OwnedTask[]): void {
     this.overdueReservations.check(
@@ -360,6 +382,10 @@
     );
   }
 
+  private isOwed(task: OwnedTask): boolean {
+    return !task.step.spec.filler && isOwedRoom(task, this.options.clock.monotonicMs());
+  }
+
   private reservableWorkers({ step }: OwnedTask): readonly WorkerAgent[] {
     return this.options.permissions.startableWorkers(step, this.acceptingWorkers(step));
   }
@@ -370,6 +396,7 @@
       task,
       size: reservedSizeOf(task),
       workers: this.reservableWorkers(task),
+      isOwed: this.isOwed(task),
       ...(from && { from }),
     };
     return this.reservations.reserve(input, (agent) => this.placement.permits(agent, task));
--- a/tests/jobs/interruptedTasks.spec.ts
+++ b/tests/jobs/interruptedTasks.spec.ts
@@ -221,3 +221,22 @@
   t.deepEqual(overtaken, [], String(restarts));
   t.deepEqual(site.record.violations, []);
 });
+
+/** Time after which an interrupted task waits no longer for the ones before it, in milliseconds. */
+const OWED_AFTER_MS = 4_000;
+
+// Guards against urgent tasks that take the room of each new worker, while a long-running one whose worker has
+// left waits until they have run (LOST).
+test('should give the room of a new worker to an interrupted task before urgent ones', async (t) => {
+  const { site } = await submitLasting(4_000, 1_000, { count: WORKERS });
+  site.registerWorker('w0', { phase: 'draining' });
+  await overload(site, 1_000, 2_000);
+  const ended = site.record.runs.filter(({ endedMs }) => endedMs !== undefined);
+  t.is(ended.length, 1);
+  await overload(site, 1_000, OWED_AFTER_MS);
+  site.addWorker('w4');
+  await overload(site, 1_000, 1_000);
+  const [first] = site.record.runs.filter(({ workerId }) => workerId === 'w4');
+  t.is(first?.taskId.split('.')[0], LASTING);
+  t.deepEqual(site.record.violations, []);
+});
