--- a/tests/jobs/interruptedTasks.spec.ts
+++ b/tests/jobs/interruptedTasks.spec.ts
@@ -15,6 +15,8 @@
 
 const LASTING = '00000000000000a1';
 const TASK = `${LASTING}.0.0.0`;
+/** Start of the ids of several long-running jobs. */
+const SERIES = '00000000000000c';
 const BLOCKED = '00000000000000a2';
 const BLOCKED_MILLI_CORES = 100;
 const WORKERS = 4;
@@ -38,7 +40,7 @@
 
 /** Submits short tasks for some time, more than there is room for. */
 const overload = async (site: JobSite, milliCores: number, durationMs: number): Promise<void> => {
-  const atOnce = WORKERS * Math.floor(WORKER_MILLI_CORES / milliCores);
+  const atOnce = site.workers.size * Math.floor(WORKER_MILLI_CORES / milliCores);
   const perStep = (OVERLOAD * atOnce * STEP_MS) / SHORT_RUN_MS;
   const startMs = site.clock.monotonicMs();
   let submitted = 0;
@@ -62,19 +64,24 @@
   readonly owner: SiteEntry;
 }
 
-const submitLasting = async (milliCores: number, shortMilliCores: number): Promise<LastingSite> => {
+const submitLasting = async (
+  milliCores: number,
+  shortMilliCores: number,
+  { workers = WORKERS, count = 1 } = {},
+): Promise<LastingSite> => {
   const { site, owner } = await makeOwnedSite({
-    workers: WORKERS,
+    workers,
     milliCores: WORKER_MILLI_CORES,
     behave: (taskId) => {
-      if (taskId.startsWith(LASTING)) return { size: sizeOf(milliCores), durationMs: Infinity };
+      if (taskId.startsWith(LASTING) || taskId.startsWith(SERIES))
+        return { size: sizeOf(milliCores), durationMs: Infinity };
       if (taskId.startsWith(BLOCKED))
         return { size: sizeOf(BLOCKED_MILLI_CORES), durationMs: Infinity };
       return { size: sizeOf(shortMilliCores), durationMs: shortRunMs(taskId) };
     },
   });
   site.configure([site.queue, urgent]);
-  const step = makeStep({ longRunning: true, size: sizeOf(milliCores) });
+  const step = makeStep({ count, longRunning: true, size: sizeOf(milliCores) });
   await site.submit(owner, LASTING, makeJob(step));
   await site.run(1_000);
   return { site, owner };
@@ -141,3 +148,95 @@
   );
   t.deepEqual(site.record.violations, []);
 });
+
+/** A large site on which many long-running tasks are interrupted at the same time. */
+const MANY = { workers: 20, count: 20 };
+
+/** Interrupts all of many long-running tasks under load, and returns how long each stays without a run. */
+const interruptMany = async (
+  site: JobSite,
+  shortMilliCores: number,
+): Promise<readonly number[]> => {
+  await overload(site, shortMilliCores, 4_000);
+  site.workers.forEach((worker) => worker.endRuns(LASTING, 'failed'));
+  const interruptedMs = site.clock.monotonicMs();
+  await overload(site, shortMilliCores, 2 * MAX_INTERRUPTION_MS);
+  return Array.from({ length: MANY.count }, (_, index) => {
+    const [, next] = site.record.runsOf(`${LASTING}.0.0.${index}`);
+    return (next?.startedMs ?? Infinity) - interruptedMs;
+  });
+};
+
+// Guards against room for interrupted tasks that is made for a few of them at a time, however many wait, while
+// all other room that becomes free goes to urgent tasks (LOST).
+test('should run many interrupted tasks again that need the room of several urgent ones', async (t) => {
+  const { site } = await submitLasting(3_000, 1_000, MANY);
+  const waits = await interruptMany(site, 1_000);
+  t.true(Math.max(...waits) <= MAX_INTERRUPTION_MS, String(waits));
+  t.deepEqual(site.record.violations, []);
+});
+
+// Guards against urgent tasks for which nothing is left while room is made for many interrupted ones.
+test('should go on starting urgent tasks while many interrupted ones wait', async (t) => {
+  const { site } = await submitLasting(3_000, 1_000, MANY);
+  await interruptMany(site, 1_000);
+  const endMs = site.clock.monotonicMs();
+  const seconds = Array.from({ length: (2 * MAX_INTERRUPTION_MS) / 1_000 }, (_, index) => {
+    const untilMs = endMs - index * 1_000;
+    return site.record.runs.filter(
+      ({ taskId, startedMs }) =>
+        !taskId.startsWith(LASTING) && startedMs <= untilMs && startedMs > untilMs - 1_000,
+    ).length;
+  });
+  t.true(Math.min(...seconds) >= MANY.workers / 2, String(seconds));
+});
+
+/** Jobs whose tasks are interrupted one after the other, and the time between two interruptions. */
+const SERIES_JOBS = 12;
+const SERIES_GAP_MS = 250;
+
+/** Time between two interruptions from which the order counts, in milliseconds. */
+const ORDERED_FROM_MS = 1_000;
+
+// Guards against interrupted tasks that are overtaken by others that were interrupted later, since each one loses
+// its turn while no more workers may be reserved (LOST).
+test('should run interrupted tasks again in the order in which they were interrupted', async (t) => {
+  const { site, owner } = await submitLasting(3_000, 1_000, { workers: MANY.workers });
+  const ids = Array.from({ length: SERIES_JOBS }, (_, index) => SERIES + index.toString(16));
+  for (const id of ids)
+    await site.submit(owner, id, makeJob(makeStep({ longRunning: true, size: sizeOf(3_000) })));
+  await overload(site, 1_000, 4_000);
+  // Jobs that were accepted first are the first of a pass, so theirs are interrupted last.
+  for (const id of ids.toReversed()) {
+    site.workers.forEach((worker) => worker.endRuns(id, 'failed'));
+    await overload(site, 1_000, SERIES_GAP_MS);
+  }
+  await overload(site, 1_000, 3 * MAX_INTERRUPTION_MS);
+  const restarts = ids
+    .toReversed()
+    .map((id) => site.record.runsOf(`${id}.0.0.0`)[1]?.startedMs ?? Infinity);
+  const overtaken = restarts.filter((startedMs, index) =>
+    restarts.slice(index + ORDERED_FROM_MS / SERIES_GAP_MS).some((later) => later < startedMs),
+  );
+  t.deepEqual(overtaken, [], String(restarts));
+  t.deepEqual(site.record.violations, []);
+});
+
+/** Time after which an interrupted task waits no longer for the ones before it, in milliseconds. */
+const OWED_AFTER_MS = 4_000;
+
+// Guards against urgent tasks that take the room of each new worker, while a long-running one whose worker has
+// left waits until they have run (LOST).
+test('should give the room of a new worker to an interrupted task before urgent ones', async (t) => {
+  const { site } = await submitLasting(4_000, 1_000, { count: WORKERS });
+  site.registerWorker('w0', { phase: 'draining' });
+  await overload(site, 1_000, 2_000);
+  const ended = site.record.runs.filter(({ endedMs }) => endedMs !== undefined);
+  t.is(ended.length, 1);
+  await overload(site, 1_000, OWED_AFTER_MS);
+  site.addWorker('w4');
+  await overload(site, 1_000, 1_000);
+  const [first] = site.record.runs.filter(({ workerId }) => workerId === 'w4');
+  t.is(first?.taskId.split('.')[0], LASTING);
+  t.deepEqual(site.record.violations, []);
+});
