--- a/tests/jobs/roomReservations.spec.ts
+++ b/tests/jobs/roomReservations.spec.ts
@@ -37,7 +37,9 @@
   const reserve = (
     task: OwnedTask,
     permits: (agent: WorkerAgent) => boolean = () => true,
-  ): boolean => reservations.reserve({ task, size: reservedSizeOf(task), workers }, permits);
+    isOwed = false,
+  ): boolean =>
+    reservations.reserve({ task, size: reservedSizeOf(task), workers, isOwed }, permits);
   return { clock, workers, reservations, reserve };
 };
 
@@ -69,6 +71,15 @@
   t.is(reservations.current().length, 2);
 });
 
+// Guards against urgent tasks that find most workers reserved when many tasks go before them.
+test('should keep more workers for tasks that go before all others, but not most', (t) => {
+  const { reservations, reserve } = makeFleet(40);
+  for (let count = 0; count < 20; count += 1) reserve(makeTask());
+  for (let count = 0; count < 20; count += 1) reserve(makeTask(), () => true, true);
+  t.is(reservations.current().length, 10);
+  t.false(reserve(makeTask()));
+});
+
 // Guards against a worker that stays reserved although its runs do not end, or that is reserved again at once.
 test('should give a reservation up after a while, and not repeat it at once', (t) => {
   const { clock, reservations, reserve } = makeFleet(1);
