Look for another place for a task whose next worker drains too

Cause: the worker that held room for it began to drain 0.4 s later, as the run ended: what was held ended, and only running tasks were given a place. The task then waited behind urgent ones, and no worker was reserved for it before it was overdue.

Change: a run that is being stopped is given a place as well if it has none, for 1.5 s after the order; so is one that was stopped without a place.

--- a/packages/samphirenotch/src/jobs/placement/drainMoves.ts
+++ b/packages/samphirenotch/src/jobs/placement/drainMoves.ts
@@ -14,6 +14,9 @@
 /** Number of steps for whose runs a pass tries to reserve a worker. */
 const MAXIMUM_TRIES = 4;
 
+/** Time within which a stopped run is expected to end, in milliseconds. */
+const EXPECTED_STOP_MS = 1_500;
+
 /** Time limit for finding room in a pass, in milliseconds. */
 const BUDGET_MS = 10;
 
@@ -60,6 +63,7 @@
     this.leavingRuns(agents).forEach((leaving) => {
       const { run, from } = leaving;
       const { step } = run.task;
+      if (this.options.reservations.isHeldFor(run.task)) return;
       if (this.holdReserved(leaving) || search(leaving))
         from.stop(run, 'its worker drains, another has room');
       else if (!this.options.reservations.hasReservation(run.task) && !waiting.has(step))
@@ -111,10 +115,18 @@
       );
   }
 
-  private isMovable({ phase, task }: OwnedRun): boolean {
+  /** A run that is being stopped needs a place as well: it may have none, or lose it. */
+  private isLeaving({ phase, stopOrderedMs }: OwnedRun): boolean {
+    if (phase !== 'stopping') return phase === 'running';
+    const nowMs = this.options.clock.monotonicMs();
+    return stopOrderedMs !== undefined && nowMs - stopOrderedMs < EXPECTED_STOP_MS;
+  }
+
+  private isMovable(run: OwnedRun): boolean {
+    const { task } = run;
     const { longRunning, gang, filler } = task.step.spec;
     return (
-      phase === 'running' &&
+      this.isLeaving(run) &&
       longRunning &&
       !gang &&
       !filler &&
--- a/packages/samphirenotch/src/jobs/placement/roomReservations.ts
+++ b/packages/samphirenotch/src/jobs/placement/roomReservations.ts
@@ -120,6 +120,16 @@
     return [...this.holds.values()].some((hold) => hold.agent === agent && hold.task.step === step);
   }
 
+  /**
+   * Checks whether room is held for a task.
+   *
+   * @param task - the task
+   * @returns true if it is
+   */
+  isHeldFor(task: OwnedTask): boolean {
+    return this.holds.has(task);
+  }
+
   /**
    * Checks whether a task has room held or a worker reserved.
    *
--- a/tests/jobs/drainWaves.spec.ts
+++ b/tests/jobs/drainWaves.spec.ts
@@ -117,3 +117,31 @@
   );
   t.deepEqual(site.record.violations, []);
 });
+
+// Guards against a task that loses its place while it is being stopped, and waits behind urgent ones.
+test('should hold room elsewhere if the next worker of a task begins to drain as well', async (t) => {
+  const { site, owner } = await makeOwnedSite({
+    workers: 2,
+    behave: () => ({ size: SIZE, durationMs: Infinity }),
+  });
+  await site.submit(owner, MOVED_ID, makeJob(makeStep({ longRunning: true, size: SIZE })));
+  await site.run(1_000);
+  const first = [...site.workers.values()].find((worker) => worker.activeRuns().length > 0);
+  const second = [...site.workers.values()].find((worker) => worker !== first);
+  if (!first || !second) throw new Error('the task does not run');
+  first.dropsStops = true;
+  site.registerWorker(first.id, { phase: 'draining', remainingMs: NOTICE_MS });
+  await site.run(300);
+  site.registerWorker(second.id, { phase: 'draining', remainingMs: NOTICE_MS });
+  await site.run(300);
+  site.addWorker('w2');
+  await site.run(500);
+  site.putJobs([SHORT_ID], makeJob(makeStep({ count: TASKS_EACH, size: SIZE })));
+  await site.run(200);
+  first.endRuns(MOVED_ID, 'stopped');
+  await site.run(300);
+  const third = site.workers.get('w2')?.activeRuns() ?? [];
+  t.is(third.filter(({ taskId }) => taskId.startsWith(MOVED_ID)).length, 1);
+  t.is(third.length, TASKS_EACH);
+  t.deepEqual(site.record.violations, []);
+});
