Take the time left that a draining worker reports from when it reports it

What callers saw: with 7 s notice, long-running tasks on draining workers were stopped without a place after 3 s, in one wave, though their workers stayed for 4 s more and room was being found for them.

Cause: the description of a draining worker states the least time that is left, and is written again as that runs down. The owner added the time left of each new description to the time of the announcement, so a worker seemed to leave when half of its notice had passed. Rosters passed on the time left when they were stored in the same way.

The new tests stop a task with 4,000 of 7,000 ms left, and, after a change of the owner, at 5 of 12 s.

Change: what is known from the announcement stays, unless a later description leaves less from when it is read. The roster names the time that was announced.

Why it works: the first description bounds when the worker leaves, as before; a later one can only bring that forward, by less time left from when it is read. The margin of 1.5 s covers that descriptions are read late, as before.

--- a/packages/samphirenotch/src/jobs/workers/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerAgent.ts
@@ -225,6 +225,8 @@
 
   private announcement: DrainAnnouncement | undefined;
 
+  private announcedStayMs: number | undefined;
+
   /**
    * True from when another worker has answered at the address until the directory has news of the
    * worker.
@@ -395,6 +397,14 @@
     return this.announcement?.laterThan;
   }
 
+  /**
+   * @returns minimum time from its announcement until a draining worker leaves, in milliseconds; undefined if
+   *   not known
+   */
+  get announcedRemainingMs(): number | undefined {
+    return this.announcement && this.announcedStayMs;
+  }
+
   /** @returns the runs among them whose step has a latency target */
   servingRuns(): readonly OwnedRun[] {
     return this.runs.serving();
@@ -487,7 +497,10 @@
     }
     const isSeenToChange = this.description.phase === 'ready' && !this.isUnlisted;
     if (description.phase === 'ready') this.announcement = undefined;
-    else if (isSeenToChange) this.announcement = change;
+    else if (isSeenToChange) {
+      this.announcement = change;
+      this.announcedStayMs = description.remainingMs;
+    }
     this.earliestLeaveMs = this.earliestLeaveOf(description, isSeenToChange);
     this.description = description;
     this.descriptionChanges += 1;
@@ -500,14 +513,15 @@
   }
 
   /**
-   * Takes over from a former owner when the worker announced that it leaves.
+   * Takes over from a former owner when the worker announced that it leaves, as its description says.
    *
    * @param announcement - bounds of that time
    */
   noteAnnouncement(announcement: DrainAnnouncement): void {
     this.announcement = announcement;
-    this.earliestLeaveMs = undefined;
-    this.earliestLeaveMs = this.earliestLeaveOf(this.description, false);
+    this.announcedStayMs = this.description.remainingMs;
+    this.earliestLeaveMs =
+      announcement.notBeforeMs + (this.announcedStayMs ?? DEFAULT_REMAINING_MS);
   }
 
   /** Closes the agent. The worker's runs go on until their leases expire. */
@@ -652,9 +666,9 @@
     const stayMs = remainingMs ?? DEFAULT_REMAINING_MS;
     const leaveMs = nowMs + stayMs;
     if (isSeenToChange) return leaveMs;
-    if (!this.announcement) return Math.min(this.earliestLeaveMs ?? nowMs, leaveMs);
-    const announcedLeaveMs = this.announcement.notBeforeMs + stayMs;
-    return Math.min(this.earliestLeaveMs ?? leaveMs, announcedLeaveMs);
+    // Later descriptions state the time that is left then, not that from the announcement on.
+    const knownMs = this.earliestLeaveMs ?? nowMs;
+    return Math.min(knownMs, leaveMs);
   }
 
   private obstacleTo(run: OwnedRun): string | undefined {
--- a/packages/samphirenotch/src/jobs/workers/workerFleet.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerFleet.ts
@@ -682,10 +682,10 @@
   }
 
   private rosterEntryOf(
-    { description, drainsLaterThan }: WorkerAgent,
+    { description, drainsLaterThan, announcedRemainingMs }: WorkerAgent,
     spares: ReadonlyMap<string, number>,
   ): RosterEntry {
-    const { id, address, service, dataCentre, phase, remainingMs } = description;
+    const { id, address, service, dataCentre, phase } = description;
     const { fencingToken } = this.options;
     // An entry is passed on while it stays: in between, every owner has had it.
     const entry = this.areFormerOwnersOver ? undefined : this.newestEntries.get(id);
@@ -698,7 +698,7 @@
       service,
       dataCentre,
       draining: phase === 'draining',
-      ...(phase === 'draining' && { drainsLaterThan, remainingMs }),
+      ...(phase === 'draining' && { drainsLaterThan, remainingMs: announcedRemainingMs }),
       calledSinceTerm: entry?.address === address ? entry.calledSinceTerm : fencingToken,
       usedSinceTerm,
       contactsNeeded: Math.max(formerNeeded, 1 + (spares.get(dataCentre) ?? 0)),
--- a/tests/jobs/drainedWorkers.spec.ts
+++ b/tests/jobs/drainedWorkers.spec.ts
@@ -223,3 +223,20 @@
     t.deepEqual(site.record.violations, [], `${delayMs} ms`);
   }
 });
+
+// Guards against a successor that takes the time that was left when the roster was stored for the time from
+// the announcement on.
+test('should let tasks stay through a change of the owner while their worker reports how much time is left', async (t) => {
+  const { site, owner } = await makeSiteWithLastingTasks({ milliCores: SIZE.milliCores });
+  const NOTICE_MS = 12_000;
+  for (let atMs = 0; atMs < NOTICE_MS - 2_000; atMs += 500) {
+    site.registerWorker('w0', { phase: 'draining', remainingMs: NOTICE_MS - atMs });
+    if (atMs === 5_000) site.registerWorker('w1', { phase: 'draining', remainingMs: NOTICE_MS });
+    if (atMs === 5_500) owner.stop();
+    await site.run(500);
+    t.is(activeRuns(site, 'w0'), 1, `after ${atMs} ms`);
+  }
+  await site.run(1_000);
+  t.is(activeRuns(site, 'w0'), 0);
+  t.deepEqual(site.record.violations, []);
+});
--- a/tests/jobs/runSupervisor.spec.ts
+++ b/tests/jobs/runSupervisor.spec.ts
@@ -93,6 +93,22 @@
   t.deepEqual(phases(), ['stopping', 'stopping']);
 });
 
+// Guards against an owner that takes the time that is left for the time from the announcement on, and stops
+// long-running tasks when half of it has passed.
+test('should let long-running tasks stay while their worker reports how much time is left', (t) => {
+  const clock = new ManualClock();
+  const agent = makeSilentAgent(clock);
+  const run = addRunningRun(agent, makeOwnedStep(makeStep({ longRunning: true })));
+  const supervisor = new RunSupervisor({ all: () => [agent] } as unknown as WorkerFleet, clock);
+  const announcement = { laterThan: 1, notBeforeMs: clock.monotonicMs() };
+  for (let remainingMs = 7_000; remainingMs >= 1_000; remainingMs -= 1_000) {
+    agent.updateDescription({ ...agent.description, phase: 'draining', remainingMs }, announcement);
+    supervisor.check();
+    t.is(run.phase, remainingMs > 1_500 ? 'running' : 'stopping', `${remainingMs} ms left`);
+    clock.jump(1_000);
+  }
+});
+
 test('should not stop a task that ends before its draining worker leaves', async (t) => {
   const { site, owner } = await makeOwnedSite({
     behave: () => ({ size: SIZE, durationMs: 1_500 }),
