Start nothing else in a pass that is cut short among interrupted tasks that are owed room

Cause: a pass that was cut short after the first of these tasks went on with the most urgent other step and with some of the late and long-running ones, as each pass that is cut short does. These took the rest of the room.

The pass now ends there; the next one, 12 ms later, goes on with the owed tasks. Each such pass starts at least one of them, so the others wait for a bounded number of passes.

--- a/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
@@ -292,7 +292,12 @@
     const ordered = this.order.sort(steps, nowMs);
     const overdue = this.overdueTasks(ordered, nowMs);
     this.passDeadlineMs = clock.monotonicMs() + PASS_BUDGET_MS;
-    this.startOwed(overdue, nowMs);
+    if (!this.startOwed(overdue, nowMs)) {
+      // All others would take room that is owed to the tasks that were not tried.
+      this.untriedSteps = ordered;
+      this.wasCutShort = true;
+      return;
+    }
     const cutAt = ordered.findIndex((step) => !this.startStep(step, nowMs));
     const areAllTried = cutAt < 0;
     const starved = this.starvation.starved(ordered);
@@ -354,8 +359,11 @@
     return byInterruption(tasks);
   }
 
-  /** Starts overdue tasks that go before all others, on workers that have room. */
-  private startOwed(overdue: readonly OwnedTask[], nowMs: number): void {
+  /**
+   * Starts overdue tasks that go before all others, on workers that have room. Returns false if the time was up
+   * before all were tried.
+   */
+  private startOwed(overdue: readonly OwnedTask[], nowMs: number): boolean {
     const full = new Set<OwnedStep>();
     for (const task of overdue) {
       const { step } = task;
@@ -365,13 +373,14 @@
       const agent = this.placement.choose({ task, size: reservedSizeOf(task), workers });
       if (agent) {
         this.start({ task, agent }, task.nextRun);
-        if (this.isTimeUp()) return;
+        if (this.isTimeUp()) return false;
         continue;
       }
       full.add(step);
       this.unplaceable.add(step);
       step.unplacedSinceMs ??= nowMs;
     }
+    return true;
   }
 
   /** Reserves workers for overdue tasks that have found none. */
--- a/tests/jobs/interruptedTasks.spec.ts
+++ b/tests/jobs/interruptedTasks.spec.ts
@@ -67,10 +67,11 @@
 const submitLasting = async (
   milliCores: number,
   shortMilliCores: number,
-  { workers = WORKERS, count = 1 } = {},
+  { workers = WORKERS, count = 1, startCostMs = 0, speculative = false } = {},
 ): Promise<LastingSite> => {
   const { site, owner } = await makeOwnedSite({
     workers,
+    startCostMs,
     milliCores: WORKER_MILLI_CORES,
     behave: (taskId) => {
       if (taskId.startsWith(LASTING) || taskId.startsWith(SERIES))
@@ -81,7 +82,7 @@
     },
   });
   site.configure([site.queue, urgent]);
-  const step = makeStep({ count, longRunning: true, size: sizeOf(milliCores) });
+  const step = makeStep({ count, longRunning: true, speculative, size: sizeOf(milliCores) });
   await site.submit(owner, LASTING, makeJob(step));
   await site.run(1_000);
   return { site, owner };
@@ -240,3 +241,34 @@
   t.is(first?.taskId.split('.')[0], LASTING);
   t.deepEqual(site.record.violations, []);
 });
+
+/** Processor time of a start that uses up the time of a pass, in milliseconds. */
+const LONG_START_MS = 40;
+
+// Guards against passes that are cut short after the first interrupted task that is owed room, and give the rest
+// of a new worker to urgent and late ones (LOST).
+test('should give the whole room of a new worker to interrupted tasks while passes are cut short', async (t) => {
+  const perWorker = WORKER_MILLI_CORES / 1_000;
+  const { site } = await submitLasting(1_000, 1_000, {
+    count: WORKERS * perWorker,
+    startCostMs: LONG_START_MS,
+    // Such a start need not be stored before, so that its cost falls into the pass.
+    speculative: true,
+  });
+  site.registerWorker('w0', { phase: 'draining' });
+  await overload(site, 1_000, 2_000);
+  const ended = site.record.runs.filter(({ endedMs }) => endedMs !== undefined);
+  t.is(ended.length, perWorker);
+  await overload(site, 1_000, OWED_AFTER_MS);
+  site.addWorker('w4');
+  await overload(site, 1_000, 1_000);
+  const first = site.record.runs
+    .filter(({ workerId }) => workerId === 'w4')
+    .slice(0, perWorker)
+    .map(({ taskId }) => taskId.split('.')[0]);
+  t.deepEqual(
+    first,
+    Array.from({ length: perWorker }, () => LASTING),
+  );
+  t.deepEqual(site.record.violations, []);
+});
