Ask an idle worker whether it has restarted before it gets a long lease

The successor starts the task again 9 s after its first contact in the data centre, and the worker goes on until 10 s after the start.

Cause: a lease end is a time on the worker's clock, which begins anew with a restart. A lease end on the former clock is far ahead, so that the new incarnation shortens it only to the longest lease that it accepts. A worker without runs is polled once a minute, so that a restart goes unnoticed for that long. The owner counts this longest lease, its successor cannot: it does not know of the restart.

Change: where workers accept longer leases than the owner grants, an order carries a lease end only if the worker has answered so lately that it cannot have restarted by the time at which the order can arrive (2.3 s from an answer to the next incarnation, 0.6 s timeout). A start to another worker waits for the poll that it causes anyway, which then does not wait for an end; what must hold after a wait for the place of a task is now checked after this wait as well. No successor waits longer, and nothing changes where workers accept no more than 6 s.

Price: one round trip before the first start on a worker that has been idle for 1.7 s, and one poll more.

Why it works: no lease end on a former clock reaches a later incarnation, so that no lease is longer than the 6 s that successors count: at most contact + 2.02 + 0.6 + 6.37 s, against 9 s. It rests on the two times named above, as before: an order that a worker carries out seconds late is still open, by reading.

Tests: the two tests with another worker in the data centre relied on a start that reaches the restarted worker before its owner has noticed the restart, although another worker had room. This start is not sent any more. The other worker is busy now, so that the task has to start on the restarted one; the same bound holds, and the task has to run again as well. `lateRestartStarts` measured the restart from an answer before the last one: the owner now asks the worker before the start.

--- a/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
@@ -703,10 +703,8 @@
       formerPlace,
     });
     const ticket = this.options.permissions.ticketFor(task.step, agent);
-    const whenReady = whenPlaced?.then(
-      (isPlaced) => isPlaced && this.gate.isOpen() && this.isUsable(agent),
-    );
-    agent.start(task, run, reservedSizeOf(task), ticket, whenReady);
+    const mayStart = (): boolean => this.gate.isOpen() && this.isUsable(agent);
+    agent.start(task, run, reservedSizeOf(task), ticket, whenPlaced, mayStart);
     this.placement.invalidate(agent);
   }
 
--- a/packages/samphirenotch/src/jobs/workers/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerAgent.ts
@@ -296,6 +296,9 @@
    */
   private readonly attributedRuns = new WeakSet<OwnedRun>();
 
+  /** Resolve the waits for the next answer of the worker, or for the failure of a poll. */
+  private pollWaiters: readonly (() => void)[] = [];
+
   private seenSequence = 0;
 
   private storedSequence = 0;
@@ -504,6 +507,7 @@
     const { signal } = this.closed;
     while (!signal.aborted) {
       if (this.isIdle()) {
+        this.endPollWaits();
         await this.wakeup.wait(POLL_WAIT_MS, signal);
         continue;
       }
@@ -524,8 +528,9 @@
    * @param runNumber - number of the run
    * @param size - resources to reserve
    * @param ticket - permission of the policy service, if the queue needs one
-   * @param whenReady - resolves to true once the order may be sent, to false if it must not be; it may
-   *   be sent at once if left out
+   * @param whenPlaced - resolves to true once the place of the task is stored, to false if that fails;
+   *   undefined if the place need not be stored
+   * @param mayStart - asked after a wait; returns false if the order must not be sent any more
    * @returns the run
    */
   start(
@@ -533,9 +538,15 @@
     runNumber: number,
     size: Size,
     ticket: string | undefined,
-    whenReady?: Promise<boolean>,
+    whenPlaced?: Promise<boolean>,
+    mayStart: () => boolean = () => true,
   ): OwnedRun {
     const owned = this.trackRun(task, runNumber, size, 'starting');
+    const whenPolled = this.isLeaseBounded ? undefined : this.whenPolled();
+    const whenReady =
+      whenPlaced || whenPolled
+        ? Promise.all([whenPlaced ?? true, whenPolled]).then(([isPlaced]) => isPlaced && mayStart())
+        : undefined;
     this.orders.start(owned, ticket, whenReady);
     this.wakeup.wake();
     return owned;
@@ -685,15 +696,41 @@
   private extendLease(): number | undefined {
     const now = this.workerClock.earliestNowMs;
     if (now === undefined || !this.isResponsive || !this.options.mayExtendLease()) return undefined;
+    if (!this.isLeaseBounded) return undefined;
     const untilMs = this.withinLimit(Math.floor(now + this.leaseMs()));
     if (untilMs <= now) return undefined;
     this.leaseUntilMs = Math.max(this.leaseUntilMs, untilMs);
-    const nowMs = this.options.clock.monotonicMs();
-    // The order may arrive until its timeout.
-    if (nowMs + ORDER_TIMEOUT_MS > this.aliveMs + MIN_RESTART_MS) this.uncertainGrantMs = nowMs;
+    if (this.mayHaveRestarted) this.uncertainGrantMs = this.options.clock.monotonicMs();
     return untilMs;
   }
 
+  /** Tells whether an order that is sent now may arrive at an incarnation that has not answered yet. */
+  private get mayHaveRestarted(): boolean {
+    // The order may arrive until its timeout.
+    return this.options.clock.monotonicMs() + ORDER_TIMEOUT_MS > this.aliveMs + MIN_RESTART_MS;
+  }
+
+  /**
+   * Tells whether a lease that is sent now lasts no longer than successors expect. An incarnation that has not
+   * answered yet would shorten it only to the longest lease that it accepts.
+   */
+  private get isLeaseBounded(): boolean {
+    return this.options.maxLeaseMs <= MAX_LEASE_MS || !this.mayHaveRestarted;
+  }
+
+  /** Waits for the next answer of the worker, or for the failure of a poll. */
+  private whenPolled(): Promise<void> {
+    return new Promise((resolve) => {
+      this.pollWaiters = [...this.pollWaiters, resolve];
+    });
+  }
+
+  private endPollWaits(): void {
+    const waiters = this.pollWaiters;
+    this.pollWaiters = [];
+    waiters.forEach((resolve) => resolve());
+  }
+
   /** Shortens a lease so that it is over by when a successor may count it as over. */
   private withinLimit(leaseUntilMs: number): number {
     const limitMs = this.workerClock.earliestAt(this.options.leaseLimitMs());
@@ -752,7 +789,13 @@
     if (signal.aborted) return;
     const { worker } = this;
     const allStored = this.storedSequence >= this.seenSequence;
-    const mayWait = this.fenced && this.isResponsive && allStored && this.runs.count > 0;
+    const mayWait =
+      this.fenced &&
+      this.isResponsive &&
+      allStored &&
+      this.runs.count > 0 &&
+      // The next poll extends the lease.
+      this.isLeaseBounded;
     const waitMs = mayWait ? this.pollWaitMs() : 0;
     const sentMs = clock.monotonicMs();
     this.answerDueMs = sentMs + waitMs;
@@ -814,6 +857,7 @@
     this.noteAnswer(outcome.val.holding, sentMs);
     this.noteAlive(outcome.val.holding, sentMs);
     this.applyHolding(outcome.val.holding, sentMs, acknowledged);
+    this.endPollWaits();
     if (wasUnresponsive) return;
     await this.waitBeforeNextPoll(signal);
   }
@@ -843,6 +887,7 @@
     if (this.failedPolls === 0)
       this.silentSinceMs = Math.min(this.options.clock.monotonicMs(), this.answerDueMs);
     this.failedPolls += 1;
+    this.endPollWaits();
   }
 
   private handleFailedPoll(reason: string): void {
--- a/tests/jobs/lateRestartStarts.spec.ts
+++ b/tests/jobs/lateRestartStarts.spec.ts
@@ -1,5 +1,5 @@
 /**
- * Starts that are sent before a worker can have started again, and arrive after it has.
+ * Starts that are sent before a worker can have started again, and could arrive after it has.
  */
 import test from 'ava';
 
@@ -18,12 +18,15 @@
 /** Age of the last answer at which the second job is handed in, in milliseconds. */
 const HANDED_IN_AFTER_MS = 2_000;
 
+/** Time until an order that has not been answered has certainly arrived, in milliseconds. */
+const ORDER_TIMEOUT_MS = 600;
+
 /** Time that the start needs to arrive, in milliseconds: less than the timeout of an order. */
 const START_DELAY_MS = 500;
 
-// Guards against a task that runs twice: the lease end of such a start is on the clock of the former
-// incarnation, and the new one counts the longest lease that it accepts.
-test('should count the lease of a start that arrives after a restart', async (t) => {
+// Guards against a task that runs twice: the lease end of a start that arrives after a restart is on the clock
+// of the former incarnation, and the new one counts the longest lease that it accepts.
+test('should send no start that can arrive after a restart', async (t) => {
   const site = new JobSite({
     workers: 1,
     dataCentres: 1,
@@ -39,19 +42,22 @@
   let polledMs = 0;
   const hold = worker.hold.bind(worker);
   worker.hold = async (order, call) => {
+    const outcome = await hold(order, call);
     polledMs = site.clock.monotonicMs();
-    return hold(order, call);
+    return outcome;
   };
   site.putJobs([FIRST_ID], makeJob(makeStep()));
   await runUntil(site, () => site.record.runs.some(({ kind }) => kind === 'done'));
   await runUntil(site, () => site.clock.monotonicMs() >= polledMs + HANDED_IN_AFTER_MS);
 
-  const answeredMs = polledMs;
+  let answeredMs = polledMs;
   const start = worker.start.bind(worker);
   let sentMs = 0;
   worker.failStarts('answer-lost');
   worker.start = (order) => {
     sentMs = site.clock.monotonicMs();
+    // The owner may have asked the worker before the start.
+    answeredMs = polledMs;
     site.cutFromWorkers(owner.client, ['w0']);
     site.addWorker('w1');
     site.clock
@@ -63,6 +69,7 @@
   site.putJobs([SECOND_ID], makeJob(makeStep({ checkpointing: true })));
   await runUntil(site, () => site.clock.monotonicMs() >= answeredMs + RESTART_MS);
   t.true(sentMs > answeredMs);
+  t.true(sentMs + ORDER_TIMEOUT_MS < answeredMs + RESTART_MS);
   worker.restart();
   await site.run(20_000);
   t.is(site.record.runs.length, 3);
--- a/tests/jobs/unnoticedRestarts.spec.ts
+++ b/tests/jobs/unnoticedRestarts.spec.ts
@@ -4,9 +4,12 @@
 import test, { type ExecutionContext } from 'ava';
 
 import { JobSite, makeJob, makeStep, runUntil, type SiteEntry } from '../fixtures/jobSite.js';
+import type { TaskBehaviour } from '../fixtures/memoryTaskWorker.js';
 
 const ID = '00000000000000a1';
+const OTHER_ID = '00000000000000a2';
 const SIZE = { milliCores: 1_000, memoryMb: 1_000, accelerators: 0 };
+const WHOLE_WORKER = { ...SIZE, milliCores: 8_000 };
 
 /** Longest lease that the workers accept, in milliseconds: longer than an owner grants. */
 const HOLD_LIMIT_MS = 10_000;
@@ -20,6 +23,23 @@
 /** Time until a restarted worker is in the directory again, in milliseconds. */
 const REGISTRATION_DELAY_MS = 2_000;
 
+/** Time in which an idle worker is asked and gets a start, in milliseconds; an answer takes 2 ms. */
+const START_MS = 50;
+
+/** Longest lease that an owner grants, in milliseconds. */
+const LONGEST_GRANT_MS = 6_000;
+
+/** Time by which answers of a slow worker are late, in milliseconds: within the timeout of a poll. */
+const SLOW_MS = 500;
+
+/** Duration of the task that keeps the other worker busy, in milliseconds: it ends before any lease does. */
+const OTHER_MS = 10_000;
+
+const behave = (taskId: string): TaskBehaviour =>
+  taskId.startsWith(OTHER_ID)
+    ? { size: WHOLE_WORKER, durationMs: OTHER_MS }
+    : { size: SIZE, durationMs: 40_000 };
+
 /** Makes a site with an owner and a worker. */
 const makeSite = async () => {
   const site = new JobSite({
@@ -27,7 +47,7 @@
     dataCentres: 1,
     milliCores: 8_000,
     holdLimitMs: HOLD_LIMIT_MS,
-    behave: () => ({ size: SIZE, durationMs: 40_000 }),
+    behave,
   });
   site.registrationDelayMs = REGISTRATION_DELAY_MS;
   const owner = site.start('a');
@@ -44,6 +64,25 @@
   await runUntil(site, () => site.record.runs.length > 0);
 };
 
+/** Makes a site with an owner, a busy worker, and an idle one that has not been polled for a while. */
+const makeSiteWithIdleWorker = async () => {
+  const { site, owner } = await makeSite();
+  site.putJobs([OTHER_ID], makeJob(makeStep({ size: WHOLE_WORKER })));
+  await runUntil(site, () => site.record.runs.length > 0);
+  site.addWorker('w1');
+  await site.run(3_000);
+  const idle = site.workers.get('w1');
+  if (!idle) throw new Error('The site has no second worker.');
+  return { site, owner, idle };
+};
+
+/** Starts a job and waits until its task runs on the only worker with room. */
+const startTaskOn = async (t: ExecutionContext, site: JobSite, id: string): Promise<void> => {
+  site.putJobs([ID], makeJob(makeStep({ checkpointing: true })));
+  await runUntil(site, () => site.record.runsOf(`${ID}.0.0.0`).length > 0);
+  t.is(site.record.runsOf(`${ID}.0.0.0`)[0]?.workerId, id);
+};
+
 /** Parts a worker from an owner that reaches another one. */
 const replaceByAnother = (site: JobSite, { client }: SiteEntry): void => {
   site.cutFromWorkers(client, ['w0']);
@@ -130,35 +169,59 @@
 
 // Guards against the same if the successor reaches another worker of the data centre.
 test('should wait for the longest lease of a restarted worker if others answer', async (t) => {
-  const { site, owner, worker } = await makeSite();
-  site.addWorker('w1');
-  await site.run(3_000);
+  const { site, owner, idle } = await makeSiteWithIdleWorker();
   const successor = site.start('b');
   await site.run(1_000);
-  worker.restart();
-  site.putJobs([ID], makeJob(makeStep({ checkpointing: true })));
-  await runUntil(site, () => site.record.runs.length > 0);
-  t.is(site.record.runs[0]?.workerId, 'w0');
-  site.cutFromWorkers(successor.client, ['w0']);
+  idle.restart();
+  await startTaskOn(t, site, idle.id);
+  site.cutFromWorkers(successor.client, [idle.id]);
   owner.kill();
   await site.run(30_000);
   t.deepEqual(site.record.violations, []);
+  t.is(site.record.runsOf(`${ID}.0.0.0`).length, 2);
 });
 
 // Guards against the same by a successor that is elected as soon as its predecessor stops.
 test('should wait for the longest lease of a restarted worker after a planned change of the owner', async (t) => {
-  const { site, owner, worker } = await makeSite();
-  site.addWorker('w1');
-  await site.run(3_000);
+  const { site, owner, idle } = await makeSiteWithIdleWorker();
   const successor = site.start('b');
   await site.run(1_000);
-  worker.restart();
-  await startTask(site);
-  const [first] = site.record.runs;
-  t.is(first?.workerId, 'w0');
-  site.cutFromWorkers(successor.client, ['w0']);
-  site.cutFromWorkers(owner.client, ['w0']);
+  idle.restart();
+  await startTaskOn(t, site, idle.id);
+  site.cutFromWorkers(successor.client, [idle.id]);
+  site.cutFromWorkers(owner.client, [idle.id]);
   owner.stop();
   await site.run(30_000);
   t.deepEqual(site.record.violations, []);
+  t.is(site.record.runsOf(`${ID}.0.0.0`).length, 2);
+});
+
+// Guards against a task that runs twice because a successor waits for the leases only that owners grant.
+test('should give a worker that restarted unnoticed no longer lease than others', async (t) => {
+  const { site, idle } = await makeSiteWithIdleWorker();
+  idle.restart();
+  await startTaskOn(t, site, idle.id);
+  t.true(idle.leaseLeftMs <= LONGEST_GRANT_MS, `${idle.leaseLeftMs} ms`);
+});
+
+// Guards against tasks that wait because their worker is asked first whether it has started again.
+test('should start a task at once on a worker that has been idle', async (t) => {
+  const { site, idle } = await makeSiteWithIdleWorker();
+  const fromMs = site.clock.monotonicMs();
+  await startTaskOn(t, site, idle.id);
+  t.true(site.clock.monotonicMs() - fromMs <= START_MS, `${site.clock.monotonicMs() - fromMs} ms`);
+});
+
+// Guards against runs that lapse because their worker is asked too seldom whether it has started again.
+test('should go on extending the lease of a worker whose answers are slow', async (t) => {
+  const { site, idle } = await makeSiteWithIdleWorker();
+  await startTaskOn(t, site, idle.id);
+  const hold = idle.hold.bind(idle);
+  idle.hold = async (order, call) => {
+    await site.clock.sleep(SLOW_MS, call.signal);
+    return hold(order, call);
+  };
+  await site.run(30_000);
+  t.is(site.record.runsOf(`${ID}.0.0.0`).length, 1);
+  t.is(site.record.runsOf(`${ID}.0.0.0`)[0]?.endedMs, undefined);
 });
