Pass on trials of suspects to the next owner

Cause: a crash is known once the worker, or another one at its address, answers again, 3 s after it. Until then the run is known to the process only that started it. A successor finds a worker that has restarted and does not know what ran there.

Change: the owner stores each run of a suspect (a task under which two workers have crashed) with the worker, the worker's incarnation and whether it can be the only cause, beside the counted crashes of the job, and removes it once it knows how the run has ended. A successor counts a crash if the worker answers as a later incarnation, or if another worker answers at its address.

Why it works: a task that former owners may have started waits for the worker that may have it, so that the crash is counted before the task is started again. What a successor counts is what the owner would have counted itself: not a run that the worker still reports or has ended, nor a worker that drained or is not reached. A run that is counted twice has the same number and counts once.

Price: one more write of the progress of a job per start of a suspect, and one when the run is over. Nothing waits for it, and tasks without two crashes write nothing more.

Four new tests hold nothing against suspects that are not the cause: the worker outlives its owner, is not reached, drained, or the run had ended before.

--- a/packages/samphirenotch/src/jobs/model/jobProgress.ts
+++ b/packages/samphirenotch/src/jobs/model/jobProgress.ts
@@ -1,9 +1,23 @@
 /**
  * Progress of a job that must survive a change of its owner: which tasks are done, which runs
- * failed, under which runs workers crashed, and on which workers long-running tasks may be.
+ * failed, under which runs workers crashed, on which workers long-running tasks may be, and which suspects
+ * are being tried.
  */
 import { z } from 'zod';
 
+const TRIAL = z.object({
+  run: z.number(),
+  /** Id of the worker. */
+  worker: z.string(),
+  /** When the incarnation of the worker started that got it, in Unix milliseconds. */
+  bornMs: z.number(),
+  /** True if no other run of the worker could crash it. */
+  isAlone: z.boolean(),
+});
+
+/** A run of a task that is suspected of crashing workers. */
+export type Trial = Readonly<z.infer<typeof TRIAL>>;
+
 const STEP = z.object({
   /** Indexes of done tasks as ranges: start, length, start, length... */
   d: z.array(z.number()),
@@ -13,6 +27,8 @@
   c: z.record(z.string(), z.array(z.number())).optional(),
   /** Ids of the workers on which long-running tasks may be, by task index. */
   p: z.record(z.string(), z.string()).optional(),
+  /** Trials that have not ended, by task index. */
+  x: z.record(z.string(), TRIAL).optional(),
 });
 
 const PROGRESS = z.object({
@@ -32,6 +48,8 @@
   readonly crashedRuns: RunsByTask;
   /** Place of each long-running task: see `OwnedTask.place`. */
   readonly places: ReadonlyMap<number, string>;
+  /** Trials that have not ended, by task index. */
+  readonly trials: ReadonlyMap<number, Trial>;
 }
 
 /** Progress of the steps by index of the occurrence. */
@@ -44,6 +62,7 @@
   readonly failedRuns: readonly number[];
   readonly crashedRuns: readonly number[];
   readonly place: string | undefined;
+  readonly trial: Trial | undefined;
 }
 
 /** The part of a job that `encodeProgress` reads. */
@@ -94,20 +113,22 @@
   return rows.length > 0 ? Object.fromEntries(rows) : undefined;
 };
 
-/** Returns the places by task index; undefined if none is known. */
-const encodePlaces = (
+/** Encodes values by task index, without missing ones; undefined if all are missing. */
+const encodeByTask = <Value>(
   tasks: readonly TaskProgress[],
-): Readonly<Record<string, string>> | undefined => {
-  const rows = tasks.flatMap(({ index, place }) =>
-    place === undefined ? [] : [[String(index), place] as const],
-  );
+  valueOf: (task: TaskProgress) => Value | undefined,
+): Readonly<Record<string, Value>> | undefined => {
+  const rows = tasks.flatMap((task) => {
+    const value = valueOf(task);
+    return value === undefined ? [] : [[String(task.index), value] as const];
+  });
   return rows.length > 0 ? Object.fromEntries(rows) : undefined;
 };
 
-const decodePlaces = (
-  places: Readonly<Record<string, string>> | undefined,
-): ReadonlyMap<number, string> =>
-  new Map(Object.entries(places ?? {}).map(([index, place]) => [Number(index), place]));
+const decodeByTask = <Value>(
+  values: Readonly<Record<string, Value>> | undefined,
+): ReadonlyMap<number, Value> =>
+  new Map(Object.entries(values ?? {}).map(([index, value]) => [Number(index), value]));
 
 const decodeRuns = (runs: Readonly<Record<string, readonly number[]>> | undefined): RunsByTask =>
   new Map(Object.entries(runs ?? {}).map(([index, list]) => [Number(index), list]));
@@ -125,9 +146,10 @@
     s: steps.map(({ tasks }) => {
       const f = encodeRuns(tasks, ({ failedRuns }) => failedRuns);
       const c = encodeRuns(tasks, ({ crashedRuns }) => crashedRuns);
-      const p = encodePlaces(tasks);
+      const p = encodeByTask(tasks, ({ place }) => place);
+      const x = encodeByTask(tasks, ({ trial }) => trial);
       const d = toRanges(tasks.map(({ done }) => done));
-      return { d, ...(f && { f }), ...(c && { c }), ...(p && { p }) };
+      return { d, ...(f && { f }), ...(c && { c }), ...(p && { p }), ...(x && { x }) };
     }),
   }));
   const hasPlaces = occurrences.some(({ s }) => s.some(({ p }) => p !== undefined));
@@ -148,11 +170,12 @@
   return new Map(
     occurrences.map(({ k, s }) => [
       k,
-      s.map(({ d, f, c, p }) => ({
+      s.map(({ d, f, c, p, x }) => ({
         done: fromRanges(d),
         failedRuns: decodeRuns(f),
         crashedRuns: decodeRuns(c),
-        places: decodePlaces(arePlacesValid ? p : undefined),
+        places: decodeByTask(arePlacesValid ? p : undefined),
+        trials: decodeByTask(x),
       })),
     ]),
   );
--- a/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
@@ -49,6 +49,7 @@
 import type { ShareJobExplanation, TermStatus, WorkerStatus } from './entryStatus.js';
 import { JobRegistry } from '../store/jobRegistry.js';
 import { JobRetention } from './jobRetention.js';
+import { OpenTrials } from './openTrials.js';
 import { ShareExchange } from './shareExchange.js';
 import { SummaryWriter } from './summaryWriter.js';
 import { takeOver, type TakeoverState } from './takeover.js';
@@ -145,6 +146,8 @@
 
   private readonly places: TaskPlaces;
 
+  private readonly trials: OpenTrials;
+
   private readonly permissions: StepPermissions;
 
   private readonly pacing: FillerPacing;
@@ -193,6 +196,7 @@
     const interference = new Interference();
     this.permissions = new StepPermissions(options.policy, options.clock, () => this.wakeup.wake());
     this.places = new TaskPlaces(this.book, this.fleet, options.clock);
+    this.trials = new OpenTrials(this.book, this.outcomes, this.fleet);
     this.launcher = new StepLauncher({
       book: this.book,
       fleet: this.fleet,
@@ -206,6 +210,7 @@
       turns: this.turns,
       isStoreReachable,
       places: this.places,
+      onStart: (task, run, agent) => this.trials.noteStart(task, run, agent),
     });
     this.pacing = new FillerPacing(this.fleet, interference, options.clock);
   }
@@ -244,6 +249,7 @@
     endUnlessOwner(options.replica.shares.owner(share.id));
     if (signal.aborted) return;
     this.homeJobs().forEach((job) => this.book.add(job));
+    this.trials.beginTerm(this.book.openJobs());
     const stopListening = options.replica.listen({
       share: share.id,
       onAccepted: (job) => {
@@ -417,6 +423,7 @@
     this.fleet.recordRunEnd(agent, task, end.kind);
     job.isFullyStarted = false;
     if (run) this.places.noteEnd(run);
+    this.trials.noteEnd({ task, run: end.run });
     if (end.kind === 'done' && run) recordDoneRate(run, shownMs);
     if (end.kind === 'done') this.outcomes.markDone(task);
     if (end.kind === 'failed') this.outcomes.recordFailure(task, agent.id, end.run);
@@ -430,6 +437,7 @@
     task.notBeforeMs = this.options.clock.monotonicMs() + REFUSED_START_BACKOFF_MS;
     task.step.occurrence.job.isFullyStarted = false;
     this.places.noteEnd(run);
+    this.trials.noteEnd(run);
     this.stopGang(run);
     this.wakeup.wake();
   }
@@ -450,12 +458,15 @@
       .forEach((other) => other.agent.stop(other, 'another member of its gang is not there'));
   }
 
-  onCrash({ description: { address } }: WorkerAgent, runs: readonly OwnedRun[]): void {
-    runs.forEach((run) => this.outcomes.recordCrash(run, address, runs.length === 1));
+  onCrash({ id, description: { address } }: WorkerAgent, runs: readonly OwnedRun[]): void {
+    runs.forEach(({ task, run }) =>
+      this.outcomes.recordCrash({ task, run, worker: id }, address, runs.length === 1),
+    );
   }
 
-  onRunProven({ task }: OwnedRun): void {
-    this.outcomes.clearCrashes(task);
+  onRunProven(run: OwnedRun): void {
+    this.trials.noteEnd(run);
+    this.outcomes.clearCrashes(run.task);
   }
 
   onTicketRefused({ task, agent }: OwnedRun): void {
@@ -472,11 +483,13 @@
   }
 
   onReplaced(agent: WorkerAgent): void {
+    this.trials.settle(agent, true);
     this.fleet.markReplaced(agent);
     this.wakeup.wake();
   }
 
   onFullReport(agent: WorkerAgent): void {
+    this.trials.settle(agent, false);
     this.fleet.markAccountedFor(agent, 'it has reported its runs and ends');
     this.wakeup.wake();
   }
--- a/packages/samphirenotch/src/jobs/ownership/taskOutcomes.ts
+++ b/packages/samphirenotch/src/jobs/ownership/taskOutcomes.ts
@@ -4,7 +4,7 @@
 import { partLog } from '../../observability/log.js';
 import type { Clock } from '../../time/clock.js';
 
-import { isSuspect, type OwnedJob, type OwnedRun, type OwnedTask } from '../model/ownedJob.js';
+import { isSuspect, type OwnedJob, type OwnedTask } from '../model/ownedJob.js';
 import type { JobRegistry } from '../store/jobRegistry.js';
 
 /** Counts failed attempts; the members of a gang fail together, so a run counts once for all. */
@@ -19,6 +19,15 @@
 /** Number of crashed workers after which a task is given up whatever ran beside it. */
 const MAXIMUM_CRASHES = 4;
 
+/** A run under which a worker has crashed. */
+interface CrashedRun {
+  readonly task: OwnedTask;
+  /** Number of the run. */
+  readonly run: number;
+  /** Id of the worker. */
+  readonly worker: string;
+}
+
 /** Records outcomes of tasks, and completes, fails or cancels their jobs. */
 export class TaskOutcomes {
   private readonly log = partLog('owner');
@@ -74,11 +83,11 @@
   /**
    * Records that a worker crashed under a run. Gives the task up once it must have been the cause.
    *
-   * @param run - the run
+   * @param crashed - the run
    * @param address - address of the worker
    * @param wasAlone - true if no other run on the worker can have been the cause
    */
-  recordCrash({ task, run, agent }: OwnedRun, address: string, wasAlone: boolean): void {
+  recordCrash({ task, run, worker }: CrashedRun, address: string, wasAlone: boolean): void {
     const { job } = task.step.occurrence;
     if (task.done || !job.isOpen || task.isElsewhere || task.crashedRuns.includes(run)) return;
     task.crashedRuns.push(run);
@@ -87,7 +96,7 @@
     this.log.warn('A worker has crashed under a run', {
       taskId: task.id,
       run,
-      worker: agent.id,
+      worker,
       crashes,
       wasAlone,
       isSuspect: isSuspect(task),
--- a/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
@@ -64,6 +64,8 @@
   /** Returns true if the store has answered lately. */
   readonly isStoreReachable: () => boolean;
   readonly places: TaskPlaces;
+  /** Called before a start is tracked and sent. */
+  readonly onStart: (task: OwnedTask, run: number, agent: WorkerAgent) => void;
 }
 
 /**
@@ -687,6 +689,7 @@
     owned.nextRun = run + 1;
     this.startCount += 1;
     const formerPlace = task.place;
+    this.options.onStart(task, run, agent);
     const whenPlaced = this.options.places.claim(task, agent);
     this.log.info('Starting a task', {
       taskId: task.id,
--- a/packages/samphirenotch/src/jobs/workers/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerAgent.ts
@@ -200,6 +200,9 @@
    */
   answeredMs = Number.NEGATIVE_INFINITY;
 
+  /** When the incarnation of the worker started that answered last, in Unix milliseconds. */
+  bornMs: number | undefined;
+
   /** Monotonic time until which the worker gets no new work. */
   avoidUntilMs = 0;
 
@@ -247,8 +250,6 @@
 
   private descriptionChanges = 0;
 
-  private bornMs: number | undefined;
-
   /**
    * Monotonic time at which the incarnation whose clock is known was certainly there, in milliseconds, and
    * its clock at the newest answer.
--- a/packages/samphirenotch/src/jobs/workers/workerFleet.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerFleet.ts
@@ -127,6 +127,9 @@
    */
   private readonly unreportedWorkers = new Map<WorkerAgent, RosterEntry>();
 
+  /** Ids of the workers that were draining when the former owner last read their descriptions. */
+  private formerlyDraining: ReadonlySet<string> = new Set();
+
   private readonly formerLeases: FormerLeases;
 
   private readonly countdown: LeaseCountdown;
@@ -271,6 +274,7 @@
   }
 
   private waitForFormerWorkers(roster: readonly RosterEntry[]): void {
+    this.formerlyDraining = new Set(roster.filter(({ draining }) => draining).map(({ id }) => id));
     this.rostered = new Set(roster.map(rosterNameOf));
     this.newestRostered = this.rostered;
     this.newestEntries = new Map(roster.map((entry) => [entry.id, entry]));
@@ -386,6 +390,16 @@
       this.log.info('All workers of the former owner are accounted for');
   }
 
+  /**
+   * Checks whether a worker drained when its former owner last read its description.
+   *
+   * @param id - id of the worker
+   * @returns true if it did
+   */
+  wasDraining(id: string): boolean {
+    return this.formerlyDraining.has(id);
+  }
+
   /**
    * Returns the time beyond which a worker's lease must not be extended.
    *
--- a/tests/jobs/crashesAcrossOwners.spec.ts
+++ b/tests/jobs/crashesAcrossOwners.spec.ts
@@ -10,7 +10,7 @@
   makeJob,
   makeOwnedSite,
   makeStep,
-  type JobSite,
+  JobSite,
   type JobSiteOptions,
   type SiteEntry,
 } from '../fixtures/jobSite.js';
@@ -115,6 +115,75 @@
   t.true(startsOf(site, DEADLY) <= MAXIMUM_STARTS, `${startsOf(site, DEADLY)} starts`);
 });
 
+/** Makes a site with a task that crashes the first two workers, and waits until it is tried on a third. */
+const makeSiteWithTrial = async () => {
+  const site: JobSite = new JobSite({
+    workers: 6,
+    behave: (taskId) => ({
+      ...behave(taskId),
+      durationMs: 8_000,
+      crashes: site.record.runsOf(taskId).length < 2,
+    }),
+  });
+  const owner = site.start('a');
+  await site.run(500);
+  await site.submit(owner, DEADLY, makeJob(makeStep()));
+  await runUntil(site, () => startsOf(site, DEADLY) === 3);
+  const successor = site.start('b');
+  await site.run(KILLED_AFTER_MS);
+  const { workerId = '' } = site.record.runs.at(-1) ?? {};
+  return { site, owner, successor, workerId };
+};
+
+// Guards against a task that is given up because its owner was lost while it was tried.
+test('should hold nothing against a suspect that runs on when its owner is killed', async (t) => {
+  const { site, owner, successor } = await makeSiteWithTrial();
+  owner.kill();
+  await site.run(20_000);
+  t.is(await site.state(successor, DEADLY), 'completed');
+  t.is(startsOf(site, DEADLY), 3);
+});
+
+// Guards against the same by a worker that is lost with the owner for another reason.
+test('should hold nothing against a suspect whose worker is not reached any more', async (t) => {
+  const { site, owner, successor, workerId } = await makeSiteWithTrial();
+  site.cutFromWorkers(successor.client, [workerId]);
+  site.data.remove(`workers/${workerId}`);
+  owner.kill();
+  await site.run(40_000);
+  t.is(await site.state(successor, DEADLY), 'completed');
+  t.is(startsOf(site, DEADLY), 4);
+});
+
+// Guards against the same by a worker that leaves as it had announced.
+test('should hold nothing against a suspect whose worker drained and left with its owner', async (t) => {
+  const { site, owner, successor, workerId } = await makeSiteWithTrial();
+  site.registerWorker(workerId, { phase: 'draining', remainingMs: 1_000 });
+  await site.run(1_000);
+  owner.kill();
+  site.workers.get(workerId)?.crash();
+  await site.run(40_000);
+  t.is(await site.state(successor, DEADLY), 'completed');
+  t.is(startsOf(site, DEADLY), 4);
+});
+
+// Guards against the same by a trial that had ended before its worker started again.
+test('should hold nothing against a suspect that was stopped before its worker crashed', async (t) => {
+  const { site, owner, successor, workerId } = await makeSiteWithTrial();
+  // It is no candidate for the next trial.
+  site.registerWorker(workerId, { service: 'other' });
+  await site.run(500);
+  site.workers.get(workerId)?.endRuns(DEADLY, 'stopped');
+  await runUntil(site, () => startsOf(site, DEADLY) === 4);
+  t.not(site.record.runs.at(-1)?.workerId, workerId);
+  await site.run(500);
+  site.workers.get(workerId)?.crash();
+  owner.kill();
+  await site.run(40_000);
+  t.is(await site.state(successor, DEADLY), 'completed');
+  t.is(startsOf(site, DEADLY), 4);
+});
+
 // Guards against a gang whose crashing member is started again by each new owner.
 test('should give up a gang whose crashes are seen by no owner that started it', async (t) => {
   const member = `${DEADLY}.0.0.1`;
