--- a/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
@@ -65,6 +65,8 @@
   /** Returns true if the store has answered lately. */
   readonly isStoreReachable: () => boolean;
   readonly places: TaskPlaces;
+  /** Called before a start is tracked and sent. */
+  readonly onStart: (task: OwnedTask, run: number, agent: WorkerAgent) => void;
 }
 
 /**
@@ -763,6 +765,7 @@
     owned.nextRun = run + 1;
     this.startCount += 1;
     const formerPlace = task.place;
+    this.options.onStart(task, run, agent);
     const whenPlaced = this.options.places.claim(task, agent);
     this.log.info('Starting a task', {
       taskId: task.id,
@@ -779,10 +782,8 @@
       formerPlace,
     });
     const ticket = this.options.permissions.ticketFor(task.step, agent);
-    const whenReady = whenPlaced?.then(
-      (isPlaced) => isPlaced && this.gate.isOpen() && this.isUsable(agent),
-    );
-    agent.start(task, run, reservedSizeOf(task), ticket, whenReady);
+    const mayStart = (): boolean => this.gate.isOpen() && this.isUsable(agent);
+    agent.start(task, run, reservedSizeOf(task), ticket, whenPlaced, mayStart);
     this.placement.invalidate(agent);
   }
 
