Add a test of an interrupted task while planned changes of the owner follow one another

With owners that stop 1.5 s after the one before, an interrupted long-running task does not run again for as long as the changes last, on a site that urgent tasks ask for more room than there is: each owner counts the interruption from its own takeover.

--- a/tests/jobs/interruptedTasks.spec.ts
+++ b/tests/jobs/interruptedTasks.spec.ts
@@ -9,6 +9,7 @@
   makeOwnedSite,
   makeQueue,
   makeStep,
+  ownerOf,
   type JobSite,
   type SiteEntry,
 } from '../fixtures/jobSite.js';
@@ -141,3 +142,26 @@
   );
   t.deepEqual(site.record.violations, []);
 });
+
+/** Time between two planned changes of the owner, in milliseconds: shorter than a task waits for its turn. */
+const TERM_MS = 1_500;
+
+// Guards against owners that count an interruption from their own takeover: while they change, urgent tasks
+// go before the interrupted one for as long as the changes last (LOST).
+test('should run an interrupted task again while planned changes of the owner follow one another', async (t) => {
+  const { site, owner } = await submitLasting(3_000, 1_000);
+  const entries = ['b', 'c', 'd', 'e', 'f', 'g', 'h'].map((name) => site.start(name));
+  await overload(site, 1_000, 4_000);
+  site.workers.forEach((worker) => worker.endRuns(LASTING, 'failed'));
+  const interruptedMs = site.clock.monotonicMs();
+  await overload(site, 1_000, TERM_MS / 2);
+  owner.stop();
+  for (let term = 0; term < entries.length; term += 1) {
+    await overload(site, 1_000, TERM_MS);
+    entries.find(({ name }) => name === ownerOf(site))?.stop();
+  }
+  const [, next] = site.record.runsOf(TASK);
+  const awayMs = (next?.startedMs ?? Infinity) - interruptedMs;
+  t.true(awayMs <= MAX_INTERRUPTION_MS, `${awayMs} ms`);
+  t.deepEqual(site.record.violations, []);
+});
