Pass on to successors since when an interrupted task waits

Cause: a worker is reserved for a long-running task 2 s after its interruption. A successor took its own takeover for that time, so that with planned changes less than 2 s apart no worker was ever reserved, and urgent tasks took all room that became free. Change: stored progress of a job holds since when its long-running tasks wait, as Unix time; a successor counts from then. Wall clocks differ and jump, so the age is bounded as that of jobs is, and it decides nothing but priority. Owners of older versions ignore the field; without it all is as before. Why it works: the time is written in the transaction that stores that the task is on no worker, which every owner writes when a run ends, and again with each later change of the job while the task waits. It is left out while the task has a run. What it does not change: a task whose interruption its owner had not stored, and one that has not run, whose job no owner has stored since, still count from the takeover.

--- a/packages/samphirenotch/src/jobs/model/jobProgress.ts
+++ b/packages/samphirenotch/src/jobs/model/jobProgress.ts
@@ -1,9 +1,13 @@
 /**
  * Progress of a job that must survive a change of its owner: which tasks are done, which runs
- * failed, under which runs workers crashed, and on which workers long-running tasks may be.
+ * failed, under which runs workers crashed, on which workers long-running tasks may be, and since when
+ * those that were interrupted wait.
  */
 import { z } from 'zod';
 
+import type { Clock } from '../../time/clock.js';
+import { toMonotonicMs, toUnixMs } from '../../time/unixTime.js';
+
 const STEP = z.object({
   /** Indexes of done tasks as ranges: start, length, start, length... */
   d: z.array(z.number()),
@@ -13,6 +17,8 @@
   c: z.record(z.string(), z.array(z.number())).optional(),
   /** Ids of the workers on which long-running tasks may be, by task index. */
   p: z.record(z.string(), z.string()).optional(),
+  /** When long-running tasks that wait were interrupted, in Unix milliseconds, by task index. */
+  i: z.record(z.string(), z.number()).optional(),
 });
 
 const PROGRESS = z.object({
@@ -32,6 +38,8 @@
   readonly crashedRuns: RunsByTask;
   /** Place of each long-running task: see `OwnedTask.place`. */
   readonly places: ReadonlyMap<number, string>;
+  /** Monotonic time at which each long-running task that waits was interrupted, in milliseconds. */
+  readonly interruptions: ReadonlyMap<number, number>;
 }
 
 /** Progress of the steps by index of the occurrence. */
@@ -44,6 +52,9 @@
   readonly failedRuns: readonly number[];
   readonly crashedRuns: readonly number[];
   readonly place: string | undefined;
+  readonly runs: readonly unknown[];
+  /** Monotonic time in milliseconds. */
+  readonly interruptedMs: number | undefined;
 }
 
 /** The part of a job that `encodeProgress` reads. */
@@ -52,7 +63,10 @@
     number,
     {
       readonly index: number;
-      readonly steps: readonly { readonly tasks: readonly TaskProgress[] }[];
+      readonly steps: readonly {
+        readonly spec: { readonly longRunning: boolean };
+        readonly tasks: readonly TaskProgress[];
+      }[];
     }
   >;
 }
@@ -104,30 +118,40 @@
   return rows.length > 0 ? Object.fromEntries(rows) : undefined;
 };
 
-const decodePlaces = (
-  places: Readonly<Record<string, string>> | undefined,
-): ReadonlyMap<number, string> =>
-  new Map(Object.entries(places ?? {}).map(([index, place]) => [Number(index), place]));
+/** Returns when the tasks that wait were interrupted, by task index; undefined if none was. */
+const encodeInterruptions = (
+  tasks: readonly TaskProgress[],
+  clock: Clock,
+): Readonly<Record<string, number>> | undefined => {
+  const rows = tasks.flatMap(({ index, interruptedMs, runs }) =>
+    interruptedMs === undefined || runs.length > 0
+      ? []
+      : [[String(index), toUnixMs(clock, interruptedMs)] as const],
+  );
+  return rows.length > 0 ? Object.fromEntries(rows) : undefined;
+};
 
-const decodeRuns = (runs: Readonly<Record<string, readonly number[]>> | undefined): RunsByTask =>
-  new Map(Object.entries(runs ?? {}).map(([index, list]) => [Number(index), list]));
+const decodeByTask = <T>(values: Readonly<Record<string, T>> | undefined): ReadonlyMap<number, T> =>
+  new Map(Object.entries(values ?? {}).map(([index, value]) => [Number(index), value]));
 
 /**
  * Encodes the progress of a job.
  *
  * @param job - the job
  * @param fencingToken - fencing token of the owner that writes it
+ * @param clock - clock of the owner
  * @returns text for the store
  */
-export const encodeProgress = (job: ProgressSource, fencingToken: number): string => {
+export const encodeProgress = (job: ProgressSource, fencingToken: number, clock: Clock): string => {
   const occurrences = [...job.occurrences.values()].map(({ index, steps }) => ({
     k: index,
-    s: steps.map(({ tasks }) => {
+    s: steps.map(({ spec, tasks }) => {
       const f = encodeRuns(tasks, ({ failedRuns }) => failedRuns);
       const c = encodeRuns(tasks, ({ crashedRuns }) => crashedRuns);
       const p = encodePlaces(tasks);
+      const i = spec.longRunning ? encodeInterruptions(tasks, clock) : undefined;
       const d = toRanges(tasks.map(({ done }) => done));
-      return { d, ...(f && { f }), ...(c && { c }), ...(p && { p }) };
+      return { d, ...(f && { f }), ...(c && { c }), ...(p && { p }), ...(i && { i }) };
     }),
   }));
   const hasPlaces = occurrences.some(({ s }) => s.some(({ p }) => p !== undefined));
@@ -139,20 +163,24 @@
  *
  * @param text - text from the store
  * @param placesSince - lowest fencing token of an owner whose places still hold
+ * @param clock - clock of this process
  * @returns the progress
  * @throws if the text was not written by `encodeProgress`
  */
-export const decodeProgress = (text: string, placesSince: number): JobProgress => {
+export const decodeProgress = (text: string, placesSince: number, clock: Clock): JobProgress => {
   const { o: occurrences, t: token } = PROGRESS.parse(JSON.parse(text));
   const arePlacesValid = token !== undefined && token >= placesSince;
   return new Map(
     occurrences.map(({ k, s }) => [
       k,
-      s.map(({ d, f, c, p }) => ({
+      s.map(({ d, f, c, p, i }) => ({
         done: fromRanges(d),
-        failedRuns: decodeRuns(f),
-        crashedRuns: decodeRuns(c),
-        places: decodePlaces(arePlacesValid ? p : undefined),
+        failedRuns: decodeByTask(f),
+        crashedRuns: decodeByTask(c),
+        places: decodeByTask(arePlacesValid ? p : undefined),
+        interruptions: new Map(
+          [...decodeByTask(i)].map(([index, unixMs]) => [index, toMonotonicMs(clock, unixMs)]),
+        ),
       })),
     ]),
   );
--- a/packages/samphirenotch/src/jobs/model/ownedJob.ts
+++ b/packages/samphirenotch/src/jobs/model/ownedJob.ts
@@ -148,8 +148,8 @@
   /** Monotonic time before which it is not started again, in milliseconds. */
   notBeforeMs: number;
   /**
-   * Monotonic time at which its last run ended or, if only a former owner may have run it, at which
-   * this owner learned of it, in milliseconds; undefined if it has not run.
+   * Monotonic time at which its last run ended or, if only former owners may have run it and have stored no
+   * time, at which this owner learned of it, in milliseconds; undefined if it has not run.
    */
   interruptedMs: number | undefined;
   /** Ids of the workers on which it failed, or which did not answer its start. */
@@ -376,7 +376,9 @@
         runs: [],
         place: progress?.places.get(index),
         notBeforeMs: 0,
-        interruptedMs: this.options.isInherited ? this.options.knownSinceMs : undefined,
+        interruptedMs: this.options.isInherited
+          ? (progress?.interruptions.get(index) ?? this.options.knownSinceMs)
+          : undefined,
         failedWorkerIds: new Set(),
         crashedAddresses: new Set(),
         isElsewhere: this.isGuest && !task,
--- a/packages/samphirenotch/src/jobs/ownership/incomingDelegations.ts
+++ b/packages/samphirenotch/src/jobs/ownership/incomingDelegations.ts
@@ -53,12 +53,14 @@
     failedRuns: new Map<number, readonly number[]>(),
     crashedRuns: new Map<number, readonly number[]>(),
     places: new Map<number, string>(),
+    interruptions: new Map<number, number>(),
   }));
   steps[step] = {
     done: new Set(done.map(({ index }) => index)),
     failedRuns: new Map(failedRuns),
     crashedRuns: new Map(crashedRuns),
     places: new Map(),
+    interruptions: new Map(),
   };
   return new Map([[occurrence, steps]]);
 };
--- a/packages/samphirenotch/src/jobs/ownership/takeover.ts
+++ b/packages/samphirenotch/src/jobs/ownership/takeover.ts
@@ -233,6 +233,7 @@
   items: readonly KeyValue[],
   { progressPrefix }: ShareKeys,
   placesSince: number,
+  clock: Clock,
 ): ReadonlyMap<string, JobProgress> => {
   const progress = new Map<string, JobProgress>();
   items
@@ -240,7 +241,7 @@
     .forEach(({ key, value }) => {
       const jobId = key.slice(progressPrefix.length);
       try {
-        progress.set(jobId, decodeProgress(value, placesSince));
+        progress.set(jobId, decodeProgress(value, placesSince, clock));
       } catch (error) {
         log.error('Progress cannot be read', { jobId, reason: String(error) });
       }
@@ -321,7 +322,7 @@
     return {
       journal: opened.journal,
       firstRun: term.fencingToken * RUN_NUMBERS_PER_TERM,
-      progress: readProgress(items, keys, opened.placesSince),
+      progress: readProgress(items, keys, opened.placesSince, clock),
       workers: {
         roster: readRoster(items, keys),
         leases: opened.leases,
--- a/packages/samphirenotch/src/jobs/store/jobRegistry.ts
+++ b/packages/samphirenotch/src/jobs/store/jobRegistry.ts
@@ -3,6 +3,7 @@
  */
 import { partLog } from '../../observability/log.js';
 import type { Clock } from '../../time/clock.js';
+import { toMonotonicMs } from '../../time/unixTime.js';
 
 import { describeJob } from '../model/jobDescription.js';
 import { encodeProgress, type JobProgress } from '../model/jobProgress.js';
@@ -14,9 +15,6 @@
 import type { OperatorFollower } from './operatorFollower.js';
 import type { ProgressJournal } from './progressJournal.js';
 
-/** Upper limit of the computed age of a job, in milliseconds: wall clocks may jump. */
-const MAXIMUM_JOB_AGE_MS = 60_000;
-
 /** Holds the open jobs of one term of ownership, own ones and guests. */
 export class JobRegistry {
   private readonly log = partLog('jobs');
@@ -185,16 +183,14 @@
   }
 
   private commonOptions(accepted: AcceptedJob, revision: number) {
-    const nowMs = this.clock.monotonicMs();
-    const ageMs = this.clock.wallMs() - accepted.acceptedAtMs;
     return {
       accepted,
       revision,
       isInherited: revision <= this.fencingToken,
       queue: accepted.queue,
       firstRun: this.firstRun,
-      acceptedMs: nowMs - Math.min(MAXIMUM_JOB_AGE_MS, Math.max(0, ageMs)),
-      knownSinceMs: nowMs,
+      acceptedMs: toMonotonicMs(this.clock, accepted.acceptedAtMs),
+      knownSinceMs: this.clock.monotonicMs(),
     };
   }
 
@@ -241,7 +237,7 @@
     return this.journal.add({
       key: this.keys.progressPrefix + job.id,
       isUrgent,
-      value: () => encodeProgress(job, this.fencingToken),
+      value: () => encodeProgress(job, this.fencingToken, this.clock),
     });
   }
 
--- a/tests/jobs/decisions.spec.ts
+++ b/tests/jobs/decisions.spec.ts
@@ -51,7 +51,8 @@
     if (task) task.done = true;
   });
   step.tasks[5]?.failedRuns.push(3, 4);
-  const progress = decodeProgress(encodeProgress(job, 1), 1).get(0);
+  const clock = new ManualClock();
+  const progress = decodeProgress(encodeProgress(job, 1, clock), 1, clock).get(0);
   t.deepEqual([...(progress?.[0]?.done ?? [])], [0, 1, 4]);
   t.deepEqual(progress?.[0]?.failedRuns.get(5), [3, 4]);
   t.is(progress?.[1]?.done.size, 0);
@@ -61,14 +62,32 @@
 test('should keep the runs under which workers crashed when progress is encoded and decoded', (t) => {
   const job = makeOwned(makeJob(makeStep({ count: 3 })));
   firstStep(job).tasks[2]?.crashedRuns.push(4, 7);
-  const [step] = decodeProgress(encodeProgress(job, 1), 1).get(0) ?? [];
+  const clock = new ManualClock();
+  const [step] = decodeProgress(encodeProgress(job, 1, clock), 1, clock).get(0) ?? [];
   t.deepEqual([...(step?.crashedRuns ?? [])], [[2, [4, 7]]]);
 });
 
+// Guards against a successor that counts an interruption from its own takeover.
+test('should keep since when tasks are interrupted when progress is encoded and decoded', async (t) => {
+  const job = makeOwned(makeJob(makeStep({ count: 3, longRunning: true })));
+  const [, interrupted] = firstStep(job).tasks;
+  if (!interrupted) throw new Error('the step has no second task');
+  const clock = new ManualClock();
+  interrupted.interruptedMs = clock.monotonicMs();
+  const text = encodeProgress(job, 1, clock);
+  const other = new ManualClock();
+  await other.advance(1_500);
+  const [step] = decodeProgress(text, 1, other).get(0) ?? [];
+  t.deepEqual([...(step?.interruptions ?? [])], [[1, other.monotonicMs() - 1_500]]);
+});
+
 // Guards against an owner that cannot read what an owner of a former version has stored.
 test('should read progress, delegations and reports of former versions', (t) => {
-  const [step] = decodeProgress('{"o":[{"k":0,"s":[{"d":[0,2],"f":{"3":[1]}}]}]}', 1).get(0) ?? [];
+  const clock = new ManualClock();
+  const [step] =
+    decodeProgress('{"o":[{"k":0,"s":[{"d":[0,2],"f":{"3":[1]}}]}]}', 1, clock).get(0) ?? [];
   t.is(step?.crashedRuns.size, 0);
+  t.is(step?.interruptions.size, 0);
   t.deepEqual(step?.failedRuns.get(3), [1]);
   const delegation = decodeDelegation(
     '{"j":"a1","n":"1-1","h":"dc0","t":"dc1","k":0,"s":0,"r":[[2,5,[4],"c"]]}',
