Add a test of passes while starved fillers wait for capacity

On a site with little free capacity, more than four filler jobs without a run make the owner look at all its jobs every 12 ms: 417 passes in 5 s on a manual clock, though nothing can start.

--- a/tests/jobs/starvation.spec.ts
+++ b/tests/jobs/starvation.spec.ts
@@ -2,6 +2,7 @@
  * Tests fillers that are predicted to interfere too much on every worker.
  */
 import test from 'ava';
+import { SilentRecorder, type Step } from 'samphirenotch/observability/recorder.js';
 
 import type { MemoryTaskWorker } from '../fixtures/memoryTaskWorker.js';
 import { makeJob, makeOwnedSite, makeStep } from '../fixtures/jobSite.js';
@@ -16,6 +17,18 @@
 /** Longest time for which a job may have no run while there is free capacity, in milliseconds. */
 const PROMISED_START_MS = 3_000;
 
+/** Longest wait of an owner for news before it looks at its jobs again, in milliseconds. */
+const PASS_INTERVAL_MS = 250;
+
+/** Counts the passes of owners. */
+class PassRecorder extends SilentRecorder {
+  passes = 0;
+
+  override time(step?: Step): void {
+    if (step === 'pass') this.passes += 1;
+  }
+}
+
 const paceOf = (worker: MemoryTaskWorker, taskId: string): number =>
   worker.paces.get(taskId) ?? 100;
 
@@ -23,8 +36,9 @@
  * Makes a site of one worker whose serving tasks miss their target as soon as the filler runs at
  * all.
  */
-const makeNoisySite = (servingTasks: number) =>
+const makeNoisySite = (servingTasks: number, recorder = new PassRecorder()) =>
   makeOwnedSite({
+    recorder,
     workers: 1,
     milliCores: 4_000,
     behave: (taskId) =>
@@ -80,3 +94,20 @@
   const { runs } = await makeNoisySite(3);
   t.is(runs.length, 0);
 });
+
+// Guards against an owner that looks at its jobs without a pause while starved fillers wait for capacity.
+test('should not look for starved fillers without a pause if little capacity is free', async (t) => {
+  const FILLERS = 8;
+  const WATCHED_MS = 5_000;
+  const recorder = new PassRecorder();
+  const { site, owner } = await makeNoisySite(3, recorder);
+  const filler = makeStep({ filler: true, image: 'noisy', checkpointing: true });
+  for (let at = 0; at < FILLERS; at += 1) {
+    await site.submit(owner, `0000000000000d0${at}`.padEnd(16, '0'), makeJob(filler));
+  }
+  await site.run(PROMISED_START_MS);
+  const passesBefore = recorder.passes;
+  await site.run(WATCHED_MS);
+  const passes = recorder.passes - passesBefore;
+  t.true(passes <= (2 * WATCHED_MS) / PASS_INTERVAL_MS, `${passes} passes`);
+});
