--- a/packages/samphirenotch/src/jobs/model/jobProgress.ts
+++ b/packages/samphirenotch/src/jobs/model/jobProgress.ts
@@ -1,10 +1,13 @@
 /**
  * Progress of a job that must survive a change of its owner: which tasks are done, which runs
- * failed, under which runs workers crashed, on which workers long-running tasks may be, and which suspects
- * are being tried.
+ * failed, under which runs workers crashed, on which workers long-running tasks may be, since when those
+ * that were interrupted wait, and which suspects are being tried.
  */
 import { z } from 'zod';
 
+import type { Clock } from '../../time/clock.js';
+import { toMonotonicMs, toUnixMs } from '../../time/unixTime.js';
+
 const TRIAL = z.object({
   run: z.number(),
   /** Id of the worker. */
@@ -29,6 +32,8 @@
   p: z.record(z.string(), z.string()).optional(),
   /** Trials that have not ended, by task index. */
   x: z.record(z.string(), TRIAL).optional(),
+  /** When long-running tasks that wait were interrupted, in Unix milliseconds, by task index. */
+  i: z.record(z.string(), z.number()).optional(),
 });
 
 const PROGRESS = z.object({
@@ -50,6 +55,8 @@
   readonly places: ReadonlyMap<number, string>;
   /** Trials that have not ended, by task index. */
   readonly trials: ReadonlyMap<number, Trial>;
+  /** Monotonic time at which each long-running task that waits was interrupted, in milliseconds. */
+  readonly interruptions: ReadonlyMap<number, number>;
 }
 
 /** Progress of the steps by index of the occurrence. */
@@ -63,6 +70,9 @@
   readonly crashedRuns: readonly number[];
   readonly place: string | undefined;
   readonly trial: Trial | undefined;
+  readonly runs: readonly unknown[];
+  /** Monotonic time in milliseconds. */
+  readonly interruptedMs: number | undefined;
 }
 
 /** The part of a job that `encodeProgress` reads. */
@@ -71,7 +81,10 @@
     number,
     {
       readonly index: number;
-      readonly steps: readonly { readonly tasks: readonly TaskProgress[] }[];
+      readonly steps: readonly {
+        readonly spec: { readonly longRunning: boolean };
+        readonly tasks: readonly TaskProgress[];
+      }[];
     }
   >;
 }
@@ -125,31 +138,43 @@
   return rows.length > 0 ? Object.fromEntries(rows) : undefined;
 };
 
+/** Returns when a task that waits was interrupted, in Unix milliseconds; undefined for any other. */
+const interruptionOf = ({ interruptedMs, runs }: TaskProgress, clock: Clock): number | undefined =>
+  interruptedMs === undefined || runs.length > 0 ? undefined : toUnixMs(clock, interruptedMs);
+
 const decodeByTask = <Value>(
   values: Readonly<Record<string, Value>> | undefined,
 ): ReadonlyMap<number, Value> =>
   new Map(Object.entries(values ?? {}).map(([index, value]) => [Number(index), value]));
 
-const decodeRuns = (runs: Readonly<Record<string, readonly number[]>> | undefined): RunsByTask =>
-  new Map(Object.entries(runs ?? {}).map(([index, list]) => [Number(index), list]));
-
 /**
  * Encodes the progress of a job.
  *
  * @param job - the job
  * @param fencingToken - fencing token of the owner that writes it
+ * @param clock - clock of the owner
  * @returns text for the store
  */
-export const encodeProgress = (job: ProgressSource, fencingToken: number): string => {
+export const encodeProgress = (job: ProgressSource, fencingToken: number, clock: Clock): string => {
   const occurrences = [...job.occurrences.values()].map(({ index, steps }) => ({
     k: index,
-    s: steps.map(({ tasks }) => {
+    s: steps.map(({ spec, tasks }) => {
       const f = encodeRuns(tasks, ({ failedRuns }) => failedRuns);
       const c = encodeRuns(tasks, ({ crashedRuns }) => crashedRuns);
       const p = encodeByTask(tasks, ({ place }) => place);
       const x = encodeByTask(tasks, ({ trial }) => trial);
+      const i = spec.longRunning
+        ? encodeByTask(tasks, (task) => interruptionOf(task, clock))
+        : undefined;
       const d = toRanges(tasks.map(({ done }) => done));
-      return { d, ...(f && { f }), ...(c && { c }), ...(p && { p }), ...(x && { x }) };
+      return {
+        d,
+        ...(f && { f }),
+        ...(c && { c }),
+        ...(p && { p }),
+        ...(i && { i }),
+        ...(x && { x }),
+      };
     }),
   }));
   const hasPlaces = occurrences.some(({ s }) => s.some(({ p }) => p !== undefined));
@@ -161,20 +186,24 @@
  *
  * @param text - text from the store
  * @param placesSince - lowest fencing token of an owner whose places still hold
+ * @param clock - clock of this process
  * @returns the progress
  * @throws if the text was not written by `encodeProgress`
  */
-export const decodeProgress = (text: string, placesSince: number): JobProgress => {
+export const decodeProgress = (text: string, placesSince: number, clock: Clock): JobProgress => {
   const { o: occurrences, t: token } = PROGRESS.parse(JSON.parse(text));
   const arePlacesValid = token !== undefined && token >= placesSince;
   return new Map(
     occurrences.map(({ k, s }) => [
       k,
-      s.map(({ d, f, c, p, x }) => ({
+      s.map(({ d, f, c, p, i, x }) => ({
         done: fromRanges(d),
-        failedRuns: decodeRuns(f),
-        crashedRuns: decodeRuns(c),
+        failedRuns: decodeByTask(f),
+        crashedRuns: decodeByTask(c),
         places: decodeByTask(arePlacesValid ? p : undefined),
+        interruptions: new Map(
+          [...decodeByTask(i)].map(([index, unixMs]) => [index, toMonotonicMs(clock, unixMs)]),
+        ),
         trials: decodeByTask(x),
       })),
     ]),
--- a/packages/samphirenotch/src/jobs/ownership/incomingDelegations.ts
+++ b/packages/samphirenotch/src/jobs/ownership/incomingDelegations.ts
@@ -54,6 +54,7 @@
     crashedRuns: new Map<number, readonly number[]>(),
     places: new Map<number, string>(),
     trials: new Map<number, Trial>(),
+    interruptions: new Map<number, number>(),
   }));
   steps[step] = {
     done: new Set(done.map(({ index }) => index)),
@@ -61,6 +62,7 @@
     crashedRuns: new Map(crashedRuns),
     places: new Map(),
     trials: new Map(),
+    interruptions: new Map(),
   };
   return new Map([[occurrence, steps]]);
 };
