Owe room only to long-running tasks that are known to have run

What callers would have seen: where long-running tasks wait for their first start on a full site, no urgent task starts any more from 3 s after a change of the owner on.

Cause: a successor takes every long-running task that it learns of for interrupted, also those that have never run, and they were owed room like the others.

A task is known to have run if it has a stored place or a stored time of interruption, or if this owner has seen its run. The time of interruption is stored of such tasks only.

--- a/packages/samphirenotch/src/jobs/model/jobProgress.ts
+++ b/packages/samphirenotch/src/jobs/model/jobProgress.ts
@@ -73,6 +73,7 @@
   readonly runs: readonly unknown[];
   /** Monotonic time in milliseconds. */
   readonly interruptedMs: number | undefined;
+  readonly hasRun: boolean;
 }
 
 /** The part of a job that `encodeProgress` reads. */
@@ -138,9 +139,14 @@
   return rows.length > 0 ? Object.fromEntries(rows) : undefined;
 };
 
-/** Returns when a task that waits was interrupted, in Unix milliseconds; undefined for any other. */
-const interruptionOf = ({ interruptedMs, runs }: TaskProgress, clock: Clock): number | undefined =>
-  interruptedMs === undefined || runs.length > 0 ? undefined : toUnixMs(clock, interruptedMs);
+/** Returns when a task that has run and waits was interrupted, in Unix milliseconds; undefined for any other. */
+const interruptionOf = (
+  { interruptedMs, hasRun, runs }: TaskProgress,
+  clock: Clock,
+): number | undefined => {
+  if (interruptedMs === undefined || !hasRun || runs.length > 0) return undefined;
+  return toUnixMs(clock, interruptedMs);
+};
 
 const decodeByTask = <Value>(
   values: Readonly<Record<string, Value>> | undefined,
--- a/packages/samphirenotch/src/jobs/model/ownedJob.ts
+++ b/packages/samphirenotch/src/jobs/model/ownedJob.ts
@@ -154,6 +154,8 @@
    * time, at which this owner learned of it, in milliseconds; undefined if it has not run.
    */
   interruptedMs: number | undefined;
+  /** True if it is known to have run, here or under former owners. */
+  hasRun: boolean;
   /** Ids of the workers on which it failed, or which did not answer its start. */
   readonly failedWorkerIds: Set<string>;
   /** Addresses of the workers that crashed under it, as far as this owner knows. */
@@ -382,6 +384,7 @@
         interruptedMs: this.options.isInherited
           ? (progress?.interruptions.get(index) ?? this.options.knownSinceMs)
           : undefined,
+        hasRun: progress?.places.has(index) === true || progress?.interruptions.has(index) === true,
         failedWorkerIds: new Set(),
         crashedAddresses: new Set(),
         isElsewhere: this.isGuest && !task,
--- a/packages/samphirenotch/src/jobs/workers/workerRuns.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerRuns.ts
@@ -178,7 +178,10 @@
     const { task } = run;
     const at = task.runs.indexOf(run);
     if (at >= 0) task.runs.splice(at, 1);
-    if (run.confirmedMs !== undefined) task.interruptedMs = this.clock.monotonicMs();
+    if (run.confirmedMs !== undefined) {
+      task.interruptedMs = this.clock.monotonicMs();
+      task.hasRun = true;
+    }
     const { job } = task.step.occurrence;
     job.runCount -= 1;
     return true;
--- a/tests/jobs/decisions.spec.ts
+++ b/tests/jobs/decisions.spec.ts
@@ -70,10 +70,12 @@
 // Guards against a successor that counts an interruption from its own takeover.
 test('should keep since when tasks are interrupted when progress is encoded and decoded', async (t) => {
   const job = makeOwned(makeJob(makeStep({ count: 3, longRunning: true })));
-  const [, interrupted] = firstStep(job).tasks;
-  if (!interrupted) throw new Error('the step has no second task');
+  const [, interrupted, neverRun] = firstStep(job).tasks;
+  if (!interrupted || !neverRun) throw new Error('the step has too few tasks');
   const clock = new ManualClock();
   interrupted.interruptedMs = clock.monotonicMs();
+  interrupted.hasRun = true;
+  neverRun.interruptedMs = clock.monotonicMs();
   const text = encodeProgress(job, 1, clock);
   const other = new ManualClock();
   await other.advance(1_500);
