Store when all leases end before an owner that stops gives up its share

What callers saw: a long-running task that does not run for over 9 s, and short tasks of all older jobs that wait as long, when a worker is lost as its owner gets SIGTERM.

Cause: an owner that stopped gave its lease back at once. It knew how long the leases of its workers last, but had stored it only of silent and of leaving ones. Its successor counted 9 s from its first contact for every other worker that it did not reach, as after an owner that may go on extending leases.

Change: before it revokes its lease, an owner that stops writes one record more: the leases that it counts down, those of workers that have not answered it, and one bound for all others (`othersLeftMs`). It extends none beyond that, and starts nothing while the record is being stored (600 ms at most; not at all if the store has not answered lately). A successor goes by the bound, passes it on with its first write, and extends leases beyond it only once it has stored its own record. The owner counts as certain of its lease until it first revokes it.

Why it works: the wait is for leases, and nobody but the owner that stops can have extended them; what it says last is kept by limits that are in force before the record is sent. Records of older versions lack the bound and are read as before.

--- a/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
@@ -84,6 +84,9 @@
  */
 const MAX_STORE_ANSWER_AGE_MS = 1_000;
 
+/** Longest wait until the last changes of a term are stored, in milliseconds. */
+const MAX_FINAL_WRITE_MS = 600;
+
 /**
  * Wait before a task is started again after a worker refused it or lost its run, in milliseconds.
  */
@@ -161,6 +164,12 @@
 
   private exchange: ShareExchange | undefined;
 
+  /** True once the share is taken over. */
+  private hasBegun = false;
+
+  /** True while the last changes of the term are being stored: nothing is started meanwhile. */
+  private isHandingOver = false;
+
   /** Monotonic time at which the term began, in milliseconds. */
   private readonly ownedSinceMs: number;
 
@@ -177,7 +186,7 @@
     this.turns = new OrderBatcher(options.clock);
     this.book = new JobRegistry(options.operator, options.clock);
     this.outcomes = new TaskOutcomes(this.book, options.clock, options.viewAgeMs);
-    const isStoreReachable = (): boolean => term.leaseUnconfirmedMs() <= MAX_STORE_ANSWER_AGE_MS;
+    const isStoreReachable = (): boolean => this.isStoreReachable();
     this.fleet = new WorkerFleet({
       notBeyondMs: (revision) => options.replica.history.notBeyondMs(revision),
       makeAgent: (description) => this.createAgent(description),
@@ -262,6 +271,7 @@
     const exchanging = this.startExchange(takeover);
     await this.exchange?.restore(signal);
     this.fleet.beginTerm(this.journal, keys, takeover.workers);
+    this.hasBegun = true;
     this.log.info('Took over', {
       share: share.id,
       fencingToken: term.fencingToken,
@@ -271,7 +281,8 @@
       placed: this.book.openJobs().filter(({ hasStoredPlaces }) => hasStoredPlaces).length,
       firstRun: takeover.firstRun,
       suspects: takeover.workers.roster?.length,
-      countedDown: takeover.workers.leases.length,
+      countedDown: takeover.workers.leaseEnds.leases.length,
+      isHandedOver: Number.isFinite(takeover.workers.leaseEnds.othersEndMs),
       sinceLossMs: Math.round(options.clock.monotonicMs() - takeover.workers.lastLossMs),
     });
     await Promise.all([
@@ -318,6 +329,23 @@
     };
   }
 
+  /**
+   * Stores what a successor needs, at the end of a term that another entry is to follow. No lease is extended
+   * any more.
+   */
+  async prepareHandover(): Promise<void> {
+    if (!this.hasBegun || !this.isStoreReachable()) return;
+    this.isHandingOver = true;
+    this.fleet.finishLeases();
+    const ended = new AbortController();
+    await Promise.race([
+      this.whenStored(),
+      this.options.clock.sleep(MAX_FINAL_WRITE_MS, ended.signal),
+    ]);
+    ended.abort();
+    this.isHandingOver = false;
+  }
+
   /** @returns the state of the term */
   status(): TermStatus {
     const { away = 0, guests = 0 } = this.exchange?.counts() ?? {};
@@ -514,6 +542,10 @@
     if (job.isGuest) this.book.saveProgress(job);
   }
 
+  private isStoreReachable(): boolean {
+    return this.term.leaseUnconfirmedMs() <= MAX_STORE_ANSWER_AGE_MS;
+  }
+
   /** Tells whether no other owner can have granted a lease yet. */
   private isSoleOwner(): boolean {
     return this.options.clock.monotonicMs() < this.term.leaseValidUntilMs();
@@ -571,7 +603,7 @@
       this.watch.check();
       this.slowWorkers.check();
       this.pacing.adjust();
-      this.launcher.pass(directory.complete);
+      if (!this.isHandingOver) this.launcher.pass(directory.complete);
       this.launcher.reportLongWaits();
       this.exchange?.check(this.launcher.unplaced());
       const tookMs = clock.monotonicMs() - startMs;
--- a/packages/samphirenotch/src/jobs/ownership/ownerElection.ts
+++ b/packages/samphirenotch/src/jobs/ownership/ownerElection.ts
@@ -91,6 +91,8 @@
   readonly processorShare: number;
   /** How long a stopping owner goes on while the store does not confirm the revocation, in ms. */
   readonly handoverMs: number;
+  /** Prepares the end of the term in progress for a successor; resolves soon in any case. */
+  readonly prepareHandover: () => Promise<void>;
   /** Serves a term; resolves once the term's signal is aborted and all work has ended. */
   readonly serve: (term: Term) => Promise<void>;
 }
@@ -268,10 +270,11 @@
     // Every worker, call and loop of the term adds a listener.
     setMaxListeners(0, ended.signal);
     let handover: Promise<void> | undefined;
-    let handoverStartedMs = Number.POSITIVE_INFINITY;
+    let revokedMs = Number.POSITIVE_INFINITY;
     const startHandover = (): void => {
-      handoverStartedMs = Math.min(handoverStartedMs, this.options.clock.monotonicMs());
-      handover ??= this.handOver(leaseId, ended);
+      handover ??= this.handOver(leaseId, ended, () => {
+        revokedMs = this.options.clock.monotonicMs();
+      });
     };
     this.handOverTerm = startHandover;
     onAbort(signal, startHandover);
@@ -292,7 +295,7 @@
       signal: ended.signal,
       // The store may have revoked the lease although its answer was lost.
       leaseValidUntilMs: () =>
-        Math.min(this.leaseConfirmedMs + LEASE_MS - CLOCK_MARGIN_MS, handoverStartedMs),
+        Math.min(this.leaseConfirmedMs + LEASE_MS - CLOCK_MARGIN_MS, revokedMs),
       leaseUnconfirmedMs: () => this.options.clock.monotonicMs() - this.leaseConfirmedMs,
       confirmSoon: () => this.renewal.wake(),
       stepDown: depose,
@@ -310,10 +313,20 @@
 
   /**
    * A stopping owner goes on until the store confirms the revocation or `handoverMs` has passed.
+   *
+   * @param leaseId - its lease
+   * @param ended - ends the term
+   * @param onRevoking - called before the lease is revoked for the first time
    */
-  private async handOver(leaseId: string, ended: AbortController): Promise<void> {
-    const { clock, handoverMs } = this.options;
+  private async handOver(
+    leaseId: string,
+    ended: AbortController,
+    onRevoking: () => void,
+  ): Promise<void> {
+    const { clock, handoverMs, prepareHandover } = this.options;
     const untilMs = clock.monotonicMs() + handoverMs;
+    await prepareHandover();
+    onRevoking();
     while (!ended.signal.aborted && clock.monotonicMs() < untilMs) {
       if (await this.revokeLease(leaseId)) break;
       await clock.sleep(HANDOVER_RETRY_MS, ended.signal);
--- a/packages/samphirenotch/src/jobs/ownership/shareOwners.ts
+++ b/packages/samphirenotch/src/jobs/ownership/shareOwners.ts
@@ -143,6 +143,7 @@
       candidacyDelayMs: () => this.delayBeforeCandidacyMs(share),
       runExclusively: (attempt) => this.attemptLimit(attempt),
       onElected: () => this.heldSinceMs.set(share.id, this.options.clock.monotonicMs()),
+      prepareHandover: async () => this.owners.get(share.id)?.prepareHandover(),
       serve: (term) => this.serve(share, layout, term),
     });
   }
--- a/packages/samphirenotch/src/jobs/ownership/takeover.ts
+++ b/packages/samphirenotch/src/jobs/ownership/takeover.ts
@@ -15,7 +15,7 @@
 import type { JobReplica } from '../store/jobReplica.js';
 import { ProgressJournal } from '../store/progressJournal.js';
 import type { Term } from '../store/term.js';
-import type { LeaseEnd, LeaseRecord } from '../workers/leaseCountdown.js';
+import type { LeaseEnds, LeaseRecord } from '../workers/leaseCountdown.js';
 import type { FormerWorkers, RosterEntry } from '../workers/workerFleet.js';
 
 /**
@@ -56,6 +56,7 @@
 const LEASE_RECORD: z.ZodType<LeaseRecord> = z.object({
   journal: z.string(),
   leases: z.array(z.object({ id: z.string(), leftMs: z.number().nonnegative() })),
+  othersLeftMs: z.number().nonnegative().optional(),
 });
 
 /** Settings and collaborators of a takeover. */
@@ -107,39 +108,52 @@
   readonly revision: number;
   /** Label of the journal of the owner before; undefined if there was none. */
   readonly formerLabel: string | undefined;
-  /** Leases that the owner before counted down, in the store as those that this owner counts down. */
-  readonly leases: readonly LeaseEnd[];
+  /** Leases that the owner before no longer extended, in the store as those that this owner does not. */
+  readonly leaseEnds: LeaseEnds;
   /** Lowest fencing token of an owner whose places still hold. */
   readonly placesSince: number;
 }
 
+const NO_LEASE_ENDS: LeaseEnds = { leases: [], othersEndMs: Number.POSITIVE_INFINITY };
+
 /**
- * Returns the leases that an owner counts down; none if the record is of another owner. The time left counts
- * from when this entry knows that the record had been written.
+ * Returns the leases that an owner no longer extends; none if the record is of another owner. The time left
+ * counts from when this entry knows that the record had been written.
  */
 const parseLeases = (
   item: KeyValue | undefined,
   label: string | undefined,
   { history }: JobReplica,
-): readonly LeaseEnd[] => {
-  if (!item) return [];
+): LeaseEnds => {
+  if (!item) return NO_LEASE_ENDS;
   try {
-    const { journal, leases } = LEASE_RECORD.parse(JSON.parse(item.value));
-    if (journal !== label) return [];
+    const { journal, leases, othersLeftMs } = LEASE_RECORD.parse(JSON.parse(item.value));
+    if (journal !== label) return NO_LEASE_ENDS;
     const writtenMs = history.writtenByMs(item.revision);
-    return leases.map(({ id, leftMs }) => ({ id, endMs: writtenMs + leftMs }));
+    return {
+      leases: leases.map(({ id, leftMs }) => ({ id, endMs: writtenMs + leftMs })),
+      othersEndMs: writtenMs + (othersLeftMs ?? Number.POSITIVE_INFINITY),
+    };
   } catch (error) {
     const reason = String(error).slice(0, LONGEST_REASON);
     log.error('The leases that are counted down cannot be read', { key: item.key, reason });
-    return [];
+    return NO_LEASE_ENDS;
   }
 };
 
-/** Returns the record of leases that another owner had counted down. */
-const encodeLeases = (journal: string, leases: readonly LeaseEnd[], nowMs: number): string => {
+/** Returns the record of leases that another owner no longer extended; undefined if there are none. */
+const encodeLeases = (
+  journal: string,
+  { leases, othersEndMs }: LeaseEnds,
+  nowMs: number,
+): string | undefined => {
+  const leftMs = (endMs: number): number => Math.max(0, Math.ceil(endMs - nowMs));
+  const areOthersLimited = Number.isFinite(othersEndMs);
+  if (leases.length === 0 && !areOthersLimited) return undefined;
   const record: LeaseRecord = {
     journal,
-    leases: leases.map(({ id, endMs }) => ({ id, leftMs: Math.max(0, Math.ceil(endMs - nowMs)) })),
+    leases: leases.map(({ id, endMs }) => ({ id, leftMs: leftMs(endMs) })),
+    ...(areOthersLimited && { othersLeftMs: leftMs(othersEndMs) }),
   };
   return JSON.stringify(record);
 };
@@ -181,11 +195,11 @@
     }
     // A transaction whose answer was lost may have written the label of this owner.
     if (known.val && !known.val.value.startsWith(name)) formerLabel = known.val.value;
-    const leases = parseLeases(counted.val, known.val?.value, replica);
+    const leaseEnds = parseLeases(counted.val, known.val?.value, replica);
     // An owner of an older version starts tasks without a change of their places.
     const placesSince = placesSinceOf(known.val?.value) ?? term.fencingToken;
     const label = `${name}places:${placesSince}`;
-    const record = encodeLeases(label, leases, clock.monotonicMs());
+    const record = encodeLeases(label, leaseEnds, clock.monotonicMs());
     const outcome = await store.commit(
       {
         expectations: [
@@ -196,7 +210,7 @@
         writes: [
           { key: keys.journal, value: label },
           { key: keys.opened, value: label },
-          ...(leases.length === 0 ? [] : [{ key: keys.leases, value: record }]),
+          ...(record === undefined ? [] : [{ key: keys.leases, value: record }]),
         ],
         removals: [],
       },
@@ -212,7 +226,7 @@
         label,
         term.stepDown,
       );
-      return { journal, revision, formerLabel, leases, placesSince };
+      return { journal, revision, formerLabel, leaseEnds, placesSince };
     }
     if (outcome.ok) {
       const owner = await store.get(keys.owner, call());
@@ -324,7 +338,7 @@
       progress: readProgress(items, keys, opened.placesSince),
       workers: {
         roster: readRoster(items, keys),
-        leases: opened.leases,
+        leaseEnds: opened.leaseEnds,
         lastLossMs: lossOfOpener(options, opened.formerLabel),
       },
       formerOwner: opened.formerLabel,
--- a/packages/samphirenotch/src/jobs/workers/formerLeases.ts
+++ b/packages/samphirenotch/src/jobs/workers/formerLeases.ts
@@ -5,7 +5,7 @@
 import type { Clock } from '../../time/clock.js';
 
 import { MAXIMUM_UNCONFIRMED_MS } from '../store/term.js';
-import type { LeaseEnd } from './leaseCountdown.js';
+import type { LeaseEnds } from './leaseCountdown.js';
 
 /** Longest lease that a former owner can have granted, including clock drift, in milliseconds. */
 export const MAX_FORMER_LEASE_MS = 6_500;
@@ -70,6 +70,9 @@
    */
   private readonly countedDownEndsMs = new Map<string, number>();
 
+  /** The same for all other workers. */
+  private othersEndMs = Number.POSITIVE_INFINITY;
+
   /**
    * @param clock - time
    */
@@ -88,17 +91,18 @@
   /**
    * Begins a term.
    *
-   * @param leases - leases that the last owner had counted down
+   * @param ends - leases that the last owner no longer extended
    * @param roster - workers on which former owners may have started runs
    * @param lastLossMs - monotonic time by which the last owner before this one that may have granted
    *   leases had lost the share, in milliseconds
    */
   beginTerm(
-    leases: readonly LeaseEnd[],
+    { leases, othersEndMs }: LeaseEnds,
     roster: readonly FormerWorker[],
     lastLossMs: number,
   ): void {
     this.lastLossMs = lastLossMs;
+    this.othersEndMs = othersEndMs;
     this.formerWorkers = new Map(roster.map((worker) => [worker.id, worker]));
     leases.forEach(({ id, endMs }) => this.countedDownEndsMs.set(id, endMs));
   }
@@ -131,7 +135,7 @@
     const lastExtensionMs = Math.min(this.ownersEndMs, reachedAtMs + SUCCESSOR_DISCOVERY_MS);
     return Math.min(
       lastExtensionMs + MAX_FORMER_LEASE_MS,
-      this.countedDownEndsMs.get(id) ?? Number.POSITIVE_INFINITY,
+      this.countedDownEndsMs.get(id) ?? this.othersEndMs,
     );
   }
 
--- a/packages/samphirenotch/src/jobs/workers/leaseCountdown.ts
+++ b/packages/samphirenotch/src/jobs/workers/leaseCountdown.ts
@@ -4,6 +4,9 @@
  *
  * A lease may be extended beyond that only once a record with a later end, or without the lease, is stored:
  * until then a successor may go by the time left.
+ *
+ * An owner that hands over stores one bound for all other workers as well, so that its successor does not wait
+ * for one that is lost meanwhile as if its lease had been extended since.
  */
 import { partLog } from '../../observability/log.js';
 import type { Clock } from '../../time/clock.js';
@@ -43,6 +46,15 @@
   /** Label of the owner's journal: the record says nothing about leases of another owner. */
   readonly journal: string;
   readonly leases: readonly LeaseLeft[];
+  /** Longest lease of all other workers, as for these; left out if the owner may extend them. */
+  readonly othersLeftMs?: number | undefined;
+}
+
+/** When the leases end at the latest that an owner no longer extends. */
+export interface LeaseEnds {
+  readonly leases: readonly LeaseEnd[];
+  /** Monotonic time for all other workers, in milliseconds; infinite if their leases may be extended. */
+  readonly othersEndMs: number;
 }
 
 /** A record that is stored, or may be. */
@@ -51,6 +63,8 @@
   readonly sequence: number;
   /** Monotonic times at which the leases in it end at the latest, in milliseconds, by id of the worker. */
   readonly endsMs: ReadonlyMap<string, number>;
+  /** The same for all other workers; infinite if their leases may be extended. */
+  readonly othersEndMs: number;
 }
 
 const describeLeases = (leases: readonly LeaseLeft[]): string =>
@@ -75,6 +89,9 @@
 
   private recordedAtMs = Number.NEGATIVE_INFINITY;
 
+  /** True once no lease is extended any more. */
+  private isOver = false;
+
   /**
    * @param clock - time
    * @param onStored - called when leases may be extended again or for longer
@@ -89,14 +106,14 @@
    *
    * @param journal - journal that stores the record
    * @param key - key of the record
-   * @param leases - the record that is stored: leases that the last owner had counted down
+   * @param ends - the record that is stored: leases that the last owner no longer extended
    */
-  beginTerm(journal: ProgressJournal, key: string, leases: readonly LeaseEnd[]): void {
+  beginTerm(journal: ProgressJournal, key: string, { leases, othersEndMs }: LeaseEnds): void {
     this.journal = journal;
     this.key = key;
     this.newestIds = leases.map(({ id }) => id);
     const endsMs = new Map(leases.map(({ id, endMs }) => [id, endMs]));
-    this.records = [{ sequence: STORED_BEFORE, endsMs }];
+    this.records = [{ sequence: STORED_BEFORE, endsMs, othersEndMs }];
   }
 
   /**
@@ -116,7 +133,9 @@
    * @returns monotonic time in milliseconds; infinite if the lease is not counted down
    */
   limitMs(id: string): number {
-    return Math.min(...this.records.map(({ endsMs }) => endsMs.get(id) ?? Infinity));
+    return Math.min(
+      ...this.records.map(({ endsMs, othersEndMs }) => endsMs.get(id) ?? othersEndMs),
+    );
   }
 
   /**
@@ -127,13 +146,14 @@
    */
   update(leases: readonly LeaseLeft[]): void {
     const nowMs = this.clock.monotonicMs();
-    if (nowMs < this.recordedAtMs + MIN_INTERVAL_MS) return;
+    if (this.isOver || nowMs < this.recordedAtMs + MIN_INTERVAL_MS) return;
     const ids = leases.map(({ id }) => id);
     const added = ids.filter((id) => !this.newestIds.includes(id));
     const removed = this.newestIds.filter((id) => !ids.includes(id));
     const isAged =
       nowMs >= this.recordedAtMs + REFRESH_MS && leases.some(({ leftMs }) => leftMs > 0);
-    if (added.length === 0 && removed.length === 0 && !isAged) return;
+    const areOthersLimited = Number.isFinite(this.records.at(-1)?.othersEndMs);
+    if (added.length === 0 && removed.length === 0 && !isAged && !areOthersLimited) return;
     if (added.length > 0 || removed.length > 0) {
       this.log.info('Leases that are counted down have changed', {
         workers: ids.length,
@@ -141,16 +161,38 @@
         removed: removed.slice(0, MAX_LOGGED).join(', '),
       });
     }
+    // Workers that answer again get no work before the record is stored.
+    this.store(leases, undefined, removed.length > 0 || areOthersLimited);
+  }
+
+  /**
+   * Stores the leases at the end of a term, in which none is extended any more.
+   *
+   * @param leases - leases that are counted down
+   * @param othersLeftMs - longest lease of all other workers, in milliseconds
+   */
+  finish(leases: readonly LeaseLeft[], othersLeftMs: number): void {
+    this.isOver = true;
+    this.log.info('No lease is extended any more', { othersLeftMs, workers: leases.length });
+    this.store(leases, othersLeftMs, true);
+  }
+
+  private store(
+    leases: readonly LeaseLeft[],
+    othersLeftMs: number | undefined,
+    isUrgent: boolean,
+  ): void {
+    const nowMs = this.clock.monotonicMs();
     this.recordedAtMs = nowMs;
-    this.newestIds = ids;
-    const record: LeaseRecord = { journal: this.journal.ownerLabel, leases };
+    this.newestIds = leases.map(({ id }) => id);
+    const record: LeaseRecord = { journal: this.journal.ownerLabel, leases, othersLeftMs };
     const text = JSON.stringify(record);
-    // Workers that answer again get no work before the record is stored.
-    const isUrgent = removed.length > 0;
-    const content = leases.length === 0 ? {} : { value: () => text };
+    const isEmpty = leases.length === 0 && othersLeftMs === undefined;
+    const content = isEmpty ? {} : { value: () => text };
     const sequence = this.journal.add({ key: this.key, isUrgent, ...content });
     const endsMs = new Map(leases.map(({ id, leftMs }) => [id, nowMs + leftMs]));
-    this.records = [...this.records, { sequence, endsMs }];
+    const othersEndMs = nowMs + (othersLeftMs ?? Number.POSITIVE_INFINITY);
+    this.records = [...this.records, { sequence, endsMs, othersEndMs }];
     this.journal.waitUntilStored(sequence).then(
       (stored) => {
         if (stored) this.dropOlderThan(sequence);
--- a/packages/samphirenotch/src/jobs/workers/workerFleet.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerFleet.ts
@@ -15,7 +15,7 @@
   SUCCESSOR_DISCOVERY_MS,
   type FormerWorker,
 } from './formerLeases.js';
-import { LeaseCountdown, type LeaseEnd, type LeaseLeft } from './leaseCountdown.js';
+import { LeaseCountdown, type LeaseEnds, type LeaseLeft } from './leaseCountdown.js';
 import { lowerOf, sparesOf } from './spareWorkers.js';
 import type { DrainAnnouncement, WorkerAgent } from './workerAgent.js';
 import { WorkerHealth } from './workerHealth.js';
@@ -65,7 +65,7 @@
   /** Workers on which former owners may have started runs; undefined if they are not known. */
   readonly roster: readonly RosterEntry[] | undefined;
   /** Leases that the last owner no longer extended. */
-  readonly leases: readonly LeaseEnd[];
+  readonly leaseEnds: LeaseEnds;
   /**
    * Monotonic time by which the last owner that may have granted leases had lost the share, in
    * milliseconds.
@@ -258,13 +258,13 @@
   beginTerm(
     journal: ProgressJournal,
     keys: Pick<ShareKeys, 'roster' | 'leases'>,
-    { roster, leases, lastLossMs }: FormerWorkers,
+    { roster, leaseEnds, lastLossMs }: FormerWorkers,
   ): void {
     this.journal = journal;
     this.rosterKey = keys.roster;
-    this.countdown.beginTerm(journal, keys.leases, leases);
+    this.countdown.beginTerm(journal, keys.leases, leaseEnds);
     this.termBeganMs = this.clock.monotonicMs();
-    this.formerLeases.beginTerm(leases, roster ?? [], lastLossMs);
+    this.formerLeases.beginTerm(leaseEnds, roster ?? [], lastLossMs);
     this.areFormerOwnersOver = roster?.length === 0;
     if (roster) this.waitForFormerWorkers(roster);
     else this.rosterUnknownUntilMs = this.formerLeases.latestEndMs;
@@ -537,7 +537,25 @@
     }
     this.checkDrained();
     this.storeRoster();
-    this.countdown.update(this.leasesLeft());
+    this.countdown.update(this.leasesOf(this.countedDownAgents()));
+  }
+
+  /**
+   * Stops extending leases, and stores for a successor when they end: those of workers that have not answered
+   * this owner one by one, since they may end later.
+   */
+  finishLeases(): void {
+    if (this.isFormerRosterUnknown) return;
+    const agents = this.all().filter((agent) => this.mayHoldRuns(agent));
+    const named = agents.filter((agent) => !agent.isFenced || this.shouldBeCountedDown(agent));
+    const heldMs = agents
+      .filter((agent) => !named.includes(agent))
+      .map(({ leaseLeftMs = 0 }) => leaseLeftMs);
+    this.countdown.finish(this.leasesOf(named), Math.ceil(Math.max(0, ...heldMs)));
+  }
+
+  private formerLeaseLeftMs({ description }: WorkerAgent): number {
+    return this.formerLeases.endMs(description) - this.clock.monotonicMs();
   }
 
   /** Handles a complete reading of the directory: workers that are missing have left. */
@@ -642,18 +660,19 @@
     return !agent.isResponsive || (!agent.isFenced && this.countdown.has(agent.id));
   }
 
-  /** Lists the leases to count down: of workers that are silent, and of those that are about to leave. */
-  private leasesLeft(): readonly LeaseLeft[] {
-    const nowMs = this.clock.monotonicMs();
-    return this.all()
-      .filter((agent) => this.mayHoldRuns(agent) && this.shouldBeCountedDown(agent))
-      .flatMap((agent) => {
-        const heldMs = agent.leaseLeftMs ?? this.formerLeases.endMs(agent.description) - nowMs;
-        const leftMs = this.isSilent(agent) ? heldMs : Math.max(heldMs, this.stayMs(agent));
-        return Number.isFinite(leftMs)
-          ? [{ id: agent.id, leftMs: Math.max(0, Math.ceil(leftMs)) }]
-          : [];
-      });
+  /** Lists the workers whose leases are counted down: silent ones, and those that are about to leave. */
+  private countedDownAgents(): readonly WorkerAgent[] {
+    return this.all().filter((agent) => this.mayHoldRuns(agent) && this.shouldBeCountedDown(agent));
+  }
+
+  private leasesOf(agents: readonly WorkerAgent[]): readonly LeaseLeft[] {
+    return agents.flatMap((agent) => {
+      const heldMs = agent.leaseLeftMs ?? this.formerLeaseLeftMs(agent);
+      const leftMs = this.isSilent(agent) ? heldMs : Math.max(heldMs, this.stayMs(agent));
+      return Number.isFinite(leftMs)
+        ? [{ id: agent.id, leftMs: Math.max(0, Math.ceil(leftMs)) }]
+        : [];
+    });
   }
 
   private shouldBeCountedDown(agent: WorkerAgent): boolean {
--- a/tests/jobs/formerOwner.spec.ts
+++ b/tests/jobs/formerOwner.spec.ts
@@ -47,6 +47,7 @@
   candidacyDelayMs: () => 0,
   runExclusively: <T>(attempt: () => Promise<T>) => attempt(),
   onElected: () => undefined,
+  prepareHandover: () => Promise.resolve(),
   store,
   replica: {
     revision: () => 1,
