Pause between passes while starved fillers find no capacity

Cause: a pass tries to start one task of four starved filler jobs. If there were more than four, it counted as cut short, also if none of the four could start, and the next pass followed after 12 ms. It tried the same four again. Evidence: a trial with a line about passes each half second. From 29.4 s on there is one owner; each of its 20 to 27 passes per half second counts as cut short although no step was left untried, and they take 220 ms of 500, against 28 passes with 100 ms before the changes. By the logs, 16 to 53 filler jobs are without a run for over 1.5 s then; none is in the release without changes. Change: starved jobs shorten the pause only if one of those tried has started. Why it works: after a pass that has tried all steps, only news can change what starts, and news wakes the owner. If the first of the starved start, the others follow at once as before.

--- a/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
@@ -290,13 +290,17 @@
     const cutAt = ordered.findIndex((step) => !this.startStep(step, nowMs));
     const areAllTried = cutAt < 0;
     const starved = this.starvation.starved(ordered);
+    const startsBefore = this.startCount;
     starved.slice(0, MAXIMUM_RESERVED_STARTS).forEach((step) => this.startStarved(step, nowMs));
+    // If none of these starts, the next pass would try them again.
+    const areStarvedStarted = this.startCount > startsBefore;
     this.untriedSteps = areAllTried ? [] : ordered.slice(cutAt + 1);
     this.startSomeUntried(nowMs);
     this.reserveForOverdue(ordered, nowMs);
     this.drainMoves.check(this.options.fleet.all());
     const areCopiesTried = areAllTried && this.startSpeculativeCopies();
-    this.wasCutShort = !areAllTried || !areCopiesTried || starved.length > MAXIMUM_RESERVED_STARTS;
+    const areStarvedLeft = areStarvedStarted && starved.length > MAXIMUM_RESERVED_STARTS;
+    this.wasCutShort = !areAllTried || !areCopiesTried || areStarvedLeft;
     if (areAllTried) this.moveServing();
   }
 
