Keep workers for moves beside those for tasks that are owed room

What callers would have seen: on a full site with many interrupted tasks, long-running tasks on draining workers find no place and are all stopped at the last moment.

Cause: workers that are reserved for tasks that are owed room, up to a quarter, counted for the 5 % of all other reservations, so that none was left for moves. They count for their own limit only.

Test: with 10 of 40 workers reserved for tasks that are owed room, no other reservation was made; now two are, as without those.

--- a/packages/samphirenotch/src/jobs/placement/roomReservations.ts
+++ b/packages/samphirenotch/src/jobs/placement/roomReservations.ts
@@ -20,7 +20,7 @@
 /** Highest fraction of the workers of a service that are reserved at the same time; at least one is. */
 const MAXIMUM_RESERVED_FRACTION = 0.05;
 
-/** The same for tasks that are owed room, with the workers that are reserved for others. */
+/** The same for tasks that go before all others, with the workers that are reserved for others. */
 const MAXIMUM_OWED_FRACTION = 0.25;
 
 /**
@@ -40,6 +40,8 @@
   readonly from: WorkerAgent | undefined;
   /** The room that is held; undefined if the worker is reserved. */
   readonly held: Size | undefined;
+  /** True if the worker is reserved for a task that goes before all others. */
+  readonly isOwed: boolean;
   readonly untilMs: number;
 }
 
@@ -187,7 +189,7 @@
       milliCores: size.milliCores,
       freeMilliCores: agent.free().milliCores,
     });
-    this.holds.set(task, { agent, task, from, held: size, untilMs });
+    this.holds.set(task, { agent, task, from, held: size, isOwed: false, untilMs });
     agent.hold(size);
   }
 
@@ -200,7 +202,10 @@
    */
   isAtLimit(workers: readonly WorkerAgent[], isOwed = false): boolean {
     const fraction = isOwed ? MAXIMUM_OWED_FRACTION : MAXIMUM_RESERVED_FRACTION;
-    const reserved = workers.filter((agent) => this.isReserved(agent)).length;
+    const reserved = workers.filter((agent) => {
+      const reservation = this.byWorker.get(agent);
+      return reservation !== undefined && (isOwed || !reservation.isOwed);
+    }).length;
     return reserved + 1 > Math.max(1, fraction * workers.length);
   }
 
@@ -230,9 +235,10 @@
     return true;
   }
 
-  private add(agent: WorkerAgent, { task, from }: ReservationInput, nowMs: number): void {
+  private add(agent: WorkerAgent, input: ReservationInput, nowMs: number): void {
+    const { task, from, isOwed = false } = input;
     const untilMs = nowMs + MAXIMUM_RESERVATION_MS;
-    this.byWorker.set(agent, { agent, task, from, held: undefined, untilMs });
+    this.byWorker.set(agent, { agent, task, from, held: undefined, isOwed, untilMs });
     this.log.info('A worker is reserved for a task', {
       taskId: task.id,
       worker: agent.id,
--- a/tests/jobs/roomReservations.spec.ts
+++ b/tests/jobs/roomReservations.spec.ts
@@ -80,6 +80,16 @@
   t.false(reserve(makeTask()));
 });
 
+// Guards against tasks on draining workers that cannot move while many tasks go before all others (LOST).
+test('should keep workers for tasks that move beside those that go before all others', (t) => {
+  const { reservations, reserve } = makeFleet(40);
+  for (let count = 0; count < 20; count += 1) reserve(makeTask(), () => true, true);
+  t.is(reservations.current().length, 10);
+  t.true(reserve(makeTask()));
+  t.true(reserve(makeTask()));
+  t.false(reserve(makeTask()));
+});
+
 // Guards against a worker that stays reserved although its runs do not end, or that is reserved again at once.
 test('should give a reservation up after a while, and not repeat it at once', (t) => {
   const { clock, reservations, reserve } = makeFleet(1);
