Move tasks off draining workers also in passes that are cut short among interrupted tasks

What callers would have seen: long-running tasks stay on a draining worker until the last moment, although others have room.

Cause: such a pass ended before it looked at draining workers, for as long as there were more of these tasks than one pass starts. It also ended early if no such task was left.

Test: 48 tasks are owed room, each start takes 40 ms, and a worker with four others drains when there is room for all: none of the four had moved after a second, now all have.

--- a/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
@@ -295,9 +295,10 @@
     const overdue = this.overdueTasks(ordered, nowMs);
     this.passDeadlineMs = clock.monotonicMs() + PASS_BUDGET_MS;
     if (!this.startOwed(overdue, nowMs)) {
-      // All others would take room that is owed to the tasks that were not tried.
+      // Starts of others would take room that is owed to the tasks that were not tried.
       this.untriedSteps = ordered;
       this.wasCutShort = true;
+      this.drainMoves.check(this.options.fleet.all());
       return;
     }
     const cutAt = ordered.findIndex((step) => !this.startStep(step, nowMs));
@@ -371,15 +372,16 @@
    */
   private startOwed(overdue: readonly OwnedTask[], nowMs: number): boolean {
     const full = new Set<OwnedStep>();
+    const startsBefore = this.startCount;
     for (const task of overdue) {
       const { step } = task;
       if (step.spec.filler || !isOwedRoom(task, nowMs)) continue;
       if (full.has(step) || this.unplaceable.hasNoRoom(step)) continue;
+      if (this.startCount > startsBefore && this.isTimeUp()) return false;
       const workers = this.startableWorkers(step);
       const agent = this.placement.choose({ task, size: reservedSizeOf(task), workers });
       if (agent) {
         this.start({ task, agent }, task.nextRun);
-        if (this.isTimeUp()) return false;
         continue;
       }
       full.add(step);
--- a/tests/jobs/interruptedTasks.spec.ts
+++ b/tests/jobs/interruptedTasks.spec.ts
@@ -296,3 +296,32 @@
   t.true(awayMs <= MAX_INTERRUPTION_MS, `${awayMs} ms`);
   t.deepEqual(site.record.violations, []);
 });
+
+/** Tasks that are owed room, enough for passes to be cut short among them for a while. */
+const OWED_WORKERS = 12;
+
+// Guards against tasks that stay on a draining worker, although others have room, as long as passes are cut short
+// among interrupted tasks.
+test('should move tasks off a draining worker while passes are cut short among interrupted ones', async (t) => {
+  const perWorker = WORKER_MILLI_CORES / 1_000;
+  const { site } = await submitLasting(1_000, 1_000, {
+    workers: OWED_WORKERS + 1,
+    count: (OWED_WORKERS + 1) * perWorker,
+    startCostMs: LONG_START_MS,
+    speculative: true,
+  });
+  await site.run(5_000);
+  for (let index = 0; index < OWED_WORKERS; index += 1)
+    site.registerWorker(`w${index}`, { phase: 'draining' });
+  await site.run(2_000 + OWED_AFTER_MS);
+  for (let index = 0; index <= OWED_WORKERS; index += 1) site.addWorker(`new${index}`);
+  site.registerWorker(`w${OWED_WORKERS}`, { phase: 'draining', remainingMs: 10_000 });
+  const drainedMs = site.clock.monotonicMs();
+  await site.run(1_000);
+  const moved = site.record.runs.filter(
+    ({ workerId, endedMs }) =>
+      workerId === `w${OWED_WORKERS}` && endedMs !== undefined && endedMs >= drainedMs,
+  );
+  t.is(moved.length, perWorker);
+  t.deepEqual(site.record.violations, []);
+});
