Test moved tasks while another worker leaves as its owner is stopped

The other way to the figure of the record: the worker of the moved task stays, and a second one leaves as it announced, between the end of the old owner and the first contact of the new one.

--- a/tests/jobs/releaseChains.spec.ts
+++ b/tests/jobs/releaseChains.spec.ts
@@ -77,14 +77,14 @@
   return site;
 };
 
-const announce = (site: JobSite): void =>
-  site.registerWorker('w0', { phase: 'draining', remainingMs: REMAINING_MS });
+const announce = (site: JobSite, id = 'w0'): void =>
+  site.registerWorker(id, { phase: 'draining', remainingMs: REMAINING_MS });
 
 /** Ends a worker with all that it runs. */
-const leave = (site: JobSite): void => {
-  site.entries.forEach(({ client }) => site.cutFromWorkers(client, ['w0']));
-  site.data.remove('workers/w0');
-  site.workers.get('w0')?.restart();
+const leave = (site: JobSite, id = 'w0'): void => {
+  site.entries.forEach(({ client }) => site.cutFromWorkers(client, [id]));
+  site.data.remove(`workers/${id}`);
+  site.workers.get(id)?.restart();
 };
 
 /** Measures the time from the announcement to the order of the first stop, in milliseconds. */
@@ -238,3 +238,24 @@
     chains.filter((_, at) => at % STEP === 0),
   );
 });
+
+// Guards against moved tasks that wait for another worker, which left as announced before a successor reached it.
+test('should not wait with a moved task for another worker that leaves as its owner is stopped', async (t) => {
+  for (const endAfterMs of [0, 200, 390, 420]) {
+    const site = await makeRelease();
+    const [owner] = site.entries;
+    announce(site, 'w1');
+    await site.run(REMAINING_MS - 1_000);
+    const ordersBefore = site.workers.get('w0')?.stopOrders ?? 0;
+    announce(site);
+    await runUntil(site, () => (site.workers.get('w0')?.stopOrders ?? 0) > ordersBefore);
+    await site.clock.advance(endAfterMs);
+    owner?.stop();
+    await site.clock.advance(60);
+    leave(site, 'w1');
+    await site.run(AFTERMATH_MS);
+    const late = lateRuns(site, Number.NEGATIVE_INFINITY);
+    t.deepEqual([...late, ...site.record.violations], [], `${endAfterMs} ms`);
+    t.is(countRunning(site), TASKS);
+  }
+});
