Prepare a handover only once the store has renewed the lease of the owner

What callers would have seen: an outage of the store that begins up to 0.3 s before a planned stop of the owner ends all runs of the share, although the owner goes on for 4 s.

Cause: the record ends all leases, since it may be stored although its answer is lost.

Change: the owner renews its lease first and makes the record only if that succeeds. If the renewal fails, it extends leases as before.

Tests, of the review: with the store lost 0, 100 and 300 ms before the stop, 0 of 4 tasks run after an outage of 8 s; now all do. A worker that is gone as its owner gets SIGTERM: with a store that takes 500 ms its tasks were back after 7.7 to 14.1 s, now after 7.2 to 9.2 s; with 700 ms after 8.1 to 15.1 s, now 8.7 to 10.8 s.

Price: one call to the store more in each planned stop.

--- a/packages/samphirenotch/src/jobs/ownership/ownerElection.ts
+++ b/packages/samphirenotch/src/jobs/ownership/ownerElection.ts
@@ -325,7 +325,9 @@
   ): Promise<void> {
     const { clock, handoverMs, prepareHandover } = this.options;
     const untilMs = clock.monotonicMs() + handoverMs;
-    await prepareHandover();
+    // What prepares the handover ends all leases, which an owner that goes on in an outage still extends.
+    const renewed = await this.renewLease(leaseId, ended.signal);
+    if (renewed.ok && renewed.val) await prepareHandover();
     onRevoking();
     while (!ended.signal.aborted && clock.monotonicMs() < untilMs) {
       if (await this.revokeLease(leaseId)) break;
@@ -341,8 +343,17 @@
     return revoked.ok;
   }
 
-  private async renewPeriodically(leaseId: string, term: Term): Promise<void> {
+  /** Renews the lease once; the result is false if it has ended. */
+  private async renewLease(leaseId: string, signal: AbortSignal) {
     const { store, clock } = this.options;
+    const sentMs = clock.monotonicMs();
+    const renewed = await store.renewLease(leaseId, callWithin(clock, CALL_TIMEOUT_MS, signal));
+    if (renewed.ok && renewed.val) this.leaseConfirmedMs = Math.max(this.leaseConfirmedMs, sentMs);
+    return renewed;
+  }
+
+  private async renewPeriodically(leaseId: string, term: Term): Promise<void> {
+    const { clock } = this.options;
     // The election itself may have used up a part of the first interval.
     let waitMs = Math.max(0, RENEWAL_INTERVAL_MS - term.leaseUnconfirmedMs());
     while (!term.signal.aborted) {
@@ -351,9 +362,7 @@
       await this.renewal.wait(waitMs - leastWaitMs, term.signal);
       if (term.signal.aborted) return;
       const sentMs = clock.monotonicMs();
-      const call = callWithin(clock, CALL_TIMEOUT_MS, term.signal);
-      const renewed = await store.renewLease(leaseId, call);
-      if (renewed.ok && renewed.val) this.leaseConfirmedMs = sentMs;
+      const renewed = await this.renewLease(leaseId, term.signal);
       if (renewed.ok && !renewed.val) {
         // The owner key was removed with the lease, so a rival may have been elected already.
         term.stepDown('the lease has ended');
