Move tasks off a draining worker once its lease is stored

What callers would have seen: a long-running task that is being moved off a worker as its owner is killed is away for up to 13.9 s if the worker is gone then.

Cause: since room is held at once, runs are stopped in the pass that first sees the announcement, before it is stored until when the lease on the worker lasts. The successor then waits for the longest lease.

Change: where the lease of the worker is to be counted down in the store, a task is moved only once that is stored.

--- a/packages/samphirenotch/src/jobs/placement/drainMoves.ts
+++ b/packages/samphirenotch/src/jobs/placement/drainMoves.ts
@@ -32,6 +32,8 @@
 /** Collaborators of `DrainMoves`. */
 export interface DrainMovesOptions {
   readonly reservations: RoomReservations;
+  /** Returns false while a successor would not know how long the lease of a draining worker lasts. */
+  readonly isCountdownStored: (from: WorkerAgent) => boolean;
   /** Returns true if tasks of a step may be started. */
   readonly isStartable: (step: OwnedStep) => boolean;
   /** Reserves a worker for the task of a run; returns false if none has room or is about to. */
@@ -106,6 +108,7 @@
   private leavingRuns(agents: readonly WorkerAgent[]): readonly LeavingRun[] {
     return agents
       .filter(({ isResponsive, description }) => isResponsive && description.phase === 'draining')
+      .filter((agent) => this.options.isCountdownStored(agent))
       .sort((left, right) => (left.leavesAtMs ?? 0) - (right.leavesAtMs ?? 0))
       .flatMap((from) =>
         from
--- a/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
@@ -172,6 +172,7 @@
     });
     this.drainMoves = new DrainMoves({
       reservations: this.reservations,
+      isCountdownStored: (from) => options.fleet.isCountdownStored(from),
       isStartable: ({ occurrence: { job } }) =>
         job.isOpen && this.isAccountedFor(job) && options.isStoreReachable(),
       reserve: ({ run, from }) => this.reserveFor(run.task, from),
--- a/packages/samphirenotch/src/jobs/workers/leaseCountdown.ts
+++ b/packages/samphirenotch/src/jobs/workers/leaseCountdown.ts
@@ -126,6 +126,16 @@
     return this.records.some(({ endsMs }) => endsMs.has(id));
   }
 
+  /**
+   * Checks whether a successor is sure to find a lease in the record.
+   *
+   * @param id - id of the worker
+   * @returns true if each record that may be stored has it
+   */
+  isStored(id: string): boolean {
+    return this.records.every(({ endsMs }) => endsMs.has(id));
+  }
+
   /**
    * Returns the time beyond which a lease must not be extended: by then a successor may count it as over.
    *
--- a/packages/samphirenotch/src/jobs/workers/workerFleet.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerFleet.ts
@@ -411,6 +411,16 @@
     return this.countdown.limitMs(agent.id);
   }
 
+  /**
+   * Checks whether a successor would know how long the lease of a worker lasts, if that is to be stored.
+   *
+   * @param agent - the worker's agent
+   * @returns false while the lease is to be counted down and no record with it is stored
+   */
+  isCountdownStored(agent: WorkerAgent): boolean {
+    return !this.shouldBeCountedDown(agent) || this.countdown.isStored(agent.id);
+  }
+
   /**
    * Checks whether a worker's lease may be extended, within its limit.
    *
