Wait for places and the last record of a term with settleInTime

Two waits for the store with a time limit repeated what settleInTime does. It moves from config to time, where both may import it. Nothing changes in behaviour.

--- a/packages/samphirenotch/src/config/configurationFollower.ts
+++ b/packages/samphirenotch/src/config/configurationFollower.ts
@@ -17,7 +17,7 @@
 import type { PartSource } from './partSource.js';
 import { PeerParts } from './peerParts.js';
 import { isRootReader } from './rootReaders.js';
-import { settleInTime } from './settleInTime.js';
+import { settleInTime } from '../time/settleInTime.js';
 import { Sightings, type Sighting } from './sightings.js';
 import { readRecord, ROOT_KEY } from './storedRoot.js';
 import { StoreParts } from './storeParts.js';
--- a/packages/samphirenotch/src/config/contentFetcher.ts
+++ b/packages/samphirenotch/src/config/contentFetcher.ts
@@ -10,7 +10,7 @@
 import { assembleContent, type AcceptedContent } from './acceptedContent.js';
 import { digestOf, readManifest } from './content.js';
 import type { PartSource } from './partSource.js';
-import { settleInTime } from './settleInTime.js';
+import { settleInTime } from '../time/settleInTime.js';
 
 /** A source that does not answer in this time is passed over. */
 const PART_TIMEOUT_MS = 1_500;
--- a/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
@@ -13,7 +13,9 @@
 import type { Size } from '../../infrastructure/worker.js';
 import { partLog } from '../../observability/log.js';
 import type { Recorder } from '../../observability/recorder.js';
+import { callWithin } from '../../time/call.js';
 import type { Clock } from '../../time/clock.js';
+import { settleInTime } from '../../time/settleInTime.js';
 import { Wakeup } from '../../time/wakeup.js';
 
 import { jobIdOfTask } from '../model/jobSpec.js';
@@ -343,12 +345,8 @@
     if (!this.hasBegun || !this.isStoreReachable()) return;
     this.isHandingOver = true;
     this.fleet.finishLeases();
-    const ended = new AbortController();
-    await Promise.race([
-      this.whenStored(),
-      this.options.clock.sleep(MAX_FINAL_WRITE_MS, ended.signal),
-    ]);
-    ended.abort();
+    const { clock } = this.options;
+    await settleInTime(clock, callWithin(clock, MAX_FINAL_WRITE_MS), this.whenStored());
     this.isHandingOver = false;
   }
 
--- a/packages/samphirenotch/src/jobs/placement/taskPlaces.ts
+++ b/packages/samphirenotch/src/jobs/placement/taskPlaces.ts
@@ -8,7 +8,9 @@
  * the place of a task that runs nowhere.
  */
 import { partLog } from '../../observability/log.js';
+import { callWithin } from '../../time/call.js';
 import type { Clock } from '../../time/clock.js';
+import { settleInTime } from '../../time/settleInTime.js';
 
 import { keepsPlace, type OwnedRun, type OwnedTask } from '../model/ownedJob.js';
 import type { JobRegistry } from '../store/jobRegistry.js';
@@ -140,12 +142,8 @@
 
   private async waitFor(task: OwnedTask, whenStored: Promise<boolean>): Promise<boolean> {
     const sentMs = this.clock.monotonicMs();
-    const ended = new AbortController();
-    const isStored = await Promise.race([
-      whenStored,
-      this.clock.sleep(STORE_TIMEOUT_MS, ended.signal).then(() => false),
-    ]);
-    ended.abort();
+    const call = callWithin(this.clock, STORE_TIMEOUT_MS);
+    const isStored = (await settleInTime(this.clock, call, whenStored)) ?? false;
     if (!isStored)
       this.log.warn('The place of a task was not stored', {
         taskId: task.id,
--- a/packages/samphirenotch/src/config/settleInTime.ts
+++ b/packages/samphirenotch/src/time/settleInTime.ts
@@ -1,8 +1,8 @@
 /**
  * Waits for a call no longer than its deadline, also if the other side never answers at all.
  */
-import { remainingMs, type Call } from '../time/call.js';
-import type { Clock } from '../time/clock.js';
+import { remainingMs, type Call } from './call.js';
+import type { Clock } from './clock.js';
 
 /**
  * Waits for a promise until the call's deadline.
