Share what tells a late stop and a task that is owed room

DrainMoves had a copy of the time in which a stopped run should end; it now asks the same isStopOverdue as Preemption (at exactly 1.5 s a run counts as ending, where the copy counted it as late). isOwedRoom excludes fillers itself, since both callers did. A method had the name of the function that it calls.

--- a/packages/samphirenotch/src/jobs/placement/drainMoves.ts
+++ b/packages/samphirenotch/src/jobs/placement/drainMoves.ts
@@ -7,6 +7,7 @@
 import type { Clock } from '../../time/clock.js';
 
 import { isSuspect, reservedSizeOf, type OwnedRun, type OwnedStep } from '../model/ownedJob.js';
+import { isStopOverdue } from '../workers/runSupervisor.js';
 import type { WorkerAgent } from '../workers/workerAgent.js';
 import { RetryOrder } from './retryOrder.js';
 import type { RoomReservations } from './roomReservations.js';
@@ -14,9 +15,6 @@
 /** Number of steps for whose runs a pass tries to reserve a worker. */
 const MAXIMUM_TRIES = 4;
 
-/** Time within which a stopped run is expected to end, in milliseconds. */
-const EXPECTED_STOP_MS = 1_500;
-
 /** Time limit for finding room in a pass, in milliseconds. */
 const BUDGET_MS = 10;
 
@@ -119,10 +117,10 @@
   }
 
   /** A run that is being stopped needs a place as well: it may have none, or lose it. */
-  private isLeaving({ phase, stopOrderedMs }: OwnedRun): boolean {
-    if (phase !== 'stopping') return phase === 'running';
+  private isLeaving(run: OwnedRun): boolean {
+    if (run.phase !== 'stopping') return run.phase === 'running';
     const nowMs = this.options.clock.monotonicMs();
-    return stopOrderedMs !== undefined && nowMs - stopOrderedMs < EXPECTED_STOP_MS;
+    return run.stopOrderedMs !== undefined && !isStopOverdue(run, nowMs);
   }
 
   private isMovable(run: OwnedRun): boolean {
--- a/packages/samphirenotch/src/jobs/placement/interruptedTasks.ts
+++ b/packages/samphirenotch/src/jobs/placement/interruptedTasks.ts
@@ -38,10 +38,11 @@
  *
  * @param task - a long-running task
  * @param nowMs - monotonic time in milliseconds
- * @returns true if it waits and is owed the next room that fits it; false unless it is known to have run
+ * @returns true if it waits and is owed the next room that fits it; false for a filler, and unless it
+ *   is known to have run
  */
 export const isOwedRoom = (task: OwnedTask, nowMs: number): boolean =>
-  task.hasRun && waitsFor(task, OWED_AFTER_MS, nowMs);
+  !task.step.spec.filler && task.hasRun && waitsFor(task, OWED_AFTER_MS, nowMs);
 
 /**
  * Sorts interrupted tasks.
--- a/packages/samphirenotch/src/jobs/placement/preemption.ts
+++ b/packages/samphirenotch/src/jobs/placement/preemption.ts
@@ -11,7 +11,7 @@
 import type { Clock } from '../../time/clock.js';
 
 import type { OwnedRun, OwnedTask } from '../model/ownedJob.js';
-import { remainingRunMs } from '../workers/runSupervisor.js';
+import { isStopOverdue, remainingRunMs } from '../workers/runSupervisor.js';
 import type { WorkerAgent } from '../workers/workerAgent.js';
 import type { PlacementInput } from './taskPlacement.js';
 
@@ -21,12 +21,6 @@
  */
 const MINIMUM_REMAINING_MS = 1_000;
 
-/** Time within which a run that is stopped is expected to end, in milliseconds. */
-const EXPECTED_STOP_MS = 1_500;
-
-const isStopOverdue = ({ stopOrderedMs }: OwnedRun, nowMs: number): boolean =>
-  stopOrderedMs !== undefined && nowMs - stopOrderedMs > EXPECTED_STOP_MS;
-
 const priorityOf = ({ step }: OwnedTask): number => step.occurrence.job.queue.priority;
 
 /**
--- a/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
@@ -293,7 +293,7 @@
       .filter((job) => !job.isFullyStarted && this.mayHaveStartableTasks(job))
       .flatMap((job) => this.waitingSteps(job, nowMs));
     const ordered = this.order.sort(steps, nowMs);
-    const overdue = this.overdueTasks(ordered, nowMs);
+    const overdue = this.startableOverdueTasks(ordered, nowMs);
     this.passDeadlineMs = clock.monotonicMs() + PASS_BUDGET_MS;
     if (!this.startOwed(overdue, nowMs)) {
       // Starts of others would take room that is owed to the tasks that were not tried.
@@ -358,7 +358,7 @@
   }
 
   /** Lists the overdue tasks that may start alone, in the order in which they were interrupted. */
-  private overdueTasks(steps: readonly OwnedStep[], nowMs: number): readonly OwnedTask[] {
+  private startableOverdueTasks(steps: readonly OwnedStep[], nowMs: number): readonly OwnedTask[] {
     const tasks = steps
       .filter(({ spec }) => !spec.gang)
       .flatMap((step) => overdueTasks(step, nowMs))
@@ -376,7 +376,7 @@
     const startsBefore = this.startCount;
     for (const task of overdue) {
       const { step } = task;
-      if (step.spec.filler || !isOwedRoom(task, nowMs)) continue;
+      if (!isOwedRoom(task, nowMs)) continue;
       if (full.has(step) || this.unplaceable.hasNoRoom(step)) continue;
       if (this.startCount > startsBefore && this.isTimeUp()) return false;
       const workers = this.startableWorkers(step);
@@ -405,7 +405,7 @@
   }
 
   private isOwed(task: OwnedTask): boolean {
-    return !task.step.spec.filler && isOwedRoom(task, this.options.clock.monotonicMs());
+    return isOwedRoom(task, this.options.clock.monotonicMs());
   }
 
   private reservableWorkers({ step }: OwnedTask): readonly WorkerAgent[] {
--- a/packages/samphirenotch/src/jobs/workers/runSupervisor.ts
+++ b/packages/samphirenotch/src/jobs/workers/runSupervisor.ts
@@ -48,6 +48,9 @@
 /** Pace below which no progress is expected, in percent of the run's processors. */
 const MIN_STALL_PACE_PERCENT = 20;
 
+/** Time within which a run that is stopped is expected to end, in milliseconds. */
+const EXPECTED_STOP_MS = 1_500;
+
 /** Assumed duration of a task without an estimate, in milliseconds. */
 const DEFAULT_ESTIMATE_MS = 1_000;
 
@@ -69,6 +72,16 @@
   return Math.max(0, begunMs + estimateMs - nowMs);
 };
 
+/**
+ * Checks whether a run should have ended after it was ordered to stop.
+ *
+ * @param run - the run
+ * @param nowMs - monotonic time in milliseconds
+ * @returns false if it is not being stopped or may still be ending
+ */
+export const isStopOverdue = ({ stopOrderedMs }: OwnedRun, nowMs: number): boolean =>
+  stopOrderedMs !== undefined && nowMs - stopOrderedMs > EXPECTED_STOP_MS;
+
 /** Stops runs on draining workers, stalled runs and fillers paused for too long. */
 export class RunSupervisor {
   private lastCheckMs = Number.NEGATIVE_INFINITY;
