--- a/tests/jobs/interruptedTasks.spec.ts
+++ b/tests/jobs/interruptedTasks.spec.ts
@@ -7,12 +7,18 @@
 import {
   makeJob,
   makeOwnedSite,
-  makeQueue,
   makeStep,
   ownerOf,
   type JobSite,
   type SiteEntry,
 } from '../fixtures/jobSite.js';
+import {
+  overload,
+  SHORT_RUN_MS,
+  sizeOf,
+  urgent,
+  WORKER_MILLI_CORES,
+} from '../fixtures/overload.js';
 
 const LASTING = '00000000000000a1';
 const TASK = `${LASTING}.0.0.0`;
@@ -21,39 +27,10 @@
 const BLOCKED = '00000000000000a2';
 const BLOCKED_MILLI_CORES = 100;
 const WORKERS = 4;
-const WORKER_MILLI_CORES = 4_000;
-
-/** Mean duration of short runs, in milliseconds. */
-const SHORT_RUN_MS = 1_000;
 
 /** Time within which a long-running task must run again if there is room for it, in milliseconds. */
 const MAX_INTERRUPTION_MS = 6_000;
 
-/** Step of the simulated arrivals, in milliseconds. */
-const STEP_MS = 50;
-
-/** Short tasks arrive at this multiple of the rate at which the workers can run them. */
-const OVERLOAD = 1.5;
-
-const urgent = makeQueue({ name: 'urgent', prefix: '/urgent/', priority: 0 });
-
-const sizeOf = (milliCores: number) => ({ milliCores, memoryMb: 1_000, accelerators: 0 });
-
-/** Submits short tasks for some time, more than there is room for. */
-const overload = async (site: JobSite, milliCores: number, durationMs: number): Promise<void> => {
-  const atOnce = site.workers.size * Math.floor(WORKER_MILLI_CORES / milliCores);
-  const perStep = (OVERLOAD * atOnce * STEP_MS) / SHORT_RUN_MS;
-  const startMs = site.clock.monotonicMs();
-  let submitted = 0;
-  for (let at = STEP_MS; at <= durationMs; at += STEP_MS) {
-    for (; submitted < (perStep * at) / STEP_MS; submitted += 1) {
-      const id = (startMs * 1_000 + submitted).toString(16).padStart(16, 'b');
-      put(site, urgent, [id], makeJob(makeStep({ size: sizeOf(milliCores) })));
-    }
-    await site.run(STEP_MS);
-  }
-};
-
 /** Spreads the ends of short runs, whose room then becomes free in pieces. */
 const shortRunMs = (taskId: string): number => {
   const fraction = (Number.parseInt(taskId.slice(8, 16), 16) * 0.618) % 1;
