Store changes of workers, leases and places before those of short jobs

What callers saw: a task that lasts and was interrupted does not run for many seconds, with room for it (LOST), while its owner has many changes to store.

A worker that has just come gets nothing before the roster that names it is stored, a task that ran elsewhere is not started before its new place is, and a planned stop ends before the record of when all leases end is, if hundreds of changes of short jobs are before them. A start is given up after 600 ms and begins anew; a successor without the record waits for the longest lease.

Change: a change may overtake earlier ones to other keys; the roster, the record of leases and the places of tasks do. The order of the changes to one key stays, and nothing overtakes what is being written or may have been by a transaction whose answer was lost. Who waits for such a change waits for it alone.

Why it is sound: none of the three says anything that depends on an earlier change to another key. A worker is left out of the roster only once its ends are stored or it is gone, a place names a worker whose roster is stored, and progress is written as it is then, not as it was when the change was made.

--- a/packages/samphirenotch/src/jobs/store/jobRegistry.ts
+++ b/packages/samphirenotch/src/jobs/store/jobRegistry.ts
@@ -13,7 +13,7 @@
 import { ACCEPTED_PREFIX, CANCELLED_PREFIX, ENDED_PREFIX, type ShareKeys } from './jobKeys.js';
 import type { ReplicatedJob } from './jobReplica.js';
 import type { OperatorFollower } from './operatorFollower.js';
-import type { ProgressJournal } from './progressJournal.js';
+import type { JournalChange, ProgressJournal } from './progressJournal.js';
 
 /** Holds the open jobs of one term of ownership, own ones and guests. */
 export class JobRegistry {
@@ -213,30 +213,38 @@
    * @param isUrgent - true if a successor must know it
    */
   saveProgress(job: OwnedJob, isUrgent = false): void {
-    this.addProgress(job, isUrgent);
+    this.addProgress(job, { isUrgent });
   }
 
   /**
-   * Stores the progress of a job of this share.
+   * Stores the progress of a job of this share, before other changes that wait to be stored.
    *
    * @param job - the job
    * @returns true once it is stored; false if the job is over or the term ended first
    */
   storeProgress(job: OwnedJob): Promise<boolean> {
-    const sequence = this.addProgress(job, true);
-    return sequence === undefined ? Promise.resolve(false) : this.journal.waitUntilStored(sequence);
+    const sequence = this.addProgress(job, { isUrgent: true, overtakes: true });
+    if (sequence === undefined) return Promise.resolve(false);
+    return this.journal.waitUntilStored(sequence, this.progressKeyOf(job));
+  }
+
+  private progressKeyOf({ id }: OwnedJob): string {
+    return this.keys.progressPrefix + id;
   }
 
   /** Returns the sequence number of the change; undefined if the journal gets none. */
-  private addProgress(job: OwnedJob, isUrgent: boolean): number | undefined {
+  private addProgress(
+    job: OwnedJob,
+    order: Pick<JournalChange, 'isUrgent' | 'overtakes'>,
+  ): number | undefined {
     if (!job.isOpen) return undefined;
     if (job.isGuest) {
       this.onGuestProgress(job);
       return undefined;
     }
     return this.journal.add({
-      key: this.keys.progressPrefix + job.id,
-      isUrgent,
+      key: this.progressKeyOf(job),
+      ...order,
       value: () => encodeProgress(job, this.fencingToken, this.clock),
     });
   }
@@ -278,7 +286,7 @@
     this.endedIds.add(job.id);
     const removeProgress = (stored: boolean): void => {
       if (!stored) return;
-      this.journal.add({ key: this.keys.progressPrefix + job.id });
+      this.journal.add({ key: this.progressKeyOf(job) });
       this.onEndStored(job);
     };
     this.journal.waitUntilStored(sequence).then(removeProgress, (error: unknown) => {
--- a/packages/samphirenotch/src/jobs/store/progressJournal.ts
+++ b/packages/samphirenotch/src/jobs/store/progressJournal.ts
@@ -4,6 +4,8 @@
  * What a transaction leaves in the store is what the oldest changes make of it, without a gap: no
  * change is stored before an earlier one to another key. A write replaces a pending write of the same
  * key at its place, and a removal a pending removal; a change of the other kind goes to the end.
+ * Changes that start or end the use of a worker overtake the others: a full journal takes many
+ * transactions to store.
  *
  * Each transaction is conditional on the revision of the journal key that the previous one left,
  * and writes that key again. So a transaction whose answer was lost cannot take effect after a
@@ -43,6 +45,8 @@
   readonly key: string;
   /** True if a caller or another owner waits for the change. */
   readonly isUrgent?: boolean;
+  /** True if the change may be stored before earlier ones to other keys. */
+  readonly overtakes?: boolean;
   /**
    * Returns the value when it is written, which may be newer than the change and must be right at its
    * place too; removes the key if left out.
@@ -54,6 +58,8 @@
 interface PendingChange {
   /** The newest of them. */
   change: JournalChange;
+  /** True if it is before all that do not overtake others. */
+  overtakes: boolean;
   /** Sequence number of the newest of them. */
   sequence: number;
   /** Sequence number of the oldest of them that is not stored yet. */
@@ -70,6 +76,8 @@
 
 interface Waiter {
   readonly sequence: number;
+  /** Key of the change if it alone is waited for. */
+  readonly key: string | undefined;
   readonly resolve: (isStored: boolean) => void;
 }
 
@@ -80,6 +88,9 @@
   /** Changes that are not stored yet, in the order in which they take effect. */
   private pending: PendingChange[] = [];
 
+  /** Number of changes at their beginning that are being written, or may have been by a lost transaction. */
+  private sentCount = 0;
+
   /** The last of them for each key. */
   private readonly lastByKey = new Map<string, PendingChange>();
 
@@ -128,14 +139,16 @@
   add(change: JournalChange): number {
     this.sequence += 1;
     const { sequence } = this;
-    const last = this.lastByKey.get(change.key);
+    const { key, overtakes = false } = change;
+    const last = this.lastByKey.get(key);
     if (last && isRemoval(last.change) === isRemoval(change)) {
       last.change = change;
       last.sequence = sequence;
+      if (overtakes) this.moveForward(last);
     } else {
-      const added = { change, sequence, oldestSequence: sequence };
-      this.pending.push(added);
-      this.lastByKey.set(change.key, added);
+      // A change of the other kind to the same key stays before this one.
+      const mayOvertake = overtakes && (!last || last.overtakes);
+      this.insert({ change, overtakes: mayOvertake, sequence, oldestSequence: sequence });
     }
     this.wakeup.wake();
     if (change.isUrgent && !this.hasUrgent) {
@@ -145,17 +158,46 @@
     return sequence;
   }
 
+  /** Adds a change behind the last one to its key. */
+  private insert(added: PendingChange): void {
+    const { key } = added.change;
+    const last = this.lastByKey.get(key);
+    const afterLast = last ? this.pending.indexOf(last) + 1 : 0;
+    const index = added.overtakes ? this.overtakingEnd() : this.pending.length;
+    this.pending.splice(Math.max(index, afterLast), 0, added);
+    this.lastByKey.set(key, added);
+  }
+
+  /** Puts a change before those that it may overtake, unless it is being written or is not the first of its key. */
+  private moveForward(moved: PendingChange): void {
+    const owned = moved;
+    const index = this.pending.findIndex(({ change }) => change.key === moved.change.key);
+    if (moved.overtakes || index < this.sentCount || this.pending[index] !== moved) return;
+    this.pending.splice(index, 1);
+    owned.overtakes = true;
+    this.insert(owned);
+  }
+
+  /** Returns the place behind the changes that may have been written and those that overtake the others. */
+  private overtakingEnd(): number {
+    const end = this.pending.findIndex(
+      ({ overtakes }, index) => index >= this.sentCount && !overtakes,
+    );
+    return end < 0 ? this.pending.length : end;
+  }
+
   /**
-   * Waits until a change is stored.
+   * Waits until a change and all earlier ones are stored.
    *
    * @param sequence - sequence number of the change
-   * @returns true once it is stored; false if the term ended first
+   * @param key - its key, if changes to other keys are not waited for
+   * @returns true once they are stored; false if the term ended first
    */
-  waitUntilStored(sequence: number): Promise<boolean> {
+  waitUntilStored(sequence: number, key?: string): Promise<boolean> {
     if (this.closed) return Promise.resolve(false);
-    if (this.oldestPending() > sequence) return Promise.resolve(true);
+    if (this.oldestPending(key) > sequence) return Promise.resolve(true);
     return new Promise((resolve) => {
-      this.waiters.push({ sequence, resolve });
+      this.waiters.push({ sequence, key, resolve });
     });
   }
 
@@ -205,6 +247,7 @@
       if (value) writes.push({ key, value: value() });
       else removals.push(key);
     });
+    this.sentCount = batch.length;
     const outcome = await this.store.commit(
       {
         expectations: [{ key: this.key, revision: this.revision }],
@@ -224,6 +267,7 @@
     }
     this.inDoubt = false;
     this.revision = outcome.val.revision;
+    this.sentCount = 0;
     this.markStored(batch);
     this.resolveWaiters();
   }
@@ -278,18 +322,21 @@
     await this.clock.sleep(RETRY_MS, signal);
   }
 
-  private oldestPending(): number {
+  /** Returns the sequence number of the oldest change that is not stored, of all or to one key. */
+  private oldestPending(key?: string): number {
     let oldest = Number.POSITIVE_INFINITY;
-    this.pending.forEach(({ oldestSequence }) => {
-      oldest = Math.min(oldest, oldestSequence);
+    this.pending.forEach(({ change, oldestSequence }) => {
+      if (key === undefined || change.key === key) oldest = Math.min(oldest, oldestSequence);
     });
     return oldest;
   }
 
   private resolveWaiters(): void {
     const oldest = this.oldestPending();
-    const ready = this.waiters.filter(({ sequence }) => sequence < oldest);
-    this.waiters = this.waiters.filter(({ sequence }) => sequence >= oldest);
+    const isStored = ({ sequence, key }: Waiter): boolean =>
+      sequence < oldest || (key !== undefined && sequence < this.oldestPending(key));
+    const ready = this.waiters.filter((waiter) => isStored(waiter));
+    this.waiters = this.waiters.filter((waiter) => !ready.includes(waiter));
     ready.forEach(({ resolve }) => resolve(true));
   }
 }
--- a/packages/samphirenotch/src/jobs/workers/leaseCountdown.ts
+++ b/packages/samphirenotch/src/jobs/workers/leaseCountdown.ts
@@ -199,11 +199,11 @@
     const text = JSON.stringify(record);
     const isEmpty = leases.length === 0 && othersLeftMs === undefined;
     const content = isEmpty ? {} : { value: () => text };
-    const sequence = this.journal.add({ key: this.key, isUrgent, ...content });
+    const sequence = this.journal.add({ key: this.key, isUrgent, overtakes: true, ...content });
     const endsMs = new Map(leases.map(({ id, leftMs }) => [id, nowMs + leftMs]));
     const othersEndMs = nowMs + (othersLeftMs ?? Number.POSITIVE_INFINITY);
     this.records = [...this.records, { sequence, endsMs, othersEndMs }];
-    this.journal.waitUntilStored(sequence).then(
+    this.journal.waitUntilStored(sequence, this.key).then(
       (stored) => {
         if (stored) this.dropOlderThan(sequence);
       },
--- a/packages/samphirenotch/src/jobs/workers/workerFleet.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerFleet.ts
@@ -761,6 +761,7 @@
     const sequence = this.journal.add({
       key: this.rosterKey,
       isUrgent: true,
+      overtakes: true,
       value: () => text,
     });
     const names = new Set(roster.map(rosterNameOf));
@@ -771,7 +772,7 @@
     // A worker that leaves the roster gets nothing from now on, since the roster may be stored at any
     // time.
     this.rostered = new Set([...this.rostered].filter((name) => names.has(name)));
-    this.journal.waitUntilStored(sequence).then(
+    this.journal.waitUntilStored(sequence, this.rosterKey).then(
       (stored) => {
         if (!stored) return;
         this.spares = lowerOf(spares, this.newestSpares);
--- a/tests/jobs/progressJournal.spec.ts
+++ b/tests/jobs/progressJournal.spec.ts
@@ -262,3 +262,77 @@
     }
   }
 });
+
+/** Most changes that a transaction holds beside the journal key itself. */
+const CHANGES_EACH = 30;
+
+// Guards against a worker that gets nothing, or a start that is given up, until everything before it is stored.
+test('should store a change that overtakes others before them', async (t) => {
+  const { data, journal, write, run } = makeJournal();
+  for (let at = 0; at < 10 * CHANGES_EACH; at += 1) write(`k/${at}`, 'a');
+  const sequence = journal.add({ key: 'k/last', overtakes: true, value: () => 'b' });
+  let stored = 0;
+  journal
+    .waitUntilStored(sequence, 'k/last')
+    .then(() => {
+      stored = data.items.size;
+    })
+    .catch(() => undefined);
+  await run(1_000);
+  t.true(stored > 0 && stored <= 2 * CHANGES_EACH, `${stored} were stored`);
+  t.is(data.items.get('k/last')?.value, 'b');
+  t.is(data.items.size, 10 * CHANGES_EACH + 2);
+});
+
+// Guards against a removal that is stored after a newer value of its key, or a waiting caller that is told too early.
+test('should keep the order of the changes to each key if some overtake others', async (t) => {
+  for (let seed = 1; seed <= 20; seed += 1) {
+    const random = new SeededRandom(seed);
+    const { data, store, journal, run } = makeJournal();
+    const kinds = ['answer-lost', 'silent', 'late'] as const;
+    const ordered: HistoryChange[] = [];
+    const newest = new Map<string, HistoryChange>();
+    const shown = new Map<string, number>();
+    const faults: string[] = [];
+    const valueOf = (key: string): number => Number(data.items.get(key)?.value ?? -1);
+    const add = (number: number): void => {
+      const isFree = random.below(3) === 0;
+      const key = `${isFree ? 'f' : 'k'}/${random.below(KEYS)}`;
+      const isRemoval = random.below(3) === 0;
+      const change = { key, number, isRemoval };
+      newest.set(key, change);
+      if (!isFree) ordered.push(change);
+      const overtakes = isFree && random.below(2) === 0;
+      const content = isRemoval ? {} : { value: () => String(number) };
+      const sequence = journal.add({ key, overtakes, ...content });
+      journal
+        .waitUntilStored(sequence, key)
+        .then(() => {
+          const isLost = !isRemoval && valueOf(key) < number && newest.get(key) === change;
+          if (isLost) faults.push(`${key} is not stored`);
+        })
+        .catch(() => undefined);
+    };
+    let added = 0;
+    for (let step = 0; step < 60; step += 1) {
+      if (random.below(4) === 0) store.failCommits(kinds[random.below(kinds.length)] ?? 'silent');
+      for (let at = random.below(40); at > 0; at -= 1) {
+        add(added);
+        added += 1;
+      }
+      await run(10 * random.below(40));
+      const items = new Map([...data.items].filter(([key]) => key.startsWith('k/')));
+      if (!isExplained(ordered, items)) faults.push(`step ${step}`);
+      newest.forEach((_, key) => {
+        const value = valueOf(key);
+        if (value >= 0 && value < (shown.get(key) ?? 0)) faults.push(`${key} has gone back`);
+        shown.set(key, Math.max(value, shown.get(key) ?? 0));
+      });
+    }
+    await run(20_000);
+    newest.forEach(({ key, number, isRemoval }) => {
+      if (valueOf(key) !== (isRemoval ? -1 : number)) faults.push(`${key} is not as it should be`);
+    });
+    t.deepEqual(faults, [], `seed ${seed}`);
+  }
+});
