Look for a place for each leaving task in turn

What callers would see: the run of a task that lasts is stopped as its worker leaves, although another one has room for it (LOST if the room is taken meanwhile).

Cause: in a pass without time, four searches are made for tasks on leaving workers, always for those that leave first. If these find no room, no other task is looked at as long as passes have no time.

Evidence: found by reading.

Change: steps that found no room are left out until all leaving tasks were gone through.

--- a/packages/samphirenotch/src/jobs/placement/drainMoves.ts
+++ b/packages/samphirenotch/src/jobs/placement/drainMoves.ts
@@ -47,6 +47,12 @@
 export class DrainMoves {
   private readonly tries = new RetryOrder();
 
+  /** Steps for whose tasks no worker had room since all leaving tasks were last gone through. */
+  private readonly stepsWithoutRoom = new Set<OwnedStep>();
+
+  /** True if the last pass had no time to look for room for all leaving tasks. */
+  private wasCutShort = false;
+
   /**
    * @param options - reservations, and what decides about them
    */
@@ -60,6 +66,7 @@
   check(agents: readonly WorkerAgent[]): void {
     const waiting = new Map<OwnedStep, LeavingRun>();
     const search = this.beginSearch();
+    this.wasCutShort = false;
     this.leavingRuns(agents).forEach((leaving) => {
       const { run, from } = leaving;
       const { step } = run.task;
@@ -69,6 +76,8 @@
       else if (!this.options.reservations.hasReservation(run.task) && !waiting.has(step))
         waiting.set(step, leaving);
     });
+    // The steps that a pass had no time for come first in the next one.
+    if (!this.wasCutShort) this.stepsWithoutRoom.clear();
     this.tries.next([...waiting.keys()], MAXIMUM_TRIES).forEach((step) => {
       const leaving = waiting.get(step);
       if (leaving) this.tries.record(step, this.options.reserve(leaving));
@@ -88,16 +97,18 @@
   private beginSearch(): (leaving: LeavingRun) => boolean {
     const { clock, hasBacklog, hold } = this.options;
     const deadlineMs = clock.monotonicMs() + BUDGET_MS;
-    const stepsWithoutRoom = new Set<OwnedStep>();
     let searches = 0;
     return (leaving) => {
       const { step } = leaving.run.task;
-      if (stepsWithoutRoom.has(step)) return false;
+      if (this.stepsWithoutRoom.has(step)) return false;
       const isTimeUp = hasBacklog() || clock.monotonicMs() >= deadlineMs;
-      if (isTimeUp && searches >= MINIMUM_SEARCHES) return false;
+      if (isTimeUp && searches >= MINIMUM_SEARCHES) {
+        this.wasCutShort = true;
+        return false;
+      }
       searches += 1;
       const isHeld = hold(leaving);
-      if (!isHeld) stepsWithoutRoom.add(step);
+      if (!isHeld) this.stepsWithoutRoom.add(step);
       return isHeld;
     };
   }
