Send starts of fillers after other orders

Callers of long-running tasks waited for a start, or for the stop of a run that moves off a draining worker, until the fillers that the owner had chosen before were started.

Cause: OrderBatcher kept all orders of an owner in one queue, 32 of which are sent in a turn of the event loop. A large site starts several hundred fillers a second.

Change: starts of fillers wait in a queue of their own, and take what the other orders leave of a turn, 4 of 32 at least. A stop expedites the start of its run, so that it does not overtake it: the start is dropped, and the room is free at once.

Why it works: other orders wait for at most the rest of the turn in progress. Polls go before starts of fillers as well.

--- a/packages/samphirenotch/src/jobs/workers/workerOrders.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerOrders.ts
@@ -111,11 +111,14 @@
   }
 
   private enqueueStart(run: OwnedRun, ticket: string | undefined): void {
-    this.context.batcher.enqueue(() => {
+    const { batcher } = this.context;
+    const send = (): void => {
       this.sendStart(run, ticket).catch((error: unknown) => {
         this.log.error('Sending a start failed', { taskId: run.task.id, reason: String(error) });
       });
-    });
+    };
+    if (run.task.step.spec.filler) batcher.enqueueFillerStart(run, send);
+    else batcher.enqueue(send);
   }
 
   /**
@@ -130,6 +133,8 @@
     owned.phase = 'stopping';
     owned.stopOrderedMs = this.context.clock.monotonicMs();
     this.log.info('Stopping a run', { ...nameOf(run), worker: this.context.id, reason });
+    // A start that has not been sent by now is dropped, and its room is free again.
+    this.context.batcher.expedite(run);
     this.context.batcher.enqueue(() => {
       this.sendStop(owned).catch((error: unknown) => {
         this.log.error('Sending a stop failed', { taskId: run.task.id, reason: String(error) });
