Go on with a pass while only starts of fillers wait

Urgent and interrupted tasks waited beside free room until all fillers that the owner had chosen were started, and a wave of drains moved a few tasks in a pass.

Cause: a backlog of orders ends a pass after its first start, and limits the moves off draining workers to four a pass. Starts of fillers counted for it like any other order.

Change: a backlog of starts of fillers ends a pass for further fillers only. Fillers come last in a pass, so they are started at the rate at which their orders are sent.

Why it works: the pass goes on to all tasks that are no fillers, for its 30 ms, and their orders go before those of the fillers.

--- a/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
@@ -319,9 +319,11 @@
     if (areAllTried) this.moveServing();
   }
 
-  private isTimeUp(): boolean {
+  /** Returns true if the pass should start no further tasks of the kind of a step. */
+  private isTimeUpFor({ spec }: OwnedStep): boolean {
     const { clock, turns } = this.options;
-    return turns.hasBacklog || clock.monotonicMs() >= this.passDeadlineMs;
+    const hasBacklog = spec.filler ? turns.hasFillerBacklog : turns.hasBacklog;
+    return hasBacklog || clock.monotonicMs() >= this.passDeadlineMs;
   }
 
   private refreshDemand(nowMs: number): void {
@@ -378,7 +380,7 @@
       const { step } = task;
       if (!isOwedRoom(task, nowMs)) continue;
       if (full.has(step) || this.unplaceable.hasNoRoom(step)) continue;
-      if (this.startCount > startsBefore && this.isTimeUp()) return false;
+      if (this.startCount > startsBefore && this.isTimeUpFor(step)) return false;
       const workers = this.startableWorkers(step);
       const agent = this.placement.choose({ task, size: reservedSizeOf(task), workers });
       if (agent) {
@@ -561,7 +563,7 @@
       const agent = this.placement.choose({ task, size: reservedSizeOf(task), workers });
       if (!agent) return true;
       this.start({ task, agent }, task.nextRun);
-      return !this.isTimeUp();
+      return !this.isTimeUpFor(step);
     });
   }
 
@@ -657,7 +659,7 @@
         return true;
       }
       this.start({ task, agent }, task.nextRun);
-      if (this.isTimeUp()) return false;
+      if (this.isTimeUpFor(step)) return false;
     }
     if (hasWaitingSuspects) {
       this.noteUnplaced(step, nowMs);
--- a/packages/samphirenotch/src/jobs/workers/orderBatcher.ts
+++ b/packages/samphirenotch/src/jobs/workers/orderBatcher.ts
@@ -38,9 +38,15 @@
   constructor(private readonly clock: Clock) {}
 
   /**
-   * @returns true while a full batch of orders is waiting; orders that are not urgent should wait
+   * @returns true while a full batch of orders that are no starts of fillers is waiting; orders that are not
+   *   urgent should wait
    */
   get hasBacklog(): boolean {
+    return this.waiting.length >= ORDERS_PER_TURN;
+  }
+
+  /** @returns true while a full batch of orders of any kind is waiting; starts of fillers should wait */
+  get hasFillerBacklog(): boolean {
     return this.waiting.length + this.waitingFillers.size >= ORDERS_PER_TURN;
   }
 
