Keep room in the log for decisions and warnings

While the reader of standard output is slow, or the event loop is, up to 1 MiB of lines waits and what comes after that is dropped, whatever it says.

Lines have a rank now: bulk, decision, or alarm for warnings and errors. Bulk may fill half of the queue and decisions seven eighths, so what is above is reserved for higher ranks whatever comes first. A part says whether its lines are bulk. `Lines were dropped` has the time, and how many of the lines were bulk.

--- a/packages/samphirenotch/src/observability/lineSink.ts
+++ b/packages/samphirenotch/src/observability/lineSink.ts
@@ -6,8 +6,18 @@
 
 const STANDARD_OUTPUT = 1;
 
-/** Most characters that wait to be written; beyond that lines are dropped. */
-const MAXIMUM_PENDING = 1_048_576;
+/** What a line is: one of many alike, about one event or decision, or a warning or an error. */
+export type LineRank = 'bulk' | 'decision' | 'alarm';
+
+/**
+ * Most characters that wait to be written when a line of a rank is added; beyond that it is dropped. What is
+ * above the limit of a rank is reserved for the higher ones.
+ */
+const MAXIMUM_PENDING: Readonly<Record<LineRank, number>> = {
+  bulk: 524_288,
+  decision: 917_504,
+  alarm: 1_048_576,
+};
 
 /** Most characters of one write: readers that take pieces of a pipe get whole lines then. */
 const MAXIMUM_WRITE = 4_096;
@@ -28,8 +38,19 @@
   write(STANDARD_OUTPUT, text, done);
 };
 
+/** Takes lines. */
+export interface LineOutput {
+  /**
+   * Takes a line.
+   *
+   * @param line - the line without its end
+   * @param rank - its rank
+   */
+  add(line: string, rank: LineRank): void;
+}
+
 /** A bounded queue of lines in front of standard output. */
-export class LineSink {
+export class LineSink implements LineOutput {
   private pending: string[] = [];
 
   private pendingLength = 0;
@@ -40,8 +61,12 @@
 
   private droppedLines = 0;
 
+  private droppedBulk = 0;
+
   private reportedDrops = 0;
 
+  private reportedBulk = 0;
+
   /**
    * @param writer - writes to standard output unless a test says otherwise
    */
@@ -56,10 +81,12 @@
    * Queues a line.
    *
    * @param line - the line without its end
+   * @param rank - its rank
    */
-  add(line: string): void {
-    if (this.pendingLength + line.length > MAXIMUM_PENDING) {
+  add(line: string, rank: LineRank = 'decision'): void {
+    if (this.pendingLength + line.length > MAXIMUM_PENDING[rank]) {
       this.droppedLines += 1;
+      if (rank === 'bulk') this.droppedBulk += 1;
       return;
     }
     this.pending.push(line);
@@ -100,14 +127,20 @@
   }
 
   private takePending(): Buffer {
+    const lines = [...this.takeNotice(), ...this.takeLines()];
+    return Buffer.from(lines.map((line) => `${line}\n`).join(''), 'utf8');
+  }
+
+  /** Returns a line that says how many lines were dropped since the last one. */
+  private takeNotice(): readonly string[] {
     const drops = this.droppedLines - this.reportedDrops;
+    if (drops === 0) return [];
+    const bulk = this.droppedBulk - this.reportedBulk;
     this.reportedDrops = this.droppedLines;
-    const notice =
-      drops > 0
-        ? [JSON.stringify({ level: 'warn', part: 'log', message: 'Lines were dropped', drops })]
-        : [];
-    const lines = [...notice, ...this.takeLines()];
-    return Buffer.from(lines.map((line) => `${line}\n`).join(''), 'utf8');
+    this.reportedBulk = this.droppedBulk;
+    const time = new Date().toISOString();
+    const message = 'Lines were dropped';
+    return [JSON.stringify({ time, level: 'warn', part: 'log', message, drops, bulk })];
   }
 
   private takeLines(): readonly string[] {
--- a/packages/samphirenotch/src/observability/log.ts
+++ b/packages/samphirenotch/src/observability/log.ts
@@ -3,7 +3,7 @@
  */
 import { Logger, type ILogObjMeta } from 'tslog';
 
-import { LineSink } from './lineSink.js';
+import { LineSink, type LineOutput, type LineRank } from './lineSink.js';
 
 /** Named values that belong to a log line, such as request and task ids. */
 export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
@@ -32,13 +32,17 @@
 
 let settings: LogSettings = { format: 'hidden', level: 'info' };
 
+let output: LineOutput = sink;
+
 /**
  * Sets how all parts of this process log from now on.
  *
  * @param changed - the settings
+ * @param lines - takes lines of JSON; standard output unless a test says otherwise
  */
-export const configureLogs = (changed: LogSettings): void => {
+export const configureLogs = (changed: LogSettings, lines: LineOutput = sink): void => {
   settings = changed;
+  output = lines;
 };
 
 /** A line before it is written, as the logger hands it on. */
@@ -48,19 +52,22 @@
   readonly levelName: string;
 }
 
+const ALARMS = new Set(['WARN', 'ERROR']);
+
 /** Writes one line of JSON: time, level and part, then the sentence and its fields. */
-const writeJson = (part: string, { message, fields, levelName }: Line): void => {
+const writeJson = (part: string, rank: LineRank, { message, fields, levelName }: Line): void => {
   const time = new Date().toISOString();
-  sink.add(JSON.stringify({ time, level: levelName.toLowerCase(), part, message, ...fields }));
+  const line = JSON.stringify({ time, level: levelName.toLowerCase(), part, message, ...fields });
+  output.add(line, ALARMS.has(levelName) ? 'alarm' : rank);
 };
 
 /** Lines are plain values: nothing to mask or to clone, which would cost more than all the rest. */
-const jsonOverwrite = (part: string) => ({
+const jsonOverwrite = (part: string, rank: LineRank) => ({
   mask: (args: unknown[]) => args,
   toLogObj: ([message, fields]: unknown[]) => ({ message, fields }) as LogFields,
   addMeta: (line: LogFields, _levelId: number, levelName: string) =>
     ({ ...line, levelName }) as unknown as LogFields & ILogObjMeta,
-  transportJSON: (line: unknown) => writeJson(part, line as Line),
+  transportJSON: (line: unknown) => writeJson(part, rank, line as Line),
 });
 
 /** A log that reads the process's settings on first use. */
@@ -69,7 +76,10 @@
 
   private loggerSettings: LogSettings | undefined;
 
-  constructor(private readonly prefix: string) {}
+  constructor(
+    private readonly prefix: string,
+    private readonly rank: LineRank,
+  ) {}
 
   debug(sentence: string, fields?: LogFields): void {
     this.current().debug(sentence, ...(fields ? [fields] : []));
@@ -95,7 +105,7 @@
       name: this.prefix,
       minLevel: LEVELS[settings.level],
       hideLogPositionForProduction: true,
-      ...(settings.format === 'json' ? { overwrite: jsonOverwrite(this.prefix) } : {}),
+      ...(settings.format === 'json' ? { overwrite: jsonOverwrite(this.prefix, this.rank) } : {}),
     });
     return this.logger;
   }
@@ -105,6 +115,8 @@
  * Makes the log of a part.
  *
  * @param prefix - the part's fixed prefix, for instance `ownership`
+ * @param rank - rank of its lines below the level of warnings
  * @returns the log
  */
-export const partLog = (prefix: string): Log => new PartLog(prefix);
+export const partLog = (prefix: string, rank: LineRank = 'decision'): Log =>
+  new PartLog(prefix, rank);
