Log what fillers do by step, not run by run

On a full site an owner writes 22 to 27 MB of log in a minute; 20 to 26 of them are `Starting a task` and `A run has ended` of fillers, of which it starts 220 to 700 a second. They cost it processor time when it has least, and fill the queue of lines, so that 2 to 15 % of all lines are dropped, most of them at takeovers.

Starts and ends of fillers are gathered for up to a second, or up to 64 of them, and logged by step as `Fillers were started` and `Runs of fillers have ended`, of rank bulk. They list index, run, worker and times of each run in columns, so no run is left out: which worker a filler was started on, when, by which term, is still told. What is unusual keeps a line of its own, after what was gathered of its step: starts after a failure or a crash, or by an owner that is not certain to be the only one, ends other than done and stops that were ordered, ends of tasks that were done before, and runs without a reported end. Tasks other than fillers are logged as before. `A task goes back to waiting` names the worker, which used to stand in the line of the start. The lines are written by `RunLog`, for launcher and owner.

`samphirenotch report` takes the columns apart and gives the same figures as for single lines.

--- a/packages/samphirenotch-cli/src/report/jobHistory.ts
+++ b/packages/samphirenotch-cli/src/report/jobHistory.ts
@@ -1,6 +1,7 @@
 /**
  * Puts together what happened to jobs, from the log lines of all entries.
  */
+import { linesOfRuns } from './fillerLines.js';
 import type { LogLine } from './logLine.js';
 
 /** A run of a task. */
@@ -98,6 +99,8 @@
     'A job is taken in': (line) => this.onTakenIn(line),
     'Starting a task': (line) => this.onStart(line),
     'A run has ended': (line) => this.onEnd(line),
+    'Fillers were started': (line) => linesOfRuns(line).forEach((each) => this.onStart(each)),
+    'Runs of fillers have ended': (line) => linesOfRuns(line).forEach((each) => this.onEnd(each)),
     'A task goes back to waiting': (line) => this.onGone(line),
     'A job has ended': (line) => this.onJobEnd(line),
     'A job is cancelled': (line) => this.onCancelled(line),
@@ -202,7 +205,9 @@
     const job = this.job(jobIdOf(taskId));
     const runs = job.tasks.get(taskId) ?? [];
     job.tasks.set(taskId, runs);
-    runs.push({
+    // Starts of fillers are logged some time later, and in groups.
+    const next = runs.findIndex(({ startedMs }) => startedMs > atMs);
+    runs.splice(next < 0 ? runs.length : next, 0, {
       run,
       startedMs: atMs,
       dataCentre: text(fields.dataCentre) ?? UNKNOWN,
--- a/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
@@ -30,6 +30,7 @@
 import type { SiteCodec } from '../model/siteCodec.js';
 import { FillerPacing } from '../pacing/fillerPacing.js';
 import { Interference } from '../pacing/interference.js';
+import { RunLog } from '../placement/runLog.js';
 import { StepLauncher } from '../placement/stepLauncher.js';
 import { StepPermissions } from '../placement/stepPermissions.js';
 import { TaskPlaces } from '../placement/taskPlaces.js';
@@ -151,6 +152,8 @@
 
   private readonly places: TaskPlaces;
 
+  private readonly runLog: RunLog;
+
   private readonly trials: OpenTrials;
 
   private readonly permissions: StepPermissions;
@@ -208,6 +211,7 @@
     this.permissions = new StepPermissions(options.policy, options.clock, () => this.wakeup.wake());
     this.places = new TaskPlaces(this.book, this.fleet, options.clock);
     this.trials = new OpenTrials(this.book, this.outcomes, this.fleet);
+    this.runLog = new RunLog({ ...options, fleet: this.fleet, term });
     this.launcher = new StepLauncher({
       book: this.book,
       fleet: this.fleet,
@@ -221,6 +225,7 @@
       turns: this.turns,
       isStoreReachable,
       places: this.places,
+      runLog: this.runLog,
       onStart: (task, run, agent) => this.trials.noteStart(task, run, agent),
     });
     this.pacing = new FillerPacing(this.fleet, interference, options.clock);
@@ -316,6 +321,7 @@
     ]);
     stopListening();
     this.fleet.close();
+    this.runLog.close();
     this.log.info('The term is over', { share: share.id, fencingToken: term.fencingToken });
   }
 
@@ -424,22 +430,7 @@
 
   onRunEnd(agent: WorkerAgent, run: OwnedRun | undefined, end: RunEnd, shownMs: number): void {
     const task = this.book.findTask(end.taskId);
-    this.log.info('A run has ended', {
-      taskId: end.taskId,
-      run: end.run,
-      worker: agent.id,
-      kind: end.kind,
-      known: run !== undefined,
-      milliCores: task?.step.spec.size.milliCores,
-      isSaved: end.checkpoint !== '',
-      orderMs:
-        run?.startAnsweredMs === undefined
-          ? undefined
-          : Math.round(run.startAnsweredMs - run.startedMs),
-      workedMs:
-        run?.startAnsweredMs === undefined ? undefined : Math.round(shownMs - run.startAnsweredMs),
-      afterMs: run ? Math.round(this.options.clock.monotonicMs() - run.startedMs) : undefined,
-    });
+    this.runLog.noteEnd(task, { worker: agent.id, run, end, shownMs });
     this.options.recorder.count('run_ends', { kind: end.kind });
     if (!task) return;
     const { job } = task.step.occurrence;
@@ -459,7 +450,7 @@
   onRunLost(run: OwnedRun, reason: string): void {
     const { task } = run;
     this.options.recorder.count('runs_gone');
-    this.log.info('A task goes back to waiting', { taskId: task.id, run: run.run, reason });
+    this.runLog.noteLoss(run, reason);
     task.notBeforeMs = this.options.clock.monotonicMs() + REFUSED_START_BACKOFF_MS;
     task.step.occurrence.job.isFullyStarted = false;
     this.places.noteEnd(run);
@@ -616,6 +607,7 @@
       this.pacing.adjust();
       if (!this.isHandingOver) this.launcher.pass(directory.complete);
       this.launcher.reportLongWaits();
+      this.runLog.writeDue();
       this.exchange?.check(this.launcher.unplaced());
       const tookMs = clock.monotonicMs() - startMs;
       this.recordPass(tookMs, this.launcher.totalStarts - startsBefore);
--- a/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
@@ -33,18 +33,13 @@
 import { Preemption } from './preemption.js';
 import { RetryOrder } from './retryOrder.js';
 import { RoomReservations } from './roomReservations.js';
+import type { RunLog } from './runLog.js';
 import { ServingMoves } from './servingMoves.js';
 import { StartGate } from './startGate.js';
 import type { UnplacedStep } from './spillOver.js';
 import { Starvation } from './starvation.js';
 import { chooseForTrial } from './suspectTrials.js';
-import {
-  DeadlineStepOrder,
-  isLate,
-  objectiveMs,
-  remainingPathMs,
-  type StepOrder,
-} from './stepOrder.js';
+import { DeadlineStepOrder, isLate, type StepOrder } from './stepOrder.js';
 import type { StepPermissions } from './stepPermissions.js';
 import { SpreadPlacement, type PlacementInput, type TaskPlacement } from './taskPlacement.js';
 import type { TaskPlaces } from './taskPlaces.js';
@@ -65,6 +60,7 @@
   /** Returns true if the store has answered lately. */
   readonly isStoreReachable: () => boolean;
   readonly places: TaskPlaces;
+  readonly runLog: RunLog;
   /** Called before a start is tracked and sent. */
   readonly onStart: (task: OwnedTask, run: number, agent: WorkerAgent) => void;
 }
@@ -748,46 +744,15 @@
     return starts;
   }
 
-  private describeStart({ step }: OwnedTask, agent: WorkerAgent) {
-    const { size, dataRack, filler, longRunning } = step.spec;
-    const { job } = step.occurrence;
-    const nowMs = this.options.clock.monotonicMs();
-    return {
-      milliCores: size.milliCores,
-      isFiller: filler,
-      isGuest: job.isGuest,
-      delegation: job.delegation?.name,
-      jobRevision: job.revision,
-      isNear: dataRack === '' ? undefined : agent.description.labels.includes(dataRack),
-      // Time until the objective minus the estimated remaining path. Long-running tasks have none.
-      slackMs: longRunning
-        ? undefined
-        : Math.round(objectiveMs(job) - nowMs - remainingPathMs(job, step.index)),
-    };
-  }
-
   private start({ task, agent }: PlannedStart, run: number): void {
-    const { term, fleet, clock } = this.options;
+    const { places, runLog } = this.options;
     const owned = task;
     owned.nextRun = run + 1;
     this.startCount += 1;
     const formerPlace = task.place;
     this.options.onStart(task, run, agent);
-    const whenPlaced = this.options.places.claim(task, agent);
-    this.log.info('Starting a task', {
-      taskId: task.id,
-      run,
-      worker: agent.id,
-      dataCentre: agent.description.dataCentre,
-      freeMilliCores: agent.free().milliCores,
-      ...this.describeStart(task, agent),
-      configuration: this.options.operator.view().configuration?.version,
-      viewAgeMs: Math.round(this.options.viewAgeMs()),
-      fencingToken: term.fencingToken,
-      leaseLeftMs: Math.round(term.leaseValidUntilMs() - clock.monotonicMs()),
-      unreportedWorkers: fleet.unreportedCount,
-      formerPlace,
-    });
+    const whenPlaced = places.claim(task, agent);
+    runLog.noteStart(task, run, agent, formerPlace);
     const ticket = this.options.permissions.ticketFor(task.step, agent);
     const mayStart = (): boolean => this.gate.isOpen() && this.isUsable(agent);
     agent.start(task, run, reservedSizeOf(task), ticket, whenPlaced, mayStart);
--- a/tests/cli/logReport.spec.ts
+++ b/tests/cli/logReport.spec.ts
@@ -12,7 +12,14 @@
 import { reportOf, type LogReport } from 'samphirenotch-cli/report/logReport.js';
 
 import { runCli } from '../fixtures/commandLine.js';
-import { ended, historyOf, logged, ranTask, takenIn } from '../fixtures/loggedJobs.js';
+import {
+  ended,
+  historyOf,
+  logged,
+  ranTask,
+  takenIn,
+  type LoggedFields,
+} from '../fixtures/loggedJobs.js';
 
 const reportOn = (lines: readonly string[]): LogReport => reportOf(historyOf(lines), 5);
 
@@ -247,6 +254,90 @@
   ]);
 });
 
+// Guards against figures that depend on whether runs were logged one by one or together.
+test('should report runs that were logged together like those that were logged one by one', (t) => {
+  const step = { step: 'j.0.0', milliCores: 2_000, isGuest: false };
+  const job = takenIn({ jobId: 'j', acceptedMs: 0 });
+  const started = (atMs: number, fields: LoggedFields): string =>
+    logged(atMs, 'Fillers were started', {
+      ...step,
+      dataCentre: 'Timaru',
+      slackMs: 100,
+      ...fields,
+    });
+  const together = [
+    ...job,
+    // The second run of the first task is logged before its first one.
+    started(1_900, { indexes: '0', runs: '2', workers: 'w1', agoMs: '1000', slackMs: -1 }),
+    started(1_900, {
+      indexes: '0 1 2',
+      runs: '1 1 1',
+      workers: 'w1 w2 w1',
+      agoMs: '1880 1870 1860',
+    }),
+    logged(1_900, 'Runs of fillers have ended', {
+      ...step,
+      kind: 'stopped',
+      indexes: '0',
+      runs: '1',
+      workers: 'w1',
+      agoMs: '1100',
+      orderMs: '-',
+      workedMs: '-',
+      afterMs: '780',
+      isSaved: true,
+    }),
+    logged(2_100, 'Runs of fillers have ended', {
+      ...step,
+      kind: 'done',
+      indexes: '0 1',
+      runs: '2 1',
+      workers: 'w1 w2',
+      agoMs: '400 300',
+      orderMs: '10 -',
+      workedMs: '750 -',
+      afterMs: '800 1770',
+      isSaved: false,
+    }),
+    logged(2_100, 'Runs of fillers have ended', {
+      ...step,
+      kind: 'done',
+      known: false,
+      indexes: '2',
+      runs: '1',
+      workers: 'w1',
+      agoMs: '250',
+      isSaved: false,
+    }),
+    ended('j', 2_200),
+  ];
+  const apart = [
+    ...job,
+    ...ranTask('j.0.0.0', 1, 20, 800, { kind: 'stopped', isSaved: true }),
+    ...ranTask('j.0.0.0', 2, 900, 1_700, { orderMs: 10, workedMs: 750, slackMs: -1 }),
+    ...ranTask('j.0.0.1', 1, 30, 1_800),
+    ...ranTask('j.0.0.2', 1, 40, 1_850),
+    ended('j', 2_200),
+  ];
+  const report = reportOn(together);
+  t.deepEqual(report, reportOn(apart));
+  t.is(report.places[0]?.starts, 4);
+});
+
+// Guards against a report that fails over half a line.
+test('should pass over runs of which a line does not tell', (t) => {
+  const { runs } = reportOn([
+    ...takenIn({ jobId: 'j', acceptedMs: 0 }),
+    logged(500, 'Fillers were started', { step: 'j.0.0', indexes: '0 1', runs: '1 1', agoMs: '5' }),
+    logged(500, 'Fillers were started', {}),
+    logged(500, 'Runs of fillers have ended', { step: 'j.0.0', indexes: '0 7', runs: '1 1' }),
+  ]);
+  t.deepEqual(
+    runs.map(({ kind, runs: number }) => [kind, number]),
+    [['open', 1]],
+  );
+});
+
 test('should list the jobs furthest beyond their objective first', (t) => {
   const took = (jobId: string, tookMs: number): readonly string[] => [
     ...takenIn({ jobId, acceptedMs: 0 }),
