Count the work of broken gangs as thrown away

`samphirenotch report` showed no core-seconds thrown away for members of gangs that ended because another member did, or never started. Owners log these ends as `gang-broken` and `gang-alone`; the report looked for `broken` and `alone`.

The new test has a run of each kind: 0 of 6 core-seconds counted before, all of them now.

--- a/packages/samphirenotch-cli/src/report/logReport.ts
+++ b/packages/samphirenotch-cli/src/report/logReport.ts
@@ -98,7 +98,7 @@
 const UNKNOWN = 'unknown';
 
 /** Ends by which work is lost unless it was saved. */
-const WASTING = new Set(['stopped', 'lapsed', 'broken', 'alone', 'gone']);
+const WASTING = new Set(['stopped', 'lapsed', 'gang-broken', 'gang-alone', 'gone']);
 
 /** Groups items by the text of a key. */
 const groupBy = <T>(
--- a/tests/cli/logReport.spec.ts
+++ b/tests/cli/logReport.spec.ts
@@ -212,6 +212,22 @@
   ]);
 });
 
+// Guards against work of members of gangs that is thrown away unseen.
+test('should add up work of members of gangs whose other members ended or did not start', (t) => {
+  const { runs } = reportOn([
+    ...takenIn({ jobId: 'j', acceptedMs: 0 }),
+    ...ranTask('j.0.0.0', 1, 0, 1_000, { kind: 'gang-broken' }),
+    ...ranTask('j.0.0.1', 1, 0, 2_000, { kind: 'gang-alone' }),
+  ]);
+  t.deepEqual(
+    runs.map(({ kind, thrownAway }) => [kind, thrownAway]),
+    [
+      ['gang-alone', 4],
+      ['gang-broken', 2],
+    ],
+  );
+});
+
 test('should count each run once, however often its end is listed', (t) => {
   const end = logged(900, 'A run has ended', { taskId: 'j.0.0.0', run: 1, kind: 'done' });
   const { runs } = reportOn([
