Start copies of slow runs beside waiting fillers

Tasks on slow workers got no copies for as long as more fillers waited than an owner could start.

Cause: a pass starts copies only if it has tried all waiting steps. One that is cut short at the fillers, which come last, counted as one that had left others untried.

Evidence: tests/jobs/fillerOrders.spec.ts: of 16 tasks on slow workers none had a copy 2.5 s after the first fillers came.

Change: a pass that is cut short at a filler starts copies as well. It ends them by the same limits of time and orders.

Why it works: fillers reserve no processors, so that copies take nothing that a waiting task is owed. All 16 tasks have their copies in the same test.

--- a/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
@@ -313,7 +313,9 @@
     this.startSomeUntried(nowMs);
     this.reserveForOverdue(overdue);
     this.drainMoves.check(this.options.fleet.all());
-    const areCopiesTried = areAllTried && this.startSpeculativeCopies();
+    // Fillers come last.
+    const areOthersTried = areAllTried || ordered[cutAt]?.spec.filler === true;
+    const areCopiesTried = areOthersTried && this.startSpeculativeCopies();
     const areStarvedLeft = areStarvedStarted && starved.length > MAXIMUM_RESERVED_STARTS;
     this.wasCutShort = !areAllTried || !areCopiesTried || areStarvedLeft;
     if (areAllTried) this.moveServing();
@@ -545,8 +547,8 @@
   }
 
   /**
-   * Starts copies of slow runs on capacity that no waiting task has taken. Returns false if the
-   * time was up before all were tried.
+   * Starts copies of slow runs on capacity that no waiting task has taken; fillers take no processors.
+   * Returns false if the time was up before all were tried.
    */
   private startSpeculativeCopies(): boolean {
     const { permissions, slowWorkers } = this.options;
--- a/tests/jobs/fillerOrders.spec.ts
+++ b/tests/jobs/fillerOrders.spec.ts
@@ -196,3 +196,34 @@
   t.true(tookMs <= MAX_URGENT_MS, `${tookMs} ms, ${site.record.runs.length} starts`);
   t.deepEqual(site.record.violations, []);
 });
+
+const COPIED_ID = 'cccccccccccccccc';
+
+const SLOW_WORKERS = 8;
+
+// Guards against tasks on slow workers that get no copies for as long as fillers wait.
+test('should start copies of slow runs while fillers are started', async (t) => {
+  const { site } = await makeOwnedSite({
+    workers: OTHERS,
+    milliCores: 64_000,
+    startCostMs: 0.5,
+    behave: (taskId) =>
+      taskId.startsWith(COPIED_ID)
+        ? { size: SIZE, durationMs: 4_000 }
+        : { size: FILLER_SIZE, durationMs: FILLER_RUN_MS },
+  });
+  site.record.copiesAllowed = true;
+  site.configure([site.queue, bulk, urgent]);
+  [...site.workers.values()].slice(0, SLOW_WORKERS).forEach((worker) => {
+    const slow = worker;
+    slow.slowdown = 10;
+  });
+  const step = makeStep({ count: 2 * OTHERS, speculative: true, size: SIZE, estimateMs: 4_000 });
+  put(site, urgent, [COPIED_ID], makeJob(step));
+  await site.run(500);
+  putFillers(site);
+  await site.run(2_500);
+  const copied = site.record.runs.filter(({ taskId }) => taskId.startsWith(COPIED_ID));
+  t.is(copied.length, 2 * OTHERS + 2 * SLOW_WORKERS);
+  t.deepEqual(site.record.violations, []);
+});
