Read the ends of runs that are stopped together on a leaving worker at once

What callers saw: a long-running task whose run was stopped for a move is away for up to 7.5 s, more than the 6 s of planned work, where the leaving worker is gone within 50 ms after the run has ended.

Cause: the ends of runs that are stopped together come one after the other. The answer to a poll brings the first, and the next poll waits for that end to be stored, and for 50 ms in any case. A worker that is gone in between has ended the others, and nobody knows it.

Evidence: releaseChains with all chains has six that fail, all of them the second of two tasks. Stopped at 120 ms, gone after 300 ms: the stops are ordered at -122 ms, the end of the first run is read at 280 ms, the next poll is due at 330 ms, the worker is gone at 300 ms, its lease ends at 7.4 s. Without the pause of 50 ms alone the same six fail, since the end is stored for 28 ms.

Change: once an answer brings ends of a worker that leaves and on which other runs are being stopped, it is asked once more at once.

Why it works: runs that are stopped together end together, so the second answer brings the other ends. It costs one poll for each answer with an end, on workers that leave only.

Test: releaseChains failed before with 7.5 s (stopped) and 6.5 s (stopped, then stopped), and passes with all 63 and 126 chains.

--- a/packages/samphirenotch/src/jobs/workers/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerAgent.ts
@@ -889,9 +889,11 @@
     }
     this.noteAnswer(outcome.val.holding, sentMs);
     this.noteAlive(outcome.val.holding, sentMs);
+    const seenBefore = this.seenSequence;
     this.applyHolding(outcome.val.holding, sentMs, acknowledged);
     this.endPollWaits();
-    if (wasUnresponsive) return;
+    const hasNewEnds = this.seenSequence !== seenBefore;
+    if (wasUnresponsive || (hasNewEnds && this.isBeingLeft)) return;
     await this.waitBeforeNextPoll(signal);
   }
 
@@ -916,6 +918,14 @@
     await this.wakeup.wait(MAX_ACKNOWLEDGE_DELAY_MS, signal);
   }
 
+  /** Tells whether runs of a worker that leaves are being stopped. It may be gone before their ends are read. */
+  private get isBeingLeft(): boolean {
+    return (
+      this.description.phase === 'draining' &&
+      this.activeRuns().some(({ phase }) => phase === 'stopping')
+    );
+  }
+
   private countFailedPoll(): void {
     if (this.failedPolls === 0)
       this.silentSinceMs = Math.min(this.options.clock.monotonicMs(), this.answerDueMs);
