--- a/packages/samphirenotch/src/jobs/workers/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerAgent.ts
@@ -188,6 +188,8 @@
    * infinite if it goes by no record.
    */
   readonly leaseLimitMs: () => number;
+  /** Returns the monotonic time in milliseconds beyond which this owner extends no lease; infinite without one. */
+  readonly extensionLimitMs: () => number;
 }
 
 /** Represents one worker to its owner: tracks its runs, polls it and sends it orders. */
@@ -736,7 +738,8 @@
     const now = this.workerClock.earliestNowMs;
     if (now === undefined || !this.isResponsive || !this.options.mayExtendLease()) return undefined;
     if (!this.isLeaseBounded) return undefined;
-    const untilMs = this.withinLimit(Math.floor(now + this.leaseMs()));
+    const { extensionLimitMs } = this.options;
+    const untilMs = this.endWithin(Math.floor(now + this.leaseMs()), extensionLimitMs());
     if (untilMs <= now) return undefined;
     this.leaseUntilMs = Math.max(this.leaseUntilMs, untilMs);
     if (this.mayHaveRestarted) this.uncertainGrantMs = this.options.clock.monotonicMs();
@@ -770,10 +773,10 @@
     waiters.forEach((resolve) => resolve());
   }
 
-  /** Shortens a lease so that it is over by when a successor may count it as over. */
-  private withinLimit(leaseUntilMs: number): number {
-    const limitMs = this.workerClock.earliestAt(this.options.leaseLimitMs());
-    return Math.min(leaseUntilMs, Math.floor(limitMs) - LEASE_EXPIRY_MARGIN_MS);
+  /** Shortens a lease so that it is certainly over by a monotonic time in milliseconds. */
+  private endWithin(leaseUntilMs: number, limitMs: number): number {
+    const limitAtWorkerMs = Math.floor(this.workerClock.earliestAt(limitMs));
+    return Math.min(leaseUntilMs, limitAtWorkerMs - LEASE_EXPIRY_MARGIN_MS);
   }
 
   /** Monotonic time at which the leases of all runs of the worker have lapsed, in milliseconds. */
@@ -895,9 +898,11 @@
     }
     this.noteAnswer(outcome.val.holding, sentMs);
     this.noteAlive(outcome.val.holding, sentMs);
+    const seenBefore = this.seenSequence;
     this.applyHolding(outcome.val.holding, sentMs, acknowledged);
     this.endPollWaits();
-    if (wasUnresponsive) return;
+    const hasNewEnds = this.seenSequence !== seenBefore;
+    if (wasUnresponsive || (hasNewEnds && this.isBeingLeft)) return;
     await this.waitBeforeNextPoll(signal);
   }
 
@@ -922,6 +927,14 @@
     await this.wakeup.wait(MAX_ACKNOWLEDGE_DELAY_MS, signal);
   }
 
+  /** Tells whether runs of a worker that leaves are being stopped. It may be gone before their ends are read. */
+  private get isBeingLeft(): boolean {
+    return (
+      this.description.phase === 'draining' &&
+      this.activeRuns().some(({ phase }) => phase === 'stopping')
+    );
+  }
+
   private countFailedPoll(): void {
     if (this.failedPolls === 0)
       this.silentSinceMs = Math.min(this.options.clock.monotonicMs(), this.answerDueMs);
@@ -1008,7 +1021,8 @@
     if (!this.fenced) {
       this.fenced = true;
       // A former owner may have extended the lease until just now, unless it had counted it down.
-      const formerUntilMs = this.withinLimit(holding.clockMs + this.longestLeaseMs(holding));
+      const longestUntilMs = holding.clockMs + this.longestLeaseMs(holding);
+      const formerUntilMs = this.endWithin(longestUntilMs, this.options.leaseLimitMs());
       this.leaseUntilMs = Math.max(this.leaseUntilMs, formerUntilMs);
       this.options.listener.onFenced(this);
     }
