Count crashes of workers whose owners are lost with them

Callers saw a job whose task crashes each worker started six times, where three starts after the third crash are a breach (BUDGET), if the owner was killed after each of the first starts.

Cause: a crash is known once the worker is back, and the runs that it ended are known only to the owner that started them. Only trials of suspects, tasks with two counted crashes, were passed on, and those of guests never. So the first crashes under a task counted for no owner, and each new owner began again at none.

Evidence: crashesAcrossOwners, the owner killed 0.8 s after each of the first three starts, the workers down for 3 s: 6 starts of a short task, a task that lasts, a member of a gang and a guest.

Change: an owner stores the runs of tasks that may crash their workers, in one key for the share, guests included, until it knows how they ended. Those are tasks under which a worker has crashed before, and tasks from before a takeover that found a worker of the stored roster ended without an announcement; the roster says which incarnation the owner knew. The find itself counts for nobody, and is stored before the roster that no longer shows it.

It works since the successor of an owner that lost a crash knows that there was one, and has the next run stored; from then on each crash is counted by the owner or by its successor.

--- a/packages/samphirenotch/src/jobs/model/jobProgress.ts
+++ b/packages/samphirenotch/src/jobs/model/jobProgress.ts
@@ -1,26 +1,13 @@
 /**
  * Progress of a job that must survive a change of its owner: which tasks are done, which runs
  * failed, under which runs workers crashed, on which workers long-running tasks may be, since when those
- * that were interrupted wait, and which suspects are being tried.
+ * that were interrupted wait.
  */
 import { z } from 'zod';
 
 import type { Clock } from '../../time/clock.js';
 import { toMonotonicMs, toUnixMs } from '../../time/unixTime.js';
 
-const TRIAL = z.object({
-  run: z.number(),
-  /** Id of the worker. */
-  worker: z.string(),
-  /** When the incarnation of the worker started that got it, in Unix milliseconds. */
-  bornMs: z.number(),
-  /** True if no other run of the worker could crash it. */
-  isAlone: z.boolean(),
-});
-
-/** A run of a task that is suspected of crashing workers. */
-export type Trial = Readonly<z.infer<typeof TRIAL>>;
-
 const STEP = z.object({
   /** Indexes of done tasks as ranges: start, length, start, length... */
   d: z.array(z.number()),
@@ -30,8 +17,6 @@
   c: z.record(z.string(), z.array(z.number())).optional(),
   /** Ids of the workers on which long-running tasks may be, by task index. */
   p: z.record(z.string(), z.string()).optional(),
-  /** Trials that have not ended, by task index. */
-  x: z.record(z.string(), TRIAL).optional(),
   /** When long-running tasks that wait were interrupted, in Unix milliseconds, by task index. */
   i: z.record(z.string(), z.number()).optional(),
 });
@@ -53,8 +38,6 @@
   readonly crashedRuns: RunsByTask;
   /** Place of each long-running task: see `OwnedTask.place`. */
   readonly places: ReadonlyMap<number, string>;
-  /** Trials that have not ended, by task index. */
-  readonly trials: ReadonlyMap<number, Trial>;
   /** Monotonic time at which each long-running task that waits was interrupted, in milliseconds. */
   readonly interruptions: ReadonlyMap<number, number>;
 }
@@ -69,7 +52,6 @@
   readonly failedRuns: readonly number[];
   readonly crashedRuns: readonly number[];
   readonly place: string | undefined;
-  readonly trial: Trial | undefined;
   readonly runs: readonly unknown[];
   /** Monotonic time in milliseconds. */
   readonly interruptedMs: number | undefined;
@@ -168,7 +150,6 @@
       const f = encodeRuns(tasks, ({ failedRuns }) => failedRuns);
       const c = encodeRuns(tasks, ({ crashedRuns }) => crashedRuns);
       const p = encodeByTask(tasks, ({ place }) => place);
-      const x = encodeByTask(tasks, ({ trial }) => trial);
       const i = spec.longRunning
         ? encodeByTask(tasks, (task) => interruptionOf(task, clock))
         : undefined;
@@ -179,7 +160,6 @@
         ...(c && { c }),
         ...(p && { p }),
         ...(i && { i }),
-        ...(x && { x }),
       };
     }),
   }));
@@ -202,7 +182,7 @@
   return new Map(
     occurrences.map(({ k, s }) => [
       k,
-      s.map(({ d, f, c, p, i, x }) => ({
+      s.map(({ d, f, c, p, i }) => ({
         done: fromRanges(d),
         failedRuns: decodeByTask(f),
         crashedRuns: decodeByTask(c),
@@ -210,7 +190,6 @@
         interruptions: new Map(
           [...decodeByTask(i)].map(([index, unixMs]) => [index, toMonotonicMs(clock, unixMs)]),
         ),
-        trials: decodeByTask(x),
       })),
     ]),
   );
--- a/packages/samphirenotch/src/jobs/model/ownedJob.ts
+++ b/packages/samphirenotch/src/jobs/model/ownedJob.ts
@@ -4,7 +4,7 @@
 import type { Size } from '../../infrastructure/worker.js';
 
 import type { Delegation } from './delegation.js';
-import type { JobProgress, StepProgress, Trial } from './jobProgress.js';
+import type { JobProgress, StepProgress } from './jobProgress.js';
 import { stepIdOf, taskIdOf, type AcceptedJob, type StepSpec } from './jobSpec.js';
 import type { Queue } from './siteConfiguration.js';
 
@@ -145,8 +145,6 @@
    * since this was stored. Empty if it is on none, undefined if it may be on any worker.
    */
   place: string | undefined;
-  /** Newest run that was started while the task was a suspect; undefined once it is known how it ended. */
-  trial: Trial | undefined;
   /** Monotonic time before which it is not started again, in milliseconds. */
   notBeforeMs: number;
   /**
@@ -379,7 +377,6 @@
         checkpoint: task?.checkpoint ?? '',
         runs: [],
         place: progress?.places.get(index),
-        trial: progress?.trials.get(index),
         notBeforeMs: 0,
         interruptedMs: this.options.isInherited
           ? (progress?.interruptions.get(index) ?? this.options.knownSinceMs)
--- a/packages/samphirenotch/src/jobs/ownership/incomingDelegations.ts
+++ b/packages/samphirenotch/src/jobs/ownership/incomingDelegations.ts
@@ -9,7 +9,7 @@
   type DelegationReport,
   type TaskOutcome,
 } from '../model/delegation.js';
-import type { JobProgress, Trial } from '../model/jobProgress.js';
+import type { JobProgress } from '../model/jobProgress.js';
 import { isTaskWaiting, type OwnedJob, type OwnedStep, type OwnedTask } from '../model/ownedJob.js';
 import type { JobRegistry } from '../store/jobRegistry.js';
 import { keysOfShare } from '../store/jobKeys.js';
@@ -53,7 +53,6 @@
     failedRuns: new Map<number, readonly number[]>(),
     crashedRuns: new Map<number, readonly number[]>(),
     places: new Map<number, string>(),
-    trials: new Map<number, Trial>(),
     interruptions: new Map<number, number>(),
   }));
   steps[step] = {
@@ -61,7 +60,6 @@
     failedRuns: new Map(failedRuns),
     crashedRuns: new Map(crashedRuns),
     places: new Map(),
-    trials: new Map(),
     interruptions: new Map(),
   };
   return new Map([[occurrence, steps]]);
--- a/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
@@ -51,11 +51,11 @@
 import type { ShareJobExplanation, TermStatus, WorkerStatus } from './entryStatus.js';
 import { JobRegistry } from '../store/jobRegistry.js';
 import { JobRetention } from './jobRetention.js';
-import { OpenTrials } from './openTrials.js';
 import { ShareExchange } from './shareExchange.js';
 import { SummaryWriter } from './summaryWriter.js';
 import { takeOver, type TakeoverState } from './takeover.js';
 import { TaskOutcomes } from './taskOutcomes.js';
+import { WatchedRuns } from './watchedRuns.js';
 
 /** Longest wait for an event before the next pass over the waiting tasks, in milliseconds. */
 const MAX_PASS_WAIT_MS = 250;
@@ -151,7 +151,7 @@
 
   private readonly places: TaskPlaces;
 
-  private readonly trials: OpenTrials;
+  private readonly watchedRuns: WatchedRuns;
 
   private readonly permissions: StepPermissions;
 
@@ -198,6 +198,7 @@
       clock: options.clock,
       fencingToken: term.fencingToken,
       onUsable: () => this.wakeup.wake(),
+      onUnreached: (agent) => this.watchedRuns.noteDoubt(agent),
       isStoreReachable,
       isSoleOwner: () => this.isSoleOwner(),
       wasSoleOwnerAt: (timeMs) => this.wasSoleOwnerAt(timeMs),
@@ -207,7 +208,13 @@
     const interference = new Interference();
     this.permissions = new StepPermissions(options.policy, options.clock, () => this.wakeup.wake());
     this.places = new TaskPlaces(this.book, this.fleet, options.clock);
-    this.trials = new OpenTrials(this.book, this.outcomes, this.fleet);
+    this.watchedRuns = new WatchedRuns({
+      book: this.book,
+      outcomes: this.outcomes,
+      fleet: this.fleet,
+      clock: options.clock,
+      fencingToken: term.fencingToken,
+    });
     this.launcher = new StepLauncher({
       book: this.book,
       fleet: this.fleet,
@@ -221,7 +228,7 @@
       turns: this.turns,
       isStoreReachable,
       places: this.places,
-      onStart: (task, run, agent) => this.trials.noteStart(task, run, agent),
+      onStart: (task, run, agent) => this.watchedRuns.noteStart(task, run, agent),
     });
     this.pacing = new FillerPacing(this.fleet, interference, options.clock);
   }
@@ -260,7 +267,6 @@
     endUnlessOwner(options.replica.shares.owner(share.id));
     if (signal.aborted) return;
     this.homeJobs().forEach((job) => this.book.add(job));
-    this.trials.beginTerm(this.book.openJobs());
     const stopListening = options.replica.listen({
       share: share.id,
       onAccepted: (job) => {
@@ -278,6 +284,7 @@
     const writing = this.journal.run(signal);
     const exchanging = this.startExchange(takeover);
     await this.exchange?.restore(signal);
+    this.watchedRuns.beginTerm(this.journal, keys, takeover.watchedRuns);
     this.fleet.beginTerm(this.journal, keys, takeover.workers);
     this.hasBegun = true;
     this.log.info('Took over', {
@@ -449,10 +456,10 @@
     this.fleet.recordRunEnd(agent, task, end.kind);
     job.isFullyStarted = false;
     if (run) this.places.noteEnd(run);
-    this.trials.noteEnd({ task, run: end.run });
     if (end.kind === 'done' && run) recordDoneRate(run, shownMs);
     if (end.kind === 'done') this.outcomes.markDone(task);
     if (end.kind === 'failed') this.outcomes.recordFailure(task, agent.id, end.run);
+    this.watchedRuns.noteEnd({ task, run: end.run });
     this.wakeup.wake();
   }
 
@@ -463,7 +470,7 @@
     task.notBeforeMs = this.options.clock.monotonicMs() + REFUSED_START_BACKOFF_MS;
     task.step.occurrence.job.isFullyStarted = false;
     this.places.noteEnd(run);
-    this.trials.noteEnd(run);
+    this.watchedRuns.noteEnd(run);
     this.stopGang(run);
     this.wakeup.wake();
   }
@@ -491,8 +498,8 @@
   }
 
   onRunProven(run: OwnedRun): void {
-    this.trials.noteEnd(run);
     this.outcomes.clearCrashes(run.task);
+    this.watchedRuns.noteProven(run);
   }
 
   onTicketRefused({ task, agent }: OwnedRun): void {
@@ -508,14 +515,18 @@
     this.wakeup.wake();
   }
 
+  onRestarted(): void {
+    this.fleet.markRestarted();
+  }
+
   onReplaced(agent: WorkerAgent): void {
-    this.trials.settle(agent, true);
+    this.watchedRuns.settle(agent, true);
     this.fleet.markReplaced(agent);
     this.wakeup.wake();
   }
 
   onFullReport(agent: WorkerAgent): void {
-    this.trials.settle(agent, false);
+    this.watchedRuns.settle(agent, false);
     this.fleet.markAccountedFor(agent, 'it has reported its runs and ends');
     this.wakeup.wake();
   }
@@ -611,6 +622,7 @@
       const startsBefore = this.launcher.totalStarts;
       if (directory.complete) this.fleet.onDirectoryRead();
       this.fleet.maintain();
+      this.watchedRuns.maintain();
       this.watch.check();
       this.slowWorkers.check();
       this.pacing.adjust();
--- a/packages/samphirenotch/src/jobs/ownership/takeover.ts
+++ b/packages/samphirenotch/src/jobs/ownership/takeover.ts
@@ -11,6 +11,7 @@
 import type { Clock } from '../../time/clock.js';
 
 import { decodeProgress, type JobProgress } from '../model/jobProgress.js';
+import { decodeWatchedRuns, NO_WATCHED_RUNS, type WatchedRunRecord } from '../model/watchedRuns.js';
 import { EXCHANGE_PREFIX, keysOfShare, type ShareKeys } from '../store/jobKeys.js';
 import type { JobReplica } from '../store/jobReplica.js';
 import { ProgressJournal } from '../store/progressJournal.js';
@@ -50,6 +51,7 @@
     calledSinceTerm: z.number().optional(),
     usedSinceTerm: z.number().default(0),
     contactsNeeded: z.number().int().positive().default(1),
+    bornMs: z.number().optional(),
   }),
 );
 
@@ -84,6 +86,8 @@
   /** Stored progress by job id. */
   readonly progress: ReadonlyMap<string, JobProgress>;
   readonly workers: FormerWorkers;
+  /** Runs that may have crashed their workers. */
+  readonly watchedRuns: WatchedRunRecord;
   /** Label of the journal of the last owner; undefined if there was none. */
   readonly formerOwner: string | undefined;
   /** Delegations of the share's jobs that are not closed yet, as stored text. */
@@ -279,6 +283,21 @@
   }
 };
 
+const readWatchedRuns = (
+  items: readonly KeyValue[],
+  { watchedRuns }: ShareKeys,
+): WatchedRunRecord => {
+  const item = items.find(({ key }) => key === watchedRuns);
+  if (!item) return NO_WATCHED_RUNS;
+  try {
+    return decodeWatchedRuns(item.value);
+  } catch (error) {
+    const reason = String(error).slice(0, LONGEST_REASON);
+    log.error('The runs that may crash workers cannot be read', { key: watchedRuns, reason });
+    return NO_WATCHED_RUNS;
+  }
+};
+
 const readExchange = async (
   { store, clock }: TakeoverOptions,
   term: Term,
@@ -342,6 +361,7 @@
         leaseEnds: opened.leaseEnds,
         lastLossMs: lossOfOpener(options, opened.formerLabel),
       },
+      watchedRuns: readWatchedRuns(items, keys),
       formerOwner: opened.formerLabel,
       openDelegations: items
         .filter(({ key }) => key.startsWith(keys.openDelegationsPrefix))
--- a/packages/samphirenotch/src/jobs/store/jobKeys.ts
+++ b/packages/samphirenotch/src/jobs/store/jobKeys.ts
@@ -61,6 +61,8 @@
   readonly roster: string;
   /** How long workers that do not answer the owner can hold their leases. */
   readonly leases: string;
+  /** Runs that may crash their workers. */
+  readonly watchedRuns: string;
   /** Prefix of the detailed progress of jobs, read by the owner only. */
   readonly progressPrefix: string;
   /** Prefix of delegations of its jobs that are not fully reported, by job and name. */
@@ -93,6 +95,7 @@
     opened: `${SHARES_PREFIX}${share}/opened`,
     roster: `${ownerPrefix}roster`,
     leases: `${ownerPrefix}leases`,
+    watchedRuns: `${ownerPrefix}watched-runs`,
     progressPrefix: `${ownerPrefix}job/`,
     openDelegationsPrefix: `${ownerPrefix}away/`,
     ownerPrefix,
--- a/packages/samphirenotch/src/jobs/workers/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerAgent.ts
@@ -145,6 +145,8 @@
   onChange(agent: WorkerAgent): void;
   /** The worker has accepted this owner's fencing token for the first time. */
   onFenced(agent: WorkerAgent): void;
+  /** The worker has started again under its id. Called after its runs are reported as lost. */
+  onRestarted(agent: WorkerAgent): void;
   /**
    * Another worker answers at the worker's address: nothing of the worker runs any more. Called after
    * its runs are reported as lost.
@@ -975,6 +977,7 @@
     this.unexplainedRuns = [];
     this.bornMs = holding.bornMs;
     this.knownBornMs = Math.max(holding.bornMs, this.description.bornMs);
+    if (isNew) this.options.listener.onRestarted(this);
     this.pollCount += 1;
     this.workerClock.addReading(holding.clockMs);
     this.acknowledgedSequence = Math.max(this.acknowledgedSequence, acknowledged);
--- a/packages/samphirenotch/src/jobs/workers/workerFleet.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerFleet.ts
@@ -58,6 +58,11 @@
   readonly drainsLaterThan?: number | undefined;
   /** Minimum time from its announcement until it leaves, in milliseconds. */
   readonly remainingMs?: number | undefined;
+  /**
+   * When the incarnation started on which an owner may have started runs, in Unix milliseconds. Rosters of
+   * older versions lack it.
+   */
+  readonly bornMs?: number | undefined;
 }
 
 /** The workers that a former owner leaves to its successor. */
@@ -99,6 +104,10 @@
   readonly fencingToken: number;
   /** Called when workers may have become usable. */
   readonly onUsable: () => void;
+  /**
+   * Called when a worker that has not announced that it leaves was not reached before its former leases lapsed.
+   */
+  readonly onUnreached: (agent: WorkerAgent) => void;
   /** Returns true if the store has answered lately. */
   readonly isStoreReachable: () => boolean;
   /**
@@ -358,6 +367,11 @@
     if (this.unreportedWorkers.has(agent)) this.formerLeases.markReached(agent.description);
   }
 
+  /** Notes that a worker has started again: what came before is known to this owner. */
+  markRestarted(): void {
+    this.rosterChanged = true;
+  }
+
   /**
    * Notes that another worker has answered at the address of a worker. A successor need not wait for
    * the worker.
@@ -400,6 +414,22 @@
     return this.formerlyDraining.has(id);
   }
 
+  /**
+   * Checks whether runs of a former owner may have crashed a worker. Asked before the worker is accounted for.
+   *
+   * @param agent - the worker's agent
+   * @param isGone - true if nothing of the worker runs any more
+   * @returns true if it has ended or started again since, and had not announced that it leaves
+   */
+  mayHaveCrashed(agent: WorkerAgent, isGone: boolean): boolean {
+    const { bornMs, description } = agent;
+    const entry = this.unreportedWorkers.get(agent);
+    if (!entry) return false;
+    if (entry.draining || description.phase === 'draining') return false;
+    if (isGone) return true;
+    return bornMs !== undefined && entry.bornMs !== undefined && bornMs > entry.bornMs;
+  }
+
   /**
    * Returns the time beyond which a worker's lease must not be extended.
    *
@@ -601,6 +631,7 @@
   }
 
   private giveUp(agent: WorkerAgent): void {
+    if (this.mayHaveCrashed(agent, true)) this.options.onUnreached(agent);
     this.unreportedWorkers.delete(agent);
     this.rosterChanged = true;
     this.log.warn('A worker of the former owner was not reached', {
@@ -724,10 +755,8 @@
     this.rosterChanged = true;
   }
 
-  private rosterEntryOf(
-    { description, drainsLaterThan, announcedRemainingMs }: WorkerAgent,
-    spares: ReadonlyMap<string, number>,
-  ): RosterEntry {
+  private rosterEntryOf(agent: WorkerAgent, spares: ReadonlyMap<string, number>): RosterEntry {
+    const { description, drainsLaterThan, announcedRemainingMs } = agent;
     const { id, address, service, dataCentre, phase } = description;
     const { fencingToken } = this.options;
     // An entry is passed on while it stays: in between, every owner has had it.
@@ -745,6 +774,9 @@
       calledSinceTerm: entry?.address === address ? entry.calledSinceTerm : fencingToken,
       usedSinceTerm,
       contactsNeeded: Math.max(formerNeeded, 1 + (spares.get(dataCentre) ?? 0)),
+      bornMs: this.unreportedWorkers.has(agent)
+        ? this.unreportedWorkers.get(agent)?.bornMs
+        : agent.bornMs,
     };
   }
 
--- a/tests/jobs/crashesAcrossOwners.spec.ts
+++ b/tests/jobs/crashesAcrossOwners.spec.ts
@@ -4,12 +4,18 @@
 import test from 'ava';
 import { keysOfShare } from 'samphirenotch/jobs/store/jobKeys.js';
 import { WHOLE_SITE_SHARE_ID } from 'samphirenotch/jobs/model/shareLayout.js';
+import {
+  decodeWatchedRuns,
+  NO_WATCHED_RUNS,
+  type WatchedRunRecord,
+} from 'samphirenotch/jobs/model/watchedRuns.js';
 
 import {
   makeDividedSite,
   makeJob,
   makeOwnedSite,
   makeStep,
+  ownerOf,
   JobSite,
   type JobSiteOptions,
   type SiteEntry,
@@ -26,6 +32,9 @@
 /** Time from a start to the kill of the owner, in milliseconds; the crashed worker is still down. */
 const KILLED_AFTER_MS = 800;
 
+/** Writes for some 80 runs that are started together and watched, at most. */
+const MAXIMUM_WRITES = 10;
+
 const behave = (taskId: string): TaskBehaviour => ({
   size: SIZE,
   durationMs: 1_000,
@@ -35,6 +44,18 @@
 const startsOf = (site: JobSite, taskId: string): number =>
   site.record.runs.filter((run) => run.taskId.startsWith(taskId)).length;
 
+const WATCHED_KEY = keysOfShare(WHOLE_SITE_SHARE_ID).watchedRuns;
+
+/** Returns what the owner has stored about runs that may crash their workers. */
+const watchedRunsOf = (site: JobSite): WatchedRunRecord => {
+  const item = site.data.items.get(WATCHED_KEY);
+  return item ? decodeWatchedRuns(item.value) : NO_WATCHED_RUNS;
+};
+
+/** Counts how often the owner has stored that. */
+const watchedWrites = (site: JobSite): number =>
+  site.data.changes.filter(({ key }) => key === WATCHED_KEY).length;
+
 const progressOf = (site: JobSite, jobId: string): string =>
   site.data.items.get(keysOfShare(WHOLE_SITE_SHARE_ID).progressPrefix + jobId)?.value ?? '';
 
@@ -48,6 +69,8 @@
   readonly onStep?: () => void;
   /** Data centre of the successors. */
   readonly dataCentre?: string;
+  /** Time from a start to the kill, in milliseconds. */
+  readonly killedAfterMs?: number;
 }
 
 /**
@@ -59,7 +82,7 @@
   taskId: string,
   owner: SiteEntry,
   starts: readonly number[],
-  { onStep, dataCentre }: KillOptions = {},
+  { onStep, dataCentre, killedAfterMs = KILLED_AFTER_MS }: KillOptions = {},
 ): Promise<SiteEntry> => {
   const runFor = async (durationMs: number): Promise<void> => {
     for (let at = 0; at < durationMs; at += 50) {
@@ -75,7 +98,7 @@
     });
     // A second entry that waits could be elected before, and the wrong one be killed.
     const successor = site.start(`successor${count}`, false, 1, dataCentre);
-    await runFor(KILLED_AFTER_MS);
+    await runFor(killedAfterMs);
     current.kill();
     current = successor;
   }
@@ -256,3 +279,132 @@
   await site.run(8_000);
   t.false(progressOf(site, OTHER).includes('"c"'), progressOf(site, OTHER));
 });
+
+/** Registers all workers for a service. */
+const assignAll = (site: JobSite, service: string): void =>
+  site.workers.forEach(({ id }) => site.registerWorker(id, { service }));
+
+/** Makes a site whose owner is killed after the first start of a task, while the worker is down. */
+const makeSiteWithCrash = async (options: JobSiteOptions = {}) => {
+  const { site, owner } = await makeSite(options);
+  await site.submit(owner, DEADLY, makeJob(makeStep()));
+  await runUntil(site, () => startsOf(site, DEADLY) === 1);
+  const { workerId = '' } = site.record.runs[0] ?? {};
+  const successor = site.start('successor1');
+  await site.run(KILLED_AFTER_MS);
+  owner.kill();
+  return { site, successor, workerId };
+};
+
+// Guards against a crash that the next owner learns of and that is forgotten with it.
+test('should not forget a crash with an owner that could not start the task again', async (t) => {
+  const { site, successor } = await makeSiteWithCrash();
+  assignAll(site, 'other');
+  await runUntil(site, () => watchedRunsOf(site).doubt !== undefined);
+  t.is(startsOf(site, DEADLY), 1);
+  const next = site.start('next');
+  await site.run(500);
+  successor.kill();
+  await runUntil(site, () => ownerOf(site) === 'next');
+  await site.run(3_000);
+  assignAll(site, 'desk');
+  const last = await killOwnersAfter(site, DEADLY, next, [2, 3]);
+  t.is(await site.state(last, DEADLY), 'failed');
+  t.is(startsOf(site, DEADLY), 4);
+});
+
+// Guards against the same with an owner that is killed before it has reached the crashed worker.
+test('should not forget a crash with an owner that did not reach the worker', async (t) => {
+  const { site, successor, workerId } = await makeSiteWithCrash();
+  site.cutFromWorkers(successor.client, [workerId]);
+  await runUntil(site, () => ownerOf(site) === 'successor1');
+  const next = site.start('next');
+  await site.run(1_500);
+  t.is(startsOf(site, DEADLY), 1);
+  successor.kill();
+  await runUntil(site, () => ownerOf(site) === 'next');
+  const last = await killOwnersAfter(site, DEADLY, next, [2, 3]);
+  t.is(await site.state(last, DEADLY), 'failed');
+  t.is(startsOf(site, DEADLY), 4);
+});
+
+// Guards against a crash that nobody counts because the worker does not come back.
+test('should watch the next run of a task whose worker is not back at a takeover', async (t) => {
+  const { site, successor, workerId } = await makeSiteWithCrash();
+  site.cutFromWorkers(successor.client, [workerId]);
+  site.data.remove(`workers/${workerId}`);
+  const last = await killOwnersAfter(site, DEADLY, successor, [2, 3]);
+  t.is(await site.state(last, DEADLY), 'failed');
+  t.is(startsOf(site, DEADLY), 4);
+});
+
+/** Makes a site whose owner is killed while a worker is down under a task that is not the cause. */
+const makeSiteWithInnocentTask = async () => {
+  const { site, owner } = await makeSite({
+    behave: (taskId) => ({ ...behave(taskId), durationMs: 8_000 }),
+  });
+  const successor = site.start('b');
+  await site.submit(owner, OTHER, makeJob(makeStep()));
+  await runUntil(site, () => startsOf(site, OTHER) === 1);
+  site.workers.get(site.record.runs[0]?.workerId ?? '')?.crash();
+  await site.run(KILLED_AFTER_MS);
+  owner.kill();
+  await runUntil(site, () => startsOf(site, OTHER) === 2);
+  return { site, successor };
+};
+
+// Guards against runs that stay stored, and count when their workers crash much later.
+test('should no longer watch a run that crashes nothing', async (t) => {
+  const { site, successor } = await makeSiteWithInnocentTask();
+  await site.run(500);
+  t.is(watchedRunsOf(site).runs.length, 1);
+  await site.run(5_000);
+  t.is(watchedRunsOf(site).runs.length, 0);
+  await site.run(6_000);
+  t.is(await site.state(successor, OTHER), 'completed');
+  t.is(startsOf(site, OTHER), 2);
+});
+
+// Guards against the cost of storing runs of which no owner has reason to think that they crash workers.
+test('should store no runs after a takeover from an owner that saw all crashes', async (t) => {
+  const { site, owner } = await makeSite({
+    behave: (id) => ({ ...behave(id), durationMs: 2_000 }),
+  });
+  const successor = site.start('b');
+  site.workers.get('w0')?.crash();
+  await site.run(4_000);
+  await site.submit(owner, OTHER, makeJob(makeStep({ count: 12 })));
+  await runUntil(site, () => startsOf(site, OTHER) > 0);
+  owner.kill();
+  await site.run(20_000);
+  t.is(await site.state(successor, OTHER), 'completed');
+  t.is(watchedWrites(site), 0);
+});
+
+// Guards against a write for each start, and for each end, of a task that is watched.
+test('should store many runs that may crash their workers with few writes', async (t) => {
+  const { site, owner } = await makeSite({
+    behave: (id) => ({ ...behave(id), durationMs: 1_000 }),
+  });
+  const successor = site.start('b');
+  const ids = Array.from({ length: 40 }, (_, index) => `00000000000001${index + 10}`);
+  site.putJobs(ids, makeJob(makeStep({ count: 2 })));
+  await runUntil(site, () => site.record.runs.length > 0);
+  site.workers.get('w0')?.crash();
+  await site.run(200);
+  owner.kill();
+  await site.run(30_000);
+  t.is(await site.state(successor, ids.at(-1) ?? ''), 'completed');
+  t.true(site.record.runs.length >= 80);
+  t.true(watchedWrites(site) <= MAXIMUM_WRITES, `${watchedWrites(site)} writes`);
+});
+
+// Guards against runs that are stored so late that an owner killed soon after the start leaves none.
+test('should count crashes whose owners are killed soon after the start', async (t) => {
+  const { site, owner } = await makeSite({ replacesCrashed: true });
+  await site.submit(owner, DEADLY, makeJob(makeStep()));
+  const killedAfterMs = 100;
+  const last = await killOwnersAfter(site, DEADLY, owner, [1, 2, 3, 4, 5], { killedAfterMs });
+  t.is(await site.state(last, DEADLY), 'failed');
+  t.is(startsOf(site, DEADLY), 4);
+});
--- a/tests/jobs/reportTimes.spec.ts
+++ b/tests/jobs/reportTimes.spec.ts
@@ -68,6 +68,7 @@
       onTicketRefused: ignore,
       onChange: ignore,
       onFenced: ignore,
+      onRestarted: ignore,
       onReplaced: ignore,
       onFullReport: ignore,
       onStaleToken: ignore,
