--- a/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
@@ -52,11 +52,11 @@
 import type { ShareJobExplanation, TermStatus, WorkerStatus } from './entryStatus.js';
 import { JobRegistry } from '../store/jobRegistry.js';
 import { JobRetention } from './jobRetention.js';
-import { OpenTrials } from './openTrials.js';
 import { ShareExchange } from './shareExchange.js';
 import { SummaryWriter } from './summaryWriter.js';
 import { takeOver, type TakeoverState } from './takeover.js';
 import { TaskOutcomes } from './taskOutcomes.js';
+import { WatchedRuns } from './watchedRuns.js';
 
 /** Longest wait for an event before the next pass over the waiting tasks, in milliseconds. */
 const MAX_PASS_WAIT_MS = 250;
@@ -154,7 +154,7 @@
 
   private readonly runLog: RunLog;
 
-  private readonly trials: OpenTrials;
+  private readonly watchedRuns: WatchedRuns;
 
   private readonly permissions: StepPermissions;
 
@@ -201,6 +201,7 @@
       clock: options.clock,
       fencingToken: term.fencingToken,
       onUsable: () => this.wakeup.wake(),
+      onUnreached: (agent) => this.watchedRuns.noteDoubt(agent),
       isStoreReachable,
       isSoleOwner: () => this.isSoleOwner(),
       wasSoleOwnerAt: (timeMs) => this.wasSoleOwnerAt(timeMs),
@@ -210,8 +211,14 @@
     const interference = new Interference();
     this.permissions = new StepPermissions(options.policy, options.clock, () => this.wakeup.wake());
     this.places = new TaskPlaces(this.book, this.fleet, options.clock);
-    this.trials = new OpenTrials(this.book, this.outcomes, this.fleet);
     this.runLog = new RunLog({ ...options, fleet: this.fleet, term });
+    this.watchedRuns = new WatchedRuns({
+      book: this.book,
+      outcomes: this.outcomes,
+      fleet: this.fleet,
+      clock: options.clock,
+      fencingToken: term.fencingToken,
+    });
     this.launcher = new StepLauncher({
       book: this.book,
       fleet: this.fleet,
@@ -226,7 +233,7 @@
       isStoreReachable,
       places: this.places,
       runLog: this.runLog,
-      onStart: (task, run, agent) => this.trials.noteStart(task, run, agent),
+      onStart: (task, run, agent) => this.watchedRuns.noteStart(task, run, agent),
     });
     this.pacing = new FillerPacing(this.fleet, interference, options.clock);
   }
@@ -265,7 +272,6 @@
     endUnlessOwner(options.replica.shares.owner(share.id));
     if (signal.aborted) return;
     this.homeJobs().forEach((job) => this.book.add(job));
-    this.trials.beginTerm(this.book.openJobs());
     const stopListening = options.replica.listen({
       share: share.id,
       onAccepted: (job) => {
@@ -283,6 +289,7 @@
     const writing = this.journal.run(signal);
     const exchanging = this.startExchange(takeover);
     await this.exchange?.restore(signal);
+    this.watchedRuns.beginTerm(this.journal, keys, takeover.watchedRuns);
     this.fleet.beginTerm(this.journal, keys, takeover.workers);
     this.hasBegun = true;
     this.log.info('Took over', {
@@ -450,10 +457,10 @@
     this.fleet.recordRunEnd(agent, task, end.kind);
     job.isFullyStarted = false;
     if (run) this.places.noteEnd(run);
-    this.trials.noteEnd({ task, run: end.run });
     if (end.kind === 'done' && run) recordDoneRate(run, shownMs);
     if (end.kind === 'done') this.outcomes.markDone(task);
     if (end.kind === 'failed') this.outcomes.recordFailure(task, agent.id, end.run);
+    this.watchedRuns.noteEnd({ task, run: end.run });
     this.wakeup.wake();
   }
 
@@ -464,7 +471,7 @@
     task.notBeforeMs = this.options.clock.monotonicMs() + REFUSED_START_BACKOFF_MS;
     task.step.occurrence.job.isFullyStarted = false;
     this.places.noteEnd(run);
-    this.trials.noteEnd(run);
+    this.watchedRuns.noteEnd(run);
     this.stopGang(run);
     this.wakeup.wake();
   }
@@ -492,8 +499,8 @@
   }
 
   onRunProven(run: OwnedRun): void {
-    this.trials.noteEnd(run);
     this.outcomes.clearCrashes(run.task);
+    this.watchedRuns.noteProven(run);
   }
 
   onTicketRefused({ task, agent }: OwnedRun): void {
@@ -509,14 +516,18 @@
     this.wakeup.wake();
   }
 
+  onRestarted(): void {
+    this.fleet.markRestarted();
+  }
+
   onReplaced(agent: WorkerAgent): void {
-    this.trials.settle(agent, true);
+    this.watchedRuns.settle(agent, true);
     this.fleet.markReplaced(agent);
     this.wakeup.wake();
   }
 
   onFullReport(agent: WorkerAgent): void {
-    this.trials.settle(agent, false);
+    this.watchedRuns.settle(agent, false);
     this.fleet.markAccountedFor(agent, 'it has reported its runs and ends');
     this.wakeup.wake();
   }
@@ -613,6 +624,7 @@
       const startsBefore = this.launcher.totalStarts;
       if (directory.complete) this.fleet.onDirectoryRead();
       this.fleet.maintain();
+      this.watchedRuns.maintain();
       this.watch.check();
       this.slowWorkers.check();
       this.pacing.adjust();
