Keep a worker in the roster until all that it has reported is stored

What callers would have seen: a task that was done is started again (TWICE), or a deadly one once more (BUDGET), if an owner is lost within the seconds that its changes take to be stored.

A worker that is not listed any more leaves it once it runs nothing, and a successor that finds neither the worker nor the end of its task starts the task again.

Evidence: found in review.

Change: a worker that leaves the roster stays in what is stored until all changes up to then are, unless it is vacant, which includes that. Nothing overtakes a change of a delegation: the successor of a home decides by the delegations that it finds, and by what was stored before them.

Why it works: a roster says nothing any more that depends on a change that it overtakes.

--- a/packages/samphirenotch/src/jobs/ownership/incomingDelegations.ts
+++ b/packages/samphirenotch/src/jobs/ownership/incomingDelegations.ts
@@ -198,6 +198,7 @@
     this.options.journal.add({
       key: `${keysOfShare(home).receivedReportsPrefix}${idOf(jobId, name)}`,
       isUrgent: true,
+      isBarrier: true,
       value: () => encodeReport(reportOf(incoming)),
     });
   }
--- a/packages/samphirenotch/src/jobs/ownership/outgoingDelegations.ts
+++ b/packages/samphirenotch/src/jobs/ownership/outgoingDelegations.ts
@@ -248,10 +248,16 @@
     const text = encodeDelegation(delegation);
     const id = idOf(delegation);
     const value = () => text;
-    journal.add({ key: keysOfShare(share).openDelegationsPrefix + id, isUrgent: true, value });
+    journal.add({
+      key: keysOfShare(share).openDelegationsPrefix + id,
+      isUrgent: true,
+      isBarrier: true,
+      value,
+    });
     journal.add({
       key: keysOfShare(delegation.to).receivedDelegationsPrefix + id,
       isUrgent: true,
+      isBarrier: true,
       value,
     });
   }
@@ -319,6 +325,6 @@
   }
 
   private remove(key: string): void {
-    this.options.journal.add({ key });
+    this.options.journal.add({ key, isBarrier: true });
   }
 }
--- a/packages/samphirenotch/src/jobs/store/progressJournal.ts
+++ b/packages/samphirenotch/src/jobs/store/progressJournal.ts
@@ -47,6 +47,8 @@
   readonly isUrgent?: boolean;
   /** True if the change may be stored before earlier ones to other keys. */
   readonly overtakes?: boolean;
+  /** True if no later change may be stored before it. */
+  readonly isBarrier?: boolean;
   /**
    * Returns the value when it is written, which may be newer than the change and must be right at its
    * place too; removes the key if left out.
@@ -178,11 +180,14 @@
     this.insert(owned);
   }
 
-  /** Returns the place behind the changes that may have been written and those that overtake the others. */
+  /**
+   * Returns the place behind the changes that may have been written, those that must not be overtaken and
+   * those that overtake the others.
+   */
   private overtakingEnd(): number {
-    const end = this.pending.findIndex(
-      ({ overtakes }, index) => index >= this.sentCount && !overtakes,
-    );
+    const barrier = this.pending.findLastIndex(({ change }) => change.isBarrier);
+    const first = Math.max(this.sentCount, barrier + 1);
+    const end = this.pending.findIndex(({ overtakes }, index) => index >= first && !overtakes);
     return end < 0 ? this.pending.length : end;
   }
 
@@ -190,7 +195,7 @@
    * Waits until a change and all earlier ones are stored.
    *
    * @param sequence - sequence number of the change
-   * @param key - its key, if changes to other keys are not waited for
+   * @param key - its key, if changes to other keys that may be overtaken are not waited for
    * @returns true once they are stored; false if the term ended first
    */
   waitUntilStored(sequence: number, key?: string): Promise<boolean> {
@@ -326,7 +331,8 @@
   private oldestPending(key?: string): number {
     let oldest = Number.POSITIVE_INFINITY;
     this.pending.forEach(({ change, oldestSequence }) => {
-      if (key === undefined || change.key === key) oldest = Math.min(oldest, oldestSequence);
+      const counts = key === undefined || change.key === key || change.isBarrier;
+      if (counts) oldest = Math.min(oldest, oldestSequence);
     });
     return oldest;
   }
--- a/packages/samphirenotch/src/jobs/workers/workerFleet.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerFleet.ts
@@ -182,6 +182,12 @@
   /** The workers of the newest roster, by id. */
   private newestEntries: ReadonlyMap<string, RosterEntry> = new Map();
 
+  /**
+   * Workers of former rosters, by name, that the newest one would leave out before all that they have reported is
+   * stored: it overtakes that, and a successor would start their tasks again.
+   */
+  private readonly leaving = new Map<string, RosterEntry>();
+
   /** True once no owner before this one can act any more. */
   private areFormerOwnersOver = false;
 
@@ -803,13 +809,43 @@
     };
   }
 
+  /** Notes which workers of the newest roster are not in the next one although not all is stored. */
+  private keepLeaving(next: readonly RosterEntry[]): void {
+    const ids = new Set(next.map(({ id }) => id));
+    this.leaving.forEach(({ id }, name) => {
+      if (ids.has(id)) this.leaving.delete(name);
+    });
+    [...this.newestEntries.values()]
+      .filter(({ id }) => !ids.has(id) && !this.drained.has(id))
+      .forEach((entry) => {
+        const name = rosterNameOf(entry);
+        this.leaving.set(name, entry);
+        this.journal.waitUntilStored(this.journal.newestSequence()).then(
+          (isStored) => {
+            if (!isStored || this.leaving.get(name) !== entry) return;
+            this.leaving.delete(name);
+            this.rosterChanged = true;
+            this.options.onUsable();
+          },
+          (error: unknown) => {
+            this.log.error('A worker stays in the roster', {
+              worker: entry.id,
+              reason: String(error),
+            });
+          },
+        );
+      });
+  }
+
   private storeRoster(): void {
     if (!this.rosterChanged || this.isFormerRosterUnknown) return;
     this.rosterChanged = false;
     const agents = this.all().filter((agent) => this.mayHoldRuns(agent));
     const spares = sparesOf(agents.map(({ description }) => description));
-    const roster = agents.map((agent) => this.rosterEntryOf(agent, spares));
-    this.newestEntries = new Map(roster.map((entry) => [entry.id, entry]));
+    const current = agents.map((agent) => this.rosterEntryOf(agent, spares));
+    this.keepLeaving(current);
+    this.newestEntries = new Map(current.map((entry) => [entry.id, entry]));
+    const roster = [...current, ...this.leaving.values()];
     const text = JSON.stringify(roster);
     if (text === this.lastRosterText) return;
     this.lastRosterText = text;
@@ -819,7 +855,8 @@
       overtakes: true,
       value: () => text,
     });
-    const names = new Set(roster.map(rosterNameOf));
+    const names = new Set(current.map(rosterNameOf));
+    const storedNames = new Set(roster.map(rosterNameOf));
     this.newestRostered = names;
     this.newestSpares = spares;
     this.spares = lowerOf(this.spares, spares);
@@ -834,7 +871,7 @@
         this.rostered = new Set([...names].filter((name) => this.newestRostered.has(name)));
         this.possiblyRostered = new Map(
           [...this.possiblyRostered].filter(
-            ([name]) => names.has(name) || this.newestRostered.has(name),
+            ([name]) => storedNames.has(name) || this.newestRostered.has(name),
           ),
         );
         this.options.onUsable();
