Count the latency of the store in the hold of a long poll

Entries went by a view of the store that was older than its users accept (2 s) while the store answers slowly: on a quiet store 2.2 s where it takes 500 ms, and 2.5 s where it takes 800 ms. By reading, counts of waiting jobs are refused for that time, and owners decide on old news.

Cause: the hold of a long poll ended at an age of 1.7 s by the time at which it was sent, without the time that the call takes. After an answer, the view is as old as the call was under way.

Change: the hold is shorter by the time that the store took for the last call, without its hold. An answer that comes before the end of a hold is no measure of it, only a bound.

Four new tests in storeAges; before, those with 500 and 800 ms failed with 2,196 and 2,496 ms, at most 2,000.

--- a/packages/samphirenotch/src/jobs/store/storeFollower.ts
+++ b/packages/samphirenotch/src/jobs/store/storeFollower.ts
@@ -16,7 +16,7 @@
 /** Minimum hold of a long poll, in milliseconds. */
 const MINIMUM_HOLD_MS = 100;
 
-/** Maximum age of the view at the end of a hold, in milliseconds; its users accept 2 s. */
+/** Maximum age of the view when the answer after a hold arrives, in milliseconds; its users accept 2 s. */
 const MAXIMUM_VIEW_AGE_MS = 1_700;
 
 /** Time after the hold by which a long poll must have been answered, in milliseconds. */
@@ -88,6 +88,8 @@
   readonly listing: Result<Listing, Failure>;
   /** Monotonic time at which the call was sent, in milliseconds. */
   readonly sentMs: number;
+  /** Time until the answer, in milliseconds. */
+  readonly tookMs: number;
 }
 
 /** Follows one prefix and passes items and changes to a listener. */
@@ -103,6 +105,9 @@
    */
   private viewRequestedMs = Number.NEGATIVE_INFINITY;
 
+  /** Time that the store took to answer the last call, without the hold, in milliseconds. */
+  private latencyMs = 0;
+
   /** Monotonic time of the newest answer, in milliseconds. */
   private lastContactMs = Number.NEGATIVE_INFINITY;
 
@@ -208,12 +213,13 @@
   private async list(signal: AbortSignal): Promise<boolean> {
     const requested = this.listedAhead ?? this.requestListing(signal);
     this.listedAhead = undefined;
-    const { listing, sentMs } = await requested;
+    const { listing, sentMs, tookMs } = await requested;
     if (listing.err) return this.noteFailure(listing.val.message);
     this.revision = listing.val.revision;
     this.isListed = true;
     this.noteContact();
     this.viewRequestedMs = sentMs;
+    this.noteLatency(tookMs, 0);
     this.listener.onListing(listing.val.items, this.revision);
     this.listener.onCaughtUp(this.revision, sentMs);
     return true;
@@ -222,7 +228,8 @@
   private async requestListing(signal: AbortSignal): Promise<RequestedListing> {
     const sentMs = this.clock.monotonicMs();
     const call = callWithin(this.clock, LIST_SILENCE_MS, signal);
-    return { listing: await this.store.list(this.prefix, call), sentMs };
+    const listing = await this.store.list(this.prefix, call);
+    return { listing, sentMs, tookMs: this.clock.monotonicMs() - sentMs };
   }
 
   private async watch(signal: AbortSignal): Promise<boolean> {
@@ -241,6 +248,7 @@
       return true;
     }
     this.viewRequestedMs = sentMs;
+    this.noteLatency(this.clock.monotonicMs() - sentMs, holdMs);
     batch.val.changes.forEach(({ key, value, revision }) =>
       applyItem(key, () => this.listener.onChange(key, value, revision)),
     );
@@ -253,11 +261,16 @@
   }
 
   private holdMs(): number {
-    const leftMs = Math.round(MAXIMUM_VIEW_AGE_MS - this.viewAgeMs());
+    const leftMs = Math.round(MAXIMUM_VIEW_AGE_MS - this.viewAgeMs() - this.latencyMs);
     const longestMs = Math.min(WATCH_HOLD_MS, leftMs, this.timing.holdMs?.() ?? WATCH_HOLD_MS);
     return Math.max(MINIMUM_HOLD_MS, longestMs);
   }
 
+  /** An answer that comes before the end of the hold shows only that the latency is not longer. */
+  private noteLatency(tookMs: number, holdMs: number): void {
+    this.latencyMs = tookMs >= holdMs ? tookMs - holdMs : Math.min(this.latencyMs, tookMs);
+  }
+
   private noteContact(): void {
     if (this.isFailing) {
       this.isFailing = false;
--- a/tests/jobs/storeAges.spec.ts
+++ b/tests/jobs/storeAges.spec.ts
@@ -11,6 +11,9 @@
 
 const ID = '00000000000000a1';
 
+/** Highest age of a view that its users accept, in milliseconds. */
+const ACCEPTED_AGE_MS = 2_000;
+
 // Guards against refusing callers because the entry, not the store, was paused.
 test('should accept a job after the entry was late while the store works', async (t) => {
   const { site, owner } = await makeOwnedSite();
@@ -54,7 +57,8 @@
     answers += 1;
   };
   const listener: StoreListener = { onListing: ignore, onChange: ignore, onCaughtUp };
-  const follower = new StoreFollower(new MemoryTransactionStore(data), 'p/', listener, clock);
+  const store = new MemoryTransactionStore(data);
+  const follower = new StoreFollower(store, 'p/', listener, clock);
   const ended = new AbortController();
   const running = follower.run(ended.signal);
   const end = async (): Promise<void> => {
@@ -62,7 +66,7 @@
     await clock.advance(2_000);
     await running;
   };
-  return { clock, data, follower, answers: () => answers, end };
+  return { clock, data, store, follower, answers: () => answers, end };
 };
 
 // Guards against old counts of waiting jobs reported as new because their answer was read just now.
@@ -99,3 +103,19 @@
   t.true(follower.viewAgeMs() <= 600);
   await end();
 });
+
+// Guards against views that are too old whenever a hold ends because the store takes its time as well.
+for (const latencyMs of [2, 200, 500, 800]) {
+  test(`should keep a view recent while the store takes ${latencyMs} ms`, async (t) => {
+    const { clock, store, follower, end } = follow();
+    store.latencyMs = () => latencyMs;
+    await clock.advance(4_000);
+    let oldestMs = 0;
+    for (let at = 0; at < 10_000; at += 10) {
+      await clock.advance(10);
+      oldestMs = Math.max(oldestMs, follower.viewAgeMs());
+    }
+    t.true(oldestMs <= ACCEPTED_AGE_MS, `${oldestMs} ms`);
+    await end();
+  });
+}
