Start nothing on news of workers that are older than an announcement may be

Callers' tasks were started on a worker 2.1 s after it had announced that it leaves (DRAIN), by an owner that had no news of workers while it had news of jobs, and by one that had read their list long before its first pass.

Cause: starts wait if the view of jobs is older than a cancellation may be, but nothing bounded the age of the view of workers.

Change: the same gate bounds both. Nothing is started on a view of workers of more than 1.9 s while the store confirms the lease: in an outage nobody can announce anything, so starts go on. A view of more than 0.8 s is read again at once instead of after the usual 250 ms: after a slow takeover the first start comes 0.51 s instead of 0.76 s after the end of the takeover in the test.

It works since an announcement shows in the first answer to a call that was sent after it, and the age of the view counts from that call.

The two tests of staleDirectory failed before, with tasks on the worker that leaves. Six new ones measure what the bound costs as an outage begins, with workers that write of themselves twice a second: a task waits for 0.8 s in one of 42 cases, until the lease is old as well, and for 14 ms in all others.

--- a/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
@@ -81,6 +81,12 @@
  */
 const DIRECTORY_BATCH_MS = 250;
 
+/**
+ * Age of the view of workers up to which they are, in milliseconds. After that the next answer of a slow store
+ * would come when the view is too old.
+ */
+const MAX_BATCHED_DIRECTORY_AGE_MS = 800;
+
 /**
  * Time since the last confirmation of the owner's lease up to which the store counts as reachable, in
  * milliseconds.
@@ -153,6 +159,10 @@
 
   private readonly watchedRuns: WatchedRuns;
 
+  private readonly directory: WorkerDirectory;
+
+  private readonly directoryFollower: StoreFollower;
+
   private readonly permissions: StepPermissions;
 
   private readonly pacing: FillerPacing;
@@ -215,6 +225,17 @@
       clock: options.clock,
       fencingToken: term.fencingToken,
     });
+    this.directory = new WorkerDirectory(options.codec, this, options.clock);
+    this.directoryFollower = new StoreFollower(
+      options.store,
+      options.codec.workersPrefix,
+      this.directory,
+      options.clock,
+      {
+        pollDelayMs: () => this.directoryPollDelayMs(),
+        holdMs: () => this.directory.longestHoldMs(),
+      },
+    );
     this.launcher = new StepLauncher({
       book: this.book,
       fleet: this.fleet,
@@ -225,6 +246,7 @@
       permissions: this.permissions,
       slowWorkers: this.slowWorkers,
       viewAgeMs: options.viewAgeMs,
+      directoryAgeMs: () => this.directoryFollower.viewAgeMs(),
       turns: this.turns,
       isStoreReachable,
       places: this.places,
@@ -240,14 +262,7 @@
     const { share } = options;
     const keys = keysOfShare(share.id);
     const isDivided = options.layout.shares.length > 1;
-    const directory = new WorkerDirectory(options.codec, this, options.clock);
-    const follower = new StoreFollower(
-      options.store,
-      options.codec.workersPrefix,
-      directory,
-      options.clock,
-      { pollDelayMs: () => DIRECTORY_BATCH_MS, holdMs: () => directory.longestHoldMs() },
-    );
+    const { directory, directoryFollower: follower } = this;
     // Former owners have seen no newer directory than this one, since their rosters are fenced off by then.
     const onFenced = (): void => follower.listAhead(signal);
     const takeover = await takeOver({ ...options, share: share.id, isDivided, onFenced }, term);
@@ -585,6 +600,12 @@
     return isProved;
   }
 
+  /** An old view is read again at once, since starts wait for it. */
+  private directoryPollDelayMs(): number {
+    const isOld = this.directoryFollower.viewAgeMs() > MAX_BATCHED_DIRECTORY_AGE_MS;
+    return isOld ? 0 : DIRECTORY_BATCH_MS;
+  }
+
   private homeJobs(): readonly ReplicatedJob[] {
     const { replica, share } = this.options;
     return replica.openJobs().filter((job) => replica.homeOf(job) === share.id);
--- a/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
@@ -61,6 +61,8 @@
   readonly slowWorkers: SlowWorkerDetector;
   /** Returns the age of the owner's view of jobs, in milliseconds. */
   readonly viewAgeMs: () => number;
+  /** Returns the age of the owner's view of workers, in milliseconds. */
+  readonly directoryAgeMs: () => number;
   readonly turns: OrderBatcher;
   /** Returns true if the store has answered lately. */
   readonly isStoreReachable: () => boolean;
@@ -181,7 +183,7 @@
       clock: options.clock,
     });
     this.starvation = new Starvation(options.clock);
-    this.gate = new StartGate(options.term, options.viewAgeMs);
+    this.gate = new StartGate(options);
     this.explainer = new JobExplainer({
       ...options,
       placement: this.placement,
--- a/tests/jobs/staleDirectory.spec.ts
+++ b/tests/jobs/staleDirectory.spec.ts
@@ -6,6 +6,7 @@
 import { keysOfShare } from 'samphirenotch/jobs/store/jobKeys.js';
 
 import { makeJob, makeOwnedSite, makeStep, runUntil, type JobSite } from '../fixtures/jobSite.js';
+import type { TaskBehaviour } from '../fixtures/memoryTaskWorker.js';
 
 const ID = '00000000000000a1';
 const { ownerPrefix: OWNER_PREFIX, journal: JOURNAL_KEY } = keysOfShare(WHOLE_SITE_SHARE_ID);
@@ -22,6 +23,12 @@
 /** Time in which starts resume once the workers are known again, in milliseconds. */
 const RESUME_MS = 2_000;
 
+/** Time between two entries that a worker writes of itself, in milliseconds. */
+const HEARTBEAT_MS = 500;
+
+/** Longest time for which a task waits because an outage begins, in milliseconds. */
+const MAX_OUTAGE_WAIT_MS = 1_000;
+
 /** Time that the store takes for an answer, in milliseconds, as on a starved machine. */
 const SLOW_MS = 300;
 
@@ -84,3 +91,30 @@
   await site.run(6_000);
   t.is(site.record.runs.length, 2);
 });
+
+// Guards against tasks that wait as an outage begins, until the owner knows that nobody can announce anything.
+for (const leftMs of [200, 600, 1_000, 1_400, 1_800, 2_200]) {
+  test(`should start a task whose turn comes ${leftMs} ms after the begin of an outage`, async (t) => {
+    const size = { milliCores: 1_000, memoryMb: 1_000, accelerators: 0 };
+    const behave = (): TaskBehaviour => ({ size, durationMs: 2_500 });
+    const waits: number[] = [];
+    for (const phaseMs of [0, 100, 200, 300, 400, 500, 600]) {
+      const { site, owner } = await makeOwnedSite({ workers: 2, behave });
+      const runWithHeartbeats = async (durationMs: number): Promise<void> => {
+        for (let at = 0; at < durationMs; at += HEARTBEAT_MS) {
+          site.registerWorker('w0');
+          await site.run(Math.min(HEARTBEAT_MS, durationMs - at));
+        }
+      };
+      await runWithHeartbeats(1_000 + phaseMs);
+      site.putJobs([ID], makeJob(makeStep(), makeStep({ after: [0] })));
+      await runUntil(site, () => site.record.runs.length === 1);
+      await runWithHeartbeats(2_500 - leftMs);
+      owner.store.isCutOff = true;
+      await runUntil(site, () => site.record.runs.length === 2);
+      const [first, second] = site.record.runs;
+      waits.push((second?.startedMs ?? Infinity) - (first?.endedMs ?? 0));
+    }
+    t.true(Math.max(...waits) <= MAX_OUTAGE_WAIT_MS, `${waits.join(' ')} ms`);
+  });
+}
