Report ends of runs that are read before their starts

`samphirenotch report` takes the lines of all entries in any order of files, but showed runs as open, and jobs without their phases, if a successor's file came before the one of the owner that had started the runs: an end was dropped unless the start had been read.

An end whose start is missing is kept and read again after the start. Of two ends of a run, the earlier one counts, whichever is read first.

The new test reads the lines of two owners in both orders.

--- a/packages/samphirenotch-cli/src/report/jobHistory.ts
+++ b/packages/samphirenotch-cli/src/report/jobHistory.ts
@@ -75,12 +75,17 @@
 
 const jobIdOf = (taskId: string): string => taskId.slice(0, taskId.indexOf('.'));
 
+const runKey = (taskId: string, run: number | undefined): string => `${taskId}#${run}`;
+
 const UNKNOWN = 'unknown';
 
 /** Gathers lines; they may come in any order of entries, each entry's in its own. */
 export class LogHistory {
   private readonly jobsById = new Map<string, OpenJob>();
 
+  /** Take the ends of runs whose starts were not read yet, by task and run. */
+  private readonly earlyEnds = new Map<string, (() => void)[]>();
+
   private readonly dataCentres = new Map<string, string>();
 
   private readonly answersSoFar: Answer[] = [];
@@ -164,10 +169,17 @@
     return job;
   }
 
-  private run({ fields }: LogLine): Open<RunHistory> | undefined {
+  /** Returns the run that a line is of. Until its start is read that is undefined, and the line is read again then. */
+  private run({ fields }: LogLine, readAgain: () => void): Open<RunHistory> | undefined {
     const taskId = text(fields.taskId) ?? '';
     const runs = this.jobsById.get(jobIdOf(taskId))?.tasks.get(taskId);
-    return runs?.find(({ run }) => run === fields.run);
+    const found = runs?.find(({ run }) => run === fields.run);
+    if (found) return found;
+    const key = runKey(taskId, figure(fields.run));
+    const ends = this.earlyEnds.get(key);
+    if (ends) ends.push(readAgain);
+    else this.earlyEnds.set(key, [readAgain]);
+    return undefined;
   }
 
   private onProcess({ source, fields }: LogLine): void {
@@ -221,13 +233,19 @@
       orderMs: undefined,
       workedMs: undefined,
     });
+    const key = runKey(taskId, run);
+    const ends = this.earlyEnds.get(key) ?? [];
+    this.earlyEnds.delete(key);
+    ends.forEach((readAgain) => readAgain());
   }
 
   private onEnd(line: LogLine): void {
     const { atMs, fields } = line;
-    const run = this.run(line);
+    const run = this.run(line, () => this.onEnd(line));
+    if (!run) return;
     // Workers list an end until it is acknowledged.
-    if (!run || (run.endedMs !== undefined && run.kind !== 'gone')) return;
+    const isListedAgain = run.endedMs !== undefined && run.endedMs <= atMs;
+    if (isListedAgain && run.kind !== 'gone') return;
     run.endedMs = atMs;
     run.kind = text(fields.kind);
     run.isSaved = fields.isSaved === true;
@@ -236,7 +254,7 @@
   }
 
   private onGone(line: LogLine): void {
-    const run = this.run(line);
+    const run = this.run(line, () => this.onGone(line));
     if (!run || run.endedMs !== undefined) return;
     run.endedMs = line.atMs;
     run.kind = 'gone';
--- a/tests/cli/logReport.spec.ts
+++ b/tests/cli/logReport.spec.ts
@@ -239,6 +239,47 @@
   t.is(runs[0]?.coreSeconds, 1);
 });
 
+// Guards against runs that stay open in the report because their ends are read before their starts.
+test('should report the same whichever entry is read first', (t) => {
+  const former = [
+    ...takenIn({ jobId: 'j', acceptedMs: 0 }),
+    logged(20, 'Starting a task', { taskId: 'j.0.0.0', run: 1, milliCores: 2_000 }),
+    logged(30, 'Starting a task', { taskId: 'j.0.0.1', run: 1, milliCores: 2_000 }),
+    logged(40, 'Fillers were started', {
+      step: 'j.0.1',
+      indexes: '0',
+      runs: '1',
+      workers: 'w1',
+      agoMs: '5',
+      milliCores: 2_000,
+    }),
+    logged(700, 'A run has ended', { taskId: 'j.0.0.1', run: 1, kind: 'done' }),
+  ];
+  const successor = [
+    logged(800, 'A task goes back to waiting', { taskId: 'j.0.0.0', run: 1 }),
+    // Listed again, since the former owner has not acknowledged it.
+    logged(800, 'A run has ended', { taskId: 'j.0.0.1', run: 1, kind: 'done' }),
+    logged(900, 'Runs of fillers have ended', {
+      step: 'j.0.1',
+      kind: 'done',
+      indexes: '0',
+      runs: '1',
+      workers: 'w1',
+      agoMs: '10',
+    }),
+    ended('j', 1_000),
+  ];
+  const report = reportOn([...former, ...successor]);
+  t.deepEqual(reportOn([...successor, ...former]), report);
+  t.deepEqual(
+    report.runs.map(({ kind, runs }) => [kind, runs]),
+    [
+      ['done', 2],
+      ['gone', 1],
+    ],
+  );
+});
+
 test('should tell where work went, and which starts came too late', (t) => {
   const { places, delegatedTasks } = reportOn([
     ...takenIn({ jobId: 'j', acceptedMs: 0 }),
