Keep lines about several runs below 4 KiB

Some readers of standard output cut lines at about 4 KiB. A line about 64 ends of fillers has 4,823 characters where ids of workers have 36. Lines about several runs have up to 40 now.

The new test logs 500 ends with such ids: it failed with 64 runs in a line.

--- a/packages/samphirenotch/src/jobs/placement/fillerRuns.ts
+++ b/packages/samphirenotch/src/jobs/placement/fillerRuns.ts
@@ -11,8 +11,8 @@
 /** Longest time for which a start or an end is kept before it is logged, in milliseconds. */
 const MAX_GATHER_MS = 1_000;
 
-/** Most runs of a line. */
-const MAX_RUNS_OF_LINE = 64;
+/** Most runs of a line; lines of more than 4 KiB are cut by some readers. */
+const MAX_RUNS_OF_LINE = 40;
 
 /** Stands for a value that is not known. */
 const UNKNOWN = '-';
--- a/packages/samphirenotch/src/jobs/placement/runLog.ts
+++ b/packages/samphirenotch/src/jobs/placement/runLog.ts
@@ -15,7 +15,7 @@
 import { objectiveMs, remainingPathMs } from './stepOrder.js';
 
 /** Most adopted runs of a line. */
-const MAX_RUNS_OF_LINE = 64;
+const MAX_RUNS_OF_LINE = 40;
 
 /** Dependencies of a `RunLog`. */
 export interface RunLogOptions {
--- a/tests/jobs/runLog.spec.ts
+++ b/tests/jobs/runLog.spec.ts
@@ -2,12 +2,14 @@
  * What an owner logs of the runs of its tasks.
  */
 import test from 'ava';
+import { FillerRuns } from 'samphirenotch/jobs/placement/fillerRuns.js';
 import { reportOf, type LogReport } from 'samphirenotch-cli/report/logReport.js';
 
 import { put } from '../fixtures/bulkSite.js';
-import { makeJob, makeOwnedSite, makeStep, runUntil, type JobSite } from '../fixtures/jobSite.js';
+import { JobSite, makeJob, makeOwnedSite, makeStep, runUntil } from '../fixtures/jobSite.js';
 import { historyOf } from '../fixtures/loggedJobs.js';
 import type { TaskBehaviour } from '../fixtures/memoryTaskWorker.js';
+import { makeOwnedStep } from '../fixtures/silentFleet.js';
 import { gatherLines, type SiteLine } from '../fixtures/siteLines.js';
 
 const FILLING = '00000000000000f1';
@@ -65,6 +67,27 @@
   t.true(aboutRuns.every(({ rank, text }) => rank === 'bulk' && text.length <= 4_096));
 });
 
+// Guards against lines that readers of standard output cut at 4 KiB.
+test.serial('should log fillers in lines that are not cut', (t) => {
+  const site = new JobSite();
+  const lines = gatherLines(site);
+  const fillers = new FillerRuns(site.clock);
+  const step = makeOwnedStep(makeStep({ count: 500, filler: true }));
+  const worker = '0c9f3b0e-5c1d-4a55-9a53-7f0f2f6f4a10';
+  step.tasks.forEach(({ index }) => {
+    const run = { index, run: 123_456_000, worker, isSaved: true, isKnown: true };
+    const times = { orderMs: 1_234, workedMs: 123_456, afterMs: 123_456 };
+    fillers.addEnd(step, { ...run, kind: 'done', ...times });
+  });
+  fillers.writeAll();
+  const ends = lines.map(({ fields }) => Number(fields.ends));
+  t.is(
+    ends.reduce((sum, each) => sum + each, 0),
+    step.tasks.length,
+  );
+  lines.forEach(({ text }) => t.true(text.length <= 4_096, `${text.length} characters`));
+});
+
 // Guards against figures of fillers that are lost or changed in gathered lines.
 test.serial('should tell of fillers what a report needs', async (t) => {
   const { site, owner } = await makeOwnedSite({ behave });
