Make a pass once the pause of a task after a lost run is over

What callers saw: a task whose run is lost, refused or not prepared is started again up to 0.25 s later than it may be.

Cause: nothing wakes the passes when its pause of 100 ms is over; the next one came after the longest wait for an event.

Evidence: a worker that is replaced by another one at its address (formerWorkers, "back after another one had its address"): its runs are lost at 3,665 ms, and their tasks started at 3,987 ms.

Change: a pass is made at the end of the last pause. A worker that leaves the roster late does not cause one any more.

--- a/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
@@ -185,6 +185,12 @@
   /** True once the share is taken over. */
   private hasBegun = false;
 
+  /** Monotonic time at which the pause of the last task is over whose run was lost, in milliseconds. */
+  private lastBackoffEndMs = 0;
+
+  /** True while a pass is due at the end of such a pause. */
+  private isBackoffAwaited = false;
+
   /** True while the last changes of the term are being stored: nothing is started meanwhile. */
   private isHandingOver = false;
 
@@ -484,6 +490,10 @@
     this.options.recorder.count('runs_gone');
     this.runLog.noteLoss(run, reason);
     task.notBeforeMs = this.options.clock.monotonicMs() + REFUSED_START_BACKOFF_MS;
+    this.lastBackoffEndMs = task.notBeforeMs;
+    this.wakeAfterBackoff().catch((error: unknown) => {
+      this.log.error('The pauses of tasks are not followed', { reason: String(error) });
+    });
     task.step.occurrence.job.isFullyStarted = false;
     this.places.noteEnd(run);
     this.watchedRuns.noteEnd(run);
@@ -491,6 +501,19 @@
     this.wakeup.wake();
   }
 
+  /** Has a pass made when the pause of a task is over, and not only after the longest wait for an event. */
+  private async wakeAfterBackoff(): Promise<void> {
+    if (this.isBackoffAwaited) return;
+    this.isBackoffAwaited = true;
+    const { clock } = this.options;
+    const { signal } = this.term;
+    while (!signal.aborted && clock.monotonicMs() < this.lastBackoffEndMs) {
+      await clock.sleep(this.lastBackoffEndMs - clock.monotonicMs(), signal);
+      this.wakeup.wake();
+    }
+    this.isBackoffAwaited = false;
+  }
+
   onStartUnanswered(run: OwnedRun): void {
     const { task, agent } = run;
     task.failedWorkerIds.add(agent.id);
--- a/packages/samphirenotch/src/jobs/workers/workerFleet.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerFleet.ts
@@ -825,7 +825,6 @@
             if (!isStored || this.leaving.get(name) !== entry) return;
             this.leaving.delete(name);
             this.rosterChanged = true;
-            this.options.onUsable();
           },
           (error: unknown) => {
             this.log.error('A worker stays in the roster', {
