Store the first place of a task before changes of short jobs

What callers see: a task that lasts is away for over 9 s (LOST) if its owner is killed some seconds after its first start, while another worker is lost that never had the task.

Cause: the first place of a task is stored after its start, behind all changes of short jobs. Until it is, a successor waits for all workers before it starts the task again.

Evidence: found in review.

Change: the first place overtakes other changes like those that follow it. Nothing waits for it, so it need not be urgent.

--- a/packages/samphirenotch/src/jobs/ownership/taskOutcomes.ts
+++ b/packages/samphirenotch/src/jobs/ownership/taskOutcomes.ts
@@ -101,7 +101,7 @@
       wasAlone,
       isSuspect: isSuspect(task),
     });
-    this.book.saveProgress(job, true);
+    this.book.saveProgress(job, { isUrgent: true });
     if (crashes >= (wasAlone ? MAXIMUM_CRASHES_ALONE : MAXIMUM_CRASHES)) this.giveUp(task);
   }
 
--- a/packages/samphirenotch/src/jobs/placement/taskPlaces.ts
+++ b/packages/samphirenotch/src/jobs/placement/taskPlaces.ts
@@ -90,7 +90,8 @@
     if (place === agent.id || !keepsPlace(task) || !this.isOnlyRun(run)) return;
     task.place = agent.id;
     if (place === undefined) {
-      this.book.saveProgress(task.step.occurrence.job);
+      // Without a place a successor waits for all workers before it starts the task again.
+      this.book.saveProgress(task.step.occurrence.job, { overtakes: true });
       return;
     }
     this.log.warn('A task runs elsewhere than at its place', {
--- a/packages/samphirenotch/src/jobs/store/jobRegistry.ts
+++ b/packages/samphirenotch/src/jobs/store/jobRegistry.ts
@@ -15,6 +15,9 @@
 import type { OperatorFollower } from './operatorFollower.js';
 import type { JournalChange, ProgressJournal } from './progressJournal.js';
 
+/** How soon a write of progress is stored. */
+type ProgressOrder = Pick<JournalChange, 'isUrgent' | 'overtakes'>;
+
 /** Holds the open jobs of one term of ownership, own ones and guests. */
 export class JobRegistry {
   private readonly log = partLog('jobs');
@@ -210,10 +213,10 @@
    * Schedules a write of the progress of a job.
    *
    * @param job - the job
-   * @param isUrgent - true if a successor must know it
+   * @param order - when a successor must know it, or not only after earlier changes
    */
-  saveProgress(job: OwnedJob, isUrgent = false): void {
-    this.addProgress(job, { isUrgent });
+  saveProgress(job: OwnedJob, order: ProgressOrder = {}): void {
+    this.addProgress(job, order);
   }
 
   /**
@@ -233,10 +236,7 @@
   }
 
   /** Returns the sequence number of the change; undefined if the journal gets none. */
-  private addProgress(
-    job: OwnedJob,
-    order: Pick<JournalChange, 'isUrgent' | 'overtakes'>,
-  ): number | undefined {
+  private addProgress(job: OwnedJob, order: ProgressOrder): number | undefined {
     if (!job.isOpen) return undefined;
     if (job.isGuest) {
       this.onGuestProgress(job);
--- a/tests/jobs/changeBacklogs.spec.ts
+++ b/tests/jobs/changeBacklogs.spec.ts
@@ -29,6 +29,9 @@
 
 const SHORT_SIZE = { milliCores: 2, memoryMb: 1, accelerators: 0 };
 
+/** Another job whose tasks last. */
+const NEW_JOB_ID = '00000000000000c1';
+
 interface BusySite {
   readonly site: JobSite;
   readonly owner: SiteEntry;
@@ -42,7 +45,7 @@
   const { site, owner } = await makeSiteWithLastingTasks({
     milliCores: 2_000,
     behave: (taskId) =>
-      taskId.startsWith(LASTING_JOB_ID)
+      taskId.startsWith(LASTING_JOB_ID) || taskId.startsWith(NEW_JOB_ID)
         ? { size: LASTING_SIZE, durationMs: Infinity }
         : { size: SHORT_SIZE, durationMs: SHORT_RUN_MS },
   });
@@ -100,3 +103,28 @@
   t.is(countRunning(site), LASTING_TASKS);
   t.deepEqual(site.record.violations, []);
 });
+
+// Guards against a successor that waits for a worker which never had the task, because the first place of the task was
+// behind the changes of short jobs (LOST).
+test('should know at a takeover where a task first ran while many changes wait to be stored', async (t) => {
+  const { site, owner, workerId } = await makeBusySite();
+  site.addWorker('w9');
+  site.addWorker('w10');
+  await site.run(500);
+  const taskId = `${NEW_JOB_ID}.0.0.0`;
+  put(site, urgent, [NEW_JOB_ID], makeJob(makeStep({ longRunning: true, size: LASTING_SIZE })));
+  await runUntil(site, () => site.record.runsOf(taskId).length > 0);
+  await site.run(3_000);
+  const [first] = site.record.runsOf(taskId);
+  t.not(first?.workerId, workerId);
+  loseWorker(site, workerId);
+  site.workers.forEach((worker) => worker.endRuns(taskId, 'failed'));
+  const fromMs = site.clock.monotonicMs();
+  owner.kill();
+  site.entries.forEach(({ store }) => Object.assign(store, { latencyMs: () => 2 }));
+  await site.run(2 * LOST_MS);
+  const awayMs = Math.round((site.record.runsOf(taskId).at(-1)?.startedMs ?? Infinity) - fromMs);
+  t.log(`away for ${awayMs} ms`);
+  t.true(awayMs > 0 && awayMs <= LOST_MS, `away for ${awayMs} ms`);
+  t.deepEqual(site.record.violations, []);
+});
