--- a/tests/jobs/changeBacklogs.spec.ts
+++ b/tests/jobs/changeBacklogs.spec.ts
@@ -4,6 +4,12 @@
 import test from 'ava';
 
 import { put, urgent } from '../fixtures/bulkSite.js';
+import {
+  SHORT_RUN_MS,
+  SHORT_SIZE,
+  slowStoreDown,
+  startShortJobs,
+} from '../fixtures/changeBacklog.js';
 import { makeJob, makeStep, runUntil, type JobSite, type SiteEntry } from '../fixtures/jobSite.js';
 import {
   countRunning,
@@ -18,17 +24,8 @@
 /** Time after its last run within which a task that lasts has to run again, in milliseconds. */
 const LOST_MS = 9_000;
 
-/** Time that a call to the store takes, in milliseconds. */
-const STORE_MS = 100;
-
-const SHORT_JOBS = 1_500;
-
-const SHORT_RUN_MS = 1_000;
-
 const LASTING_SIZE = { milliCores: 1_000, memoryMb: 1_000, accelerators: 0 };
 
-const SHORT_SIZE = { milliCores: 2, memoryMb: 1, accelerators: 0 };
-
 /** Another job whose tasks last. */
 const NEW_JOB_ID = '00000000000000c1';
 
@@ -51,11 +48,8 @@
   });
   site.configure([site.queue, urgent]);
   await site.run(500);
-  const ids = Array.from({ length: SHORT_JOBS }, (_, at) => at.toString(16).padStart(16, 'b'));
-  put(site, urgent, ids, makeJob(makeStep({ size: SHORT_SIZE })));
-  const lastShort = ids.at(-1) ?? '';
-  await runUntil(site, () => site.record.runsOf(`${lastShort}.0.0.0`).length > 0);
-  site.entries.forEach(({ store }) => Object.assign(store, { latencyMs: () => STORE_MS }));
+  await startShortJobs(site);
+  slowStoreDown(...site.entries);
   await site.run(SHORT_RUN_MS);
   const worker = site.workers.get('w0');
   const run = worker?.activeRuns().find(({ taskId }) => taskId.startsWith(LASTING_JOB_ID));
--- a/tests/jobs/overtakenChanges.spec.ts
+++ b/tests/jobs/overtakenChanges.spec.ts
@@ -6,6 +6,12 @@
 import { WHOLE_SITE_SHARE_ID } from 'samphirenotch/jobs/model/shareLayout.js';
 
 import { put, urgent } from '../fixtures/bulkSite.js';
+import {
+  SHORT_RUN_MS,
+  SHORT_SIZE,
+  slowStoreDown,
+  startShortJobs,
+} from '../fixtures/changeBacklog.js';
 import {
   makeDividedSite,
   makeJob,
@@ -17,15 +23,6 @@
   type SiteEntry,
 } from '../fixtures/jobSite.js';
 
-/** Time that a call of the owner to the store takes once many changes wait, in milliseconds. */
-const STORE_MS = 100;
-
-const SHORT_JOBS = 1_500;
-
-const SHORT_RUN_MS = 1_000;
-
-const SIZE = { milliCores: 2, memoryMb: 1, accelerators: 0 };
-
 const JOB_ID = '00000000000000a1';
 
 const TASK_ID = `${JOB_ID}.0.0.0`;
@@ -43,13 +40,10 @@
 const makeBacklog = async (
   site: JobSite,
   owner: SiteEntry,
-  { requiredLabel = '', home = WHOLE_SITE_SHARE_ID } = {},
+  options?: Parameters<typeof startShortJobs>[1],
 ): Promise<void> => {
-  const ids = Array.from({ length: SHORT_JOBS }, (_, at) => at.toString(16).padStart(16, 'b'));
-  put(site, urgent, ids, makeJob(makeStep({ size: SIZE, requiredLabel })), home);
-  const lastId = ids.at(-1) ?? '';
-  await runUntil(site, () => site.record.runsOf(`${lastId}.0.0.0`).length > 0);
-  Object.assign(owner.store, { latencyMs: () => STORE_MS });
+  await startShortJobs(site, options);
+  slowStoreDown(owner);
 };
 
 const makeSite = async (options: JobSiteOptions) => {
@@ -65,13 +59,13 @@
   const { site, owner } = await makeSite({
     workers: 3,
     behave: (taskId) => ({
-      size: SIZE,
+      size: SHORT_SIZE,
       durationMs: taskId === TASK_ID ? 6 * SHORT_RUN_MS : SHORT_RUN_MS,
     }),
   });
   site.registerWorker('w2', { labels: [TASK_LABEL] });
   await site.run(500);
-  put(site, urgent, [JOB_ID], makeJob(makeStep({ size: SIZE, requiredLabel: TASK_LABEL })));
+  put(site, urgent, [JOB_ID], makeJob(makeStep({ size: SHORT_SIZE, requiredLabel: TASK_LABEL })));
   await runUntil(site, () => site.record.runsOf(TASK_ID).length > 0);
   site.data.remove('workers/w2');
   await site.run(4 * SHORT_RUN_MS);
@@ -103,7 +97,7 @@
     workers: 8,
     replacesCrashed: true,
     behave: (taskId) => ({
-      size: SIZE,
+      size: SHORT_SIZE,
       durationMs: SHORT_RUN_MS,
       crashes: taskId === TASK_ID,
     }),
@@ -112,7 +106,7 @@
     site.registerWorker(id, { labels: [at < 2 ? SHORT_LABEL : TASK_LABEL] }),
   );
   await site.run(1_000);
-  put(site, urgent, [JOB_ID], makeJob(makeStep({ size: SIZE, requiredLabel: TASK_LABEL })));
+  put(site, urgent, [JOB_ID], makeJob(makeStep({ size: SHORT_SIZE, requiredLabel: TASK_LABEL })));
   const runs = () => site.record.runsOf(TASK_ID);
   while (runs().length < 3) await site.run(50);
   await site.run(1_200);
@@ -133,7 +127,7 @@
     const { site, owners } = await makeDividedSite({
       workers: 4,
       behave: (taskId) => ({
-        size: SIZE,
+        size: SHORT_SIZE,
         durationMs: taskId === TASK_ID ? Infinity : SHORT_RUN_MS,
       }),
     });
