--- a/packages/samphirenotch/src/jobs/store/jobRegistry.ts
+++ b/packages/samphirenotch/src/jobs/store/jobRegistry.ts
@@ -213,7 +213,7 @@
    * Schedules a write of the progress of a job.
    *
    * @param job - the job
-   * @param order - when a successor must know it, or not only after earlier changes
+   * @param order - whether a successor must know it soon, and whether before changes of other jobs
    */
   saveProgress(job: OwnedJob, order: ProgressOrder = {}): void {
     this.addProgress(job, order);
--- a/packages/samphirenotch/src/jobs/store/progressJournal.ts
+++ b/packages/samphirenotch/src/jobs/store/progressJournal.ts
@@ -4,8 +4,8 @@
  * What a transaction leaves in the store is what the oldest changes make of it, without a gap: no
  * change is stored before an earlier one to another key. A write replaces a pending write of the same
  * key at its place, and a removal a pending removal; a change of the other kind goes to the end.
- * Changes that start or end the use of a worker overtake the others: a full journal takes many
- * transactions to store.
+ * A change may overtake those to other keys, since a full journal takes many transactions to store,
+ * unless one of them is a barrier.
  *
  * Each transaction is conditional on the revision of the journal key that the previous one left,
  * and writes that key again. So a transaction whose answer was lost cannot take effect after a
@@ -78,7 +78,7 @@
 
 interface Waiter {
   readonly sequence: number;
-  /** Key of the change if it alone is waited for. */
+  /** Key of the change if other changes that may be overtaken are not waited for. */
   readonly key: string | undefined;
   readonly resolve: (isStored: boolean) => void;
 }
