--- a/tests/jobs/changeBacklogs.spec.ts
+++ b/tests/jobs/changeBacklogs.spec.ts
@@ -57,12 +57,6 @@
   return { site, owner, workerId: worker.id, taskId: run.taskId };
 };
 
-const loseWorker = (site: JobSite, workerId: string): void => {
-  site.entries.forEach(({ client }) => site.cutFromWorkers(client, [workerId]));
-  site.data.remove(`workers/${workerId}`);
-  site.workers.get(workerId)?.restart();
-};
-
 // Guards against a worker that gets nothing until all changes of short jobs are stored, while an interrupted task
 // waits for its room (LOST).
 test('should start an interrupted task on a new worker while many changes wait to be stored', async (t) => {
@@ -87,7 +81,7 @@
 test('should store when all leases end before a planned stop while many changes wait to be stored', async (t) => {
   const { site, owner, workerId, taskId } = await makeBusySite();
   site.addWorker('w9');
-  loseWorker(site, workerId);
+  site.loseWorker(workerId);
   const fromMs = site.clock.monotonicMs();
   owner.stop();
   await site.run(2 * LOST_MS);
@@ -111,7 +105,7 @@
   await site.run(3_000);
   const [first] = site.record.runsOf(taskId);
   t.not(first?.workerId, workerId);
-  loseWorker(site, workerId);
+  site.loseWorker(workerId);
   site.workers.forEach((worker) => worker.endRuns(taskId, 'failed'));
   const fromMs = site.clock.monotonicMs();
   owner.kill();
--- a/tests/jobs/releaseChains.spec.ts
+++ b/tests/jobs/releaseChains.spec.ts
@@ -80,13 +80,6 @@
 const announce = (site: JobSite, id = 'w0'): void =>
   site.registerWorker(id, { phase: 'draining', remainingMs: REMAINING_MS });
 
-/** Ends a worker with all that it runs. */
-const leave = (site: JobSite, id = 'w0'): void => {
-  site.entries.forEach(({ client }) => site.cutFromWorkers(client, [id]));
-  site.data.remove(`workers/${id}`);
-  site.workers.get(id)?.restart();
-};
-
 /** Measures the time from the announcement to the order of the first stop, in milliseconds. */
 const measureOrder = async (): Promise<number> => {
   const site = await makeRelease();
@@ -164,7 +157,7 @@
     });
   const leaving = clock
     .sleep(Math.min(firstEndMs + chain.goneAfterMs, REMAINING_MS))
-    .then(() => leave(site));
+    .then(() => site.loseWorker('w0'));
   await site.run(AFTERMATH_MS);
   await Promise.all([ending, leaving]);
   const missing = TASKS - countRunning(site);
@@ -252,7 +245,7 @@
     await site.clock.advance(endAfterMs);
     owner?.stop();
     await site.clock.advance(60);
-    leave(site, 'w1');
+    site.loseWorker('w1');
     await site.run(AFTERMATH_MS);
     const late = lateRuns(site, Number.NEGATIVE_INFINITY);
     t.deepEqual([...late, ...site.record.violations], [], `${endAfterMs} ms`);
--- a/tests/jobs/slowHandovers.spec.ts
+++ b/tests/jobs/slowHandovers.spec.ts
@@ -19,9 +19,7 @@
       site.entries.forEach(({ store }) => Object.assign(store, { latencyMs: () => latencyMs }));
       await site.run(2_000 + offsetMs);
       const { taskId } = site.workers.get('w0')?.activeRuns()[0] ?? {};
-      site.entries.forEach(({ client }) => site.cutFromWorkers(client, ['w0']));
-      site.data.remove('workers/w0');
-      site.workers.get('w0')?.restart();
+      site.loseWorker('w0');
       const fromMs = site.clock.monotonicMs();
       owner.stop();
       const others = site.entries.filter((each) => each !== owner);
