--- a/packages/samphirenotch/src/jobs/placement/fillerRuns.ts
+++ b/packages/samphirenotch/src/jobs/placement/fillerRuns.ts
@@ -12,7 +12,7 @@
 const MAX_GATHER_MS = 1_000;
 
 /** Most runs of a line; lines of more than 4 KiB are cut by some readers. */
-const MAX_RUNS_OF_LINE = 40;
+export const MAX_RUNS_OF_LINE = 40;
 
 /** Stands for a value that is not known. */
 const UNKNOWN = '-';
--- a/packages/samphirenotch/src/jobs/placement/runLog.ts
+++ b/packages/samphirenotch/src/jobs/placement/runLog.ts
@@ -11,12 +11,9 @@
 import type { Term } from '../store/term.js';
 import type { WorkerAgent } from '../workers/workerAgent.js';
 import type { WorkerFleet } from '../workers/workerFleet.js';
-import { FillerRuns } from './fillerRuns.js';
+import { FillerRuns, MAX_RUNS_OF_LINE } from './fillerRuns.js';
 import { objectiveMs, remainingPathMs } from './stepOrder.js';
 
-/** Most adopted runs of a line. */
-const MAX_RUNS_OF_LINE = 40;
-
 /** Dependencies of a `RunLog`. */
 export interface RunLogOptions {
   readonly fleet: WorkerFleet;
