--- a/packages/samphirenotch/src/jobs/store/progressJournal.ts
+++ b/packages/samphirenotch/src/jobs/store/progressJournal.ts
@@ -341,8 +341,8 @@
     const oldest = this.oldestPending();
     const isStored = ({ sequence, key }: Waiter): boolean =>
       sequence < oldest || (key !== undefined && sequence < this.oldestPending(key));
-    const ready = this.waiters.filter((waiter) => isStored(waiter));
-    this.waiters = this.waiters.filter((waiter) => !ready.includes(waiter));
+    const ready = new Set(this.waiters.filter(isStored));
+    this.waiters = this.waiters.filter((waiter) => !ready.has(waiter));
     ready.forEach(({ resolve }) => resolve(true));
   }
 }
