Store delegations and reports of long-running tasks before changes of other jobs

What callers saw, on divided sites: an interrupted task is away for 6.7 s although another share has room for it, or for 7.6 s until it is back from one that has none, with 1,500 short jobs that have just ended and a store that takes 100 ms a call.

Cause: a delegation and a report were stored in turn, behind all ends of short jobs of their owner.

Evidence: "should hand over an interrupted task" (6,650 ms) and "should give back an interrupted task" (7,566 ms) of exchangeBacklogs, which fail without the change.

Change: a delegation and a report of a step of long-running tasks overtake changes of other jobs, those of a takeover as well.

Why it works: a delegation takes the earlier changes of its job along, so that the end of the task's run at home is stored before "away", and "away" before "delegated". The removal of a delegation overtakes nothing by itself: a place at home and the next delegation take it along. overtakenDelegations loses either owner after each of the changes of a move, one a transaction, behind those of short jobs: nothing runs twice, is lost or is stopped.

The same tests have 450 ms and 1,466 ms (a task that finds no worker goes home after 1 s).

--- a/packages/samphirenotch/src/jobs/ownership/incomingDelegations.ts
+++ b/packages/samphirenotch/src/jobs/ownership/incomingDelegations.ts
@@ -199,6 +199,7 @@
       key: `${keysOfShare(home).receivedReportsPrefix}${idOf(jobId, name)}`,
       series: jobId,
       isUrgent: true,
+      overtakes: incoming.step.spec.longRunning,
       value: () => encodeReport(reportOf(incoming)),
     });
   }
--- a/packages/samphirenotch/src/jobs/ownership/outgoingDelegations.ts
+++ b/packages/samphirenotch/src/jobs/ownership/outgoingDelegations.ts
@@ -156,7 +156,7 @@
       indexes: delegation.tasks.map((task) => task.index).join(' '),
     });
     this.track(delegation, job, step);
-    this.write(delegation);
+    this.write(delegation, step);
   }
 
   /**
@@ -228,7 +228,7 @@
     });
     this.track(delegation, job, step);
     // The former owner may have ended between its two writes.
-    this.write(delegation);
+    this.write(delegation, step);
   }
 
   private track(delegation: Delegation, job: OwnedJob, step: OwnedStep): void {
@@ -244,11 +244,16 @@
   }
 
   /** The order matters: the other share must have no task that a successor takes to be at home. */
-  private write(delegation: Delegation): void {
+  private write(delegation: Delegation, { spec }: OwnedStep): void {
     const { journal, share } = this.options;
     const text = encodeDelegation(delegation);
     const id = idOf(delegation);
-    const change = { series: delegation.jobId, isUrgent: true, value: () => text };
+    const change = {
+      series: delegation.jobId,
+      isUrgent: true,
+      overtakes: spec.longRunning,
+      value: () => text,
+    };
     journal.add({ ...change, key: keysOfShare(share).openDelegationsPrefix + id });
     journal.add({ ...change, key: keysOfShare(delegation.to).receivedDelegationsPrefix + id });
   }
