Tell other shares since when tasks are interrupted

An interrupted long-running task that goes to another share is owed nothing there: its delegation does not say that it has run, nor since when it waits, so it gets neither a reservation nor the next room. A task that was interrupted in the other share comes home in the same way, as old as its delegation.

Found by reading: `isOwedRoom` needs `hasRun` and `interruptedMs`, which only a run of the same owner or the progress of the home set.

Delegations and reports carry both, for long-running tasks, the time as Unix time like that in the progress of a job. The fields are optional: values of former versions are read as before, and former versions pass over the fields. The successor of either owner reads them as well.

"should tell the other share, and later the home, since when a task is interrupted" guards it; nothing of this was stored before.

--- a/packages/samphirenotch/src/jobs/model/delegation.ts
+++ b/packages/samphirenotch/src/jobs/model/delegation.ts
@@ -16,6 +16,13 @@
   /** Numbers of the runs under which workers crashed. */
   readonly crashedRuns: readonly number[];
   readonly checkpoint: string;
+  /** True if it is long-running and known to have run. */
+  readonly hasRun: boolean;
+  /**
+   * When it was interrupted, in Unix milliseconds; undefined if it runs, is not known to have run, or is not
+   * long-running.
+   */
+  readonly interruptedAtMs: number | undefined;
 }
 
 /** Tasks of one step that a home has handed to another share. */
@@ -67,6 +74,14 @@
 // Numbers of the runs under which workers crashed, by task index.
 const CRASHES = z.record(z.string(), z.array(z.number())).optional();
 
+// When long-running tasks that wait were interrupted, in Unix milliseconds, by task index.
+const INTERRUPTIONS = z.record(z.string(), z.number()).optional();
+
+// Indexes of the other long-running tasks that have run.
+const HAVE_RUN = z.array(z.number()).optional();
+
+const SPARSE_FIELDS = { c: CRASHES, i: INTERRUPTIONS, g: HAVE_RUN };
+
 const DELEGATION = z.object({
   j: z.string(),
   n: z.string(),
@@ -76,7 +91,7 @@
   k: z.number(),
   s: z.number(),
   r: z.array(TASK),
-  c: CRASHES,
+  ...SPARSE_FIELDS,
 });
 
 const OUTCOMES = { o: 'open', d: 'done', f: 'failed', r: 'returned' } as const;
@@ -85,18 +100,43 @@
   t: z.string(),
   b: z.boolean(),
   r: z.array(z.tuple([...TASK.def.items, z.enum(['o', 'd', 'f', 'r'])])),
-  c: CRASHES,
+  ...SPARSE_FIELDS,
 });
 
 const toTuple = ({ index, nextRun, failedRuns, checkpoint }: DelegatedTask) =>
   [index, nextRun, failedRuns, checkpoint] as const;
 
-/** The field with the crashes of all tasks; empty if there are none. */
-const crashField = (tasks: readonly DelegatedTask[]) => {
+/** What few tasks have, by task index. */
+interface SparseFields {
+  readonly c?: Readonly<Record<string, readonly number[]>> | undefined;
+  readonly i?: Readonly<Record<string, number>> | undefined;
+  readonly g?: readonly number[] | undefined;
+}
+
+/** The fields with crashes and interruptions of all tasks, without those that would be empty. */
+const sparseFieldsOf = (tasks: readonly DelegatedTask[]): SparseFields => {
   const crashed = tasks.filter(({ crashedRuns }) => crashedRuns.length > 0);
-  if (crashed.length === 0) return {};
+  const interrupted = tasks.flatMap(({ index, interruptedAtMs }) =>
+    interruptedAtMs === undefined ? [] : [[String(index), interruptedAtMs] as const],
+  );
+  const others = tasks.filter(
+    ({ hasRun, interruptedAtMs }) => hasRun && interruptedAtMs === undefined,
+  );
+  return {
+    ...(crashed.length > 0 && {
+      c: Object.fromEntries(crashed.map(({ index, crashedRuns }) => [String(index), crashedRuns])),
+    }),
+    ...(interrupted.length > 0 && { i: Object.fromEntries(interrupted) }),
+    ...(others.length > 0 && { g: others.map(({ index }) => index) }),
+  };
+};
+
+const readSparseFields = (index: number, { c, i, g }: SparseFields) => {
+  const interruptedAtMs = i?.[String(index)];
   return {
-    c: Object.fromEntries(crashed.map(({ index, crashedRuns }) => [String(index), crashedRuns])),
+    crashedRuns: c?.[String(index)] ?? [],
+    hasRun: interruptedAtMs !== undefined || (g?.includes(index) ?? false),
+    interruptedAtMs,
   };
 };
 
@@ -116,7 +156,7 @@
     k: delegation.occurrence,
     s: delegation.step,
     r: delegation.tasks.map(toTuple),
-    ...crashField(delegation.tasks),
+    ...sparseFieldsOf(delegation.tasks),
   });
 
 /**
@@ -127,7 +167,7 @@
  * @throws if the text was not written by `encodeDelegation`
  */
 export const decodeDelegation = (text: string): Delegation => {
-  const { j, n, h, t, f, k, s, r, c } = DELEGATION.parse(JSON.parse(text));
+  const { j, n, h, t, f, k, s, r, ...sparse } = DELEGATION.parse(JSON.parse(text));
   return {
     jobId: j,
     name: n,
@@ -140,8 +180,8 @@
       index,
       nextRun,
       failedRuns,
-      crashedRuns: c?.[String(index)] ?? [],
       checkpoint,
+      ...readSparseFields(index, sparse),
     })),
   };
 };
@@ -157,7 +197,7 @@
     t: from,
     b: hasStarted,
     r: tasks.map((task) => [...toTuple(task), task.outcome[0]]),
-    ...crashField(tasks),
+    ...sparseFieldsOf(tasks),
   });
 
 /**
@@ -168,7 +208,7 @@
  * @throws if the text was not written by `encodeReport`
  */
 export const decodeReport = (text: string): DelegationReport => {
-  const { t: from, b: hasStarted, r, c } = REPORT.parse(JSON.parse(text));
+  const { t: from, b: hasStarted, r, ...sparse } = REPORT.parse(JSON.parse(text));
   return {
     from,
     hasStarted,
@@ -176,8 +216,8 @@
       index,
       nextRun,
       failedRuns,
-      crashedRuns: c?.[String(index)] ?? [],
       checkpoint,
+      ...readSparseFields(index, sparse),
       outcome: OUTCOMES[outcome],
     })),
   };
--- a/packages/samphirenotch/src/jobs/model/jobProgress.ts
+++ b/packages/samphirenotch/src/jobs/model/jobProgress.ts
@@ -121,9 +121,15 @@
   return rows.length > 0 ? Object.fromEntries(rows) : undefined;
 };
 
-/** Returns when a task that has run and waits was interrupted, in Unix milliseconds; undefined for any other. */
-const interruptionOf = (
-  { interruptedMs, hasRun, runs }: TaskProgress,
+/**
+ * Returns when a task that has run and waits was interrupted.
+ *
+ * @param task - the task
+ * @param clock - clock of this process
+ * @returns Unix time in milliseconds; undefined for any other task
+ */
+export const interruptionOf = (
+  { interruptedMs, hasRun, runs }: Pick<TaskProgress, 'interruptedMs' | 'hasRun' | 'runs'>,
   clock: Clock,
 ): number | undefined => {
   if (interruptedMs === undefined || !hasRun || runs.length > 0) return undefined;
--- a/packages/samphirenotch/src/jobs/ownership/incomingDelegations.ts
+++ b/packages/samphirenotch/src/jobs/ownership/incomingDelegations.ts
@@ -2,6 +2,8 @@
  * Tasks that other shares have delegated to this one: accepts them, reports on them, returns them.
  */
 import { partLog } from '../../observability/log.js';
+import type { Clock } from '../../time/clock.js';
+import { toMonotonicMs } from '../../time/unixTime.js';
 
 import {
   encodeReport,
@@ -11,6 +13,7 @@
 } from '../model/delegation.js';
 import type { JobProgress } from '../model/jobProgress.js';
 import { isTaskWaiting, type OwnedJob, type OwnedStep, type OwnedTask } from '../model/ownedJob.js';
+import { interruptionFields } from '../placement/interruptedTasks.js';
 import type { JobRegistry } from '../store/jobRegistry.js';
 import { keysOfShare } from '../store/jobKeys.js';
 import type { JobReplica } from '../store/jobReplica.js';
@@ -21,6 +24,7 @@
   readonly book: JobRegistry;
   readonly replica: JobReplica;
   readonly journal: ProgressJournal;
+  readonly clock: Clock;
   /** Stops all runs of a delegated part of a job. */
   readonly stopRuns: (job: OwnedJob, reason: string) => void;
 }
@@ -76,7 +80,10 @@
   return hasFailed ? 'failed' : 'returned';
 };
 
-const reportOf = ({ delegation, job, tasks }: IncomingDelegation): DelegationReport => ({
+const reportOf = (
+  { delegation, job, tasks }: IncomingDelegation,
+  clock: Clock,
+): DelegationReport => ({
   from: delegation.to,
   hasStarted: job.hasStarted,
   tasks: tasks.map((task) => ({
@@ -85,6 +92,7 @@
     failedRuns: task.failedRuns,
     crashedRuns: task.crashedRuns,
     checkpoint: task.checkpoint,
+    ...interruptionFields(task, clock),
     outcome: outcomeOf(task),
   })),
 });
@@ -143,6 +151,7 @@
     const tasks = delegation.tasks.flatMap(({ index }) => step.tasks[index] ?? []);
     const incoming = { delegation, job, step, tasks };
     this.byId.set(idOf(jobId, name), incoming);
+    this.restoreRuns(incoming, report);
     this.restore(incoming, report);
     this.log.info('Tasks of another share are taken in', {
       jobId,
@@ -199,7 +208,7 @@
       key: `${keysOfShare(home).receivedReportsPrefix}${idOf(jobId, name)}`,
       isUrgent: true,
       isBarrier: true,
-      value: () => encodeReport(reportOf(incoming)),
+      value: () => encodeReport(reportOf(incoming, this.options.clock)),
     });
   }
 
@@ -230,6 +239,22 @@
     });
   }
 
+  /** Applies what was known of former runs: as last reported by this share, else as the home sent it. */
+  private restoreRuns(
+    { delegation, step }: IncomingDelegation,
+    report: DelegationReport | undefined,
+  ): void {
+    const rows = new Map(report?.tasks.map((row) => [row.index, row]));
+    delegation.tasks.forEach((sent) => {
+      const task = step.tasks[sent.index];
+      const { hasRun, interruptedAtMs } = rows.get(sent.index) ?? sent;
+      if (!task) return;
+      task.hasRun = sent.hasRun || hasRun;
+      if (interruptedAtMs !== undefined)
+        task.interruptedMs = toMonotonicMs(this.options.clock, interruptedAtMs);
+    });
+  }
+
   /** Applies a former owner's report: tasks that it returned stay returned. */
   private restore({ tasks }: IncomingDelegation, report: DelegationReport | undefined): void {
     report?.tasks.forEach(({ index, outcome, nextRun, checkpoint }) => {
--- a/packages/samphirenotch/src/jobs/ownership/outgoingDelegations.ts
+++ b/packages/samphirenotch/src/jobs/ownership/outgoingDelegations.ts
@@ -6,6 +6,8 @@
  * share.
  */
 import { partLog } from '../../observability/log.js';
+import type { Clock } from '../../time/clock.js';
+import { toMonotonicMs } from '../../time/unixTime.js';
 
 import {
   decodeDelegation,
@@ -15,6 +17,7 @@
   type ReportedTask,
 } from '../model/delegation.js';
 import type { OwnedJob, OwnedStep, OwnedTask } from '../model/ownedJob.js';
+import { interruptionFields } from '../placement/interruptedTasks.js';
 import type { JobRegistry } from '../store/jobRegistry.js';
 import { isDelegationKey, keysOfShare } from '../store/jobKeys.js';
 import type { ProgressJournal } from '../store/progressJournal.js';
@@ -27,6 +30,7 @@
   readonly fencingToken: number;
   readonly book: JobRegistry;
   readonly journal: ProgressJournal;
+  readonly clock: Clock;
   /** Returns the fencing token of the owner of another share; undefined if it has none. */
   readonly tokenOf: (share: string) => number | undefined;
   /** Called when a task is done in another share. */
@@ -128,7 +132,7 @@
    * @param to - id of the share that receives them
    */
   send(step: OwnedStep, tasks: readonly OwnedTask[], to: string): void {
-    const { share, fencingToken, tokenOf } = this.options;
+    const { share, fencingToken, tokenOf, clock } = this.options;
     const { job, index } = step.occurrence;
     this.sentCount += 1;
     const delegation: Delegation = {
@@ -139,12 +143,13 @@
       toToken: tokenOf(to),
       occurrence: index,
       step: step.index,
-      tasks: tasks.map(({ index: at, nextRun, failedRuns, crashedRuns, checkpoint }) => ({
-        index: at,
-        nextRun,
-        failedRuns: [...failedRuns],
-        crashedRuns: [...crashedRuns],
-        checkpoint,
+      tasks: tasks.map((task) => ({
+        index: task.index,
+        nextRun: task.nextRun,
+        failedRuns: [...task.failedRuns],
+        crashedRuns: [...task.crashedRuns],
+        checkpoint: task.checkpoint,
+        ...interruptionFields(task, clock),
       })),
     };
     this.log.info('Tasks are handed to another share', {
@@ -284,6 +289,9 @@
     if (!isLatest) return;
     // The share that has the task also forgets crashes.
     task.crashedRuns = [...row.crashedRuns];
+    task.hasRun ||= row.hasRun;
+    if (row.interruptedAtMs !== undefined)
+      task.interruptedMs = toMonotonicMs(this.options.clock, row.interruptedAtMs);
     if (row.outcome !== 'open') {
       this.latestDelegationIds.delete(task);
       task.isElsewhere = false;
--- a/tests/jobs/decisions.spec.ts
+++ b/tests/jobs/decisions.spec.ts
@@ -1,12 +1,13 @@
 /**
  * Tests decisions about jobs without running a site.
  */
-import test from 'ava';
+import test, { type ExecutionContext } from 'ava';
 import {
   decodeDelegation,
   decodeReport,
   encodeDelegation,
   encodeReport,
+  type DelegatedTask,
 } from 'samphirenotch/jobs/model/delegation.js';
 import { decodeProgress, encodeProgress } from 'samphirenotch/jobs/model/jobProgress.js';
 import { JobReplica } from 'samphirenotch/jobs/store/jobReplica.js';
@@ -94,21 +95,47 @@
   const delegation = decodeDelegation(
     '{"j":"a1","n":"1-1","h":"dc0","t":"dc1","k":0,"s":0,"r":[[2,5,[4],"c"]]}',
   );
-  t.deepEqual(delegation.tasks[0]?.crashedRuns, []);
+  t.like(delegation.tasks[0], { crashedRuns: [], hasRun: false, interruptedAtMs: undefined });
   t.is(delegation.toToken, undefined);
   const report = decodeReport('{"t":"dc1","b":true,"r":[[2,5,[4],"c","r"]]}');
-  t.like(report.tasks[0], { outcome: 'returned', crashedRuns: [], failedRuns: [4] });
+  t.like(report.tasks[0], { outcome: 'returned', crashedRuns: [], failedRuns: [4], hasRun: false });
 });
 
-// Guards against a count of crashes that is lost when a task moves to another share or back.
-test('should keep the runs under which workers crashed in delegations and reports', (t) => {
-  const task = { index: 2, nextRun: 5, failedRuns: [], crashedRuns: [3, 4], checkpoint: '' };
+/** Makes a task of a delegation or a report. */
+const makeDelegatedTask = (changes: Partial<DelegatedTask> = {}): DelegatedTask => ({
+  index: 2,
+  nextRun: 5,
+  failedRuns: [],
+  crashedRuns: [],
+  checkpoint: '',
+  hasRun: false,
+  interruptedAtMs: undefined,
+  ...changes,
+});
+
+/** Checks that delegations and reports are read as they were written. */
+const checkExchanged = (t: ExecutionContext, ...sent: readonly DelegatedTask[]): void => {
   const names = { jobId: 'a1', name: '1-1', home: 'dc0', to: 'dc1', occurrence: 0, step: 0 };
-  const delegation = { ...names, toToken: 7, tasks: [task] };
+  const delegation = { ...names, toToken: 7, tasks: sent };
   t.deepEqual(decodeDelegation(encodeDelegation(delegation)), delegation);
-  const tasks = [{ ...task, outcome: 'open' as const }];
+  const tasks = sent.map((task) => ({ ...task, outcome: 'open' as const }));
   const report = { from: 'dc1', hasStarted: true, tasks };
   t.deepEqual(decodeReport(encodeReport(report)), report);
+};
+
+// Guards against a count of crashes that is lost when a task moves to another share or back.
+test('should keep the runs under which workers crashed in delegations and reports', (t) => {
+  checkExchanged(t, makeDelegatedTask({ crashedRuns: [3, 4] }));
+});
+
+// Guards against interrupted tasks that are owed no room once they have moved to another share or back (LOST).
+test('should keep since when tasks are interrupted in delegations and reports', (t) => {
+  checkExchanged(
+    t,
+    makeDelegatedTask({ hasRun: true, interruptedAtMs: 1_700_000_000_123 }),
+    makeDelegatedTask({ index: 3, hasRun: true }),
+    makeDelegatedTask({ index: 4 }),
+  );
 });
 
 // Guards against an owner that starts jobs which a listing of the store also shows as ended or
--- a/tests/jobs/delegations.spec.ts
+++ b/tests/jobs/delegations.spec.ts
@@ -2,6 +2,11 @@
  * Jobs whose tasks run in other shares than their home.
  */
 import test from 'ava';
+import {
+  decodeDelegation,
+  decodeReport,
+  type DelegatedTask,
+} from 'samphirenotch/jobs/model/delegation.js';
 import { keysOfShare } from 'samphirenotch/jobs/store/jobKeys.js';
 
 import {
@@ -234,3 +239,48 @@
   t.is(await site.state(owners[0], ID), 'completed');
   t.deepEqual(dataCentresOf(site), ['dc1']);
 });
+
+/** Drains a worker and ends what it runs. */
+const interruptOn = (site: JobSite, workerId: string): void => {
+  site.registerWorker(workerId, { phase: 'draining', remainingMs: 60_000 });
+  const worker = site.workers.get(workerId);
+  worker?.activeRuns().forEach(({ taskId }) => worker.endRuns(taskId, 'failed'));
+};
+
+/** Returns the tasks of all delegations or reports that were written to a share. */
+const exchangedTasks = (
+  site: JobSite,
+  prefix: string,
+  decode: (text: string) => { readonly tasks: readonly DelegatedTask[] },
+): readonly DelegatedTask[] =>
+  site.data.changes
+    .filter(({ key }) => key.startsWith(prefix))
+    .flatMap(({ value }) => (value === undefined ? [] : decode(value).tasks));
+
+// Guards against interrupted tasks that wait behind all others in another share, or at home after they come back, since
+// nobody there knows that they have run (LOST).
+test('should tell the other share, and later the home, since when a task is interrupted', async (t) => {
+  const { site } = await makeDividedSite({
+    workers: 2,
+    behave: () => ({ size: SIZE, durationMs: Infinity }),
+  });
+  site.putJobs([ID], makeJob(makeStep({ longRunning: true })), 'dc0');
+  await site.run(500);
+  const homeEndMs = site.clock.wallMs();
+  interruptOn(site, 'w0');
+  await site.run(3_000);
+  const { receivedDelegationsPrefix } = keysOfShare('dc1');
+  const [sent] = exchangedTasks(site, receivedDelegationsPrefix, decodeDelegation);
+  t.true(sent?.hasRun);
+  t.true(Math.abs((sent?.interruptedAtMs ?? 0) - homeEndMs) <= 500);
+  const guestEndMs = site.clock.wallMs();
+  interruptOn(site, 'w1');
+  site.registerWorker('w0');
+  await site.run(3_000);
+  const { receivedReportsPrefix } = keysOfShare('dc0');
+  const returned = exchangedTasks(site, receivedReportsPrefix, decodeReport).at(-1);
+  t.true(returned?.hasRun);
+  t.true(Math.abs((returned?.interruptedAtMs ?? 0) - guestEndMs) <= 500);
+  t.is(site.record.runs.at(-1)?.workerId, 'w0');
+  t.deepEqual(site.record.violations, []);
+});
--- a/tests/jobs/ownedJob.spec.ts
+++ b/tests/jobs/ownedJob.spec.ts
@@ -31,7 +31,17 @@
       toToken: 1,
       occurrence: 7,
       step: 1,
-      tasks: [{ index: 2, nextRun: 3, failedRuns: [], crashedRuns: [5], checkpoint: 'c' }],
+      tasks: [
+        {
+          index: 2,
+          nextRun: 3,
+          failedRuns: [],
+          crashedRuns: [5],
+          checkpoint: 'c',
+          hasRun: false,
+          interruptedAtMs: undefined,
+        },
+      ],
     },
   });
   const [first, second] = guest.occurrences.get(7)?.steps ?? [];
