Owe interrupted tasks the room of all shares

On a divided site, interrupted long-running tasks of a full share wait for as long as another share starts short tasks in all the room that becomes free or comes there.

Cause: tasks were handed on by what another share has free, less what waits there. A share that is busy with short tasks never has that, although its short tasks end within seconds and an interrupted task of its own would get their room. Guests that found no worker went back after 1 s, before anything is owed to them, and the share was then refused for 3 s.

Each share now tells, by service, how much room it has for interrupted tasks once its short tasks have ended: what long-running runs leave of its workers, in tasks of the usual size, less what its own interrupted tasks and the runs on leaving workers need. A share that lacks room hands such tasks to the one that has most by its capacity, those interrupted first before the others, up to 0.4 of the difference. What all shares lack is balanced in this way, so that the room which comes anywhere goes to those that wait. The share that has them owes them room in the order of interruption, as to its own, within the same part of its workers, so that short tasks get no less than on a site with one share. They go back only where there is more room, or after 6 s if there should have been room. Tasks that are not interrupted go by what is free, as before. Capacities of former versions are read, and get no interrupted tasks in this way.

`interruptedSpill` and `delegations` guard the choice, the balance, and against tasks that go back and forth.

--- a/packages/samphirenotch/src/jobs/model/shareCapacity.ts
+++ b/packages/samphirenotch/src/jobs/model/shareCapacity.ts
@@ -13,6 +13,11 @@
   readonly unused: number;
   /** Demand of the tasks that wait only for free capacity. */
   readonly waiting: number;
+  /**
+   * Room for interrupted tasks of other shares by service, once short tasks have ended; negative if its own need
+   * more. Empty if its owner does not tell.
+   */
+  readonly forInterrupted: ReadonlyMap<string, number>;
   /** All labels of its workers, including their racks. */
   readonly labels: ReadonlySet<string>;
 }
@@ -23,6 +28,7 @@
   free: 0,
   unused: 0,
   waiting: 0,
+  forInterrupted: new Map(),
   labels: new Set(),
 };
 
@@ -30,6 +36,8 @@
   // Fields: capacity, free, unused, waiting.
   c: z.tuple([z.number(), z.number(), z.number(), z.number()]),
   l: z.array(z.string()),
+  // Room for interrupted tasks by service.
+  i: z.record(z.string(), z.number()).optional(),
 });
 
 /**
@@ -38,10 +46,20 @@
  * @param room - the capacity
  * @returns text for the store
  */
-export const encodeShareCapacity = ({ capacity, free, unused, waiting, labels }: ShareCapacity) =>
+export const encodeShareCapacity = ({
+  capacity,
+  free,
+  unused,
+  waiting,
+  forInterrupted,
+  labels,
+}: ShareCapacity) =>
   JSON.stringify({
     c: [capacity, free, unused, waiting].map(Math.round),
     l: [...labels],
+    ...(forInterrupted.size > 0 && {
+      i: Object.fromEntries([...forInterrupted].map(([name, room]) => [name, Math.round(room)])),
+    }),
   });
 
 /**
@@ -52,7 +70,8 @@
  * @throws if the text was not written by `encodeShareCapacity`
  */
 export const decodeShareCapacity = (text: string): ShareCapacity => {
-  const { c, l } = SHARE_CAPACITY.parse(JSON.parse(text));
+  const { c, l, i } = SHARE_CAPACITY.parse(JSON.parse(text));
   const [capacity, free, unused, waiting] = c;
-  return { capacity, free, unused, waiting, labels: new Set(l) };
+  const forInterrupted = new Map(Object.entries(i ?? {}));
+  return { capacity, free, unused, waiting, forInterrupted, labels: new Set(l) };
 };
--- a/packages/samphirenotch/src/jobs/ownership/incomingDelegations.ts
+++ b/packages/samphirenotch/src/jobs/ownership/incomingDelegations.ts
@@ -215,13 +215,14 @@
   /**
    * Returns tasks that find no worker here to their home.
    *
-   * @param shouldReturn - returns whether the unstarted tasks of a step are to go back
+   * @param shouldReturn - returns whether an unstarted task is to go back
    */
-  returnUnstarted(shouldReturn: (step: OwnedStep) => boolean): void {
+  returnUnstarted(shouldReturn: (task: OwnedTask) => boolean): void {
     this.byId.forEach((incoming) => {
       const { job, step, tasks, delegation } = incoming;
-      const waiting = tasks.filter(isTaskWaiting);
-      if (waiting.length === 0 || !job.isOpen || !shouldReturn(step)) return;
+      if (!job.isOpen) return;
+      const waiting = tasks.filter((task) => isTaskWaiting(task) && shouldReturn(task));
+      if (waiting.length === 0) return;
       // A gang goes back as a whole or not at all.
       if (step.spec.gang && waiting.length < tasks.length) return;
       waiting.forEach((task) => {
--- a/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
@@ -30,6 +30,7 @@
 import type { SiteCodec } from '../model/siteCodec.js';
 import { FillerPacing } from '../pacing/fillerPacing.js';
 import { Interference } from '../pacing/interference.js';
+import { roomForInterrupted } from '../placement/interruptedRoom.js';
 import { RunLog } from '../placement/runLog.js';
 import { StepLauncher } from '../placement/stepLauncher.js';
 import { StepPermissions } from '../placement/stepPermissions.js';
@@ -580,7 +581,7 @@
 
   /** Only a site with several shares has other owners to exchange tasks with. */
   private startExchange(takeover: TakeoverState): Promise<void> | undefined {
-    const { options, term, book, outcomes } = this;
+    const { options, term, book, fleet, outcomes } = this;
     if (options.layout.shares.length === 1) return undefined;
     this.exchange = new ShareExchange({
       ...options,
@@ -590,6 +591,12 @@
       outcomes,
       takeover,
       unconfirmedMs: () => term.leaseUnconfirmedMs(),
+      roomForInterrupted: () =>
+        roomForInterrupted(
+          fleet.all(),
+          fleet.usable(options.operator.view().evacuated),
+          book.openJobs(),
+        ),
       onNews: () => this.wakeup.wake(),
     });
     return this.exchange.run(term.signal);
--- a/packages/samphirenotch/src/jobs/ownership/shareExchange.ts
+++ b/packages/samphirenotch/src/jobs/ownership/shareExchange.ts
@@ -6,9 +6,17 @@
 import { onAbort } from '../../time/abortListeners.js';
 import type { Clock } from '../../time/clock.js';
 
-import type { OwnedJob, OwnedStep } from '../model/ownedJob.js';
+import type { OwnedJob, OwnedStep, OwnedTask } from '../model/ownedJob.js';
 import type { ShareLayout } from '../model/shareLayout.js';
-import { MostFreeRoomSpill, type SpillTarget, type UnplacedStep } from '../placement/spillOver.js';
+import { InterruptedSpill } from '../placement/interruptedSpill.js';
+import { byInterruption, isInterrupted } from '../placement/interruptedTasks.js';
+import {
+  hasWaitedAtHome,
+  MostFreeRoomSpill,
+  type Spill,
+  type SpillTarget,
+  type UnplacedStep,
+} from '../placement/spillOver.js';
 import type { JobRegistry } from '../store/jobRegistry.js';
 import { keysOfShare } from '../store/jobKeys.js';
 import type { JobReplica } from '../store/jobReplica.js';
@@ -30,12 +38,21 @@
  */
 const RETURN_AFTER_MS = 1_000;
 
+/**
+ * The same for interrupted tasks where there should be room for them, in milliseconds: by then it has not become
+ * free on any one worker.
+ */
+const RETURN_INTERRUPTED_AFTER_MS = 6_000;
+
 /** Highest age at which the known room of other shares is used, in milliseconds. */
 const MAX_ROOMS_AGE_MS = 300;
 
 /** Time without a confirmed lease after which the store counts as unreachable, in milliseconds. */
 const STORE_UNREACHABLE_MS = 1_500;
 
+const interruptedTasksOf = (steps: readonly UnplacedStep[]): readonly OwnedTask[] =>
+  steps.flatMap(({ step }) => step.tasks.filter(isInterrupted));
+
 /** Settings and collaborators of a `ShareExchange`. */
 export interface ShareExchangeOptions {
   /** Id of this share. */
@@ -51,6 +68,11 @@
   readonly clock: Clock;
   /** Returns for how long the store has not confirmed the lease, in milliseconds. */
   readonly unconfirmedMs: () => number;
+  /**
+   * Returns the room of this share for interrupted tasks, in thousandths of a core by service; negative if it needs
+   * more for its own.
+   */
+  readonly roomForInterrupted: () => ReadonlyMap<string, number>;
   /** Called when there may be tasks to start. */
   readonly onNews: () => void;
 }
@@ -69,6 +91,8 @@
 
   private readonly spillPolicy = new MostFreeRoomSpill();
 
+  private readonly interruptedSpill = new InterruptedSpill();
+
   private checkedMs = Number.NEGATIVE_INFINITY;
 
   /**
@@ -154,16 +178,60 @@
     if (nowMs < this.checkedMs + MIN_CHECK_INTERVAL_MS) return;
     this.checkedMs = nowMs;
     this.incoming.acceptPending();
-    const waitedMs = new Map(steps.map((each) => [each.step, each.waitedMs]));
-    this.incoming.returnUnstarted((step) => (waitedMs.get(step) ?? 0) >= RETURN_AFTER_MS);
+    this.handOver(steps, nowMs);
+    this.returnGuests(steps);
+  }
+
+  private handOver(steps: readonly UnplacedStep[], nowMs: number): void {
     // A delegation cannot be written while the store is unreachable, so no share would run its
     // tasks.
     if (this.options.unconfirmedMs() > STORE_UNREACHABLE_MS) return;
     if (steps.length === 0 || !this.hasRecentRooms()) return;
     const own = steps.filter(({ step }) => !step.occurrence.job.isGuest);
-    this.spillPolicy
-      .choose(own, this.spillTargets(), nowMs)
-      .forEach(({ step, tasks, to }) => this.outgoing.send(step, tasks, to));
+    const targets = this.spillTargets();
+    const send = ({ step, tasks, to }: Spill): void => this.outgoing.send(step, tasks, to);
+    const interrupted = interruptedTasksOf(own.filter(hasWaitedAtHome));
+    if (interrupted.length > 0)
+      this.excess(interrupted, this.options.roomForInterrupted(), targets).forEach(send);
+    this.spillPolicy.choose(own, targets, nowMs).forEach(send);
+  }
+
+  /** Chooses the interrupted tasks for which this share has no room, and another has more. */
+  private excess(
+    tasks: readonly OwnedTask[],
+    forInterrupted: ReadonlyMap<string, number>,
+    targets: readonly SpillTarget[],
+  ): readonly Spill[] {
+    const { rooms, share, clock } = this.options;
+    const { capacity } = rooms.capacityOf(share);
+    return this.interruptedSpill.choose(
+      byInterruption(tasks),
+      { capacity, forInterrupted },
+      targets,
+      clock.monotonicMs(),
+    );
+  }
+
+  /** Interrupted guests go back only if there is more room elsewhere: they are owed room here. */
+  private returnGuests(steps: readonly UnplacedStep[]): void {
+    const guests = new Map(
+      steps
+        .filter(({ step, waitedMs }) => step.occurrence.job.isGuest && waitedMs >= RETURN_AFTER_MS)
+        .map((each) => [each.step, each]),
+    );
+    if (guests.size === 0) return;
+    const { rooms, roomForInterrupted } = this.options;
+    const targets = rooms.ageMs() <= MAX_ROOMS_AGE_MS ? this.spillTargets() : [];
+    const room = roomForInterrupted();
+    const interrupted = interruptedTasksOf([...guests.values()]);
+    const excess = new Set(this.excess(interrupted, room, targets).flatMap(({ tasks }) => tasks));
+    this.incoming.returnUnstarted((task: OwnedTask) => {
+      const guest = guests.get(task.step);
+      if (!guest) return false;
+      if (!isInterrupted(task) || !guest.hasWorkers || excess.has(task)) return true;
+      const hasRoom = (room.get(task.step.occurrence.job.queue.service) ?? 0) >= 0;
+      return hasRoom && guest.waitedMs >= RETURN_INTERRUPTED_AFTER_MS;
+    });
   }
 
   /**
@@ -188,7 +256,9 @@
   private onTasksReturned(step: OwnedStep, from: string): void {
     const job: OwnedJob = step.occurrence.job;
     job.isFullyStarted = false;
-    this.spillPolicy.noteRefusal(step, from, this.options.clock.monotonicMs());
+    const nowMs = this.options.clock.monotonicMs();
+    this.spillPolicy.noteRefusal(step, from, nowMs);
+    this.interruptedSpill.noteRefusal(step, from, nowMs);
     this.options.onNews();
   }
 }
--- a/packages/samphirenotch/src/jobs/ownership/summaryWriter.ts
+++ b/packages/samphirenotch/src/jobs/ownership/summaryWriter.ts
@@ -5,6 +5,7 @@
 
 import { hasWaitingTasks, isStepReady, isTaskWaiting, type OwnedJob } from '../model/ownedJob.js';
 import { encodeShareCapacity, type ShareCapacity } from '../model/shareCapacity.js';
+import { roomForInterrupted } from '../placement/interruptedRoom.js';
 import { unusedMilliCores } from '../placement/taskPlacement.js';
 import { RoomReport } from './roomReport.js';
 import type { JobRegistry } from '../store/jobRegistry.js';
@@ -54,6 +55,18 @@
   return sum;
 };
 
+/** The same for the room that interrupted tasks could get: they wait while another share has some. */
+const MIN_INTERRUPTED_ROOM_CHANGE = 0.01;
+
+const hasInterruptedRoomChanged = (one: ShareCapacity, other: ShareCapacity): boolean => {
+  const notable = MIN_INTERRUPTED_ROOM_CHANGE * Math.max(one.capacity, other.capacity);
+  const services = new Set([...one.forInterrupted.keys(), ...other.forInterrupted.keys()]);
+  return [...services].some((service) => {
+    const [now = 0, before = 0] = [one, other].map((each) => each.forInterrupted.get(service));
+    return Math.abs(now - before) > notable;
+  });
+};
+
 const isNotableChange = (one: ShareCapacity, other: ShareCapacity): boolean => {
   const notable = MIN_ROOM_CHANGE * Math.max(one.capacity, other.capacity);
   return (
@@ -61,6 +74,7 @@
     Math.abs(one.free - other.free) > notable ||
     Math.abs(one.unused - other.unused) > notable ||
     Math.abs(one.waiting - other.waiting) > notable ||
+    hasInterruptedRoomChanged(one, other) ||
     one.labels.size !== other.labels.size ||
     [...one.labels].some((label) => !other.labels.has(label))
   );
@@ -146,6 +160,7 @@
       waiting: jobs
         .filter(({ isFullyStarted: settled }) => !settled)
         .reduce((sum, job) => sum + waitingMilliCores(job, wallMs), 0),
+      forInterrupted: roomForInterrupted(fleet.all(), agents, jobs),
       labels: new Set(agents.flatMap(({ description }) => description.labels)),
     };
   }
--- /dev/null
+++ b/packages/samphirenotch/src/jobs/placement/interruptedRoom.ts
@@ -0,0 +1,94 @@
+/**
+ * Estimates how much room a share has for interrupted tasks once its short tasks have ended.
+ */
+import { isStepReady, type OwnedJob, type OwnedRun, type OwnedTask } from '../model/ownedJob.js';
+import { isInterrupted } from './interruptedTasks.js';
+
+/** The part of a worker's agent that tells how much room its long-running runs leave. */
+export interface LastingAgent {
+  readonly description: {
+    readonly service: string;
+    readonly capacity: { readonly milliCores: number };
+  };
+  /** @returns the runs that take its resources */
+  activeRuns(): readonly OwnedRun[];
+}
+
+/** What long-running tasks of a service have and need, in thousandths of a core. */
+interface Demand {
+  /** Capacity of each worker that accepts work, without what long-running runs hold. */
+  readonly rooms: number[];
+  /** Sizes of the long-running runs on these workers. */
+  readonly held: number[];
+  /** Sizes of the interrupted tasks, and of the runs on workers that accept no work. */
+  readonly needed: number[];
+}
+
+const milliCoresOf = ({ step }: OwnedTask): number => step.spec.size.milliCores;
+
+const sum = (values: readonly number[]): number => values.reduce((total, each) => total + each, 0);
+
+const lastingSizes = (agent: LastingAgent): readonly number[] =>
+  agent
+    .activeRuns()
+    .filter(({ task: { step } }) => step.spec.longRunning && !step.spec.filler)
+    .map(({ size }) => size.milliCores);
+
+/** Room that is smaller than a usual task is left out: no task fits there. */
+const roomLeft = ({ rooms, held, needed }: Demand): number => {
+  const sizes = [...held, ...needed];
+  const usual = Math.max(1, sum(sizes) / Math.max(1, sizes.length));
+  return sum(rooms.map((room) => Math.floor(Math.max(0, room) / usual) * usual)) - sum(needed);
+};
+
+/**
+ * Lists the interrupted tasks of a job that wait to run again here.
+ *
+ * @param job - the job
+ * @returns the tasks
+ */
+export const interruptedTasksOf = ({ occurrences }: OwnedJob): readonly OwnedTask[] =>
+  [...occurrences.values()]
+    .flatMap(({ steps }) => steps)
+    .filter((step) => step.spec.longRunning && isStepReady(step))
+    .flatMap(({ tasks }) => tasks.filter(isInterrupted));
+
+/**
+ * Estimates how much room each service has for further interrupted tasks. Runs on workers that leave need room
+ * as well.
+ *
+ * @param all - all workers of the share
+ * @param usable - those that accept work
+ * @param jobs - the open jobs of the share
+ * @returns thousandths of a core by service; negative if the share needs more for its own
+ */
+export const roomForInterrupted = (
+  all: readonly LastingAgent[],
+  usable: readonly LastingAgent[],
+  jobs: readonly OwnedJob[],
+): ReadonlyMap<string, number> => {
+  const demands = new Map<string, Demand>();
+  const demandOf = (service: string): Demand => {
+    const demand = demands.get(service) ?? { rooms: [], held: [], needed: [] };
+    demands.set(service, demand);
+    return demand;
+  };
+  const accepting = new Set(usable);
+  all.forEach((agent) => {
+    const { service, capacity } = agent.description;
+    const { rooms, held, needed } = demandOf(service);
+    const sizes = lastingSizes(agent);
+    if (!accepting.has(agent)) {
+      needed.push(...sizes);
+      return;
+    }
+    rooms.push(capacity.milliCores - sum(sizes));
+    held.push(...sizes);
+  });
+  jobs
+    .filter(({ isFullyStarted, isOpen }) => isOpen && !isFullyStarted)
+    .forEach((job) =>
+      demandOf(job.queue.service).needed.push(...interruptedTasksOf(job).map(milliCoresOf)),
+    );
+  return new Map([...demands].map(([service, demand]) => [service, roomLeft(demand)]));
+};
--- /dev/null
+++ b/packages/samphirenotch/src/jobs/placement/interruptedSpill.ts
@@ -0,0 +1,139 @@
+/**
+ * Decides which interrupted tasks go to another share: those for which a share has no room even once its short
+ * tasks have ended.
+ *
+ * Such a task would wait for as long as the other shares are busy with short tasks, since these leave no room
+ * free. The share that takes it in owes it room like an interrupted task of its own. So if all shares lack room,
+ * what each lacks is balanced: new room goes to those that have waited longest, wherever it comes.
+ */
+import type { OwnedStep, OwnedTask } from '../model/ownedJob.js';
+import type { ShareCapacity } from '../model/shareCapacity.js';
+import type { Spill, SpillTarget } from './spillOver.js';
+
+/** Fraction of the difference to another share, as in its report, that this share may use. */
+const BUDGET_FRACTION = 0.4;
+
+/**
+ * Smallest difference to a share that lacks room as well, as a fraction of capacities: a smaller one is within the
+ * error of reports.
+ */
+const MIN_LEAD = 0.015;
+
+/** Time after which reports of another share count the tasks that were handed to it, in milliseconds. */
+const REPORT_DELAY_MS = 1_000;
+
+/**
+ * Time for which tasks of a step are not handed again to a share that returned some, in milliseconds: until it has
+ * reported less room.
+ */
+const REFUSAL_BACKOFF_MS = 1_000;
+
+/** Room that was used at another share, and is not missing in its report yet. */
+interface UsedRoom {
+  readonly share: string;
+  readonly service: string;
+  readonly milliCores: number;
+  readonly atMs: number;
+}
+
+const serviceOf = ({ step }: OwnedTask): string => step.occurrence.job.queue.service;
+
+/** Capacity of a share and its room for interrupted tasks, in thousandths of a core. */
+export type InterruptedRoom = Pick<ShareCapacity, 'capacity' | 'forInterrupted'>;
+
+/** Returns how much another share could take in until both have as much room by their capacity; 0 if too little. */
+const leadOf = (other: InterruptedRoom, home: InterruptedRoom, task: OwnedTask): number => {
+  const service = serviceOf(task);
+  const room = other.forInterrupted.get(service);
+  if (room === undefined || other.capacity <= 0) return 0;
+  const lacking = home.forInterrupted.get(service) ?? 0;
+  const lead = room / other.capacity - lacking / Math.max(1, home.capacity);
+  if (room < task.step.spec.size.milliCores && lead < MIN_LEAD) return 0;
+  const level = (room + lacking) / (other.capacity + home.capacity);
+  return room - level * other.capacity;
+};
+
+/** Hands interrupted tasks to the share with the most room for them. */
+export class InterruptedSpill {
+  private used: readonly UsedRoom[] = [];
+
+  private readonly refusals = new WeakMap<OwnedStep, Map<string, number>>();
+
+  /**
+   * Records that a share has returned tasks.
+   *
+   * @param step - the step of the tasks
+   * @param share - id of the share
+   * @param nowMs - monotonic time in milliseconds
+   */
+  noteRefusal(step: OwnedStep, share: string, nowMs: number): void {
+    const known = this.refusals.get(step) ?? new Map<string, number>();
+    known.set(share, nowMs + REFUSAL_BACKOFF_MS);
+    this.refusals.set(step, known);
+  }
+
+  /**
+   * Chooses tasks for which this share has no room.
+   *
+   * @param tasks - interrupted tasks, in the order in which they are handed over
+   * @param home - this share
+   * @param targets - other shares that have an owner
+   * @param nowMs - monotonic time in milliseconds
+   * @returns the tasks and their new shares
+   */
+  choose(
+    tasks: readonly OwnedTask[],
+    home: InterruptedRoom,
+    targets: readonly SpillTarget[],
+    nowMs: number,
+  ): readonly Spill[] {
+    this.used = this.used.filter(({ atMs }) => nowMs - atMs < REPORT_DELAY_MS);
+    const left = new Map(home.forInterrupted);
+    const chosen = new Map<OwnedStep, Map<string, OwnedTask[]>>();
+    tasks.forEach((task) => {
+      const { step } = task;
+      const service = serviceOf(task);
+      if ((left.get(service) ?? 0) >= 0) return;
+      const { milliCores } = step.spec.size;
+      const share = this.shareFor(task, home, targets, nowMs);
+      if (share === undefined) return;
+      this.used = [...this.used, { share, service, milliCores, atMs: nowMs }];
+      left.set(service, (left.get(service) ?? 0) + milliCores);
+      const byShare = chosen.get(step) ?? new Map<string, OwnedTask[]>();
+      byShare.set(share, [...(byShare.get(share) ?? []), task]);
+      chosen.set(step, byShare);
+    });
+    return [...chosen].flatMap(([step, byShare]) =>
+      [...byShare].map(([to, handed]) => ({ step, tasks: handed, to })),
+    );
+  }
+
+  /** Returns the id of the share with the most room, if the task fits into its budget. */
+  private shareFor(
+    task: OwnedTask,
+    home: InterruptedRoom,
+    targets: readonly SpillTarget[],
+    nowMs: number,
+  ): string | undefined {
+    const { spec } = task.step;
+    const fraction = Math.max(BUDGET_FRACTION, 1 / Math.max(1, targets.length));
+    const refusals = this.refusals.get(task.step);
+    let most = spec.size.milliCores;
+    let found: string | undefined;
+    targets.forEach(({ share, room }) => {
+      if (spec.requiredLabel !== '' && !room.labels.has(spec.requiredLabel)) return;
+      if ((refusals?.get(share) ?? 0) > nowMs) return;
+      const budget = fraction * leadOf(room, home, task) - this.usedAt(share, serviceOf(task));
+      if (budget < most) return;
+      most = budget;
+      found = share;
+    });
+    return found;
+  }
+
+  private usedAt(share: string, service: string): number {
+    return this.used
+      .filter((each) => each.share === share && each.service === service)
+      .reduce((total, { milliCores }) => total + milliCores, 0);
+  }
+}
--- a/packages/samphirenotch/src/jobs/placement/interruptedTasks.ts
+++ b/packages/samphirenotch/src/jobs/placement/interruptedTasks.ts
@@ -8,7 +8,7 @@
 
 import type { DelegatedTask } from '../model/delegation.js';
 import { interruptionOf } from '../model/jobProgress.js';
-import { isTaskWaiting, type OwnedStep, type OwnedTask } from '../model/ownedJob.js';
+import { isSuspect, isTaskWaiting, type OwnedStep, type OwnedTask } from '../model/ownedJob.js';
 
 /**
  * Time for which other tasks go before an interrupted one, in milliseconds. Callers are promised that
@@ -27,6 +27,20 @@
   nowMs - task.interruptedMs >= durationMs &&
   isTaskWaiting(task);
 
+/**
+ * Checks whether a task is owed room, sooner or later, because it was interrupted.
+ *
+ * @param task - the task
+ * @returns true if it is long-running, waits here, and is known to have run; false for fillers, gangs and tasks that
+ *   are suspected of crashing workers
+ */
+export const isInterrupted = (task: OwnedTask): boolean => {
+  const { longRunning, filler, gang } = task.step.spec;
+  if (!longRunning || filler || gang || !task.hasRun || task.interruptedMs === undefined)
+    return false;
+  return isTaskWaiting(task) && !isSuspect(task);
+};
+
 /**
  * Lists the interrupted tasks of a step that have waited for too long.
  *
--- a/packages/samphirenotch/src/jobs/placement/spillOver.ts
+++ b/packages/samphirenotch/src/jobs/placement/spillOver.ts
@@ -71,7 +71,13 @@
   unused: number;
 }
 
-const shouldSpill = ({ step, waitedMs, hasWorkers }: UnplacedStep): boolean => {
+/**
+ * Checks whether tasks of a step have waited for room in their home share for long enough.
+ *
+ * @param unplaced - the step
+ * @returns true if they may be handed to another share
+ */
+export const hasWaitedAtHome = ({ step, waitedMs, hasWorkers }: UnplacedStep): boolean => {
   if (!hasWorkers) return true;
   const { filler, longRunning } = step.spec;
   return waitedMs >= (filler || longRunning ? DEFERRABLE_HOME_WAIT_MS : HOME_WAIT_MS);
@@ -103,7 +109,9 @@
   ): readonly Spill[] {
     const fraction = Math.max(MINIMUM_BUDGET_FRACTION, 1 / Math.max(1, targets.length));
     targets.forEach((target) => this.refreshBudget(target, fraction));
-    return steps.filter(shouldSpill).flatMap(({ step }) => this.spill(step, targets, nowMs) ?? []);
+    return steps
+      .filter(hasWaitedAtHome)
+      .flatMap(({ step }) => this.spill(step, targets, nowMs) ?? []);
   }
 
   private refreshBudget({ share, room }: SpillTarget, fraction: number): void {
--- a/tests/jobs/decisions.spec.ts
+++ b/tests/jobs/decisions.spec.ts
@@ -14,6 +14,11 @@
 import { encodeAccepted } from 'samphirenotch/jobs/model/acceptedJob.js';
 import { OwnedJob } from 'samphirenotch/jobs/model/ownedJob.js';
 import { PairSlopes } from 'samphirenotch/jobs/pacing/pairSlopes.js';
+import {
+  decodeShareCapacity,
+  encodeShareCapacity,
+  NO_CAPACITY,
+} from 'samphirenotch/jobs/model/shareCapacity.js';
 import { WHOLE_SITE_SHARE_ID } from 'samphirenotch/jobs/model/shareLayout.js';
 import { findQueue } from 'samphirenotch/jobs/model/siteConfiguration.js';
 import { DeadlineStepOrder } from 'samphirenotch/jobs/placement/stepOrder.js';
@@ -99,6 +104,7 @@
   t.is(delegation.toToken, undefined);
   const report = decodeReport('{"t":"dc1","b":true,"r":[[2,5,[4],"c","r"]]}');
   t.like(report.tasks[0], { outcome: 'returned', crashedRuns: [], failedRuns: [4], hasRun: false });
+  t.is(decodeShareCapacity('{"c":[4,3,2,1],"l":["r1"]}').forInterrupted.size, 0);
 });
 
 /** Makes a task of a delegation or a report. */
@@ -138,6 +144,16 @@
   );
 });
 
+// Guards against a share whose room for interrupted tasks the others do not learn of (LOST).
+test('should keep the room for interrupted tasks by service in the capacity of a share', (t) => {
+  const forInterrupted = new Map([
+    ['desk', 4_000],
+    ['archive', -2_000],
+  ]);
+  const room = { ...NO_CAPACITY, forInterrupted };
+  t.deepEqual(decodeShareCapacity(encodeShareCapacity(room)), room);
+});
+
 // Guards against an owner that starts jobs which a listing of the store also shows as ended or
 // cancelled.
 test('should not report a listed job as accepted if it has ended or is cancelled', (t) => {
--- a/tests/jobs/delegations.spec.ts
+++ b/tests/jobs/delegations.spec.ts
@@ -284,3 +284,54 @@
   t.is(site.record.runs.at(-1)?.workerId, 'w0');
   t.deepEqual(site.record.violations, []);
 });
+
+const OTHER = '00000000000000a2';
+
+/** Makes two shares of two workers each that are full of tasks which last. */
+const makeLastingSite = async (): Promise<JobSite> => {
+  const { site } = await makeDividedSite({
+    workers: 4,
+    behave: () => ({ size: SIZE, durationMs: Infinity }),
+  });
+  const step = makeStep({ count: 8, longRunning: true });
+  site.putJobs([ID], makeJob(step), 'dc0');
+  site.putJobs([OTHER], makeJob(step), 'dc1');
+  await site.run(1_000);
+  return site;
+};
+
+const delegatedTo = (site: JobSite, share: string): readonly DelegatedTask[] =>
+  exchangedTasks(site, keysOfShare(share).receivedDelegationsPrefix, decodeDelegation);
+
+const runningCount = (site: JobSite): number =>
+  site.record.runs.filter(({ endedMs }) => endedMs === undefined).length;
+
+// Guards against interrupted tasks that go back and forth between shares none of which has room for them.
+test('should hand over no interrupted tasks while all shares lack as much room', async (t) => {
+  const site = await makeLastingSite();
+  interruptOn(site, 'w0');
+  interruptOn(site, 'w1');
+  await site.run(10_000);
+  t.deepEqual(delegatedTo(site, 'dc0'), []);
+  t.deepEqual(delegatedTo(site, 'dc1'), []);
+  site.addWorker('w4');
+  site.addWorker('w6');
+  await site.run(2_000);
+  t.is(runningCount(site), 16);
+  t.deepEqual(site.record.violations, []);
+});
+
+// Guards against interrupted guests that wait for room while their home has some (LOST).
+test('should give interrupted guests back once there is room at home, and not before', async (t) => {
+  const site = await makeLastingSite();
+  interruptOn(site, 'w0');
+  await site.run(8_000);
+  const guests = delegatedTo(site, 'dc1').length;
+  t.true(guests > 0 && guests < 4, `${guests} of 4 tasks were handed over`);
+  t.deepEqual(exchangedTasks(site, keysOfShare('dc0').receivedReportsPrefix, decodeReport), []);
+  site.addWorker('w4');
+  await site.run(2_000);
+  t.is(runningCount(site), 16);
+  t.is(delegatedTo(site, 'dc1').length, guests);
+  t.deepEqual(site.record.violations, []);
+});
