--- a/packages/samphirenotch/src/jobs/placement/interruptedTasks.ts
+++ b/packages/samphirenotch/src/jobs/placement/interruptedTasks.ts
@@ -4,7 +4,11 @@
  * Under sustained overload, tasks that can be in time take all room that becomes free. A long-running
  * task that was interrupted would then wait for as long as the overload lasts.
  */
-import { isTaskWaiting, type OwnedStep, type OwnedTask } from '../model/ownedJob.js';
+import type { Clock } from '../../time/clock.js';
+
+import type { DelegatedTask } from '../model/delegation.js';
+import { interruptionOf } from '../model/jobProgress.js';
+import { isSuspect, isTaskWaiting, type OwnedStep, type OwnedTask } from '../model/ownedJob.js';
 
 /**
  * Time for which other tasks go before an interrupted one, in milliseconds. Callers are promised that
@@ -23,6 +27,20 @@
   nowMs - task.interruptedMs >= durationMs &&
   isTaskWaiting(task);
 
+/**
+ * Checks whether a task is owed room, sooner or later, because it was interrupted.
+ *
+ * @param task - the task
+ * @returns true if it is long-running, waits here, and is known to have run; false for fillers, gangs and tasks that
+ *   are suspected of crashing workers
+ */
+export const isInterrupted = (task: OwnedTask): boolean => {
+  const { longRunning, filler, gang } = task.step.spec;
+  if (!longRunning || filler || gang || !task.hasRun || task.interruptedMs === undefined)
+    return false;
+  return isTaskWaiting(task) && !isSuspect(task);
+};
+
 /**
  * Lists the interrupted tasks of a step that have waited for too long.
  *
@@ -52,3 +70,19 @@
  */
 export const byInterruption = (tasks: readonly OwnedTask[]): readonly OwnedTask[] =>
   [...tasks].sort((left, right) => (left.interruptedMs ?? 0) - (right.interruptedMs ?? 0));
+
+/**
+ * Returns what another share has to know of the former runs of a task.
+ *
+ * @param task - the task
+ * @param clock - time
+ * @returns fields of a delegation or a report; those of a task that never ran unless it is long-running
+ */
+export const interruptionFields = (
+  task: OwnedTask,
+  clock: Clock,
+): Pick<DelegatedTask, 'hasRun' | 'interruptedAtMs'> => {
+  if (!task.step.spec.longRunning) return { hasRun: false, interruptedAtMs: undefined };
+  const isRunning = task.runs.some(({ confirmedMs }) => confirmedMs !== undefined);
+  return { hasRun: task.hasRun || isRunning, interruptedAtMs: interruptionOf(task, clock) };
+};
