Log the steps of a new worker until it is usable

A worker that has come counts as room before it is in use. The log told when it is listed and when a task starts on it, not what came between, so the parts could only be seen with lines added for a trial.

One line tells that a worker has accepted the fencing token, since when it is known and how long the call took; one that a roster with further workers is stored, which of them and how long that took. Both come once for each worker and term; the second names 20 workers at most.

--- a/packages/samphirenotch/src/jobs/workers/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerAgent.ts
@@ -312,6 +312,9 @@
   /** Resolve the waits for the next answer of the worker, or for the failure of a poll. */
   private pollWaiters: readonly (() => void)[] = [];
 
+  /** Monotonic time at which this owner learned of the worker, in milliseconds. */
+  private readonly knownSinceMs: number;
+
   private seenSequence = 0;
 
   private storedSequence = 0;
@@ -329,6 +332,7 @@
    */
   constructor(private readonly options: AgentOptions) {
     this.description = options.description;
+    this.knownSinceMs = options.clock.monotonicMs();
     this.earliestLeaveMs = this.earliestLeaveOf(options.description, false);
     this.worker = this.connect(options.description);
     this.workerClock = new WorkerClock(options.clock);
@@ -1023,6 +1027,13 @@
     if (isNew) this.leaseUntilMs = holding.clockMs + this.options.maxLeaseMs;
     if (!this.fenced) {
       this.fenced = true;
+      const nowMs = this.options.clock.monotonicMs();
+      this.log.info('A worker has accepted the fencing token', {
+        worker: this.id,
+        knownForMs: Math.round(nowMs - this.knownSinceMs),
+        callMs: Math.round(nowMs - sentMs),
+        polls: this.pollCount,
+      });
       // A former owner may have extended the lease until just now, unless it had counted it down.
       const longestUntilMs = holding.clockMs + this.longestLeaseMs(holding);
       const formerUntilMs = this.endWithin(longestUntilMs, this.options.leaseLimitMs());
--- a/packages/samphirenotch/src/jobs/workers/workerFleet.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerFleet.ts
@@ -47,6 +47,9 @@
 /** Time for which the contested data centres are not worked out again, in milliseconds. */
 const CONTESTED_CACHE_MS = 20;
 
+/** Most workers that a line of the log names. */
+const MAX_LOGGED_WORKERS = 20;
+
 const NO_DATA_CENTRES: ReadonlySet<string> = new Set();
 
 /** A worker on which an owner may have started runs, as stored for its successor. */
@@ -854,7 +857,9 @@
       overtakes: true,
       value: () => text,
     });
+    const handedMs = this.clock.monotonicMs();
     const names = new Set(current.map(rosterNameOf));
+    const added = current.filter((entry) => !this.newestRostered.has(rosterNameOf(entry)));
     const storedNames = new Set(roster.map(rosterNameOf));
     this.newestRostered = names;
     this.newestSpares = spares;
@@ -866,6 +871,7 @@
     this.journal.waitUntilStored(sequence, this.rosterKey).then(
       (stored) => {
         if (!stored) return;
+        this.logStored(added, handedMs);
         this.spares = lowerOf(spares, this.newestSpares);
         this.rostered = new Set([...names].filter((name) => this.newestRostered.has(name)));
         this.possiblyRostered = new Map(
@@ -880,4 +886,15 @@
       },
     );
   }
+
+  /** Logs how long the workers waited that a stored roster adds. */
+  private logStored(added: readonly RosterEntry[], handedMs: number): void {
+    if (added.length === 0) return;
+    const ids = added.slice(0, MAX_LOGGED_WORKERS).map(({ id }) => id);
+    this.log.info('A roster with further workers is stored', {
+      added: added.length,
+      workers: ids.join(' '),
+      tookMs: Math.round(this.clock.monotonicMs() - handedMs),
+    });
+  }
 }
