Store the end of each worker's lease before an owner that stops gives up its share

Callers saw: a long-running task whose worker is lost just before a planned change of the owner runs again up to 1.4 s later than its lease lasts.

Cause: an owner that hands over stored one bound for all workers that it has not found silent, the longest of their leases. A worker that is lost meanwhile answers a poll of up to 1 s no more and is not silent yet; its lease ends with its last extension, those of the others with theirs, which go on until the handover.

Change: the last record of an owner also has those ends of the other workers that are earlier than the longest. The owner extends no lease beyond its own end once the record is written. Only its immediate successor goes by them: that one may extend the leases up to the longest end, so it does not pass the earlier ones on. It uses the workers at once, as before.

Why it works: what the successor concludes from is what limits the owner itself from the moment at which the record may be stored.

--- a/packages/samphirenotch/src/jobs/ownership/takeover.ts
+++ b/packages/samphirenotch/src/jobs/ownership/takeover.ts
@@ -16,7 +16,7 @@
 import type { JobReplica } from '../store/jobReplica.js';
 import { ProgressJournal } from '../store/progressJournal.js';
 import type { Term } from '../store/term.js';
-import type { LeaseEnds, LeaseRecord } from '../workers/leaseCountdown.js';
+import type { LeaseEnd, LeaseEnds, LeaseLeft, LeaseRecord } from '../workers/leaseCountdown.js';
 import type { FormerWorkers, RosterEntry } from '../workers/workerFleet.js';
 
 /**
@@ -55,10 +55,14 @@
   }),
 );
 
+const LEASES = z.array(z.object({ id: z.string(), leftMs: z.number().nonnegative() }));
+
 const LEASE_RECORD: z.ZodType<LeaseRecord> = z.object({
   journal: z.string(),
-  leases: z.array(z.object({ id: z.string(), leftMs: z.number().nonnegative() })),
+  leases: LEASES,
   othersLeftMs: z.number().nonnegative().optional(),
+  // Records of older versions lack it.
+  othersLeases: LEASES.optional(),
 });
 
 /** Settings and collaborators of a takeover. */
@@ -118,7 +122,11 @@
   readonly placesSince: number;
 }
 
-const NO_LEASE_ENDS: LeaseEnds = { leases: [], othersEndMs: Number.POSITIVE_INFINITY };
+const NO_LEASE_ENDS: LeaseEnds = {
+  leases: [],
+  othersEndMs: Number.POSITIVE_INFINITY,
+  othersEnds: [],
+};
 
 /**
  * Returns the leases that an owner no longer extends; none if the record is of another owner. The time left
@@ -131,12 +139,15 @@
 ): LeaseEnds => {
   if (!item) return NO_LEASE_ENDS;
   try {
-    const { journal, leases, othersLeftMs } = LEASE_RECORD.parse(JSON.parse(item.value));
+    const record = LEASE_RECORD.parse(JSON.parse(item.value));
+    const { journal, leases, othersLeftMs, othersLeases = [] } = record;
     if (journal !== label) return NO_LEASE_ENDS;
     const writtenMs = history.writtenByMs(item.revision);
+    const endOf = ({ id, leftMs }: LeaseLeft): LeaseEnd => ({ id, endMs: writtenMs + leftMs });
     return {
-      leases: leases.map(({ id, leftMs }) => ({ id, endMs: writtenMs + leftMs })),
+      leases: leases.map(endOf),
       othersEndMs: writtenMs + (othersLeftMs ?? Number.POSITIVE_INFINITY),
+      othersEnds: othersLeases.map(endOf),
     };
   } catch (error) {
     const reason = String(error).slice(0, LONGEST_REASON);
@@ -145,7 +156,10 @@
   }
 };
 
-/** Returns the record of leases that another owner no longer extended; undefined if there are none. */
+/**
+ * Returns the record of leases that another owner no longer extended; undefined if there are none. This owner may
+ * extend all but the named ones up to the longest of them.
+ */
 const encodeLeases = (
   journal: string,
   { leases, othersEndMs }: LeaseEnds,
--- a/packages/samphirenotch/src/jobs/workers/formerLeases.ts
+++ b/packages/samphirenotch/src/jobs/workers/formerLeases.ts
@@ -65,10 +65,10 @@
   private readonly contacts: Contact[] = [];
 
   /**
-   * Monotonic times at which leases end at the latest that the last owner had counted down, in
+   * Monotonic times at which leases end at the latest that the last owner no longer extended, in
    * milliseconds, by id of the worker.
    */
-  private readonly countedDownEndsMs = new Map<string, number>();
+  private readonly storedEndsMs = new Map<string, number>();
 
   /** The same for all other workers. */
   private othersEndMs = Number.POSITIVE_INFINITY;
@@ -97,14 +97,14 @@
    *   leases had lost the share, in milliseconds
    */
   beginTerm(
-    { leases, othersEndMs }: LeaseEnds,
+    { leases, othersEndMs, othersEnds }: LeaseEnds,
     roster: readonly FormerWorker[],
     lastLossMs: number,
   ): void {
     this.lastLossMs = lastLossMs;
     this.othersEndMs = othersEndMs;
     this.formerWorkers = new Map(roster.map((worker) => [worker.id, worker]));
-    leases.forEach(({ id, endMs }) => this.countedDownEndsMs.set(id, endMs));
+    [...othersEnds, ...leases].forEach(({ id, endMs }) => this.storedEndsMs.set(id, endMs));
   }
 
   /**
@@ -135,7 +135,7 @@
     const lastExtensionMs = Math.min(this.ownersEndMs, reachedAtMs + SUCCESSOR_DISCOVERY_MS);
     return Math.min(
       lastExtensionMs + MAX_FORMER_LEASE_MS,
-      this.countedDownEndsMs.get(id) ?? this.othersEndMs,
+      this.storedEndsMs.get(id) ?? this.othersEndMs,
     );
   }
 
--- a/packages/samphirenotch/src/jobs/workers/leaseCountdown.ts
+++ b/packages/samphirenotch/src/jobs/workers/leaseCountdown.ts
@@ -48,6 +48,8 @@
   readonly leases: readonly LeaseLeft[];
   /** Longest lease of all other workers, as for these; left out if the owner may extend them. */
   readonly othersLeftMs?: number | undefined;
+  /** Those of them that end earlier. Only the next owner may go by these, since it extends them up to the longest. */
+  readonly othersLeases?: readonly LeaseLeft[] | undefined;
 }
 
 /** When the leases end at the latest that an owner no longer extends. */
@@ -55,6 +57,8 @@
   readonly leases: readonly LeaseEnd[];
   /** Monotonic time for all other workers, in milliseconds; infinite if their leases may be extended. */
   readonly othersEndMs: number;
+  /** Those of them that end earlier, unless this owner extends them. */
+  readonly othersEnds: readonly LeaseEnd[];
 }
 
 /** A record that is stored, or may be. */
@@ -65,8 +69,12 @@
   readonly endsMs: ReadonlyMap<string, number>;
   /** The same for all other workers; infinite if their leases may be extended. */
   readonly othersEndMs: number;
+  /** Earlier ends of some of them, by id of the worker. */
+  readonly earlierEndsMs: ReadonlyMap<string, number>;
 }
 
+const NO_ENDS: ReadonlyMap<string, number> = new Map();
+
 const describeLeases = (leases: readonly LeaseLeft[]): string =>
   leases
     .slice(0, MAX_LOGGED)
@@ -113,7 +121,7 @@
     this.key = key;
     this.newestIds = leases.map(({ id }) => id);
     const endsMs = new Map(leases.map(({ id, endMs }) => [id, endMs]));
-    this.records = [{ sequence: STORED_BEFORE, endsMs, othersEndMs }];
+    this.records = [{ sequence: STORED_BEFORE, endsMs, othersEndMs, earlierEndsMs: NO_ENDS }];
   }
 
   /**
@@ -144,7 +152,10 @@
    */
   limitMs(id: string): number {
     return Math.min(
-      ...this.records.map(({ endsMs, othersEndMs }) => endsMs.get(id) ?? othersEndMs),
+      ...this.records.map(
+        ({ endsMs, othersEndMs, earlierEndsMs }) =>
+          endsMs.get(id) ?? earlierEndsMs.get(id) ?? othersEndMs,
+      ),
     );
   }
 
@@ -172,40 +183,52 @@
       });
     }
     // Workers that answer again get no work before the record is stored.
-    this.store(leases, undefined, removed.length > 0 || areOthersLimited);
+    this.store(leases, removed.length > 0 || areOthersLimited);
   }
 
   /**
    * Stores the leases at the end of a term, in which none is extended any more.
    *
    * @param leases - leases that are counted down
-   * @param othersLeftMs - longest lease of all other workers, in milliseconds
+   * @param others - those of all other workers
    */
-  finish(leases: readonly LeaseLeft[], othersLeftMs: number): void {
+  finish(leases: readonly LeaseLeft[], others: readonly LeaseLeft[]): void {
     this.isOver = true;
-    this.log.info('No lease is extended any more', { othersLeftMs, workers: leases.length });
-    this.store(leases, othersLeftMs, true);
+    const longestMs = Math.max(0, ...others.map(({ leftMs }) => leftMs));
+    this.log.info('No lease is extended any more', {
+      othersLeftMs: longestMs,
+      workers: leases.length,
+    });
+    const earlier = others.filter(({ leftMs }) => leftMs < longestMs);
+    this.store(leases, true, { othersLeftMs: longestMs, othersLeases: earlier });
   }
 
   private store(
     leases: readonly LeaseLeft[],
-    othersLeftMs: number | undefined,
     isUrgent: boolean,
+    others: Pick<LeaseRecord, 'othersLeftMs' | 'othersLeases'> = {},
   ): void {
     const nowMs = this.clock.monotonicMs();
     this.recordedAtMs = nowMs;
     this.newestIds = leases.map(({ id }) => id);
-    const record: LeaseRecord = { journal: this.journal.ownerLabel, leases, othersLeftMs };
-    const text = JSON.stringify(record);
+    const { othersLeftMs, othersLeases = [] } = others;
+    const stored: LeaseRecord = { journal: this.journal.ownerLabel, leases, ...others };
+    const text = JSON.stringify(stored);
     const isEmpty = leases.length === 0 && othersLeftMs === undefined;
     const content = isEmpty ? {} : { value: () => text };
     const sequence = this.journal.add({ key: this.key, isUrgent, overtakes: true, ...content });
-    const endsMs = new Map(leases.map(({ id, leftMs }) => [id, nowMs + leftMs]));
-    const othersEndMs = nowMs + (othersLeftMs ?? Number.POSITIVE_INFINITY);
-    this.records = [...this.records, { sequence, endsMs, othersEndMs }];
+    const endsOf = (counted: readonly LeaseLeft[]): ReadonlyMap<string, number> =>
+      new Map(counted.map(({ id, leftMs }) => [id, nowMs + leftMs]));
+    const record: PossibleRecord = {
+      sequence,
+      endsMs: endsOf(leases),
+      othersEndMs: nowMs + (othersLeftMs ?? Number.POSITIVE_INFINITY),
+      earlierEndsMs: endsOf(othersLeases),
+    };
+    this.records = [...this.records, record];
     this.journal.waitUntilStored(sequence, this.key).then(
-      (stored) => {
-        if (stored) this.dropOlderThan(sequence);
+      (isStored) => {
+        if (isStored) this.dropOlderThan(sequence);
       },
       (error: unknown) => {
         this.log.error('The leases that are counted down were not stored', {
--- a/packages/samphirenotch/src/jobs/workers/workerFleet.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerFleet.ts
@@ -631,10 +631,10 @@
     if (this.isFormerRosterUnknown) return;
     const agents = this.all().filter((agent) => this.mayHoldRuns(agent));
     const named = agents.filter((agent) => !agent.isFenced || this.shouldBeCountedDown(agent));
-    const heldMs = agents
+    const others = agents
       .filter((agent) => !named.includes(agent))
-      .map(({ leaseLeftMs = 0 }) => leaseLeftMs);
-    this.countdown.finish(this.leasesOf(named), Math.ceil(Math.max(0, ...heldMs)));
+      .map(({ id, leaseLeftMs = 0 }) => ({ id, leftMs: Math.ceil(leaseLeftMs) }));
+    this.countdown.finish(this.leasesOf(named), others);
   }
 
   private formerLeaseLeftMs({ description }: WorkerAgent): number {
