Store changes in turn while keys that are being written change

What callers saw, or would have: no end, place or roster is stored for as long as the progress of thirty jobs changes in each transaction.

Cause: a change to a key that was being written took the place of the one in flight, at the beginning. With as many such keys as a transaction holds, the next transaction held the same keys again, and nothing behind them was ever stored; with fewer, each left less room. Changes that overtake others were behind them as well.

Evidence: found in a review of the order. How often a site comes to that was not measured.

Change: a change to a key that is being written goes to the end, or to the place of those that overtake others, like any new one.

Why it works: the one in flight is older than all that wait, and the new one is younger. So the order is that in which they were added, and each has its turn. A key has one pending change more than before, at most.

--- a/packages/samphirenotch/src/jobs/store/progressJournal.ts
+++ b/packages/samphirenotch/src/jobs/store/progressJournal.ts
@@ -3,7 +3,8 @@
  *
  * What a transaction leaves in the store is what the oldest changes make of it, without a gap: no
  * change is stored before an earlier one. A write replaces a pending write of the same key at its
- * place, and a removal a pending removal; a change of the other kind goes to the end.
+ * place, and a removal a pending removal; a change of the other kind goes to the end, and so does one
+ * to a key that is being written, or others would wait for as long as that key changes.
  *
  * A full journal takes many transactions to store, so a change may overtake others. Those of one series,
  * such as the changes of a job, keep their order: a change takes the earlier ones of its series along.
@@ -65,16 +66,10 @@
 interface PendingChange {
   /** The newest of them. */
   change: JournalChange;
-  /** Sequence number of the newest of them. */
-  sequence: number;
-  /** Sequence number of the oldest of them that is not stored yet. */
-  oldestSequence: number;
-}
-
-/** A pending change as it was when its transaction was sent. */
-interface SentChange {
-  readonly pending: PendingChange;
+  /** Sequence number of the oldest of them. */
   readonly sequence: number;
+  /** True if it is being written, or may have been by a lost transaction. */
+  isSent: boolean;
 }
 
 const isRemoval = ({ value }: JournalChange): boolean => value === undefined;
@@ -150,11 +145,10 @@
     this.sequence += 1;
     const { sequence } = this;
     const last = this.lastByKey.get(change.key);
-    if (last && isRemoval(last.change) === isRemoval(change)) {
+    if (last && !last.isSent && isRemoval(last.change) === isRemoval(change)) {
       last.change = change;
-      last.sequence = sequence;
     } else {
-      const added = { change, sequence, oldestSequence: sequence };
+      const added = { change, sequence, isSent: false };
       this.pending.push(added);
       this.lastByKey.set(change.key, added);
     }
@@ -232,13 +226,17 @@
     if (this.inDoubt && !(await this.resolveInDoubt(signal))) return;
     const batch = this.oldestChanges();
     // A transaction takes effect as a whole, so only the last change to a key counts.
-    const changes = new Map(batch.map(({ pending: { change } }) => [change.key, change]));
+    const changes = new Map(batch.map(({ change }) => [change.key, change]));
     const writes: Write[] = [];
     const removals: string[] = [];
     changes.forEach(({ key, value }) => {
       if (value) writes.push({ key, value: value() });
       else removals.push(key);
     });
+    batch.forEach((each) => {
+      const sent = each;
+      sent.isSent = true;
+    });
     this.frontCount = Math.max(this.frontCount, batch.length);
     const outcome = await this.store.commit(
       {
@@ -264,26 +262,20 @@
   }
 
   /** Returns the oldest changes that fit into one transaction. */
-  private oldestChanges(): readonly SentChange[] {
+  private oldestChanges(): readonly PendingChange[] {
     const maximumKeys = this.store.maximumTransactionEntries - JOURNAL_KEY_ENTRIES;
     const keys = new Set<string>();
     const end = this.pending.findIndex(({ change }) => keys.add(change.key).size > maximumKeys);
-    const batch = end < 0 ? this.pending : this.pending.slice(0, end);
-    return batch.map((pending) => ({ pending, sequence: pending.sequence }));
+    return end < 0 ? [...this.pending] : this.pending.slice(0, end);
   }
 
-  /** Changes that were replaced while the transaction was in flight stay pending, at their place. */
-  private markStored(batch: readonly SentChange[]): void {
-    const replaced = batch.flatMap(({ pending, sequence }) => {
-      const isReplaced = pending.sequence !== sequence;
-      if (!isReplaced && this.lastByKey.get(pending.change.key) === pending)
-        this.lastByKey.delete(pending.change.key);
-      const owned = pending;
-      owned.oldestSequence = sequence + 1;
-      return isReplaced ? [pending] : [];
+  private markStored(batch: readonly PendingChange[]): void {
+    batch.forEach((stored) => {
+      const { key } = stored.change;
+      if (this.lastByKey.get(key) === stored) this.lastByKey.delete(key);
     });
-    this.pending = [...replaced, ...this.pending.slice(batch.length)];
-    this.frontCount += replaced.length - batch.length;
+    this.pending = this.pending.slice(batch.length);
+    this.frontCount -= batch.length;
   }
 
   /** After a lost answer, reads the journal key to learn which transaction took effect last. */
@@ -317,9 +309,8 @@
   /** Returns the sequence number of the oldest change that is not stored, of all or of one series. */
   private oldestPending(series?: string): number {
     let oldest = Number.POSITIVE_INFINITY;
-    this.pending.forEach(({ change, oldestSequence }) => {
-      if (series === undefined || seriesOf(change) === series)
-        oldest = Math.min(oldest, oldestSequence);
+    this.pending.forEach(({ change, sequence }) => {
+      if (series === undefined || seriesOf(change) === series) oldest = Math.min(oldest, sequence);
     });
     return oldest;
   }
--- a/tests/jobs/progressJournal.spec.ts
+++ b/tests/jobs/progressJournal.spec.ts
@@ -388,3 +388,28 @@
     t.deepEqual(faults, [], `seed ${seed}`);
   }
 });
+
+/** Time that a transaction takes, in milliseconds. */
+const COMMIT_MS = 50;
+
+// Guards against an end, a roster or a delegation that is never stored while the progress of large jobs changes in each
+// transaction.
+test('should store new changes although those that are being written change all the time', async (t) => {
+  const { data, store, journal, write, run } = makeJournal();
+  Object.assign(store, { latencyMs: () => COMMIT_MS });
+  const changeAll = (): void => {
+    for (let at = 0; at < 2 * CHANGES_EACH; at += 1) write(`k/${at}`, 'a');
+  };
+  for (let at = 0; at < 50; at += 1) {
+    changeAll();
+    await run(10);
+  }
+  write('k/last', 'b');
+  journal.add({ key: 'k/first', overtakes: true, value: () => 'c' });
+  for (let at = 0; at < 50; at += 1) {
+    changeAll();
+    await run(10);
+  }
+  t.is(data.items.get('k/last')?.value, 'b');
+  t.is(data.items.get('k/first')?.value, 'c');
+});
