Store long values compressed

A worker that has come waits for the stored roster. That is one value with all workers of the share: about 69 kB of 342 workers, 92 kB as sent, and it is sent anew each time that one comes or goes. All other changes wait behind that transaction.

Values of 16,384 characters or more are compressed by the store's client. Shorter values stay as they are, so no site with fewer than about 80 workers a share stores anything else than before. Values that were stored as they are can still be read, and one that only looks compressed is read as it is.

'should store a long value in few bytes, and read it as it was' fails before: 48,728 characters for 36,546.

--- a/tests/platform/clients.spec.ts
+++ b/tests/platform/clients.spec.ts
@@ -115,6 +115,73 @@
   standIn.close();
 });
 
+/** Text like the roster of a share with so many workers. */
+const makeRoster = (workers: number): string =>
+  JSON.stringify(
+    Array.from({ length: workers }, (_, index) => ({
+      id: `w-${(index * 2_654_435_761).toString(16)}`,
+      address: `10.0.${index % 7}.${index % 251}:8169`,
+      dataCentre: `dc${index % 4}`,
+      bornMs: 1_700_000_000_000 + index * 7_919,
+    })),
+  );
+
+/** Length from which a value counts as long, in characters. */
+const LONG = 16_384;
+
+// Guards against a new worker that waits, and others with it, while the roster of a large share is sent.
+test('should store a long value in few bytes, and read it as it was', async (t) => {
+  const roster = makeRoster(400);
+  let stored = '';
+  const standIn = await startStandIn(({ method, body }) => {
+    if (method === 'GET') return { status: 200, body: { Key: 'k', Value: stored, Revision: 8 } };
+    stored = (body as { Writes: { Value: string }[] }).Writes[0]?.Value ?? '';
+    return { status: 200, body: { Revision: 8 } };
+  });
+  const store = new PlatformStore(standIn.address, clock);
+  t.teardown(async () => {
+    await store.close();
+    standIn.close();
+  });
+  const writes = [{ key: 'k', value: roster }];
+  t.true((await store.commit({ expectations: [], writes, removals: [] }, call())).ok);
+  t.true(roster.length >= LONG && stored.length < LONG, `${stored.length} of ${roster.length}`);
+  const item = await store.get('k', call());
+  t.is(item.ok && item.val?.value, roster);
+});
+
+// Guards against a listing that fails for an item of another writer that only looks compressed.
+test('should list the other items beside one that cannot be read', async (t) => {
+  const items = [encode('\0odd'), encode('x')].map((Value, index) => ({
+    Key: `a/${index}`,
+    Value,
+    Revision: 3,
+  }));
+  const { standIn, store } = await withStore(() => ({
+    status: 200,
+    body: { items, StoreRevision: 7 },
+  }));
+  t.teardown(async () => {
+    await store.close();
+    standIn.close();
+  });
+  const listing = await store.list('a/', call());
+  t.deepEqual(listing.ok && listing.val.items.map(({ value }) => value), ['\0odd', 'x']);
+});
+
+// Guards against a successor that cannot read the state of an owner of an older version.
+test('should read a long value that was stored as it is', async (t) => {
+  const roster = makeRoster(400);
+  const { standIn, store } = await withStore(() => ({
+    status: 200,
+    body: { Key: 'k', Value: encode(roster), Revision: 8 },
+  }));
+  const item = await store.get('k', call());
+  t.is(item.ok && item.val?.value, roster);
+  await store.close();
+  standIn.close();
+});
+
 test('should name the life of the worker and read what it says', async (t) => {
   const standIn = await startStandIn(() => ({
     status: 200,
