List the usable workers only when moves of serving tasks are due

Each pass listed the workers that may get tasks, for a check that does nothing until half a second after the last one.

In a simulation of an owner of 340 workers with 555 starts a second (16 simulated seconds, in-memory store and workers, cpu profile) this took 193 ms of 2,459 ms of passes before and 40 ms of 2,773 ms after. One run each, beside other work.

--- a/packages/samphirenotch/src/jobs/placement/servingMoves.ts
+++ b/packages/samphirenotch/src/jobs/placement/servingMoves.ts
@@ -73,6 +73,11 @@
     private readonly clock: Clock,
   ) {}
 
+  /** @returns true once the last check was a check interval ago */
+  get isDue(): boolean {
+    return this.clock.monotonicMs() >= this.checkedMs + CHECK_INTERVAL_MS;
+  }
+
   /**
    * Moves some tasks if that opens enough processors to fillers. Does nothing if the last check was
    * less than the check interval ago.
@@ -81,8 +86,8 @@
    * @param isMovable - returns true if tasks of a step may be moved
    */
   check(agents: readonly WorkerAgent[], isMovable: (step: OwnedStep) => boolean): void {
+    if (!this.isDue) return;
     const nowMs = this.clock.monotonicMs();
-    if (nowMs < this.checkedMs + CHECK_INTERVAL_MS) return;
     this.checkedMs = nowMs;
     const groups = agents
       .flatMap((agent) => this.groupsOf(agent, nowMs))
--- a/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
@@ -333,6 +333,7 @@
   }
 
   private moveServing(): void {
+    if (!this.moves.isDue) return;
     const { fleet, operator } = this.options;
     const agents = fleet.usable(operator.view().evacuated);
     this.moves.check(
