--- a/packages/samphirenotch/src/jobs/placement/interruptedSpill.ts
+++ b/packages/samphirenotch/src/jobs/placement/interruptedSpill.ts
@@ -55,7 +55,10 @@
 
 /** Hands interrupted tasks to the share with the most room for them. */
 export class InterruptedSpill {
-  private used: readonly UsedRoom[] = [];
+  private used: UsedRoom[] = [];
+
+  /** Sums of the used room, in thousandths of a core by share and service. */
+  private readonly usedSums = new Map<string, number>();
 
   private readonly refusals = new WeakMap<OwnedStep, Map<string, number>>();
 
@@ -87,7 +90,7 @@
     targets: readonly SpillTarget[],
     nowMs: number,
   ): readonly Spill[] {
-    this.used = this.used.filter(({ atMs }) => nowMs - atMs < REPORT_DELAY_MS);
+    this.forgetReported(nowMs);
     const left = new Map(home.forInterrupted);
     const chosen = new Map<OwnedStep, Map<string, OwnedTask[]>>();
     tasks.forEach((task) => {
@@ -97,7 +100,7 @@
       const { milliCores } = step.spec.size;
       const share = this.shareFor(task, home, targets, nowMs);
       if (share === undefined) return;
-      this.used = [...this.used, { share, service, milliCores, atMs: nowMs }];
+      this.use({ share, service, milliCores, atMs: nowMs });
       left.set(service, (left.get(service) ?? 0) + milliCores);
       const byShare = chosen.get(step) ?? new Map<string, OwnedTask[]>();
       byShare.set(share, [...(byShare.get(share) ?? []), task]);
@@ -123,7 +126,8 @@
     targets.forEach(({ share, room }) => {
       if (spec.requiredLabel !== '' && !room.labels.has(spec.requiredLabel)) return;
       if ((refusals?.get(share) ?? 0) > nowMs) return;
-      const budget = fraction * leadOf(room, home, task) - this.usedAt(share, serviceOf(task));
+      const used = this.usedSums.get(`${share} ${serviceOf(task)}`) ?? 0;
+      const budget = fraction * leadOf(room, home, task) - used;
       if (budget < most) return;
       most = budget;
       found = share;
@@ -131,9 +135,17 @@
     return found;
   }
 
-  private usedAt(share: string, service: string): number {
-    return this.used
-      .filter((each) => each.share === share && each.service === service)
-      .reduce((total, { milliCores }) => total + milliCores, 0);
+  private forgetReported(nowMs: number): void {
+    const used = this.used.filter(({ atMs }) => nowMs - atMs < REPORT_DELAY_MS);
+    this.used = [];
+    this.usedSums.clear();
+    used.forEach((each) => this.use(each));
+  }
+
+  private use(room: UsedRoom): void {
+    const { share, service, milliCores } = room;
+    const key = `${share} ${service}`;
+    this.used.push(room);
+    this.usedSums.set(key, (this.usedSums.get(key) ?? 0) + milliCores);
   }
 }
