--- a/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
@@ -339,6 +339,7 @@
           fleet: this.fleet,
           operator: options.operator,
           clock: options.clock,
+          hasOtherShares: options.layout.shares.length > 1,
           revision: () => options.replica.revision(),
           untriedMilliCores: () => this.launcher.untriedMilliCores,
         },
--- a/packages/samphirenotch/src/jobs/ownership/summaryWriter.ts
+++ b/packages/samphirenotch/src/jobs/ownership/summaryWriter.ts
@@ -34,6 +34,8 @@
   readonly fleet: WorkerFleet;
   readonly operator: OperatorFollower;
   readonly clock: Clock;
+  /** True if there are other shares, whose owners may use the room for interrupted tasks. */
+  readonly hasOtherShares: boolean;
   /** Returns the store revision up to which all accepted jobs are known. */
   readonly revision: () => number;
   /**
@@ -150,7 +152,7 @@
   }
 
   private room(jobs: readonly OwnedJob[]): ShareCapacity {
-    const { fleet, operator, clock } = this.options;
+    const { fleet, operator, clock, hasOtherShares } = this.options;
     const agents = fleet.usable(operator.view().evacuated);
     const wallMs = clock.wallMs();
     return {
@@ -160,7 +162,9 @@
       waiting: jobs
         .filter(({ isFullyStarted: settled }) => !settled)
         .reduce((sum, job) => sum + waitingMilliCores(job, wallMs), 0),
-      forInterrupted: roomForInterrupted(fleet.all(), agents, jobs),
+      forInterrupted: hasOtherShares
+        ? roomForInterrupted(fleet.all(), agents, jobs)
+        : new Map<string, number>(),
       labels: new Set(agents.flatMap(({ description }) => description.labels)),
     };
   }
