Keep the crashes at home of a task that another share has returned

What callers would have seen, on divided sites: a task that crashes each worker is started again without end (BUDGET) while owners of its home change.

Cause: a report stays in the store while another task of its delegation is away. Each new owner of the home applies it once more, and the row of the returned task replaced all crashes that were counted at home since.

Change: of the crashes that the home knows, those of runs that the report cannot know are kept.

Why it works: a row says which run is the next one, so all runs from that number on were started at home. The share that has a task still decides about the earlier ones, which it forgets once a run is proven.

--- a/packages/samphirenotch/src/jobs/ownership/outgoingDelegations.ts
+++ b/packages/samphirenotch/src/jobs/ownership/outgoingDelegations.ts
@@ -283,8 +283,9 @@
       });
     }
     if (!isLatest) return;
-    // The share that has the task also forgets crashes.
-    task.crashedRuns = [...row.crashedRuns];
+    // The share that has the task also forgets crashes. It does not know those at home since it has returned it.
+    const crashedSince = task.crashedRuns.filter((run) => run >= row.nextRun);
+    task.crashedRuns = [...row.crashedRuns, ...crashedSince];
     task.hasRun ||= row.hasRun;
     if (row.interruptedAtMs !== undefined)
       task.interruptedMs = toMonotonicMs(this.options.clock, row.interruptedAtMs);
