Hand interrupted tasks only where a worker could run them

Tasks move back and forth between their home and a share whose workers of the service all leave.

Cause: the room for interrupted tasks is one sum per service. A guest stayed for 6 s where the sum was enough, although no worker had its label, or enough room beside runs that last; it was handed to the same share again 1 s after it had come back. A service without a worker that accepts work counted as one that lacks little, since what it lacks was compared with the capacity of all services.

Change: interrupted guests go back after 1 s as others do, unless a worker of the share may run them and has the room beside its long-running runs. A share tells capacity and room by service. A step is not handed again to a share that has returned tasks of it for 3 s, as is the rule for other tasks.

Why it works: a guest waits only where a short task ends before it runs. A share without a worker of the service has no capacity for it, and is no target.

--- a/packages/samphirenotch/src/jobs/model/shareCapacity.ts
+++ b/packages/samphirenotch/src/jobs/model/shareCapacity.ts
@@ -3,6 +3,14 @@
  */
 import { z } from 'zod';
 
+/** What interrupted tasks find in a share once its short tasks have ended, in thousandths of a core. */
+export interface InterruptedRoom {
+  /** Total of the workers that accept work. */
+  readonly capacity: number;
+  /** Room for further interrupted tasks; negative if the share needs more for its own. */
+  readonly free: number;
+}
+
 /** Capacity and demand of a share, in thousandths of a core. */
 export interface ShareCapacity {
   /** Total of the workers that accept work. */
@@ -13,11 +21,8 @@
   readonly unused: number;
   /** Demand of the tasks that wait only for free capacity. */
   readonly waiting: number;
-  /**
-   * Room for interrupted tasks of other shares by service, once short tasks have ended; negative if its own need
-   * more. Empty if its owner does not tell.
-   */
-  readonly forInterrupted: ReadonlyMap<string, number>;
+  /** Room for interrupted tasks by service; empty if its owner does not tell. */
+  readonly forInterrupted: ReadonlyMap<string, InterruptedRoom>;
   /** All labels of its workers, including their racks. */
   readonly labels: ReadonlySet<string>;
 }
@@ -36,8 +41,8 @@
   // Fields: capacity, free, unused, waiting.
   c: z.tuple([z.number(), z.number(), z.number(), z.number()]),
   l: z.array(z.string()),
-  // Room for interrupted tasks by service.
-  i: z.record(z.string(), z.number()).optional(),
+  // Capacity and room for interrupted tasks by service.
+  i: z.record(z.string(), z.tuple([z.number(), z.number()])).optional(),
 });
 
 /**
@@ -58,7 +63,12 @@
     c: [capacity, free, unused, waiting].map(Math.round),
     l: [...labels],
     ...(forInterrupted.size > 0 && {
-      i: Object.fromEntries([...forInterrupted].map(([name, room]) => [name, Math.round(room)])),
+      i: Object.fromEntries(
+        [...forInterrupted].map(([name, room]) => [
+          name,
+          [room.capacity, room.free].map(Math.round),
+        ]),
+      ),
     }),
   });
 
@@ -72,6 +82,8 @@
 export const decodeShareCapacity = (text: string): ShareCapacity => {
   const { c, l, i } = SHARE_CAPACITY.parse(JSON.parse(text));
   const [capacity, free, unused, waiting] = c;
-  const forInterrupted = new Map(Object.entries(i ?? {}));
+  const forInterrupted = new Map(
+    Object.entries(i ?? {}).map(([name, [total, left]]) => [name, { capacity: total, free: left }]),
+  );
   return { capacity, free, unused, waiting, forInterrupted, labels: new Set(l) };
 };
--- a/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
@@ -592,6 +592,7 @@
       outcomes,
       takeover,
       unconfirmedMs: () => term.leaseUnconfirmedMs(),
+      mayFindRoom: (task) => this.launcher.mayFindRoom(task),
       roomForInterrupted: () =>
         roomForInterrupted(
           fleet.all(),
--- a/packages/samphirenotch/src/jobs/ownership/shareExchange.ts
+++ b/packages/samphirenotch/src/jobs/ownership/shareExchange.ts
@@ -7,6 +7,7 @@
 import type { Clock } from '../../time/clock.js';
 
 import type { OwnedJob, OwnedStep, OwnedTask } from '../model/ownedJob.js';
+import type { InterruptedRoom } from '../model/shareCapacity.js';
 import type { ShareLayout } from '../model/shareLayout.js';
 import { InterruptedSpill } from '../placement/interruptedSpill.js';
 import { byInterruption, isInterrupted } from '../placement/interruptedTasks.js';
@@ -68,11 +69,10 @@
   readonly clock: Clock;
   /** Returns for how long the store has not confirmed the lease, in milliseconds. */
   readonly unconfirmedMs: () => number;
-  /**
-   * Returns the room of this share for interrupted tasks, in thousandths of a core by service; negative if it needs
-   * more for its own.
-   */
-  readonly roomForInterrupted: () => ReadonlyMap<string, number>;
+  /** Returns the room of this share for interrupted tasks by service. */
+  readonly roomForInterrupted: () => ReadonlyMap<string, InterruptedRoom>;
+  /** Returns true if a worker of this share could run an interrupted task once its short runs have ended. */
+  readonly mayFindRoom: (task: OwnedTask) => boolean;
   /** Called when there may be tasks to start. */
   readonly onNews: () => void;
 }
@@ -199,20 +199,17 @@
   /** Chooses the interrupted tasks for which this share has no room, and another has more. */
   private excess(
     tasks: readonly OwnedTask[],
-    forInterrupted: ReadonlyMap<string, number>,
+    room: ReadonlyMap<string, InterruptedRoom>,
     targets: readonly SpillTarget[],
   ): readonly Spill[] {
-    const { rooms, share, clock } = this.options;
-    const { capacity } = rooms.capacityOf(share);
-    return this.interruptedSpill.choose(
-      byInterruption(tasks),
-      { capacity, forInterrupted },
-      targets,
-      clock.monotonicMs(),
-    );
+    const nowMs = this.options.clock.monotonicMs();
+    return this.interruptedSpill.choose(byInterruption(tasks), room, targets, nowMs);
   }
 
-  /** Interrupted guests go back only if there is more room elsewhere: they are owed room here. */
+  /**
+   * Interrupted guests that a worker here could run go back only if there is more room elsewhere: they are owed room
+   * here.
+   */
   private returnGuests(steps: readonly UnplacedStep[]): void {
     const guests = new Map(
       steps
@@ -220,16 +217,23 @@
         .map((each) => [each.step, each]),
     );
     if (guests.size === 0) return;
-    const { rooms, roomForInterrupted } = this.options;
+    const { rooms, roomForInterrupted, mayFindRoom } = this.options;
     const targets = rooms.ageMs() <= MAX_ROOMS_AGE_MS ? this.spillTargets() : [];
     const room = roomForInterrupted();
     const interrupted = interruptedTasksOf([...guests.values()]);
     const excess = new Set(this.excess(interrupted, room, targets).flatMap(({ tasks }) => tasks));
+    // Tasks of a step need the same of a worker.
+    const hopeless = new Set(
+      [...guests.keys()].filter((step) => {
+        const task = step.tasks.find(isInterrupted);
+        return task !== undefined && !mayFindRoom(task);
+      }),
+    );
     this.incoming.returnUnstarted((task: OwnedTask) => {
       const guest = guests.get(task.step);
       if (!guest) return false;
-      if (!isInterrupted(task) || !guest.hasWorkers || excess.has(task)) return true;
-      const hasRoom = (room.get(task.step.occurrence.job.queue.service) ?? 0) >= 0;
+      if (!isInterrupted(task) || hopeless.has(task.step) || excess.has(task)) return true;
+      const hasRoom = (room.get(task.step.occurrence.job.queue.service)?.free ?? 0) >= 0;
       return hasRoom && guest.waitedMs >= RETURN_INTERRUPTED_AFTER_MS;
     });
   }
--- a/packages/samphirenotch/src/jobs/ownership/summaryWriter.ts
+++ b/packages/samphirenotch/src/jobs/ownership/summaryWriter.ts
@@ -4,7 +4,11 @@
 import type { Clock } from '../../time/clock.js';
 
 import { hasWaitingTasks, isStepReady, isTaskWaiting, type OwnedJob } from '../model/ownedJob.js';
-import { encodeShareCapacity, type ShareCapacity } from '../model/shareCapacity.js';
+import {
+  encodeShareCapacity,
+  type InterruptedRoom,
+  type ShareCapacity,
+} from '../model/shareCapacity.js';
 import { roomForInterrupted } from '../placement/interruptedRoom.js';
 import { unusedMilliCores } from '../placement/taskPlacement.js';
 import { RoomReport } from './roomReport.js';
@@ -60,12 +64,19 @@
 /** The same for the room that interrupted tasks could get: they wait while another share has some. */
 const MIN_INTERRUPTED_ROOM_CHANGE = 0.01;
 
+const NO_INTERRUPTED_ROOM: InterruptedRoom = { capacity: 0, free: 0 };
+
 const hasInterruptedRoomChanged = (one: ShareCapacity, other: ShareCapacity): boolean => {
   const notable = MIN_INTERRUPTED_ROOM_CHANGE * Math.max(one.capacity, other.capacity);
   const services = new Set([...one.forInterrupted.keys(), ...other.forInterrupted.keys()]);
   return [...services].some((service) => {
-    const [now = 0, before = 0] = [one, other].map((each) => each.forInterrupted.get(service));
-    return Math.abs(now - before) > notable;
+    const [now = NO_INTERRUPTED_ROOM, before = NO_INTERRUPTED_ROOM] = [one, other].map((each) =>
+      each.forInterrupted.get(service),
+    );
+    return (
+      Math.abs(now.capacity - before.capacity) > notable ||
+      Math.abs(now.free - before.free) > notable
+    );
   });
 };
 
@@ -166,7 +177,7 @@
         .reduce((sum, job) => sum + waitingMilliCores(job, wallMs), 0),
       forInterrupted: hasOtherShares
         ? roomForInterrupted(fleet.all(), agents, jobs)
-        : new Map<string, number>(),
+        : new Map<string, InterruptedRoom>(),
       labels: new Set(agents.flatMap(({ description }) => description.labels)),
     };
   }
--- a/packages/samphirenotch/src/jobs/placement/interruptedRoom.ts
+++ b/packages/samphirenotch/src/jobs/placement/interruptedRoom.ts
@@ -1,6 +1,10 @@
 /**
  * Estimates how much room a share has for interrupted tasks once its short tasks have ended.
  */
+import { minusSize, sumSizes } from '../../infrastructure/sizes.js';
+import type { Size } from '../../infrastructure/worker.js';
+
+import type { InterruptedRoom } from '../model/shareCapacity.js';
 import { isStepReady, type OwnedJob, type OwnedRun, type OwnedTask } from '../model/ownedJob.js';
 import { isInterrupted } from './interruptedTasks.js';
 
@@ -8,7 +12,7 @@
 export interface LastingAgent {
   readonly description: {
     readonly service: string;
-    readonly capacity: { readonly milliCores: number };
+    readonly capacity: Size;
   };
   /** @returns the runs that take its resources */
   activeRuns(): readonly OwnedRun[];
@@ -16,6 +20,8 @@
 
 /** What long-running tasks of a service have and need, in thousandths of a core. */
 interface Demand {
+  /** Total of the workers that accept work. */
+  capacity: number;
   /** Capacity of each worker that accepts work, without what long-running runs hold. */
   readonly rooms: number[];
   /** Sizes of the long-running runs on these workers. */
@@ -28,11 +34,20 @@
 
 const sum = (values: readonly number[]): number => values.reduce((total, each) => total + each, 0);
 
-const lastingSizes = (agent: LastingAgent): readonly number[] =>
+const lastingSizes = (agent: LastingAgent): readonly Size[] =>
   agent
     .activeRuns()
     .filter(({ task: { step } }) => step.spec.longRunning && !step.spec.filler)
-    .map(({ size }) => size.milliCores);
+    .map(({ size }) => size);
+
+/**
+ * Returns the resources of a worker that its long-running runs leave.
+ *
+ * @param agent - the worker
+ * @returns its capacity without what these hold
+ */
+export const roomBesideLastingRuns = (agent: LastingAgent): Size =>
+  minusSize(agent.description.capacity, sumSizes(lastingSizes(agent)));
 
 /** Room that is smaller than a usual task is left out: no task fits there. */
 const roomLeft = ({ rooms, held, needed }: Demand): number => {
@@ -60,28 +75,30 @@
  * @param all - all workers of the share
  * @param usable - those that accept work
  * @param jobs - the open jobs of the share
- * @returns thousandths of a core by service; negative if the share needs more for its own
+ * @returns the room by service
  */
 export const roomForInterrupted = (
   all: readonly LastingAgent[],
   usable: readonly LastingAgent[],
   jobs: readonly OwnedJob[],
-): ReadonlyMap<string, number> => {
+): ReadonlyMap<string, InterruptedRoom> => {
   const demands = new Map<string, Demand>();
   const demandOf = (service: string): Demand => {
-    const demand = demands.get(service) ?? { rooms: [], held: [], needed: [] };
+    const demand = demands.get(service) ?? { capacity: 0, rooms: [], held: [], needed: [] };
     demands.set(service, demand);
     return demand;
   };
   const accepting = new Set(usable);
   all.forEach((agent) => {
     const { service, capacity } = agent.description;
-    const { rooms, held, needed } = demandOf(service);
-    const sizes = lastingSizes(agent);
+    const demand = demandOf(service);
+    const { rooms, held, needed } = demand;
+    const sizes = lastingSizes(agent).map(({ milliCores }) => milliCores);
     if (!accepting.has(agent)) {
       needed.push(...sizes);
       return;
     }
+    demand.capacity += capacity.milliCores;
     rooms.push(capacity.milliCores - sum(sizes));
     held.push(...sizes);
   });
@@ -90,5 +107,10 @@
     .forEach((job) =>
       demandOf(job.queue.service).needed.push(...interruptedTasksOf(job).map(milliCoresOf)),
     );
-  return new Map([...demands].map(([service, demand]) => [service, roomLeft(demand)]));
+  return new Map(
+    [...demands].map(([service, demand]) => [
+      service,
+      { capacity: demand.capacity, free: roomLeft(demand) },
+    ]),
+  );
 };
--- a/packages/samphirenotch/src/jobs/placement/interruptedSpill.ts
+++ b/packages/samphirenotch/src/jobs/placement/interruptedSpill.ts
@@ -7,8 +7,8 @@
  * what each lacks is balanced: new room goes to those that have waited longest, wherever it comes.
  */
 import type { OwnedStep, OwnedTask } from '../model/ownedJob.js';
-import type { ShareCapacity } from '../model/shareCapacity.js';
-import type { Spill, SpillTarget } from './spillOver.js';
+import type { InterruptedRoom } from '../model/shareCapacity.js';
+import { REFUSAL_BACKOFF_MS, type Spill, type SpillTarget } from './spillOver.js';
 
 /** Fraction of the difference to another share, as in its report, that this share may use. */
 const BUDGET_FRACTION = 0.4;
@@ -22,12 +22,6 @@
 /** Time after which reports of another share count the tasks that were handed to it, in milliseconds. */
 const REPORT_DELAY_MS = 1_000;
 
-/**
- * Time for which tasks of a step are not handed again to a share that returned some, in milliseconds: until it has
- * reported less room.
- */
-const REFUSAL_BACKOFF_MS = 1_000;
-
 /** Room that was used at another share, and is not missing in its report yet. */
 interface UsedRoom {
   readonly share: string;
@@ -38,19 +32,18 @@
 
 const serviceOf = ({ step }: OwnedTask): string => step.occurrence.job.queue.service;
 
-/** Capacity of a share and its room for interrupted tasks, in thousandths of a core. */
-export type InterruptedRoom = Pick<ShareCapacity, 'capacity' | 'forInterrupted'>;
+/** Room of this share for interrupted tasks by service. */
+type HomeRoom = ReadonlyMap<string, InterruptedRoom>;
+
+const NO_ROOM: InterruptedRoom = { capacity: 0, free: 0 };
 
 /** Returns how much another share could take in until both have as much room by their capacity; 0 if too little. */
-const leadOf = (other: InterruptedRoom, home: InterruptedRoom, task: OwnedTask): number => {
-  const service = serviceOf(task);
-  const room = other.forInterrupted.get(service);
-  if (room === undefined || other.capacity <= 0) return 0;
-  const lacking = home.forInterrupted.get(service) ?? 0;
-  const lead = room / other.capacity - lacking / Math.max(1, home.capacity);
-  if (room < task.step.spec.size.milliCores && lead < MIN_LEAD) return 0;
-  const level = (room + lacking) / (other.capacity + home.capacity);
-  return room - level * other.capacity;
+const leadOf = (other: InterruptedRoom, home: InterruptedRoom, milliCores: number): number => {
+  if (other.capacity <= 0) return 0;
+  const lead = other.free / other.capacity - home.free / Math.max(1, home.capacity);
+  if (other.free < milliCores && lead < MIN_LEAD) return 0;
+  const level = (other.free + home.free) / (other.capacity + home.capacity);
+  return other.free - level * other.capacity;
 };
 
 /** Hands interrupted tasks to the share with the most room for them. */
@@ -79,19 +72,19 @@
    * Chooses tasks for which this share has no room.
    *
    * @param tasks - interrupted tasks, in the order in which they are handed over
-   * @param home - this share
+   * @param home - room of this share
    * @param targets - other shares that have an owner
    * @param nowMs - monotonic time in milliseconds
    * @returns the tasks and their new shares
    */
   choose(
     tasks: readonly OwnedTask[],
-    home: InterruptedRoom,
+    home: HomeRoom,
     targets: readonly SpillTarget[],
     nowMs: number,
   ): readonly Spill[] {
     this.forgetReported(nowMs);
-    const left = new Map(home.forInterrupted);
+    const left = new Map([...home].map(([service, { free }]) => [service, free]));
     const chosen = new Map<OwnedStep, Map<string, OwnedTask[]>>();
     tasks.forEach((task) => {
       const { step } = task;
@@ -114,11 +107,13 @@
   /** Returns the id of the share with the most room, if the task fits into its budget. */
   private shareFor(
     task: OwnedTask,
-    home: InterruptedRoom,
+    home: HomeRoom,
     targets: readonly SpillTarget[],
     nowMs: number,
   ): string | undefined {
     const { spec } = task.step;
+    const service = serviceOf(task);
+    const ownRoom = home.get(service) ?? NO_ROOM;
     const fraction = Math.max(BUDGET_FRACTION, 1 / Math.max(1, targets.length));
     const refusals = this.refusals.get(task.step);
     let most = spec.size.milliCores;
@@ -126,8 +121,9 @@
     targets.forEach(({ share, room }) => {
       if (spec.requiredLabel !== '' && !room.labels.has(spec.requiredLabel)) return;
       if ((refusals?.get(share) ?? 0) > nowMs) return;
-      const used = this.usedSums.get(`${share} ${serviceOf(task)}`) ?? 0;
-      const budget = fraction * leadOf(room, home, task) - used;
+      const used = this.usedSums.get(`${share} ${service}`) ?? 0;
+      const otherRoom = room.forInterrupted.get(service) ?? NO_ROOM;
+      const budget = fraction * leadOf(otherRoom, ownRoom, spec.size.milliCores) - used;
       if (budget < most) return;
       most = budget;
       found = share;
--- a/packages/samphirenotch/src/jobs/placement/spillOver.ts
+++ b/packages/samphirenotch/src/jobs/placement/spillOver.ts
@@ -63,7 +63,7 @@
 /**
  * Time for which a step is not handed again to a share that returned its tasks, in milliseconds.
  */
-const REFUSAL_BACKOFF_MS = 3_000;
+export const REFUSAL_BACKOFF_MS = 3_000;
 
 interface Budget {
   readonly room: ShareCapacity;
--- a/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
@@ -1,7 +1,7 @@
 /**
  * Starts waiting tasks on workers with free resources.
  */
-import { NO_SIZE, timesSize } from '../../infrastructure/sizes.js';
+import { fitsIn, NO_SIZE, timesSize } from '../../infrastructure/sizes.js';
 import { partLog } from '../../observability/log.js';
 import type { Clock } from '../../time/clock.js';
 
@@ -27,6 +27,7 @@
 import { JobExplainer, type JobExplanation } from './jobExplanation.js';
 import { LongWaits } from './longWaits.js';
 import { UnplaceableSizes } from './unplaceableSizes.js';
+import { roomBesideLastingRuns } from './interruptedRoom.js';
 import { byInterruption, isOwedRoom, overdueTasks } from './interruptedTasks.js';
 import { DrainMoves } from './drainMoves.js';
 import { OverdueReservations } from './overdueReservations.js';
@@ -246,6 +247,19 @@
     return this.explainer.explain(job);
   }
 
+  /**
+   * Checks whether a worker could run a task once its short runs have ended.
+   *
+   * @param task - the task
+   * @returns true if there is one, as of the last pass
+   */
+  mayFindRoom(task: OwnedTask): boolean {
+    const size = reservedSizeOf(task);
+    return this.reservableWorkers(task).some(
+      (agent) => this.placement.permits(agent, task) && fitsIn(size, roomBesideLastingRuns(agent)),
+    );
+  }
+
   /** Logs why long-running tasks wait that have waited for long. */
   reportLongWaits(): void {
     const { book, clock, fleet } = this.options;
