--- a/packages/samphirenotch/src/jobs/placement/interruptedSpill.ts
+++ b/packages/samphirenotch/src/jobs/placement/interruptedSpill.ts
@@ -8,7 +8,8 @@
  */
 import type { OwnedStep, OwnedTask } from '../model/ownedJob.js';
 import type { InterruptedRoom } from '../model/shareCapacity.js';
-import { REFUSAL_BACKOFF_MS, type Spill, type SpillTarget } from './spillOver.js';
+import { Refusals } from './refusals.js';
+import type { Spill, SpillTarget } from './spillOver.js';
 
 /** Fraction of the difference to another share, as in its report, that this share may use. */
 const BUDGET_FRACTION = 0.4;
@@ -53,7 +54,7 @@
   /** Sums of the used room, in thousandths of a core by share and service. */
   private readonly usedSums = new Map<string, number>();
 
-  private readonly refusals = new WeakMap<OwnedStep, Map<string, number>>();
+  private readonly refusals = new Refusals();
 
   /**
    * Records that a share has returned tasks.
@@ -63,9 +64,7 @@
    * @param nowMs - monotonic time in milliseconds
    */
   noteRefusal(step: OwnedStep, share: string, nowMs: number): void {
-    const known = this.refusals.get(step) ?? new Map<string, number>();
-    known.set(share, nowMs + REFUSAL_BACKOFF_MS);
-    this.refusals.set(step, known);
+    this.refusals.note(step, share, nowMs);
   }
 
   /**
@@ -115,12 +114,11 @@
     const service = serviceOf(task);
     const ownRoom = home.get(service) ?? NO_ROOM;
     const fraction = Math.max(BUDGET_FRACTION, 1 / Math.max(1, targets.length));
-    const refusals = this.refusals.get(task.step);
     let most = spec.size.milliCores;
     let found: string | undefined;
     targets.forEach(({ share, room }) => {
       if (spec.requiredLabel !== '' && !room.labels.has(spec.requiredLabel)) return;
-      if ((refusals?.get(share) ?? 0) > nowMs) return;
+      if (this.refusals.has(task.step, share, nowMs)) return;
       const used = this.usedSums.get(`${share} ${service}`) ?? 0;
       const otherRoom = room.forInterrupted.get(service) ?? NO_ROOM;
       const budget = fraction * leadOf(otherRoom, ownRoom, spec.size.milliCores) - used;
--- a/packages/samphirenotch/src/jobs/placement/spillOver.ts
+++ b/packages/samphirenotch/src/jobs/placement/spillOver.ts
@@ -8,6 +8,7 @@
  */
 import { isTaskWaiting, type OwnedStep, type OwnedTask } from '../model/ownedJob.js';
 import type { ShareCapacity } from '../model/shareCapacity.js';
+import { Refusals } from './refusals.js';
 
 /** A step whose tasks find no worker in this share. */
 export interface UnplacedStep {
@@ -60,11 +61,6 @@
  */
 const MINIMUM_BUDGET_FRACTION = 0.4;
 
-/**
- * Time for which a step is not handed again to a share that returned its tasks, in milliseconds.
- */
-export const REFUSAL_BACKOFF_MS = 3_000;
-
 interface Budget {
   readonly room: ShareCapacity;
   free: number;
@@ -87,7 +83,7 @@
 export class MostFreeRoomSpill implements SpillPolicy {
   private readonly budgets = new Map<string, Budget>();
 
-  private readonly refusals = new WeakMap<OwnedStep, Map<string, number>>();
+  private readonly refusals = new Refusals();
 
   /**
    * Records that a share has returned tasks.
@@ -97,9 +93,7 @@
    * @param nowMs - monotonic time in milliseconds
    */
   noteRefusal(step: OwnedStep, share: string, nowMs: number): void {
-    const known = this.refusals.get(step) ?? new Map<string, number>();
-    known.set(share, nowMs + REFUSAL_BACKOFF_MS);
-    this.refusals.set(step, known);
+    this.refusals.note(step, share, nowMs);
   }
 
   choose(
@@ -138,7 +132,7 @@
     };
     const eligible = targets
       .filter(({ room }) => spec.requiredLabel === '' || room.labels.has(spec.requiredLabel))
-      .filter(({ share }) => (this.refusals.get(step)?.get(share) ?? 0) <= nowMs)
+      .filter(({ share }) => !this.refusals.has(step, share, nowMs))
       .sort((one, other) => budgetFor(other) - budgetFor(one));
     const [target] = eligible;
     if (!target || waiting.length === 0) return undefined;
