Keep interrupted guests where all shares lack room

What callers would have seen, on divided sites: an interrupted task goes back and forth between shares none of which has room for it, and loses its turn on workers that come there.

Evidence: "should give interrupted guests back once there is room at home, and not before" of delegations fails on: four of four tasks were handed over, at most three.

Change: the launcher tells whether a worker has room for a task once short runs have ended, once long-running ones have, or never. A guest goes back at once if it is never, or if the share counts room for it that no worker has.

Why it works: all tests of guestsWithoutRoom, roomOfOtherShares and delegations pass.

--- a/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
@@ -592,7 +592,7 @@
       outcomes,
       takeover,
       unconfirmedMs: () => term.leaseUnconfirmedMs(),
-      mayFindRoom: (task) => this.launcher.mayFindRoom(task),
+      outlookFor: (task) => this.launcher.outlookFor(task),
       roomForInterrupted: () =>
         roomForInterrupted(
           fleet.all(),
--- a/packages/samphirenotch/src/jobs/ownership/shareExchange.ts
+++ b/packages/samphirenotch/src/jobs/ownership/shareExchange.ts
@@ -9,6 +9,7 @@
 import type { OwnedJob, OwnedStep, OwnedTask } from '../model/ownedJob.js';
 import type { InterruptedRoom } from '../model/shareCapacity.js';
 import type { ShareLayout } from '../model/shareLayout.js';
+import type { RoomOutlook } from '../placement/interruptedRoom.js';
 import { InterruptedSpill } from '../placement/interruptedSpill.js';
 import { byInterruption, isInterrupted } from '../placement/interruptedTasks.js';
 import {
@@ -71,8 +72,8 @@
   readonly unconfirmedMs: () => number;
   /** Returns the room of this share for interrupted tasks by service. */
   readonly roomForInterrupted: () => ReadonlyMap<string, InterruptedRoom>;
-  /** Returns true if a worker of this share could run an interrupted task once its short runs have ended. */
-  readonly mayFindRoom: (task: OwnedTask) => boolean;
+  /** Returns when a worker of this share has room for an interrupted task. */
+  readonly outlookFor: (task: OwnedTask) => RoomOutlook;
   /** Called when there may be tasks to start. */
   readonly onNews: () => void;
 }
@@ -206,38 +207,44 @@
     return this.interruptedSpill.choose(byInterruption(tasks), room, targets, nowMs);
   }
 
-  /**
-   * Interrupted guests that a worker here could run go back only if there is more room elsewhere: they are owed room
-   * here.
-   */
+  /** Interrupted guests go back only if they run sooner elsewhere: they are owed room here. */
   private returnGuests(steps: readonly UnplacedStep[]): void {
     const guests = new Map(
       steps
         .filter(({ step, waitedMs }) => step.occurrence.job.isGuest && waitedMs >= RETURN_AFTER_MS)
-        .map((each) => [each.step, each]),
+        .map((each) => [each.step, each.waitedMs]),
     );
     if (guests.size === 0) return;
-    const { rooms, roomForInterrupted, mayFindRoom } = this.options;
+    const { rooms, roomForInterrupted } = this.options;
     const targets = rooms.ageMs() <= MAX_ROOMS_AGE_MS ? this.spillTargets() : [];
     const room = roomForInterrupted();
-    const interrupted = interruptedTasksOf([...guests.values()]);
+    const interrupted = [...guests.keys()].flatMap(({ tasks }) => tasks.filter(isInterrupted));
     const excess = new Set(this.excess(interrupted, room, targets).flatMap(({ tasks }) => tasks));
-    // Tasks of a step need the same of a worker.
-    const hopeless = new Set(
-      [...guests.keys()].filter((step) => {
-        const task = step.tasks.find(isInterrupted);
-        return task !== undefined && !mayFindRoom(task);
-      }),
+    const misplaced = new Set(
+      [...guests].flatMap(([step, waitedMs]) =>
+        this.isMisplaced(step, waitedMs, room) ? step : [],
+      ),
     );
     this.incoming.returnUnstarted((task: OwnedTask) => {
-      const guest = guests.get(task.step);
-      if (!guest) return false;
-      if (!isInterrupted(task) || hopeless.has(task.step) || excess.has(task)) return true;
-      const hasRoom = (room.get(task.step.occurrence.job.queue.service)?.free ?? 0) >= 0;
-      return hasRoom && guest.waitedMs >= RETURN_INTERRUPTED_AFTER_MS;
+      if (!guests.has(task.step)) return false;
+      return !isInterrupted(task) || misplaced.has(task.step) || excess.has(task);
     });
   }
 
+  /** Tells whether the interrupted tasks of a step find no room here, although there should be some or never is. */
+  private isMisplaced(
+    step: OwnedStep,
+    waitedMs: number,
+    room: ReadonlyMap<string, InterruptedRoom>,
+  ): boolean {
+    // Tasks of a step need the same of a worker.
+    const task = step.tasks.find(isInterrupted);
+    const outlook = task ? this.options.outlookFor(task) : 'never';
+    const hasRoom = (room.get(step.occurrence.job.queue.service)?.free ?? 0) >= 0;
+    if (outlook === 'never') return true;
+    return hasRoom && (outlook === 'later' || waitedMs >= RETURN_INTERRUPTED_AFTER_MS);
+  }
+
   /**
    * Starts a refresh if the known rooms are too old; one of the next checks then finds new ones.
    */
--- a/packages/samphirenotch/src/jobs/placement/interruptedRoom.ts
+++ b/packages/samphirenotch/src/jobs/placement/interruptedRoom.ts
@@ -8,6 +8,14 @@
 import { isStepReady, type OwnedJob, type OwnedRun, type OwnedTask } from '../model/ownedJob.js';
 import { isInterrupted } from './interruptedTasks.js';
 
+/** When a share can run an interrupted task, as far as its workers tell. */
+export type RoomOutlook =
+  /** Some worker that may run it has the room once its short runs have ended. */
+  | 'soon'
+  /** Some worker that may run it is large enough once long-running runs have ended. */
+  | 'later'
+  | 'never';
+
 /** The part of a worker's agent that tells how much room its long-running runs leave. */
 export interface LastingAgent {
   readonly description: {
--- a/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
@@ -27,7 +27,7 @@
 import { JobExplainer, type JobExplanation } from './jobExplanation.js';
 import { LongWaits } from './longWaits.js';
 import { UnplaceableSizes } from './unplaceableSizes.js';
-import { roomBesideLastingRuns } from './interruptedRoom.js';
+import { roomBesideLastingRuns, type RoomOutlook } from './interruptedRoom.js';
 import { byInterruption, isOwedRoom, overdueTasks } from './interruptedTasks.js';
 import { DrainMoves } from './drainMoves.js';
 import { OverdueReservations } from './overdueReservations.js';
@@ -248,16 +248,18 @@
   }
 
   /**
-   * Checks whether a worker could run a task once its short runs have ended.
+   * Tells when a worker has room for an interrupted task.
    *
    * @param task - the task
-   * @returns true if there is one, as of the last pass
+   * @returns the outlook as of the last pass
    */
-  mayFindRoom(task: OwnedTask): boolean {
+  outlookFor(task: OwnedTask): RoomOutlook {
     const size = reservedSizeOf(task);
-    return this.reservableWorkers(task).some(
-      (agent) => this.placement.permits(agent, task) && fitsIn(size, roomBesideLastingRuns(agent)),
+    const agents = this.reservableWorkers(task).filter(
+      (agent) => this.placement.permits(agent, task) && fitsIn(size, agent.description.capacity),
     );
+    if (agents.length === 0) return 'never';
+    return agents.some((agent) => fitsIn(size, roomBesideLastingRuns(agent))) ? 'soon' : 'later';
   }
 
   /** Logs why long-running tasks wait that have waited for long. */
