Remember once which shares have returned tasks

Both ways to hand tasks over kept the same memory, and were told of each return one after the other. They share one now. Behaviour is as before; the tests note a return in that memory in place of the policy.

--- a/packages/samphirenotch/src/jobs/ownership/shareExchange.ts
+++ b/packages/samphirenotch/src/jobs/ownership/shareExchange.ts
@@ -12,6 +12,7 @@
 import type { RoomOutlook } from '../placement/interruptedRoom.js';
 import { InterruptedSpill } from '../placement/interruptedSpill.js';
 import { byInterruption, isInterrupted } from '../placement/interruptedTasks.js';
+import { Refusals } from '../placement/refusals.js';
 import {
   hasWaitedAtHome,
   MostFreeRoomSpill,
@@ -90,9 +91,11 @@
 
   private readonly follower: StoreFollower;
 
-  private readonly spillPolicy = new MostFreeRoomSpill();
+  private readonly refusals = new Refusals();
 
-  private readonly interruptedSpill = new InterruptedSpill();
+  private readonly spillPolicy = new MostFreeRoomSpill(this.refusals);
+
+  private readonly interruptedSpill = new InterruptedSpill(this.refusals);
 
   private checkedMs = Number.NEGATIVE_INFINITY;
 
@@ -267,9 +270,7 @@
   private onTasksReturned(step: OwnedStep, from: string): void {
     const job: OwnedJob = step.occurrence.job;
     job.isFullyStarted = false;
-    const nowMs = this.options.clock.monotonicMs();
-    this.spillPolicy.noteRefusal(step, from, nowMs);
-    this.interruptedSpill.noteRefusal(step, from, nowMs);
+    this.refusals.note(step, from, this.options.clock.monotonicMs());
     this.options.onNews();
   }
 }
--- a/packages/samphirenotch/src/jobs/placement/interruptedSpill.ts
+++ b/packages/samphirenotch/src/jobs/placement/interruptedSpill.ts
@@ -8,7 +8,7 @@
  */
 import type { OwnedStep, OwnedTask } from '../model/ownedJob.js';
 import type { InterruptedRoom } from '../model/shareCapacity.js';
-import { Refusals } from './refusals.js';
+import type { Refusals } from './refusals.js';
 import type { Spill, SpillTarget } from './spillOver.js';
 
 /** Fraction of the difference to another share, as in its report, that this share may use. */
@@ -54,18 +54,10 @@
   /** Sums of the used room, in thousandths of a core by share and service. */
   private readonly usedSums = new Map<string, number>();
 
-  private readonly refusals = new Refusals();
-
   /**
-   * Records that a share has returned tasks.
-   *
-   * @param step - the step of the tasks
-   * @param share - id of the share
-   * @param nowMs - monotonic time in milliseconds
+   * @param refusals - shares that have returned tasks
    */
-  noteRefusal(step: OwnedStep, share: string, nowMs: number): void {
-    this.refusals.note(step, share, nowMs);
-  }
+  constructor(private readonly refusals: Refusals) {}
 
   /**
    * Chooses tasks for which this share has no room.
--- a/packages/samphirenotch/src/jobs/placement/spillOver.ts
+++ b/packages/samphirenotch/src/jobs/placement/spillOver.ts
@@ -8,7 +8,7 @@
  */
 import { isTaskWaiting, type OwnedStep, type OwnedTask } from '../model/ownedJob.js';
 import type { ShareCapacity } from '../model/shareCapacity.js';
-import { Refusals } from './refusals.js';
+import type { Refusals } from './refusals.js';
 
 /** A step whose tasks find no worker in this share. */
 export interface UnplacedStep {
@@ -83,18 +83,10 @@
 export class MostFreeRoomSpill implements SpillPolicy {
   private readonly budgets = new Map<string, Budget>();
 
-  private readonly refusals = new Refusals();
-
   /**
-   * Records that a share has returned tasks.
-   *
-   * @param step - the step of the tasks
-   * @param share - id of the share
-   * @param nowMs - monotonic time in milliseconds
+   * @param refusals - shares that have returned tasks
    */
-  noteRefusal(step: OwnedStep, share: string, nowMs: number): void {
-    this.refusals.note(step, share, nowMs);
-  }
+  constructor(private readonly refusals: Refusals) {}
 
   choose(
     steps: readonly UnplacedStep[],
--- a/tests/jobs/interruptedSpill.spec.ts
+++ b/tests/jobs/interruptedSpill.spec.ts
@@ -8,6 +8,7 @@
 import { InterruptedSpill } from 'samphirenotch/jobs/placement/interruptedSpill.js';
 import { roomForInterrupted } from 'samphirenotch/jobs/placement/interruptedRoom.js';
 import { byInterruption } from 'samphirenotch/jobs/placement/interruptedTasks.js';
+import { Refusals } from 'samphirenotch/jobs/placement/refusals.js';
 import type { SpillTarget } from 'samphirenotch/jobs/placement/spillOver.js';
 import { ManualClock } from 'samphirenotch/time/manualClock.js';
 
@@ -51,7 +52,7 @@
 test('should hand what a share has no room for to the one with most, the task that was interrupted first before the others', (t) => {
   const tasks = byInterruption(makeInterrupted());
   const targets = [makeTarget('a', 10_000), makeTarget('b', 20_000), makeTarget('c', 5_000)];
-  const spills = new InterruptedSpill().choose(tasks, makeHome(-3_000), targets, 0);
+  const spills = new InterruptedSpill(new Refusals()).choose(tasks, makeHome(-3_000), targets, 0);
   t.deepEqual(
     spills.map(({ to }) => to),
     ['b'],
@@ -63,14 +64,14 @@
 test('should keep tasks for which their share has room once its short tasks have ended', (t) => {
   const tasks = makeInterrupted();
   const targets = [makeTarget('a', 20_000)];
-  t.deepEqual(new InterruptedSpill().choose(tasks, makeHome(0), targets, 0), []);
-  t.deepEqual(new InterruptedSpill().choose(tasks, makeHome(4_000), targets, 0), []);
+  t.deepEqual(new InterruptedSpill(new Refusals()).choose(tasks, makeHome(0), targets, 0), []);
+  t.deepEqual(new InterruptedSpill(new Refusals()).choose(tasks, makeHome(4_000), targets, 0), []);
 });
 
 // Guards against tasks that move between shares none of which has room.
 test('should use a fraction of the reported room once until the next report counts the tasks', (t) => {
   const tasks = makeInterrupted();
-  const policy = new InterruptedSpill();
+  const policy = new InterruptedSpill(new Refusals());
   const others = [makeTarget('b', -8_000), makeTarget('c', -10_000)];
   const choose = (nowMs: number) =>
     policy
@@ -86,7 +87,7 @@
 test('should balance what shares lack, by their capacity', (t) => {
   const tasks = makeInterrupted();
   const countFor = (...milliCores: readonly number[]) =>
-    new InterruptedSpill()
+    new InterruptedSpill(new Refusals())
       .choose(
         tasks,
         makeHome(-10_000),
@@ -103,14 +104,15 @@
 test('should skip shares without room for the service or the label, and those that returned tasks', (t) => {
   const tasks = makeInterrupted({ requiredLabel: 'fast' });
   const [task] = tasks;
-  const policy = new InterruptedSpill();
+  const refusals = new Refusals();
+  const policy = new InterruptedSpill(refusals);
   const labels = ['fast'];
   const shareAt = (nowMs: number, target: SpillTarget) =>
     policy.choose(tasks, makeHome(-1_000), [target], nowMs)[0]?.to;
   t.is(shareAt(0, makeTarget('a', 20_000)), undefined);
   t.is(shareAt(0, makeTarget('b', 20_000, { labels, service: 'other' })), undefined);
   t.is(shareAt(0, makeTarget('c', 20_000, { labels })), 'c');
-  if (task) policy.noteRefusal(task.step, 'c', 100);
+  if (task) refusals.note(task.step, 'c', 100);
   t.is(shareAt(3_000, makeTarget('c', 20_000, { labels })), undefined);
   t.is(shareAt(3_200, makeTarget('c', 20_000, { labels })), 'c');
 });
