--- a/packages/samphirenotch/src/jobs/ownership/incomingDelegations.ts
+++ b/packages/samphirenotch/src/jobs/ownership/incomingDelegations.ts
@@ -13,11 +13,11 @@
 } from '../model/delegation.js';
 import type { JobProgress } from '../model/jobProgress.js';
 import { isTaskWaiting, type OwnedJob, type OwnedStep, type OwnedTask } from '../model/ownedJob.js';
-import { interruptionFields } from '../placement/interruptedTasks.js';
 import type { JobRegistry } from '../store/jobRegistry.js';
 import { keysOfShare } from '../store/jobKeys.js';
 import type { JobReplica } from '../store/jobReplica.js';
 import type { ProgressJournal } from '../store/progressJournal.js';
+import { describeTask } from './delegatedTask.js';
 
 /** Settings and collaborators of `IncomingDelegations`. */
 export interface IncomingDelegationsOptions {
@@ -86,15 +86,7 @@
 ): DelegationReport => ({
   from: delegation.to,
   hasStarted: job.hasStarted,
-  tasks: tasks.map((task) => ({
-    index: task.index,
-    nextRun: task.nextRun,
-    failedRuns: task.failedRuns,
-    crashedRuns: task.crashedRuns,
-    checkpoint: task.checkpoint,
-    ...interruptionFields(task, clock),
-    outcome: outcomeOf(task),
-  })),
+  tasks: tasks.map((task) => ({ ...describeTask(task, clock), outcome: outcomeOf(task) })),
 });
 
 /** Delegations from other shares during one term. */
--- a/packages/samphirenotch/src/jobs/ownership/outgoingDelegations.ts
+++ b/packages/samphirenotch/src/jobs/ownership/outgoingDelegations.ts
@@ -17,10 +17,10 @@
   type ReportedTask,
 } from '../model/delegation.js';
 import type { OwnedJob, OwnedStep, OwnedTask } from '../model/ownedJob.js';
-import { interruptionFields } from '../placement/interruptedTasks.js';
 import type { JobRegistry } from '../store/jobRegistry.js';
 import { isDelegationKey, keysOfShare } from '../store/jobKeys.js';
 import type { ProgressJournal } from '../store/progressJournal.js';
+import { describeTask } from './delegatedTask.js';
 import type { DelegationStatus } from './entryStatus.js';
 
 /** Settings and collaborators of `OutgoingDelegations`. */
@@ -143,14 +143,7 @@
       toToken: tokenOf(to),
       occurrence: index,
       step: step.index,
-      tasks: tasks.map((task) => ({
-        index: task.index,
-        nextRun: task.nextRun,
-        failedRuns: [...task.failedRuns],
-        crashedRuns: [...task.crashedRuns],
-        checkpoint: task.checkpoint,
-        ...interruptionFields(task, clock),
-      })),
+      tasks: tasks.map((task) => describeTask(task, clock)),
     };
     this.log.info('Tasks are handed to another share', {
       jobId: job.id,
--- a/packages/samphirenotch/src/jobs/placement/interruptedTasks.ts
+++ b/packages/samphirenotch/src/jobs/placement/interruptedTasks.ts
@@ -4,10 +4,6 @@
  * Under sustained overload, tasks that can be in time take all room that becomes free. A long-running
  * task that was interrupted would then wait for as long as the overload lasts.
  */
-import type { Clock } from '../../time/clock.js';
-
-import type { DelegatedTask } from '../model/delegation.js';
-import { interruptionOf } from '../model/jobProgress.js';
 import { isSuspect, isTaskWaiting, type OwnedStep, type OwnedTask } from '../model/ownedJob.js';
 
 /**
@@ -70,19 +66,3 @@
  */
 export const byInterruption = (tasks: readonly OwnedTask[]): readonly OwnedTask[] =>
   [...tasks].sort((left, right) => (left.interruptedMs ?? 0) - (right.interruptedMs ?? 0));
-
-/**
- * Returns what another share has to know of the former runs of a task.
- *
- * @param task - the task
- * @param clock - time
- * @returns fields of a delegation or a report; those of a task that never ran unless it is long-running
- */
-export const interruptionFields = (
-  task: OwnedTask,
-  clock: Clock,
-): Pick<DelegatedTask, 'hasRun' | 'interruptedAtMs'> => {
-  if (!task.step.spec.longRunning) return { hasRun: false, interruptedAtMs: undefined };
-  const isRunning = task.runs.some(({ confirmedMs }) => confirmedMs !== undefined);
-  return { hasRun: task.hasRun || isRunning, interruptedAtMs: interruptionOf(task, clock) };
-};
