Name the lack of room for interrupted tasks once

The same constant stood in two files, two functions had one name, and one of them was written out again beside it. A comment referred to a constant that is not next to it.

--- a/packages/samphirenotch/src/jobs/model/shareCapacity.ts
+++ b/packages/samphirenotch/src/jobs/model/shareCapacity.ts
@@ -11,6 +11,9 @@
   readonly free: number;
 }
 
+/** What they find where no worker accepts work. */
+export const NO_INTERRUPTED_ROOM: InterruptedRoom = { capacity: 0, free: 0 };
+
 /** Capacity and demand of a share, in thousandths of a core. */
 export interface ShareCapacity {
   /** Total of the workers that accept work. */
--- a/packages/samphirenotch/src/jobs/ownership/shareExchange.ts
+++ b/packages/samphirenotch/src/jobs/ownership/shareExchange.ts
@@ -53,8 +53,8 @@
 /** Time without a confirmed lease after which the store counts as unreachable, in milliseconds. */
 const STORE_UNREACHABLE_MS = 1_500;
 
-const interruptedTasksOf = (steps: readonly UnplacedStep[]): readonly OwnedTask[] =>
-  steps.flatMap(({ step }) => step.tasks.filter(isInterrupted));
+const interruptedTasksOf = (steps: readonly OwnedStep[]): readonly OwnedTask[] =>
+  steps.flatMap(({ tasks }) => tasks.filter(isInterrupted));
 
 /** Settings and collaborators of a `ShareExchange`. */
 export interface ShareExchangeOptions {
@@ -194,7 +194,7 @@
     const own = steps.filter(({ step }) => !step.occurrence.job.isGuest);
     const targets = this.spillTargets();
     const send = ({ step, tasks, to }: Spill): void => this.outgoing.send(step, tasks, to);
-    const interrupted = interruptedTasksOf(own.filter(hasWaitedAtHome));
+    const interrupted = interruptedTasksOf(own.filter(hasWaitedAtHome).map(({ step }) => step));
     if (interrupted.length > 0)
       this.excess(interrupted, this.options.roomForInterrupted(), targets).forEach(send);
     this.spillPolicy.choose(own, targets, nowMs).forEach(send);
@@ -221,7 +221,7 @@
     const { rooms, roomForInterrupted } = this.options;
     const targets = rooms.ageMs() <= MAX_ROOMS_AGE_MS ? this.spillTargets() : [];
     const room = roomForInterrupted();
-    const interrupted = [...guests.keys()].flatMap(({ tasks }) => tasks.filter(isInterrupted));
+    const interrupted = interruptedTasksOf([...guests.keys()]);
     const excess = new Set(this.excess(interrupted, room, targets).flatMap(({ tasks }) => tasks));
     const misplaced = new Set(
       [...guests].flatMap(([step, waitedMs]) =>
@@ -242,9 +242,10 @@
   ): boolean {
     // Tasks of a step need the same of a worker.
     const task = step.tasks.find(isInterrupted);
-    const outlook = task ? this.options.outlookFor(task) : 'never';
-    const hasRoom = (room.get(step.occurrence.job.queue.service)?.free ?? 0) >= 0;
+    if (!task) return false;
+    const outlook = this.options.outlookFor(task);
     if (outlook === 'never') return true;
+    const hasRoom = (room.get(step.occurrence.job.queue.service)?.free ?? 0) >= 0;
     return hasRoom && (outlook === 'later' || waitedMs >= RETURN_INTERRUPTED_AFTER_MS);
   }
 
--- a/packages/samphirenotch/src/jobs/ownership/summaryWriter.ts
+++ b/packages/samphirenotch/src/jobs/ownership/summaryWriter.ts
@@ -6,6 +6,7 @@
 import { hasWaitingTasks, isStepReady, isTaskWaiting, type OwnedJob } from '../model/ownedJob.js';
 import {
   encodeShareCapacity,
+  NO_INTERRUPTED_ROOM,
   type InterruptedRoom,
   type ShareCapacity,
 } from '../model/shareCapacity.js';
@@ -61,11 +62,12 @@
   return sum;
 };
 
-/** The same for the room that interrupted tasks could get: they wait while another share has some. */
+/**
+ * Change of the room for interrupted tasks that is written at once, as a fraction of the capacity; small, since tasks of
+ * other shares wait for it.
+ */
 const MIN_INTERRUPTED_ROOM_CHANGE = 0.01;
 
-const NO_INTERRUPTED_ROOM: InterruptedRoom = { capacity: 0, free: 0 };
-
 const hasInterruptedRoomChanged = (one: ShareCapacity, other: ShareCapacity): boolean => {
   const notable = MIN_INTERRUPTED_ROOM_CHANGE * Math.max(one.capacity, other.capacity);
   const services = new Set([...one.forInterrupted.keys(), ...other.forInterrupted.keys()]);
--- a/packages/samphirenotch/src/jobs/placement/interruptedRoom.ts
+++ b/packages/samphirenotch/src/jobs/placement/interruptedRoom.ts
@@ -57,20 +57,17 @@
 export const roomBesideLastingRuns = (agent: LastingAgent): Size =>
   minusSize(agent.description.capacity, sumSizes(lastingSizes(agent)));
 
-/** Room that is smaller than a usual task is left out: no task fits there. */
+/** Counts room in tasks of the mean size: none fits into what is left of a worker. */
 const roomLeft = ({ rooms, held, needed }: Demand): number => {
   const sizes = [...held, ...needed];
-  const usual = Math.max(1, sum(sizes) / Math.max(1, sizes.length));
-  return sum(rooms.map((room) => Math.floor(Math.max(0, room) / usual) * usual)) - sum(needed);
+  const meanSize = Math.max(1, sum(sizes) / Math.max(1, sizes.length));
+  return (
+    sum(rooms.map((room) => Math.floor(Math.max(0, room) / meanSize) * meanSize)) - sum(needed)
+  );
 };
 
-/**
- * Lists the interrupted tasks of a job that wait to run again here.
- *
- * @param job - the job
- * @returns the tasks
- */
-export const interruptedTasksOf = ({ occurrences }: OwnedJob): readonly OwnedTask[] =>
+/** Lists the interrupted tasks of a job that wait to run again here. */
+const interruptedTasksOf = ({ occurrences }: OwnedJob): readonly OwnedTask[] =>
   [...occurrences.values()]
     .flatMap(({ steps }) => steps)
     .filter((step) => step.spec.longRunning && isStepReady(step))
--- a/packages/samphirenotch/src/jobs/placement/interruptedSpill.ts
+++ b/packages/samphirenotch/src/jobs/placement/interruptedSpill.ts
@@ -7,7 +7,7 @@
  * what each lacks is balanced: new room goes to those that have waited longest, wherever it comes.
  */
 import type { OwnedStep, OwnedTask } from '../model/ownedJob.js';
-import type { InterruptedRoom } from '../model/shareCapacity.js';
+import { NO_INTERRUPTED_ROOM, type InterruptedRoom } from '../model/shareCapacity.js';
 import type { Refusals } from './refusals.js';
 import type { Spill, SpillTarget } from './spillOver.js';
 
@@ -36,8 +36,6 @@
 /** Room of this share for interrupted tasks by service. */
 type HomeRoom = ReadonlyMap<string, InterruptedRoom>;
 
-const NO_ROOM: InterruptedRoom = { capacity: 0, free: 0 };
-
 /** Returns how much another share could take in until both have as much room by their capacity; 0 if too little. */
 const leadOf = (other: InterruptedRoom, home: InterruptedRoom, milliCores: number): number => {
   if (other.capacity <= 0) return 0;
@@ -104,7 +102,7 @@
   ): string | undefined {
     const { spec } = task.step;
     const service = serviceOf(task);
-    const ownRoom = home.get(service) ?? NO_ROOM;
+    const ownRoom = home.get(service) ?? NO_INTERRUPTED_ROOM;
     const fraction = Math.max(BUDGET_FRACTION, 1 / Math.max(1, targets.length));
     let most = spec.size.milliCores;
     let found: string | undefined;
@@ -112,7 +110,7 @@
       if (spec.requiredLabel !== '' && !room.labels.has(spec.requiredLabel)) return;
       if (this.refusals.has(task.step, share, nowMs)) return;
       const used = this.usedSums.get(`${share} ${service}`) ?? 0;
-      const otherRoom = room.forInterrupted.get(service) ?? NO_ROOM;
+      const otherRoom = room.forInterrupted.get(service) ?? NO_INTERRUPTED_ROOM;
       const budget = fraction * leadOf(otherRoom, ownRoom, spec.size.milliCores) - used;
       if (budget < most) return;
       most = budget;
