--- a/tests/jobs/exchangeBacklogs.spec.ts
+++ b/tests/jobs/exchangeBacklogs.spec.ts
@@ -18,14 +18,18 @@
   type JobSite,
   type SiteEntry,
 } from '../fixtures/jobSite.js';
+import {
+  drainHome,
+  interruptTask,
+  isIn,
+  MOVING_JOB_ID,
+  MOVING_TASK_ID,
+  sendAway,
+} from '../fixtures/movingTask.js';
 
 /** Time within which an interrupted task runs again if there is room for it, in milliseconds. */
 const PROMISED_MS = 6_000;
 
-const JOB_ID = '00000000000000a1';
-
-const TASK_ID = `${JOB_ID}.0.0.0`;
-
 /** Jobs with a short task that only the other share can run. */
 const FOREIGN_IDS = ['00000000000000c1', '00000000000000c2', '00000000000000c3'];
 
@@ -35,27 +39,19 @@
 /** A label of few workers. */
 const RARE_LABEL = 'rare';
 
-const endRuns = (site: JobSite): void =>
-  site.workers.forEach((worker) => worker.endRuns(TASK_ID, 'failed'));
-
-const isIn = (site: JobSite, dataCentre: number): boolean => {
-  const last = site.record.runsOf(TASK_ID).at(-1);
-  return Number(last?.workerId.slice(1)) % 2 === dataCentre;
-};
-
 /** Makes a divided site that runs a long-running task of the first share there. */
 const makeSite = async (step = makeStep({ longRunning: true })) => {
   const { site, owners } = await makeDividedSite({
     workers: 4,
     behave: (taskId) => ({
       size: SHORT_SIZE,
-      durationMs: taskId === TASK_ID ? Infinity : SHORT_RUN_MS,
+      durationMs: taskId === MOVING_TASK_ID ? Infinity : SHORT_RUN_MS,
     }),
   });
   site.configure([site.queue, urgent]);
   ['w1', 'w3'].forEach((id) => site.registerWorker(id, { labels: [SECOND_LABEL] }));
   site.registerWorker('w0', { labels: [RARE_LABEL] });
-  site.putJobs([JOB_ID], makeJob(step), 'dc0');
+  site.putJobs([MOVING_JOB_ID], makeJob(step), 'dc0');
   await runUntil(site, () => isIn(site, 0));
   return { site, owners };
 };
@@ -70,9 +66,9 @@
 /** Checks that the task runs again in time in a share. */
 const checkAway = async (t: ExecutionContext, site: JobSite, dataCentre: number): Promise<void> => {
   const fromMs = site.clock.monotonicMs();
-  endRuns(site);
+  interruptTask(site);
   await site.run(3 * PROMISED_MS);
-  const next = site.record.runsOf(TASK_ID).find(({ startedMs }) => startedMs >= fromMs);
+  const next = site.record.runsOf(MOVING_TASK_ID).find(({ startedMs }) => startedMs >= fromMs);
   const awayMs = Math.round((next?.startedMs ?? Infinity) - fromMs);
   t.log(`away for ${awayMs} ms`);
   t.true(isIn(site, dataCentre));
@@ -84,7 +80,7 @@
 test('should hand over an interrupted task while many changes wait to be stored', async (t) => {
   const { site, owners } = await makeSite();
   await makeBacklog(site, owners[0], 'dc0');
-  ['w0', 'w2'].forEach((id) => site.registerWorker(id, { phase: 'draining', remainingMs: 60_000 }));
+  drainHome(site);
   await checkAway(t, site, 1);
 });
 
@@ -92,12 +88,7 @@
 // short jobs are stored (LOST).
 test('should give back an interrupted task while many changes wait to be stored', async (t) => {
   const { site, owners } = await makeSite();
-  site.data.put('operator/evacuate/dc0', '');
-  await site.run(1_000);
-  endRuns(site);
-  await runUntil(site, () => isIn(site, 1));
-  site.data.remove('operator/evacuate/dc0');
-  await site.run(1_500);
+  await sendAway(site);
   await makeBacklog(site, owners[1], 'dc1');
   site.data.put('operator/evacuate/dc1', '');
   await checkAway(t, site, 0);
@@ -107,12 +98,7 @@
 // its task at home waits for it (LOST).
 test('should run a task that is back at home while many changes wait to be stored there', async (t) => {
   const { site, owners } = await makeSite();
-  site.data.put('operator/evacuate/dc0', '');
-  await site.run(1_000);
-  endRuns(site);
-  await runUntil(site, () => isIn(site, 1));
-  site.data.remove('operator/evacuate/dc0');
-  await site.run(1_500);
+  await sendAway(site);
   await makeBacklog(site, owners[0], 'dc0');
   site.data.put('operator/evacuate/dc1', '');
   await checkAway(t, site, 0);
@@ -128,7 +114,7 @@
   await site.run(700);
   // The long-running task may not leave: the other share is closed to it.
   site.data.put('operator/evacuate/dc1', '');
-  ['w0', 'w2'].forEach((id) => site.registerWorker(id, { phase: 'draining', remainingMs: 60_000 }));
+  drainHome(site);
   site.addWorker('w10');
   await checkAway(t, site, 0);
 });
--- a/tests/jobs/overtakenDelegations.spec.ts
+++ b/tests/jobs/overtakenDelegations.spec.ts
@@ -20,12 +20,17 @@
   type JobSite,
   type SiteEntry,
 } from '../fixtures/jobSite.js';
+import {
+  drainHome,
+  interruptTask,
+  isIn,
+  MOVING_JOB_ID,
+  MOVING_TASK_ID,
+  sendAway,
+} from '../fixtures/movingTask.js';
 
-const JOB_ID = '00000000000000a1';
-
-/** A long-running task, and a short one of the same job. */
-const LASTING_TASK = `${JOB_ID}.0.0.0`;
-const SHORT_TASK = `${JOB_ID}.0.1.0`;
+/** A short task of the same job. */
+const SHORT_TASK = `${MOVING_JOB_ID}.0.1.0`;
 
 /** Another job, with one task. */
 const OTHER_ID = '00000000000000a2';
@@ -60,12 +65,6 @@
 
 const lastOf = (site: JobSite, taskId: string) => site.record.runsOf(taskId).at(-1);
 
-const isIn = (site: JobSite, taskId: string, dataCentre: number): boolean =>
-  Number(lastOf(site, taskId)?.workerId.slice(1)) % 2 === dataCentre;
-
-const endRuns = (site: JobSite): void =>
-  site.workers.forEach((worker) => worker.endRuns(LASTING_TASK, 'failed'));
-
 /** Makes a divided site with two entries for each share, which runs a long-running task of the first share there. */
 const makeSite = async (steps = [makeStep({ longRunning: true })]): Promise<MovingSite> => {
   const {
@@ -74,7 +73,7 @@
   } = await makeDividedSite({
     workers: 4,
     behave: (taskId) => {
-      if (taskId === LASTING_TASK) return { size: SHORT_SIZE, durationMs: Infinity };
+      if (taskId === MOVING_TASK_ID) return { size: SHORT_SIZE, durationMs: Infinity };
       return { size: SHORT_SIZE, durationMs: taskId === SHORT_TASK ? SHORT_TASK_MS : SHORT_RUN_MS };
     },
   });
@@ -83,21 +82,11 @@
   site.configure([site.queue, urgent]);
   ['w1', 'w3'].forEach((id) => site.registerWorker(id, { labels: [SECOND_LABEL] }));
   await site.run(500);
-  site.putJobs([JOB_ID], makeJob(...steps), 'dc0');
-  await runUntil(site, () => isIn(site, LASTING_TASK, 0));
+  site.putJobs([MOVING_JOB_ID], makeJob(...steps), 'dc0');
+  await runUntil(site, () => isIn(site, 0));
   return { site, owners: { home, other } };
 };
 
-/** Moves the long-running task to the other share, and opens its home again. */
-const sendAway = async ({ site }: MovingSite): Promise<void> => {
-  site.data.put('operator/evacuate/dc0', '');
-  await site.run(1_000);
-  endRuns(site);
-  await runUntil(site, () => isIn(site, LASTING_TASK, 1));
-  site.data.remove('operator/evacuate/dc0');
-  await site.run(1_500);
-};
-
 /** Gives the owners the ends of short jobs to store, one a transaction, each of which takes long. */
 const makeBacklog = async ({ site, owners: { home, other } }: MovingSite): Promise<void> => {
   await startShortJobs(site, { home: 'dc0', count: SHORT_JOBS });
@@ -117,7 +106,7 @@
 ): Promise<void> => {
   const from = site.data.revision;
   const stored = () =>
-    site.data.changes.filter(({ key, revision }) => revision > from && key.includes(JOB_ID));
+    site.data.changes.filter(({ key, revision }) => revision > from && key.includes(MOVING_JOB_ID));
   for (let at = 0; at < STORED_WITHIN_MS && stored().length < changes; at += 10) {
     await site.clock.advance(10);
   }
@@ -128,7 +117,7 @@
   site.data.remove('operator/evacuate/dc1');
   await site.run(30_000);
   t.deepEqual(site.record.violations, [], message);
-  t.is(lastOf(site, LASTING_TASK)?.endedMs, undefined, message);
+  t.is(lastOf(site, MOVING_TASK_ID)?.endedMs, undefined, message);
   const shortRuns = site.record.runsOf(SHORT_TASK);
   t.is(shortRuns.filter(({ kind }) => kind !== 'done').length, 0, message);
   t.true(shortRuns.length <= 1, message);
@@ -153,10 +142,8 @@
 const handOver = async (): Promise<MovingSite> => {
   const made = await makeSite();
   await makeBacklog(made);
-  ['w0', 'w2'].forEach((id) =>
-    made.site.registerWorker(id, { phase: 'draining', remainingMs: 60_000 }),
-  );
-  endRuns(made.site);
+  drainHome(made.site);
+  interruptTask(made.site);
   return made;
 };
 
@@ -166,10 +153,10 @@
 /** Interrupts a task in the other share, which has no room for it any more. */
 const giveBack = async (): Promise<MovingSite> => {
   const made = await makeSite();
-  await sendAway(made);
+  await sendAway(made.site);
   await makeBacklog(made);
   made.site.data.put('operator/evacuate/dc1', '');
-  endRuns(made.site);
+  interruptTask(made.site);
   return made;
 };
 
@@ -183,7 +170,7 @@
     makeStep({ size: SHORT_SIZE, requiredLabel: SECOND_LABEL }),
   ]);
   const { site } = made;
-  await runUntil(site, () => isIn(site, SHORT_TASK, 1));
+  await runUntil(site, () => isIn(site, 1, SHORT_TASK));
   await site.run(1_000);
   site.data.put('operator/evacuate/dc1', '');
   await makeBacklog(made);
@@ -193,9 +180,9 @@
     ),
   );
   await site.run(150);
-  const workerId = lastOf(site, LASTING_TASK)?.workerId ?? '';
+  const workerId = lastOf(site, MOVING_TASK_ID)?.workerId ?? '';
   site.registerWorker(workerId, { phase: 'draining', remainingMs: 60_000 });
-  endRuns(site);
+  interruptTask(site);
   return made;
 };
 
@@ -224,7 +211,7 @@
     behave: (taskId) => ({
       size: SHORT_SIZE,
       durationMs: SHORT_RUN_MS,
-      crashes: taskId === LASTING_TASK || taskId === OTHER_TASK,
+      crashes: taskId === MOVING_TASK_ID || taskId === OTHER_TASK,
     }),
   });
   const [home] = owners;
@@ -236,8 +223,8 @@
   );
   await site.run(1_000);
   const step = (requiredLabel: string) => makeJob(makeStep({ size: SHORT_SIZE, requiredLabel }));
-  const runs = (taskId = LASTING_TASK) => site.record.runsOf(taskId).length;
-  put(site, urgent, [JOB_ID], step(TASK_LABEL), 'dc0');
+  const runs = (taskId = MOVING_TASK_ID) => site.record.runsOf(taskId).length;
+  put(site, urgent, [MOVING_JOB_ID], step(TASK_LABEL), 'dc0');
   await runUntil(site, () => runs() === 2);
   await startShortJobs(site, { home: 'dc0', requiredLabel: SHORT_LABEL });
   put(site, urgent, [OTHER_ID], step(OTHER_LABEL), 'dc0');
@@ -246,7 +233,7 @@
   await runUntil(site, () => runs(OTHER_TASK) === 2 && watched().includes(OTHER_TASK));
   home.kill();
   await site.run(60_000);
-  t.is(site.data.items.get(ENDED_PREFIX + JOB_ID)?.value, 'failed');
+  t.is(site.data.items.get(ENDED_PREFIX + MOVING_JOB_ID)?.value, 'failed');
   t.is(runs(), 3);
   t.deepEqual(site.record.violations, []);
 });
