--- a/tests/jobs/decisions.spec.ts
+++ b/tests/jobs/decisions.spec.ts
@@ -100,7 +100,9 @@
   const delegation = decodeDelegation(
     '{"j":"a1","n":"1-1","h":"dc0","t":"dc1","k":0,"s":0,"r":[[2,5,[4],"c"]]}',
   );
-  t.like(delegation.tasks[0], { crashedRuns: [], hasRun: false, interruptedAtMs: undefined });
+  t.deepEqual(delegation.tasks[0]?.crashedRuns, []);
+  t.is(delegation.tasks[0]?.hasRun, false);
+  t.is(delegation.tasks[0]?.interruptedAtMs, undefined);
   t.is(delegation.toToken, undefined);
   const report = decodeReport('{"t":"dc1","b":true,"r":[[2,5,[4],"c","r"]]}');
   t.like(report.tasks[0], { outcome: 'returned', crashedRuns: [], failedRuns: [4], hasRun: false });
