--- a/review/7/run.js
+++ b/review/7/run.js
@@ -1,15 +1,20 @@
 /**
- * Workers crash one at a time while a submission whose tasks last is at work.
+ * A worker is lost for good and the owner's process is killed at the same time, while tasks that last are at
+ * work and the other workers have room. The worker is the only one of its zone.
  */
 import { fileURLToPath } from 'node:url';
 
 import { Site, sleep } from '../standins-2/site.js';
 
-const CRASHES = 4;
-const CRASH_AFTER_MS = 1_500;
-const DOWN_MS = 1_000;
-const WATCH_MS = 45_000;
+const SETTLE_MS = 4_000;
+const WATCH_MS = 30_000;
+/** The rule holds from so long after the last run, for so long, and after so much calm and time in touch. */
+const AFTER_RUN_MS = 6_000;
+const IDLE_MS = 3_000;
+const CALM_MS = 4_000;
+const CONTACT_MS = 3_000;
 const ID = '5c0e7a21d94b36f8';
+const TASKS = 8;
 const ROUTE = { Name: 'watch', Host: 'desk.example', Prefix: '/watch/', Service: 'desk' };
 const hasTrouble = process.env.TROUBLE !== '0';
 
@@ -17,7 +22,7 @@
   folder: fileURLToPath(new URL('.', import.meta.url)),
   entries: 3,
   workers: 8,
-  zones: ['north', 'south'],
+  zones: ['north', 'south', 'north', 'south', 'north', 'south', 'north', 'east'],
   cpu: 16_000,
   memMb: 64_000,
   holdLimitMs: 6_000,
@@ -25,48 +30,53 @@
   routes: [{ ...ROUTE, Priority: 0, MaxAttempts: 3, Stretch: 2, TargetLatencyMs: 2_500 }],
 });
 
-/** Lets the worker crash that runs the first task, once it has run it for a while. */
-const crashWorkers = async () => {
-  for (let crash = 0; crash < CRASHES; crash += 1) {
-    let at;
-    const untilMs = site.now() + 12_000;
-    while (!at && site.now() < untilMs) {
-      at = site.workers.find(({ running }) => running.has(`${ID}.0.0.0`));
-      if (!at) await sleep(20);
-    }
-    if (!at) return;
-    await sleep(CRASH_AFTER_MS);
-    site.record('worker crashes', { worker: at.options.id });
-    at.crash();
-    await sleep(DOWN_MS);
-    at.restart();
-    site.beat();
-    site.record('worker is back', { worker: at.options.id });
-  }
+const runsOn = (worker) => [...worker.running.keys()];
+
+const isRunning = (task) => site.workers.some(({ isUp, running }) => isUp && running.has(task));
+
+/** Returns when the owner's process was there again, as the end of the disturbance. */
+const loseBoth = async (worker, owner) => {
+  const restarted = new Promise((resolve) => {
+    owner.whenSpawned.push(() => resolve(site.now()));
+  });
+  site.record('worker is lost for good', { worker: worker.options.id });
+  worker.crash();
+  owner.signal('SIGKILL');
+  return restarted;
 };
 
 const run = async () => {
   await site.start();
   if (!(await site.whenOwned())) return 2;
-  const [entry, other] = site.entries;
-  const submitted = await site.request(entry, 'POST', `/watch/${ID}`, {
+  const submitted = await site.request(site.entries[0], 'POST', `/watch/${ID}`, {
     Spec: '[0]',
-    Steps: [{ Count: 2, Cpu: 3_200, MemMb: 6_400, EstimateMs: 500, LongRunning: true }],
+    Steps: [{ Count: TASKS, Cpu: 5_000, MemMb: 6_400, EstimateMs: 500, LongRunning: true }],
   });
   if (submitted.status !== 200) return 2;
-  const crashing = hasTrouble ? crashWorkers() : Promise.resolve();
-  const untilMs = site.now() + WATCH_MS;
-  let state;
-  while (site.now() < untilMs && state !== 'failed') {
-    await sleep(500);
-    const { status, body } = await site.request(other, 'GET', `/watch/${ID}`);
-    if (status === 200) state = body.State;
+  await sleep(SETTLE_MS);
+  const worker = site.workers.at(-1);
+  const owner = site.owner();
+  const [task] = runsOn(worker);
+  if (!task || !owner) return 2;
+  const lostMs = site.now();
+  const calmMs = hasTrouble ? await loseBoth(worker, owner) : site.now();
+  let missingMs = 0;
+  let sinceMs;
+  while (site.now() < lostMs + WATCH_MS) {
+    const nowMs = site.now();
+    sinceMs = isRunning(task) ? undefined : (sinceMs ?? nowMs);
+    const fromMs = Math.max(lostMs + AFTER_RUN_MS, calmMs + CONTACT_MS + CALM_MS, sinceMs ?? nowMs);
+    if (sinceMs !== undefined) missingMs = Math.max(missingMs, nowMs - fromMs);
+    await sleep(10);
   }
-  await crashing;
-  const failures = site.lines.filter((line) => line.includes(' failed {"task"')).length;
-  site.record('verdict', { state, 'ends failed': failures });
-  if (state === 'failed' && failures === 0) return 1;
-  return state === 'running' ? 0 : 2;
+  const { body } = await site.request(site.entries[1], 'GET', `/watch/${ID}`);
+  site.record('verdict', {
+    task,
+    'calm and missing for ms': Math.round(missingMs),
+    'allowed ms': IDLE_MS,
+    state: body?.State,
+  });
+  return missingMs > IDLE_MS ? 1 : 0;
 };
 
 try {
