--- a/review/6/run.js
+++ b/review/6/run.js
@@ -1,8 +1,6 @@
 /**
  * Ten large submissions, each of them a schedule for a day, are handed in beside ordinary ones.
  */
-import { fileURLToPath } from 'node:url';
-
 import { Site, sleep } from '../standins-2/site.js';
 
 const SCHEDULES = 10;
@@ -18,10 +16,11 @@
 const LEAST_ENDS = 3;
 const LEAST_MACHINES = 2;
 const ROUTE = { Name: 'batch', Host: 'desk.example', Prefix: '/batch/', Service: 'desk' };
+const [, , recordPath = 'record.txt'] = process.argv;
 const hasTrouble = process.env.TROUBLE !== '0';
 
 const site = new Site({
-  folder: fileURLToPath(new URL('.', import.meta.url)),
+  recordPath,
   entries: 3,
   workers: 8,
   zones: ['north', 'south'],
--- a/review/7/run.js
+++ b/review/7/run.js
@@ -2,8 +2,6 @@
  * A worker is lost for good and the owner's process is killed at the same time, while tasks that last are at
  * work and the other workers have room. The worker is the only one of its zone.
  */
-import { fileURLToPath } from 'node:url';
-
 import { Site, sleep } from '../standins-2/site.js';
 
 const SETTLE_MS = 4_000;
@@ -16,10 +14,11 @@
 const ID = '5c0e7a21d94b36f8';
 const TASKS = 8;
 const ROUTE = { Name: 'watch', Host: 'desk.example', Prefix: '/watch/', Service: 'desk' };
+const [, , recordPath = 'record.txt'] = process.argv;
 const hasTrouble = process.env.TROUBLE !== '0';
 
 const site = new Site({
-  folder: fileURLToPath(new URL('.', import.meta.url)),
+  recordPath,
   entries: 3,
   workers: 8,
   zones: ['north', 'south', 'north', 'south', 'north', 'south', 'north', 'east'],
--- a/review/8/run.js
+++ b/review/8/run.js
@@ -1,8 +1,6 @@
 /**
  * One submission that can never be done is handed in beside ordinary ones: a gang that no worker has room for.
  */
-import { fileURLToPath } from 'node:url';
-
 import { Site, sleep } from '../standins-2/site.js';
 
 const GANG = 20_000;
@@ -10,10 +8,11 @@
 const GAP_MS = 400;
 const FINISH_MS = 14_000;
 const ROUTE = { Name: 'batch', Host: 'desk.example', Prefix: '/batch/', Service: 'desk' };
+const [, , recordPath = 'record.txt'] = process.argv;
 const hasTrouble = process.env.TROUBLE !== '0';
 
 const site = new Site({
-  folder: fileURLToPath(new URL('.', import.meta.url)),
+  recordPath,
   entries: 3,
   workers: 8,
   zones: ['north', 'south'],
--- a/review/standins-2/site.js
+++ b/review/standins-2/site.js
@@ -147,7 +147,7 @@
   beats = 0;
 
   /**
-   * @param options - folder of the case, entries, zones, workers, cores of a worker, routes
+   * @param options - path of the record, entries, zones, workers, cores of a worker, routes
    */
   constructor(options) {
     this.options = options;
@@ -166,9 +166,7 @@
 
   /** Starts everything, and waits until tasks can be started. */
   async start() {
-    const { folder, entries, workers, zones, cpu, memMb, routes, limits, holdLimitMs } =
-      this.options;
-    this.folder = folder;
+    const { entries, workers, zones, cpu, memMb, routes, limits, holdLimitMs } = this.options;
     this.scratch = mkdtempSync(path.join(tmpdir(), 'review-2-'));
     mkdirSync(this.scratch, { recursive: true });
     this.store.start();
@@ -290,7 +288,7 @@
     await Promise.all(this.entries.map((entry) => entry.end()));
     this.workers.forEach((worker) => worker.close());
     this.store.close();
-    writeFileSync(path.join(this.folder, 'record.txt'), `${this.lines.join('\n')}\n`);
+    writeFileSync(this.options.recordPath, `${this.lines.join('\n')}\n`);
     if (process.env.KEEP === undefined) rmSync(this.scratch, { recursive: true, force: true });
     else process.stdout.write(`${this.scratch}\n`);
   }
