Hold only the open occurrences of a schedule in memory

Cause: OwnedJob made all occurrences with their steps and tasks when it was constructed, some 1,130 bytes for each task of 8,640 occurrences, and each pass walked all of them. The stored progress had an entry for each as well. Change: an occurrence that is not due is its index, one that is done a member of a set of ranges, in memory and in the store. The registry opens occurrences when they are due: one of each schedule in any case, more while fewer than 100,000 tasks are open. A run that a worker reports opens its occurrence, whatever the clock says. The sets of failed workers and crashed addresses, empty in most tasks, are shared. Why it works: what an owner holds grows with what is due and open, not with RepeatCount. Progress of former versions is read as before; former versions do not know the new ranges, so a schedule must not go back to one. Tests that read decoded progress use its new form.

--- a/packages/samphirenotch/src/jobs/model/jobDescription.ts
+++ b/packages/samphirenotch/src/jobs/model/jobDescription.ts
@@ -1,7 +1,7 @@
 /**
  * Figures of a job that are logged when its owner takes it in, to explain its waiting time later.
  */
-import type { AcceptedJob } from './jobSpec.js';
+import { tasksPerOccurrence, type AcceptedJob } from './jobSpec.js';
 
 /** Number of steps whose estimates are logged. */
 const MAXIMUM_LOGGED_STEPS = 16;
@@ -34,7 +34,7 @@
   stretch: queue.stretch,
   targetLatencyMs: queue.targetLatencyMs,
   steps: job.steps.length,
-  tasks: job.steps.reduce((sum, { count }) => sum + count, 0),
+  tasks: tasksPerOccurrence(job),
   occurrences: job.repeatCount > 0 ? job.repeatCount : undefined,
   isLasting: job.steps.some(({ longRunning }) => longRunning),
   hasFillers: job.steps.some(({ filler }) => filler),
--- a/packages/samphirenotch/src/jobs/model/jobProgress.ts
+++ b/packages/samphirenotch/src/jobs/model/jobProgress.ts
@@ -8,6 +8,8 @@
 import type { Clock } from '../../time/clock.js';
 import { toMonotonicMs, toUnixMs } from '../../time/unixTime.js';
 
+import { IndexRanges } from './indexRanges.js';
+
 const STEP = z.object({
   /** Indexes of done tasks as ranges: start, length, start, length... */
   d: z.array(z.number()),
@@ -23,6 +25,8 @@
 
 const PROGRESS = z.object({
   o: z.array(z.object({ k: z.number(), s: z.array(STEP) })),
+  /** Indexes of the occurrences that are done and have no entry above, as ranges. */
+  e: z.array(z.number()).optional(),
   /** Fencing token of the owner that wrote the places. */
   t: z.number().optional(),
 });
@@ -32,7 +36,7 @@
 
 /** Indexes of the done tasks of a step, and numbers of runs by task index. */
 export interface StepProgress {
-  readonly done: ReadonlySet<number>;
+  readonly done: IndexRanges;
   readonly failedRuns: RunsByTask;
   /** Runs under which workers crashed. */
   readonly crashedRuns: RunsByTask;
@@ -42,8 +46,13 @@
   readonly interruptions: ReadonlyMap<number, number>;
 }
 
-/** Progress of the steps by index of the occurrence. */
-export type JobProgress = ReadonlyMap<number, readonly StepProgress[]>;
+/** Progress of a job. */
+export interface JobProgress {
+  /** Indexes of occurrences that are done. Owners of former versions stored the steps of these. */
+  readonly doneOccurrences: IndexRanges;
+  /** Progress of the steps by index of the occurrence; none of an occurrence without any progress. */
+  readonly occurrences: ReadonlyMap<number, readonly StepProgress[]>;
+}
 
 /** Stored part of a task. */
 interface TaskProgress {
@@ -60,6 +69,8 @@
 
 /** The part of a job that `encodeProgress` reads. */
 export interface ProgressSource {
+  readonly doneOccurrences: IndexRanges;
+  /** The occurrences that are open. */
   readonly occurrences: ReadonlyMap<
     number,
     {
@@ -72,32 +83,6 @@
   >;
 }
 
-const toRanges = (flags: readonly boolean[]): readonly number[] => {
-  const ranges: number[] = [];
-  flags.forEach((flag, index) => {
-    if (!flag) return;
-    const last = ranges.length - 2;
-    const start = ranges[last];
-    const length = ranges[last + 1];
-    if (start !== undefined && length !== undefined && start + length === index) {
-      ranges[last + 1] = length + 1;
-      return;
-    }
-    ranges.push(index, 1);
-  });
-  return ranges;
-};
-
-const fromRanges = (ranges: readonly number[]): ReadonlySet<number> => {
-  const done = new Set<number>();
-  for (let at = 0; at + 1 < ranges.length; at += 2) {
-    const start = ranges[at] ?? 0;
-    const length = ranges[at + 1] ?? 0;
-    for (let index = start; index < start + length; index += 1) done.add(index);
-  }
-  return done;
-};
-
 /** Encodes lists of run numbers by task index, without empty lists; undefined if all are empty. */
 const encodeRuns = (
   tasks: readonly TaskProgress[],
@@ -136,10 +121,27 @@
   return toUnixMs(clock, interruptedMs);
 };
 
-const decodeByTask = <Value>(
-  values: Readonly<Record<string, Value>> | undefined,
-): ReadonlyMap<number, Value> =>
-  new Map(Object.entries(values ?? {}).map(([index, value]) => [Number(index), value]));
+const NOTHING: ReadonlyMap<number, never> = new Map<number, never>();
+
+/** A schedule may have thousands of occurrences, so what is missing shares one map. */
+const decodeByTask = <Stored, Value>(
+  values: Readonly<Record<string, Stored>> | undefined,
+  decode: (stored: Stored) => Value,
+): ReadonlyMap<number, Value> => {
+  if (!values) return NOTHING;
+  return new Map(Object.entries(values).map(([index, stored]) => [Number(index), decode(stored)]));
+};
+
+const asStored = <Value>(value: Value): Value => value;
+
+const hasProgress = ({
+  done,
+  failedRuns,
+  crashedRuns,
+  places,
+  interruptions,
+}: StepProgress): boolean =>
+  done.size + failedRuns.size + crashedRuns.size + places.size + interruptions.size > 0;
 
 /**
  * Encodes the progress of a job.
@@ -159,7 +161,8 @@
       const i = spec.longRunning
         ? encodeByTask(tasks, (task) => interruptionOf(task, clock))
         : undefined;
-      const d = toRanges(tasks.map(({ done }) => done));
+      const done = tasks.filter((task) => task.done).map(({ index: task }) => task);
+      const d = IndexRanges.of(done).toPairs();
       return {
         d,
         ...(f && { f }),
@@ -170,7 +173,12 @@
     }),
   }));
   const hasPlaces = occurrences.some(({ s }) => s.some(({ p }) => p !== undefined));
-  return JSON.stringify({ o: occurrences, ...(hasPlaces && { t: fencingToken }) });
+  const e = job.doneOccurrences.toPairs();
+  return JSON.stringify({
+    o: occurrences,
+    ...(e.length > 0 && { e }),
+    ...(hasPlaces && { t: fencingToken }),
+  });
 };
 
 /**
@@ -183,20 +191,20 @@
  * @throws if the text was not written by `encodeProgress`
  */
 export const decodeProgress = (text: string, placesSince: number, clock: Clock): JobProgress => {
-  const { o: occurrences, t: token } = PROGRESS.parse(JSON.parse(text));
+  const { o: occurrences, e, t: token } = PROGRESS.parse(JSON.parse(text));
   const arePlacesValid = token !== undefined && token >= placesSince;
-  return new Map(
-    occurrences.map(({ k, s }) => [
-      k,
-      s.map(({ d, f, c, p, i }) => ({
-        done: fromRanges(d),
-        failedRuns: decodeByTask(f),
-        crashedRuns: decodeByTask(c),
-        places: decodeByTask(arePlacesValid ? p : undefined),
-        interruptions: new Map(
-          [...decodeByTask(i)].map(([index, unixMs]) => [index, toMonotonicMs(clock, unixMs)]),
-        ),
-      })),
-    ]),
-  );
+  const rows = occurrences.map(({ k, s }) => {
+    const steps = s.map(({ d, f, c, p, i }) => ({
+      done: IndexRanges.fromPairs(d),
+      failedRuns: decodeByTask(f, asStored),
+      crashedRuns: decodeByTask(c, asStored),
+      places: decodeByTask(arePlacesValid ? p : undefined, asStored),
+      interruptions: decodeByTask(i, (unixMs) => toMonotonicMs(clock, unixMs)),
+    }));
+    return [k, steps] as const;
+  });
+  return {
+    doneOccurrences: IndexRanges.fromPairs(e ?? []),
+    occurrences: new Map(rows.filter(([, steps]) => steps.some(hasProgress))),
+  };
 };
--- a/packages/samphirenotch/src/jobs/model/jobSpec.ts
+++ b/packages/samphirenotch/src/jobs/model/jobSpec.ts
@@ -54,6 +54,23 @@
   readonly intervalMs: number;
 }
 
+/**
+ * Counts the tasks of one occurrence of a job.
+ *
+ * @param job - the job
+ * @returns the tasks of all its steps
+ */
+export const tasksPerOccurrence = ({ steps }: JobSpec): number =>
+  steps.reduce((sum, { count }) => sum + count, 0);
+
+/**
+ * Counts the occurrences of a job.
+ *
+ * @param job - the job
+ * @returns how often its steps run
+ */
+export const occurrenceCountOf = ({ repeatCount }: JobSpec): number => Math.max(1, repeatCount);
+
 /** State of a job as callers see it. */
 export type JobState = 'queued' | 'running' | 'completed' | 'failed' | 'cancelled';
 
--- a/packages/samphirenotch/src/jobs/model/ownedJob.ts
+++ b/packages/samphirenotch/src/jobs/model/ownedJob.ts
@@ -1,11 +1,22 @@
 /**
  * In-memory state of a job at its owner: occurrences, steps, tasks and their runs.
+ *
+ * Only open occurrences have objects: one that is not due yet is its index, one that is done a member of a set
+ * of ranges. So the memory of a schedule depends on what is due and open, not on how often it repeats.
  */
 import type { Size } from '../../infrastructure/worker.js';
 
 import type { Delegation } from './delegation.js';
+import { IndexRanges } from './indexRanges.js';
 import type { JobProgress, StepProgress } from './jobProgress.js';
-import { stepIdOf, taskIdOf, type AcceptedJob, type StepSpec } from './jobSpec.js';
+import {
+  occurrenceCountOf,
+  stepIdOf,
+  taskIdOf,
+  tasksPerOccurrence,
+  type AcceptedJob,
+  type StepSpec,
+} from './jobSpec.js';
 import type { Queue } from './siteConfiguration.js';
 
 /** Phase of a run, as far as its owner knows. */
@@ -155,9 +166,9 @@
   /** True if it is known to have run, here or under former owners. */
   hasRun: boolean;
   /** Ids of the workers on which it failed, or which did not answer its start. */
-  readonly failedWorkerIds: Set<string>;
+  failedWorkerIds: ReadonlySet<string>;
   /** Addresses of the workers that crashed under it, as far as this owner knows. */
-  readonly crashedAddresses: Set<string>;
+  crashedAddresses: ReadonlySet<string>;
   /** True if another share holds the task, so that it must not be started here. */
   isElsewhere: boolean;
 }
@@ -208,10 +219,28 @@
   readonly delegation?: Delegation;
 }
 
+/** Shared by all tasks without a failure: most have none. */
+const NONE: ReadonlySet<string> = new Set();
+
+const isStepDone = ({ spec, doneCount }: OwnedStep): boolean =>
+  !spec.longRunning && doneCount === spec.count;
+
 /** A job, or the delegated part of a job whose home is another share (a guest). */
 export class OwnedJob {
+  /** The open occurrences, by index. */
   readonly occurrences = new Map<number, OwnedOccurrence>();
 
+  /** Indexes of the occurrences of which every task is done. */
+  readonly doneOccurrences = new IndexRanges();
+
+  /** Number of tasks of each occurrence that this share holds. */
+  readonly tasksPerOccurrence: number;
+
+  /** Lowest index of an occurrence that is neither open nor done. */
+  private nextIndex = 0;
+
+  private readonly occurrenceCount: number;
+
   readonly accepted: AcceptedJob;
 
   readonly revision: number;
@@ -252,16 +281,20 @@
     this.acceptedMs = options.acceptedMs;
     this.knownSinceMs = options.knownSinceMs;
     this.hasStarted = options.progress !== undefined;
-    this.hasStoredPlaces = [...(options.progress?.values() ?? [])].some((steps) =>
-      steps.some(({ places }) => places.size > 0),
-    );
-    const { delegation } = options;
+    const { delegation, accepted, progress } = options;
+    const { job } = accepted;
+    this.occurrenceCount = occurrenceCountOf(job);
+    this.tasksPerOccurrence = delegation?.tasks.length ?? tasksPerOccurrence(job);
+    const stored = [...(progress?.occurrences ?? [])];
+    this.hasStoredPlaces = stored.some(([, steps]) => steps.some(({ places }) => places.size > 0));
     if (delegation) {
-      this.addOccurrence(delegation.occurrence);
+      this.addOccurrence(delegation.occurrence, progress?.occurrences.get(delegation.occurrence));
       return;
     }
-    const count = Math.max(1, options.accepted.job.repeatCount);
-    for (let index = 0; index < count; index += 1) this.addOccurrence(index);
+    [...(progress?.doneOccurrences ?? [])].forEach((index) => this.doneOccurrences.add(index));
+    stored.forEach(([index, steps]) => this.restoreOccurrence(index, steps));
+    this.skipKnown();
+    if (job.repeatCount === 0) this.open(0);
   }
 
   /** @returns the job's id */
@@ -291,21 +324,59 @@
 
   /** @returns true once every task of every occurrence is done */
   get isDone(): boolean {
-    if (this.isGuest) return false;
-    return [...this.occurrences.values()].every(({ steps }) =>
-      steps.every(({ spec, doneCount }) => !spec.longRunning && doneCount === spec.count),
-    );
+    return !this.isGuest && this.doneOccurrences.size === this.occurrenceCount;
+  }
+
+  /** @returns number of tasks that are held in memory */
+  get openTaskCount(): number {
+    return this.occurrences.size * this.tasksPerOccurrence;
+  }
+
+  /**
+   * @returns when the first occurrence is due that is neither open nor done, in Unix milliseconds; infinite if
+   *   there is none
+   */
+  get nextDueAtMs(): number {
+    if (this.isGuest || this.nextIndex >= this.occurrenceCount) return Number.POSITIVE_INFINITY;
+    return this.dueAtMsOf(this.nextIndex);
+  }
+
+  /**
+   * Opens an occurrence, so that its tasks can be started.
+   *
+   * @param index - its index; by default the first one that is neither open nor done
+   * @returns the occurrence; undefined if it is done or the job has no such occurrence
+   */
+  open(index: number = this.nextIndex): OwnedOccurrence | undefined {
+    const known = this.occurrences.get(index);
+    if (known) return known;
+    const exists = Number.isInteger(index) && index >= 0 && index < this.occurrenceCount;
+    if (this.isGuest || !exists || this.doneOccurrences.has(index)) return undefined;
+    const occurrence = this.addOccurrence(index, undefined);
+    this.skipKnown();
+    return occurrence;
+  }
+
+  /**
+   * Closes an occurrence if all its tasks are done.
+   *
+   * @param occurrence - an open occurrence
+   */
+  closeIfDone({ index, steps }: OwnedOccurrence): void {
+    if (this.isGuest || !steps.every(isStepDone)) return;
+    this.occurrences.delete(index);
+    this.doneOccurrences.add(index);
   }
 
   /**
-   * Finds a task by its id.
+   * Finds a task by its id. Opens its occurrence: another owner, whose clock is ahead, may have started it.
    *
    * @param taskId - the task
-   * @returns the task, or undefined if it is not here
+   * @returns the task, or undefined if it is not here or its occurrence is done
    */
   findTask(taskId: string): OwnedTask | undefined {
     const [, occurrence, step, index] = taskId.split('.');
-    return this.occurrences.get(Number(occurrence))?.steps[Number(step)]?.tasks[Number(index)];
+    return this.open(Number(occurrence))?.steps[Number(step)]?.tasks[Number(index)];
   }
 
   /** @returns true if a run of the job may be in progress */
@@ -320,20 +391,34 @@
     );
   }
 
-  private addOccurrence(index: number): void {
-    const { accepted, progress } = this.options;
-    const { repeatCount, startAtMs, intervalMs, steps } = accepted.job;
-    const occurrence: OwnedOccurrence = {
-      job: this,
-      index,
-      dueAtMs: repeatCount > 0 ? startAtMs + index * intervalMs : 0,
-      steps: [],
-    };
-    const storedSteps = progress?.get(index);
+  private dueAtMsOf(index: number): number {
+    const { repeatCount, startAtMs, intervalMs } = this.accepted.job;
+    return repeatCount > 0 ? startAtMs + index * intervalMs : 0;
+  }
+
+  private skipKnown(): void {
+    while (this.occurrences.has(this.nextIndex) || this.doneOccurrences.has(this.nextIndex))
+      this.nextIndex += 1;
+  }
+
+  private restoreOccurrence(index: number, stored: readonly StepProgress[]): void {
+    if (index >= this.occurrenceCount || this.doneOccurrences.has(index)) return;
+    this.closeIfDone(this.addOccurrence(index, stored));
+  }
+
+  private addOccurrence(
+    index: number,
+    stored: readonly StepProgress[] | undefined,
+  ): OwnedOccurrence {
+    const { steps } = this.accepted.job;
+    const dueAtMs = this.dueAtMsOf(index);
+    const occurrence: OwnedOccurrence = { job: this, index, dueAtMs, steps: [] };
     steps.forEach((spec, stepIndex) =>
-      occurrence.steps.push(this.makeStep(occurrence, spec, stepIndex, storedSteps)),
+      occurrence.steps.push(this.makeStep(occurrence, spec, stepIndex, stored)),
     );
     this.occurrences.set(index, occurrence);
+    this.isFullyStarted = false;
+    return occurrence;
   }
 
   private makeStep(
@@ -382,8 +467,8 @@
           ? (progress?.interruptions.get(index) ?? this.options.knownSinceMs)
           : undefined,
         hasRun: progress?.places.has(index) === true || progress?.interruptions.has(index) === true,
-        failedWorkerIds: new Set(),
-        crashedAddresses: new Set(),
+        failedWorkerIds: NONE,
+        crashedAddresses: NONE,
         isElsewhere: this.isGuest && !task,
       });
     }
--- a/packages/samphirenotch/src/jobs/ownership/incomingDelegations.ts
+++ b/packages/samphirenotch/src/jobs/ownership/incomingDelegations.ts
@@ -11,6 +11,7 @@
   type DelegationReport,
   type TaskOutcome,
 } from '../model/delegation.js';
+import { IndexRanges } from '../model/indexRanges.js';
 import type { JobProgress } from '../model/jobProgress.js';
 import { isTaskWaiting, type OwnedJob, type OwnedStep, type OwnedTask } from '../model/ownedJob.js';
 import type { JobRegistry } from '../store/jobRegistry.js';
@@ -53,20 +54,20 @@
   );
   const done = [...rows.values()].filter(({ outcome }) => outcome === 'done');
   const steps = Array.from({ length: step + 1 }, () => ({
-    done: new Set<number>(),
+    done: new IndexRanges(),
     failedRuns: new Map<number, readonly number[]>(),
     crashedRuns: new Map<number, readonly number[]>(),
     places: new Map<number, string>(),
     interruptions: new Map<number, number>(),
   }));
   steps[step] = {
-    done: new Set(done.map(({ index }) => index)),
+    done: IndexRanges.of(done.map(({ index }) => index)),
     failedRuns: new Map(failedRuns),
     crashedRuns: new Map(crashedRuns),
     places: new Map(),
     interruptions: new Map(),
   };
-  return new Map([[occurrence, steps]]);
+  return { doneOccurrences: new IndexRanges(), occurrences: new Map([[occurrence, steps]]) };
 };
 
 /** Outcome to report; a task that is not done and no longer here has failed or goes back. */
--- a/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
@@ -518,7 +518,7 @@
 
   onStartUnanswered(run: OwnedRun): void {
     const { task, agent } = run;
-    task.failedWorkerIds.add(agent.id);
+    task.failedWorkerIds = new Set([...task.failedWorkerIds, agent.id]);
     this.stopGang(run);
   }
 
--- a/packages/samphirenotch/src/jobs/ownership/outgoingDelegations.ts
+++ b/packages/samphirenotch/src/jobs/ownership/outgoingDelegations.ts
@@ -207,7 +207,7 @@
   private restoreOne(delegation: Delegation): void {
     const { jobId, occurrence, step: at } = delegation;
     const job = this.options.book.find(jobId);
-    const step = job?.occurrences.get(occurrence)?.steps[at];
+    const step = job?.open(occurrence)?.steps[at];
     if (!job || !step) {
       this.log.info('A delegation is removed: its job is not open', {
         jobId,
--- a/packages/samphirenotch/src/jobs/ownership/taskOutcomes.ts
+++ b/packages/samphirenotch/src/jobs/ownership/taskOutcomes.ts
@@ -62,6 +62,7 @@
     });
     task.runs.forEach((run) => run.agent.stop(run, 'another copy is done'));
     job.isFullyStarted = false;
+    job.closeIfDone(step.occurrence);
     this.book.saveProgress(job);
     if (job.isDone && job.isOpen) this.book.finish(job, 'completed');
   }
@@ -75,8 +76,9 @@
    */
   recordFailure(task: OwnedTask, workerId: string, run: number): void {
     if (task.done || task.failedRuns.includes(run)) return;
-    task.failedRuns.push(run);
-    task.failedWorkerIds.add(workerId);
+    const owned = task;
+    owned.failedRuns.push(run);
+    owned.failedWorkerIds = new Set([...task.failedWorkerIds, workerId]);
     this.failJobIfExhausted(task);
   }
 
@@ -90,8 +92,9 @@
   recordCrash({ task, run, worker }: CrashedRun, address: string, wasAlone: boolean): void {
     const { job } = task.step.occurrence;
     if (task.done || !job.isOpen || task.isElsewhere || task.crashedRuns.includes(run)) return;
-    task.crashedRuns.push(run);
-    task.crashedAddresses.add(address);
+    const owned = task;
+    owned.crashedRuns.push(run);
+    owned.crashedAddresses = new Set([...task.crashedAddresses, address]);
     const crashes = task.crashedRuns.length;
     this.log.warn('A worker has crashed under a run', {
       taskId: task.id,
@@ -118,7 +121,7 @@
       crashes: task.crashedRuns.length,
     });
     owned.crashedRuns = [];
-    task.crashedAddresses.clear();
+    owned.crashedAddresses = new Set();
     this.book.saveProgress(task.step.occurrence.job);
   }
 
--- a/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
@@ -293,6 +293,7 @@
     this.untriedSteps = [];
     if (!directoryKnown || !this.gate.isOpen()) return;
     book.refreshQueues();
+    book.openDueOccurrences();
     this.placement.beginPass();
     this.acceptingOfPass.clear();
     this.candidatesOfPass.clear();
--- a/packages/samphirenotch/src/jobs/store/jobRegistry.ts
+++ b/packages/samphirenotch/src/jobs/store/jobRegistry.ts
@@ -15,6 +15,12 @@
 import type { OperatorFollower } from './operatorFollower.js';
 import type { JournalChange, ProgressJournal } from './progressJournal.js';
 
+/**
+ * Number of open tasks from which further occurrences of a schedule wait until others are done. An owner holds about
+ * half a kilobyte for each.
+ */
+export const MAXIMUM_OPEN_TASKS = 100_000;
+
 /** How soon a write of progress is stored. */
 type ProgressOrder = Pick<JournalChange, 'isUrgent' | 'overtakes'>;
 
@@ -39,7 +45,8 @@
 
   private firstRun = 1;
 
-  private progress: ReadonlyMap<string, JobProgress> = new Map();
+  /** Stored progress of the jobs that were not added yet. */
+  private progress = new Map<string, JobProgress>();
 
   private onGuestProgress: (job: OwnedJob) => void = () => undefined;
 
@@ -79,7 +86,7 @@
     this.keys = keys;
     this.fencingToken = fencingToken;
     this.firstRun = firstRun;
-    this.progress = progress;
+    this.progress = new Map(progress);
   }
 
   /**
@@ -140,6 +147,7 @@
   add({ accepted, revision }: ReplicatedJob): void {
     if (this.jobs.has(accepted.id) || this.endedIds.has(accepted.id)) return;
     const progress = this.progress.get(accepted.id);
+    this.progress.delete(accepted.id);
     const job = new OwnedJob({ ...this.commonOptions(accepted, revision), progress });
     this.jobs.set(accepted.id, job);
     this.queuesVersion = 0;
@@ -197,6 +205,41 @@
     };
   }
 
+  /**
+   * Opens the occurrences that are due, in the order of their jobs' due times: one of each job in any case, so that
+   * no schedule waits for another, and further ones while there is room for their tasks.
+   */
+  openDueOccurrences(): void {
+    const wallMs = this.clock.wallMs();
+    const due = [...this.jobs.values()].filter((job) => job.isOpen && job.nextDueAtMs <= wallMs);
+    if (due.length === 0) return;
+    due.sort((one, other) => one.nextDueAtMs - other.nextDueAtMs);
+    let room =
+      MAXIMUM_OPEN_TASKS - this.openJobs().reduce((sum, job) => sum + job.openTaskCount, 0);
+    due.forEach((job) => {
+      const { nextDueAtMs } = job;
+      const opened: number[] = [];
+      while (
+        job.nextDueAtMs <= wallMs &&
+        (job.occurrences.size === 0 || room >= job.tasksPerOccurrence)
+      ) {
+        const occurrence = job.open();
+        if (!occurrence) break;
+        opened.push(occurrence.index);
+        room -= job.tasksPerOccurrence;
+      }
+      if (opened.length === 0) return;
+      this.log.info('Occurrences of a job are due', {
+        jobId: job.id,
+        first: opened[0],
+        last: opened.at(-1),
+        lateMs: Math.round(wallMs - nextDueAtMs),
+        areMoreDue: job.nextDueAtMs <= wallMs,
+        room,
+      });
+    });
+  }
+
   /** Updates the queue of each job to the newest configuration. */
   refreshQueues(): void {
     const { configuration } = this.operator.view();
--- a/tests/jobs/decisions.spec.ts
+++ b/tests/jobs/decisions.spec.ts
@@ -58,7 +58,7 @@
   });
   step.tasks[5]?.failedRuns.push(3, 4);
   const clock = new ManualClock();
-  const progress = decodeProgress(encodeProgress(job, 1, clock), 1, clock).get(0);
+  const progress = decodeProgress(encodeProgress(job, 1, clock), 1, clock).occurrences.get(0);
   t.deepEqual([...(progress?.[0]?.done ?? [])], [0, 1, 4]);
   t.deepEqual(progress?.[0]?.failedRuns.get(5), [3, 4]);
   t.is(progress?.[1]?.done.size, 0);
@@ -69,7 +69,7 @@
   const job = makeOwned(makeJob(makeStep({ count: 3 })));
   firstStep(job).tasks[2]?.crashedRuns.push(4, 7);
   const clock = new ManualClock();
-  const [step] = decodeProgress(encodeProgress(job, 1, clock), 1, clock).get(0) ?? [];
+  const [step] = decodeProgress(encodeProgress(job, 1, clock), 1, clock).occurrences.get(0) ?? [];
   t.deepEqual([...(step?.crashedRuns ?? [])], [[2, [4, 7]]]);
 });
 
@@ -85,7 +85,7 @@
   const text = encodeProgress(job, 1, clock);
   const other = new ManualClock();
   await other.advance(1_500);
-  const [step] = decodeProgress(text, 1, other).get(0) ?? [];
+  const [step] = decodeProgress(text, 1, other).occurrences.get(0) ?? [];
   t.deepEqual([...(step?.interruptions ?? [])], [[1, other.monotonicMs() - 1_500]]);
 });
 
@@ -93,7 +93,9 @@
 test('should read progress, delegations and reports of former versions', (t) => {
   const clock = new ManualClock();
   const [step] =
-    decodeProgress('{"o":[{"k":0,"s":[{"d":[0,2],"f":{"3":[1]}}]}]}', 1, clock).get(0) ?? [];
+    decodeProgress('{"o":[{"k":0,"s":[{"d":[0,2],"f":{"3":[1]}}]}]}', 1, clock).occurrences.get(
+      0,
+    ) ?? [];
   t.is(step?.crashedRuns.size, 0);
   t.is(step?.interruptions.size, 0);
   t.deepEqual(step?.failedRuns.get(3), [1]);
--- a/tests/jobs/taskPlacement.spec.ts
+++ b/tests/jobs/taskPlacement.spec.ts
@@ -126,9 +126,10 @@
   step: OwnedStep,
   workers: readonly WorkerAgent[],
 ): readonly (readonly [string, string])[] =>
-  step.tasks.map((task) => {
+  step.tasks.map((each) => {
+    const task = each;
     if (scenario.random.fraction() < 0.2)
-      task.failedWorkerIds.add(`w${scenario.random.below(WORKERS)}`);
+      task.failedWorkerIds = new Set([`w${scenario.random.below(WORKERS)}`]);
     const input = { task, size: reservedSizeOf(task), workers };
     const expected = chooseExhaustively(scenario, input);
     const chosen = scenario.placement.choose(input);
