Refuse jobs whose tasks the owner of their home could not hold

Cause: no admission rule was set (`rules: []`); only a single submission had a bound. Change: OpenTaskLimit refuses a job at once, with a time to come back, when its home share would hold more than 100,000 tasks, or 80,000 for a job of 1,000 tasks or more, so that large jobs that can never run do not keep small ones out. A schedule counts with one occurrence, since its owner holds further ones only as far as there is room, or with all if they never end. The replica keeps the sum of all shares, so that the sum over one share is made only near the limit. The home is chosen before the rule is asked. Why it works: entries know all open jobs, and count those that they are storing. Several entries may exceed the limit by what they admit within one update of their replicas (0.2 s); a task takes some 0.5 kB of a heap of 200 MB.

--- a/packages/samphirenotch/src/jobs/admission/admissionRule.ts
+++ b/packages/samphirenotch/src/jobs/admission/admissionRule.ts
@@ -8,6 +8,8 @@
 export interface SubmittedJob {
   readonly jobId: string;
   readonly queue: Queue;
+  /** Id of the share that would decide about it. */
+  readonly home: string;
   readonly job: JobSpec;
 }
 
--- a/packages/samphirenotch/src/jobs/entry/jobCommands.ts
+++ b/packages/samphirenotch/src/jobs/entry/jobCommands.ts
@@ -74,13 +74,13 @@
   async submit(jobId: string, queue: Queue, job: JobSpec, call: Call): Promise<CommandOutcome> {
     const { replica, clock, chooseHome } = this.options;
     if (replica.find(jobId)) return { kind: 'done' };
-    const refusal = this.refusalOf({ jobId, queue, job });
+    const home = await chooseHome(job);
+    const refusal = this.refusalOf({ jobId, queue, home, job });
     if (refusal) {
       const refused = { kind: 'refused', ...refusal } as const;
-      this.logOutcome('submit', jobId, queue.name, refused);
+      this.logOutcome('submit', jobId, queue.name, refused, home);
       return refused;
     }
-    const home = await chooseHome(job);
     const accepted = { id: jobId, home, queue, acceptedAtMs: clock.wallMs(), job };
     const key = ACCEPTED_PREFIX + jobId;
     const transaction = {
--- a/packages/samphirenotch/src/jobs/entry/jobEntry.ts
+++ b/packages/samphirenotch/src/jobs/entry/jobEntry.ts
@@ -10,6 +10,7 @@
 import type { Recorder } from '../../observability/recorder.js';
 import type { Clock } from '../../time/clock.js';
 
+import { OpenTaskLimit } from '../admission/openTaskLimit.js';
 import type { JobSettings } from '../model/jobSettings.js';
 import type { SiteCodec } from '../model/siteCodec.js';
 import type { JobSpec } from '../model/jobSpec.js';
@@ -141,7 +142,7 @@
         replica,
         follower: jobsFollower,
         clock,
-        rules: [],
+        rules: [new OpenTaskLimit({ replica, clock })],
         chooseHome,
       }),
       queries: new JobQueries({ store, replica, follower: this.jobsFollower, clock }),
--- a/packages/samphirenotch/src/jobs/model/jobSpec.ts
+++ b/packages/samphirenotch/src/jobs/model/jobSpec.ts
@@ -71,6 +71,18 @@
  */
 export const occurrenceCountOf = ({ repeatCount }: JobSpec): number => Math.max(1, repeatCount);
 
+/**
+ * Counts the tasks of a job that its owner holds at the same time until the job ends, further occurrences that are due
+ * left out.
+ *
+ * @param job - the job
+ * @returns the tasks of one occurrence; of all if some of them never end
+ */
+export const heldTaskCount = (job: JobSpec): number => {
+  const isLasting = job.steps.some(({ longRunning }) => longRunning);
+  return tasksPerOccurrence(job) * (isLasting ? occurrenceCountOf(job) : 1);
+};
+
 /** State of a job as callers see it. */
 export type JobState = 'queued' | 'running' | 'completed' | 'failed' | 'cancelled';
 
--- a/packages/samphirenotch/src/jobs/store/jobReplica.ts
+++ b/packages/samphirenotch/src/jobs/store/jobReplica.ts
@@ -14,6 +14,7 @@
   LAYOUT_KEY,
   SHARES_PREFIX,
 } from './jobKeys.js';
+import { OpenTaskCounter } from './openTaskCounter.js';
 import { RevisionHistory } from './revisionHistory.js';
 import { ShareDirectory, type OwnerRecord } from './shareDirectory.js';
 import { applyItem, type StoreListener } from './storeFollower.js';
@@ -54,6 +55,8 @@
 
   private jobs = new Map<string, ReplicatedJob>();
 
+  private readonly openTaskCounter = new OpenTaskCounter();
+
   private cancelled = new Set<string>();
 
   private ended = new Map<string, JobState>();
@@ -118,6 +121,23 @@
     return this.shares.layout?.homeOf(accepted.home, accepted.id).id ?? accepted.home;
   }
 
+  /** @returns the number of tasks that the owners of all open jobs hold */
+  get openTasks(): number {
+    return this.openTaskCounter.total;
+  }
+
+  /**
+   * Counts the tasks that the owner of a share holds for its open jobs.
+   *
+   * @param share - id of the share
+   * @returns their number
+   */
+  openTasksOf(share: string): number {
+    return [...this.jobs.values()]
+      .filter((job) => this.homeOf(job) === share)
+      .reduce((sum, { accepted }) => sum + this.openTaskCounter.of(accepted.id), 0);
+  }
+
   /**
    * Looks up a job.
    *
@@ -204,6 +224,7 @@
     this.jobs = new Map();
     this.cancelled = new Set();
     this.ended = new Map();
+    this.openTaskCounter.clear();
     this.shares.clearOwners();
     // Ends and cancellations are applied before jobs, so that an ended job is not taken for a new
     // one.
@@ -237,11 +258,15 @@
         return;
       }
       this.cancelled.add(id);
+      this.openTaskCounter.remove(id);
       this.listeners.forEach((listener) => listener.onCancelled(id, Number(value)));
     }
     if (key.startsWith(ENDED_PREFIX)) {
       const id = key.slice(ENDED_PREFIX.length);
-      if (value !== undefined && FINAL_STATES.has(value)) this.ended.set(id, value as JobState);
+      if (value !== undefined && FINAL_STATES.has(value)) {
+        this.ended.set(id, value as JobState);
+        this.openTaskCounter.remove(id);
+      }
       if (value === undefined) this.ended.delete(id);
     }
   }
@@ -262,12 +287,14 @@
     const id = key.slice(ACCEPTED_PREFIX.length);
     if (value === undefined) {
       this.jobs.delete(id);
+      this.openTaskCounter.remove(id);
       return;
     }
     try {
       const job = { accepted: decodeAccepted(value), revision };
       this.jobs.set(id, job);
       if (this.isTerminal(id)) return;
+      this.openTaskCounter.add(id, job.accepted.job);
       this.listeners.get(this.homeOf(job))?.onAccepted(job);
     } catch (error) {
       this.log.error('An accepted job cannot be read', { jobId: id, reason: String(error) });
