Hold only the delegated tasks of another share's step

A share that takes in tasks of a step of 20,000 tasks held all 20,000 for each delegation, so a few dozen delegations of one step reach the heap limit of its owner. Cause: the guest's step had an object for every index, as the home's has, the others marked as elsewhere. Change: a guest's step has the delegated tasks only, in the order of their indexes, and taskAt finds one. A task that is not in the delegation is not known here, which has the effect that "elsewhere" had: its run is stopped, its end ignored.

--- a/packages/samphirenotch/src/jobs/ownership/incomingDelegations.ts
+++ b/packages/samphirenotch/src/jobs/ownership/incomingDelegations.ts
@@ -13,7 +13,13 @@
 } from '../model/delegation.js';
 import { IndexRanges } from '../model/indexRanges.js';
 import type { JobProgress } from '../model/jobProgress.js';
-import { isTaskWaiting, type OwnedJob, type OwnedStep, type OwnedTask } from '../model/ownedJob.js';
+import {
+  isTaskWaiting,
+  taskAt,
+  type OwnedJob,
+  type OwnedStep,
+  type OwnedTask,
+} from '../model/ownedJob.js';
 import type { JobRegistry } from '../store/jobRegistry.js';
 import { keysOfShare } from '../store/jobKeys.js';
 import type { JobReplica } from '../store/jobReplica.js';
@@ -141,7 +147,7 @@
       return;
     }
     job.hasStarted = report?.hasStarted ?? false;
-    const tasks = delegation.tasks.flatMap(({ index }) => step.tasks[index] ?? []);
+    const tasks = delegation.tasks.flatMap(({ index }) => taskAt(step, index) ?? []);
     const incoming = { delegation, job, step, tasks };
     this.byId.set(idOf(jobId, name), incoming);
     this.restoreRuns(incoming, report);
@@ -241,7 +247,7 @@
   ): void {
     const rows = new Map(report?.tasks.map((row) => [row.index, row]));
     delegation.tasks.forEach((sent) => {
-      const task = step.tasks[sent.index];
+      const task = taskAt(step, sent.index);
       const { hasRun, interruptedAtMs } = rows.get(sent.index) ?? sent;
       if (!task) return;
       task.hasRun = sent.hasRun || hasRun;
@@ -251,9 +257,9 @@
   }
 
   /** Applies a former owner's report: tasks that it returned stay returned. */
-  private restore({ tasks }: IncomingDelegation, report: DelegationReport | undefined): void {
+  private restore({ step }: IncomingDelegation, report: DelegationReport | undefined): void {
     report?.tasks.forEach(({ index, outcome, nextRun, checkpoint }) => {
-      const task = tasks.find((each) => each.index === index);
+      const task = taskAt(step, index);
       if (!task) return;
       task.nextRun = Math.max(task.nextRun, nextRun);
       if (checkpoint !== '') task.checkpoint = checkpoint;
--- a/packages/samphirenotch/src/jobs/ownership/outgoingDelegations.ts
+++ b/packages/samphirenotch/src/jobs/ownership/outgoingDelegations.ts
@@ -16,7 +16,7 @@
   type DelegationReport,
   type ReportedTask,
 } from '../model/delegation.js';
-import type { OwnedJob, OwnedStep, OwnedTask } from '../model/ownedJob.js';
+import { taskAt, type OwnedJob, type OwnedStep, type OwnedTask } from '../model/ownedJob.js';
 import type { JobRegistry } from '../store/jobRegistry.js';
 import { isDelegationKey, keysOfShare } from '../store/jobKeys.js';
 import type { ProgressJournal } from '../store/progressJournal.js';
@@ -232,7 +232,7 @@
   private track(delegation: Delegation, job: OwnedJob, step: OwnedStep): void {
     const open = new Set<number>();
     delegation.tasks.forEach(({ index }) => {
-      const task = step.tasks[index];
+      const task = taskAt(step, index);
       if (!task || task.done) return;
       task.isElsewhere = true;
       this.latestDelegationIds.set(task, idOf(delegation));
@@ -257,7 +257,7 @@
   }
 
   private applyTaskReport({ delegation, step, open }: OutgoingDelegation, row: ReportedTask): void {
-    const task = step.tasks[row.index];
+    const task = taskAt(step, row.index);
     if (!task || !open.has(row.index)) return;
     task.nextRun = Math.max(task.nextRun, row.nextRun);
     if (row.checkpoint !== '') task.checkpoint = row.checkpoint;
