Count leases of a former owner from the end of its process

Cause: an owner that is killed within 0.6 s of the loss has stored no countdown of the worker's lease. The successor then counts the lease from the longest time for which a former owner may go on without the store (12 s) or, after contacts with other workers of the data centre, from 2.5 s after those, though a process that has ended extends nothing. In the store nothing shows that a process has ended. Change: the name of a process contains its machine and network address, which two processes never have at the same time. A successor counts the leases of the last owner from the start of the next process of that owner's machine: its own start, or that of the record. This holds for workers that no earlier owner may use (usedSinceTerm in the roster); for the others the former bounds stay. `The process of the former owner has ended` is logged. Why it is safe: the record is replaced only if it is the one that was read, so a late call of an older process cannot replace a newer one, and only a record that is newer than the term counts. An order that is carried out late ends a lease no later, since its deadline is a time on the worker's clock. An owner that is cut off, frozen or never started again leaves no record, and is waited for as before.

--- a/packages/samphirenotch/src/jobs/entry/jobEntry.ts
+++ b/packages/samphirenotch/src/jobs/entry/jobEntry.ts
@@ -15,6 +15,7 @@
 import type { SiteCodec } from '../model/siteCodec.js';
 import type { JobSpec } from '../model/jobSpec.js';
 import type { EntryStatus, ShareJobExplanation, ShareStatus } from '../ownership/entryStatus.js';
+import { ProcessRegistration } from '../ownership/processRegistration.js';
 import { ShareOwners } from '../ownership/shareOwners.js';
 import { SHARED_PREFIX } from '../store/jobKeys.js';
 import { JobReplica } from '../store/jobReplica.js';
@@ -54,8 +55,10 @@
   readonly recorder: Recorder;
   /** Name of the entry. */
   readonly entry: string;
-  /** Name of the process; differs after each restart of the entry. */
+  /** Name of the process, as `processNameOf` makes it. */
   readonly process: string;
+  /** Monotonic time by which this process had started, in milliseconds. */
+  readonly processStartedMs: number;
   /** Longest lease that workers accept, in milliseconds. */
   readonly holdLimitMs: number;
   /**
@@ -100,6 +103,8 @@
 
   private readonly shareOwners: ShareOwners;
 
+  private readonly registration: ProcessRegistration;
+
   private readonly log = partLog('entry');
 
   private readonly followersAbort = new AbortController();
@@ -127,7 +132,11 @@
       viewAgeMs: () => jobsFollower.viewAgeMs(),
       refreshReplica: refresh,
     });
-    replica.whenCaughtUp(() => this.shareOwners.notify());
+    this.registration = new ProcessRegistration({ ...options, replica });
+    replica.whenCaughtUp(() => {
+      this.registration.notify();
+      this.shareOwners.notify();
+    });
     const homeSelector = new HomeSelector({
       ...options,
       replica,
@@ -245,7 +254,7 @@
         this.followersAbort.abort();
       }),
     );
-    await this.shareOwners.run(signal);
+    await Promise.all([this.registration.run(signal), this.shareOwners.run(signal)]);
   }
 
   /** Refreshes the rooms in the background; the next status shows the result. */
--- a/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
@@ -26,6 +26,7 @@
   type OwnedRun,
   type OwnedTask,
 } from '../model/ownedJob.js';
+import { machineOf } from '../model/processName.js';
 import type { Share, ShareLayout } from '../model/shareLayout.js';
 import type { SiteCodec } from '../model/siteCodec.js';
 import { FillerPacing } from '../pacing/fillerPacing.js';
@@ -43,6 +44,7 @@
 import type { OwnerRecord } from '../store/shareDirectory.js';
 import { StoreFollower } from '../store/storeFollower.js';
 import { MAXIMUM_UNCONFIRMED_MS, type Term } from '../store/term.js';
+import type { FormerOwner } from '../workers/formerLeases.js';
 import { OrderBatcher } from '../workers/orderBatcher.js';
 import { recordDoneRate } from '../workers/runSpeed.js';
 import { RunSupervisor } from '../workers/runSupervisor.js';
@@ -141,6 +143,8 @@
   readonly recorder: Recorder;
   /** Name of this process; it differs after each start. */
   readonly process: string;
+  /** Monotonic time by which this process had started, in milliseconds. */
+  readonly processStartedMs: number;
   /** Longest lease that a worker accepts, in milliseconds. */
   readonly holdLimitMs: number;
 }
@@ -222,6 +226,7 @@
       isStoreReachable,
       isSoleOwner: () => this.isSoleOwner(),
       wasSoleOwnerAt: (timeMs) => this.wasSoleOwnerAt(timeMs),
+      processEndedMs: (owner) => this.processEndedMs(owner),
     });
     this.watch = new RunSupervisor(this.fleet, options.clock);
     this.slowWorkers = new SlowWorkerDetector(this.fleet, options.clock);
@@ -633,6 +638,21 @@
     return isProved;
   }
 
+  /**
+   * Returns a time by which the process of a former owner had ended: another one of its machine has started since.
+   * Infinite while none is known to have.
+   */
+  private processEndedMs({ process, fencingToken }: FormerOwner): number {
+    const { process: ownProcess, processStartedMs, replica } = this.options;
+    if (process === ownProcess) return Number.POSITIVE_INFINITY;
+    if (machineOf(process) === machineOf(ownProcess)) return processStartedMs;
+    const newest = replica.processes.newestBeside(process);
+    // A record from before its term is of a process that ran before it.
+    if (!newest || newest.process === process || newest.revision <= fencingToken)
+      return Number.POSITIVE_INFINITY;
+    return replica.history.writtenByMs(newest.revision) - newest.ageMs;
+  }
+
   /** An old view is read again at once, since starts wait for it. */
   private directoryPollDelayMs(): number {
     const isOld = this.directoryFollower.viewAgeMs() > MAX_BATCHED_DIRECTORY_AGE_MS;
--- a/packages/samphirenotch/src/jobs/ownership/takeover.ts
+++ b/packages/samphirenotch/src/jobs/ownership/takeover.ts
@@ -14,9 +14,11 @@
 import { decodeWatchedRuns, NO_WATCHED_RUNS, type WatchedRunRecord } from '../model/watchedRuns.js';
 import { EXCHANGE_PREFIX, keysOfShare, type ShareKeys } from '../store/jobKeys.js';
 import type { JobReplica } from '../store/jobReplica.js';
+import { encodeProcess, processKeyOf } from '../store/processDirectory.js';
 import { ProgressJournal } from '../store/progressJournal.js';
 import type { Term } from '../store/term.js';
 import type { LeaseEnd, LeaseEnds, LeaseLeft, LeaseRecord } from '../workers/leaseCountdown.js';
+import type { FormerOwner } from '../workers/formerLeases.js';
 import type { FormerWorkers, RosterEntry } from '../workers/workerFleet.js';
 
 /**
@@ -76,6 +78,8 @@
   readonly clock: Clock;
   /** Name of this process; it differs after each start. */
   readonly process: string;
+  /** Monotonic time by which this process had started, in milliseconds. */
+  readonly processStartedMs: number;
   /** Asks the store at once for what the replica lacks. */
   readonly refreshReplica: () => Promise<void>;
   /** Called as soon as former owners can store nothing more. */
@@ -176,16 +180,21 @@
   return JSON.stringify(record);
 };
 
+/** Returns the owner that wrote the label of a journal. */
+const openerOf = (label: string | undefined): FormerOwner | undefined => {
+  const [process = '', token = ''] = label?.split(' ') ?? [];
+  return token === '' ? undefined : { process, fencingToken: Number(token) };
+};
+
 /**
  * Returns the monotonic time by which the last owner that opened the journal had lost the share, in
  * milliseconds. Owners that were elected since have ordered nothing.
  */
 const lossOfOpener = (
   { share, replica, clock }: TakeoverOptions,
-  formerLabel: string | undefined,
+  opener: FormerOwner | undefined,
 ): number => {
-  const fencingToken = Number(formerLabel?.split(' ')[1]);
-  const lostAt = replica.shares.lossOf(share, fencingToken);
+  const lostAt = opener && replica.shares.lossOf(share, opener.fencingToken);
   return lostAt === undefined ? clock.monotonicMs() : replica.history.writtenByMs(lostAt);
 };
 
@@ -194,7 +203,7 @@
  * they count for the next owner even if this one stores nothing else.
  */
 const openJournal = async (
-  { share, store, clock, process, replica }: TakeoverOptions,
+  { share, store, clock, process, processStartedMs, replica }: TakeoverOptions,
   term: Term,
 ): Promise<OpenedJournal | undefined> => {
   const keys = keysOfShare(share);
@@ -217,7 +226,9 @@
     // An owner of an older version starts tasks without a change of their places.
     const placesSince = placesSinceOf(known.val?.value) ?? term.fencingToken;
     const label = `${name}places:${placesSince}`;
-    const record = encodeLeases(label, leaseEnds, clock.monotonicMs());
+    const nowMs = clock.monotonicMs();
+    const record = encodeLeases(label, leaseEnds, nowMs);
+    const ownProcess = encodeProcess({ process, ageMs: nowMs - processStartedMs });
     const outcome = await store.commit(
       {
         expectations: [
@@ -228,6 +239,7 @@
         writes: [
           { key: keys.journal, value: label },
           { key: keys.opened, value: label },
+          { key: processKeyOf(process), value: ownProcess },
           ...(record === undefined ? [] : [{ key: keys.leases, value: record }]),
         ],
         removals: [],
@@ -366,6 +378,7 @@
     const { items } = listing.val;
     const exchange = options.isDivided ? await readExchange(options, term) : new Map();
     if (!exchange) return undefined;
+    const lastOwner = openerOf(opened.formerLabel);
     return {
       journal: opened.journal,
       firstRun: term.fencingToken * RUN_NUMBERS_PER_TERM,
@@ -373,7 +386,8 @@
       workers: {
         roster: readRoster(items, keys),
         leaseEnds: opened.leaseEnds,
-        lastLossMs: lossOfOpener(options, opened.formerLabel),
+        lastOwner,
+        lastLossMs: lossOfOpener(options, lastOwner),
       },
       watchedRuns: readWatchedRuns(items, keys),
       formerOwner: opened.formerLabel,
--- a/packages/samphirenotch/src/jobs/store/jobKeys.ts
+++ b/packages/samphirenotch/src/jobs/store/jobKeys.ts
@@ -18,6 +18,9 @@
 /** Cancellations requested by callers. */
 export const CANCELLED_PREFIX = `${SHARED_PREFIX}cancelled/`;
 
+/** The newest process of each machine on which an owner has run. */
+export const PROCESSES_PREFIX = `${SHARED_PREFIX}processes/`;
+
 /** Final states of jobs. */
 export const ENDED_PREFIX = `${SHARED_PREFIX}ended/`;
 
--- a/packages/samphirenotch/src/jobs/store/jobReplica.ts
+++ b/packages/samphirenotch/src/jobs/store/jobReplica.ts
@@ -12,9 +12,11 @@
   CANCELLED_PREFIX,
   ENDED_PREFIX,
   LAYOUT_KEY,
+  PROCESSES_PREFIX,
   SHARES_PREFIX,
 } from './jobKeys.js';
 import { OpenTaskCounter } from './openTaskCounter.js';
+import { ProcessDirectory } from './processDirectory.js';
 import { RevisionHistory } from './revisionHistory.js';
 import { ShareDirectory, type OwnerRecord } from './shareDirectory.js';
 import { applyItem, type StoreListener } from './storeFollower.js';
@@ -48,6 +50,8 @@
 export class JobReplica implements StoreListener {
   readonly shares = new ShareDirectory();
 
+  readonly processes = new ProcessDirectory();
+
   /** When this entry saw which revision of the store. */
   readonly history: RevisionHistory;
 
@@ -226,6 +230,7 @@
     this.ended = new Map();
     this.openTaskCounter.clear();
     this.shares.clearOwners();
+    this.processes.clear();
     // Ends and cancellations are applied before jobs, so that an ended job is not taken for a new
     // one.
     const isAccepted = ({ key }: KeyValue): boolean => key.startsWith(ACCEPTED_PREFIX);
@@ -250,6 +255,7 @@
       if (share !== undefined) this.listeners.get(share)?.onOwner(this.shares.owner(share));
       return;
     }
+    if (key.startsWith(PROCESSES_PREFIX)) this.processes.apply(key, value, revision);
     if (key.startsWith(ACCEPTED_PREFIX)) this.onAcceptedKey(key, value, revision);
     if (key.startsWith(CANCELLED_PREFIX)) {
       const id = key.slice(CANCELLED_PREFIX.length);
--- a/packages/samphirenotch/src/jobs/workers/formerLeases.ts
+++ b/packages/samphirenotch/src/jobs/workers/formerLeases.ts
@@ -16,6 +16,13 @@
  */
 export const SUCCESSOR_DISCOVERY_MS = 2_500;
 
+/** An owner of a former term. */
+export interface FormerOwner {
+  /** Name of its process. */
+  readonly process: string;
+  readonly fencingToken: number;
+}
+
 /** A worker in the roster that former owners leave. */
 export interface FormerWorker {
   readonly id: string;
@@ -73,10 +80,20 @@
   /** The same for all other workers. */
   private othersEndMs = Number.POSITIVE_INFINITY;
 
+  private lastOwner: FormerOwner | undefined;
+
+  /** Monotonic time by which the process of the last owner had ended, in milliseconds; infinite if unknown. */
+  private lastOwnerEndedMs = Number.POSITIVE_INFINITY;
+
   /**
    * @param clock - time
+   * @param processEndedMs - returns the monotonic time by which the process of a former owner had ended, in
+   *   milliseconds; infinite while that is not known
    */
-  constructor(private readonly clock: Clock) {}
+  constructor(
+    private readonly clock: Clock,
+    private readonly processEndedMs: (owner: FormerOwner) => number,
+  ) {}
 
   /** @returns monotonic time by which every former owner has ended, in milliseconds */
   get ownersEndMs(): number {
@@ -95,12 +112,15 @@
    * @param roster - workers on which former owners may have started runs
    * @param lastLossMs - monotonic time by which the last owner before this one that may have granted
    *   leases had lost the share, in milliseconds
+   * @param lastOwner - that owner; undefined if it is not known
    */
   beginTerm(
     { leases, othersEndMs, othersEnds }: LeaseEnds,
     roster: readonly FormerWorker[],
     lastLossMs: number,
+    lastOwner: FormerOwner | undefined,
   ): void {
+    this.lastOwner = lastOwner;
     this.lastLossMs = lastLossMs;
     this.othersEndMs = othersEndMs;
     this.formerWorkers = new Map(roster.map((worker) => [worker.id, worker]));
@@ -125,20 +145,46 @@
    * owner that is not certain of its lease extends others in a data centre only while all workers of its
    * roster there, or all but a few, accept its fencing token, so that it stops once its successor has
    * reached more of them. Owners that do not have the reached workers in their rosters must not have the
-   * silent one either. A lease that an owner counted down in the store it extends no more.
+   * silent one either. A lease that an owner counted down in the store it extends no more, nor does an owner
+   * whose process has ended.
    *
    * @param worker - the worker
    * @returns monotonic time in milliseconds
    */
   endMs({ id }: Pick<WorkerDescription, 'id'>): number {
     const reachedAtMs = this.decisiveContact(id)?.atMs ?? Number.POSITIVE_INFINITY;
-    const lastExtensionMs = Math.min(this.ownersEndMs, reachedAtMs + SUCCESSOR_DISCOVERY_MS);
+    const lastExtensionMs = Math.min(
+      this.ownersEndMs,
+      reachedAtMs + SUCCESSOR_DISCOVERY_MS,
+      this.onlyOwnerEndedMs(id),
+    );
     return Math.min(
       lastExtensionMs + MAX_FORMER_LEASE_MS,
       this.storedEndsMs.get(id) ?? this.othersEndMs,
     );
   }
 
+  /**
+   * Checks whether the process of the last owner is known to have ended.
+   *
+   * @returns monotonic time by which it had, in milliseconds; infinite while that is not known
+   */
+  ownerEndedMs(): number {
+    if (!this.lastOwner) return Number.POSITIVE_INFINITY;
+    this.lastOwnerEndedMs = Math.min(this.lastOwnerEndedMs, this.processEndedMs(this.lastOwner));
+    return this.lastOwnerEndedMs;
+  }
+
+  /** The same for a worker that no earlier owner may use; infinite if one may. */
+  private onlyOwnerEndedMs(id: string): number {
+    const firstToken = this.formerWorkers.get(id)?.usedSinceTerm;
+    const isOnlyOwner =
+      this.lastOwner !== undefined &&
+      firstToken !== undefined &&
+      firstToken >= this.lastOwner.fencingToken;
+    return isOnlyOwner ? this.ownerEndedMs() : Number.POSITIVE_INFINITY;
+  }
+
   /** Returns the contact since which former owners cannot rule out a successor beside a worker. */
   private decisiveContact(id: string): Contact | undefined {
     const former = this.formerWorkers.get(id);
--- a/packages/samphirenotch/src/jobs/workers/workerFleet.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerFleet.ts
@@ -13,6 +13,7 @@
   FormerLeases,
   MAX_FORMER_LEASE_MS,
   SUCCESSOR_DISCOVERY_MS,
+  type FormerOwner,
   type FormerWorker,
 } from './formerLeases.js';
 import { LeaseCountdown, type LeaseEnds, type LeaseLeft } from './leaseCountdown.js';
@@ -79,6 +80,8 @@
    * milliseconds.
    */
   readonly lastLossMs: number;
+  /** That owner; undefined if it is not known. */
+  readonly lastOwner?: FormerOwner | undefined;
 }
 
 const describeRosterEntry = (entry: RosterEntry): WorkerDescription => ({
@@ -122,6 +125,11 @@
   readonly isSoleOwner: () => boolean;
   /** Returns true if no other owner can have granted a lease until a monotonic time in milliseconds. */
   readonly wasSoleOwnerAt: (timeMs: number) => boolean;
+  /**
+   * Returns a monotonic time in milliseconds by which the process of a former owner had ended; infinite while none is
+   * known.
+   */
+  readonly processEndedMs: (owner: FormerOwner) => number;
 }
 
 /** Holds a worker agent for each worker. */
@@ -214,6 +222,8 @@
   /** Monotonic time beyond which no lease is extended since a handover began, in milliseconds. */
   private handoverLimitMs = Number.POSITIVE_INFINITY;
 
+  private isOwnerEndLogged = false;
+
   /** The contested data centres as they were logged last. */
   private loggedContested = '';
 
@@ -225,7 +235,7 @@
   constructor(private readonly options: WorkerFleetOptions) {
     const { clock, onUsable } = options;
     this.clock = clock;
-    this.formerLeases = new FormerLeases(clock);
+    this.formerLeases = new FormerLeases(clock, options.processEndedMs);
     this.countdown = new LeaseCountdown(clock, onUsable);
   }
 
@@ -282,13 +292,13 @@
   beginTerm(
     journal: ProgressJournal,
     keys: Pick<ShareKeys, 'roster' | 'leases'>,
-    { roster, leaseEnds, lastLossMs }: FormerWorkers,
+    { roster, leaseEnds, lastLossMs, lastOwner }: FormerWorkers,
   ): void {
     this.journal = journal;
     this.rosterKey = keys.roster;
     this.countdown.beginTerm(journal, keys.leases, leaseEnds);
     this.termBeganMs = this.clock.monotonicMs();
-    this.formerLeases.beginTerm(leaseEnds, roster ?? [], lastLossMs);
+    this.formerLeases.beginTerm(leaseEnds, roster ?? [], lastLossMs, lastOwner);
     this.areFormerOwnersOver = roster?.length === 0;
     if (roster) this.waitForFormerWorkers(roster);
     else this.rosterUnknownUntilMs = this.formerLeases.latestEndMs;
@@ -518,6 +528,17 @@
     return this.contested;
   }
 
+  private logOwnerEnd(): void {
+    if (this.isOwnerEndLogged || this.unreportedWorkers.size === 0) return;
+    const endedMs = this.formerLeases.ownerEndedMs();
+    if (!Number.isFinite(endedMs)) return;
+    this.isOwnerEndLogged = true;
+    this.log.info('The process of the former owner has ended', {
+      endedAgoMs: Math.round(this.clock.monotonicMs() - endedMs),
+      unreportedWorkers: this.unreportedWorkers.size,
+    });
+  }
+
   private logContested(): void {
     const dataCentres = [...this.contestedDataCentres()].sort().join(' ');
     if (dataCentres === this.loggedContested) return;
@@ -603,6 +624,7 @@
   maintain(): void {
     this.giveUpExpired();
     this.checkFormerOwners();
+    this.logOwnerEnd();
     this.logContested();
     if (this.isDirectoryKnown) {
       this.all()
--- a/tests/platform/ingress.spec.ts
+++ b/tests/platform/ingress.spec.ts
@@ -49,6 +49,7 @@
     recorder,
     entry: 'a',
     process: 'a-1',
+    processStartedMs: clock.monotonicMs(),
     dataCentre: 'dc0',
     layoutSettleMs: 0,
     settings: DEFAULT_SETTINGS,
