Place a gang without a walk over all workers for each member

Cause: placeGang filtered all workers for each member, and for each of them all starts planned so far, in one turn of the event loop, once for each rack as well with SameRack, and in every pass. The owner could not renew its lease, lost it, and the next owner did the same. Change: GangPlacement counts how many members fit each worker, gives up if the sum is too small, and else fills the workers in the order of their cost; members with another history of failures are ranked by themselves. `A pass took long` names the step that the pass was busy with for longest. Why it works: members have one size, so each worker is looked at a few times for the whole gang. The order of workers is that of the former placement.

--- a/packages/samphirenotch/src/infrastructure/sizes.ts
+++ b/packages/samphirenotch/src/infrastructure/sizes.ts
@@ -30,16 +30,6 @@
  */
 export const minusSize = (left: Size, right: Size): Size => combine(left, right, (a, b) => a - b);
 
-/**
- * Multiplies a size by a number.
- *
- * @param size - the size
- * @param factor - the number
- * @returns the product of each amount
- */
-export const timesSize = (size: Size, factor: number): Size =>
-  combine(size, size, (each) => each * factor);
-
 /**
  * Adds any number of sizes.
  *
@@ -88,6 +78,25 @@
   size.memoryMb <= available.memoryMb &&
   size.accelerators <= available.accelerators;
 
+const countAmount = (amount: number, available: number): number => {
+  if (amount > 0) return Math.max(0, Math.floor(available / amount));
+  return available >= 0 ? Number.POSITIVE_INFINITY : 0;
+};
+
+/**
+ * Counts how many times a size fits into the available one.
+ *
+ * @param size - the required size
+ * @param available - the available size
+ * @returns the largest multiple of the size that fits; infinite if nothing is required
+ */
+export const countFitting = (size: Size, available: Size): number =>
+  Math.min(
+    countAmount(size.milliCores, available.milliCores),
+    countAmount(size.memoryMb, available.memoryMb),
+    countAmount(size.accelerators, available.accelerators),
+  );
+
 /**
  * Tells whether two sizes are equal.
  *
--- a/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
@@ -716,10 +716,14 @@
   private recordPass(tookMs: number, starts: number): void {
     this.options.recorder.time('pass', { taskClass: 'owner', tenant: 'owner' }, tookMs);
     if (tookMs < SLOW_PASS_MS) return;
+    const { slowestStep } = this.launcher;
     this.log.warn('A pass took long', {
       tookMs: Math.round(tookMs),
       starts,
       openJobs: this.book.openJobs().length,
+      slowestStep: slowestStep?.step.id,
+      slowestStepMs: slowestStep && Math.round(slowestStep.tookMs),
+      tasksOfSlowestStep: slowestStep?.step.tasks.length,
     });
   }
 }
--- a/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
+++ b/packages/samphirenotch/src/jobs/placement/stepLauncher.ts
@@ -1,7 +1,7 @@
 /**
  * Starts waiting tasks on workers with free resources.
  */
-import { fitsIn, NO_SIZE, timesSize } from '../../infrastructure/sizes.js';
+import { fitsIn, NO_SIZE } from '../../infrastructure/sizes.js';
 import { partLog } from '../../observability/log.js';
 import type { Clock } from '../../time/clock.js';
 
@@ -24,6 +24,7 @@
 import type { SlowWorkerDetector } from '../workers/slowWorkerDetector.js';
 import type { WorkerAgent } from '../workers/workerAgent.js';
 import type { WorkerFleet } from '../workers/workerFleet.js';
+import { GangPlacement, type PlannedStart } from './gangPlacement.js';
 import { JobExplainer, type JobExplanation } from './jobExplanation.js';
 import { LongWaits } from './longWaits.js';
 import { UnplaceableSizes } from './unplaceableSizes.js';
@@ -91,9 +92,10 @@
 const isSameList = (one: readonly WorkerAgent[], other: readonly WorkerAgent[]): boolean =>
   one.length === other.length && one.every((agent, index) => agent === other[index]);
 
-interface PlannedStart {
-  readonly task: OwnedTask;
-  readonly agent: WorkerAgent;
+/** A step and how long a pass was busy with it. */
+export interface TimedStep {
+  readonly step: OwnedStep;
+  readonly tookMs: number;
 }
 
 /** Starts waiting tasks in passes. */
@@ -104,6 +106,8 @@
 
   private readonly placement: TaskPlacement;
 
+  private readonly gangs: GangPlacement;
+
   private readonly preemption: Preemption;
 
   private readonly reservations: RoomReservations;
@@ -133,6 +137,8 @@
 
   private wasCutShort = false;
 
+  private slowest: TimedStep | undefined;
+
   /** Steps that the last pass did not come to before it was cut short. */
   private untriedSteps: readonly OwnedStep[] = [];
 
@@ -160,6 +166,10 @@
   constructor(private readonly options: StepLauncherOptions) {
     this.fillerRoom = new FillerHeadroom(options.interference);
     this.placement = new SpreadPlacement(options.interference, this.fillerRoom, options.clock);
+    this.gangs = new GangPlacement({
+      placement: this.placement,
+      chooseForSuspect: (input) => this.chooseWorker(input),
+    });
     this.moves = new ServingMoves(this.fillerRoom, this.placement, options.clock);
     this.preemption = new Preemption(options.clock);
     this.reservations = new RoomReservations(options.clock);
@@ -206,6 +216,11 @@
     );
   }
 
+  /** @returns the step that took the last pass longest; undefined if none took any time */
+  get slowestStep(): TimedStep | undefined {
+    return this.slowest;
+  }
+
   /**
    * Lists steps with tasks that found no worker when they were last tried, without those that still
    * wait for the policy service.
@@ -289,6 +304,7 @@
   pass(directoryKnown: boolean): void {
     const { book, clock } = this.options;
     this.wasCutShort = false;
+    this.slowest = undefined;
     this.unplacedSteps = [];
     this.untriedSteps = [];
     if (!directoryKnown || !this.gate.isOpen()) return;
@@ -317,7 +333,7 @@
       this.drainMoves.check(this.options.fleet.all());
       return;
     }
-    const cutAt = ordered.findIndex((step) => !this.startStep(step, nowMs));
+    const cutAt = ordered.findIndex((step) => !this.startTimed(step, nowMs));
     const areAllTried = cutAt < 0;
     const starved = this.starvation.starved(ordered);
     const startsBefore = this.startCount;
@@ -631,6 +647,16 @@
     return !task.step.occurrence.job.hasStoredPlaces || this.isTaskAccountedFor(task);
   }
 
+  /** Starts a step as `startStep` does, and notes how long that took. */
+  private startTimed(step: OwnedStep, nowMs: number): boolean {
+    const { clock } = this.options;
+    const startMs = clock.monotonicMs();
+    const areAllTried = this.startStep(step, nowMs);
+    const tookMs = clock.monotonicMs() - startMs;
+    if (tookMs > (this.slowest?.tookMs ?? 0)) this.slowest = { step, tookMs };
+    return areAllTried;
+  }
+
   /** Returns false if the time was up before all tasks of the step were tried. */
   private startStep(step: OwnedStep, nowMs: number): boolean {
     const { job } = step.occurrence;
@@ -723,8 +749,7 @@
     const run = Math.max(...members.map(({ nextRun }) => nextRun));
     const checkpoint = members.map((task) => task.checkpoint).find((each) => each !== '') ?? '';
     const racks = step.spec.sameRack ? this.racksOf(workers) : [];
-    const groups = [...racks, workers];
-    const found = groups.map((group) => this.placeGang(members, group)).find((starts) => starts);
+    const found = this.placeInFirst(members, [...racks, workers]);
     if (!found) {
       this.noteUnplaced(step, nowMs);
       return;
@@ -736,38 +761,28 @@
     });
   }
 
+  private placeInFirst(
+    members: readonly OwnedTask[],
+    groups: readonly (readonly WorkerAgent[])[],
+  ): readonly PlannedStart[] | undefined {
+    for (const workers of groups) {
+      const starts = this.gangs.place(members, workers);
+      if (starts) return starts;
+    }
+    return undefined;
+  }
+
   private racksOf(workers: readonly WorkerAgent[]): readonly (readonly WorkerAgent[])[] {
     const racks = new Map<string, WorkerAgent[]>();
     workers.forEach((agent) => {
       const rack = agent.description.labels.at(-1) ?? '';
-      racks.set(rack, [...(racks.get(rack) ?? []), agent]);
+      const known = racks.get(rack);
+      if (known) known.push(agent);
+      else racks.set(rack, [agent]);
     });
     return [...racks.values()];
   }
 
-  /** Places the members one by one, each on the capacity that the previous ones leave free. */
-  private placeGang(
-    members: readonly OwnedTask[],
-    workers: readonly WorkerAgent[],
-  ): readonly PlannedStart[] | undefined {
-    const starts: PlannedStart[] = [];
-    for (const task of members) {
-      const size = reservedSizeOf(task);
-      const countPlanned = (agent: WorkerAgent): number =>
-        starts.filter((start) => start.agent === agent).length;
-      const limit = task.step.spec.perWorkerLimit;
-      const fitting = workers.filter((agent) => {
-        const count = countPlanned(agent) + 1;
-        if (limit > 0 && count > limit) return false;
-        return agent.fits(timesSize(size, count));
-      });
-      const agent = this.chooseWorker({ task, size, workers: fitting });
-      if (!agent) return undefined;
-      starts.push({ task, agent });
-    }
-    return starts;
-  }
-
   private start({ task, agent }: PlannedStart, run: number): void {
     const { places, runLog } = this.options;
     const owned = task;
--- a/packages/samphirenotch/src/jobs/workers/workerAgent.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerAgent.ts
@@ -13,6 +13,7 @@
   TaskWorker,
   WorkerDescription,
 } from '../../infrastructure/taskWorker.js';
+import { countFitting } from '../../infrastructure/sizes.js';
 import type { Size } from '../../infrastructure/worker.js';
 import { partLog } from '../../observability/log.js';
 import type { Result } from '../../results.js';
@@ -483,6 +484,16 @@
     return !this.hasTrial && this.runs.fits(this.description.capacity, size);
   }
 
+  /**
+   * Counts how many tasks of one size fit into the free resources.
+   *
+   * @param size - resources of each task
+   * @returns their number; infinite for a task that needs nothing
+   */
+  countFitting(size: Size): number {
+    return this.hasTrial ? 0 : countFitting(size, this.free());
+  }
+
   /**
    * Keeps resources for a run that is about to start.
    *
