Cut the next process off from the lost worker in endedProcesses

Cause: a worker that a test loses starts again in the fixture, and only entries of that moment are cut off from it. Change: the next process is cut off from the lost worker as well.

--- a/tests/jobs/endedProcesses.spec.ts
+++ b/tests/jobs/endedProcesses.spec.ts
@@ -10,7 +10,7 @@
 } from 'samphirenotch/jobs/store/processDirectory.js';
 import { ManualClock } from 'samphirenotch/time/manualClock.js';
 
-import { runUntil, type JobSite } from '../fixtures/jobSite.js';
+import { runUntil, type JobSite, type SiteEntry } from '../fixtures/jobSite.js';
 import { countRunning, LASTING_TASKS, makeSiteWithLastingTasks } from '../fixtures/lastingTasks.js';
 import { cutOff, FAR, makeIsland } from '../fixtures/ownerIsland.js';
 
@@ -26,6 +26,12 @@
 /** Longest lease of a worker, in milliseconds. */
 const MAX_LEASE_MS = 6_000;
 
+const LOST_WORKER = 'w3';
+
+/** Starts the next process of an entry, which does not reach the lost worker either. */
+const restart = (site: JobSite, { name }: SiteEntry): void =>
+  site.cutFromWorkers(site.start(name).client, [LOST_WORKER]);
+
 /** Runs a site until all its tasks run; returns how long that took, in milliseconds. */
 const timeUntilAllRun = async (site: JobSite): Promise<number> => {
   const fromMs = site.clock.monotonicMs();
@@ -42,10 +48,10 @@
     test(`should run tasks again in time after ${beside} is lost with the owner, back in ${downMs} ms`, async (t) => {
       const { site, owner } = await makeSiteWithLastingTasks({ dataCentres });
       await site.run(SETTLED_AFTER_MS);
-      site.loseWorker('w3');
+      site.loseWorker(LOST_WORKER);
       owner.kill();
       await site.run(downMs);
-      site.start(owner.name);
+      restart(site, owner);
       const awayMs = downMs + (await timeUntilAllRun(site));
       t.true(awayMs <= Math.max(LOST_MS, downMs + CALM_MS), `away for ${awayMs} ms`);
       await site.run(10_000);
@@ -58,14 +64,14 @@
 test('should run tasks again in time after a worker and two owners are lost', async (t) => {
   const { site, owner, successor } = await makeSiteWithLastingTasks({ dataCentres: LASTING_TASKS });
   await site.run(SETTLED_AFTER_MS);
-  site.loseWorker('w3');
+  site.loseWorker(LOST_WORKER);
   owner.kill();
   await runUntil(site, () => successor.entry.status().terms.length > 0);
-  site.start(owner.name);
+  restart(site, owner);
   await site.run(1_500);
   successor.kill();
   await site.run(100);
-  site.start(successor.name);
+  restart(site, successor);
   const awayMs = await timeUntilAllRun(site);
   t.true(awayMs <= CALM_MS, `away for ${awayMs} ms after the last loss`);
   await site.run(10_000);
