Stop the members of a gang once when they are lost one after the other

Cause: for each member whose start got no answer the owner walked all members and ordered them to stop, so 12,000 x 12,000 times in one turn of the event loop. Evidence: a processor profile of 3,000 members in memory has 1.4 of 6.5 s in stopGang, the most of any function of ours. Change: GangStops remembers the run of each gang that it has stopped. Why it works: the first lost member orders all others of its run to stop, and a start after that has another run number. Test: gangStops, "should stop each member of a gang once, however many are lost": 499 orders for 500 members, where each lost member ordered 499. What remains: the pass that starts the 12,000 members takes 0.6 s on this machine.

--- a/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
+++ b/packages/samphirenotch/src/jobs/ownership/jobOwner.ts
@@ -54,6 +54,7 @@
 import { WorkerFleet } from '../workers/workerFleet.js';
 import type { ShareJobExplanation, TermStatus, WorkerStatus } from './entryStatus.js';
 import { JobRegistry } from '../store/jobRegistry.js';
+import { GangStops } from './gangStops.js';
 import { JobRetention } from './jobRetention.js';
 import { ShareExchange } from './shareExchange.js';
 import { SummaryWriter } from './summaryWriter.js';
@@ -196,6 +197,8 @@
   /** True while a pass is due at the end of such a pause. */
   private isBackoffAwaited = false;
 
+  private readonly gangStops = new GangStops();
+
   /** True while the last changes of the term are being stored: nothing is started meanwhile. */
   private isHandingOver = false;
 
@@ -504,7 +507,7 @@
     task.step.occurrence.job.isFullyStarted = false;
     this.places.noteEnd(run);
     this.watchedRuns.noteEnd(run);
-    this.stopGang(run);
+    this.gangStops.stopOthers(run);
     this.wakeup.wake();
   }
 
@@ -524,17 +527,7 @@
   onStartUnanswered(run: OwnedRun): void {
     const { task, agent } = run;
     task.failedWorkerIds = new Set([...task.failedWorkerIds, agent.id]);
-    this.stopGang(run);
-  }
-
-  /** The other members of a gang would wait in vain for one that was lost or may not have started. */
-  private stopGang(member: OwnedRun): void {
-    const { step } = member.task;
-    if (!step.spec.gang) return;
-    step.tasks
-      .flatMap(({ runs }) => runs)
-      .filter((other) => other !== member && other.run === member.run)
-      .forEach((other) => other.agent.stop(other, 'another member of its gang is not there'));
+    this.gangStops.stopOthers(run);
   }
 
   onCrash({ id, description: { address } }: WorkerAgent, runs: readonly OwnedRun[]): void {
