Accept large jobs one after the other, and count them apart from others

Cause: each entry decided without the others' decisions of that moment, and large and small jobs shared one limit. Change: the acceptance of a job of 1,000 tasks or more expects and writes one key, so that an entry that has not seen the last one conflicts, reads, and asks the rule again. Large jobs are refused from 80,000 open tasks of large jobs in a share on, others from 100,000 of others. A conflict with the job itself still counts as done. Why it works: large acceptances are in one order, and each is decided with all earlier ones known. Refused after a lost answer is true: the key has moved on, so that no earlier attempt can take effect. Tests: openTaskLimit, "should accept no more large jobs at once at several entries than at one" and "should accept a large job once if the answer of the store is lost".

--- a/packages/samphirenotch/src/jobs/admission/admissionRule.ts
+++ b/packages/samphirenotch/src/jobs/admission/admissionRule.ts
@@ -28,4 +28,12 @@
    * @returns the refusal; undefined if this rule admits the job
    */
   check(submitted: SubmittedJob): Refusal | undefined;
+  /**
+   * Checks whether jobs like this one are accepted one after the other, each with all earlier ones known to the
+   * entry that accepts it.
+   *
+   * @param job - the job
+   * @returns true if several entries must not decide at the same time
+   */
+  isSerial(job: JobSpec): boolean;
 }
--- a/packages/samphirenotch/src/jobs/admission/openTaskLimit.ts
+++ b/packages/samphirenotch/src/jobs/admission/openTaskLimit.ts
@@ -3,18 +3,15 @@
  */
 import type { Clock } from '../../time/clock.js';
 
-import { heldTaskCount } from '../model/jobSpec.js';
-import { MAXIMUM_OPEN_TASKS } from '../store/jobRegistry.js';
+import { heldTaskCount, isLargeJob, type JobSpec } from '../model/jobSpec.js';
 import type { JobReplica } from '../store/jobReplica.js';
 import type { AdmissionRule, Refusal, SubmittedJob } from './admissionRule.js';
 
-/** Number of tasks from which a job is large. */
-export const LARGE_JOB_TASKS = 1_000;
+/** Number of open tasks of a share from which large jobs are refused. */
+export const MAXIMUM_OPEN_TASKS_OF_LARGE_JOBS = 80_000;
 
-/**
- * Number of open tasks from which large jobs are refused: a few that can never run must not keep all others out.
- */
-export const MAXIMUM_OPEN_TASKS_FOR_LARGE_JOBS = 80_000;
+/** The same for other jobs: large ones that can never run must not keep these out. */
+export const MAXIMUM_OPEN_TASKS_OF_OTHER_JOBS = 100_000;
 
 /** Retry delay given to callers whose job finds no room, in milliseconds. */
 const RETRY_AFTER_MS = 5_000;
@@ -26,6 +23,7 @@
 interface AdmittedJob {
   readonly home: string;
   readonly tasks: number;
+  readonly isLarge: boolean;
   /** Monotonic time in milliseconds. */
   readonly admittedMs: number;
 }
@@ -36,7 +34,10 @@
   readonly clock: Clock;
 }
 
-/** Bounds the open tasks of each share. Entries may exceed it by what they admit at the same time. */
+/**
+ * Bounds the open tasks of each share: those of large jobs exactly, those of the others but for what several entries
+ * admit at the same time.
+ */
 export class OpenTaskLimit implements AdmissionRule {
   private readonly admitted = new Map<string, AdmittedJob>();
 
@@ -47,18 +48,24 @@
 
   check({ jobId, home, job }: SubmittedJob): Refusal | undefined {
     this.forgetKnown();
+    const { replica, clock } = this.options;
     const tasks = heldTaskCount(job);
-    const limit = tasks >= LARGE_JOB_TASKS ? MAXIMUM_OPEN_TASKS_FOR_LARGE_JOBS : MAXIMUM_OPEN_TASKS;
-    const room = limit - tasks - this.admittedTasks(jobId, home);
+    const isLarge = isLargeJob(job);
+    const limit = isLarge ? MAXIMUM_OPEN_TASKS_OF_LARGE_JOBS : MAXIMUM_OPEN_TASKS_OF_OTHER_JOBS;
+    this.admitted.delete(jobId);
+    const room = limit - tasks - this.admittedTasks(home, isLarge);
     // The sum over all shares is at hand, that over one is not.
-    if (this.options.replica.openTasks > room && this.options.replica.openTasksOf(home) > room) {
+    if (replica.openTasks(isLarge) > room && replica.openTasksOf(home, isLarge) > room) {
       return { reason: 'too many tasks are open', retryAfterMs: RETRY_AFTER_MS };
     }
-    const admittedMs = this.options.clock.monotonicMs();
-    this.admitted.set(jobId, { home, tasks, admittedMs });
+    this.admitted.set(jobId, { home, tasks, isLarge, admittedMs: clock.monotonicMs() });
     return undefined;
   }
 
+  isSerial(job: JobSpec): boolean {
+    return isLargeJob(job);
+  }
+
   private forgetKnown(): void {
     const { replica, clock } = this.options;
     const earliestMs = clock.monotonicMs() - MAX_COMMIT_MS;
@@ -67,11 +74,10 @@
     });
   }
 
-  /** Sums the admitted jobs of a share but one, which may be submitted again. */
-  private admittedTasks(exceptId: string, share: string): number {
+  private admittedTasks(share: string, ofLarge: boolean): number {
     let sum = 0;
-    this.admitted.forEach(({ home, tasks }, jobId) => {
-      if (home === share && jobId !== exceptId) sum += tasks;
+    this.admitted.forEach(({ home, tasks, isLarge }) => {
+      if (home === share && isLarge === ofLarge) sum += tasks;
     });
     return sum;
   }
--- a/packages/samphirenotch/src/jobs/entry/jobCommands.ts
+++ b/packages/samphirenotch/src/jobs/entry/jobCommands.ts
@@ -2,7 +2,11 @@
  * Commands of callers: submitting and cancelling jobs. Every entry accepts commands for every job.
  */
 import type { Failure } from '../../failure.js';
-import type { Transaction, TransactionStore } from '../../infrastructure/transactionStore.js';
+import type {
+  Transaction,
+  TransactionOutcome,
+  TransactionStore,
+} from '../../infrastructure/transactionStore.js';
 import { partLog } from '../../observability/log.js';
 import { callWithin, remainingMs, type Call } from '../../time/call.js';
 import type { Clock } from '../../time/clock.js';
@@ -11,7 +15,7 @@
 import { encodeAccepted } from '../model/acceptedJob.js';
 import type { JobSpec } from '../model/jobSpec.js';
 import type { Queue } from '../model/siteConfiguration.js';
-import { ACCEPTED_PREFIX, CANCELLED_PREFIX } from '../store/jobKeys.js';
+import { ACCEPTED_PREFIX, CANCELLED_PREFIX, SERIAL_KEY } from '../store/jobKeys.js';
 import type { JobReplica } from '../store/jobReplica.js';
 import type { StoreFollower } from '../store/storeFollower.js';
 
@@ -30,6 +34,9 @@
 /** Retry delay given to callers after the store has rejected a command, in milliseconds. */
 const BUSY_RETRY_AFTER_MS = 500;
 
+/** Wait before a job is submitted again because another one was accepted first, in milliseconds. */
+const OVERTAKEN_RETRY_MS = 20;
+
 /** Result of a command. */
 export type CommandOutcome =
   | { readonly kind: 'done' }
@@ -40,6 +47,9 @@
   /** The command may have taken effect; retrying with the same id is safe. */
   | { readonly kind: 'unknown'; readonly reason: string };
 
+/** Result of a transaction: that of its command, or what it conflicts with. */
+type CommitOutcome = CommandOutcome | Extract<TransactionOutcome, { readonly kind: 'conflict' }>;
+
 /** Dependencies of the commands. */
 export interface JobCommandsOptions {
   readonly store: TransactionStore;
@@ -75,25 +85,46 @@
     const { replica, clock, chooseHome } = this.options;
     if (replica.find(jobId)) return { kind: 'done' };
     const home = await chooseHome(job);
-    const refusal = this.refusalOf({ jobId, queue, home, job });
-    if (refusal) {
-      const refused = { kind: 'refused', ...refusal } as const;
-      this.logOutcome('submit', jobId, queue.name, refused, home);
-      return refused;
-    }
     const accepted = { id: jobId, home, queue, acceptedAtMs: clock.wallMs(), job };
-    const key = ACCEPTED_PREFIX + jobId;
-    const transaction = {
-      expectations: [{ key, revision: 0 }],
-      writes: [{ key, value: encodeAccepted(accepted) }],
-      removals: [],
-    };
-    // A conflict counts as done: an earlier attempt or another call has already stored the job.
-    const outcome = await this.commit(transaction, call);
+    const outcome = await this.accept({ jobId, queue, home, job }, encodeAccepted(accepted), call);
     this.logOutcome('submit', jobId, queue.name, outcome, home);
     return outcome;
   }
 
+  /** Stores a job unless a rule refuses it. */
+  private async accept(
+    submitted: SubmittedJob,
+    value: string,
+    call: Call,
+  ): Promise<CommandOutcome> {
+    const { rules, replica, follower, clock } = this.options;
+    const key = ACCEPTED_PREFIX + submitted.jobId;
+    const isSerial = rules.some((rule) => rule.isSerial(submitted.job));
+    for (;;) {
+      const refusal = this.refusalOf(submitted);
+      if (refusal) return { kind: 'refused', ...refusal };
+      const serial = { key: SERIAL_KEY, revision: replica.serialRevision };
+      const outcome = await this.commit(
+        {
+          expectations: [{ key, revision: 0 }, ...(isSerial ? [serial] : [])],
+          writes: [
+            { key, value },
+            ...(isSerial ? [{ key: SERIAL_KEY, value: submitted.jobId }] : []),
+          ],
+          removals: [],
+        },
+        call,
+      );
+      // A conflict with the job counts as done: an earlier attempt or another call has already stored it.
+      if (outcome.kind !== 'conflict') return outcome;
+      if (outcome.current.some((item) => item.key === key)) return { kind: 'done' };
+      // Another entry has accepted a job that this one does not know; no attempt takes effect any more.
+      await Promise.all([follower.refresh(), clock.sleep(OVERTAKEN_RETRY_MS, call.signal)]);
+      if (remainingMs(clock, call) <= 0 || call.signal.aborted)
+        return { kind: 'refused', retryAfterMs: BUSY_RETRY_AFTER_MS, reason: 'others came first' };
+    }
+  }
+
   /**
    * Cancels a job by storing the cancellation durably. A job that is not stored may still be: its
    * submission may have got no answer. So its cancellation is stored as well, and the job does not
@@ -136,7 +167,9 @@
       },
       call,
     );
-    return outcome.kind === 'done' && !isStored ? { kind: 'not-found' } : outcome;
+    if (outcome.kind === 'done' || outcome.kind === 'conflict')
+      return { kind: isStored ? 'done' : 'not-found' };
+    return outcome;
   }
 
   private storeCall(call: Call): Call {
@@ -148,7 +181,7 @@
     );
   }
 
-  private async commit(transaction: Transaction, call: Call): Promise<CommandOutcome> {
+  private async commit(transaction: Transaction, call: Call): Promise<CommitOutcome> {
     const { store, clock, follower } = this.options;
     if (follower.silenceMs() > MAX_STORE_SILENCE_MS) {
       return { kind: 'refused', retryAfterMs: STORE_RETRY_AFTER_MS, reason: 'the store is away' };
@@ -162,7 +195,8 @@
     let lastFailure: Failure | undefined;
     while (remainingMs(clock, commandCall) > 0 && !call.signal.aborted) {
       const outcome = await store.commit(transaction, this.storeCall(commandCall));
-      if (outcome.ok) return { kind: 'done' };
+      // No write of a command has a lease.
+      if (outcome.ok) return outcome.val.kind === 'conflict' ? outcome.val : { kind: 'done' };
       lastFailure = outcome.val;
       if (lastFailure.effect === 'unknown') isInDoubt = true;
       // The failed call had no effect, so the caller can be refused without further attempts.
--- a/packages/samphirenotch/src/jobs/model/jobSpec.ts
+++ b/packages/samphirenotch/src/jobs/model/jobSpec.ts
@@ -83,6 +83,17 @@
   return tasksPerOccurrence(job) * (isLasting ? occurrenceCountOf(job) : 1);
 };
 
+/** Number of tasks from which a job is large. */
+export const LARGE_JOB_TASKS = 1_000;
+
+/**
+ * Checks whether a job is large.
+ *
+ * @param job - the job
+ * @returns true if its owner holds so many tasks for it that few such jobs fill its memory
+ */
+export const isLargeJob = (job: JobSpec): boolean => heldTaskCount(job) >= LARGE_JOB_TASKS;
+
 /** State of a job as callers see it. */
 export type JobState = 'queued' | 'running' | 'completed' | 'failed' | 'cancelled';
 
--- a/packages/samphirenotch/src/jobs/store/jobKeys.ts
+++ b/packages/samphirenotch/src/jobs/store/jobKeys.ts
@@ -15,6 +15,9 @@
 /** Accepted jobs. */
 export const ACCEPTED_PREFIX = `${SHARED_PREFIX}accepted/`;
 
+/** Written with each acceptance that must know all earlier ones of its kind: the id of the job. */
+export const SERIAL_KEY = `${SHARED_PREFIX}serial`;
+
 /** Cancellations requested by callers. */
 export const CANCELLED_PREFIX = `${SHARED_PREFIX}cancelled/`;
 
--- a/packages/samphirenotch/src/jobs/store/jobReplica.ts
+++ b/packages/samphirenotch/src/jobs/store/jobReplica.ts
@@ -13,6 +13,7 @@
   ENDED_PREFIX,
   LAYOUT_KEY,
   PROCESSES_PREFIX,
+  SERIAL_KEY,
   SHARES_PREFIX,
 } from './jobKeys.js';
 import { OpenTaskCounter } from './openTaskCounter.js';
@@ -61,6 +62,8 @@
 
   private readonly openTaskCounter = new OpenTaskCounter();
 
+  private lastSerialRevision = 0;
+
   private cancelled = new Set<string>();
 
   private ended = new Map<string, JobState>();
@@ -125,21 +128,32 @@
     return this.shares.layout?.homeOf(accepted.home, accepted.id).id ?? accepted.home;
   }
 
-  /** @returns the number of tasks that the owners of all open jobs hold */
-  get openTasks(): number {
-    return this.openTaskCounter.total;
+  /**
+   * Counts the tasks that the owners of all open jobs of a kind hold.
+   *
+   * @param isLarge - true for large jobs, false for the others
+   * @returns their number
+   */
+  openTasks(isLarge: boolean): number {
+    return this.openTaskCounter.total(isLarge);
   }
 
   /**
-   * Counts the tasks that the owner of a share holds for its open jobs.
+   * Counts the tasks that the owner of a share holds for its open jobs of a kind.
    *
    * @param share - id of the share
+   * @param isLarge - true for large jobs, false for the others
    * @returns their number
    */
-  openTasksOf(share: string): number {
+  openTasksOf(share: string, isLarge: boolean): number {
     return [...this.jobs.values()]
       .filter((job) => this.homeOf(job) === share)
-      .reduce((sum, { accepted }) => sum + this.openTaskCounter.of(accepted.id), 0);
+      .reduce((sum, { accepted }) => sum + this.openTaskCounter.of(accepted.id, isLarge), 0);
+  }
+
+  /** @returns store revision of the last acceptance that was stored after all others; 0 if there was none */
+  get serialRevision(): number {
+    return this.lastSerialRevision;
   }
 
   /**
@@ -229,6 +243,7 @@
     this.cancelled = new Set();
     this.ended = new Map();
     this.openTaskCounter.clear();
+    this.lastSerialRevision = 0;
     this.shares.clearOwners();
     this.processes.clear();
     // Ends and cancellations are applied before jobs, so that an ended job is not taken for a new
@@ -255,6 +270,7 @@
       if (share !== undefined) this.listeners.get(share)?.onOwner(this.shares.owner(share));
       return;
     }
+    if (key === SERIAL_KEY) this.lastSerialRevision = value === undefined ? 0 : revision;
     if (key.startsWith(PROCESSES_PREFIX)) this.processes.apply(key, value, revision);
     if (key.startsWith(ACCEPTED_PREFIX)) this.onAcceptedKey(key, value, revision);
     if (key.startsWith(CANCELLED_PREFIX)) {
--- a/tests/jobs/openTaskLimit.spec.ts
+++ b/tests/jobs/openTaskLimit.spec.ts
@@ -3,19 +3,19 @@
  */
 import test from 'ava';
 import {
-  LARGE_JOB_TASKS,
-  MAXIMUM_OPEN_TASKS_FOR_LARGE_JOBS,
+  MAXIMUM_OPEN_TASKS_OF_LARGE_JOBS,
+  MAXIMUM_OPEN_TASKS_OF_OTHER_JOBS,
   OpenTaskLimit,
 } from 'samphirenotch/jobs/admission/openTaskLimit.js';
 import { encodeAccepted } from 'samphirenotch/jobs/model/acceptedJob.js';
-import type { JobSpec } from 'samphirenotch/jobs/model/jobSpec.js';
+import { LARGE_JOB_TASKS, type JobSpec } from 'samphirenotch/jobs/model/jobSpec.js';
 import {
   ACCEPTED_PREFIX,
   CANCELLED_PREFIX,
   ENDED_PREFIX,
 } from 'samphirenotch/jobs/store/jobKeys.js';
-import { MAXIMUM_OPEN_TASKS } from 'samphirenotch/jobs/store/jobRegistry.js';
 import { JobReplica } from 'samphirenotch/jobs/store/jobReplica.js';
+import { callWithin } from 'samphirenotch/time/call.js';
 import { ManualClock } from 'samphirenotch/time/manualClock.js';
 
 import { makeJob, makeOwnedSite, makeQueue, makeStep } from '../fixtures/jobSite.js';
@@ -44,7 +44,7 @@
   return { clock, limit, queue, put, isAdmitted, accept };
 };
 
-const LARGE_JOBS = MAXIMUM_OPEN_TASKS_FOR_LARGE_JOBS / 20_000;
+const LARGE_JOBS = MAXIMUM_OPEN_TASKS_OF_LARGE_JOBS / 20_000;
 
 /** Accepts as many large jobs as there is room for. */
 const fill = ({ accept }: ReturnType<typeof makeEntry>, home = HOME): readonly string[] => {
@@ -71,9 +71,7 @@
   const least = makeJob(makeStep({ count: LARGE_JOB_TASKS }));
   t.false(entry.isAdmitted('y', least));
   const small = makeJob(makeStep({ count: LARGE_JOB_TASKS - 1 }));
-  const count = Math.floor(
-    (MAXIMUM_OPEN_TASKS - MAXIMUM_OPEN_TASKS_FOR_LARGE_JOBS) / (LARGE_JOB_TASKS - 1),
-  );
+  const count = Math.floor(MAXIMUM_OPEN_TASKS_OF_OTHER_JOBS / (LARGE_JOB_TASKS - 1));
   Array.from({ length: count }, (_each, index) => entry.accept(`small-${index}`, small));
   t.false(entry.isAdmitted('z', small));
 });
@@ -115,6 +113,33 @@
   t.false(isAdmitted('y', LARGEST_JOB));
 });
 
+// Guards against an owner that is ended at its heap limit by large jobs that several entries have accepted at once, and
+// against large jobs that keep small ones out.
+test('should accept no more large jobs at once at several entries than at one', async (t) => {
+  const { site, owner } = await makeOwnedSite({ milliCores: 500 });
+  const entries = [owner, site.start('b'), site.start('c')];
+  await site.run(500);
+  const submitted = Array.from({ length: 12 }, (_each, index) => {
+    const { commands } = (entries[index % entries.length] ?? owner).entry.callerApi;
+    const call = callWithin(site.clock, 3_000);
+    return commands.submit(`00000000000000${10 + index}`, site.queue, LARGEST_JOB, call);
+  });
+  await site.run(3_000);
+  const outcomes = await Promise.all(submitted);
+  t.is(outcomes.filter(({ kind }) => kind === 'done').length, LARGE_JOBS);
+  t.true(outcomes.every(({ kind }) => kind === 'done' || kind === 'refused'));
+  t.is(await site.submit(owner, '00000000000000b0', SMALL_JOB), 'done');
+});
+
+// Guards against a job that is refused, and runs: it was stored although its first answer was lost.
+test('should accept a large job once if the answer of the store is lost', async (t) => {
+  const { site, owner } = await makeOwnedSite();
+  const large = makeJob(makeStep({ count: LARGE_JOB_TASKS }));
+  owner.store.failCommitsUnder('jobs/accepted/', 'answer-lost');
+  t.is(await site.submit(owner, '00000000000000a1', large), 'done');
+  t.is(await site.submit(owner, '00000000000000a1', large), 'done');
+});
+
 // Guards against a rule that no entry applies.
 test('should refuse a large job at an entry whose site has too many open tasks', async (t) => {
   const { site, owner } = await makeOwnedSite({ milliCores: 500 });
