Name a new owner alone in the roster once the last one has ended

Cause: until 12 s after the loss of the share an owner stores the owners before it as possibly acting, so that its successor does not go by the end of its process alone. That the process of the owner before has ended did not count there. Change: ownersEndMs is the end of that process if no earlier owner may act on any worker of the roster. If the roster cannot be read the former bound holds. Why it works: with no owner before it that may act, the new owner's own term is the first that a successor has to wait for. Tests: endedProcesses, "should run tasks again in time after an owner is lost that has served for 3000, 6000, 10000 ms".

--- a/packages/samphirenotch/src/jobs/workers/formerLeases.ts
+++ b/packages/samphirenotch/src/jobs/workers/formerLeases.ts
@@ -82,6 +82,9 @@
 
   private lastOwner: FormerOwner | undefined;
 
+  /** True if no owner before the last one may still act. */
+  private isLastOwnerAloneEverywhere = false;
+
   /** Monotonic time by which the process of the last owner had ended, in milliseconds; infinite if unknown. */
   private lastOwnerEndedMs = Number.POSITIVE_INFINITY;
 
@@ -97,7 +100,10 @@
 
   /** @returns monotonic time by which every former owner has ended, in milliseconds */
   get ownersEndMs(): number {
-    return this.lastLossMs + MAXIMUM_UNCONFIRMED_MS;
+    return Math.min(
+      this.lastLossMs + MAXIMUM_UNCONFIRMED_MS,
+      this.isLastOwnerAloneEverywhere ? this.ownerEndedMs() : Number.POSITIVE_INFINITY,
+    );
   }
 
   /** @returns monotonic time at which the last of all former leases ends, in milliseconds */
@@ -112,7 +118,7 @@
    * @param roster - workers on which former owners may have started runs
    * @param lastLossMs - monotonic time by which the last owner before this one that may have granted
    *   leases had lost the share, in milliseconds
-   * @param lastOwner - that owner; undefined if it is not known
+   * @param lastOwner - that owner; undefined if it or the roster is not known
    */
   beginTerm(
     { leases, othersEndMs, othersEnds }: LeaseEnds,
@@ -124,6 +130,7 @@
     this.lastLossMs = lastLossMs;
     this.othersEndMs = othersEndMs;
     this.formerWorkers = new Map(roster.map((worker) => [worker.id, worker]));
+    this.isLastOwnerAloneEverywhere = roster.every(({ id }) => this.isLastOwnerAlone(id));
     [...othersEnds, ...leases].forEach(({ id, endMs }) => this.storedEndsMs.set(id, endMs));
   }
 
@@ -156,7 +163,7 @@
     const lastExtensionMs = Math.min(
       this.ownersEndMs,
       reachedAtMs + SUCCESSOR_DISCOVERY_MS,
-      this.onlyOwnerEndedMs(id),
+      this.isLastOwnerAlone(id) ? this.ownerEndedMs() : Number.POSITIVE_INFINITY,
     );
     return Math.min(
       lastExtensionMs + MAX_FORMER_LEASE_MS,
@@ -175,14 +182,14 @@
     return this.lastOwnerEndedMs;
   }
 
-  /** The same for a worker that no earlier owner may use; infinite if one may. */
-  private onlyOwnerEndedMs(id: string): number {
+  /** Tells whether no owner before the last one may still act and have runs on a worker. */
+  private isLastOwnerAlone(id: string): boolean {
     const firstToken = this.formerWorkers.get(id)?.usedSinceTerm;
-    const isOnlyOwner =
+    return (
       this.lastOwner !== undefined &&
       firstToken !== undefined &&
-      firstToken >= this.lastOwner.fencingToken;
-    return isOnlyOwner ? this.ownerEndedMs() : Number.POSITIVE_INFINITY;
+      firstToken >= this.lastOwner.fencingToken
+    );
   }
 
   /** Returns the contact since which former owners cannot rule out a successor beside a worker. */
--- a/packages/samphirenotch/src/jobs/workers/workerFleet.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerFleet.ts
@@ -298,7 +298,8 @@
     this.rosterKey = keys.roster;
     this.countdown.beginTerm(journal, keys.leases, leaseEnds);
     this.termBeganMs = this.clock.monotonicMs();
-    this.formerLeases.beginTerm(leaseEnds, roster ?? [], lastLossMs, lastOwner);
+    const knownOwner = roster && lastOwner;
+    this.formerLeases.beginTerm(leaseEnds, roster ?? [], lastLossMs, knownOwner);
     this.areFormerOwnersOver = roster?.length === 0;
     if (roster) this.waitForFormerWorkers(roster);
     else this.rosterUnknownUntilMs = this.formerLeases.latestEndMs;
--- a/tests/jobs/endedProcesses.spec.ts
+++ b/tests/jobs/endedProcesses.spec.ts
@@ -78,6 +78,26 @@
   t.deepEqual(site.record.violations, []);
 });
 
+// Guards against the same where the owner that is lost has taken over only a short time before.
+for (const servesMs of [3_000, 6_000, 10_000]) {
+  test(`should run tasks again in time after an owner is lost that has served for ${servesMs} ms`, async (t) => {
+    const { site, owner } = await makeSiteWithLastingTasks({ dataCentres: LASTING_TASKS });
+    await site.run(SETTLED_AFTER_MS);
+    owner.kill();
+    await site.run(100);
+    const second = site.start(owner.name);
+    await site.run(servesMs);
+    site.loseWorker(LOST_WORKER);
+    second.kill();
+    await site.run(100);
+    restart(site, owner);
+    const awayMs = 100 + (await timeUntilAllRun(site));
+    t.true(awayMs <= LOST_MS, `away for ${awayMs} ms`);
+    await site.run(10_000);
+    t.deepEqual(site.record.violations, []);
+  });
+}
+
 // Guards against tasks that run twice: an earlier owner goes on although the process of the last one has ended.
 test('should wait for an earlier owner that goes on when the process of the last one has ended', async (t) => {
   for (const servesMs of [300, 1_500, 4_000]) {
@@ -107,7 +127,8 @@
   };
   const ends = { leases: [], othersEndMs: Infinity, othersEnds: [] };
   leases.beginTerm(ends, [worker], clock.monotonicMs(), { process: 'a-1', fencingToken: 7 });
-  return { nowMs: clock.monotonicMs(), endMs: leases.endMs(worker) };
+  const nowMs = clock.monotonicMs();
+  return { nowMs, endMs: leases.endMs(worker), ownersEndMs: leases.ownersEndMs };
 };
 
 // Guards against a worker that an earlier owner may still use, and one that is waited for although none does.
@@ -116,6 +137,8 @@
   t.true(endMs <= nowMs - 500 + 1.1 * MAX_LEASE_MS);
   t.true(makeLeases(6, -500).endMs >= nowMs + SETTLED_AFTER_MS);
   t.true(makeLeases(7, Infinity).endMs >= nowMs + SETTLED_AFTER_MS);
+  t.is(makeLeases(7, -500).ownersEndMs, -500);
+  t.true(makeLeases(6, -500).ownersEndMs >= nowMs + LOST_MS);
 });
 
 // Guards against a record of a process that counts although it cannot be read, or is of another machine.
