--- a/tests/jobs/ownedJob.spec.ts
+++ b/tests/jobs/ownedJob.spec.ts
@@ -2,27 +2,19 @@
  * In-memory state of a job at its owner.
  */
 import test from 'ava';
-import { WHOLE_SITE_SHARE_ID } from 'samphirenotch/jobs/model/shareLayout.js';
-import { OwnedJob } from 'samphirenotch/jobs/model/ownedJob.js';
 
-import { makeJob, makeQueue, makeStep } from '../fixtures/jobSite.js';
+import { makeJob, makeStep } from '../fixtures/jobSite.js';
+import { makeOwnedJob } from '../fixtures/ownedJobs.js';
 
 // Guards against slow intake of delegations: building all tasks of a large job for each delegated
 // task.
 test('should hold only the delegated tasks of a job of another share', (t) => {
-  const queue = makeQueue();
   const job = {
     ...makeJob(makeStep({ count: 500 }), makeStep({ count: 4, after: [0] })),
     repeatCount: 50,
   };
-  const guest = new OwnedJob({
-    accepted: { id: 'j', home: WHOLE_SITE_SHARE_ID, queue, acceptedAtMs: 0, job },
-    revision: 1,
-    queue,
-    progress: undefined,
-    firstRun: 1,
-    acceptedMs: 0,
-    knownSinceMs: 0,
+  const guest = makeOwnedJob(job, {
+    id: 'j',
     delegation: {
       jobId: 'j',
       name: '1-1',
