--- a/tests/platform/startSignals.spec.ts
+++ b/tests/platform/startSignals.spec.ts
@@ -1,27 +1,18 @@
 /**
  * Signals that reach the daemon before it has started.
  */
-import { execFileSync, spawn } from 'node:child_process';
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { spawn } from 'node:child_process';
+import { writeFileSync } from 'node:fs';
 import path from 'node:path';
 import { createInterface } from 'node:readline';
 
 import test, { type ExecutionContext } from 'ava';
 
-import { ReservedNetwork } from '../soak/reservedNetwork.js';
+import { makeDaemon } from '../fixtures/daemon.js';
 
 /** Nobody listens at this port of this machine. */
 const NO_STORE = '127.0.0.1:1';
 
-const settingsOf = (host: string) => ({
-  NodeName: 'front-1',
-  Zone: 'north',
-  ListenAddrs: { Front: `${host}:18161`, ReadyAddress: `${host}:18167` },
-  Limits: { CpuShare: 1 },
-  Bounds: { HoldLimitMs: 6_000, GraceS: 1, FencingEnforced: true },
-  platform: { Address: NO_STORE },
-});
-
 /** Sends a signal to the process it is loaded into, as the daemon reads its compiled code. */
 const makeHook = (signal: NodeJS.Signals): string => `
 const fs = require('node:fs');
@@ -40,15 +31,7 @@
 
 /** Runs the daemon, which gets a signal while it loads, until it ends; it is stopped once it has started. */
 const runDaemon = async (t: ExecutionContext, signal: NodeJS.Signals): Promise<DaemonEnd> => {
-  // Below the packages that the bundle still loads.
-  const folder = mkdtempSync(path.join('.build', 'start-signals-'));
-  t.teardown(() => rmSync(folder, { recursive: true }));
-  const program = path.join(folder, 'entry.cjs');
-  execFileSync('npx', ['tsx', 'utils/bundle.ts', program], { stdio: 'pipe' });
-  const settings = path.resolve(folder, 'boot.json');
-  const network = await ReservedNetwork.reserve();
-  t.teardown(() => network.release());
-  writeFileSync(settings, JSON.stringify(settingsOf(network.addressOf(0))));
+  const { folder, program, settings } = await makeDaemon(t, NO_STORE);
   const hook = path.resolve(folder, 'hook.cjs');
   writeFileSync(hook, makeHook(signal));
   const daemon = spawn(process.execPath, ['--require', hook, program], {
