--- a/packages/samphirenotch/src/jobs/model/jobProgress.ts
+++ b/packages/samphirenotch/src/jobs/model/jobProgress.ts
@@ -124,15 +124,12 @@
 const NOTHING: ReadonlyMap<number, never> = new Map<number, never>();
 
 /** A schedule may have thousands of occurrences, so what is missing shares one map. */
-const decodeByTask = <Stored, Value>(
-  values: Readonly<Record<string, Stored>> | undefined,
-  decode: (stored: Stored) => Value,
-): ReadonlyMap<number, Value> => {
-  if (!values) return NOTHING;
-  return new Map(Object.entries(values).map(([index, stored]) => [Number(index), decode(stored)]));
-};
-
-const asStored = <Value>(value: Value): Value => value;
+const decodeByTask = <Value>(
+  values: Readonly<Record<string, Value>> | undefined,
+): ReadonlyMap<number, Value> =>
+  values
+    ? new Map(Object.entries(values).map(([index, value]) => [Number(index), value]))
+    : NOTHING;
 
 const hasProgress = ({
   done,
@@ -161,8 +158,8 @@
       const i = spec.longRunning
         ? encodeByTask(tasks, (task) => interruptionOf(task, clock))
         : undefined;
-      const done = tasks.filter((task) => task.done).map(({ index: task }) => task);
-      const d = IndexRanges.of(done).toPairs();
+      const doneTasks = tasks.filter(({ done }) => done);
+      const d = IndexRanges.of(doneTasks.map((task) => task.index)).toPairs();
       return {
         d,
         ...(f && { f }),
@@ -196,10 +193,12 @@
   const rows = occurrences.map(({ k, s }) => {
     const steps = s.map(({ d, f, c, p, i }) => ({
       done: IndexRanges.fromPairs(d),
-      failedRuns: decodeByTask(f, asStored),
-      crashedRuns: decodeByTask(c, asStored),
-      places: decodeByTask(arePlacesValid ? p : undefined, asStored),
-      interruptions: decodeByTask(i, (unixMs) => toMonotonicMs(clock, unixMs)),
+      failedRuns: decodeByTask(f),
+      crashedRuns: decodeByTask(c),
+      places: decodeByTask(arePlacesValid ? p : undefined),
+      interruptions: new Map(
+        [...decodeByTask(i)].map(([index, unixMs]) => [index, toMonotonicMs(clock, unixMs)]),
+      ),
     }));
     return [k, steps] as const;
   });
