--- a/packages/samphirenotch/src/jobs/ownership/processRegistration.ts
+++ b/packages/samphirenotch/src/jobs/ownership/processRegistration.ts
@@ -83,13 +83,15 @@
       },
       callWithin(clock, CALL_TIMEOUT_MS, signal),
     );
-    const isReplaced = outcome.ok && outcome.val.kind === 'committed';
-    this.log.info('The end of the former process of this machine is stored', {
-      former,
-      revision,
-      ageMs: Math.round(ageMs),
+    const fields = { former, revision, ageMs: Math.round(ageMs) };
+    if (outcome.ok && outcome.val.kind === 'committed') {
+      this.log.info('The end of the former process of this machine is stored', fields);
+      return true;
+    }
+    this.log.warn('The end of the former process of this machine was not stored', {
+      ...fields,
       outcome: outcome.ok ? outcome.val.kind : outcome.val.message,
     });
-    return isReplaced;
+    return false;
   }
 }
--- a/packages/samphirenotch/src/jobs/workers/formerLeases.ts
+++ b/packages/samphirenotch/src/jobs/workers/formerLeases.ts
@@ -80,6 +80,7 @@
   /** The same for all other workers. */
   private othersEndMs = Number.POSITIVE_INFINITY;
 
+  /** The last owner before this one that may have granted leases; undefined if it or the roster is not known. */
   private lastOwner: FormerOwner | undefined;
 
   /** True if no owner before the last one may still act. */
@@ -172,7 +173,7 @@
   }
 
   /**
-   * Checks whether the process of the last owner is known to have ended.
+   * Returns by when the process of the last owner had ended.
    *
    * @returns monotonic time by which it had, in milliseconds; infinite while that is not known
    */
--- a/packages/samphirenotch/src/jobs/workers/workerFleet.ts
+++ b/packages/samphirenotch/src/jobs/workers/workerFleet.ts
@@ -222,6 +222,7 @@
   /** Monotonic time beyond which no lease is extended since a handover began, in milliseconds. */
   private handoverLimitMs = Number.POSITIVE_INFINITY;
 
+  /** True once the log says that the process of the last owner has ended. */
   private isOwnerEndLogged = false;
 
   /** The contested data centres as they were logged last. */
